--- /dev/null
+++ b/crates/rillgap-backend/src/lib.rs
@@ -0,0 +1,1 @@
+//! Peer: back ends. HTTP client side, connection pools and cancellation.
--- /dev/null
+++ b/crates/rillgap-cli/src/lib.rs
@@ -0,0 +1,1 @@
+//! The rillgapctl command line.
--- /dev/null
+++ b/crates/rillgap-cli/src/main.rs
@@ -0,0 +1,3 @@
+//! Entry point of `rillgapctl`.
+
+fn main() {}
--- /dev/null
+++ b/crates/rillgap-core/src/lib.rs
@@ -0,0 +1,1 @@
+//! Decision logic of rillgap as pure state machines, without I/O, threads or clock reads.
--- /dev/null
+++ b/crates/rillgap-lab/src/lib.rs
@@ -0,0 +1,1 @@
+//! Model, stand-ins, experiments, replay and reports.
--- /dev/null
+++ b/crates/rillgap-lab/src/main.rs
@@ -0,0 +1,3 @@
+//! Entry point of `rillgap-lab`.
+
+fn main() {}
--- /dev/null
+++ b/crates/rillgap-mesh/src/lib.rs
@@ -0,0 +1,1 @@
+//! Peer: other nodes. Frames and links.
--- /dev/null
+++ b/crates/rillgap-node/src/lib.rs
@@ -0,0 +1,1 @@
+//! The rillgapd daemon: settings, logs, duty threads and rings.
--- /dev/null
+++ b/crates/rillgap-node/src/main.rs
@@ -0,0 +1,3 @@
+//! Entry point of `rillgapd`.
+
+fn main() {}
--- /dev/null
+++ b/crates/rillgap-operator/src/lib.rs
@@ -0,0 +1,1 @@
+//! Peer: operators. Schema, generated code, service and client.
--- /dev/null
+++ b/crates/rillgap-platform/src/lib.rs
@@ -0,0 +1,1 @@
+//! Peer: the platform. Object store client and machine list.
