Types of the core: events, actions, messages, policy, result codes

Agrees the seam between the pure state machines and their drivers before the parts are built side by side. Subsystems are placeholders with their final interfaces; nothing decides anything yet.

--- /dev/null
+++ b/crates/rillgap-core/src/node.rs
@@ -0,0 +1,291 @@
+//! One node: the subsystems joined into a single state machine.
+
+use crate::action::{Action, Observation, Outbox};
+use crate::call::CallPath;
+use crate::claim::Claims;
+use crate::configuration::Configuration;
+use crate::event::Event;
+use crate::id::{BackEndName, Incarnation, NodeId, NodeName, RegionName, ServiceName, ZoneName};
+use crate::membership::Membership;
+use crate::message::PeerMessage;
+use crate::operator::{OperatorReply, OperatorRequest, OperatorRequestId};
+use crate::policy::Policy;
+use crate::store::{StoreReply, StoreRequestId};
+use crate::time::{Instant, Now};
+use crate::view::View;
+
+/// A peer that a fresh node asks first.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct SeedPeer {
+    /// Configured name of the peer.
+    pub name: NodeName,
+    /// Address of its mesh listener.
+    pub mesh_address: std::net::SocketAddr,
+}
+
+/// The back end beside a node.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct LocalBackEnd {
+    /// Name of the back end.
+    pub name: BackEndName,
+    /// Service that it runs.
+    pub service: ServiceName,
+}
+
+/// What a node is told at its start.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct NodeSettings {
+    /// Configured name.
+    pub name: NodeName,
+    /// Zone in which the node runs.
+    pub zone: ZoneName,
+    /// Region of that zone.
+    pub region: RegionName,
+    /// This run; must differ from every earlier run of the name.
+    pub incarnation: Incarnation,
+    /// Seed of the node's random numbers.
+    pub random_seed: u64,
+    /// Address of the node's mesh listener.
+    pub mesh_address: std::net::SocketAddr,
+    /// Back end beside the node, if there is one.
+    pub back_end: Option<LocalBackEnd>,
+    /// Peers to ask first.
+    pub seeds: Vec<SeedPeer>,
+    /// View to start from, where no store is used (benchmarks and unit tests).
+    pub initial_view: Option<View>,
+    /// Policy to start from, where no store is used (benchmarks and unit tests).
+    pub initial_policy: Option<Policy>,
+}
+
+impl NodeSettings {
+    /// Returns the identifier of the node.
+    pub fn id(&self) -> NodeId {
+        self.name.id()
+    }
+}
+
+/// The subsystems that the data path consults.
+#[derive(Debug)]
+pub struct Context<'a> {
+    /// What the node was told at its start.
+    pub settings: &'a NodeSettings,
+    /// Membership.
+    pub membership: &'a mut Membership,
+    /// Policy.
+    pub configuration: &'a Configuration,
+    /// Claims.
+    pub claims: &'a mut Claims,
+    /// Actions for the driver.
+    pub out: &'a mut Outbox,
+}
+
+/// One node as a state machine.
+#[derive(Debug)]
+pub struct Node {
+    settings: NodeSettings,
+    membership: Membership,
+    configuration: Configuration,
+    claims: Claims,
+    call_path: CallPath,
+    policy_in_force: crate::id::PolicyVersion,
+    view_in_force: crate::id::ViewVersion,
+    serving: bool,
+    stopping: bool,
+    exited: bool,
+}
+
+impl Node {
+    /// Creates a fresh node, which remembers nothing.
+    pub fn new(now: Now, settings: NodeSettings) -> Self {
+        Self {
+            membership: Membership::new(now, &settings),
+            configuration: Configuration::new(now, &settings),
+            claims: Claims::new(settings.id(), settings.incarnation),
+            call_path: CallPath::new(&settings),
+            policy_in_force: crate::id::PolicyVersion::default(),
+            view_in_force: crate::id::ViewVersion::default(),
+            serving: false,
+            stopping: false,
+            exited: false,
+            settings,
+        }
+    }
+
+    /// Handles one event; actions for the driver are appended to `out`.
+    pub fn handle(&mut self, now: Now, event: Event, out: &mut Outbox) {
+        match event {
+            Event::Peer {
+                from,
+                incarnation,
+                message,
+            } => self.on_peer(now, from, incarnation, message, out),
+            Event::Store { request, reply } => self.on_store(now, request, &reply, out),
+            Event::Operator { request, body } => self.on_operator(now, request, body, out),
+            Event::Stop => self.begin_stop(now, out),
+            Event::Wake => {}
+            event => {
+                let (call_path, mut context) = self.split(out);
+                call_path.handle(now, event, &mut context);
+            }
+        }
+        self.settle(now, out);
+    }
+
+    /// Returns when [`Event::Wake`] is due next, if at all.
+    pub fn next_wake(&self) -> Option<Instant> {
+        [
+            self.membership.next_wake(),
+            self.configuration.next_wake(),
+            self.claims.next_wake(),
+            self.call_path.next_wake(),
+        ]
+        .into_iter()
+        .flatten()
+        .min()
+    }
+
+    /// Returns the settings of the node.
+    pub fn settings(&self) -> &NodeSettings {
+        &self.settings
+    }
+
+    /// Returns the node's membership.
+    pub fn membership(&self) -> &Membership {
+        &self.membership
+    }
+
+    /// Returns the node's configuration.
+    pub fn configuration(&self) -> &Configuration {
+        &self.configuration
+    }
+
+    /// Returns the node's data path.
+    pub fn call_path(&self) -> &CallPath {
+        &self.call_path
+    }
+
+    fn split<'a>(&'a mut self, out: &'a mut Outbox) -> (&'a mut CallPath, Context<'a>) {
+        let context = Context {
+            settings: &self.settings,
+            membership: &mut self.membership,
+            configuration: &self.configuration,
+            claims: &mut self.claims,
+            out,
+        };
+        (&mut self.call_path, context)
+    }
+
+    fn on_peer(
+        &mut self,
+        now: Now,
+        from: NodeId,
+        incarnation: Incarnation,
+        message: PeerMessage,
+        out: &mut Outbox,
+    ) {
+        match message {
+            PeerMessage::Call(message) => {
+                let (call_path, mut context) = self.split(out);
+                call_path.on_message(now, from, message, &mut context);
+            }
+            PeerMessage::Claim(message) => {
+                let guard = self.call_path.guard_mut();
+                self.claims
+                    .on_message(now, from, message, &self.membership, guard, out);
+            }
+            PeerMessage::Membership(message) => {
+                self.membership
+                    .on_message(now, from, incarnation, message, out);
+            }
+            PeerMessage::Configuration(message) => {
+                self.configuration
+                    .on_message(now, from, message, &self.membership, out);
+            }
+        }
+    }
+
+    fn on_store(
+        &mut self,
+        now: Now,
+        request: StoreRequestId,
+        reply: &StoreReply,
+        out: &mut Outbox,
+    ) {
+        if !self.membership.on_store(now, request, reply, out) {
+            self.configuration
+                .on_store(now, request, reply, &self.membership, out);
+        }
+    }
+
+    fn on_operator(
+        &mut self,
+        now: Now,
+        request: OperatorRequestId,
+        body: OperatorRequest,
+        out: &mut Outbox,
+    ) {
+        if body == OperatorRequest::StopNode {
+            out.push(Action::Reply {
+                request,
+                reply: OperatorReply::Stopping,
+            });
+            self.begin_stop(now, out);
+            return;
+        }
+        self.configuration
+            .on_operator(now, request, body, &self.membership, out);
+    }
+
+    fn begin_stop(&mut self, now: Now, out: &mut Outbox) {
+        if self.stopping {
+            return;
+        }
+        self.stopping = true;
+        let (call_path, mut context) = self.split(out);
+        call_path.begin_stop(now, &mut context);
+        self.membership.leave(now, out);
+    }
+
+    /// Lets every subsystem do what is due and passes on what one has for another.
+    fn settle(&mut self, now: Now, out: &mut Outbox) {
+        self.membership.poll(now, out);
+        self.configuration.poll(now, &self.membership, out);
+        self.claims.poll(now, &self.membership, out);
+        self.report_versions(out);
+        self.report_serving(now, out);
+        let (call_path, mut context) = self.split(out);
+        call_path.settle(now, &mut context);
+        self.exit_when_idle(out);
+    }
+
+    fn report_versions(&mut self, out: &mut Outbox) {
+        let policy = self.configuration.version();
+        if policy != self.policy_in_force {
+            self.policy_in_force = policy;
+            out.push(Action::Observe(Observation::PolicyInForce(policy)));
+        }
+        let view = self.membership.view().version;
+        if view != self.view_in_force {
+            self.view_in_force = view;
+            out.push(Action::Observe(Observation::ViewInForce(view)));
+        }
+    }
+
+    fn report_serving(&mut self, now: Now, out: &mut Outbox) {
+        let serving = !self.stopping
+            && self.configuration.policy().is_some()
+            && self.membership.may_serve(now);
+        if serving != self.serving {
+            self.serving = serving;
+            out.push(Action::Observe(Observation::Serving(serving)));
+        }
+    }
+
+    fn exit_when_idle(&mut self, out: &mut Outbox) {
+        let idle = self.stopping && self.call_path.is_idle() && self.membership.has_left();
+        if idle && !self.exited {
+            self.exited = true;
+            out.push(Action::Exit);
+        }
+    }
+}
--- /dev/null
+++ b/crates/rillgap-core/src/view.rs
@@ -0,0 +1,48 @@
+//! The agreed membership view: which nodes there are, where, and in which run.
+
+use std::net::SocketAddr;
+
+use bitcode::{Decode, Encode};
+
+use crate::id::{Incarnation, NodeId, NodeName, RegionName, ViewVersion, ZoneName};
+
+/// One node of a view.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct Member {
+    /// Configured name.
+    pub name: NodeName,
+    /// Zone in which it runs.
+    pub zone: ZoneName,
+    /// Region of that zone.
+    pub region: RegionName,
+    /// Run that joined.
+    pub incarnation: Incarnation,
+    /// Address of its mesh listener.
+    pub mesh_address: SocketAddr,
+}
+
+impl Member {
+    /// Returns the identifier of the node.
+    pub fn id(&self) -> NodeId {
+        self.name.id()
+    }
+}
+
+/// The agreed set of members, changed only by compare-and-set in the platform's store.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Encode, Decode)]
+pub struct View {
+    /// Version; a later view replaces an earlier one.
+    pub version: ViewVersion,
+    /// Members in the order of their identifiers.
+    pub members: Vec<Member>,
+}
+
+impl View {
+    /// Returns a member by identifier.
+    pub fn member(&self, node: NodeId) -> Option<&Member> {
+        self.members
+            .binary_search_by_key(&node, Member::id)
+            .ok()
+            .and_then(|position| self.members.get(position))
+    }
+}
--- /dev/null
+++ b/crates/rillgap-lab/src/command/mod.rs
@@ -0,0 +1,57 @@
+//! Commands of `rillgap-lab`, one module each.
+
+use argh::FromArgs;
+
+pub mod bench;
+pub mod compare;
+pub mod explore;
+pub mod load;
+pub mod replay;
+pub mod scale;
+pub mod serve;
+
+/// Model, stand-ins, load and experiments for rillgap.
+#[derive(FromArgs, Debug)]
+pub struct LabArguments {
+    #[argh(subcommand)]
+    command: LabCommand,
+}
+
+#[derive(FromArgs, Debug)]
+#[argh(subcommand)]
+enum LabCommand {
+    Bench(bench::BenchCommand),
+    Compare(compare::CompareCommand),
+    Explore(explore::ExploreCommand),
+    Load(load::LoadCommand),
+    Replay(replay::ReplayCommand),
+    Scale(scale::ScaleCommand),
+    Serve(serve::ServeCommand),
+}
+
+impl LabArguments {
+    /// Runs the command that was asked for.
+    ///
+    /// # Errors
+    ///
+    /// Returns what made the command fail.
+    pub fn run(self) -> Result<(), CommandError> {
+        match self.command {
+            LabCommand::Bench(command) => command.run(),
+            LabCommand::Compare(command) => command.run(),
+            LabCommand::Explore(command) => command.run(),
+            LabCommand::Load(command) => command.run(),
+            LabCommand::Replay(command) => command.run(),
+            LabCommand::Scale(command) => command.run(),
+            LabCommand::Serve(command) => command.run(),
+        }
+    }
+}
+
+/// Why a command failed.
+#[derive(Debug, thiserror::Error)]
+pub enum CommandError {
+    /// The command is not built yet.
+    #[error("this command is not built yet")]
+    NotBuiltYet,
+}
--- a/crates/rillgap-lab/src/lib.rs
+++ b/crates/rillgap-lab/src/lib.rs
@@ -1,1 +1,3 @@
 //! Model, stand-ins, experiments, replay and reports.
+
+pub mod command;
