Interface of membership for claims, configuration and operators

The claim protocol, the spread of the policy and the operator's status each need facts that only membership has: the vote lease, activated views, who has confirmed a policy, whom to pass news to. The node tells membership its policy version after each event, and leaves the view only once nothing is in flight: peers need a member's address to send it their answers.

--- a/crates/rillgap-core/src/node.rs
+++ b/crates/rillgap-core/src/node.rs
@@ -243,19 +243,20 @@
         self.stopping = true;
         let (call_path, mut context) = self.split(out);
         call_path.begin_stop(now, &mut context);
-        self.membership.leave(now, out);
     }
 
     /// Lets every subsystem do what is due and passes on what one has for another.
     fn settle(&mut self, now: Now, out: &mut Outbox) {
         self.membership.poll(now, out);
         self.configuration.poll(now, &self.membership, out);
+        self.membership
+            .set_policy_version(self.configuration.version());
         self.claims.poll(now, &self.membership, out);
         self.report_versions(out);
         self.report_serving(now, out);
         let (call_path, mut context) = self.split(out);
         call_path.settle(now, &mut context);
-        self.exit_when_idle(out);
+        self.leave_when_idle(now, out);
     }
 
     fn report_versions(&mut self, out: &mut Outbox) {
@@ -281,9 +282,14 @@
         }
     }
 
-    fn exit_when_idle(&mut self, out: &mut Outbox) {
-        let idle = self.stopping && self.call_path.is_idle() && self.membership.has_left();
-        if idle && !self.exited {
+    /// Ends a planned stop: leaves the view once nothing is in flight (peers need the address
+    /// of a member to send it their answers), then exits.
+    fn leave_when_idle(&mut self, now: Now, out: &mut Outbox) {
+        if !self.stopping || self.exited || !self.call_path.is_idle() {
+            return;
+        }
+        self.membership.leave(now, out);
+        if self.membership.has_left() {
             self.exited = true;
             out.push(Action::Exit);
         }
