Client of the platform's store and machine list over HTTP

Cause: nodes need versions, watches and conditional puts of the platform's store, and its lagging machine list, behind the types of rillgap_core::store.

Change: PlatformClient::execute speaks the published conventions of a common key-value store (blocking queries by modify index, conditional put, catalog of nodes). Reads try one endpoint after another; a write is sent once and an unclear answer is Failed. The answer to a put does not tell the new index, so it is read back; if the object was replaced in between the reply is Failed as well, because the index of the write cannot be learned any more.

Ruled out: the transaction endpoint, which would return the index at once, but is not among the conventions that the platform promises.

--- a/crates/rillgap-platform/src/lib.rs
+++ b/crates/rillgap-platform/src/lib.rs
@@ -1,1 +1,12 @@
-//! Peer: the platform. Object store client and machine list.
+//! Peer: the platform. Client of its object store and of its machine list.
+//!
+//! The platform is spoken to by the published HTTP conventions of a common key-value store:
+//! `GET /v1/kv/KEY?index=N&wait=30s` is a blocking query, `PUT /v1/kv/KEY?cas=N` is a
+//! conditional put, and `GET /v1/catalog/nodes` lists the machines.
+
+mod client;
+mod error;
+mod wire;
+
+pub use client::{BLOCKING_WAIT, PLAIN_TIMEOUT, PlatformClient};
+pub use error::PlatformError;
