Data path of a node: calls, attempts, retry pools and the gate

The calls of a back end carry the token of the request that it serves; repeats are recognised by content and charged to that request's share of the root's extra attempts. Every refusal states its outcome; a keyed request that was turned away before its key was looked up says unknown, because an earlier attempt may have run.

--- /dev/null
+++ b/crates/rillgap-core/src/call/deadlines.rs
@@ -0,0 +1,45 @@
+//! Deadlines of calls, in the order in which they pass.
+
+use std::collections::BTreeSet;
+
+use crate::time::Instant;
+
+/// An ordered set of deadlines with the identifier of what each belongs to.
+#[derive(Debug)]
+pub struct Deadlines<T> {
+    entries: BTreeSet<(Instant, T)>,
+}
+
+impl<T> Default for Deadlines<T> {
+    fn default() -> Self {
+        Self {
+            entries: BTreeSet::new(),
+        }
+    }
+}
+
+impl<T: Copy + Ord> Deadlines<T> {
+    /// Adds a deadline.
+    pub fn insert(&mut self, deadline: Instant, item: T) {
+        self.entries.insert((deadline, item));
+    }
+
+    /// Removes a deadline, if it is there.
+    pub fn remove(&mut self, deadline: Instant, item: T) {
+        self.entries.remove(&(deadline, item));
+    }
+
+    /// Returns the earliest deadline.
+    pub fn next(&self) -> Option<Instant> {
+        self.entries.first().map(|(deadline, _)| *deadline)
+    }
+
+    /// Takes one item whose deadline has passed.
+    pub fn pop_passed(&mut self, now: Instant) -> Option<T> {
+        let (deadline, _) = self.entries.first()?;
+        if *deadline > now {
+            return None;
+        }
+        self.entries.pop_first().map(|(_, item)| item)
+    }
+}
--- /dev/null
+++ b/crates/rillgap-core/src/call/entry.rs
@@ -0,0 +1,223 @@
+//! Takes requests in from callers and from the local back end, and checks them.
+
+use std::time::Duration;
+
+use crate::action::{Action, Observation};
+use crate::call::gate::{Gate, Parent};
+use crate::call::outgoing::{OutgoingCall, ParentLink};
+use crate::call::pool::RetryPool;
+use crate::call::ports::Ports;
+use crate::call::sender::Sender;
+use crate::claim::fingerprint;
+use crate::code::ResultCode;
+use crate::event::InboundId;
+use crate::id::{CallToken, Fingerprint, RootId};
+use crate::message::KeyedAttempt;
+use crate::policy::{Bounds, Policy, RoutePolicy};
+use crate::request::{InboundRequest, Origin, Refusal, RetryAfter};
+use crate::time::Now;
+
+/// Takes in a request, or refuses it at once.
+pub fn accept(
+    now: Now,
+    inbound: InboundId,
+    request: InboundRequest,
+    sender: &mut Sender,
+    gate: &mut Gate,
+    ports: &mut Ports<'_, '_>,
+) {
+    let admitted = match request.origin {
+        Origin::Caller => admit_root(now, inbound, request, sender, ports),
+        Origin::LocalBackEnd { token } => {
+            admit_child(now, inbound, request, token, sender, gate, ports)
+        }
+    };
+    match admitted {
+        Ok(call) => sender.begin(now, call, gate, ports),
+        Err(refusal) => refuse(inbound, refusal, ports),
+    }
+}
+
+/// Refuses an inbound request, at once.
+pub fn refuse(inbound: InboundId, refusal: Refusal, ports: &mut Ports<'_, '_>) {
+    ports.act(Action::Refuse { inbound, refusal });
+    ports.act(Action::Observe(Observation::Refused { refusal }));
+}
+
+fn admit_root(
+    now: Now,
+    inbound: InboundId,
+    request: InboundRequest,
+    sender: &mut Sender,
+    ports: &mut Ports<'_, '_>,
+) -> Result<OutgoingCall, Refusal> {
+    let policy = ready_policy(now, sender, &request, ports)?;
+    let route = find_route(&policy, &request)?.clone();
+    let keyed = required_key(&route, &request)?;
+    let root = RootId(sender.draw_identifier());
+    if keyed.is_none() {
+        sender
+            .entry_admission
+            .admit(now.instant, &request.service, route.class, root)?;
+    }
+    let call = new_call(now, inbound, request, &route, sender, ports);
+    sender.open_pool(call.id, RetryPool::new(policy.bounds.extra_attempts));
+    Ok(OutgoingCall {
+        root,
+        keyed,
+        ..call
+    })
+}
+
+fn admit_child(
+    now: Now,
+    inbound: InboundId,
+    request: InboundRequest,
+    token: Option<CallToken>,
+    sender: &mut Sender,
+    gate: &mut Gate,
+    ports: &mut Ports<'_, '_>,
+) -> Result<OutgoingCall, Refusal> {
+    let policy = ports.context.configuration.policy().cloned();
+    let policy = policy.ok_or_else(|| refusal(ResultCode::NotReady))?;
+    let route = find_route(&policy, &request)?.clone();
+    let parent = token.and_then(|token| gate.parent(token));
+    let parent = parent.ok_or_else(|| refusal(ResultCode::TokenInvalid))?;
+    let content = content_of(&request);
+    check_deadline(&parent, now)?;
+    let Parent {
+        attempt,
+        dispatch,
+        deadline,
+        pool,
+        children,
+    } = parent;
+    let bounds: &Bounds = &policy.bounds;
+    children
+        .admit(content, route.repeatable, bounds, pool)
+        .map_err(refusal)?;
+    let link = ParentLink { attempt, content };
+    let (root, class) = (dispatch.root, dispatch.class);
+    let call = new_call(now, inbound, request, &route, sender, ports);
+    let deadline = call.deadline.min(deadline);
+    Ok(OutgoingCall {
+        root,
+        class,
+        deadline,
+        parent: Some(link),
+        ..call
+    })
+}
+
+fn check_deadline(parent: &Parent<'_>, now: Now) -> Result<(), Refusal> {
+    if parent.deadline <= now.instant {
+        return Err(refusal(ResultCode::DeadlineUnmet));
+    }
+    Ok(())
+}
+
+/// Returns the policy if this node takes requests of callers at the moment.
+///
+/// A keyed request that is turned away here says that its outcome is unknown, because an
+/// earlier attempt of the same key may have run and nobody was asked.
+fn ready_policy(
+    now: Now,
+    sender: &Sender,
+    request: &InboundRequest,
+    ports: &Ports<'_, '_>,
+) -> Result<std::sync::Arc<Policy>, Refusal> {
+    let context = &*ports.context;
+    let policy = context.configuration.policy();
+    let reason = if sender.is_stopping() {
+        Some(ResultCode::NodeStopping)
+    } else if policy.is_none() || !context.membership.may_serve(now) {
+        Some(ResultCode::NotReady)
+    } else {
+        None
+    };
+    match (reason, policy) {
+        (None, Some(policy)) => Ok(policy.clone()),
+        (_, _) if request.key.is_some() => Err(refusal(ResultCode::KeyUnchecked)),
+        (reason, _) => Err(refusal(reason.unwrap_or(ResultCode::NotReady))),
+    }
+}
+
+fn find_route<'a>(
+    policy: &'a Policy,
+    request: &InboundRequest,
+) -> Result<&'a RoutePolicy, Refusal> {
+    policy
+        .route(&request.service, &request.head.method, &request.head.path)
+        .ok_or_else(|| refusal(ResultCode::UnknownRoute))
+}
+
+fn required_key(
+    route: &RoutePolicy,
+    request: &InboundRequest,
+) -> Result<Option<KeyedAttempt>, Refusal> {
+    if route.repeatable {
+        return Ok(None);
+    }
+    let key = request
+        .key
+        .ok_or_else(|| refusal(ResultCode::KeyRequired))?;
+    let head = &request.head;
+    let fingerprint = fingerprint(
+        request.service.as_str(),
+        &head.method,
+        &head.path,
+        &request.body,
+    );
+    Ok(Some(KeyedAttempt { key, fingerprint }))
+}
+
+/// Recognises a call among its siblings; the query is left out, so that a back end that
+/// numbers its repeats there gains nothing.
+fn content_of(request: &InboundRequest) -> Fingerprint {
+    let path = request.head.path.split('?').next().unwrap_or_default();
+    fingerprint(
+        request.service.as_str(),
+        &request.head.method,
+        path,
+        &request.body,
+    )
+}
+
+fn new_call(
+    now: Now,
+    inbound: InboundId,
+    request: InboundRequest,
+    route: &RoutePolicy,
+    sender: &mut Sender,
+    ports: &Ports<'_, '_>,
+) -> OutgoingCall {
+    let longest: Duration = route.deadline();
+    let timeout = request
+        .timeout
+        .map_or(longest, |timeout| timeout.min(longest));
+    OutgoingCall {
+        id: sender.next_call_id(ports.context.settings),
+        inbound,
+        root: RootId(0),
+        parent: None,
+        service: request.service,
+        class: route.class,
+        repeatable: route.repeatable,
+        keyed: None,
+        head: request.head,
+        body: request.body,
+        arrived: now.instant,
+        deadline: now.instant + timeout,
+        tried: Vec::new(),
+        reroutes: 0,
+        next_attempt: 0,
+        attempt: None,
+    }
+}
+
+const fn refusal(code: ResultCode) -> Refusal {
+    Refusal {
+        code,
+        retry_after: RetryAfter::DEFAULT,
+    }
+}
--- a/crates/rillgap-core/src/code.rs
+++ b/crates/rillgap-core/src/code.rs
@@ -107,8 +107,8 @@
     NotReady = 46, 503, NotRun, "node not ready";
     /// The attempt was meant for an earlier run of the node beside the back end.
     WrongIncarnation = 47, 503, NotRun, "attempt meant for an earlier run";
-    /// The attempt was barred before it arrived.
-    AttemptBarred = 48, 503, NotRun, "attempt barred";
+    /// The attempt was barred before it arrived; the attempt that barred it may have run.
+    AttemptBarred = 48, 409, Unknown, "attempt barred by another one of its key";
     /// The back end itself refused the request before running it.
     BackEndShed = 49, 503, NotRun, "back end shed the request";
     /// The back end could not be reached; nothing was sent.
@@ -129,6 +129,8 @@
     AnswerBroken = 75, 502, Unknown, "answer broken off";
     /// The key completed, but its answer is no longer remembered.
     AnswerForgotten = 76, 409, Unknown, "completed before, answer no longer remembered";
+    /// A keyed request was turned away before its key was looked up.
+    KeyUnchecked = 77, 503, Unknown, "turned away before the key was looked up";
     /// The policy is invalid.
     PolicyInvalid = 100, 400, NotRun, "policy invalid";
     /// The policy changed since the expected version.
