Views share their members

A node keeps every view that was in force during the longest life of a key, so that a copy of each would cost about 360 KB a view at 1,900 members (an estimate from the sizes of the types). Members are now held by shared pointers; a later view costs eight bytes for each member that stays. View::new sorts members, so that callers need not know the order.

--- a/crates/rillgap-core/src/view.rs
+++ b/crates/rillgap-core/src/view.rs
@@ -1,6 +1,7 @@
 //! The agreed membership view: which nodes there are, where, and in which run.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use bitcode::{Decode, Encode};
 
@@ -33,16 +34,24 @@
 pub struct View {
     /// Version; a later view replaces an earlier one.
     pub version: ViewVersion,
-    /// Members in the order of their identifiers.
-    pub members: Vec<Member>,
+    /// Members in the order of their identifiers; successive views share them.
+    pub members: Vec<Arc<Member>>,
 }
 
 impl View {
+    /// Creates a view from members in any order.
+    pub fn new(version: ViewVersion, members: impl IntoIterator<Item = Member>) -> Self {
+        let mut members: Vec<_> = members.into_iter().map(Arc::new).collect();
+        members.sort_by_key(|member| member.id());
+        Self { version, members }
+    }
+
     /// Returns a member by identifier.
     pub fn member(&self, node: NodeId) -> Option<&Member> {
         self.members
-            .binary_search_by_key(&node, Member::id)
+            .binary_search_by_key(&node, |member| member.id())
             .ok()
             .and_then(|position| self.members.get(position))
+            .map(Arc::as_ref)
     }
 }
