Rings between duties and links between nodes

The daemon needs bounded queues between its threads and an ordered, bounded transport between nodes.

A mesh link carries length-prefixed bitcode frames one way after a hello of fixed layout, so that another version or garbage is told apart before any decoding and answered by its numbered code. One link for each direction keeps order without multiplexing. Outgoing links are ractor actors under one supervisor; the unbounded mailbox is bounded by a budget of frames and bytes, and a peer that exceeds it loses its link (PeerLost).

--- /dev/null
+++ b/crates/rillgap-mesh/src/accept.rs
@@ -0,0 +1,142 @@
+//! The receiving side of the mesh: accepts links and feeds their messages to the node.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use rillgap_core::event::Event;
+use rillgap_core::id::NodeId;
+use rillgap_ring::RingSender;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+use tokio::task::AbortHandle;
+use tokio::time::timeout;
+use tokio_stream::StreamExt;
+use tokio_util::codec::FramedRead;
+
+use crate::error::LinkError;
+use crate::frame::FrameDecoder;
+use crate::hello::{self, Hello};
+
+/// Longest time until a new connection has sent its hello.
+const HELLO_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Pause after a failed accept, which means that descriptors or memory ran out.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
+
+/// Size of the read buffer in bytes; it grows to the longest frame where needed.
+const READ_BUFFER: usize = 16 * 1024;
+
+/// Receiving side of the mesh.
+#[derive(Clone, Debug)]
+pub struct MeshReceiver {
+    hello: Hello,
+    events: RingSender<Event>,
+    links: Arc<Mutex<BTreeMap<NodeId, AcceptedLink>>>,
+    permits: Arc<Semaphore>,
+}
+
+/// The link that a peer opened last.
+#[derive(Debug)]
+struct AcceptedLink {
+    task: AbortHandle,
+}
+
+impl MeshReceiver {
+    /// Creates the receiving side, which accepts a bounded number of connections.
+    pub fn new(hello: Hello, events: RingSender<Event>, max_connections: usize) -> Self {
+        Self {
+            hello,
+            events,
+            links: Arc::default(),
+            permits: Arc::new(Semaphore::new(max_connections)),
+        }
+    }
+
+    /// Accepts links until the task is dropped.
+    pub async fn run(self, listener: TcpListener) {
+        loop {
+            let (stream, address) = match listener.accept().await {
+                Ok(accepted) => accepted,
+                Err(error) => {
+                    log::error!("mesh: accept failed: {error}");
+                    tokio::time::sleep(ACCEPT_PAUSE).await;
+                    continue;
+                }
+            };
+            let Ok(permit) = Arc::clone(&self.permits).try_acquire_owned() else {
+                log::warn!(address:% = address; "mesh: too many connections, closing the new one");
+                continue;
+            };
+            tokio::spawn(self.clone().serve(stream, address, permit));
+        }
+    }
+
+    async fn serve(self, stream: TcpStream, address: SocketAddr, permit: OwnedSemaphorePermit) {
+        let (stream, hello) = match self.open(stream).await {
+            Ok(opened) => opened,
+            Err(error) => {
+                log::warn!(address:% = address, code = error.code().number(); "mesh: connection refused: {error}");
+                return;
+            }
+        };
+        let reader = self.clone();
+        let task = tokio::spawn(async move {
+            let error = reader.read(stream, hello).await;
+            let peer = hello.node;
+            log::warn!(peer = peer.0, code = error.code().number(); "mesh: link ended: {error}");
+            reader.report_loss(peer).await;
+            drop(permit);
+        });
+        self.replace(hello.node, task.abort_handle()).await;
+    }
+
+    async fn open(&self, mut stream: TcpStream) -> Result<(TcpStream, Hello), LinkError> {
+        stream.set_nodelay(true)?;
+        let hello = timeout(HELLO_TIMEOUT, hello::accept(&mut stream, self.hello))
+            .await
+            .map_err(|_| LinkError::Timeout)??;
+        Ok((stream, hello))
+    }
+
+    /// Ends the earlier link of a peer, whose messages in flight are lost.
+    async fn replace(&self, peer: NodeId, task: AbortHandle) {
+        let earlier = self
+            .links
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .insert(peer, AcceptedLink { task });
+        let Some(earlier) = earlier.filter(|link| !link.task.is_finished()) else {
+            return;
+        };
+        earlier.task.abort();
+        self.report_loss(peer).await;
+    }
+
+    /// Feeds the messages of a link to the node until the link ends.
+    async fn read(&self, stream: TcpStream, hello: Hello) -> LinkError {
+        let mut frames = FramedRead::with_capacity(stream, FrameDecoder::default(), READ_BUFFER);
+        loop {
+            let message = match frames.next().await {
+                Some(Ok(message)) => message,
+                Some(Err(error)) => return error,
+                None => return LinkError::Closed,
+            };
+            let event = Event::Peer {
+                from: hello.node,
+                incarnation: hello.incarnation,
+                message,
+            };
+            // A full ring holds back this link only, and through it the peer.
+            if self.events.send(event).await.is_err() {
+                return LinkError::Closed;
+            }
+        }
+    }
+
+    async fn report_loss(&self, peer: NodeId) {
+        // A closed ring means that the process ends.
+        let _ = self.events.send(Event::PeerLost { peer }).await;
+    }
+}
--- /dev/null
+++ b/crates/rillgap-mesh/src/hello.rs
@@ -0,0 +1,155 @@
+//! The opening of a link: who connects, in which run, with which version of the protocol.
+//!
+//! The layout is fixed and does not go through the frame codec, so that every version can read
+//! every other version's hello: 8 bytes magic, then big-endian version (2 bytes), result code
+//! (1 byte), node (8 bytes) and incarnation (8 bytes).
+
+use rillgap_core::code::ResultCode;
+use rillgap_core::id::{Incarnation, NodeId};
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
+
+use crate::error::LinkError;
+
+/// Version of the mesh protocol; peers of another version are refused.
+pub const MESH_VERSION: u16 = 1;
+
+/// First bytes of every link.
+const MAGIC: [u8; 8] = *b"rillgap\n";
+
+/// Length of an encoded hello in bytes.
+pub const HELLO_LENGTH: usize = 27;
+
+const VERSION_OFFSET: usize = 8;
+const CODE_OFFSET: usize = 10;
+const NODE_OFFSET: usize = 11;
+const INCARNATION_OFFSET: usize = 19;
+
+/// The first message of each side of a link.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Hello {
+    /// Version of the sender's protocol.
+    pub version: u16,
+    /// Number of the result code: zero, or why the link is refused.
+    pub code: u8,
+    /// The sender.
+    pub node: NodeId,
+    /// Run of the sender.
+    pub incarnation: Incarnation,
+}
+
+impl Hello {
+    /// Creates the hello of a node of this version.
+    pub const fn new(node: NodeId, incarnation: Incarnation) -> Self {
+        Self {
+            version: MESH_VERSION,
+            code: ResultCode::Ok.number(),
+            node,
+            incarnation,
+        }
+    }
+
+    /// Returns this hello as a refusal.
+    pub const fn refusing(self, code: ResultCode) -> Self {
+        Self {
+            code: code.number(),
+            ..self
+        }
+    }
+
+    /// Encodes the hello.
+    pub fn encode(&self) -> [u8; HELLO_LENGTH] {
+        let mut bytes = [0; HELLO_LENGTH];
+        bytes[..VERSION_OFFSET].copy_from_slice(&MAGIC);
+        bytes[VERSION_OFFSET..CODE_OFFSET].copy_from_slice(&self.version.to_be_bytes());
+        bytes[CODE_OFFSET] = self.code;
+        bytes[NODE_OFFSET..INCARNATION_OFFSET].copy_from_slice(&self.node.0.to_be_bytes());
+        bytes[INCARNATION_OFFSET..].copy_from_slice(&self.incarnation.0.to_be_bytes());
+        bytes
+    }
+
+    /// Decodes a hello.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the bytes are not a hello, or one of another version.
+    pub fn decode(bytes: &[u8; HELLO_LENGTH]) -> Result<Self, LinkError> {
+        if bytes[..VERSION_OFFSET] != MAGIC {
+            return Err(LinkError::NotMesh);
+        }
+        let version = u16::from_be_bytes([bytes[VERSION_OFFSET], bytes[VERSION_OFFSET + 1]]);
+        if version != MESH_VERSION {
+            return Err(LinkError::Version {
+                ours: MESH_VERSION,
+                theirs: version,
+            });
+        }
+        Ok(Self {
+            version,
+            code: bytes[CODE_OFFSET],
+            node: NodeId(read_u64(bytes, NODE_OFFSET)),
+            incarnation: Incarnation(read_u64(bytes, INCARNATION_OFFSET)),
+        })
+    }
+}
+
+fn read_u64(bytes: &[u8; HELLO_LENGTH], offset: usize) -> u64 {
+    let mut value = [0; 8];
+    value.copy_from_slice(&bytes[offset..offset + 8]);
+    u64::from_be_bytes(value)
+}
+
+/// Opens a link as the connecting side and returns the peer's hello.
+///
+/// # Errors
+///
+/// Fails if the connection breaks or the peer refuses the link.
+pub async fn connect<S>(stream: &mut S, own: Hello) -> Result<Hello, LinkError>
+where
+    S: AsyncRead + AsyncWrite + Unpin,
+{
+    stream.write_all(&own.encode()).await?;
+    let reply = read_hello(stream).await?;
+    if reply.code != ResultCode::Ok.number() {
+        return Err(LinkError::Refused(reply.code));
+    }
+    Ok(reply)
+}
+
+/// Opens a link as the accepting side and returns the peer's hello.
+///
+/// # Errors
+///
+/// Fails if the connection breaks or the first bytes are not a hello of this version; the peer
+/// is told the numbered code before the link is closed.
+pub async fn accept<S>(stream: &mut S, own: Hello) -> Result<Hello, LinkError>
+where
+    S: AsyncRead + AsyncWrite + Unpin,
+{
+    match read_hello(stream).await {
+        Ok(hello) => {
+            stream.write_all(&own.encode()).await?;
+            Ok(hello)
+        }
+        Err(error) => {
+            let refusal = own.refusing(error.code());
+            // The refusal is a courtesy; the connection is closed whether it arrives or not.
+            let _ = stream.write_all(&refusal.encode()).await;
+            let _ = stream.shutdown().await;
+            Err(error)
+        }
+    }
+}
+
+async fn read_hello<S>(stream: &mut S) -> Result<Hello, LinkError>
+where
+    S: AsyncRead + Unpin,
+{
+    let mut bytes = [0; HELLO_LENGTH];
+    // The magic is checked first, so that a peer that sends less than a hello is refused too.
+    stream.read_exact(&mut bytes[..VERSION_OFFSET]).await?;
+    if bytes[..VERSION_OFFSET] != MAGIC {
+        return Err(LinkError::NotMesh);
+    }
+    stream.read_exact(&mut bytes[VERSION_OFFSET..]).await?;
+    Hello::decode(&bytes)
+}
--- /dev/null
+++ b/crates/rillgap-mesh/src/mesh.rs
@@ -0,0 +1,156 @@
+//! The sending side of the mesh: encodes messages and hands them to the link of their peer.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use ractor::{Actor, ActorRef, SpawnErr};
+use rillgap_core::event::Event;
+use rillgap_core::id::NodeId;
+use rillgap_core::message::PeerMessage;
+use rillgap_ring::{RingReceiver, RingSender};
+use tokio::time::Instant;
+
+use crate::budget::SendBudget;
+use crate::frame::FrameEncoder;
+use crate::hello::Hello;
+use crate::link::{LinkArguments, LinkMessage, PeerLink};
+use crate::supervisor::{LinkSupervisor, LinkTable, OpenLink, PeerEntry, SupervisorMessage};
+
+/// A message on its way to a peer.
+#[derive(Clone, Debug)]
+pub struct OutgoingMessage {
+    /// Receiver.
+    pub to: NodeId,
+    /// Address of the receiver's mesh listener.
+    pub address: SocketAddr,
+    /// The message.
+    pub message: PeerMessage,
+}
+
+/// Sending side of the mesh.
+pub struct MeshSender {
+    hello: Hello,
+    encoder: FrameEncoder,
+    links: LinkTable,
+    supervisor: ActorRef<SupervisorMessage>,
+}
+
+impl MeshSender {
+    /// Starts the supervisor of the links.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the supervisor cannot be started.
+    pub async fn start(hello: Hello, events: RingSender<Event>) -> Result<Self, SpawnErr> {
+        let links = LinkTable::default();
+        let (supervisor, _) = Actor::spawn(None, LinkSupervisor, (links.clone(), events)).await?;
+        Ok(Self {
+            hello,
+            encoder: FrameEncoder::default(),
+            links,
+            supervisor,
+        })
+    }
+
+    /// Sends every message of a ring until all its senders are gone.
+    ///
+    /// The loop never waits for a peer: what does not fit into a link's budget drops the link.
+    pub async fn run(mut self, outgoing: RingReceiver<OutgoingMessage>) {
+        while let Some(message) = outgoing.recv().await {
+            self.send(message).await;
+        }
+        self.supervisor.stop(None);
+    }
+
+    async fn send(&mut self, outgoing: OutgoingMessage) {
+        let frame = match self.encoder.encode(&outgoing.message) {
+            Ok(frame) => frame,
+            Err(error) => {
+                log::error!(peer = outgoing.to.0, code = error.code().number(); "mesh: {error}");
+                self.report_drop(outgoing.to);
+                return;
+            }
+        };
+        let Some(link) = self.link(outgoing.to, outgoing.address).await else {
+            self.report_drop(outgoing.to);
+            return;
+        };
+        self.push(outgoing.to, &link, frame);
+    }
+
+    fn push(&self, peer: NodeId, link: &OpenLink, frame: Bytes) {
+        if !link.budget.try_take(frame.len()) {
+            log::warn!(peer = peer.0; "mesh: peer takes messages too slowly, dropping its link");
+            link.actor.kill();
+            return;
+        }
+        if link.actor.cast(LinkMessage::Frame(frame)).is_err() {
+            self.report_drop(peer);
+        }
+    }
+
+    /// Returns the link to a peer, opening one unless the last try has just failed.
+    async fn link(&self, peer: NodeId, address: SocketAddr) -> Option<OpenLink> {
+        if let Some(link) = self.existing_link(peer, address) {
+            return Some(link);
+        }
+        if self.must_back_off(peer) {
+            return None;
+        }
+        let budget = Arc::new(SendBudget::default());
+        let arguments = LinkArguments {
+            peer,
+            address,
+            hello: self.hello,
+            budget: Arc::clone(&budget),
+            supervisor: self.supervisor.clone(),
+        };
+        let (actor, _) = Actor::spawn_linked(None, PeerLink, arguments, self.supervisor.get_cell())
+            .await
+            .ok()?;
+        let link = OpenLink {
+            address,
+            budget,
+            actor,
+        };
+        self.links.lock().entry(peer).or_default().link = Some(link.clone());
+        Some(link)
+    }
+
+    fn existing_link(&self, peer: NodeId, address: SocketAddr) -> Option<OpenLink> {
+        let mut peers = self.links.lock();
+        let entry = peers.get_mut(&peer)?;
+        let link = entry.link.clone()?;
+        if link.address == address {
+            return Some(link);
+        }
+        // The peer has moved: its old link is replaced, and what waited for it is lost.
+        link.actor.kill();
+        entry.link = None;
+        entry.loss_reported = true;
+        let _ = self.supervisor.cast(SupervisorMessage::Dropped(peer));
+        None
+    }
+
+    fn must_back_off(&self, peer: NodeId) -> bool {
+        let now = Instant::now();
+        self.links
+            .lock()
+            .get(&peer)
+            .and_then(|entry| entry.not_before)
+            .is_some_and(|not_before| now < not_before)
+    }
+
+    /// Reports dropped messages, at most once until the node has been told.
+    fn report_drop(&self, peer: NodeId) {
+        let mut peers = self.links.lock();
+        let entry: &mut PeerEntry = peers.entry(peer).or_default();
+        if entry.loss_reported {
+            return;
+        }
+        entry.loss_reported = true;
+        // The supervisor ends only with the mesh.
+        let _ = self.supervisor.cast(SupervisorMessage::Dropped(peer));
+    }
+}
