Claims: budget in the grant, bounds of the policy, and when not-run may be told

The data path needs three facts that the first interface could not carry: how much of the key's budget of extra attempts is left (a caller's repeat must not get a fresh one), whether a refused attempt still holds its claim exclusively (only then may the caller be told that the request was not run), and that the guard is full. Questions to the node's own guard are answered while polling, so polling gets the guard. Still a stub that grants everything.

--- a/crates/rillgap-core/src/claim/mod.rs
+++ b/crates/rillgap-core/src/claim/mod.rs
@@ -6,6 +6,7 @@
 use crate::id::{AttemptId, Fingerprint, IdempotencyKey, Incarnation, NodeId};
 use crate::membership::Membership;
 use crate::message::KeyedAttempt;
+use crate::policy::Bounds;
 use crate::request::{AnswerHead, Refusal};
 use crate::routing::Target;
 use crate::time::{Instant, Now};
@@ -43,7 +44,13 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum ClaimResult {
     /// A majority granted the attempt: it may be dispatched to its target.
-    Granted,
+    Granted {
+        /// Extra attempts that the key has left over all its requests, this one's included.
+        ///
+        /// A caller's repeat of the key draws on the same budget, so the data path takes the
+        /// smaller of this and the share that the request came with.
+        budget: u8,
+    },
     /// The key has completed before; this is its answer.
     Completed(RememberedAnswer),
     /// The attempt must not be dispatched; the refusal states what is known of the key.
@@ -71,6 +78,21 @@
         Self { events: Vec::new() }
     }
 
+    /// Takes over the bounds of the policy in force.
+    pub fn configure(&mut self, _bounds: &Bounds) {}
+
+    /// Returns whether a caller may be told that its request was not run, after `attempt` was
+    /// refused or given up undispatched.
+    ///
+    /// True while the granted claim is exclusively this attempt's: it was granted, neither
+    /// released nor reassigned, and its deadline has not passed. After the deadline another
+    /// claimant may have barred the attempt and run the key, so the outcome is unknown
+    /// ([`crate::code::ResultCode::InProgress`]). Ask before [`Self::release`], tell the caller
+    /// and release in the same step.
+    pub fn holds(&self, _now: Now, _attempt: AttemptId) -> bool {
+        true
+    }
+
     /// Asks the key's replicas for a claim; the result comes as a [`ClaimEvent`].
     pub fn acquire(
         &mut self,
@@ -81,7 +103,9 @@
     ) {
         self.events.push(ClaimEvent {
             attempt: request.attempt,
-            result: ClaimResult::Granted,
+            result: ClaimResult::Granted {
+                budget: Bounds::default().extra_attempts,
+            },
         });
     }
 
@@ -133,7 +157,16 @@
     }
 
     /// Does what is due: timeouts, repeats, forgetting of old keys.
-    pub fn poll(&mut self, _now: Now, _membership: &Membership, _out: &mut Outbox) {}
+    ///
+    /// Questions to this node's own guard are answered here too.
+    pub fn poll(
+        &mut self,
+        _now: Now,
+        _membership: &Membership,
+        _guard: &mut DispatchGuard,
+        _out: &mut Outbox,
+    ) {
+    }
 
     /// Returns when [`Self::poll`] must be called next.
     pub fn next_wake(&self) -> Option<Instant> {
@@ -157,8 +190,10 @@
     Start,
     /// The attempt was barred before it arrived: it has not run and never will.
     Barred,
-    /// The key was already started here.
+    /// The key was already started here: the attempt has not run and never will, but the key has.
     AlreadyStarted,
+    /// No room to remember another key: the attempt was not started and never will be.
+    Full,
 }
 
 /// The second gate: beside the back end, starts a key at most once and never a barred attempt.
@@ -167,6 +202,9 @@
 pub struct DispatchGuard {}
 
 impl DispatchGuard {
+    /// Takes over the bounds of the policy in force.
+    pub fn configure(&mut self, _bounds: &Bounds) {}
+
     /// Asks to start a keyed attempt.
     pub fn start(&mut self, _now: Now, _attempt: AttemptId, _keyed: KeyedAttempt) -> GuardVerdict {
         GuardVerdict::Start
--- a/crates/rillgap-core/src/node.rs
+++ b/crates/rillgap-core/src/node.rs
@@ -251,7 +251,7 @@
         self.configuration.poll(now, &self.membership, out);
         self.membership
             .set_policy_version(self.configuration.version());
-        self.claims.poll(now, &self.membership, out);
+        self.poll_claims(now, out);
         self.report_versions(out);
         self.report_serving(now, out);
         let (call_path, mut context) = self.split(out);
@@ -259,6 +259,15 @@
         self.leave_when_idle(now, out);
     }
 
+    fn poll_claims(&mut self, now: Now, out: &mut Outbox) {
+        let guard = self.call_path.guard_mut();
+        if let Some(policy) = self.configuration.policy() {
+            self.claims.configure(&policy.bounds);
+            guard.configure(&policy.bounds);
+        }
+        self.claims.poll(now, &self.membership, guard, out);
+    }
+
     fn report_versions(&mut self, out: &mut Outbox) {
         let policy = self.configuration.version();
         if policy != self.policy_in_force {
