--- a/crates/rillgap-core/src/call/gate.rs
+++ b/crates/rillgap-core/src/call/gate.rs
@@ -431,6 +431,9 @@
             GuardVerdict::AlreadyStarted => {
                 self.end_failed(now, attempt, ResultCode::InProgress, ports);
             }
+            GuardVerdict::Full => {
+                self.end_not_run(now, attempt, ResultCode::QueueFull, ports);
+            }
         }
     }
 
--- a/crates/rillgap-core/src/call/sender.rs
+++ b/crates/rillgap-core/src/call/sender.rs
@@ -148,7 +148,7 @@
         });
         if !waiting {
             // The caller is gone or was answered while the claim was being asked for.
-            if event.result == ClaimResult::Granted {
+            if matches!(event.result, ClaimResult::Granted { .. }) {
                 let membership = &*ports.context.membership;
                 ports
                     .context
@@ -158,7 +158,7 @@
             return;
         }
         match event.result {
-            ClaimResult::Granted => self.on_granted(now, event.attempt, gate, ports),
+            ClaimResult::Granted { budget: _ } => self.on_granted(now, event.attempt, gate, ports),
             ClaimResult::Completed(answer) => self.answer_remembered(now, id, answer, ports),
             ClaimResult::Refused(refusal) => self.refuse(id, refusal, gate, ports),
         }
