Operators' schema, service and typed client

Cause: operators drive the system by remote procedure calls of a schema file; none existed. Ruled out: a generator in the build (the build must need none), and bare status messages (scripts need the numbered result code).

Change: the schema with structured policy messages, code generated without protoc and committed, a test that fails when it is stale, a service that hands requests to the node over a bounded channel, and a client. Failures carry the numbered code and the policy version in force as ErrorInfo in the status details.

--- /dev/null
+++ b/crates/rillgap-operator/src/client.rs
@@ -0,0 +1,183 @@
+//! Typed client of the operators' interface.
+
+use std::time::Duration;
+
+use rillgap_core::id::{BackEndName, ChangeId, NodeName, PolicyVersion, ViewVersion, ZoneName};
+use rillgap_core::operator::{ChangeState, MemberStatus};
+use rillgap_core::policy::{BackEndState, Policy};
+use tonic::transport::{Channel, Endpoint};
+use tonic::{Request, Status};
+use uuid::Uuid;
+
+use crate::convert;
+use crate::error::{MessageError, OperatorError};
+use crate::schema;
+use crate::schema::operator_client::OperatorClient as Calls;
+use crate::status;
+
+/// Longest answer that is read, in bytes.
+const LONGEST_MESSAGE: usize = 16 * 1024 * 1024;
+
+/// A stored change of the policy.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Change {
+    /// Version that the change made.
+    pub version: PolicyVersion,
+    /// How far it has come.
+    pub state: ChangeState,
+}
+
+/// Status of the deployment as one node sees it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct DeploymentStatus {
+    /// Policy version in force at the node; zero for none.
+    pub policy: PolicyVersion,
+    /// Membership view in force at the node.
+    pub view: ViewVersion,
+    /// Whether the node serves requests.
+    pub serving: bool,
+    /// Members of the view.
+    pub members: Vec<MemberStatus>,
+}
+
+/// Client of one node. Calls fail with [`OperatorError`]; none is repeated by the client itself.
+#[derive(Clone, Debug)]
+pub struct OperatorClient {
+    calls: Calls<Channel>,
+    timeout: Duration,
+}
+
+impl OperatorClient {
+    /// Creates a client of the node at `address` (`IP:PORT`); it connects with the first call.
+    ///
+    /// A call without an answer after `timeout` fails as unreachable.
+    pub fn new(address: &str, timeout: Duration) -> Result<Self, OperatorError> {
+        let endpoint = Endpoint::from_shared(format!("http://{address}"))
+            .map_err(|error| unreachable(&error))?
+            .connect_timeout(timeout);
+        Ok(Self::from_channel(endpoint.connect_lazy(), timeout))
+    }
+
+    /// Creates a client on a channel that exists already.
+    pub fn from_channel(channel: Channel, timeout: Duration) -> Self {
+        let calls = Calls::new(channel).max_decoding_message_size(LONGEST_MESSAGE);
+        Self { calls, timeout }
+    }
+
+    /// Returns the policy in force at the node.
+    pub async fn get_policy(&mut self) -> Result<Policy, OperatorError> {
+        let request = self.request(schema::GetPolicyRequest {});
+        let response = self.calls.get_policy(request).await.map_err(read)?;
+        let policy = response
+            .into_inner()
+            .policy
+            .ok_or_else(|| missing("policy"))?;
+        Ok(convert::policy_from_schema(policy)?)
+    }
+
+    /// Replaces the policy if its version is `expected`, or whichever it is.
+    ///
+    /// After [`OperatorError::Unreachable`] the call can be repeated with the same `change`.
+    pub async fn apply_policy(
+        &mut self,
+        policy: Policy,
+        expected: Option<PolicyVersion>,
+        change: ChangeId,
+    ) -> Result<Change, OperatorError> {
+        let request = self.request(schema::ApplyPolicyRequest {
+            policy: Some(convert::policy_to_schema(policy)),
+            expected_version: expected.map(|version| version.0),
+            change_id: change_text(change),
+        });
+        let response = self.calls.apply_policy(request).await.map_err(read)?;
+        Ok(convert::change_from_schema(response.into_inner().change)?)
+    }
+
+    /// Moves a back end into or out of service.
+    ///
+    /// After [`OperatorError::Unreachable`] the call can be repeated with the same `change`.
+    pub async fn set_back_end_state(
+        &mut self,
+        back_end: BackEndName,
+        state: BackEndState,
+        change: ChangeId,
+    ) -> Result<Change, OperatorError> {
+        let request = self.request(schema::SetBackEndStateRequest {
+            back_end: back_end.0,
+            state: convert::state_to_schema(state).into(),
+            change_id: change_text(change),
+        });
+        let response = self.calls.set_back_end_state(request).await.map_err(read)?;
+        Ok(convert::change_from_schema(response.into_inner().change)?)
+    }
+
+    /// Tells how far a change has spread.
+    pub async fn get_change(&mut self, change: ChangeId) -> Result<Change, OperatorError> {
+        let request = self.request(schema::GetChangeRequest {
+            change_id: change_text(change),
+        });
+        let response = self.calls.get_change(request).await.map_err(read)?;
+        Ok(convert::change_from_schema(response.into_inner().change)?)
+    }
+
+    /// Tells members and versions as the node sees them.
+    pub async fn get_status(&mut self) -> Result<DeploymentStatus, OperatorError> {
+        let request = self.request(schema::GetStatusRequest {});
+        let response = self.calls.get_status(request).await.map_err(read)?;
+        let status = response.into_inner();
+        Ok(DeploymentStatus {
+            policy: PolicyVersion(status.policy_version),
+            view: ViewVersion(status.view_version),
+            serving: status.serving,
+            members: status.members.into_iter().map(member).collect(),
+        })
+    }
+
+    /// Stops the node as planned.
+    pub async fn stop_node(&mut self) -> Result<(), OperatorError> {
+        let request = self.request(schema::StopNodeRequest {});
+        self.calls.stop_node(request).await.map_err(read)?;
+        Ok(())
+    }
+
+    fn request<T>(&self, message: T) -> Request<T> {
+        let mut request = Request::new(message);
+        request.set_timeout(self.timeout);
+        request
+    }
+}
+
+/// Returns a change identifier as text, in the form of a UUID.
+pub fn change_text(change: ChangeId) -> String {
+    Uuid::from_u128(change.0).to_string()
+}
+
+/// Reads a change identifier from the text form of a UUID.
+pub fn parse_change(text: &str) -> Result<ChangeId, MessageError> {
+    convert::change_id(text)
+}
+
+fn member(member: schema::MemberStatus) -> MemberStatus {
+    MemberStatus {
+        node: NodeName(member.node),
+        zone: ZoneName(member.zone),
+        reachable: member.reachable,
+        policy: PolicyVersion(member.policy_version),
+    }
+}
+
+fn missing(field: &str) -> MessageError {
+    MessageError::Missing {
+        field: field.to_owned(),
+    }
+}
+
+fn unreachable(error: &tonic::transport::Error) -> OperatorError {
+    OperatorError::Unreachable {
+        detail: error.to_string(),
+    }
+}
+
+fn read(status: Status) -> OperatorError {
+    status::read(&status)
+}
--- /dev/null
+++ b/crates/rillgap-operator/src/convert/policy.rs
@@ -0,0 +1,184 @@
+//! The policy.
+
+use rillgap_core::id::{BackEndName, NodeName, PolicyVersion, ServiceName};
+use rillgap_core::policy::{
+    BackEndPolicy, BackEndState, Bounds, Class, Policy, RoutePolicy, ServicePolicy,
+};
+
+use crate::error::MessageError;
+use crate::schema;
+
+/// Writes a policy.
+pub fn policy_to_schema(policy: Policy) -> schema::Policy {
+    schema::Policy {
+        version: policy.version.0,
+        bounds: Some(bounds_to_schema(policy.bounds)),
+        services: policy.services.into_iter().map(service_to_schema).collect(),
+        routes: policy.routes.into_iter().map(route_to_schema).collect(),
+        back_ends: policy
+            .back_ends
+            .into_iter()
+            .map(back_end_to_schema)
+            .collect(),
+    }
+}
+
+/// Reads a policy. Whether it is valid is for the core to say.
+pub fn policy_from_schema(policy: schema::Policy) -> Result<Policy, MessageError> {
+    let bounds = policy.bounds.map_or(Ok(Bounds::default()), read_bounds)?;
+    let services = policy.services.into_iter().enumerate().map(read_service);
+    let routes = policy.routes.into_iter().enumerate().map(read_route);
+    let back_ends = policy.back_ends.into_iter().enumerate().map(read_back_end);
+    Ok(Policy {
+        version: PolicyVersion(policy.version),
+        bounds,
+        services: services.collect::<Result<_, _>>()?,
+        routes: routes.collect::<Result<_, _>>()?,
+        back_ends: back_ends.collect::<Result<_, _>>()?,
+        ..Policy::default()
+    })
+}
+
+/// Writes the state of a back end.
+pub fn state_to_schema(state: BackEndState) -> schema::BackEndState {
+    match state {
+        BackEndState::Serving => schema::BackEndState::Serving,
+        BackEndState::Leaving => schema::BackEndState::Leaving,
+    }
+}
+
+/// Reads the state of a back end.
+pub fn back_end_state(field: &str, value: i32) -> Result<BackEndState, MessageError> {
+    match schema::BackEndState::try_from(value) {
+        Ok(schema::BackEndState::Serving) => Ok(BackEndState::Serving),
+        Ok(schema::BackEndState::Leaving) => Ok(BackEndState::Leaving),
+        Ok(schema::BackEndState::Unspecified) | Err(_) => Err(unknown(field, value)),
+    }
+}
+
+fn bounds_to_schema(bounds: Bounds) -> schema::Bounds {
+    schema::Bounds {
+        extra_attempts: bounds.extra_attempts.into(),
+        calls_per_request: bounds.calls_per_request.into(),
+        key_life_seconds: bounds.key_life_seconds,
+        retry_percent: bounds.retry_percent.into(),
+    }
+}
+
+fn read_bounds(bounds: schema::Bounds) -> Result<Bounds, MessageError> {
+    Ok(Bounds {
+        extra_attempts: byte("policy.bounds.extra_attempts", bounds.extra_attempts)?,
+        calls_per_request: byte("policy.bounds.calls_per_request", bounds.calls_per_request)?,
+        key_life_seconds: bounds.key_life_seconds,
+        retry_percent: byte("policy.bounds.retry_percent", bounds.retry_percent)?,
+    })
+}
+
+fn service_to_schema(service: ServicePolicy) -> schema::ServicePolicy {
+    schema::ServicePolicy {
+        name: service.name.0,
+        slots: service.slots.into(),
+        connections: service.connections.into(),
+        queue_millis: service.queue_millis,
+    }
+}
+
+fn read_service(
+    (position, service): (usize, schema::ServicePolicy),
+) -> Result<ServicePolicy, MessageError> {
+    let field = |name: &str| format!("policy.services[{position}].{name}");
+    Ok(ServicePolicy {
+        name: ServiceName(service.name),
+        slots: short(&field("slots"), service.slots)?,
+        connections: short(&field("connections"), service.connections)?,
+        queue_millis: service.queue_millis,
+    })
+}
+
+fn route_to_schema(route: RoutePolicy) -> schema::RoutePolicy {
+    schema::RoutePolicy {
+        service: route.service.0,
+        method: route.method,
+        path: route.path,
+        class: class_to_schema(route.class).into(),
+        repeatable: route.repeatable,
+        deadline_millis: route.deadline_millis,
+    }
+}
+
+fn read_route(
+    (position, route): (usize, schema::RoutePolicy),
+) -> Result<RoutePolicy, MessageError> {
+    let field = format!("policy.routes[{position}].class");
+    Ok(RoutePolicy {
+        class: read_class(&field, route.class)?,
+        service: ServiceName(route.service),
+        method: route.method,
+        path: route.path,
+        repeatable: route.repeatable,
+        deadline_millis: route.deadline_millis,
+    })
+}
+
+fn class_to_schema(class: Class) -> schema::Class {
+    match class {
+        Class::Bulk => schema::Class::Bulk,
+        Class::Sheddable => schema::Class::Sheddable,
+        Class::Standard => schema::Class::Standard,
+        Class::Critical => schema::Class::Critical,
+    }
+}
+
+fn read_class(field: &str, value: i32) -> Result<Class, MessageError> {
+    match schema::Class::try_from(value) {
+        Ok(schema::Class::Bulk) => Ok(Class::Bulk),
+        Ok(schema::Class::Sheddable) => Ok(Class::Sheddable),
+        Ok(schema::Class::Standard) => Ok(Class::Standard),
+        Ok(schema::Class::Critical) => Ok(Class::Critical),
+        Ok(schema::Class::Unspecified) | Err(_) => Err(unknown(field, value)),
+    }
+}
+
+fn back_end_to_schema(back_end: BackEndPolicy) -> schema::BackEndPolicy {
+    schema::BackEndPolicy {
+        name: back_end.name.0,
+        service: back_end.service.0,
+        node: back_end.node.0,
+        state: state_to_schema(back_end.state).into(),
+    }
+}
+
+fn read_back_end(
+    (position, back_end): (usize, schema::BackEndPolicy),
+) -> Result<BackEndPolicy, MessageError> {
+    let field = format!("policy.back_ends[{position}].state");
+    Ok(BackEndPolicy {
+        state: back_end_state(&field, back_end.state)?,
+        name: BackEndName(back_end.name),
+        service: ServiceName(back_end.service),
+        node: NodeName(back_end.node),
+    })
+}
+
+fn byte(field: &str, value: u32) -> Result<u8, MessageError> {
+    u8::try_from(value).map_err(|_| out_of_range(field, value, u8::MAX.into()))
+}
+
+fn short(field: &str, value: u32) -> Result<u16, MessageError> {
+    u16::try_from(value).map_err(|_| out_of_range(field, value, u16::MAX.into()))
+}
+
+fn out_of_range(field: &str, value: u32, maximum: u32) -> MessageError {
+    MessageError::OutOfRange {
+        field: field.to_owned(),
+        value,
+        maximum,
+    }
+}
+
+fn unknown(field: &str, value: i32) -> MessageError {
+    MessageError::UnknownValue {
+        field: field.to_owned(),
+        value,
+    }
+}
--- /dev/null
+++ b/crates/rillgap-operator/src/service.rs
@@ -0,0 +1,190 @@
+//! Service: takes calls of operators and hands them to the node.
+
+use std::future::Future;
+
+use rillgap_core::code::ResultCode;
+use rillgap_core::id::PolicyVersion;
+use rillgap_core::operator::{OperatorReply, OperatorRequest};
+use tokio::net::TcpListener;
+use tokio_stream::wrappers::TcpListenerStream;
+use tonic::transport::Server;
+use tonic::{Request, Response, Status};
+
+use crate::convert;
+use crate::handle::OperatorHandle;
+use crate::schema;
+use crate::schema::operator_server::{Operator, OperatorServer};
+use crate::status;
+
+/// Most calls that one connection of an operator may have open.
+const CALLS_PER_CONNECTION: usize = 16;
+
+/// Longest message that is read, in bytes: a policy of about 20,000 back ends.
+const LONGEST_MESSAGE: usize = 2 * 1024 * 1024;
+
+/// The service, in front of one node.
+#[derive(Clone, Debug)]
+pub struct OperatorService {
+    node: OperatorHandle,
+}
+
+impl OperatorService {
+    /// Creates the service in front of a node.
+    pub fn new(node: OperatorHandle) -> Self {
+        Self { node }
+    }
+
+    /// Returns the service in the form that a tonic server takes.
+    pub fn into_server(self) -> OperatorServer<Self> {
+        OperatorServer::new(self).max_decoding_message_size(LONGEST_MESSAGE)
+    }
+
+    async fn ask(&self, request: OperatorRequest) -> Result<OperatorReply, Status> {
+        let reply = self.node.call(request).await.map_err(|gone| {
+            status::failure(
+                ResultCode::NodeStopping,
+                PolicyVersion(0),
+                &gone.to_string(),
+            )
+        })?;
+        match reply {
+            OperatorReply::Failed {
+                code,
+                version,
+                detail,
+            } => Err(status::failure(code, version, &detail)),
+            reply => Ok(reply),
+        }
+    }
+
+    async fn ask_change(&self, request: OperatorRequest) -> Result<schema::Change, Status> {
+        match self.ask(request).await? {
+            OperatorReply::Change { version, state } => {
+                Ok(convert::change_to_schema(version, state))
+            }
+            reply => Err(unexpected(&reply)),
+        }
+    }
+}
+
+/// Serves operators on `listener` until `stop` completes and open calls are done.
+pub async fn serve(
+    listener: TcpListener,
+    node: OperatorHandle,
+    stop: impl Future<Output = ()>,
+) -> Result<(), tonic::transport::Error> {
+    Server::builder()
+        .concurrency_limit_per_connection(CALLS_PER_CONNECTION)
+        .add_service(OperatorService::new(node).into_server())
+        .serve_with_incoming_shutdown(TcpListenerStream::new(listener), stop)
+        .await
+}
+
+#[tonic::async_trait]
+impl Operator for OperatorService {
+    async fn get_policy(
+        &self,
+        _request: Request<schema::GetPolicyRequest>,
+    ) -> Result<Response<schema::GetPolicyResponse>, Status> {
+        match self.ask(OperatorRequest::GetPolicy).await? {
+            OperatorReply::Policy(policy) => Ok(Response::new(schema::GetPolicyResponse {
+                policy: Some(convert::policy_to_schema(policy)),
+            })),
+            reply => Err(unexpected(&reply)),
+        }
+    }
+
+    async fn apply_policy(
+        &self,
+        request: Request<schema::ApplyPolicyRequest>,
+    ) -> Result<Response<schema::ApplyPolicyResponse>, Status> {
+        let request = request.into_inner();
+        let policy = request.policy.unwrap_or_default();
+        let policy = convert::policy_from_schema(policy)
+            .map_err(|error| invalid_policy(&error.to_string()))?;
+        let change =
+            convert::change_id(&request.change_id).map_err(|error| status::malformed(&error))?;
+        let expected = request.expected_version.map(PolicyVersion);
+        let change = self
+            .ask_change(OperatorRequest::ApplyPolicy {
+                policy,
+                expected,
+                change,
+            })
+            .await?;
+        Ok(Response::new(schema::ApplyPolicyResponse {
+            change: Some(change),
+        }))
+    }
+
+    async fn set_back_end_state(
+        &self,
+        request: Request<schema::SetBackEndStateRequest>,
+    ) -> Result<Response<schema::SetBackEndStateResponse>, Status> {
+        let request = request.into_inner();
+        let state = convert::back_end_state("state", request.state)
+            .map_err(|error| status::malformed(&error))?;
+        let change =
+            convert::change_id(&request.change_id).map_err(|error| status::malformed(&error))?;
+        let change = self
+            .ask_change(OperatorRequest::SetBackEndState {
+                back_end: rillgap_core::id::BackEndName(request.back_end),
+                state,
+                change,
+            })
+            .await?;
+        Ok(Response::new(schema::SetBackEndStateResponse {
+            change: Some(change),
+        }))
+    }
+
+    async fn get_change(
+        &self,
+        request: Request<schema::GetChangeRequest>,
+    ) -> Result<Response<schema::GetChangeResponse>, Status> {
+        let change = convert::change_id(&request.into_inner().change_id)
+            .map_err(|error| status::malformed(&error))?;
+        let change = self
+            .ask_change(OperatorRequest::GetChange { change })
+            .await?;
+        Ok(Response::new(schema::GetChangeResponse {
+            change: Some(change),
+        }))
+    }
+
+    async fn get_status(
+        &self,
+        _request: Request<schema::GetStatusRequest>,
+    ) -> Result<Response<schema::GetStatusResponse>, Status> {
+        match self.ask(OperatorRequest::GetStatus).await? {
+            OperatorReply::Status {
+                policy,
+                view,
+                serving,
+                members,
+            } => Ok(Response::new(convert::status_to_schema(
+                policy, view, serving, members,
+            ))),
+            reply => Err(unexpected(&reply)),
+        }
+    }
+
+    async fn stop_node(
+        &self,
+        _request: Request<schema::StopNodeRequest>,
+    ) -> Result<Response<schema::StopNodeResponse>, Status> {
+        match self.ask(OperatorRequest::StopNode).await? {
+            OperatorReply::Stopping => Ok(Response::new(schema::StopNodeResponse {})),
+            reply => Err(unexpected(&reply)),
+        }
+    }
+}
+
+fn invalid_policy(detail: &str) -> Status {
+    status::failure(ResultCode::PolicyInvalid, PolicyVersion(0), detail)
+}
+
+fn unexpected(reply: &OperatorReply) -> Status {
+    log::error!("operator: the node gave an unexpected reply; reply={reply:?}");
+    status::failure(ResultCode::Internal, PolicyVersion(0), "unexpected reply")
+}
--- /dev/null
+++ b/crates/rillgap-operator/src/status.rs
@@ -0,0 +1,69 @@
+//! Numbered result codes in the status details of a call.
+
+use rillgap_core::code::ResultCode;
+use rillgap_core::id::PolicyVersion;
+use tonic::{Code, Status};
+use tonic_types::{ErrorDetails, StatusExt};
+
+use crate::error::{MessageError, OperatorError};
+
+const DOMAIN: &str = "rillgap";
+const CODE_KEY: &str = "code";
+const VERSION_KEY: &str = "policy_version";
+
+/// Returns the status that tells a client of a failure.
+pub fn failure(code: ResultCode, version: PolicyVersion, detail: &str) -> Status {
+    let metadata = [
+        (CODE_KEY.to_owned(), code.number().to_string()),
+        (VERSION_KEY.to_owned(), version.0.to_string()),
+    ];
+    let details = ErrorDetails::with_error_info(format!("{code:?}"), DOMAIN, metadata);
+    Status::with_error_details(rpc_code(code), detail, details)
+}
+
+/// Returns the status that tells a client of a malformed message.
+pub fn malformed(error: &MessageError) -> Status {
+    let detail = error.to_string();
+    failure(ResultCode::MalformedRequest, PolicyVersion(0), &detail)
+}
+
+/// Reads the failure back from a status; one without our details comes from the transport.
+pub fn read(status: &Status) -> OperatorError {
+    numbered(status).unwrap_or_else(|| OperatorError::Unreachable {
+        detail: status.message().to_owned(),
+    })
+}
+
+fn numbered(status: &Status) -> Option<OperatorError> {
+    let info = status.get_details_error_info()?;
+    if info.domain != DOMAIN {
+        return None;
+    }
+    let number: u8 = info.metadata.get(CODE_KEY)?.parse().ok()?;
+    let version = info.metadata.get(VERSION_KEY)?.parse().ok()?;
+    Some(OperatorError::Failed {
+        code: result_code(number)?,
+        version: PolicyVersion(version),
+        detail: status.message().to_owned(),
+    })
+}
+
+fn result_code(number: u8) -> Option<ResultCode> {
+    ResultCode::ALL
+        .iter()
+        .copied()
+        .find(|code| code.number() == number)
+}
+
+fn rpc_code(code: ResultCode) -> Code {
+    match code {
+        ResultCode::MalformedRequest | ResultCode::PolicyInvalid => Code::InvalidArgument,
+        ResultCode::VersionConflict => Code::Aborted,
+        ResultCode::ChangeUnknown | ResultCode::TargetUnknown => Code::NotFound,
+        ResultCode::ChangeUnsettled => Code::Unknown,
+        ResultCode::NotReady | ResultCode::StoreUnavailable | ResultCode::NodeStopping => {
+            Code::Unavailable
+        }
+        _ => Code::Internal,
+    }
+}
