Admission: learned limit, class queue, published level, entry thresholds, retry budget

Cause: the interfaces admitted everything. Admission beside a back end now has a learned concurrency limit, a queue by class and arrival with cutoffs by deadline and class, eviction of the lowest level when full, and a level published on answers. The entry refuses roots below the level of any service that such roots were seen to involve.

Interface: load reports carry service levels; finish() returns the load for the attempt's answer; nested() takes in the load that answers to the back end's own calls carried; EntryAdmission::learn() learns involved services from whole answers to roots. NodeSettings gets admission settings, whose mode selects the baselines.

Ruled out for now: LIFO within a class, since a ticket that waits at the bottom is refused late although its refusal could be known at once.

--- /dev/null
+++ b/crates/rillgap-core/src/admission/back_end.rs
@@ -0,0 +1,308 @@
+//! Admission beside one back end.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use super::level::Level;
+use super::limit::ConcurrencyLimit;
+use super::mode::{AdmissionSettings, ControlMode};
+use super::queue::{ClassQueue, Queued};
+use super::report::{LoadReport, ServiceLoad, merge_service_loads};
+use super::service_time::ServiceTimes;
+use super::threshold::{Pressure, Threshold};
+use super::{Completion, QueueDecision, Ticket, Verdict};
+use crate::code::ResultCode;
+use crate::id::{AttemptId, ServiceName};
+use crate::policy::{Class, ServicePolicy};
+use crate::request::{Refusal, RetryAfter};
+use crate::time::{Instant, micros};
+
+/// Queued requests per slot, at most.
+const QUEUE_PER_SLOT: usize = 8;
+/// Bounds of the queue's length.
+const QUEUE_LENGTH: (usize, usize) = (32, 1_024);
+/// Shortest and longest time after which a refused caller is asked back, in milliseconds.
+const RETRY_AFTER_MILLIS: (u64, u64) = (50, 5_000);
+/// Share of the limit that may run although it is not expected to meet its deadline, so that
+/// an estimate which has become too long is corrected.
+const PROBE_SHARE: f64 = 0.1;
+
+/// A request running at the back end.
+#[derive(Clone, Debug)]
+struct Running {
+    class: Class,
+    involved: Vec<ServiceLoad>,
+}
+
+/// Admission beside one back end.
+#[derive(Clone, Debug, Default)]
+pub struct BackEndAdmission {
+    settings: AdmissionSettings,
+    service: Option<ServiceName>,
+    slots: u16,
+    queue_bound: Duration,
+    limit: ConcurrencyLimit,
+    times: ServiceTimes,
+    threshold: Threshold,
+    queue: ClassQueue,
+    running: BTreeMap<AttemptId, Running>,
+    decided: Vec<QueueDecision>,
+}
+
+impl BackEndAdmission {
+    /// Creates the admission of a fresh node.
+    pub fn new(settings: AdmissionSettings) -> Self {
+        Self {
+            settings,
+            ..Self::default()
+        }
+    }
+
+    /// Takes over the service's policy.
+    pub fn configure(&mut self, service: &ServicePolicy) {
+        if self.service.as_ref() != Some(&service.name) {
+            self.service = Some(service.name.clone());
+        }
+        self.slots = service.slots;
+        self.queue_bound = Duration::from_millis(u64::from(service.queue_millis));
+        self.limit.configure(service.slots);
+    }
+
+    /// Decides on a new ticket.
+    pub fn offer(&mut self, now: Instant, ticket: Ticket) -> Verdict {
+        match self.settings.mode {
+            ControlMode::None => self.start(&ticket),
+            ControlMode::Fixed => self.offer_fixed(now, ticket),
+            ControlMode::Full => self.offer_full(now, ticket),
+        }
+    }
+
+    /// Tells that a started attempt has ended after `latency`; returns the load to carry on
+    /// its answer, with the services that the attempt involved.
+    pub fn finish(
+        &mut self,
+        now: Instant,
+        attempt: AttemptId,
+        latency: Duration,
+        completion: Completion,
+    ) -> LoadReport {
+        let running = self.running.len();
+        let Some(ended) = self.running.remove(&attempt) else {
+            return self.load();
+        };
+        self.limit.finish(now, completion, latency, running);
+        match completion {
+            Completion::Answered => self.times.answered(ended.class, latency),
+            Completion::Failed => self.times.given_up(ended.class, latency),
+            Completion::Shed => {}
+        }
+        let mut load = self.load();
+        merge_service_loads(&mut load.services, &ended.involved);
+        load
+    }
+
+    /// Tells that a call made on behalf of a running attempt was answered with `load`.
+    pub fn nested(&mut self, attempt: AttemptId, load: &LoadReport) {
+        if let Some(running) = self.running.get_mut(&attempt) {
+            merge_service_loads(&mut running.involved, &load.services);
+        }
+    }
+
+    /// Takes a ticket out of the queue; returns whether it was queued.
+    pub fn cancel(&mut self, _now: Instant, attempt: AttemptId) -> bool {
+        self.queue.remove(attempt).is_some()
+    }
+
+    /// Settles queued tickets; to be called after every other call and on wake-up.
+    pub fn poll(&mut self, now: Instant) -> Vec<QueueDecision> {
+        self.update_threshold(now);
+        self.refuse_expired(now);
+        self.start_queued(now);
+        std::mem::take(&mut self.decided)
+    }
+
+    /// Returns when [`Self::poll`] must be called next.
+    pub fn next_wake(&self) -> Option<Instant> {
+        self.queue.next_cutoff()
+    }
+
+    /// Returns the load to carry on answers and refusals.
+    pub fn load(&self) -> LoadReport {
+        let service = self.service.as_ref().map(|name| ServiceLoad {
+            service: name.clone(),
+            level: self.threshold.level(),
+        });
+        LoadReport {
+            running: count(self.running.len()),
+            queued: count(self.queue.len()),
+            limit: self.current_limit(),
+            services: service.into_iter().collect(),
+        }
+    }
+
+    fn current_limit(&self) -> u32 {
+        match self.settings.mode {
+            ControlMode::Full => self.limit.get(),
+            ControlMode::None | ControlMode::Fixed => u32::from(self.slots.max(1)),
+        }
+    }
+
+    fn has_room(&self) -> bool {
+        count(self.running.len()) < self.current_limit()
+    }
+
+    fn start(&mut self, ticket: &Ticket) -> Verdict {
+        let running = Running {
+            class: ticket.class,
+            involved: Vec::new(),
+        };
+        self.running.insert(ticket.attempt, running);
+        Verdict::Start
+    }
+
+    fn offer_fixed(&mut self, now: Instant, ticket: Ticket) -> Verdict {
+        if self.has_room() {
+            return self.start(&ticket);
+        }
+        if self.queue.len() >= self.longest_queue() {
+            return Verdict::Refuse(self.refusal(ResultCode::QueueFull));
+        }
+        // One class for all keeps the order of arrival.
+        let ticket = Ticket {
+            class: Class::Standard,
+            ..ticket
+        };
+        let cutoff = now + self.queue_bound;
+        self.queue.push(Queued { ticket, cutoff });
+        Verdict::Queue
+    }
+
+    fn offer_full(&mut self, now: Instant, ticket: Ticket) -> Verdict {
+        self.threshold.arrived(ticket.class);
+        let expected = self.times.expected(ticket.class);
+        let remaining = ticket.deadline.saturating_since(now);
+        if remaining < expected && !self.may_probe() {
+            return Verdict::Refuse(self.refusal(ResultCode::DeadlineUnmet));
+        }
+        let ahead = self.queue.ahead_of(ticket.class);
+        if ahead == 0 && self.has_room() {
+            return self.start(&ticket);
+        }
+        let wait = self.drain_time(ahead + 1);
+        if remaining < wait + expected {
+            return Verdict::Refuse(self.refusal(ResultCode::DeadlineUnmet));
+        }
+        if wait > self.class_bound(ticket.class) || !self.make_room(&ticket) {
+            return Verdict::Refuse(self.refusal(ResultCode::QueueFull));
+        }
+        let cutoff = (ticket.deadline - expected).min(now + self.class_bound(ticket.class));
+        self.queue.push(Queued { ticket, cutoff });
+        Verdict::Queue
+    }
+
+    /// Returns whether a request may run although its deadline looks too short.
+    fn may_probe(&self) -> bool {
+        let probes = (f64::from(self.current_limit()) * PROBE_SHARE).max(1.0);
+        self.queue.len() == 0 && (self.running.len() as f64) < probes
+    }
+
+    /// Makes sure that the queue has a place, at the cost of a lower ticket if need be.
+    fn make_room(&mut self, ticket: &Ticket) -> bool {
+        if self.queue.len() < self.longest_queue() {
+            return true;
+        }
+        let Some(evicted) = self.queue.evict_below(ticket) else {
+            return false;
+        };
+        let refusal = self.refusal(ResultCode::QueueFull);
+        self.decided
+            .push(QueueDecision::Refuse(evicted.ticket.attempt, refusal));
+        true
+    }
+
+    fn longest_queue(&self) -> usize {
+        let (shortest, longest) = QUEUE_LENGTH;
+        (usize::from(self.slots) * QUEUE_PER_SLOT).clamp(shortest, longest)
+    }
+
+    /// Returns the longest time in the queue for a class: all of the policy's bound for the
+    /// highest class, a quarter less for each class below.
+    fn class_bound(&self, class: Class) -> Duration {
+        let classes = Class::ALL.len() as u32;
+        self.queue_bound * (class.index() as u32 + 1) / classes
+    }
+
+    /// Returns the time in which `count` queued requests come to their turn.
+    fn drain_time(&self, count: usize) -> Duration {
+        let slots = f64::from(self.current_limit().max(1));
+        Duration::from_micros((count as f64 * self.times.mean_micros() / slots) as u64)
+    }
+
+    fn refusal(&self, code: ResultCode) -> Refusal {
+        let (shortest, longest) = RETRY_AFTER_MILLIS;
+        let drain = micros(self.drain_time(self.queue.len() + 1)) / 1_000;
+        let level = u64::from(self.threshold.level().0);
+        let pressure = longest * level / u64::from(Level::COUNT);
+        let millis = drain.max(pressure).clamp(shortest, longest);
+        Refusal {
+            code,
+            retry_after: RetryAfter {
+                millis: u32::try_from(millis).unwrap_or(u32::MAX),
+            },
+        }
+    }
+
+    fn update_threshold(&mut self, now: Instant) {
+        if self.settings.mode != ControlMode::Full || !self.threshold.is_due(now) {
+            return;
+        }
+        let pressure = Pressure {
+            limit: f64::from(self.current_limit().max(1)),
+            service_micros: Class::ALL.map(|class| self.times.class_mean_micros(class)),
+            queued: Class::ALL.map(|class| self.queue.class_len(class)),
+        };
+        self.threshold.update(now, &pressure);
+    }
+
+    fn refuse_expired(&mut self, now: Instant) {
+        while let Some(expired) = self.queue.pop_expired(now) {
+            let bound_by_deadline = expired.cutoff + self.times.expected(expired.ticket.class)
+                >= expired.ticket.deadline;
+            let code = if bound_by_deadline {
+                ResultCode::DeadlineUnmet
+            } else {
+                ResultCode::QueueFull
+            };
+            let refusal = self.refusal(code);
+            self.decided
+                .push(QueueDecision::Refuse(expired.ticket.attempt, refusal));
+        }
+    }
+
+    fn start_queued(&mut self, now: Instant) {
+        while self.has_room() {
+            let Some(queued) = self.queue.pop() else {
+                return;
+            };
+            let decision = self.decide_queued(now, &queued.ticket);
+            self.decided.push(decision);
+        }
+    }
+
+    /// Decides again on a ticket whose turn has come: the back end may have become slower.
+    fn decide_queued(&mut self, now: Instant, ticket: &Ticket) -> QueueDecision {
+        let remaining = ticket.deadline.saturating_since(now);
+        let doomed = self.settings.mode == ControlMode::Full
+            && remaining < self.times.expected(ticket.class)
+            && !self.may_probe();
+        if doomed {
+            return QueueDecision::Refuse(ticket.attempt, self.refusal(ResultCode::DeadlineUnmet));
+        }
+        self.start(ticket);
+        QueueDecision::Start(ticket.attempt)
+    }
+}
+
+fn count(length: usize) -> u32 {
+    u32::try_from(length).unwrap_or(u32::MAX)
+}
--- /dev/null
+++ b/crates/rillgap-core/src/admission/entry.rs
@@ -0,0 +1,150 @@
+//! Admission at the entry: refuses root requests that a service further down would shed.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use super::level::Level;
+use super::mode::{AdmissionSettings, ControlMode};
+use super::report::LoadReport;
+use crate::code::ResultCode;
+use crate::id::{RootId, ServiceName};
+use crate::policy::Class;
+use crate::request::{Refusal, RetryAfter};
+use crate::time::{Instant, micros};
+
+/// Time constant with which reported levels are smoothed, in microseconds.
+const SMOOTHING_MICROS: f64 = 50_000.0;
+/// Time without a report after which a level begins to decay.
+const HOLD: Duration = Duration::from_millis(300);
+/// Time in which a level without reports decays from the highest to nothing, in microseconds.
+const DECAY_MICROS: f64 = 1_000_000.0;
+/// Weight of one answer in the learned involvement of a service.
+const INVOLVEMENT_WEIGHT: f64 = 0.05;
+/// Share of answers that must involve a service for its level to count for a route.
+const INVOLVED: f64 = 0.2;
+/// Shortest and longest time after which a refused caller is asked back, in milliseconds.
+const RETRY_AFTER_MILLIS: (u32, u32) = (200, 2_000);
+
+/// What one kind of root request is known by: the service it enters and its class.
+type Route = (ServiceName, Class);
+
+/// Smoothed level of one service.
+#[derive(Clone, Copy, Debug)]
+struct ServiceLevel {
+    level: f64,
+    reported_at: Instant,
+}
+
+impl ServiceLevel {
+    fn report(&mut self, now: Instant, level: Level) {
+        let elapsed = micros(now.saturating_since(self.reported_at)) as f64;
+        let weight = elapsed / (elapsed + SMOOTHING_MICROS);
+        let current = self.at(now);
+        // Reports that arrive together share one step, so that none is lost to a zero weight.
+        let weight = weight.max(0.02);
+        self.level = current + weight * (f64::from(level.0) - current);
+        self.reported_at = now;
+    }
+
+    /// Returns the level, decayed if nothing was reported lately.
+    fn at(&self, now: Instant) -> f64 {
+        let silent = now.saturating_since(self.reported_at);
+        let over = micros(silent.saturating_sub(HOLD)) as f64;
+        (self.level - over / DECAY_MICROS * f64::from(Level::COUNT)).max(0.0)
+    }
+}
+
+/// Admission at the entry, from load that answers carry.
+#[derive(Clone, Debug, Default)]
+pub struct EntryAdmission {
+    settings: AdmissionSettings,
+    levels: BTreeMap<ServiceName, ServiceLevel>,
+    involvement: BTreeMap<Route, BTreeMap<ServiceName, f64>>,
+}
+
+impl EntryAdmission {
+    /// Creates the admission of a fresh node.
+    pub fn new(settings: AdmissionSettings) -> Self {
+        Self {
+            settings,
+            ..Self::default()
+        }
+    }
+
+    /// Decides whether a root request may begin.
+    ///
+    /// # Errors
+    ///
+    /// Returns the refusal if a request of this class would be shed further down.
+    pub fn admit(
+        &mut self,
+        now: Instant,
+        service: &ServiceName,
+        class: Class,
+        root: RootId,
+    ) -> Result<(), Refusal> {
+        if self.settings.mode != ControlMode::Full {
+            return Ok(());
+        }
+        let threshold = self.threshold(now, service, class);
+        if f64::from(Level::of(class, root).0) >= threshold.floor() {
+            return Ok(());
+        }
+        Err(Refusal {
+            code: ResultCode::Overloaded,
+            retry_after: retry_after(threshold),
+        })
+    }
+
+    /// Takes in the levels that any answer or refusal of a service carried.
+    pub fn observe(&mut self, now: Instant, _service: &ServiceName, load: &LoadReport) {
+        for reported in &load.services {
+            self.levels
+                .entry(reported.service.clone())
+                .or_insert(ServiceLevel {
+                    level: 0.0,
+                    reported_at: now,
+                })
+                .report(now, reported.level);
+        }
+    }
+
+    /// Learns from the whole answer to a root request which services such requests involve.
+    pub fn learn(&mut self, service: &ServiceName, class: Class, load: &LoadReport) {
+        let route = (service.clone(), class);
+        let involved = self.involvement.entry(route).or_default();
+        for share in involved.values_mut() {
+            *share -= INVOLVEMENT_WEIGHT * *share;
+        }
+        for reported in &load.services {
+            if reported.service == *service {
+                continue;
+            }
+            let share = involved.entry(reported.service.clone()).or_insert(INVOLVED);
+            *share += INVOLVEMENT_WEIGHT;
+        }
+        involved.retain(|_, share| *share > INVOLVEMENT_WEIGHT / 10.0);
+    }
+
+    /// Returns the highest level over the services that such requests involve.
+    fn threshold(&self, now: Instant, service: &ServiceName, class: Class) -> f64 {
+        let level_of = |name: &ServiceName| self.levels.get(name).map_or(0.0, |at| at.at(now));
+        let own = level_of(service);
+        let route = (service.clone(), class);
+        let Some(involved) = self.involvement.get(&route) else {
+            return own;
+        };
+        involved
+            .iter()
+            .filter(|(_, share)| **share >= INVOLVED)
+            .map(|(name, _)| level_of(name))
+            .fold(own, f64::max)
+    }
+}
+
+fn retry_after(threshold: f64) -> RetryAfter {
+    let (shortest, longest) = RETRY_AFTER_MILLIS;
+    let span = f64::from(longest - shortest);
+    let millis = shortest + (threshold / f64::from(Level::COUNT) * span) as u32;
+    RetryAfter { millis }
+}
--- /dev/null
+++ b/crates/rillgap-core/src/admission/limit.rs
@@ -0,0 +1,119 @@
+//! Concurrency limit of one back end, learned from how its requests end.
+//!
+//! The policy's slots are the upper bound. Below it the limit grows by one per answer while it
+//! recovers (slow start), then by one per limit's worth of answers (additive increase), and
+//! shrinks by a factor when the back end sheds or when requests keep failing.
+
+use std::time::Duration;
+
+use super::Completion;
+use crate::time::Instant;
+
+/// Factor applied when the back end sheds.
+const DECREASE: f64 = 0.8;
+/// Failures in a row that mean the back end is not working.
+const FAILURES_IN_A_ROW: u32 = 8;
+/// Share of the slots that a back end gets when it starts or returns.
+const START_SHARE: f64 = 0.25;
+/// Lowest limit; one request is always let through, to learn from it.
+const FLOOR: f64 = 1.0;
+/// Shortest time between two decreases, so that one burst of shedding counts once.
+const SHORTEST_COOLDOWN: Duration = Duration::from_millis(20);
+
+/// Learned concurrency limit.
+#[derive(Clone, Debug)]
+pub(super) struct ConcurrencyLimit {
+    slots: f64,
+    limit: f64,
+    slow_start_until: f64,
+    failures: u32,
+    decreased_at: Option<Instant>,
+}
+
+impl Default for ConcurrencyLimit {
+    fn default() -> Self {
+        Self {
+            slots: FLOOR,
+            limit: FLOOR,
+            slow_start_until: FLOOR,
+            failures: 0,
+            decreased_at: None,
+        }
+    }
+}
+
+impl ConcurrencyLimit {
+    /// Sets the upper bound; a back end seen for the first time begins with a share of it.
+    pub fn configure(&mut self, slots: u16) {
+        let slots = f64::from(slots.max(1));
+        if slots == self.slots {
+            return;
+        }
+        if self.slots == FLOOR {
+            self.limit = (slots * START_SHARE).max(FLOOR);
+        }
+        self.slots = slots;
+        self.slow_start_until = slots;
+        self.limit = self.limit.min(slots);
+    }
+
+    /// Returns the requests that may run at once.
+    pub fn get(&self) -> u32 {
+        self.limit as u32
+    }
+
+    /// Takes in how a request ended while `running` requests ran, itself included.
+    pub fn finish(
+        &mut self,
+        now: Instant,
+        completion: Completion,
+        latency: Duration,
+        running: usize,
+    ) {
+        match completion {
+            Completion::Answered => self.answered(running),
+            Completion::Shed => self.shed(now, latency),
+            Completion::Failed => self.failed(now),
+        }
+    }
+
+    fn answered(&mut self, running: usize) {
+        self.failures = 0;
+        let in_use = running as f64 >= self.limit * 0.5;
+        if !in_use || self.limit >= self.slots {
+            return;
+        }
+        let growth = if self.limit < self.slow_start_until {
+            1.0
+        } else {
+            1.0 / self.limit
+        };
+        self.limit = (self.limit + growth).min(self.slots);
+    }
+
+    fn shed(&mut self, now: Instant, latency: Duration) {
+        self.failures = 0;
+        let cooldown = latency.max(SHORTEST_COOLDOWN);
+        let cooling = self
+            .decreased_at
+            .is_some_and(|at| now.saturating_since(at) < cooldown);
+        if !cooling {
+            self.decrease(now, self.limit * DECREASE);
+        }
+    }
+
+    fn failed(&mut self, now: Instant) {
+        self.failures = self.failures.saturating_add(1);
+        if self.failures >= FAILURES_IN_A_ROW {
+            self.failures = 0;
+            self.decrease(now, self.limit.min(self.slots * START_SHARE));
+            self.slow_start_until = self.slots;
+        }
+    }
+
+    fn decrease(&mut self, now: Instant, limit: f64) {
+        self.limit = limit.max(FLOOR);
+        self.slow_start_until = self.limit;
+        self.decreased_at = Some(now);
+    }
+}
--- a/crates/rillgap-core/src/node.rs
+++ b/crates/rillgap-core/src/node.rs
@@ -1,6 +1,7 @@
 //! One node: the subsystems joined into a single state machine.
 
 use crate::action::{Action, Observation, Outbox};
+use crate::admission::AdmissionSettings;
 use crate::call::CallPath;
 use crate::claim::Claims;
 use crate::configuration::Configuration;
@@ -55,6 +56,8 @@
     pub initial_view: Option<View>,
     /// Policy to start from, where no store is used (benchmarks and unit tests).
     pub initial_policy: Option<Policy>,
+    /// Overload control; anything but the default is a baseline for experiments.
+    pub admission: AdmissionSettings,
 }
 
 impl NodeSettings {
--- /dev/null
+++ b/crates/rillgap-core/tests/admission_entry.rs
@@ -0,0 +1,111 @@
+//! Admission at the entry, and the retry budget.
+
+use googletest::prelude::*;
+use rillgap_core::admission::{EntryAdmission, Level, LoadReport, RetryBudget, ServiceLoad};
+use rillgap_core::code::ResultCode;
+use rillgap_core::id::{RootId, ServiceName};
+use rillgap_core::policy::Class;
+use rillgap_core::time::Instant;
+
+fn at(millis: u64) -> Instant {
+    Instant::from_micros(millis * 1_000)
+}
+
+fn load(levels: &[(&str, Level)]) -> LoadReport {
+    LoadReport {
+        services: levels
+            .iter()
+            .map(|(service, level)| ServiceLoad {
+                service: ServiceName::new(*service),
+                level: *level,
+            })
+            .collect(),
+        ..LoadReport::default()
+    }
+}
+
+/// Entry that has learned that bookings involve `takst`, with `level` reported for it.
+fn entry(level: Level) -> EntryAdmission {
+    let mut entry = EntryAdmission::default();
+    let booking = ServiceName::new("bestilling");
+    for now in 0..500 {
+        let load = load(&[("bestilling", Level(0)), ("takst", level)]);
+        entry.observe(at(now), &booking, &load);
+        entry.learn(&booking, Class::Critical, &load);
+        entry.learn(&booking, Class::Sheddable, &load);
+    }
+    entry
+}
+
+fn admitted(entry: &mut EntryAdmission, now: Instant, service: &str, class: Class) -> usize {
+    let service = ServiceName::new(service);
+    (0..1_000_u128)
+        .filter(|root| entry.admit(now, &service, class, RootId(*root)).is_ok())
+        .count()
+}
+
+#[gtest]
+fn deep_overload_is_refused_at_the_entry_by_class_and_share() {
+    let half_of_browsing = Level(Level::floor(Class::Sheddable).0 + Level::PER_CLASS / 2);
+    let mut entry = entry(half_of_browsing);
+    let now = at(500);
+    expect_that!(
+        admitted(&mut entry, now, "bestilling", Class::Bulk),
+        eq(1_000)
+    );
+    let browsing = admitted(&mut entry, now, "bestilling", Class::Sheddable);
+    expect_that!(browsing, all![gt(420), lt(580)]);
+    expect_that!(
+        admitted(&mut entry, now, "bestilling", Class::Critical),
+        eq(1_000)
+    );
+    expect_that!(admitted(&mut entry, now, "takst", Class::Bulk), eq(0));
+}
+
+#[gtest]
+fn one_root_is_treated_alike_by_every_entry() {
+    let level = Level(Level::floor(Class::Critical).0 + 100);
+    let (mut here, mut there) = (entry(level), entry(level));
+    let service = ServiceName::new("bestilling");
+    for root in 0..200 {
+        let here = here.admit(at(500), &service, Class::Critical, RootId(root));
+        let there = there.admit(at(500), &service, Class::Critical, RootId(root));
+        expect_that!(here.is_ok(), eq(there.is_ok()));
+    }
+}
+
+#[gtest]
+fn refusal_tells_when_to_come_back() {
+    let mut entry = entry(Level(Level::COUNT));
+    let service = ServiceName::new("bestilling");
+    let refusal = entry
+        .admit(at(500), &service, Class::Critical, RootId(1))
+        .expect_err("everything is refused");
+    expect_that!(refusal.code, eq(ResultCode::Overloaded));
+    expect_that!(refusal.retry_after.millis, gt(0));
+}
+
+#[gtest]
+fn level_without_reports_decays_within_two_seconds() {
+    let mut entry = entry(Level(Level::COUNT));
+    // The smoothed level comes close to the highest, but does not reach it.
+    expect_that!(
+        admitted(&mut entry, at(600), "bestilling", Class::Critical),
+        lt(10)
+    );
+    let later = admitted(&mut entry, at(2_000), "bestilling", Class::Critical);
+    expect_that!(later, eq(1_000));
+}
+
+#[gtest]
+fn retries_are_a_share_of_successes() {
+    let mut budget = RetryBudget::default();
+    budget.configure(10);
+    let service = ServiceName::new("takst");
+    while budget.try_spend(&service) {}
+    for _ in 0..50 {
+        budget.success(&service);
+    }
+    let granted = (0..50).filter(|_| budget.try_spend(&service)).count();
+    expect_that!(granted, all![ge(4), le(5)]);
+}
