Routing: power of two choices by load, zone preference with spill-over, ejection

Cause: the router only counted its own outstanding calls. It now weighs reported load and latency of two back ends drawn at random, stays in its own zone below 70% utilization, leaves out back ends after five failures in a row (never more than half), probes them, and brings returning ones back over one second. Random draws follow from a seed.

--- /dev/null
+++ b/crates/rillgap-core/src/routing/health.rs
@@ -0,0 +1,105 @@
+//! Outlier ejection: a back end that keeps failing is left out and probed again.
+
+use std::time::Duration;
+
+use crate::time::Instant;
+
+/// Failures in a row after which a back end is left out.
+const FAILURES_IN_A_ROW: u32 = 5;
+/// Time for which a back end is left out at first.
+const FIRST_EJECTION: Duration = Duration::from_millis(250);
+/// Longest time for which a back end is left out before it is probed.
+const LONGEST_EJECTION: Duration = Duration::from_secs(2);
+/// Time after which a probe without a result is taken for lost.
+const PROBE_PATIENCE: Duration = Duration::from_secs(2);
+/// Time in which a returning back end comes back to its full share.
+const RAMP: Duration = Duration::from_secs(1);
+/// Share that a returning back end gets at first.
+const RAMP_FLOOR: f64 = 0.1;
+
+/// Whether a back end may be chosen.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Availability {
+    /// It may be chosen.
+    Available,
+    /// It was left out for long enough; one call may try it.
+    Probe,
+    /// It is left out.
+    Ejected,
+}
+
+/// Health of one back end as its callers see it.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Health {
+    failures: u32,
+    ejections: u32,
+    ejected_until: Option<Instant>,
+    probe_until: Option<Instant>,
+    returned_at: Option<Instant>,
+}
+
+impl Health {
+    /// Creates the health of a back end that has just come into service.
+    pub fn returning(now: Instant) -> Self {
+        Self {
+            returned_at: Some(now),
+            ..Self::default()
+        }
+    }
+
+    /// Returns whether the back end may be chosen.
+    pub fn availability(&self, now: Instant) -> Availability {
+        match (self.ejected_until, self.probe_until) {
+            (None, _) => Availability::Available,
+            (Some(until), _) if now < until => Availability::Ejected,
+            (Some(_), Some(probe)) if now < probe => Availability::Ejected,
+            (Some(_), _) => Availability::Probe,
+        }
+    }
+
+    /// Returns the share of its load that the back end may take, from [`RAMP_FLOOR`] to one.
+    pub fn ramp(&self, now: Instant) -> f64 {
+        let Some(returned_at) = self.returned_at else {
+            return 1.0;
+        };
+        let since = now.saturating_since(returned_at);
+        (since.as_micros() as f64 / RAMP.as_micros() as f64).clamp(RAMP_FLOOR, 1.0)
+    }
+
+    /// Tells that a call was sent; on an ejected back end it is the probe.
+    pub fn started(&mut self, now: Instant) {
+        if self.ejected_until.is_some() {
+            self.probe_until = Some(now + PROBE_PATIENCE);
+        }
+    }
+
+    /// Tells that the back end answered, be it with a refusal.
+    pub fn succeeded(&mut self, now: Instant) {
+        self.failures = 0;
+        if self.ejected_until.take().is_some() {
+            self.probe_until = None;
+            self.returned_at = Some(now);
+        }
+        if self.ramp(now) >= 1.0 {
+            self.ejections = 0;
+        }
+    }
+
+    /// Tells that a call failed.
+    pub fn failed(&mut self, now: Instant) {
+        self.failures = self.failures.saturating_add(1);
+        let probing = self.ejected_until.is_some();
+        if probing || self.failures >= FAILURES_IN_A_ROW {
+            self.eject(now);
+        }
+    }
+
+    fn eject(&mut self, now: Instant) {
+        let factor = 1_u32 << self.ejections.min(8);
+        let duration = (FIRST_EJECTION * factor).min(LONGEST_EJECTION);
+        self.ejections += 1;
+        self.failures = 0;
+        self.probe_until = None;
+        self.ejected_until = Some(now + duration);
+    }
+}
--- /dev/null
+++ b/crates/rillgap-core/src/routing/router.rs
@@ -0,0 +1,272 @@
+//! Choice of a back end.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use rand_chacha::ChaCha8Rng;
+use rand_chacha::rand_core::{Rng, SeedableRng};
+
+use super::health::{Availability, Health};
+use super::target_state::TargetState;
+use super::{Candidates, Target, TargetResult};
+use crate::admission::LoadReport;
+use crate::id::{BackEndName, ServiceName, ZoneName};
+use crate::policy::BackEndState;
+use crate::time::Instant;
+use crate::view::Member;
+
+/// Load of the own zone, as a share of its limit, from which other zones are considered.
+const SPILL_UTILIZATION: f64 = 0.7;
+/// Load that a back end of another zone must be below the own zone's best to be chosen.
+const ZONE_ADVANTAGE: f64 = 0.1;
+/// Bounds of a back end's latency relative to the fastest, as a factor on its load.
+const LATENCY_FACTOR: (f64, f64) = (1.0, 8.0);
+/// Time after the router's first choice from which a new back end counts as returning.
+const SETTLED: Duration = Duration::from_secs(5);
+
+/// A candidate with what routing weighs.
+#[derive(Clone, Debug)]
+struct Candidate {
+    target: Target,
+    local: bool,
+    availability: Availability,
+    cost: f64,
+    utilization: f64,
+}
+
+/// Chooses back ends by power of two choices over their load.
+#[derive(Clone, Debug)]
+pub struct Router {
+    random: ChaCha8Rng,
+    targets: BTreeMap<BackEndName, TargetState>,
+    first_choice: Option<Instant>,
+}
+
+impl Default for Router {
+    fn default() -> Self {
+        Self::new(0)
+    }
+}
+
+impl Router {
+    /// Creates a router whose random draws follow from `seed`.
+    pub fn new(seed: u64) -> Self {
+        Self {
+            random: ChaCha8Rng::seed_from_u64(seed),
+            targets: BTreeMap::new(),
+            first_choice: None,
+        }
+    }
+
+    /// Chooses a serving back end of `service` that is not in `excluded`, or `None`.
+    pub fn pick(
+        &mut self,
+        now: Instant,
+        candidates: Candidates<'_>,
+        service: &ServiceName,
+        excluded: &[BackEndName],
+    ) -> Option<Target> {
+        let first_choice = *self.first_choice.get_or_insert(now);
+        let settled = now.saturating_since(first_choice) >= SETTLED;
+        let serving = self.serving(now, candidates, service, excluded, settled);
+        let usable = usable(serving);
+        self.choose(usable)
+    }
+
+    /// Tells that an attempt was sent to a target.
+    pub fn started(&mut self, now: Instant, target: &Target) {
+        self.state(target).started(now);
+    }
+
+    /// Tells that an attempt at a target has ended after `latency`.
+    pub fn finished(
+        &mut self,
+        now: Instant,
+        target: &Target,
+        latency: Duration,
+        result: TargetResult,
+    ) {
+        self.state(target).finished(now, latency, result);
+    }
+
+    /// Takes in the load that an answer of a target carried.
+    pub fn observe(&mut self, now: Instant, back_end: &BackEndName, load: &LoadReport) {
+        if let Some(state) = self.targets.get_mut(back_end) {
+            state.observe(now, load);
+        }
+    }
+
+    fn state(&mut self, target: &Target) -> &mut TargetState {
+        self.targets
+            .entry(target.back_end.clone())
+            .or_insert_with(|| TargetState::new(target.incarnation, Health::default()))
+    }
+
+    /// Returns the serving back ends with their cost.
+    fn serving(
+        &mut self,
+        now: Instant,
+        candidates: Candidates<'_>,
+        service: &ServiceName,
+        excluded: &[BackEndName],
+        settled: bool,
+    ) -> Vec<Candidate> {
+        let mut serving = Vec::new();
+        for back_end in &candidates.policy.back_ends {
+            if back_end.service != *service {
+                continue;
+            }
+            if back_end.state == BackEndState::Leaving {
+                // Forgotten, so that it comes back slowly when it returns into service.
+                self.targets.remove(&back_end.name);
+                continue;
+            }
+            let Some(member) = candidates.view.member(back_end.node.id()) else {
+                continue;
+            };
+            if excluded.contains(&back_end.name) {
+                continue;
+            }
+            let state = self.refresh(now, &back_end.name, member, settled);
+            serving.push(candidate(
+                now,
+                &back_end.name,
+                member,
+                candidates.zone,
+                state,
+            ));
+        }
+        weigh_latency(&mut serving, &self.targets);
+        serving
+    }
+
+    /// Returns the state of a back end; a new run of its node begins afresh.
+    fn refresh(
+        &mut self,
+        now: Instant,
+        name: &BackEndName,
+        member: &Member,
+        settled: bool,
+    ) -> &TargetState {
+        let known = self
+            .targets
+            .get(name)
+            .is_some_and(|state| state.incarnation == member.incarnation);
+        if !known {
+            let health = if settled {
+                Health::returning(now)
+            } else {
+                Health::default()
+            };
+            let state = TargetState::new(member.incarnation, health);
+            self.targets.insert(name.clone(), state);
+        }
+        &self.targets[name]
+    }
+
+    fn choose(&mut self, usable: Vec<Candidate>) -> Option<Target> {
+        if let Some(probe) = usable
+            .iter()
+            .find(|candidate| candidate.availability == Availability::Probe)
+        {
+            return Some(probe.target.clone());
+        }
+        let (local, remote): (Vec<_>, Vec<_>) =
+            usable.into_iter().partition(|candidate| candidate.local);
+        let local = self.better_of_two(&local);
+        if let Some(local) = &local
+            && local.utilization < SPILL_UTILIZATION
+            && local.cost < SPILL_UTILIZATION * 2.0
+        {
+            return Some(local.target.clone());
+        }
+        let remote = self.better_of_two(&remote);
+        match (local, remote) {
+            (Some(local), Some(remote)) if remote.cost + ZONE_ADVANTAGE < local.cost => {
+                Some(remote.target)
+            }
+            (Some(local), _) => Some(local.target),
+            (None, remote) => remote.map(|remote| remote.target),
+        }
+    }
+
+    /// Draws two candidates and returns the one of lower cost.
+    fn better_of_two(&mut self, candidates: &[Candidate]) -> Option<Candidate> {
+        match candidates {
+            [] => None,
+            [only] => Some(only.clone()),
+            many => {
+                let first = self.draw(many.len());
+                let second = (first + 1 + self.draw(many.len() - 1)) % many.len();
+                let (first, second) = (&many[first], &many[second]);
+                let better = if second.cost < first.cost {
+                    second
+                } else {
+                    first
+                };
+                Some(better.clone())
+            }
+        }
+    }
+
+    /// Draws a number below `bound`, which is small.
+    fn draw(&mut self, bound: usize) -> usize {
+        ((u64::from(self.random.next_u32()) * bound as u64) >> 32) as usize
+    }
+}
+
+fn candidate(
+    now: Instant,
+    name: &BackEndName,
+    member: &Member,
+    zone: &ZoneName,
+    state: &TargetState,
+) -> Candidate {
+    let utilization = state.utilization(now);
+    Candidate {
+        target: Target {
+            node: member.id(),
+            incarnation: member.incarnation,
+            address: member.mesh_address,
+            back_end: name.clone(),
+        },
+        local: member.zone == *zone,
+        availability: state.health.availability(now),
+        cost: utilization,
+        utilization,
+    }
+}
+
+/// Raises the cost of back ends that answer slower than the fastest.
+fn weigh_latency(candidates: &mut [Candidate], targets: &BTreeMap<BackEndName, TargetState>) {
+    let latency = |candidate: &Candidate| {
+        targets
+            .get(&candidate.target.back_end)
+            .map_or(0.0, TargetState::latency_micros)
+    };
+    let fastest = candidates
+        .iter()
+        .map(latency)
+        .filter(|latency| *latency > 0.0)
+        .fold(f64::INFINITY, f64::min);
+    for candidate in candidates {
+        let (least, most) = LATENCY_FACTOR;
+        let factor = (latency(candidate) / fastest).clamp(least, most);
+        candidate.cost *= factor;
+    }
+}
+
+/// Leaves out ejected back ends, unless that would leave out more than half of them.
+fn usable(serving: Vec<Candidate>) -> Vec<Candidate> {
+    let ejected = serving
+        .iter()
+        .filter(|candidate| candidate.availability == Availability::Ejected)
+        .count();
+    if ejected * 2 > serving.len() {
+        return serving;
+    }
+    serving
+        .into_iter()
+        .filter(|candidate| candidate.availability != Availability::Ejected)
+        .collect()
+}
--- /dev/null
+++ b/crates/rillgap-core/src/routing/target_state.rs
@@ -0,0 +1,114 @@
+//! What a router knows of one back end.
+
+use std::time::Duration;
+
+use super::TargetResult;
+use super::health::Health;
+use crate::admission::LoadReport;
+use crate::id::Incarnation;
+use crate::time::{Instant, micros};
+
+/// Weight of a new latency in the moving mean.
+const LATENCY_WEIGHT: f64 = 0.1;
+/// Time after which a report says nothing any more.
+const REPORT_LIFE: Duration = Duration::from_millis(500);
+/// Limit assumed for a back end that has not reported.
+const UNKNOWN_LIMIT: f64 = 8.0;
+
+/// A load report with the time at which it came.
+#[derive(Clone, Copy, Debug)]
+struct Report {
+    at: Instant,
+    /// Running and queued requests.
+    load: f64,
+    limit: f64,
+    /// Calls outstanding from this node when the report came.
+    outstanding: u32,
+}
+
+/// State of one back end.
+#[derive(Clone, Debug)]
+pub(super) struct TargetState {
+    /// Run of the node beside the back end.
+    pub incarnation: Incarnation,
+    /// Health.
+    pub health: Health,
+    outstanding: u32,
+    latency_micros: f64,
+    report: Option<Report>,
+}
+
+impl TargetState {
+    /// Creates the state of a back end.
+    pub fn new(incarnation: Incarnation, health: Health) -> Self {
+        Self {
+            incarnation,
+            health,
+            outstanding: 0,
+            latency_micros: 0.0,
+            report: None,
+        }
+    }
+
+    /// Returns the load as a share of the limit, as far as it is known: what was reported,
+    /// changed by what this node has sent and got back since.
+    pub fn utilization(&self, now: Instant) -> f64 {
+        let own = f64::from(self.outstanding);
+        let load = match self.report {
+            Some(report) if now.saturating_since(report.at) < REPORT_LIFE => {
+                (report.load + own - f64::from(report.outstanding)).max(own)
+            }
+            _ => own,
+        };
+        let limit = self.report.map_or(UNKNOWN_LIMIT, |report| report.limit);
+        load / limit.max(1.0) / self.health.ramp(now)
+    }
+
+    /// Returns the mean latency in microseconds, zero if unknown.
+    pub fn latency_micros(&self) -> f64 {
+        self.latency_micros
+    }
+
+    /// Tells that a call was sent.
+    pub fn started(&mut self, now: Instant) {
+        self.outstanding += 1;
+        self.health.started(now);
+    }
+
+    /// Tells that a call has ended.
+    pub fn finished(&mut self, now: Instant, latency: Duration, result: TargetResult) {
+        self.outstanding = self.outstanding.saturating_sub(1);
+        match result {
+            TargetResult::Answered => {
+                self.health.succeeded(now);
+                self.take_latency(latency);
+            }
+            TargetResult::Refused => self.health.succeeded(now),
+            TargetResult::Failed => {
+                self.health.failed(now);
+                if micros(latency) as f64 > self.latency_micros {
+                    self.take_latency(latency);
+                }
+            }
+        }
+    }
+
+    /// Takes in a load report.
+    pub fn observe(&mut self, now: Instant, load: &LoadReport) {
+        self.report = Some(Report {
+            at: now,
+            load: f64::from(load.running + load.queued),
+            limit: f64::from(load.limit),
+            outstanding: self.outstanding,
+        });
+    }
+
+    fn take_latency(&mut self, latency: Duration) {
+        let sample = micros(latency) as f64;
+        if self.latency_micros == 0.0 {
+            self.latency_micros = sample;
+        } else {
+            self.latency_micros += LATENCY_WEIGHT * (sample - self.latency_micros);
+        }
+    }
+}
--- /dev/null
+++ b/crates/rillgap-core/tests/routing_choice.rs
@@ -0,0 +1,200 @@
+//! Choice of a back end.
+
+use std::collections::BTreeMap;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::time::Duration;
+
+use googletest::prelude::*;
+use rillgap_core::admission::LoadReport;
+use rillgap_core::id::{
+    BackEndName, Incarnation, NodeName, RegionName, ServiceName, ViewVersion, ZoneName,
+};
+use rillgap_core::policy::{BackEndPolicy, BackEndState, Policy};
+use rillgap_core::routing::{Candidates, Router, Target, TargetResult};
+use rillgap_core::time::Instant;
+use rillgap_core::view::{Member, View};
+
+const ZONES: [&str; 3] = ["hall-a", "hall-b", "hall-c"];
+const LATENCY: Duration = Duration::from_millis(10);
+
+fn at(millis: u64) -> Instant {
+    Instant::from_micros(millis * 1_000)
+}
+
+/// `takst` with `per_zone` back ends in each of three zones; this node is in `hall-a`.
+struct World {
+    policy: Policy,
+    view: View,
+    zone: ZoneName,
+    service: ServiceName,
+}
+
+impl World {
+    fn new(per_zone: usize) -> Self {
+        let service = ServiceName::new("takst");
+        let mut policy = Policy::default();
+        let mut members = Vec::new();
+        for (index, zone) in ZONES.iter().enumerate() {
+            for number in 0..per_zone {
+                let name = format!("{zone}-{number}");
+                let node = NodeName::new(format!("node-{name}"));
+                let port = (7_000 + index * 100 + number) as u16;
+                policy.back_ends.push(BackEndPolicy {
+                    name: BackEndName::new(name),
+                    service: service.clone(),
+                    node: node.clone(),
+                    state: BackEndState::Serving,
+                });
+                members.push(Member {
+                    name: node,
+                    zone: ZoneName::new(*zone),
+                    region: RegionName::new("trondheim"),
+                    incarnation: Incarnation(1),
+                    mesh_address: SocketAddr::from((Ipv4Addr::LOCALHOST, port)),
+                });
+            }
+        }
+        members.sort_by_key(Member::id);
+        let view = View {
+            version: ViewVersion(1),
+            members,
+        };
+        Self {
+            policy,
+            view,
+            zone: ZoneName::new("hall-a"),
+            service,
+        }
+    }
+
+    fn pick(&self, router: &mut Router, now: Instant) -> Target {
+        let candidates = Candidates {
+            policy: &self.policy,
+            view: &self.view,
+            zone: &self.zone,
+        };
+        router
+            .pick(now, candidates, &self.service, &[])
+            .expect("a back end")
+    }
+
+    /// Sends `calls` one after another and counts them by back end.
+    fn spread(&self, router: &mut Router, now: Instant, calls: u32) -> BTreeMap<String, u32> {
+        let mut counts = BTreeMap::new();
+        for _ in 0..calls {
+            let target = self.pick(router, now);
+            router.started(now, &target);
+            router.finished(now, &target, LATENCY, TargetResult::Answered);
+            *counts.entry(target.back_end.0).or_default() += 1;
+        }
+        counts
+    }
+
+    fn fail(&self, router: &mut Router, now: Instant, back_end: &str, times: u32) {
+        let target = self.target(back_end);
+        for _ in 0..times {
+            router.started(now, &target);
+            router.finished(now, &target, LATENCY, TargetResult::Failed);
+        }
+    }
+
+    fn target(&self, back_end: &str) -> Target {
+        let node = NodeName::new(format!("node-{back_end}"));
+        let member = self.view.member(node.id()).expect("a member");
+        Target {
+            node: member.id(),
+            incarnation: member.incarnation,
+            address: member.mesh_address,
+            back_end: BackEndName::new(back_end),
+        }
+    }
+}
+
+fn report(running: u32, limit: u32) -> LoadReport {
+    LoadReport {
+        running,
+        limit,
+        ..LoadReport::default()
+    }
+}
+
+#[gtest]
+fn own_zone_is_preferred_while_it_has_room() {
+    let world = World::new(2);
+    let mut router = Router::new(7);
+    let counts = world.spread(&mut router, at(0), 200);
+    let own: u32 = counts
+        .iter()
+        .filter(|(name, _)| name.starts_with("hall-a"))
+        .map(|(_, count)| count)
+        .sum();
+    expect_that!(own, eq(200));
+    expect_that!(counts["hall-a-0"], gt(50));
+    expect_that!(counts["hall-a-1"], gt(50));
+}
+
+#[gtest]
+fn load_spills_over_when_the_own_zone_is_full() {
+    let world = World::new(1);
+    let mut router = Router::new(7);
+    world.spread(&mut router, at(0), 1);
+    for zone in ["hall-b-0", "hall-c-0"] {
+        router.started(at(0), &world.target(zone));
+        router.finished(at(0), &world.target(zone), LATENCY, TargetResult::Answered);
+        router.observe(at(0), &BackEndName::new(zone), &report(2, 10));
+    }
+    router.observe(at(0), &BackEndName::new("hall-a-0"), &report(10, 10));
+    let counts = world.spread(&mut router, at(1), 100);
+    expect_that!(counts.get("hall-a-0"), none());
+    expect_that!(counts["hall-b-0"], gt(20));
+    expect_that!(counts["hall-c-0"], gt(20));
+}
+
+#[gtest]
+fn leaving_back_end_is_never_chosen() {
+    let mut world = World::new(1);
+    world.policy.back_ends[0].state = BackEndState::Leaving;
+    let counts = world.spread(&mut Router::new(7), at(0), 100);
+    expect_that!(counts.get("hall-a-0"), none());
+}
+
+#[gtest]
+fn failing_back_end_is_left_out_and_probed() {
+    let world = World::new(1);
+    let mut router = Router::new(7);
+    world.fail(&mut router, at(0), "hall-a-0", 5);
+    expect_that!(world.spread(&mut router, at(1), 50).get("hall-a-0"), none());
+    let probe = world.pick(&mut router, at(300));
+    expect_that!(probe.back_end.as_str(), eq("hall-a-0"));
+    router.started(at(300), &probe);
+    let meanwhile = world.pick(&mut router, at(301));
+    expect_that!(meanwhile.back_end.as_str(), not(eq("hall-a-0")));
+    router.finished(at(310), &probe, LATENCY, TargetResult::Answered);
+    expect_that!(
+        world.spread(&mut router, at(311), 50).get("hall-a-0"),
+        some(gt(&0))
+    );
+}
+
+#[gtest]
+fn failures_everywhere_leave_nobody_out() {
+    let world = World::new(1);
+    let mut router = Router::new(7);
+    for zone in ZONES {
+        world.fail(&mut router, at(0), &format!("{zone}-0"), 5);
+    }
+    world.pick(&mut router, at(1));
+}
+
+#[gtest]
+fn same_seed_makes_the_same_choices() {
+    let world = World::new(3);
+    let choices = |seed| {
+        let mut router = Router::new(seed);
+        (0..50)
+            .map(|now| world.pick(&mut router, at(now)).back_end.0)
+            .collect::<Vec<_>>()
+    };
+    expect_that!(choices(3), eq(&choices(3)));
+    expect_that!(choices(3), not(eq(&choices(4))));
+}
