--- a/crates/rillgap-core/tests/routing_choice.rs
+++ b/crates/rillgap-core/tests/routing_choice.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::Arc;
 use std::time::Duration;
 
 use googletest::prelude::*;
@@ -45,16 +46,16 @@
                     node: node.clone(),
                     state: BackEndState::Serving,
                 });
-                members.push(Member {
+                members.push(Arc::new(Member {
                     name: node,
                     zone: ZoneName::new(*zone),
                     region: RegionName::new("trondheim"),
                     incarnation: Incarnation(1),
                     mesh_address: SocketAddr::from((Ipv4Addr::LOCALHOST, port)),
-                });
+                }));
             }
         }
-        members.sort_by_key(Member::id);
+        members.sort_by_key(|member| member.id());
         let view = View {
             version: ViewVersion(1),
             members,
