Stand-ins of the platform and of back ends, with tests

Change: 'rillgap-lab serve platform' keeps objects with versions, blocking queries, conditional puts, sessions that hold leases, and a machine list that readers see late; it can be down, slow, or lose the answers of writes that took effect. 'rillgap-lab serve backend' has slots with a bounded queue, sheds, starts cold, stops work at the deadline or when its caller goes away, reports health and load late, makes its own calls through its node with the token it got, sends long downloads part by part, and counts executions by idempotency key. Every answer names its caller and carries a digest of its body.

Shown by: cargo test -p rillgap-lab (8 tests of the back end, 10 of the platform's client). Sessions have no test yet, as no node uses them.

--- a/crates/rillgap-lab/src/command/mod.rs
+++ b/crates/rillgap-lab/src/command/mod.rs
@@ -51,6 +51,12 @@
 /// Why a command failed.
 #[derive(Debug, thiserror::Error)]
 pub enum CommandError {
+    /// A stand-in could not be served.
+    #[error(transparent)]
+    Serve(#[from] crate::serve::ServeError),
+    /// A back end's own call is malformed.
+    #[error(transparent)]
+    DownstreamCall(#[from] crate::serve::backend::DownstreamCallError),
     /// The command is not built yet.
     #[error("this command is not built yet")]
     NotBuiltYet,
--- a/crates/rillgap-lab/src/lib.rs
+++ b/crates/rillgap-lab/src/lib.rs
@@ -1,3 +1,5 @@
 //! Model, stand-ins, experiments, replay and reports.
 
+pub mod answer;
 pub mod command;
+pub mod serve;
