--- /dev/null
+++ b/crates/rillgap-caller/src/handler.rs
@@ -0,0 +1,131 @@
+//! Handles one HTTP request from its first byte to the head of its answer.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use http::{Request, Response, StatusCode};
+use hyper::body::Incoming;
+use rillgap_core::code::ResultCode;
+use rillgap_core::event::Event;
+use rillgap_core::request::{AnswerHead, Refusal};
+use rillgap_http::headers;
+use rillgap_ring::{RingError, RingSender};
+
+use crate::body::{AnswerStream, ResponseBody};
+use crate::exchange::{AnswerPart, Exchange};
+use crate::inbound::Inbound;
+use crate::problem;
+use crate::request;
+use crate::settings::{Audience, HttpLimits};
+
+/// What every connection of a listener shares.
+#[derive(Clone, Debug)]
+pub struct Handler {
+    shared: Arc<Shared>,
+}
+
+#[derive(Debug)]
+struct Shared {
+    audience: Audience,
+    limits: HttpLimits,
+    exchange: Exchange,
+    events: RingSender<Event>,
+}
+
+impl Handler {
+    /// Creates the handler of a listener.
+    pub fn new(
+        audience: Audience,
+        limits: HttpLimits,
+        exchange: Exchange,
+        events: RingSender<Event>,
+    ) -> Self {
+        Self {
+            shared: Arc::new(Shared {
+                audience,
+                limits,
+                exchange,
+                events,
+            }),
+        }
+    }
+
+    /// Returns the limits of the listener.
+    pub fn limits(&self) -> &HttpLimits {
+        &self.shared.limits
+    }
+
+    /// Answers one request.
+    pub async fn handle(
+        &self,
+        peer: SocketAddr,
+        request: Request<Incoming>,
+    ) -> Response<ResponseBody> {
+        match self.answer(peer, request).await {
+            Ok(response) => response,
+            Err(refusal) => refuse(peer, refusal),
+        }
+    }
+
+    async fn answer(
+        &self,
+        peer: SocketAddr,
+        request: Request<Incoming>,
+    ) -> Result<Response<ResponseBody>, Refusal> {
+        let shared = &*self.shared;
+        if !shared.audience.admits(peer.ip()) {
+            return Err(problem::refusal(ResultCode::TokenInvalid));
+        }
+        let request = request::read(request, &shared.audience, &shared.limits)
+            .await
+            .map_err(problem::refusal)?;
+        let mut inbound = Inbound::register(&shared.exchange, &shared.events);
+        let event = Event::Inbound {
+            inbound: inbound.id(),
+            request,
+        };
+        // A full ring means that the node is behind: refusing at once keeps it from falling
+        // further behind.
+        if let Err(error) = shared.events.try_send(event) {
+            inbound.set_ended();
+            return Err(problem::refusal(not_taken(&error)));
+        }
+        match inbound.next_part().await {
+            Some(AnswerPart::Head(head)) => Ok(respond(head, inbound)),
+            Some(AnswerPart::Refusal(refusal)) => {
+                inbound.set_ended();
+                Err(refusal)
+            }
+            _ => {
+                inbound.set_ended();
+                Err(problem::refusal(ResultCode::AnswerBroken))
+            }
+        }
+    }
+}
+
+fn not_taken<T>(error: &RingError<T>) -> ResultCode {
+    match error {
+        RingError::Full(_) => ResultCode::Overloaded,
+        RingError::Closed(_) => ResultCode::NodeStopping,
+    }
+}
+
+fn refuse(peer: SocketAddr, refusal: Refusal) -> Response<ResponseBody> {
+    log::debug!(peer:% = peer, code = refusal.code.number(); "caller: request refused: {}", refusal.code.title());
+    problem::response(refusal).map(|body| ResponseBody::Whole(Some(body)))
+}
+
+fn respond(head: AnswerHead, inbound: Inbound) -> Response<ResponseBody> {
+    let mut map = http::HeaderMap::with_capacity(head.headers.len());
+    headers::append(&head.headers, &mut map);
+    let content_length = map
+        .get(http::header::CONTENT_LENGTH)
+        .and_then(|value| value.to_str().ok())
+        .and_then(|value| value.parse().ok());
+    let body = ResponseBody::Streamed(AnswerStream::new(inbound, content_length));
+    let mut response = Response::new(body);
+    *response.status_mut() = StatusCode::from_u16(head.status).unwrap_or(StatusCode::BAD_GATEWAY);
+    *response.headers_mut() = map;
+    response
+}
--- /dev/null
+++ b/crates/rillgap-caller/src/key.rs
@@ -0,0 +1,26 @@
+//! The `Idempotency-Key` header.
+
+use rillgap_core::code::ResultCode;
+use rillgap_core::id::IdempotencyKey;
+use uuid::Uuid;
+
+/// Version of UUID that carries its time.
+const KEY_VERSION: usize = 7;
+
+/// Parses a key: a UUID of version 7, bare or as the quoted string of the header's draft.
+///
+/// # Errors
+///
+/// Returns [`ResultCode::KeyMalformed`] for anything else.
+pub fn parse(value: &str) -> Result<IdempotencyKey, ResultCode> {
+    let trimmed = value.trim();
+    let bare = trimmed
+        .strip_prefix('"')
+        .and_then(|rest| rest.strip_suffix('"'))
+        .unwrap_or(trimmed);
+    let key = Uuid::try_parse(bare).map_err(|_| ResultCode::KeyMalformed)?;
+    if key.get_version_num() != KEY_VERSION {
+        return Err(ResultCode::KeyMalformed);
+    }
+    Ok(IdempotencyKey(key.as_u128()))
+}
--- /dev/null
+++ b/crates/rillgap-caller/src/request.rs
@@ -0,0 +1,166 @@
+//! Reads an HTTP request into the core's form and checks its bounds.
+
+use bytes::Bytes;
+use http::HeaderMap;
+use http::request::Parts;
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::body::{Body, Incoming};
+use rillgap_core::code::ResultCode;
+use rillgap_core::id::{CallToken, IdempotencyKey, ServiceName};
+use rillgap_core::request::{Header, InboundRequest, Origin, RequestHead};
+use rillgap_http::{headers, names, timeout};
+use std::time::Duration;
+
+use crate::settings::{Audience, HttpLimits};
+use crate::{key, trace};
+
+/// Request headers that the node replaces by its own.
+const REPLACED: [&str; 4] = ["host", "content-length", "expect", names::TIMEOUT];
+
+/// Digits of a call token.
+const TOKEN_DIGITS: usize = 32;
+
+/// Reads a whole request.
+///
+/// # Errors
+///
+/// Returns the result code under which the request is refused.
+pub async fn read(
+    request: http::Request<Incoming>,
+    audience: &Audience,
+    limits: &HttpLimits,
+) -> Result<InboundRequest, ResultCode> {
+    let (parts, body) = request.into_parts();
+    let mut inbound = read_head(&parts, audience, limits)?;
+    inbound.body = tokio::time::timeout(limits.request_timeout, read_body(body, limits))
+        .await
+        .map_err(|_| ResultCode::RequestTimeout)??;
+    Ok(inbound)
+}
+
+/// Reads the head of a request; the body is left empty.
+///
+/// # Errors
+///
+/// Returns the result code under which the request is refused.
+pub fn read_head(
+    parts: &Parts,
+    audience: &Audience,
+    limits: &HttpLimits,
+) -> Result<InboundRequest, ResultCode> {
+    let target_length = parts
+        .uri
+        .path_and_query()
+        .map_or(0, |target| target.as_str().len());
+    if target_length + headers::total_length(&parts.headers) > limits.header_bytes {
+        return Err(ResultCode::HeadersTooLong);
+    }
+    let (service, path) = split_target(&parts.uri).ok_or(ResultCode::UnknownRoute)?;
+    Ok(InboundRequest {
+        origin: read_origin(&parts.headers, audience),
+        service,
+        head: RequestHead {
+            method: parts.method.as_str().to_owned(),
+            path,
+            headers: forwarded_headers(&parts.headers),
+        },
+        body: Bytes::new(),
+        key: read_key(&parts.headers)?,
+        timeout: read_timeout(&parts.headers)?,
+    })
+}
+
+/// Splits `/{service}/{rest}?{query}` into the service and `/{rest}?{query}`.
+fn split_target(uri: &http::Uri) -> Option<(ServiceName, String)> {
+    let target = uri.path_and_query()?.as_str().strip_prefix('/')?;
+    let end = target.find(['/', '?']).unwrap_or(target.len());
+    let (service, rest) = target.split_at(end);
+    if service.is_empty() {
+        return None;
+    }
+    let path = if rest.starts_with('/') {
+        rest.to_owned()
+    } else {
+        format!("/{rest}")
+    };
+    Some((ServiceName::new(service), path))
+}
+
+fn read_origin(headers: &HeaderMap, audience: &Audience) -> Origin {
+    match audience {
+        Audience::Callers { .. } => Origin::Caller,
+        Audience::LocalBackEnd { .. } => Origin::LocalBackEnd {
+            token: read_token(headers),
+        },
+    }
+}
+
+fn read_token(headers: &HeaderMap) -> Option<CallToken> {
+    let value = headers.get(names::CALL_TOKEN)?.to_str().ok()?;
+    if value.len() != TOKEN_DIGITS || !value.bytes().all(|byte| byte.is_ascii_hexdigit()) {
+        return None;
+    }
+    u128::from_str_radix(value, 16).ok().map(CallToken)
+}
+
+fn read_key(headers: &HeaderMap) -> Result<Option<IdempotencyKey>, ResultCode> {
+    single_value(headers, names::IDEMPOTENCY_KEY, ResultCode::KeyMalformed)?
+        .map(key::parse)
+        .transpose()
+}
+
+fn read_timeout(headers: &HeaderMap) -> Result<Option<Duration>, ResultCode> {
+    single_value(headers, names::TIMEOUT, ResultCode::MalformedRequest)?
+        .map(|value| timeout::parse(value).ok_or(ResultCode::MalformedRequest))
+        .transpose()
+}
+
+/// Returns the value of a header that must not occur twice.
+fn single_value<'a>(
+    headers: &'a HeaderMap,
+    name: &str,
+    code: ResultCode,
+) -> Result<Option<&'a str>, ResultCode> {
+    let mut values = headers.get_all(name).iter();
+    let Some(value) = values.next() else {
+        return Ok(None);
+    };
+    if values.next().is_some() {
+        return Err(code);
+    }
+    value.to_str().map(Some).map_err(|_| code)
+}
+
+fn forwarded_headers(headers: &HeaderMap) -> Vec<Header> {
+    let mut forwarded = headers::forwarded(headers, |name| {
+        REPLACED.contains(&name)
+            || name == names::TRACE_PARENT
+            || name.starts_with(names::RESERVED_PREFIX)
+    });
+    forwarded.push(Header {
+        name: names::TRACE_PARENT.to_owned(),
+        value: trace_parent(headers).into_bytes(),
+    });
+    forwarded
+}
+
+fn trace_parent(headers: &HeaderMap) -> String {
+    headers
+        .get(names::TRACE_PARENT)
+        .and_then(|value| value.to_str().ok())
+        .filter(|value| trace::is_valid(value))
+        .map_or_else(trace::create, str::to_owned)
+}
+
+async fn read_body(body: Incoming, limits: &HttpLimits) -> Result<Bytes, ResultCode> {
+    let announced = body.size_hint().lower();
+    if announced > limits.body_bytes as u64 {
+        return Err(ResultCode::BodyTooLong);
+    }
+    let collected = Limited::new(body, limits.body_bytes).collect().await;
+    match collected {
+        Ok(collected) => Ok(collected.to_bytes()),
+        Err(error) if error.is::<LengthLimitError>() => Err(ResultCode::BodyTooLong),
+        Err(_) => Err(ResultCode::MalformedRequest),
+    }
+}
--- /dev/null
+++ b/crates/rillgap-caller/src/trace.rs
@@ -0,0 +1,33 @@
+//! Trace context (W3C recommendation, version 00): forwarded if valid, else created.
+
+use uuid::Uuid;
+
+/// Returns whether a `traceparent` value is well formed.
+pub fn is_valid(value: &str) -> bool {
+    let mut fields = value.split('-');
+    let version = fields
+        .next()
+        .is_some_and(|field| is_hex(field, 2) && field != "ff");
+    let trace = fields.next().is_some_and(|field| is_identifier(field, 32));
+    let parent = fields.next().is_some_and(|field| is_identifier(field, 16));
+    let flags = fields.next().is_some_and(|field| is_hex(field, 2));
+    version && trace && parent && flags && fields.next().is_none()
+}
+
+/// Creates the `traceparent` of a new trace.
+pub fn create() -> String {
+    let trace = Uuid::new_v4().simple();
+    let (parent, _) = Uuid::new_v4().as_u64_pair();
+    format!("00-{trace}-{parent:016x}-01")
+}
+
+fn is_hex(field: &str, length: usize) -> bool {
+    field.len() == length
+        && field
+            .bytes()
+            .all(|byte| byte.is_ascii_digit() || (b'a'..=b'f').contains(&byte))
+}
+
+fn is_identifier(field: &str, length: usize) -> bool {
+    is_hex(field, length) && field.bytes().any(|byte| byte != b'0')
+}
