Tests of the data path over nodes joined in memory

Fourteen cases: an answer comes home whole, a back end's own calls, missing and stale tokens, charged repeats, the bound on distinct calls, moves after proof of not having run, broken bodies, deadlines, keys, leaving back ends, planned stops.

--- a/crates/rillgap-core/src/node.rs
+++ b/crates/rillgap-core/src/node.rs
@@ -61,6 +61,22 @@
 }
 
 impl NodeSettings {
+    /// Creates settings with nothing but a name: no back end, no seeds, seed zero.
+    pub fn new(name: NodeName) -> Self {
+        Self {
+            name,
+            zone: ZoneName::new(""),
+            region: RegionName::new(""),
+            incarnation: Incarnation(0),
+            random_seed: 0,
+            mesh_address: ([127, 0, 0, 1], 0).into(),
+            back_end: None,
+            seeds: Vec::new(),
+            initial_view: None,
+            initial_policy: None,
+        }
+    }
+
     /// Returns the identifier of the node.
     pub fn id(&self) -> NodeId {
         self.name.id()
--- /dev/null
+++ b/crates/rillgap-core/tests/call_path.rs
@@ -0,0 +1,216 @@
+//! The data path over nodes joined in memory.
+
+mod support;
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use googletest::prelude::*;
+use rillgap_core::code::ResultCode;
+use rillgap_core::event::{BackEndFailure, Event, InboundId};
+use rillgap_core::id::{BackEndName, CallToken, IdempotencyKey, NodeName};
+use rillgap_core::policy::{BackEndState, Policy};
+use rillgap_core::request::AnswerHead;
+use support::{Cluster, policy};
+
+fn code(cluster: &Cluster, inbound: InboundId) -> Option<ResultCode> {
+    cluster.told(inbound).refusal.map(|refusal| refusal.code)
+}
+
+fn node_of(cluster: &Cluster, position: usize) -> String {
+    let (node, _) = &cluster.calls[position];
+    cluster.nodes[node].settings().name.as_str().to_owned()
+}
+
+fn fresh_key(cluster: &Cluster) -> IdempotencyKey {
+    IdempotencyKey(u128::from(cluster.now.wall.as_millis()) << 80 | 0x7 << 76 | 1)
+}
+
+fn single_front() -> Policy {
+    let mut policy = policy();
+    policy
+        .back_ends
+        .retain(|back_end| back_end.name != BackEndName::new("front-2"));
+    policy
+}
+
+#[gtest]
+fn an_answer_comes_home_whole() {
+    let mut cluster = Cluster::new(&policy());
+    let inbound = cluster.call("GET", "/page", None);
+    cluster.answer(0, "page");
+    let told = cluster.told(inbound);
+    expect_that!(told.status, some(eq(200)));
+    expect_that!(told.body, eq(b"page"));
+    expect_true!(told.whole);
+}
+
+#[gtest]
+fn a_call_of_a_back_end_reaches_the_next_service() {
+    let mut cluster = Cluster::new(&policy());
+    let inbound = cluster.call("GET", "/page", None);
+    let token = cluster.calls[0].1.token;
+    let node = node_of(&cluster, 0);
+    let child = cluster.child(&node, Some(token), "/fare");
+    expect_that!(node_of(&cluster, 1), eq("node-deep-1"));
+    cluster.answer(1, "fare");
+    expect_true!(cluster.told(child).whole);
+    cluster.answer(0, "page");
+    expect_true!(cluster.told(inbound).whole);
+}
+
+#[gtest]
+fn a_call_without_a_token_of_a_running_request_is_refused_before_it_runs() {
+    let mut cluster = Cluster::new(&policy());
+    cluster.call("GET", "/page", None);
+    let token = cluster.calls[0].1.token;
+    let node = node_of(&cluster, 0);
+    let missing = cluster.child(&node, None, "/fare");
+    let unknown = cluster.child(&node, Some(CallToken(7)), "/fare");
+    cluster.answer(0, "page");
+    let stale = cluster.child(&node, Some(token), "/fare");
+    for inbound in [missing, unknown, stale] {
+        expect_that!(code(&cluster, inbound), some(eq(ResultCode::TokenInvalid)));
+    }
+    expect_that!(cluster.calls, is_empty());
+}
+
+#[gtest]
+fn repeats_of_a_back_end_are_charged_to_the_request_it_serves() {
+    let policy = policy();
+    let bound = usize::from(policy.bounds.extra_attempts);
+    let mut cluster = Cluster::new(&policy);
+    cluster.call("GET", "/page", None);
+    let token = cluster.calls[0].1.token;
+    let node = node_of(&cluster, 0);
+    let children: Vec<InboundId> = (0..20)
+        .map(|n| cluster.child(&node, Some(token), &format!("/fare?try={n}")))
+        .collect();
+    let refused =
+        |inbound: &&InboundId| code(&cluster, **inbound) == Some(ResultCode::RetryBudgetSpent);
+    let refused = children.iter().filter(refused).count();
+    expect_that!(20 - refused, le(1 + bound));
+}
+
+#[gtest]
+fn distinct_calls_for_one_request_are_bounded() {
+    let policy = policy();
+    let bound = usize::from(policy.bounds.calls_per_request);
+    let mut cluster = Cluster::new(&policy);
+    cluster.call("GET", "/page", None);
+    let token = cluster.calls[0].1.token;
+    let node = node_of(&cluster, 0);
+    let children: Vec<InboundId> = (0..bound + 5)
+        .map(|n| cluster.child(&node, Some(token), &format!("/fare/{n}")))
+        .collect();
+    let refused =
+        |inbound: &&InboundId| code(&cluster, **inbound) == Some(ResultCode::CallBoundExceeded);
+    expect_that!(children.iter().filter(refused).count(), eq(5));
+}
+
+#[gtest]
+fn a_request_that_was_not_run_moves_to_another_back_end() {
+    let mut cluster = Cluster::new(&policy());
+    let inbound = cluster.call("GET", "/page", None);
+    let first = node_of(&cluster, 0);
+    let attempt = cluster.calls.remove(0).1.attempt;
+    let failure = BackEndFailure::NotConnected;
+    cluster.event(&first, Event::BackEndFailed { attempt, failure });
+    expect_that!(node_of(&cluster, 0), not(eq(&first)));
+    cluster.answer(0, "page");
+    expect_true!(cluster.told(inbound).whole);
+}
+
+#[gtest]
+fn a_body_that_breaks_off_never_looks_whole() {
+    let mut cluster = Cluster::new(&policy());
+    let inbound = cluster.call("GET", "/page", None);
+    let node = node_of(&cluster, 0);
+    let attempt = cluster.calls[0].1.attempt;
+    let head = AnswerHead {
+        status: 200,
+        headers: Vec::new(),
+    };
+    let chunk = Bytes::from_static(b"half");
+    let failure = BackEndFailure::Broken;
+    cluster.event(&node, Event::BackEndHead { attempt, head });
+    cluster.event(&node, Event::BackEndBody { attempt, chunk });
+    cluster.event(&node, Event::BackEndFailed { attempt, failure });
+    expect_true!(cluster.told(inbound).broken);
+    expect_false!(cluster.told(inbound).whole);
+}
+
+#[gtest]
+fn a_deadline_is_answered_at_once_and_the_work_is_cancelled() {
+    let mut cluster = Cluster::new(&policy());
+    let inbound = cluster.call("GET", "/page", None);
+    cluster.advance(Duration::from_millis(1_010));
+    expect_that!(code(&cluster, inbound), some(eq(ResultCode::AnswerTimeout)));
+    expect_that!(cluster.calls, is_empty());
+}
+
+#[gtest]
+fn a_request_that_must_not_run_twice_needs_a_key() {
+    let mut cluster = Cluster::new(&policy());
+    let without = cluster.call("POST", "/bookings", None);
+    expect_that!(code(&cluster, without), some(eq(ResultCode::KeyRequired)));
+    let key = fresh_key(&cluster);
+    let with = cluster.call("POST", "/bookings", Some(key));
+    cluster.answer(0, "booked");
+    expect_true!(cluster.told(with).whole);
+}
+
+#[gtest]
+fn a_keyed_request_that_broke_is_not_run_again() {
+    let mut cluster = Cluster::new(&policy());
+    let key = fresh_key(&cluster);
+    let inbound = cluster.call("POST", "/bookings", Some(key));
+    let node = node_of(&cluster, 0);
+    let attempt = cluster.calls.remove(0).1.attempt;
+    let failure = BackEndFailure::Broken;
+    cluster.event(&node, Event::BackEndFailed { attempt, failure });
+    expect_that!(code(&cluster, inbound), some(eq(ResultCode::AnswerLost)));
+    expect_that!(cluster.calls, is_empty());
+}
+
+#[gtest]
+fn a_leaving_back_end_gets_nothing_new() {
+    let mut policy = single_front();
+    policy.back_ends[0].state = BackEndState::Leaving;
+    let mut cluster = Cluster::new(&policy);
+    let inbound = cluster.call("GET", "/page", None);
+    expect_that!(code(&cluster, inbound), some(eq(ResultCode::NoBackEnd)));
+    expect_that!(cluster.calls, is_empty());
+}
+
+#[gtest]
+fn a_back_end_that_says_it_is_leaving_gets_nothing_new() {
+    let mut cluster = Cluster::new(&single_front());
+    cluster.event("node-front-1", Event::BackEndAnnounced { leaving: true });
+    let inbound = cluster.call("GET", "/page", None);
+    expect_that!(
+        code(&cluster, inbound),
+        some(eq(ResultCode::BackEndLeaving))
+    );
+    expect_that!(cluster.calls, is_empty());
+}
+
+#[gtest]
+fn a_planned_stop_finishes_what_is_in_flight() {
+    let mut cluster = Cluster::new(&single_front());
+    let running = cluster.call("GET", "/page", None);
+    cluster.event("node-front-1", Event::Stop);
+    let later = cluster.call("GET", "/page", None);
+    cluster.answer(0, "page");
+    expect_true!(cluster.told(running).whole);
+    expect_that!(code(&cluster, later), some(eq(ResultCode::NodeStopping)));
+}
+
+#[gtest]
+fn names_of_nodes_give_stable_identifiers() {
+    expect_that!(NodeName::new("entry").id(), eq(NodeName::new("entry").id()));
+    expect_that!(
+        NodeName::new("entry").id(),
+        not(eq(NodeName::new("other").id()))
+    );
+}
