Data path: load of nested calls, learned involvement, baseline modes

Answers of a back end's own calls tell the node beside it which services further down are loaded; root answers teach the entry what a route involves. The baselines of the lab leave the chain unbounded and limit each hop to three attempts.

--- a/crates/rillgap-core/src/call/entry.rs
+++ b/crates/rillgap-core/src/call/entry.rs
@@ -93,9 +93,11 @@
         children,
     } = parent;
     let bounds: &Bounds = &policy.bounds;
-    children
-        .admit(content, route.repeatable, bounds, pool)
-        .map_err(refusal)?;
+    if !sender.is_unbounded() {
+        children
+            .admit(content, route.repeatable, bounds, pool)
+            .map_err(refusal)?;
+    }
     let link = ParentLink { attempt, content };
     let (root, class) = (dispatch.root, dispatch.class);
     let call = new_call(now, inbound, request, &route, sender, ports);
--- a/crates/rillgap-core/src/call/gate/answers.rs
+++ b/crates/rillgap-core/src/call/gate/answers.rs
@@ -62,7 +62,7 @@
 
     /// Ends the back end's answer: it is whole.
     pub fn on_end(&mut self, now: Now, attempt: AttemptId, ports: &mut Ports<'_, '_>) {
-        let Some(local) = self.finish(now, attempt, Completion::Answered) else {
+        let Some((local, load)) = self.finish(now, attempt, Completion::Answered) else {
             return;
         };
         let Phase::Running { parts, .. } = local.phase else {
@@ -73,7 +73,6 @@
                 .complete(now, keyed.key, local.recorder.into_answer());
         }
         let unspent = local.pool.left();
-        let load = self.admission.load();
         ports.send(
             local.entry,
             CallMessage::AnswerEnd {
--- a/crates/rillgap-core/src/call/gate/ending.rs
+++ b/crates/rillgap-core/src/call/gate/ending.rs
@@ -4,7 +4,7 @@
 
 use super::{Gate, LocalAttempt, Phase, plain};
 use crate::action::Action;
-use crate::admission::Completion;
+use crate::admission::{Completion, LoadReport};
 use crate::call::ports::Ports;
 use crate::code::ResultCode;
 use crate::id::{AttemptId, NodeId};
@@ -64,32 +64,31 @@
         }
     }
 
-    /// Takes an attempt out of all tables and frees its place at the back end.
+    /// Takes an attempt out of all tables and frees its place at the back end; returns it
+    /// with the load to carry on its answer.
     pub(super) fn finish(
         &mut self,
         now: Now,
         attempt: AttemptId,
         completion: Completion,
-    ) -> Option<LocalAttempt> {
+    ) -> Option<(LocalAttempt, LoadReport)> {
         let local = self.attempts.remove(&attempt)?;
         self.deadlines.remove(local.deadline, attempt);
-        match local.phase {
+        let latency = match local.phase {
             Phase::Running {
                 token, started_at, ..
             } => {
                 self.tokens.remove(&token);
                 self.ended.push(attempt);
-                let latency = now.instant.saturating_since(started_at);
-                self.admission
-                    .finish(now.instant, attempt, latency, completion);
+                now.instant.saturating_since(started_at)
             }
             // The guard refused it after admission had already given it a place.
-            Phase::Queued => {
-                self.admission
-                    .finish(now.instant, attempt, Duration::ZERO, completion);
-            }
-        }
-        Some(local)
+            Phase::Queued => Duration::ZERO,
+        };
+        let load = self
+            .admission
+            .finish(now.instant, attempt, latency, completion);
+        Some((local, load))
     }
 
     /// Ends an attempt that was admitted but has provably not run.
@@ -100,7 +99,7 @@
         code: ResultCode,
         ports: &mut Ports<'_, '_>,
     ) {
-        if let Some(local) = self.finish(now, attempt, Completion::Shed) {
+        if let Some((local, _)) = self.finish(now, attempt, Completion::Shed) {
             let refusal = plain(code);
             self.refuse(now, local.entry, &local.dispatch, refusal, ports);
         }
@@ -114,7 +113,7 @@
         code: ResultCode,
         ports: &mut Ports<'_, '_>,
     ) {
-        let Some(local) = self.finish(now, attempt, Completion::Failed) else {
+        let Some((local, load)) = self.finish(now, attempt, Completion::Failed) else {
             return;
         };
         if let (Some(keyed), Phase::Running { .. }) = (local.dispatch.key, &local.phase) {
@@ -122,7 +121,6 @@
         }
         let refusal = plain(code);
         let unspent = local.pool.left();
-        let load = self.admission.load();
         ports.send(
             local.entry,
             CallMessage::AnswerFailed {
--- a/crates/rillgap-core/src/call/gate/mod.rs
+++ b/crates/rillgap-core/src/call/gate/mod.rs
@@ -5,7 +5,7 @@
 use rand_chacha::ChaCha8Rng;
 use rand_chacha::rand_core::SeedableRng;
 
-use crate::admission::{BackEndAdmission, QueueDecision};
+use crate::admission::{BackEndAdmission, LoadReport, QueueDecision};
 use crate::call::children::Children;
 use crate::call::deadlines::Deadlines;
 use crate::call::pool::RetryPool;
@@ -87,7 +87,7 @@
             attempts: BTreeMap::new(),
             tokens: BTreeMap::new(),
             deadlines: Deadlines::default(),
-            admission: BackEndAdmission::default(),
+            admission: BackEndAdmission::new(settings.admission),
             guard: DispatchGuard::default(),
             random: ChaCha8Rng::seed_from_u64(settings.random_seed ^ TOKEN_SEED_SALT),
             announced_leaving: false,
@@ -129,6 +129,11 @@
         self.announced_leaving = leaving;
     }
 
+    /// Takes in the load that the answer to a call of a running attempt carried.
+    pub fn nested(&mut self, attempt: AttemptId, load: &LoadReport) {
+        self.admission.nested(attempt, load);
+    }
+
     /// Takes the attempts that ended since the last call, whose own calls nobody needs now.
     pub fn take_ended(&mut self) -> Vec<AttemptId> {
         std::mem::take(&mut self.ended)
--- a/crates/rillgap-core/src/call/mod.rs
+++ b/crates/rillgap-core/src/call/mod.rs
@@ -100,7 +100,7 @@
                 head,
                 load,
             } => {
-                sender.on_head(now, attempt, head, &load, ports);
+                sender.on_head(now, attempt, head, &load, gate, ports);
             }
             CallMessage::AnswerBody {
                 attempt,
--- a/crates/rillgap-core/src/call/sender/answers.rs
+++ b/crates/rillgap-core/src/call/sender/answers.rs
@@ -24,9 +24,10 @@
         attempt: AttemptId,
         head: AnswerHead,
         load: &LoadReport,
+        gate: &mut Gate,
         ports: &mut Ports<'_, '_>,
     ) {
-        self.observe_load(now, attempt, load);
+        self.observe_load(now, attempt, load, gate);
         let Some(call) = self.current(attempt) else {
             return;
         };
@@ -78,7 +79,7 @@
         ports: &mut Ports<'_, '_>,
     ) {
         let AnswerTrailer { parts, unspent } = end;
-        self.observe_load(now, attempt, load);
+        self.observe_load(now, attempt, load, gate);
         let Some(phase) = self.current(attempt).and_then(|call| call.phase()) else {
             return;
         };
@@ -92,6 +93,9 @@
         };
         self.settle_target(now, &call, TargetResult::Answered);
         self.retry_budget.success(&call.service);
+        if call.parent.is_none() {
+            self.entry_admission.learn(&call.service, call.class, load);
+        }
         if call.keyed.is_some() {
             let context = &mut *ports.context;
             context
@@ -149,7 +153,7 @@
         gate: &mut Gate,
         ports: &mut Ports<'_, '_>,
     ) {
-        self.observe_load(now, attempt, load);
+        self.observe_load(now, attempt, load, gate);
         let Some(call) = self.current(attempt) else {
             return;
         };
@@ -212,12 +216,21 @@
         self.remove(attempt.call);
     }
 
-    pub(super) fn observe_load(&mut self, now: Now, attempt: AttemptId, load: &LoadReport) {
+    pub(super) fn observe_load(
+        &mut self,
+        now: Now,
+        attempt: AttemptId,
+        load: &LoadReport,
+        gate: &mut Gate,
+    ) {
         let Some(call) = self.calls.get(&attempt.call) else {
             return;
         };
         self.entry_admission
             .observe(now.instant, &call.service, load);
+        if let Some(link) = call.parent {
+            gate.nested(link.attempt, load);
+        }
         if let Some(current) = &call.attempt {
             self.router
                 .observe(now.instant, &current.target.back_end, load);
--- a/crates/rillgap-core/src/call/sender/budget.rs
+++ b/crates/rillgap-core/src/call/sender/budget.rs
@@ -5,11 +5,17 @@
 use crate::call::pool::RetryPool;
 use crate::id::{AttemptId, CallId};
 
+/// Attempts of one call where a baseline does not bound the chain.
+const MOST_BASELINE_ATTEMPTS: u16 = 3;
+
 impl Sender {
     pub(super) fn spend(&mut self, id: CallId, gate: &mut Gate) -> bool {
         let Some(call) = self.calls.get(&id) else {
             return false;
         };
+        if self.unbounded_chain {
+            return call.next_attempt < MOST_BASELINE_ATTEMPTS;
+        }
         let service = call.service.clone();
         self.retry_budget.try_spend(&service)
             && self.with_pool(id, gate, RetryPool::spend).unwrap_or(false)
--- a/crates/rillgap-core/src/call/sender/mod.rs
+++ b/crates/rillgap-core/src/call/sender/mod.rs
@@ -28,6 +28,9 @@
 /// Mixed into the node's seed, so that identifiers share no random numbers with other parts.
 const IDENTIFIER_SEED_SALT: u64 = 0x726f_6f74_7321;
 
+/// Mixed into the node's seed, so that routing shares no random numbers with other parts.
+const ROUTER_SEED_SALT: u64 = 0x726f_7574_6572;
+
 /// What the end of an answer states about the whole of it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct AnswerTrailer {
@@ -51,22 +54,24 @@
     random: ChaCha8Rng,
     next_sequence: u64,
     stopping: bool,
+    unbounded_chain: bool,
 }
 
 impl Sender {
     /// Creates the sender of a fresh node.
     pub fn new(settings: &NodeSettings) -> Self {
         Self {
-            entry_admission: EntryAdmission::default(),
+            entry_admission: EntryAdmission::new(settings.admission),
             calls: BTreeMap::new(),
             pools: BTreeMap::new(),
             by_inbound: BTreeMap::new(),
             deadlines: Deadlines::default(),
-            router: Router::default(),
-            retry_budget: RetryBudget::default(),
+            router: Router::new(settings.random_seed ^ ROUTER_SEED_SALT),
+            retry_budget: RetryBudget::new(settings.admission),
             random: ChaCha8Rng::seed_from_u64(settings.random_seed ^ IDENTIFIER_SEED_SALT),
             next_sequence: 0,
             stopping: false,
+            unbounded_chain: settings.admission.unbounded_chain(),
         }
     }
 
@@ -85,6 +90,11 @@
         self.stopping
     }
 
+    /// Returns whether a baseline is run that does not bound the attempts of a chain.
+    pub const fn is_unbounded(&self) -> bool {
+        self.unbounded_chain
+    }
+
     /// Takes no new root requests from now on.
     pub const fn begin_stop(&mut self) {
         self.stopping = true;
--- a/crates/rillgap-core/src/node.rs
+++ b/crates/rillgap-core/src/node.rs
@@ -74,6 +74,7 @@
             seeds: Vec::new(),
             initial_view: None,
             initial_policy: None,
+            admission: AdmissionSettings::default(),
         }
     }
 
