--- a/crates/rillgap-core/src/node.rs
+++ b/crates/rillgap-core/src/node.rs
@@ -133,6 +133,8 @@
 
     /// Handles one event; actions for the driver are appended to `out`.
     pub fn handle(&mut self, now: Now, event: Event, out: &mut Outbox) {
+        // A host that was frozen must notice before it acts on what had piled up meanwhile.
+        self.poll_control(now, out);
         match event {
             Event::Peer {
                 from,
@@ -265,10 +267,14 @@
         call_path.begin_stop(now, &mut context);
     }
 
-    /// Lets every subsystem do what is due and passes on what one has for another.
-    fn settle(&mut self, now: Now, out: &mut Outbox) {
+    fn poll_control(&mut self, now: Now, out: &mut Outbox) {
         self.membership.poll(now, out);
         self.configuration.poll(now, &self.membership, out);
+    }
+
+    /// Lets every subsystem do what is due and passes on what one has for another.
+    fn settle(&mut self, now: Now, out: &mut Outbox) {
+        self.poll_control(now, out);
         self.membership
             .set_policy_version(self.configuration.version());
         self.poll_claims(now, out);
