Callers that send load and check every answer

Change: 'rillgap-lab load' begins calls at a steady rate from a thread of its own, draws kinds by seed, sends a UUID of version 7 as idempotency key with bookings and settlements, checks caller, length and digest of every answer, counts results by kind and code, and fails on request when any answer was cut, unknown or refused.

--- a/crates/rillgap-lab/src/command/mod.rs
+++ b/crates/rillgap-lab/src/command/mod.rs
@@ -57,6 +57,24 @@
     /// A back end's own call is malformed.
     #[error(transparent)]
     DownstreamCall(#[from] crate::serve::backend::DownstreamCallError),
+    /// An option has a value that is not allowed.
+    #[error("--{option} {value:?} is not allowed: {detail}")]
+    InvalidOption {
+        /// Name of the option.
+        option: &'static str,
+        /// Its value.
+        value: String,
+        /// What is allowed.
+        detail: String,
+    },
+    /// Calls of a load met a condition of failure.
+    #[error("{calls} calls failed on {condition:?}")]
+    LoadFailed {
+        /// The condition.
+        condition: crate::load::FailureCondition,
+        /// Number of calls.
+        calls: u64,
+    },
     /// The command is not built yet.
     #[error("this command is not built yet")]
     NotBuiltYet,
--- a/crates/rillgap-lab/src/lib.rs
+++ b/crates/rillgap-lab/src/lib.rs
@@ -2,4 +2,5 @@
 
 pub mod answer;
 pub mod command;
+pub mod load;
 pub mod serve;
