Claims: quorum of replicas and guard beside the back end

Until now every claim was granted and every attempt started, so nothing kept a key from running twice. Now a majority of the key's replica group must grant the attempt, and the guard starts a key at most once and never a barred attempt. Replicas vote only with standing: in the key's group ever since the key can have been used, over every view in between. Votes count in their own round, so that a late vote that was given back is never counted.

Ruled out: binding the fingerprint at replicas. A replica may hold the vote of an attempt that lost the race, and would call a repeat of the key that did run 'reused, not run'. Only the gate that started the key judges that. Ruled out too: barring a holder as soon as a repeat arrives. Its caller could be told 'not run' after the repeat has run; a holder is protected until its deadline, or until an activated view names a later run of its claimant.

--- /dev/null
+++ b/crates/rillgap-core/src/claim/guard.rs
@@ -0,0 +1,282 @@
+//! The guard beside a back end: starts a key at most once and never a barred attempt.
+
+use std::collections::BTreeMap;
+
+use crate::claim::answer::RememberedAnswer;
+use crate::claim::message::{GateQuestion, KeyState};
+use crate::claim::settings::{
+    ClaimFaults, ClaimSettings, LONGEST_ANSWER, MOST_ANSWER_BYTES, MOST_DEAD_ATTEMPTS,
+    MOST_GUARDED_KEYS,
+};
+use crate::id::{AttemptId, Fingerprint, IdempotencyKey};
+use crate::message::KeyedAttempt;
+use crate::policy::Bounds;
+use crate::time::{Now, WallTime};
+
+/// Decision of the dispatch guard on an attempt.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum GuardVerdict {
+    /// The attempt may start (it is now recorded as started).
+    Start,
+    /// The attempt was barred before it arrived: it has not run and never will.
+    Barred,
+    /// The key was already started here: the attempt has not run and never will, but the key has.
+    AlreadyStarted,
+    /// No room to remember another key: the attempt was not started and never will be.
+    Full,
+}
+
+/// The guard beside a back end.
+///
+/// It remembers every key that was started in this run for as long as the key can be used; with
+/// its table full it refuses new keys rather than forget one. Only answers are forgotten early.
+#[derive(Debug, Default)]
+pub struct DispatchGuard {
+    settings: ClaimSettings,
+    keys: BTreeMap<IdempotencyKey, GuardedKey>,
+    answers: AnswerStore,
+    /// Keys made at this time or before may have been forgotten.
+    forgotten_until: Option<WallTime>,
+}
+
+/// What the guard knows of one key.
+#[derive(Debug, Default)]
+struct GuardedKey {
+    started: Option<Started>,
+    barred: Vec<AttemptId>,
+}
+
+/// The attempt of a key that was started.
+#[derive(Debug)]
+struct Started {
+    attempt: AttemptId,
+    fingerprint: Fingerprint,
+    progress: Progress,
+}
+
+/// How far a started attempt has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Progress {
+    Running,
+    Completed,
+    Failed,
+}
+
+impl DispatchGuard {
+    /// Takes over the bounds of the policy in force.
+    pub const fn configure(&mut self, bounds: &Bounds) {
+        self.settings.configure(bounds);
+    }
+
+    /// Plants faults, to prove that tests and observers catch them.
+    pub const fn plant(&mut self, faults: ClaimFaults) {
+        self.settings.faults = faults;
+    }
+
+    /// Returns the number of keys that are remembered.
+    pub fn len(&self) -> usize {
+        self.keys.len()
+    }
+
+    /// Returns whether no key is remembered.
+    pub fn is_empty(&self) -> bool {
+        self.keys.is_empty()
+    }
+
+    /// Returns the bytes of the answers that are kept.
+    pub const fn answer_bytes(&self) -> usize {
+        self.answers.bytes
+    }
+
+    /// Asks to start a keyed attempt.
+    pub fn start(&mut self, now: Now, attempt: AttemptId, keyed: KeyedAttempt) -> GuardVerdict {
+        self.expire(now);
+        let faults = self.settings.faults;
+        if self.is_forgotten(keyed.key) {
+            return GuardVerdict::Barred;
+        }
+        if !self.has_room_for(keyed.key) {
+            return GuardVerdict::Full;
+        }
+        let key = self.keys.entry(keyed.key).or_default();
+        if key.started.is_some() && !faults.ignore_started {
+            return GuardVerdict::AlreadyStarted;
+        }
+        if key.barred.contains(&attempt) && !faults.ignore_bars {
+            return GuardVerdict::Barred;
+        }
+        key.started = Some(Started {
+            attempt,
+            fingerprint: keyed.fingerprint,
+            progress: Progress::Running,
+        });
+        GuardVerdict::Start
+    }
+
+    /// Records that a keyed attempt was refused here and must never start.
+    ///
+    /// If the attempt was started and the back end refused it before running it, the key counts
+    /// as not started again.
+    pub fn bar(&mut self, now: Now, attempt: AttemptId, keyed: KeyedAttempt) {
+        self.expire(now);
+        if self.is_forgotten(keyed.key) || !self.has_room_for(keyed.key) {
+            return;
+        }
+        let key = self.keys.entry(keyed.key).or_default();
+        let refused = key.started.as_ref().is_some_and(|started| {
+            started.attempt == attempt && started.progress == Progress::Running
+        });
+        if refused {
+            key.started = None;
+        }
+        key.bar(attempt);
+    }
+
+    /// Remembers the whole answer of a started key; `None` if it is too long to keep.
+    pub fn complete(&mut self, _now: Now, key: IdempotencyKey, answer: Option<RememberedAnswer>) {
+        if !self.end(key, Progress::Completed) {
+            return;
+        }
+        if let Some(answer) = answer.filter(|answer| answer.bytes() <= LONGEST_ANSWER) {
+            self.answers.keep(key, answer);
+        }
+    }
+
+    /// Records that a started key failed with an unknown outcome.
+    pub fn fail(&mut self, _now: Now, key: IdempotencyKey) {
+        self.end(key, Progress::Failed);
+    }
+
+    /// Answers what became of a key in this run, and bars its holder if that is asked for.
+    pub(crate) fn answer(&mut self, now: Now, question: &GateQuestion) -> KeyState {
+        self.expire(now);
+        if let Some(started) = self
+            .keys
+            .get(&question.key)
+            .and_then(|key| key.started.as_ref())
+        {
+            return self.state_of_started(question, started);
+        }
+        if !question.bar {
+            return KeyState::NotStarted;
+        }
+        if self.is_forgotten(question.key) || !self.has_room_for(question.key) {
+            return KeyState::Full;
+        }
+        let key = self.keys.entry(question.key).or_default();
+        if key.bar(question.holder) {
+            KeyState::Barred
+        } else {
+            KeyState::Full
+        }
+    }
+
+    fn state_of_started(&self, question: &GateQuestion, started: &Started) -> KeyState {
+        if started.fingerprint != question.fingerprint {
+            return KeyState::OtherRequest;
+        }
+        match started.progress {
+            Progress::Running => KeyState::Running,
+            Progress::Failed => KeyState::Failed,
+            Progress::Completed => match self.answers.get(question.key) {
+                Some(answer) => KeyState::Completed(answer.clone()),
+                None => KeyState::AnswerForgotten,
+            },
+        }
+    }
+
+    fn end(&mut self, key: IdempotencyKey, progress: Progress) -> bool {
+        let running = self
+            .keys
+            .get_mut(&key)
+            .and_then(|key| key.started.as_mut())
+            .filter(|started| started.progress == Progress::Running);
+        match running {
+            Some(started) => {
+                started.progress = progress;
+                true
+            }
+            None => false,
+        }
+    }
+
+    fn has_room_for(&self, key: IdempotencyKey) -> bool {
+        self.keys.len() < MOST_GUARDED_KEYS || self.keys.contains_key(&key)
+    }
+
+    fn is_forgotten(&self, key: IdempotencyKey) -> bool {
+        self.forgotten_until >= Some(key.created_at())
+    }
+
+    /// Forgets keys that nobody can use any more.
+    fn expire(&mut self, now: Now) {
+        let before = self.settings.forget_before(now);
+        while let Some(oldest) = self.keys.first_entry() {
+            let key = *oldest.key();
+            if key.created_at() >= before {
+                return;
+            }
+            oldest.remove();
+            self.answers.remove(key);
+            self.forgotten_until = self.forgotten_until.max(Some(key.created_at()));
+        }
+    }
+}
+
+impl GuardedKey {
+    /// Bars an attempt; returns whether there was room to remember it.
+    fn bar(&mut self, attempt: AttemptId) -> bool {
+        if self.barred.contains(&attempt) {
+            return true;
+        }
+        if self.barred.len() >= MOST_DEAD_ATTEMPTS {
+            return false;
+        }
+        self.barred.push(attempt);
+        true
+    }
+}
+
+/// Answers of completed keys, the least recently completed dropped first.
+#[derive(Debug, Default)]
+struct AnswerStore {
+    answers: BTreeMap<IdempotencyKey, KeptAnswer>,
+    by_age: BTreeMap<u64, IdempotencyKey>,
+    next_sequence: u64,
+    bytes: usize,
+}
+
+/// An answer and its place in the order of completion.
+#[derive(Debug)]
+struct KeptAnswer {
+    sequence: u64,
+    answer: RememberedAnswer,
+}
+
+impl AnswerStore {
+    fn get(&self, key: IdempotencyKey) -> Option<&RememberedAnswer> {
+        self.answers.get(&key).map(|kept| &kept.answer)
+    }
+
+    fn keep(&mut self, key: IdempotencyKey, answer: RememberedAnswer) {
+        self.remove(key);
+        let sequence = self.next_sequence;
+        self.next_sequence += 1;
+        self.bytes += answer.bytes();
+        self.by_age.insert(sequence, key);
+        self.answers.insert(key, KeptAnswer { sequence, answer });
+        while self.bytes > MOST_ANSWER_BYTES {
+            let Some((_, oldest)) = self.by_age.pop_first() else {
+                return;
+            };
+            self.remove(oldest);
+        }
+    }
+
+    fn remove(&mut self, key: IdempotencyKey) {
+        if let Some(kept) = self.answers.remove(&key) {
+            self.by_age.remove(&kept.sequence);
+            self.bytes -= kept.answer.bytes();
+        }
+    }
+}
--- /dev/null
+++ b/crates/rillgap-core/src/claim/replica.rs
@@ -0,0 +1,265 @@
+//! Replica side of claims: which attempt holds a key at this node.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use crate::claim::electorate::{Electorate, Voter};
+use crate::claim::message::{
+    AbstainReason, Claim, Gate, KeyHolder, Release, Round, Vote, VoteReply,
+};
+use crate::claim::settings::{ClaimSettings, MOST_DEAD_ATTEMPTS, MOST_RECORDS};
+use crate::id::{AttemptId, IdempotencyKey};
+use crate::time::{Instant, Now, WallTime};
+
+/// Keys that this node knows of as a replica.
+#[derive(Debug)]
+pub struct Replica {
+    voter: Voter,
+    records: BTreeMap<IdempotencyKey, Record>,
+    /// Keys made at this time or before may have been forgotten.
+    forgotten_until: Option<WallTime>,
+}
+
+/// What this node knows of one key.
+#[derive(Debug, Default)]
+struct Record {
+    holder: Option<Holder>,
+    dead: Vec<DeadAttempt>,
+}
+
+/// The attempt to which this node has given its vote.
+#[derive(Debug)]
+struct Holder {
+    attempt: AttemptId,
+    round: Round,
+    gate: Gate,
+    protected_until: Instant,
+    completed: bool,
+}
+
+/// An attempt that must not be granted any more, up to a round.
+#[derive(Debug)]
+struct DeadAttempt {
+    attempt: AttemptId,
+    round: Round,
+    spent: bool,
+}
+
+impl Replica {
+    /// Creates the replica of a fresh node, which remembers nothing.
+    pub const fn new(voter: Voter) -> Self {
+        Self {
+            voter,
+            records: BTreeMap::new(),
+            forgotten_until: None,
+        }
+    }
+
+    /// Returns the number of keys that are remembered.
+    pub fn len(&self) -> usize {
+        self.records.len()
+    }
+
+    /// Returns whether no key is remembered.
+    pub fn is_empty(&self) -> bool {
+        self.records.is_empty()
+    }
+
+    /// Votes on a claim.
+    pub fn on_claim(
+        &mut self,
+        now: Now,
+        claim: &Claim,
+        settings: &ClaimSettings,
+        electorate: &dyn Electorate,
+    ) -> VoteReply {
+        VoteReply {
+            attempt: claim.attempt,
+            round: claim.round,
+            vote: self.vote(now, claim, settings, electorate),
+        }
+    }
+
+    /// Takes a vote back.
+    pub fn on_release(&mut self, release: &Release) {
+        if let Some(record) = self.records.get_mut(&release.key) {
+            record.bury(release.attempt, release.round, release.spent);
+        }
+    }
+
+    /// Records that the holder has completed.
+    pub fn on_complete(&mut self, key: IdempotencyKey, attempt: AttemptId) {
+        let holder = self
+            .records
+            .get_mut(&key)
+            .and_then(|record| record.holder.as_mut())
+            .filter(|holder| holder.attempt == attempt);
+        if let Some(holder) = holder {
+            holder.completed = true;
+        }
+    }
+
+    /// Forgets keys that nobody can use any more.
+    pub fn expire(&mut self, now: Now, settings: &ClaimSettings) {
+        let before = settings.forget_before(now);
+        while let Some(oldest) = self.records.first_entry() {
+            let created_at = oldest.key().created_at();
+            if created_at >= before {
+                return;
+            }
+            oldest.remove();
+            self.forgotten_until = self.forgotten_until.max(Some(created_at));
+        }
+    }
+
+    fn vote(
+        &mut self,
+        now: Now,
+        claim: &Claim,
+        settings: &ClaimSettings,
+        electorate: &dyn Electorate,
+    ) -> Vote {
+        if let Some(record) = self.records.get_mut(&claim.key) {
+            record.bury_superseded(claim);
+            if record.is_dead(claim) {
+                return Vote::Dead;
+            }
+            if let Some(holder) = record.other_holder(claim)
+                && !settings.faults.ignore_holder
+            {
+                return Vote::Held(holder.describe(now, electorate));
+            }
+        }
+        match self.may_grant(now, claim, settings, electorate) {
+            Ok(()) => self.grant(now, claim),
+            Err(reason) => Vote::Abstained(reason),
+        }
+    }
+
+    fn may_grant(
+        &self,
+        now: Now,
+        claim: &Claim,
+        settings: &ClaimSettings,
+        electorate: &dyn Electorate,
+    ) -> Result<(), AbstainReason> {
+        if self.forgotten_until >= Some(claim.key.created_at()) {
+            return Err(AbstainReason::KeyTooOld);
+        }
+        let full = match self.records.get(&claim.key) {
+            Some(record) => record.dead.len() + 2 > MOST_DEAD_ATTEMPTS,
+            None => self.records.len() >= MOST_RECORDS,
+        };
+        if full {
+            return Err(AbstainReason::Full);
+        }
+        match self.voter.check(now, claim.key, &claim.group, electorate) {
+            Err(AbstainReason::NoStanding) if settings.faults.ignore_vote_standing => Ok(()),
+            checked => checked,
+        }
+    }
+
+    fn grant(&mut self, now: Now, claim: &Claim) -> Vote {
+        let record = self.records.entry(claim.key).or_default();
+        record.bury_superseded(claim);
+        let protected_until = now.instant + Duration::from_micros(claim.remaining_micros);
+        match &mut record.holder {
+            Some(holder) if holder.attempt == claim.attempt => {
+                holder.round = claim.round;
+                holder.protected_until = holder.protected_until.min(protected_until);
+            }
+            holder => {
+                *holder = Some(Holder {
+                    attempt: claim.attempt,
+                    round: claim.round,
+                    gate: claim.gate,
+                    protected_until,
+                    completed: false,
+                });
+            }
+        }
+        Vote::Granted {
+            spent: record.spent(),
+        }
+    }
+}
+
+impl Record {
+    /// Buries the attempts that the claim proves to be dead.
+    fn bury_superseded(&mut self, claim: &Claim) {
+        for attempt in [claim.replaces, claim.barred].into_iter().flatten() {
+            self.bury(attempt, Round::LAST, true);
+        }
+    }
+
+    /// Takes the vote of an attempt back, if it has it, and gives it none up to `round` again.
+    fn bury(&mut self, attempt: AttemptId, round: Round, spent: bool) {
+        let held = self
+            .holder
+            .as_ref()
+            .is_some_and(|holder| holder.attempt == attempt && holder.round <= round);
+        if held {
+            self.holder = None;
+        }
+        if let Some(dead) = self.dead.iter_mut().find(|dead| dead.attempt == attempt) {
+            dead.round = dead.round.max(round);
+            dead.spent |= spent;
+            return;
+        }
+        // A full record grants nothing any more, so it need not know of further dead attempts.
+        if self.dead.len() < MOST_DEAD_ATTEMPTS {
+            self.dead.push(DeadAttempt {
+                attempt,
+                round,
+                spent,
+            });
+        }
+    }
+
+    fn is_dead(&self, claim: &Claim) -> bool {
+        let buried = self
+            .dead
+            .iter()
+            .any(|dead| dead.attempt == claim.attempt && claim.round <= dead.round);
+        let outdated = self
+            .holder
+            .as_ref()
+            .is_some_and(|holder| holder.attempt == claim.attempt && claim.round < holder.round);
+        buried || outdated
+    }
+
+    fn other_holder(&self, claim: &Claim) -> Option<&Holder> {
+        self.holder
+            .as_ref()
+            .filter(|holder| holder.attempt != claim.attempt)
+    }
+
+    fn spent(&self) -> Vec<AttemptId> {
+        self.dead
+            .iter()
+            .filter(|dead| dead.spent)
+            .map(|dead| dead.attempt)
+            .collect()
+    }
+}
+
+impl Holder {
+    fn describe(&self, now: Now, electorate: &dyn Electorate) -> KeyHolder {
+        KeyHolder {
+            attempt: self.attempt,
+            gate: self.gate,
+            protected: now.instant < self.protected_until && !self.claimant_is_gone(electorate),
+            completed: self.completed,
+        }
+    }
+
+    /// Returns whether an activated view names a later run of the claimant's node.
+    fn claimant_is_gone(&self, electorate: &dyn Electorate) -> bool {
+        let call = self.attempt.call;
+        electorate
+            .history()
+            .last()
+            .and_then(|activated| activated.view.member(call.node))
+            .is_some_and(|member| member.incarnation != call.incarnation)
+    }
+}
