--- a/crates/rillgap-core/src/call/sender/claims.rs
+++ b/crates/rillgap-core/src/call/sender/claims.rs
@@ -137,7 +137,9 @@
         gate: &mut Gate,
         ports: &mut Ports<'_, '_>,
     ) {
-        let unproved = self.is_keyed(attempt) && !ports.context.claims.holds(now, attempt);
+        let context = &*ports.context;
+        let holds = context.claims.holds(now, attempt, &*context.membership);
+        let unproved = self.is_keyed(attempt) && !holds;
         let told = if unproved && refusal.code.outcome() == Outcome::NotRun {
             plain(ResultCode::InProgress)
         } else {
--- a/crates/rillgap-core/src/claim/claimant.rs
+++ b/crates/rillgap-core/src/claim/claimant.rs
@@ -42,7 +42,7 @@
 struct HeldClaim {
     key: IdempotencyKey,
     group: Vec<NodeId>,
-    deadline: Instant,
+    protected_until: Instant,
 }
 
 impl Claimant {
@@ -104,7 +104,7 @@
     pub fn holds(&self, now: Now, attempt: AttemptId) -> bool {
         self.held
             .get(&attempt)
-            .is_some_and(|held| now.instant < held.deadline)
+            .is_some_and(|held| now.instant < held.protected_until)
     }
 
     /// Handles a vote.
@@ -295,8 +295,8 @@
         };
         let held = HeldClaim {
             key: pending.request.keyed.key,
+            protected_until: pending.protected_until(),
             group: pending.group,
-            deadline: pending.request.deadline,
         };
         self.held.insert(attempt, held);
         let left = extra_attempts.saturating_sub(spent);
--- a/crates/rillgap-core/src/claim/message.rs
+++ b/crates/rillgap-core/src/claim/message.rs
@@ -61,8 +61,8 @@
     pub gate: Gate,
     /// Replica group by the claimant's view, best first.
     pub group: Vec<NodeId>,
-    /// Microseconds until the deadline of the attempt; before, nobody may bar it.
-    pub remaining_micros: u64,
+    /// Microseconds during which nobody may bar the attempt.
+    pub protected_micros: u64,
     /// Attempt of the same call that was refused and that this one replaces.
     pub replaces: Option<AttemptId>,
     /// Attempt that its gate has barred.
--- a/crates/rillgap-core/src/claim/pending.rs
+++ b/crates/rillgap-core/src/claim/pending.rs
@@ -6,7 +6,7 @@
 
 use crate::claim::ClaimRequest;
 use crate::claim::message::{Claim, Gate, KeyHolder, Round};
-use crate::claim::settings::BACKOFF;
+use crate::claim::settings::{BACKOFF, PROTECTION_GRACE};
 use crate::claim::tally::Tally;
 use crate::id::{AttemptId, NodeId};
 use crate::time::{Instant, Now, micros};
@@ -65,9 +65,14 @@
         }
     }
 
+    /// Returns until when nobody may bar the attempt.
+    pub fn protected_until(&self) -> Instant {
+        self.request.deadline + PROTECTION_GRACE
+    }
+
     /// Returns the message that asks a replica for its vote.
     pub fn claim(&self, now: Now) -> Claim {
-        let remaining = self.request.deadline.saturating_since(now.instant);
+        let protected = self.protected_until().saturating_since(now.instant);
         Claim {
             key: self.request.keyed.key,
             attempt: self.request.attempt,
@@ -77,7 +82,7 @@
                 incarnation: self.request.target.incarnation,
             },
             group: self.group.clone(),
-            remaining_micros: micros(remaining),
+            protected_micros: micros(protected),
             replaces: self.replaces,
             barred: self.barred,
         }
--- a/crates/rillgap-core/src/claim/replica.rs
+++ b/crates/rillgap-core/src/claim/replica.rs
@@ -162,7 +162,7 @@
     fn grant(&mut self, now: Now, claim: &Claim) -> Vote {
         let record = self.records.entry(claim.key).or_default();
         record.bury_superseded(claim);
-        let protected_until = now.instant + Duration::from_micros(claim.remaining_micros);
+        let protected_until = now.instant + Duration::from_micros(claim.protected_micros);
         match &mut record.holder {
             Some(holder) if holder.attempt == claim.attempt => {
                 holder.round = claim.round;
--- a/crates/rillgap-core/src/claim/settings.rs
+++ b/crates/rillgap-core/src/claim/settings.rs
@@ -9,6 +9,10 @@
 /// Most by which a caller's clock may be ahead of a node's, and two nodes' clocks apart.
 pub const CLOCK_SKEW: Duration = Duration::from_secs(2);
 
+/// Time after its deadline during which a holder may still tell its caller 'not run', so that
+/// nobody may bar it.
+pub const PROTECTION_GRACE: Duration = Duration::from_millis(250);
+
 /// Silence of a replica after which its vote is asked for again.
 pub const VOTE_RESEND: Duration = Duration::from_millis(50);
 
