--- /dev/null
+++ b/crates/rillgap-cli/src/command.rs
@@ -0,0 +1,145 @@
+//! The commands.
+
+use std::io::Write;
+use std::path::Path;
+use std::time::Duration;
+
+use rillgap_core::code::ResultCode;
+use rillgap_core::id::{BackEndName, ChangeId, PolicyVersion};
+use rillgap_core::operator::ChangeState;
+use rillgap_core::policy::BackEndState;
+use rillgap_operator::client::{Change, change_text};
+use uuid::Uuid;
+
+use crate::arguments::{
+    ApplyPolicyArguments, Arguments, BackEndCommand, Command, NodeCommand, PolicyCommand, Seconds,
+};
+use crate::difference;
+use crate::error::CommandError;
+use crate::output::Printer;
+use crate::policy_file;
+use crate::session::{Alteration, Session};
+
+/// Runs one command and returns the code with which the process exits.
+pub async fn run(
+    arguments: Arguments,
+    output: &mut impl Write,
+) -> Result<ResultCode, CommandError> {
+    let session = Session::new(&arguments)?;
+    let printer = Printer {
+        form: arguments.output,
+        target: output,
+    };
+    let runner = Runner { session, printer };
+    runner.run(arguments.command).await
+}
+
+/// One command in progress.
+struct Runner<'a, W> {
+    session: Session,
+    printer: Printer<'a, W>,
+}
+
+impl<W: Write> Runner<'_, W> {
+    async fn run(mut self, command: Command) -> Result<ResultCode, CommandError> {
+        match command {
+            Command::Policy(policy) => self.policy(policy.command).await,
+            Command::Change(change) => self.follow(change.id.0, change.wait).await,
+            Command::BackEnd(back_end) => self.back_end(back_end.command).await,
+            Command::Status(_) => self.status().await,
+            Command::Node(node) => match node.command {
+                NodeCommand::Stop(_) => self.stop().await,
+            },
+        }
+    }
+
+    async fn policy(&mut self, command: PolicyCommand) -> Result<ResultCode, CommandError> {
+        match command {
+            PolicyCommand::Get(_) => self.get().await,
+            PolicyCommand::Check(check) => self.check(&check.file),
+            PolicyCommand::Plan(plan) => self.plan(&plan.file).await,
+            PolicyCommand::Diff(diff) => self.plan(&diff.file).await,
+            PolicyCommand::Apply(apply) => self.apply(apply).await,
+        }
+    }
+
+    async fn get(&mut self) -> Result<ResultCode, CommandError> {
+        let policy = self.session.client().get_policy().await?;
+        self.printer.policy(&policy)?;
+        Ok(ResultCode::Ok)
+    }
+
+    fn check(&mut self, file: &Path) -> Result<ResultCode, CommandError> {
+        let policy = policy_file::load(file)?;
+        self.printer.valid(&policy)?;
+        Ok(ResultCode::Ok)
+    }
+
+    async fn plan(&mut self, file: &Path) -> Result<ResultCode, CommandError> {
+        let planned = policy_file::load(file)?;
+        let in_force = self.session.client().get_policy().await?;
+        let differences = difference::between(&in_force, &planned);
+        self.printer.plan(in_force.version, &differences)?;
+        Ok(ResultCode::Ok)
+    }
+
+    async fn apply(&mut self, apply: ApplyPolicyArguments) -> Result<ResultCode, CommandError> {
+        let policy = policy_file::load(&apply.file)?;
+        let expected = apply.expect_version.map(PolicyVersion);
+        let change = apply.change.map_or_else(draw_change, |change| change.0);
+        let alteration = Alteration::Policy { policy, expected };
+        self.alter(alteration, change, apply.wait).await
+    }
+
+    async fn back_end(&mut self, command: BackEndCommand) -> Result<ResultCode, CommandError> {
+        let (name, state, wait) = match command {
+            BackEndCommand::Drain(drain) => (drain.name, BackEndState::Leaving, drain.wait),
+            BackEndCommand::Restore(restore) => (restore.name, BackEndState::Serving, restore.wait),
+        };
+        let name = BackEndName(name);
+        let alteration = Alteration::BackEnd { name, state };
+        self.alter(alteration, draw_change(), wait).await
+    }
+
+    async fn alter(
+        &mut self,
+        alteration: Alteration,
+        id: ChangeId,
+        wait: Seconds,
+    ) -> Result<ResultCode, CommandError> {
+        log::info!("ctl: change sent; change={}", change_text(id));
+        let wait = Duration::from_secs(wait.0);
+        let change = self.session.change(&alteration, id, wait).await?;
+        self.report(id, &change)
+    }
+
+    async fn follow(&mut self, id: ChangeId, wait: Seconds) -> Result<ResultCode, CommandError> {
+        let wait = Duration::from_secs(wait.0);
+        let change = self.session.follow(id, wait).await?;
+        self.report(id, &change)
+    }
+
+    fn report(&mut self, id: ChangeId, change: &Change) -> Result<ResultCode, CommandError> {
+        self.printer.change(id, change)?;
+        Ok(match change.state {
+            ChangeState::Accepted => ResultCode::Ok,
+            ChangeState::Pending { .. } => ResultCode::ChangePending,
+        })
+    }
+
+    async fn status(&mut self) -> Result<ResultCode, CommandError> {
+        let status = self.session.client().get_status().await?;
+        self.printer.status(&status)?;
+        Ok(ResultCode::Ok)
+    }
+
+    async fn stop(&mut self) -> Result<ResultCode, CommandError> {
+        self.session.client().stop_node().await?;
+        self.printer.stopping()?;
+        Ok(ResultCode::Ok)
+    }
+}
+
+fn draw_change() -> ChangeId {
+    ChangeId(Uuid::now_v7().as_u128())
+}
--- /dev/null
+++ b/crates/rillgap-cli/src/output.rs
@@ -0,0 +1,160 @@
+//! Output in text or JSON.
+
+use std::io::Write;
+
+use rillgap_core::id::{ChangeId, PolicyVersion};
+use rillgap_core::operator::{ChangeState, MemberStatus};
+use rillgap_core::policy::Policy;
+use rillgap_operator::client::{Change, DeploymentStatus, change_text};
+use serde_json::{Value, json};
+
+use crate::arguments::OutputForm;
+use crate::difference::Difference;
+use crate::error::CommandError;
+use crate::policy_file;
+
+/// Writes the results of commands.
+#[derive(Debug)]
+pub struct Printer<'a, W> {
+    /// Form of the output.
+    pub form: OutputForm,
+    /// Where it goes.
+    pub target: &'a mut W,
+}
+
+impl<W: Write> Printer<'_, W> {
+    /// Writes a policy.
+    pub fn policy(&mut self, policy: &Policy) -> Result<(), CommandError> {
+        let text = match self.form {
+            OutputForm::Text => policy_file::write(policy)?,
+            OutputForm::Json => serde_json::to_string_pretty(policy)
+                .map_err(|error| CommandError::Encode(error.to_string()))?,
+        };
+        self.line(text.trim_end())
+    }
+
+    /// Writes that a policy file is valid.
+    pub fn valid(&mut self, policy: &Policy) -> Result<(), CommandError> {
+        let services = policy.services.len();
+        let routes = policy.routes.len();
+        let back_ends = policy.back_ends.len();
+        match self.form {
+            OutputForm::Text => self.line(&format!(
+                "valid: {services} services, {routes} routes, {back_ends} back ends"
+            )),
+            OutputForm::Json => self.json(&json!({
+                "valid": true, "services": services, "routes": routes, "back-ends": back_ends,
+            })),
+        }
+    }
+
+    /// Writes what a policy would change against the one in force.
+    pub fn plan(
+        &mut self,
+        version: PolicyVersion,
+        differences: &[Difference],
+    ) -> Result<(), CommandError> {
+        if self.form == OutputForm::Json {
+            return self.json(&json!({ "version": version.0, "differences": differences }));
+        }
+        for difference in differences {
+            self.line(&difference.to_string())?;
+        }
+        let count = differences.len();
+        let version = version.0;
+        self.line(&format!("{count} differences against version {version}"))
+    }
+
+    /// Writes how far a change has come.
+    pub fn change(&mut self, id: ChangeId, change: &Change) -> Result<(), CommandError> {
+        let id = change_text(id);
+        let version = change.version.0;
+        match (self.form, &change.state) {
+            (OutputForm::Json, state) => self.json(&change_value(&id, version, state)),
+            (OutputForm::Text, ChangeState::Accepted) => self.line(&format!(
+                "accepted: version {version} is in force on every machine; change {id}"
+            )),
+            (OutputForm::Text, ChangeState::Pending { missing, nodes }) => {
+                self.line(&format!(
+                    "pending: version {version} is stored, {missing} machines have not confirmed; \
+                     change {id}"
+                ))?;
+                nodes
+                    .iter()
+                    .try_for_each(|node| self.line(&format!("  missing {node}")))
+            }
+        }
+    }
+
+    /// Writes the status of the deployment.
+    pub fn status(&mut self, status: &DeploymentStatus) -> Result<(), CommandError> {
+        let policy = status.policy.0;
+        let view = status.view.0;
+        let serving = status.serving;
+        if self.form == OutputForm::Json {
+            let members: Vec<Value> = status.members.iter().map(member_value).collect();
+            return self.json(&json!({
+                "policy-version": policy, "view-version": view,
+                "serving": serving, "members": members,
+            }));
+        }
+        self.line(&format!(
+            "policy version {policy}, view version {view}, serving {serving}"
+        ))?;
+        status
+            .members
+            .iter()
+            .try_for_each(|member| self.line(&member_line(member)))
+    }
+
+    /// Writes that the node is stopping.
+    pub fn stopping(&mut self) -> Result<(), CommandError> {
+        match self.form {
+            OutputForm::Text => self.line("stopping: the node finishes what is in flight"),
+            OutputForm::Json => self.json(&json!({ "stopping": true })),
+        }
+    }
+
+    fn json(&mut self, value: &Value) -> Result<(), CommandError> {
+        self.line(&value.to_string())
+    }
+
+    fn line(&mut self, text: &str) -> Result<(), CommandError> {
+        Ok(writeln!(self.target, "{text}")?)
+    }
+}
+
+fn change_value(id: &str, version: u64, state: &ChangeState) -> Value {
+    match state {
+        ChangeState::Accepted => json!({
+            "change": id, "version": version, "state": "accepted",
+            "missing": 0, "missing-nodes": [],
+        }),
+        ChangeState::Pending { missing, nodes } => json!({
+            "change": id, "version": version, "state": "pending",
+            "missing": missing, "missing-nodes": nodes,
+        }),
+    }
+}
+
+fn member_value(member: &MemberStatus) -> Value {
+    json!({
+        "node": member.node, "zone": member.zone,
+        "reachable": member.reachable, "policy-version": member.policy.0,
+    })
+}
+
+fn member_line(member: &MemberStatus) -> String {
+    let reachable = if member.reachable {
+        "reachable"
+    } else {
+        "unreachable"
+    };
+    let MemberStatus {
+        node, zone, policy, ..
+    } = member;
+    format!(
+        "{node}  zone {zone}  {reachable}  policy version {}",
+        policy.0
+    )
+}
--- /dev/null
+++ b/crates/rillgap-cli/src/session.rs
@@ -0,0 +1,177 @@
+//! Calls to the named nodes, repeated where an answer was lost.
+
+use std::time::Duration;
+
+use rillgap_core::code::ResultCode;
+use rillgap_core::id::{BackEndName, ChangeId, PolicyVersion};
+use rillgap_core::operator::ChangeState;
+use rillgap_core::policy::{BackEndState, Policy};
+use rillgap_operator::client::{Change, OperatorClient, change_text};
+use rillgap_operator::error::OperatorError;
+use tokio::time::{Instant, sleep, timeout_at};
+
+use crate::arguments::{Arguments, DEFAULT_NODE};
+use crate::error::CommandError;
+
+/// Calls made for one request before it is given up.
+const MAX_CALLS: usize = 5;
+
+/// Pause before a call is repeated.
+const REPEAT_PAUSE: Duration = Duration::from_millis(300);
+
+/// Pause between two looks at a pending change.
+const POLL_PAUSE: Duration = Duration::from_millis(200);
+
+/// A change of the policy that is to be made.
+#[derive(Clone, Debug)]
+pub enum Alteration {
+    /// Replaces the policy.
+    Policy {
+        /// The new one.
+        policy: Policy,
+        /// Version that must still be in force.
+        expected: Option<PolicyVersion>,
+    },
+    /// Moves a back end into or out of service.
+    BackEnd {
+        /// The back end.
+        name: BackEndName,
+        /// Its new state.
+        state: BackEndState,
+    },
+}
+
+/// Clients of the named nodes, of which one is asked at a time.
+#[derive(Debug)]
+pub struct Session {
+    clients: Vec<OperatorClient>,
+    current: usize,
+}
+
+impl Session {
+    /// Prepares clients of the nodes that the command line names.
+    pub fn new(arguments: &Arguments) -> Result<Self, CommandError> {
+        let timeout = Duration::from_secs(arguments.timeout.0);
+        let client = |address: &str| OperatorClient::new(address, timeout);
+        let clients = if arguments.node.is_empty() {
+            vec![client(DEFAULT_NODE)?]
+        } else {
+            let addresses = arguments.node.iter().map(String::as_str);
+            addresses.map(client).collect::<Result<_, _>>()?
+        };
+        Ok(Self {
+            clients,
+            current: 0,
+        })
+    }
+
+    /// Returns the client of the node that is asked now.
+    pub fn client(&mut self) -> &mut OperatorClient {
+        &mut self.clients[self.current]
+    }
+
+    /// Makes a change and waits, `wait` at the most, until every machine has confirmed it.
+    ///
+    /// The same change identifier goes with every repeat, so that it is applied once at most.
+    pub async fn change(
+        &mut self,
+        alteration: &Alteration,
+        change: ChangeId,
+        wait: Duration,
+    ) -> Result<Change, CommandError> {
+        let deadline = Instant::now() + wait;
+        let stored = self.store(alteration, change).await?;
+        self.follow_from(stored, change, deadline).await
+    }
+
+    /// Tells how far a change has come, and waits as [`Self::change`] does.
+    pub async fn follow(
+        &mut self,
+        change: ChangeId,
+        wait: Duration,
+    ) -> Result<Change, CommandError> {
+        let deadline = Instant::now() + wait;
+        let first = self.client().get_change(change).await?;
+        self.follow_from(first, change, deadline).await
+    }
+
+    async fn store(
+        &mut self,
+        alteration: &Alteration,
+        change: ChangeId,
+    ) -> Result<Change, CommandError> {
+        for _ in 1..MAX_CALLS {
+            match self.send(alteration, change).await {
+                Err(error) if is_undecided(&error) => {
+                    let change = change_text(change);
+                    log::warn!(
+                        "ctl: effect not known, call repeated; change={change} error={error}"
+                    );
+                    self.ask_next_node();
+                    sleep(REPEAT_PAUSE).await;
+                }
+                result => return Ok(result?),
+            }
+        }
+        let last = self.send(alteration, change).await;
+        last.map_err(|error| self.give_up(error, change))
+    }
+
+    fn give_up(&self, error: OperatorError, change: ChangeId) -> CommandError {
+        if !is_undecided(&error) {
+            return CommandError::Call(error);
+        }
+        CommandError::Unsettled {
+            change: change_text(change),
+            source: error,
+        }
+    }
+
+    async fn send(
+        &mut self,
+        alteration: &Alteration,
+        change: ChangeId,
+    ) -> Result<Change, OperatorError> {
+        let client = self.client();
+        match alteration.clone() {
+            Alteration::Policy { policy, expected } => {
+                client.apply_policy(policy, expected, change).await
+            }
+            Alteration::BackEnd { name, state } => {
+                client.set_back_end_state(name, state, change).await
+            }
+        }
+    }
+
+    async fn follow_from(
+        &mut self,
+        mut latest: Change,
+        change: ChangeId,
+        deadline: Instant,
+    ) -> Result<Change, CommandError> {
+        while latest.state != ChangeState::Accepted && Instant::now() < deadline {
+            sleep(POLL_PAUSE).await;
+            match timeout_at(deadline, self.client().get_change(change)).await {
+                Ok(Ok(newer)) => latest = newer,
+                Ok(Err(error)) => {
+                    log::warn!("ctl: no news of the change; error={error}");
+                    self.ask_next_node();
+                }
+                Err(_) => break,
+            }
+        }
+        Ok(latest)
+    }
+
+    fn ask_next_node(&mut self) {
+        self.current = (self.current + 1) % self.clients.len();
+    }
+}
+
+/// Returns whether the call may have taken effect, so that a repeat tells.
+fn is_undecided(error: &OperatorError) -> bool {
+    matches!(
+        error.code(),
+        ResultCode::OperatorUnreachable | ResultCode::ChangeUnsettled
+    )
+}
--- /dev/null
+++ b/crates/rillgap-cli/tests/commands.rs
@@ -0,0 +1,216 @@
+//! Commands against a node that gives prepared replies.
+
+use std::future::pending;
+
+use argh::FromArgs;
+use googletest::prelude::*;
+use rillgap_cli::arguments::Arguments;
+use rillgap_cli::error::CommandError;
+use rillgap_core::code::ResultCode;
+use rillgap_core::id::{BackEndName, ChangeId, NodeName, PolicyVersion, ServiceName, ZoneName};
+use rillgap_core::operator::{ChangeState, MemberStatus, OperatorReply, OperatorRequest};
+use rillgap_core::policy::{BackEndState, Policy, ServicePolicy};
+use rillgap_operator::handle::OperatorHandle;
+use rillgap_operator::service;
+use tokio::net::TcpListener;
+use tokio::task::JoinHandle;
+
+/// What a node does with one request.
+enum Script {
+    Reply(OperatorReply),
+    LoseAnswer,
+}
+
+/// Serves a node that follows `script`; its task returns the requests.
+async fn node(script: Vec<Script>) -> (String, JoinHandle<Vec<OperatorRequest>>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap().to_string();
+    let (handle, mut calls) = OperatorHandle::channel(1);
+    tokio::spawn(service::serve(listener, handle, pending()));
+    let node = tokio::spawn(async move {
+        let mut requests = Vec::new();
+        let mut unanswered = Vec::new();
+        for step in script {
+            let call = calls.recv().await.unwrap();
+            requests.push(call.request);
+            match step {
+                Script::Reply(reply) => drop(call.reply.send(reply)),
+                Script::LoseAnswer => unanswered.push(call.reply),
+            }
+        }
+        requests
+    });
+    (address, node)
+}
+
+async fn run(
+    address: &str,
+    words: &[&str],
+) -> (std::result::Result<ResultCode, CommandError>, String) {
+    let words = [&["--node", address, "--timeout", "1"], words].concat();
+    let arguments = Arguments::from_args(&["rillgapctl"], &words).unwrap();
+    let mut output = Vec::new();
+    let result = rillgap_cli::run(arguments, &mut output).await;
+    (result, String::from_utf8(output).unwrap())
+}
+
+fn accepted(version: u64) -> OperatorReply {
+    OperatorReply::Change {
+        version: PolicyVersion(version),
+        state: ChangeState::Accepted,
+    }
+}
+
+fn pending_reply(version: u64) -> OperatorReply {
+    OperatorReply::Change {
+        version: PolicyVersion(version),
+        state: ChangeState::Pending {
+            missing: 1,
+            nodes: vec![NodeName::new("node-takst-2")],
+        },
+    }
+}
+
+fn change_of(request: &OperatorRequest) -> Option<ChangeId> {
+    match request {
+        OperatorRequest::ApplyPolicy { change, .. }
+        | OperatorRequest::SetBackEndState { change, .. }
+        | OperatorRequest::GetChange { change } => Some(*change),
+        _ => None,
+    }
+}
+
+fn policy_with_slots(slots: u16) -> Policy {
+    Policy {
+        version: PolicyVersion(4),
+        services: vec![ServicePolicy {
+            name: ServiceName::new("takst"),
+            slots,
+            connections: 110,
+            queue_millis: 50,
+        }],
+        ..Policy::default()
+    }
+}
+
+fn policy_file(name: &str, policy: &Policy) -> String {
+    let file = std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
+    let text = rillgap_cli::policy_file::write(policy).unwrap();
+    std::fs::write(&file, text).unwrap();
+    file.to_str().unwrap().to_owned()
+}
+
+#[gtest]
+#[tokio::test]
+async fn lost_answer_is_settled_by_repeating_the_same_change() {
+    let (address, node) = node(vec![Script::LoseAnswer, Script::Reply(accepted(5))]).await;
+
+    let (result, output) = run(&address, &["back-end", "drain", "takst-1"]).await;
+
+    expect_that!(result, ok(eq(&ResultCode::Ok)));
+    expect_that!(output, contains_substring("accepted: version 5"));
+    let requests = node.await.unwrap();
+    expect_that!(change_of(&requests[0]), eq(change_of(&requests[1])));
+    expect_that!(
+        requests[0],
+        matches_pattern!(OperatorRequest::SetBackEndState {
+            back_end: eq(&BackEndName::new("takst-1")),
+            state: eq(&BackEndState::Leaving),
+            ..
+        })
+    );
+}
+
+#[gtest]
+#[tokio::test]
+async fn pending_change_names_machines_and_exits_with_its_number() {
+    let replies = (0..20).map(|_| Script::Reply(pending_reply(6)));
+    let (address, _node) = node(replies.collect()).await;
+
+    let (result, output) = run(&address, &["back-end", "restore", "takst-1", "--wait", "1"]).await;
+
+    expect_that!(result, ok(eq(&ResultCode::ChangePending)));
+    expect_that!(output, contains_substring("missing node-takst-2"));
+}
+
+#[gtest]
+#[tokio::test]
+async fn change_is_followed_until_it_is_accepted() {
+    let (address, _node) = node(vec![
+        Script::Reply(pending_reply(6)),
+        Script::Reply(accepted(6)),
+    ])
+    .await;
+    let id = "01890a5d-ac96-774b-bcce-b302099a8057";
+
+    let (result, output) = run(&address, &["--output", "json", "change", id]).await;
+
+    expect_that!(result, ok(eq(&ResultCode::Ok)));
+    let value: serde_json::Value = serde_json::from_str(&output).unwrap();
+    expect_that!(value["state"], eq("accepted"));
+    expect_that!(value["change"], eq(id));
+}
+
+#[gtest]
+#[tokio::test]
+async fn plan_shows_what_differs() {
+    let (address, _node) = node(vec![Script::Reply(OperatorReply::Policy(
+        policy_with_slots(21),
+    ))])
+    .await;
+    let file = policy_file("plan.toml", &policy_with_slots(24));
+
+    let (result, output) = run(&address, &["policy", "plan", &file]).await;
+
+    expect_that!(result, ok(eq(&ResultCode::Ok)));
+    expect_that!(
+        output,
+        eq("~ service[takst].slots: 21 -> 24\n1 differences against version 4\n")
+    );
+}
+
+#[gtest]
+#[tokio::test]
+async fn conflict_is_not_repeated() {
+    let (address, node) = node(vec![Script::Reply(OperatorReply::Failed {
+        code: ResultCode::VersionConflict,
+        version: PolicyVersion(9),
+        detail: "version 9 is in force".to_owned(),
+    })])
+    .await;
+    let file = policy_file("conflict.toml", &policy_with_slots(24));
+
+    let (result, _) = run(
+        &address,
+        &["policy", "apply", &file, "--expect-version", "8"],
+    )
+    .await;
+
+    expect_that!(result.unwrap_err().code(), eq(ResultCode::VersionConflict));
+    expect_that!(node.await.unwrap(), len(eq(1)));
+}
+
+#[gtest]
+#[tokio::test]
+async fn status_lists_members() {
+    let (address, _node) = node(vec![Script::Reply(OperatorReply::Status {
+        policy: PolicyVersion(4),
+        view: rillgap_core::id::ViewVersion(2),
+        serving: true,
+        members: vec![MemberStatus {
+            node: NodeName::new("node-takst-1"),
+            zone: ZoneName::new("hall-a"),
+            reachable: true,
+            policy: PolicyVersion(4),
+        }],
+    })])
+    .await;
+
+    let (result, output) = run(&address, &["status"]).await;
+
+    expect_that!(result, ok(eq(&ResultCode::Ok)));
+    expect_that!(
+        output,
+        contains_substring("node-takst-1  zone hall-a  reachable")
+    );
+}
--- a/crates/rillgap-core/src/policy.rs
+++ b/crates/rillgap-core/src/policy/mod.rs
@@ -1,5 +1,7 @@
 //! The policy that operators put in force: services, routes, back ends and bounds.
 
+mod validate;
+
 use std::time::Duration;
 
 use bitcode::{Decode, Encode};
@@ -7,6 +9,10 @@
 
 use crate::id::{BackEndName, NodeName, PolicyVersion, ServiceName};
 
+pub use validate::{
+    InvalidPolicy, MAX_ENTRIES, MAX_METHOD_BYTES, MAX_NAME_BYTES, MAX_PATH_BYTES, Violation,
+};
+
 /// Priority class of a request; lower classes are shed first.
 ///
 /// The class is fixed by policy at the entry and inherited by every call of the chain.
--- /dev/null
+++ b/crates/rillgap-core/src/policy/validate.rs
@@ -0,0 +1,282 @@
+//! Validation of a policy before it is accepted.
+
+use std::collections::BTreeSet;
+use std::fmt;
+use std::ops::RangeInclusive;
+
+use thiserror::Error;
+
+use super::{BackEndPolicy, Bounds, Policy, RoutePolicy, ServicePolicy};
+use crate::id::{NodeName, ServiceName};
+
+/// Most services, routes or back ends that a policy may hold of each.
+pub const MAX_ENTRIES: usize = 20_000;
+
+/// Longest name of a service, back end or node, in bytes.
+pub const MAX_NAME_BYTES: usize = 63;
+
+/// Longest path prefix of a route, in bytes.
+pub const MAX_PATH_BYTES: usize = 1_024;
+
+/// Longest method of a route, in bytes.
+pub const MAX_METHOD_BYTES: usize = 16;
+
+const EXTRA_ATTEMPTS: RangeInclusive<u64> = 0..=32;
+const CALLS_PER_REQUEST: RangeInclusive<u64> = 1..=64;
+const KEY_LIFE_SECONDS: RangeInclusive<u64> = 10..=86_400;
+const RETRY_PERCENT: RangeInclusive<u64> = 0..=100;
+const SLOTS: RangeInclusive<u64> = 1..=65_535;
+const CONNECTIONS: RangeInclusive<u64> = 1..=65_535;
+const QUEUE_MILLIS: RangeInclusive<u64> = 1..=60_000;
+const DEADLINE_MILLIS: RangeInclusive<u64> = 1..=3_600_000;
+
+/// Most violations that are collected from one policy.
+const MAX_VIOLATIONS: usize = 20;
+
+/// One value that the policy must not have.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Violation {
+    /// Where it stands, such as `service[takst].slots`.
+    pub key: String,
+    /// The value, as written.
+    pub value: String,
+    /// Which values are allowed.
+    pub allowed: String,
+}
+
+impl fmt::Display for Violation {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self {
+            key,
+            value,
+            allowed,
+        } = self;
+        write!(formatter, "{key} = {value}: allowed is {allowed}")
+    }
+}
+
+/// A policy that must not come into force.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+#[error("{}", join(violations))]
+pub struct InvalidPolicy {
+    /// What is wrong, in the order of the policy; at least one, at most twenty.
+    pub violations: Vec<Violation>,
+}
+
+fn join(violations: &[Violation]) -> String {
+    let lines: Vec<String> = violations.iter().map(Violation::to_string).collect();
+    lines.join("; ")
+}
+
+impl Policy {
+    /// Checks names, ranges and references.
+    pub fn validate(&self) -> Result<(), InvalidPolicy> {
+        let mut check = Check::default();
+        check.bounds(&self.bounds);
+        check.count("service", self.services.len());
+        check.count("route", self.routes.len());
+        check.count("back-end", self.back_ends.len());
+        if check.violations.is_empty() {
+            self.validate_entries(&mut check);
+        }
+        check.finish()
+    }
+
+    fn validate_entries(&self, check: &mut Check) {
+        let mut services = BTreeSet::new();
+        for service in &self.services {
+            check.service(service, &mut services);
+        }
+        let mut matches = BTreeSet::new();
+        for route in &self.routes {
+            check.route(route, &self.bounds, &services);
+            check.unique_match(route, &mut matches);
+        }
+        let mut names = BTreeSet::new();
+        let mut nodes = BTreeSet::new();
+        for back_end in &self.back_ends {
+            check.back_end(back_end, &services);
+            check.unique_back_end(back_end, &mut names, &mut nodes);
+        }
+    }
+}
+
+/// Collects violations.
+#[derive(Default)]
+struct Check {
+    violations: Vec<Violation>,
+}
+
+impl Check {
+    fn finish(self) -> Result<(), InvalidPolicy> {
+        if self.violations.is_empty() {
+            return Ok(());
+        }
+        Err(InvalidPolicy {
+            violations: self.violations,
+        })
+    }
+
+    fn bounds(&mut self, bounds: &Bounds) {
+        self.range(
+            "bounds.extra-attempts",
+            bounds.extra_attempts,
+            EXTRA_ATTEMPTS,
+        );
+        self.range(
+            "bounds.calls-per-request",
+            bounds.calls_per_request,
+            CALLS_PER_REQUEST,
+        );
+        self.range(
+            "bounds.key-life-seconds",
+            bounds.key_life_seconds,
+            KEY_LIFE_SECONDS,
+        );
+        self.range("bounds.retry-percent", bounds.retry_percent, RETRY_PERCENT);
+    }
+
+    fn service<'a>(
+        &mut self,
+        service: &'a ServicePolicy,
+        services: &mut BTreeSet<&'a ServiceName>,
+    ) {
+        let key = |field: &str| format!("service[{}].{field}", service.name);
+        self.name(&key("name"), service.name.as_str());
+        if !services.insert(&service.name) {
+            self.violation(&key("name"), service.name.as_str(), "a name used once");
+        }
+        self.range(&key("slots"), service.slots, SLOTS);
+        self.range(&key("connections"), service.connections, CONNECTIONS);
+        self.range(&key("queue-millis"), service.queue_millis, QUEUE_MILLIS);
+    }
+
+    fn route(&mut self, route: &RoutePolicy, bounds: &Bounds, services: &BTreeSet<&ServiceName>) {
+        let key = |field: &str| route_key(route, field);
+        self.known_service(&key("service"), &route.service, services);
+        if !is_method(&route.method) {
+            let allowed = format!("empty or 1 to {MAX_METHOD_BYTES} letters A to Z");
+            self.violation(&key("method"), &route.method, &allowed);
+        }
+        if !is_path(&route.path) {
+            let allowed =
+                format!("a path that begins with `/`, up to {MAX_PATH_BYTES} visible characters");
+            self.violation(&key("path"), &route.path, &allowed);
+        }
+        self.range(
+            &key("deadline-millis"),
+            route.deadline_millis,
+            DEADLINE_MILLIS,
+        );
+        if !route.repeatable && route.deadline() > bounds.key_life() {
+            let allowed = format!(
+                "1 to {}, for a route that is not repeatable must not outlive bounds.key-life-seconds",
+                bounds.key_life().as_millis()
+            );
+            let value = route.deadline_millis.to_string();
+            self.violation(&key("deadline-millis"), &value, &allowed);
+        }
+    }
+
+    fn unique_match<'a>(
+        &mut self,
+        route: &'a RoutePolicy,
+        matches: &mut BTreeSet<(&'a ServiceName, &'a str, &'a str)>,
+    ) {
+        if !matches.insert((&route.service, &route.method, &route.path)) {
+            let allowed = "one route for each service, method and path";
+            self.violation(&route_key(route, "path"), &route.path, allowed);
+        }
+    }
+
+    fn back_end(&mut self, back_end: &BackEndPolicy, services: &BTreeSet<&ServiceName>) {
+        let key = |field: &str| format!("back-end[{}].{field}", back_end.name);
+        self.name(&key("name"), back_end.name.as_str());
+        self.name(&key("node"), back_end.node.as_str());
+        self.known_service(&key("service"), &back_end.service, services);
+    }
+
+    fn unique_back_end<'a>(
+        &mut self,
+        back_end: &'a BackEndPolicy,
+        names: &mut BTreeSet<&'a str>,
+        nodes: &mut BTreeSet<&'a NodeName>,
+    ) {
+        let key = |field: &str| format!("back-end[{}].{field}", back_end.name);
+        if !names.insert(back_end.name.as_str()) {
+            self.violation(&key("name"), back_end.name.as_str(), "a name used once");
+        }
+        if !nodes.insert(&back_end.node) {
+            let allowed = "a node beside one back end only";
+            self.violation(&key("node"), back_end.node.as_str(), allowed);
+        }
+    }
+
+    fn count(&mut self, key: &str, count: usize) {
+        if count > MAX_ENTRIES {
+            let value = format!("{count} entries");
+            self.violation(key, &value, &format!("up to {MAX_ENTRIES} entries"));
+        }
+    }
+
+    fn range(&mut self, key: &str, value: impl Into<u64>, allowed: RangeInclusive<u64>) {
+        let value = value.into();
+        if !allowed.contains(&value) {
+            let allowed = format!("{} to {}", allowed.start(), allowed.end());
+            self.violation(key, &value.to_string(), &allowed);
+        }
+    }
+
+    fn name(&mut self, key: &str, name: &str) {
+        if !is_name(name) {
+            let allowed = format!("1 to {MAX_NAME_BYTES} letters, digits, `-`, `_` or `.`");
+            self.violation(key, name, &allowed);
+        }
+    }
+
+    fn known_service(
+        &mut self,
+        key: &str,
+        service: &ServiceName,
+        services: &BTreeSet<&ServiceName>,
+    ) {
+        if !services.contains(service) {
+            self.violation(key, service.as_str(), "a service of this policy");
+        }
+    }
+
+    fn violation(&mut self, key: &str, value: &str, allowed: &str) {
+        if self.violations.len() < MAX_VIOLATIONS {
+            self.violations.push(Violation {
+                key: key.to_owned(),
+                value: value.to_owned(),
+                allowed: allowed.to_owned(),
+            });
+        }
+    }
+}
+
+fn route_key(route: &RoutePolicy, field: &str) -> String {
+    let RoutePolicy {
+        service,
+        method,
+        path,
+        ..
+    } = route;
+    format!("route[{service} {method}{path}].{field}")
+}
+
+fn is_name(name: &str) -> bool {
+    let allowed = |byte: u8| byte.is_ascii_alphanumeric() || b"-_.".contains(&byte);
+    (1..=MAX_NAME_BYTES).contains(&name.len()) && name.bytes().all(allowed)
+}
+
+fn is_method(method: &str) -> bool {
+    method.len() <= MAX_METHOD_BYTES && method.bytes().all(|byte| byte.is_ascii_uppercase())
+}
+
+fn is_path(path: &str) -> bool {
+    path.starts_with('/')
+        && path.len() <= MAX_PATH_BYTES
+        && path.bytes().all(|byte| byte.is_ascii_graphic())
+}
