--- a/crates/rillgap-lab/src/command/serve.rs
+++ b/crates/rillgap-lab/src/command/serve.rs
@@ -125,6 +125,7 @@
             queue: self.queue.unwrap_or(self.slots),
             service_time: Duration::from_secs_f64(self.service_time_ms / 1_000.0),
             node: self.node,
+            source: self.listen.ip(),
             calls: calls?,
             call_attempts: self.call_attempts,
             cold_start: Duration::from_millis(self.cold_start_ms),
--- a/crates/rillgap-lab/src/load/caller.rs
+++ b/crates/rillgap-lab/src/load/caller.rs
@@ -14,12 +14,13 @@
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::TokioExecutor;
+use rillgap_http::names;
 use uuid::Uuid;
 
 use super::check::{ReceivedBody, check_own_and_whole, parse_refusal};
 use super::pacer::PlannedCall;
 use super::request::{RequestKind, RequestShape};
-use crate::answer::{CALLER_ID_HEADER, IDEMPOTENCY_KEY_HEADER, TIMEOUT_HEADER};
+use crate::answer::CALLER_ID_HEADER;
 
 /// How a call ended, as its caller sees it.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -141,9 +142,9 @@
             .method(shape.method.clone())
             .uri(format!("http://{target}{}", shape.path))
             .header(CALLER_ID_HEADER, &caller)
-            .header(TIMEOUT_HEADER, format!("{}m", self.timeout.as_millis()));
+            .header(names::TIMEOUT, format!("{}m", self.timeout.as_millis()));
         if let Some(key) = key {
-            request = request.header(IDEMPOTENCY_KEY_HEADER, key.to_string());
+            request = request.header(names::IDEMPOTENCY_KEY, key.to_string());
         }
         let body = if shape.keyed {
             Bytes::from(format!("{{\"caller\":\"{caller}\"}}"))
--- a/crates/rillgap-lab/src/load/check.rs
+++ b/crates/rillgap-lab/src/load/check.rs
@@ -1,11 +1,10 @@
 //! Checks that an answer is the caller's own and whole.
 
 use http::{HeaderMap, header};
+use rillgap_http::names;
 use serde::Deserialize;
 
-use crate::answer::{
-    BODY_DIGEST_HEADER, BODY_LENGTH_HEADER, CALLER_ID_HEADER, NOT_RUN_HEADER, RunningDigest,
-};
+use crate::answer::{BODY_DIGEST_HEADER, BODY_LENGTH_HEADER, CALLER_ID_HEADER, RunningDigest};
 
 /// Media type of refusals (RFC 9457).
 const PROBLEM_TYPE: &str = "application/problem+json";
@@ -62,7 +61,7 @@
     body: &ReceivedBody,
     caller: &str,
 ) -> Result<(), String> {
-    if headers.contains_key(NOT_RUN_HEADER) {
+    if headers.contains_key(names::NOT_RUN) {
         return Ok(());
     }
     expect_header(headers, CALLER_ID_HEADER, caller)?;
--- a/crates/rillgap-lab/src/serve/backend/downstream.rs
+++ b/crates/rillgap-lab/src/serve/backend/downstream.rs
@@ -1,6 +1,6 @@
 //! Calls that the back end makes itself, through the node beside it.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::str::FromStr;
 
 use bytes::Bytes;
@@ -10,10 +10,9 @@
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::TokioExecutor;
+use rillgap_http::names;
 
-use crate::answer::{
-    BODY_DIGEST_HEADER, CALL_TOKEN_HEADER, CALLER_ID_HEADER, DownstreamAnswer, ShortAnswer, digest,
-};
+use crate::answer::{BODY_DIGEST_HEADER, CALLER_ID_HEADER, DownstreamAnswer, ShortAnswer, digest};
 
 /// One call that is made for every short request, written `SERVICE:PATH`.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -57,10 +56,11 @@
 }
 
 impl DownstreamClient {
-    /// Creates a client of the node's outbound listener.
-    pub(super) fn new(node: Option<SocketAddr>, attempts: u32) -> Self {
+    /// Creates a client of the node's outbound listener, which calls from a source address.
+    pub(super) fn new(node: Option<SocketAddr>, source: IpAddr, attempts: u32) -> Self {
         let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
+        connector.set_local_address(Some(source));
         Self {
             node,
             attempts: attempts.max(1),
@@ -106,7 +106,7 @@
         let mut request = Request::get(format!("http://{node}/{}{}", call.service, call.path))
             .header(CALLER_ID_HEADER, &context.caller);
         if let Some(token) = &context.token {
-            request = request.header(CALL_TOKEN_HEADER, token);
+            request = request.header(names::CALL_TOKEN, token);
         }
         request
             .body(Empty::new())
--- a/crates/rillgap-lab/src/serve/backend/mod.rs
+++ b/crates/rillgap-lab/src/serve/backend/mod.rs
@@ -4,13 +4,12 @@
 mod administration;
 mod bulk;
 mod counters;
-mod deadline;
 mod downstream;
 mod reports;
 mod slots;
 mod work;
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -43,6 +42,8 @@
     pub service_time: Duration,
     /// Outbound listener of the node beside it.
     pub node: Option<SocketAddr>,
+    /// Address from which it makes its own calls, by which its node knows it.
+    pub source: IpAddr,
     /// Calls that it makes for every short request, one after another.
     pub calls: Vec<DownstreamCall>,
     /// Attempts that it makes for each of its own calls, at least one.
@@ -93,7 +94,11 @@
             counters: Counters::default(),
             reports: Mutex::new(Reports::new(settings.report_lag)),
             faults: Mutex::new(Faults::default()),
-            downstream: DownstreamClient::new(settings.node, settings.call_attempts),
+            downstream: DownstreamClient::new(
+                settings.node,
+                settings.source,
+                settings.call_attempts,
+            ),
             settings,
         })
     }
--- a/crates/rillgap-lab/src/serve/backend/work.rs
+++ b/crates/rillgap-lab/src/serve/backend/work.rs
@@ -7,17 +7,17 @@
 use http::request::Parts;
 use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, header};
 use hyper::body::Incoming;
+use rillgap_http::{names, timeout};
 use tokio::sync::OwnedSemaphorePermit;
 use tokio::time::Instant;
 
 use super::bulk::{BulkPace, bulk_stream};
 use super::counters::count;
-use super::deadline::time_to_deadline;
 use super::downstream::InboundContext;
 use super::{BackEnd, DownstreamCall};
 use crate::answer::{
-    BODY_DIGEST_HEADER, BODY_LENGTH_HEADER, BulkBody, CALL_TOKEN_HEADER, CALLER_ID_HEADER,
-    DownstreamAnswer, IDEMPOTENCY_KEY_HEADER, NOT_RUN_HEADER, ShortAnswer, digest,
+    BODY_DIGEST_HEADER, BODY_LENGTH_HEADER, BulkBody, CALLER_ID_HEADER, DownstreamAnswer,
+    ShortAnswer, digest,
 };
 use crate::serve::http::{
     Handler, HandlerResult, ResponseBody, bytes_response, empty_response, json_response,
@@ -98,7 +98,11 @@
                 let report = self.back_end.report();
                 Ok(json_response(StatusCode::OK, &report.load))
             }
-            _ => Ok(self.work(request).await),
+            _ => {
+                let mut response = self.work(request).await;
+                self.announce_leaving(response.headers_mut());
+                Ok(response)
+            }
         }
     }
 }
@@ -109,8 +113,14 @@
         Self { back_end }
     }
 
+    fn announce_leaving(&self, headers: &mut HeaderMap) {
+        if self.back_end.is_leaving() {
+            headers.insert(names::LEAVING, HeaderValue::from_static("1"));
+        }
+    }
+
     async fn work(&self, request: Request<Incoming>) -> Response<ResponseBody> {
-        let deadline = time_to_deadline(request.headers()).map(|time| Instant::now() + time);
+        let deadline = deadline_of(request.headers());
         let (head, body) = request.into_parts();
         let Some(body) = read_body(body).await else {
             return empty_response(StatusCode::BAD_REQUEST);
@@ -119,11 +129,11 @@
             Some(Ok(slot)) => slot,
             Some(Err(_queue_full)) => {
                 count(&self.back_end.counters.shed);
-                return not_run(StatusCode::SERVICE_UNAVAILABLE);
+                return not_run();
             }
             None => {
                 count(&self.back_end.counters.expired);
-                return not_run(StatusCode::GATEWAY_TIMEOUT);
+                return not_run();
             }
         };
         let running = RunningRequest::begin(&self.back_end, slot);
@@ -160,7 +170,7 @@
     }
 
     fn count_execution(&self, headers: &HeaderMap) -> u32 {
-        match header_text(headers, IDEMPOTENCY_KEY_HEADER) {
+        match header_text(headers, names::IDEMPOTENCY_KEY) {
             Some(key) => self.back_end.counters.count_execution(key),
             None => 0,
         }
@@ -181,7 +191,7 @@
         let settings = &self.back_end.settings;
         let context = InboundContext {
             caller: caller_of(&head.headers),
-            token: head.headers.get(CALL_TOKEN_HEADER).cloned(),
+            token: head.headers.get(names::CALL_TOKEN).cloned(),
         };
         let mut downstream = Vec::with_capacity(settings.calls.len());
         for call in &settings.calls {
@@ -223,6 +233,11 @@
     }
 }
 
+fn deadline_of(headers: &HeaderMap) -> Option<Instant> {
+    let remaining = timeout::parse(header_text(headers, names::TIMEOUT)?)?;
+    Some(Instant::now() + remaining)
+}
+
 /// Runs a future until the deadline; returns `None` if the deadline comes first.
 async fn before<T>(deadline: Option<Instant>, future: impl Future<Output = T>) -> Option<T> {
     match deadline {
@@ -284,10 +299,10 @@
 }
 
 /// Makes the answer that states that the request was not run.
-fn not_run(status: StatusCode) -> Response<ResponseBody> {
-    let mut response = empty_response(status);
+fn not_run() -> Response<ResponseBody> {
+    let mut response = empty_response(StatusCode::SERVICE_UNAVAILABLE);
     let headers = response.headers_mut();
-    headers.insert(NOT_RUN_HEADER, HeaderValue::from_static("true"));
+    headers.insert(names::NOT_RUN, HeaderValue::from_static("true"));
     let retry_after = HeaderValue::from_static(RETRY_AFTER_SECONDS);
     headers.insert(header::RETRY_AFTER, retry_after);
     response
--- a/crates/rillgap-lab/tests/common/mod.rs
+++ b/crates/rillgap-lab/tests/common/mod.rs
@@ -49,6 +49,7 @@
         queue: 1,
         service_time: Duration::ZERO,
         node: None,
+        source: ANY_PORT.ip(),
         calls: Vec::new(),
         call_attempts: 1,
         cold_start: Duration::ZERO,
