rillgapd: the node as a process

The daemon owns the core's Node on one duty and joins it by bounded rings to duties for callers, the back end, the mesh, the platform, operators and metrics, each a task that can have a thread of its own.

--- /dev/null
+++ b/crates/rillgap-node/src/actions.rs
@@ -0,0 +1,114 @@
+//! Carries the node's actions to the duties that execute them.
+
+use rillgap_backend::client::BackEndCommand;
+use rillgap_caller::exchange::{Answer, AnswerPart};
+use rillgap_core::action::{Action, Observation};
+use rillgap_core::event::InboundId;
+use rillgap_mesh::mesh::OutgoingMessage;
+use rillgap_ring::{RingError, RingSender};
+use tokio_util::sync::CancellationToken;
+
+use crate::metrics::{Metrics, RingName};
+use crate::rings::{NodeOutputs, OperatorAnswer, StoreCommand};
+
+/// Carries the node's actions to the duties that execute them.
+#[derive(Clone, Debug)]
+pub struct ActionPorts {
+    outputs: NodeOutputs,
+    metrics: Metrics,
+    exit: CancellationToken,
+}
+
+impl ActionPorts {
+    /// Creates the ports; `exit` is cancelled when the node has nothing in flight after a stop.
+    pub fn new(outputs: NodeOutputs, metrics: Metrics, exit: CancellationToken) -> Self {
+        Self {
+            outputs,
+            metrics,
+            exit,
+        }
+    }
+
+    /// Carries one action to its duty.
+    pub async fn execute(&self, action: Action) {
+        match action {
+            Action::Refuse { inbound, refusal } => {
+                self.answer(inbound, AnswerPart::Refusal(refusal)).await;
+            }
+            Action::AnswerHead { inbound, head } => {
+                self.answer(inbound, AnswerPart::Head(head)).await;
+            }
+            Action::AnswerBody { inbound, chunk } => {
+                self.answer(inbound, AnswerPart::Body(chunk)).await;
+            }
+            Action::AnswerEnd { inbound } => self.answer(inbound, AnswerPart::End).await,
+            Action::AnswerAbort { inbound } => self.answer(inbound, AnswerPart::Abort).await,
+            Action::CallBackEnd(request) => self.back_end(BackEndCommand::Call(request)).await,
+            Action::CancelBackEnd { attempt } => {
+                self.back_end(BackEndCommand::Cancel { attempt }).await;
+            }
+            Action::ReadBackEnd { attempt, bytes } => {
+                self.back_end(BackEndCommand::Read { attempt, bytes }).await;
+            }
+            Action::Send {
+                to,
+                address,
+                message,
+            } => {
+                let message = OutgoingMessage {
+                    to,
+                    address,
+                    message,
+                };
+                self.send(&self.outputs.mesh, RingName::Mesh, message).await;
+            }
+            Action::Store { request, body } => {
+                let command = StoreCommand { request, body };
+                self.send(&self.outputs.store, RingName::Store, command)
+                    .await;
+            }
+            Action::Reply { request, reply } => {
+                let answer = OperatorAnswer { request, reply };
+                self.send(&self.outputs.operator, RingName::Operator, answer)
+                    .await;
+            }
+            Action::Observe(observation) => self.observe(&observation),
+            Action::Exit => self.exit.cancel(),
+        }
+    }
+
+    async fn answer(&self, inbound: InboundId, part: AnswerPart) {
+        let answer = Answer { inbound, part };
+        self.send(&self.outputs.answers, RingName::Answers, answer)
+            .await;
+    }
+
+    async fn back_end(&self, command: BackEndCommand) {
+        self.send(&self.outputs.back_end, RingName::BackEnd, command)
+            .await;
+    }
+
+    /// Sends a message, waiting if the ring is full: its receiver never waits for the node.
+    async fn send<T>(&self, ring: &RingSender<T>, name: RingName, message: T) {
+        if let Err(RingError::Full(message)) = ring.try_send(message) {
+            self.metrics.count_full_ring(name);
+            // A closed ring means that the process ends.
+            let _ = ring.send(message).await;
+        }
+    }
+
+    fn observe(&self, observation: &Observation) {
+        self.metrics.observe(observation);
+        match observation {
+            Observation::Serving(true) => log::info!("node: serving requests"),
+            Observation::Serving(false) => log::warn!("node: not serving requests"),
+            Observation::PolicyInForce(version) => {
+                log::info!(version = version.0; "node: policy in force");
+            }
+            Observation::ViewInForce(version) => {
+                log::info!(version = version.0; "node: membership view in force");
+            }
+            _ => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/rillgap-node/src/duty/operator.rs
@@ -0,0 +1,90 @@
+//! Operator duty: serves operators' remote procedure calls.
+
+use std::collections::BTreeMap;
+use std::io;
+use std::net::TcpListener;
+use std::sync::{Arc, Mutex, PoisonError};
+
+use rillgap_core::event::Event;
+use rillgap_core::operator::{OperatorReply, OperatorRequestId};
+use rillgap_operator::handle::{OperatorCalls, OperatorHandle};
+use rillgap_operator::service;
+use rillgap_ring::{RingReceiver, RingSender};
+use tokio::sync::oneshot;
+use tokio_util::sync::CancellationToken;
+
+use crate::rings::OperatorAnswer;
+
+/// Requests of operators that may wait for the node.
+const WAITING_CALLS: usize = 16;
+
+type WaitingCalls = Arc<Mutex<BTreeMap<OperatorRequestId, oneshot::Sender<OperatorReply>>>>;
+
+/// What the duty needs.
+#[derive(Debug)]
+pub struct OperatorDuty {
+    /// Bound listener for operators, if there is one.
+    pub listener: Option<TcpListener>,
+    /// Events for the node.
+    pub events: RingSender<Event>,
+    /// Replies of the node.
+    pub replies: RingReceiver<OperatorAnswer>,
+    /// Cancelled when the listener shall close.
+    pub stop: CancellationToken,
+}
+
+/// Runs the duty until the process ends.
+///
+/// # Errors
+///
+/// Fails if the listener cannot be handed to the runtime or the server fails.
+pub async fn run(duty: OperatorDuty) -> io::Result<()> {
+    let waiting = WaitingCalls::default();
+    let replying = tokio::spawn(reply(duty.replies, Arc::clone(&waiting)));
+    if let Some(listener) = duty.listener {
+        let listener = tokio::net::TcpListener::from_std(listener)?;
+        let (handle, calls) = OperatorHandle::channel(WAITING_CALLS);
+        let forwarding = tokio::spawn(forward(calls, duty.events, waiting));
+        service::serve(listener, handle, duty.stop.cancelled_owned())
+            .await
+            .map_err(io::Error::other)?;
+        forwarding.abort();
+    }
+    let _ = replying.await;
+    Ok(())
+}
+
+/// Passes requests on to the node; a full ring holds back the operators.
+async fn forward(mut calls: OperatorCalls, events: RingSender<Event>, waiting: WaitingCalls) {
+    let mut next = 0;
+    while let Some(call) = calls.recv().await {
+        let request = OperatorRequestId(next);
+        next += 1;
+        {
+            let mut waiting = waiting.lock().unwrap_or_else(PoisonError::into_inner);
+            waiting.retain(|_, reply| !reply.is_closed());
+            waiting.insert(request, call.reply);
+        }
+        let event = Event::Operator {
+            request,
+            body: call.request,
+        };
+        if events.send(event).await.is_err() {
+            return;
+        }
+    }
+}
+
+/// Passes replies of the node on to the operators that still wait.
+async fn reply(replies: RingReceiver<OperatorAnswer>, waiting: WaitingCalls) {
+    while let Some(answer) = replies.recv().await {
+        let call = waiting
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .remove(&answer.request);
+        if let Some(call) = call {
+            // The operator may have gone away.
+            let _ = call.send(answer.reply);
+        }
+    }
+}
