--- /dev/null
+++ b/crates/rillgap-core/src/membership/change.rs
@@ -0,0 +1,217 @@
+//! Changes of the view, the log of recent ones and the object in the store.
+
+use std::collections::{BTreeSet, VecDeque};
+use std::sync::Arc;
+
+use bitcode::{Decode, Encode};
+
+use crate::id::{Incarnation, NodeId, ViewVersion};
+use crate::view::{Member, View};
+
+use super::timing::LOG_LIMIT;
+use super::topology::ZoneId;
+
+/// First byte of the object in the store: version of its format.
+const FORMAT: u8 = 1;
+
+/// A member that a change removes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Encode, Decode)]
+pub struct Removal {
+    /// The node.
+    pub node: NodeId,
+    /// Run that is removed.
+    pub incarnation: Incarnation,
+    /// Its zone.
+    pub zone: ZoneId,
+    /// Whether that run has surely ended: it left, was replaced by a later run, or its machine
+    /// is gone.
+    pub ended: bool,
+}
+
+/// The step from one view to the next.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct ViewChange {
+    /// Version that the change makes.
+    pub version: ViewVersion,
+    /// Members that are removed.
+    pub removed: Vec<Removal>,
+    /// Members that are added.
+    pub added: Vec<Member>,
+}
+
+/// The object in the store.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct StoredView {
+    /// Latest view.
+    pub view: View,
+    /// Recent changes, the last of which made the view.
+    pub changes: Vec<ViewChange>,
+    /// Latest view that the writer knew joint majorities to have confirmed.
+    pub agreed: ViewVersion,
+}
+
+impl StoredView {
+    /// Encodes the object.
+    pub fn encode(&self) -> Vec<u8> {
+        let mut bytes = vec![FORMAT];
+        bytes.extend(bitcode::encode(self));
+        bytes
+    }
+
+    /// Decodes the object, or returns `None` if it is malformed.
+    pub fn decode(bytes: &[u8]) -> Option<Self> {
+        match bytes.split_first() {
+            Some((&FORMAT, rest)) => bitcode::decode(rest).ok(),
+            _ => None,
+        }
+    }
+}
+
+/// Applies a change to the view before it.
+pub fn apply(view: &View, change: &ViewChange) -> View {
+    let removed: BTreeSet<NodeId> = change.removed.iter().map(|removal| removal.node).collect();
+    let mut members: Vec<Arc<Member>> = view
+        .members
+        .iter()
+        .filter(|member| !removed.contains(&member.id()))
+        .cloned()
+        .collect();
+    members.extend(change.added.iter().cloned().map(Arc::new));
+    members.sort_by_key(|member| member.id());
+    View {
+        version: change.version,
+        members,
+    }
+}
+
+/// The latest successive changes, ending with the one that made the view in force.
+#[derive(Debug, Default)]
+pub struct ChangeLog {
+    changes: VecDeque<Arc<ViewChange>>,
+}
+
+impl ChangeLog {
+    /// Replaces the log.
+    pub fn replace(&mut self, changes: Vec<ViewChange>) {
+        self.changes = changes.into_iter().map(Arc::new).collect();
+        self.trim();
+    }
+
+    /// Appends a change.
+    pub fn push(&mut self, change: ViewChange) {
+        self.changes.push_back(Arc::new(change));
+        self.trim();
+    }
+
+    fn trim(&mut self) {
+        while self.changes.len() > LOG_LIMIT {
+            self.changes.pop_front();
+        }
+    }
+
+    /// Returns all changes that are kept.
+    pub fn to_vec(&self) -> Vec<ViewChange> {
+        self.changes
+            .iter()
+            .map(|change| change.as_ref().clone())
+            .collect()
+    }
+
+    /// Returns the changes after a version, or `None` if some are no longer kept.
+    pub fn after(&self, version: ViewVersion) -> Option<Vec<ViewChange>> {
+        if !self.covers(version) {
+            return None;
+        }
+        Some(
+            self.between(version, ViewVersion(u64::MAX))
+                .cloned()
+                .collect(),
+        )
+    }
+
+    /// Returns whether the step from `version` to its successor is kept.
+    pub fn covers(&self, version: ViewVersion) -> bool {
+        self.changes
+            .front()
+            .is_some_and(|change| change.version.0 <= version.0 + 1)
+    }
+
+    /// Returns the changes after `from` up to and including `to`.
+    pub fn between(
+        &self,
+        from: ViewVersion,
+        to: ViewVersion,
+    ) -> impl DoubleEndedIterator<Item = &ViewChange> {
+        self.changes
+            .iter()
+            .map(Arc::as_ref)
+            .filter(move |change| change.version > from && change.version <= to)
+    }
+
+    /// Returns an upper bound on the members that a zone has in view `counted` and not in view
+    /// `wanted`, or `None` if the log does not reach far enough.
+    pub fn foreign(&self, zone: ZoneId, counted: ViewVersion, wanted: ViewVersion) -> Option<u32> {
+        if counted == wanted {
+            return Some(0);
+        }
+        if !self.covers(counted.min(wanted)) {
+            return None;
+        }
+        let members: usize = if counted < wanted {
+            self.between(counted, wanted)
+                .map(|change| removed_in(change, zone))
+                .sum()
+        } else {
+            self.between(wanted, counted)
+                .map(|change| added_in(change, zone))
+                .sum()
+        };
+        u32::try_from(members).ok()
+    }
+
+    /// Returns the number of members of view `from` whose runs have surely ended by `to`.
+    pub fn ended(&self, from: ViewVersion, to: ViewVersion) -> usize {
+        let mut added: BTreeSet<(NodeId, Incarnation)> = BTreeSet::new();
+        let mut ended = 0;
+        for change in self.between(from, to) {
+            ended += change
+                .removed
+                .iter()
+                .filter(|removal| removal.ended)
+                .filter(|removal| !added.contains(&(removal.node, removal.incarnation)))
+                .count();
+            added.extend(
+                change
+                    .added
+                    .iter()
+                    .map(|member| (member.id(), member.incarnation)),
+            );
+        }
+        ended
+    }
+
+    /// Returns the size of an earlier view, given the size of the view in force.
+    pub fn size_at(&self, version: ViewVersion, size_now: usize) -> usize {
+        let later = self.between(version, ViewVersion(u64::MAX));
+        let (added, removed) = later.fold((0, 0), |(added, removed), change| {
+            (added + change.added.len(), removed + change.removed.len())
+        });
+        (size_now + removed).saturating_sub(added)
+    }
+}
+
+fn removed_in(change: &ViewChange, zone: ZoneId) -> usize {
+    change
+        .removed
+        .iter()
+        .filter(|removal| removal.zone == zone)
+        .count()
+}
+
+fn added_in(change: &ViewChange, zone: ZoneId) -> usize {
+    change
+        .added
+        .iter()
+        .filter(|member| ZoneId::from(&member.zone) == zone)
+        .count()
+}
--- /dev/null
+++ b/crates/rillgap-core/src/membership/detector.rs
@@ -0,0 +1,185 @@
+//! What a relay hears of the members of its own zone, and whom it suspects.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use crate::id::{Incarnation, NodeId, PolicyVersion, ViewVersion};
+use crate::time::Instant;
+use crate::view::View;
+
+use super::digest::age_millis;
+use super::message::{VersionCount, ZoneDigest};
+use super::timing::{DIGEST_LIMIT, NAMED_LIMIT, SUSPECT_AFTER};
+use super::topology::ZoneId;
+
+/// Most different versions that a digest counts; members at others are not counted.
+const COUNTED_VERSIONS: usize = 8;
+
+/// What a heartbeat tells of its sender.
+#[derive(Clone, Copy, Debug)]
+pub struct Heard {
+    /// Run of the sender.
+    pub incarnation: Incarnation,
+    /// When it was received.
+    pub at: Instant,
+    /// When it was sent at the earliest, by the own clock, if it could be dated.
+    pub sent: Option<Instant>,
+    /// Confirmed view.
+    pub view: ViewVersion,
+    /// Confirmed policy.
+    pub policy: PolicyVersion,
+}
+
+/// Whose digest is made.
+#[derive(Clone, Copy, Debug)]
+pub struct DigestOrigin<'a> {
+    /// Zone of the relay.
+    pub zone: ZoneId,
+    /// Position of the relay in the zone's order.
+    pub rank: u16,
+    /// View whose members are counted.
+    pub view: &'a View,
+    /// Members of the zone.
+    pub members: &'a [NodeId],
+}
+
+/// Failure detector of a relay for its own zone.
+#[derive(Debug, Default)]
+pub struct Detector {
+    heard: BTreeMap<NodeId, Heard>,
+    watching_since: Option<Instant>,
+}
+
+impl Detector {
+    /// Tells whether this node is a relay now; a fresh one gives everybody time to be heard.
+    pub fn watch(&mut self, now: Instant, is_relay: bool) {
+        if is_relay {
+            self.watching_since.get_or_insert(now);
+        } else {
+            self.watching_since = None;
+        }
+    }
+
+    /// Takes in a heartbeat.
+    pub fn heard(&mut self, node: NodeId, heard: Heard) {
+        self.heard.insert(node, heard);
+    }
+
+    /// Returns for how long a member has been silent; zero if this node is no relay.
+    pub fn silence(&self, now: Instant, node: NodeId, incarnation: Incarnation) -> Duration {
+        let Some(since) = self.watching_since else {
+            return Duration::ZERO;
+        };
+        let heard = self.of_run(node, incarnation).map(|heard| heard.at);
+        now.saturating_since(heard.map_or(since, |heard| heard.max(since)))
+    }
+
+    /// Returns the latest time of a dated heartbeat, which shows that others hear this node.
+    pub fn last_dated(&self) -> Option<Instant> {
+        self.heard.values().filter_map(|heard| heard.sent).max()
+    }
+
+    /// Makes the digest of the zone; `own` is what this node itself has confirmed.
+    pub fn digest(
+        &self,
+        now: Instant,
+        origin: DigestOrigin<'_>,
+        own: (NodeId, Heard),
+    ) -> ZoneDigest {
+        let mut counter = DigestCounter::default();
+        for &node in origin.members {
+            let Some(member) = origin.view.member(node) else {
+                continue;
+            };
+            let heard = if node == own.0 {
+                Some(&own.1)
+            } else {
+                self.of_run(node, member.incarnation)
+            };
+            let is_silent =
+                node != own.0 && self.silence(now, node, member.incarnation) > SUSPECT_AFTER;
+            counter.add(now, node, heard, is_silent);
+        }
+        counter.finish(now, origin)
+    }
+
+    /// Forgets everything: this host was frozen and must accuse nobody.
+    pub fn reset(&mut self, now: Instant) {
+        self.heard.clear();
+        if self.watching_since.is_some() {
+            self.watching_since = Some(now);
+        }
+    }
+
+    /// Forgets the nodes that `keep` does not name.
+    pub fn retain(&mut self, keep: impl Fn(NodeId) -> bool) {
+        self.heard.retain(|node, _| keep(*node));
+    }
+
+    fn of_run(&self, node: NodeId, incarnation: Incarnation) -> Option<&Heard> {
+        self.heard
+            .get(&node)
+            .filter(|heard| heard.incarnation == incarnation)
+    }
+}
+
+#[derive(Debug, Default)]
+struct DigestCounter {
+    oldest: Option<Instant>,
+    views: BTreeMap<u64, u16>,
+    policies: BTreeMap<u64, u16>,
+    policy_of: Vec<(NodeId, PolicyVersion)>,
+    silent: Vec<NodeId>,
+}
+
+impl DigestCounter {
+    fn add(&mut self, now: Instant, node: NodeId, heard: Option<&Heard>, is_silent: bool) {
+        if is_silent && self.silent.len() < NAMED_LIMIT {
+            self.silent.push(node);
+        }
+        let Some(heard) = heard else {
+            return;
+        };
+        *self.policies.entry(heard.policy.0).or_default() += 1;
+        self.policy_of.push((node, heard.policy));
+        let Some(sent) = heard
+            .sent
+            .filter(|sent| now.saturating_since(*sent) <= DIGEST_LIMIT)
+        else {
+            return;
+        };
+        *self.views.entry(heard.view.0).or_default() += 1;
+        self.oldest = Some(self.oldest.map_or(sent, |oldest| oldest.min(sent)));
+    }
+
+    fn finish(self, now: Instant, origin: DigestOrigin<'_>) -> ZoneDigest {
+        let highest = self.policies.keys().next_back().copied().unwrap_or(0);
+        let lagging = self
+            .policy_of
+            .iter()
+            .filter(|(_, policy)| policy.0 < highest)
+            .map(|(node, _)| *node)
+            .take(NAMED_LIMIT)
+            .collect();
+        ZoneDigest {
+            zone: origin.zone,
+            rank: origin.rank,
+            view: origin.view.version,
+            age_millis: age_millis(now, self.oldest),
+            views: most_frequent(self.views),
+            policies: most_frequent(self.policies),
+            silent: self.silent,
+            lagging,
+        }
+    }
+}
+
+fn most_frequent(counts: BTreeMap<u64, u16>) -> Vec<VersionCount> {
+    let mut counts: Vec<_> = counts
+        .into_iter()
+        .map(|(version, members)| VersionCount { version, members })
+        .collect();
+    counts.sort_by_key(|count| std::cmp::Reverse(count.members));
+    counts.truncate(COUNTED_VERSIONS);
+    counts
+}
--- /dev/null
+++ b/crates/rillgap-core/src/membership/digest.rs
@@ -0,0 +1,218 @@
+//! What is known of all zones: the digests of their relays.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use crate::id::{PolicyVersion, ViewVersion};
+use crate::time::{Instant, micros};
+
+use super::change::ChangeLog;
+use super::message::{VersionCount, ZoneDigest};
+use super::timing::FRESH_LIMIT;
+use super::topology::ZoneId;
+
+/// Age that stands for "not dated".
+const UNDATED: u16 = u16::MAX;
+
+/// A digest as received.
+#[derive(Clone, Debug)]
+struct Entry {
+    digest: ZoneDigest,
+    /// Time of the oldest heartbeat that is counted, if it could be dated.
+    evidence: Option<Instant>,
+    received: Instant,
+    from_other_region: bool,
+}
+
+impl Entry {
+    fn is_fresh(&self, now: Instant) -> bool {
+        now.saturating_since(self.received) <= FRESH_LIMIT
+    }
+}
+
+/// Digests of all zones, one for each relay.
+#[derive(Debug, Default)]
+pub struct DigestTable {
+    entries: BTreeMap<(ZoneId, u16), Entry>,
+}
+
+impl DigestTable {
+    /// Takes in a digest whose sender spoke at `spoken` or later, if that is known.
+    pub fn insert(
+        &mut self,
+        now: Instant,
+        digest: ZoneDigest,
+        spoken: Option<Instant>,
+        from_other_region: bool,
+    ) {
+        let evidence = spoken
+            .filter(|_| digest.age_millis != UNDATED)
+            .map(|spoken| spoken - Duration::from_millis(u64::from(digest.age_millis)));
+        let key = (digest.zone, digest.rank);
+        let known = self.entries.get(&key).and_then(|entry| entry.evidence);
+        if known.is_some() && known > evidence && evidence.is_some() {
+            return;
+        }
+        let entry = Entry {
+            digest,
+            evidence,
+            received: now,
+            from_other_region,
+        };
+        self.entries.insert(key, entry);
+    }
+
+    /// Returns digests to pass on, the best of each zone, with their present ages.
+    pub fn outgoing(&self, now: Instant, choose: impl Fn(ZoneId, bool) -> bool) -> Vec<ZoneDigest> {
+        let mut best: BTreeMap<ZoneId, &Entry> = BTreeMap::new();
+        for entry in self.entries.values() {
+            let wanted = choose(entry.digest.zone, entry.from_other_region);
+            if !wanted || !entry.is_fresh(now) {
+                continue;
+            }
+            let current = best.entry(entry.digest.zone).or_insert(entry);
+            if entry.evidence > current.evidence {
+                *current = entry;
+            }
+        }
+        best.into_values()
+            .map(|entry| ZoneDigest {
+                age_millis: age_millis(now, entry.evidence),
+                ..entry.digest.clone()
+            })
+            .collect()
+    }
+
+    /// Returns when a zone was last heard of.
+    pub fn last_received(&self, zone: ZoneId) -> Option<Instant> {
+        self.of_zone(zone).map(|entry| entry.received).max()
+    }
+
+    /// Returns whether a zone was heard of lately.
+    pub fn is_fresh(&self, now: Instant, zone: ZoneId) -> bool {
+        self.of_zone(zone).any(|entry| entry.is_fresh(now))
+    }
+
+    /// Returns the fresh digests of a zone.
+    pub fn fresh(&self, now: Instant, zone: ZoneId) -> impl Iterator<Item = &ZoneDigest> {
+        self.of_zone(zone)
+            .filter(move |entry| entry.is_fresh(now))
+            .map(|entry| &entry.digest)
+    }
+
+    /// Returns a lower bound on the members of view `wanted` that have confirmed `version` of
+    /// the view or a later one. Confirmations stay true, so their age does not matter.
+    pub fn confirmed_views(
+        &self,
+        log: &ChangeLog,
+        wanted: ViewVersion,
+        version: ViewVersion,
+    ) -> u32 {
+        self.sum_of_zones(|entry| {
+            let count = count(&entry.digest.views, |confirmed| confirmed >= version.0);
+            without_foreign(log, &entry.digest, wanted, count)
+        })
+    }
+
+    /// Returns a lower bound on the members of one zone of view `wanted` that have confirmed
+    /// `version` of the policy or a later one, by fresh digests.
+    pub fn confirmed_policies(
+        &self,
+        now: Instant,
+        log: &ChangeLog,
+        zone: ZoneId,
+        wanted: ViewVersion,
+        version: PolicyVersion,
+    ) -> u32 {
+        self.fresh(now, zone)
+            .map(|digest| {
+                let count = count(&digest.policies, |confirmed| confirmed >= version.0);
+                without_foreign(log, digest, wanted, count)
+            })
+            .max()
+            .unwrap_or(0)
+    }
+
+    /// Returns the latest time at which a majority of the `size` members of `view` are all known
+    /// not to have confirmed any later view.
+    pub fn majority_not_beyond(
+        &self,
+        log: &ChangeLog,
+        view: ViewVersion,
+        size: usize,
+    ) -> Option<Instant> {
+        let mut zones: BTreeMap<ZoneId, (Instant, u32)> = BTreeMap::new();
+        for entry in self.entries.values() {
+            let Some(evidence) = entry.evidence else {
+                continue;
+            };
+            let members = count(&entry.digest.views, |confirmed| confirmed <= view.0);
+            let members = without_foreign(log, &entry.digest, view, members);
+            let best = zones
+                .entry(entry.digest.zone)
+                .or_insert((evidence, members));
+            if (evidence, members) > *best {
+                *best = (evidence, members);
+            }
+        }
+        let mut zones: Vec<_> = zones.into_values().collect();
+        zones.sort_unstable_by(|left, right| right.cmp(left));
+        let mut sum = 0;
+        for (evidence, members) in zones {
+            sum += members as usize;
+            if 2 * sum > size {
+                return Some(evidence);
+            }
+        }
+        None
+    }
+
+    /// Makes all evidence void: this host was frozen.
+    pub fn reset(&mut self) {
+        self.entries.clear();
+    }
+
+    /// Forgets the zones that `keep` does not name.
+    pub fn retain(&mut self, keep: impl Fn(ZoneId) -> bool) {
+        self.entries.retain(|(zone, _), _| keep(*zone));
+    }
+
+    fn of_zone(&self, zone: ZoneId) -> impl Iterator<Item = &Entry> {
+        self.entries
+            .range((zone, 0)..=(zone, u16::MAX))
+            .map(|(_, entry)| entry)
+    }
+
+    /// Adds up the best value of each zone's digests.
+    fn sum_of_zones(&self, value: impl Fn(&Entry) -> u32) -> u32 {
+        let mut zones: BTreeMap<ZoneId, u32> = BTreeMap::new();
+        for entry in self.entries.values() {
+            let best = zones.entry(entry.digest.zone).or_default();
+            *best = (*best).max(value(entry));
+        }
+        zones.into_values().sum()
+    }
+}
+
+/// Returns the age of evidence in milliseconds, rounded up.
+pub fn age_millis(now: Instant, evidence: Option<Instant>) -> u16 {
+    let Some(evidence) = evidence else {
+        return UNDATED;
+    };
+    let millis = micros(now.saturating_since(evidence)).div_ceil(1_000);
+    u16::try_from(millis).unwrap_or(UNDATED)
+}
+
+fn count(counts: &[VersionCount], is_counted: impl Fn(u64) -> bool) -> u32 {
+    counts
+        .iter()
+        .filter(|entry| is_counted(entry.version))
+        .map(|entry| u32::from(entry.members))
+        .sum()
+}
+
+/// Subtracts the members that the digest counts but view `wanted` may not have.
+fn without_foreign(log: &ChangeLog, digest: &ZoneDigest, wanted: ViewVersion, count: u32) -> u32 {
+    log.foreign(digest.zone, digest.view, wanted)
+        .map_or(0, |foreign| count.saturating_sub(foreign))
+}
--- /dev/null
+++ b/crates/rillgap-core/src/membership/heartbeat.rs
@@ -0,0 +1,160 @@
+//! Heartbeats of members and their acknowledgements.
+
+use crate::action::Outbox;
+use crate::id::{Incarnation, NodeId};
+use crate::time::{Instant, Now};
+
+use super::detector::Heard;
+use super::digest::age_millis;
+use super::message::{Acknowledgement, Heartbeat, Lease, MembershipMessage, Status};
+use super::protocol::{Protocol, ReceivedStatus};
+
+impl Protocol {
+    /// Sends the heartbeats that are due: to the relays of the zone in turn, and now and then
+    /// to those of higher rank that were silent.
+    pub fn tick_heartbeat(&mut self, now: Instant, out: &mut Outbox) {
+        if !self.is_member() || now < self.next_heartbeat {
+            return;
+        }
+        self.next_heartbeat = self.after_heartbeat(now);
+        let id = self.identity.id;
+        let mut relays = self.zone_relays(now);
+        relays.live.retain(|relay| *relay != id);
+        if !relays.live.is_empty() {
+            self.heartbeat_turn = (self.heartbeat_turn + 1) % relays.live.len();
+            let relay = relays.live.get(self.heartbeat_turn).copied();
+            relays.silent.extend(relay);
+        }
+        for relay in relays.silent {
+            let is_due =
+                !self.contacts.is_silent(now, relay) || self.contacts.is_retry_due(now, relay);
+            if is_due {
+                self.send_heartbeat(now, relay, out);
+            }
+        }
+    }
+
+    fn send_heartbeat(&mut self, now: Instant, relay: NodeId, out: &mut Outbox) {
+        let heartbeat = Heartbeat {
+            probe: self.probes.stamp(now),
+            echo: self.probes.echo(now, relay),
+            view: self.view.version,
+            policy: self.policy,
+            status_digest: self.statuses.get(&relay).map_or(0, |status| status.digest),
+        };
+        self.contacts.sent(now, relay);
+        self.send(relay, MembershipMessage::Heartbeat(heartbeat), out);
+    }
+
+    pub fn on_heartbeat(
+        &mut self,
+        now: Now,
+        from: NodeId,
+        incarnation: Incarnation,
+        heartbeat: &Heartbeat,
+        out: &mut Outbox,
+    ) {
+        if !self.is_member() {
+            self.send(from, MembershipMessage::AlsoJoining, out);
+            return;
+        }
+        if !self.is_current_run(from, incarnation) {
+            return;
+        }
+        let now = now.instant;
+        self.probes.received(now, from, heartbeat.probe);
+        let heard = Heard {
+            incarnation,
+            at: now,
+            sent: heartbeat.echo.and_then(|echo| self.probes.date(now, echo)),
+            view: heartbeat.view,
+            policy: heartbeat.policy,
+        };
+        self.detector.heard(from, heard);
+        self.note_policy(heartbeat.policy, from);
+        self.acknowledge(now, from, heartbeat.status_digest, out);
+        self.compare_views(now, from, heartbeat.view, out);
+    }
+
+    fn acknowledge(&mut self, now: Instant, to: NodeId, status_digest: u32, out: &mut Outbox) {
+        let probe = self.probes.stamp(now);
+        let Some(echo) = self.probes.echo(now, to) else {
+            return;
+        };
+        let status = self
+            .own_status
+            .as_ref()
+            .filter(|(_, digest)| *digest != status_digest)
+            .map(|(status, _)| status.clone());
+        let acknowledgement = Acknowledgement {
+            probe,
+            echo,
+            lease: self.lease_to_pass_on(now),
+            status,
+        };
+        let message = MembershipMessage::Acknowledgement(Box::new(acknowledgement));
+        self.send(to, message, out);
+    }
+
+    fn lease_to_pass_on(&self, now: Instant) -> Option<Lease> {
+        let lease = self.lease.filter(|_| self.roles.relay)?;
+        Some(Lease {
+            view: self.view.version,
+            age_millis: age_millis(now, Some(lease)),
+        })
+    }
+
+    pub fn on_acknowledgement(
+        &mut self,
+        now: Now,
+        from: NodeId,
+        incarnation: Incarnation,
+        acknowledgement: Acknowledgement,
+    ) {
+        if !self.is_current_run(from, incarnation) {
+            return;
+        }
+        let now = now.instant;
+        self.probes.received(now, from, acknowledgement.probe);
+        if let Some(spoken) = self.probes.date(now, acknowledgement.echo) {
+            self.contacts.answered(from);
+            self.zone_contact = self.zone_contact.max(Some(spoken));
+            self.take_lease(spoken, acknowledgement.lease);
+        }
+        if let Some(status) = acknowledgement.status {
+            self.take_status(now, from, *status);
+        } else if let Some(known) = self.statuses.get_mut(&from) {
+            known.confirmed_at = now;
+        }
+    }
+
+    /// Takes over a relay's evidence. A lease for an earlier view serves as well: whoever could
+    /// activate a later view than ours needs a majority of that earlier view's members too.
+    fn take_lease(&mut self, spoken: Instant, lease: Option<Lease>) {
+        let Some(lease) = lease else {
+            return;
+        };
+        if lease.view <= self.view.version && lease.age_millis != u16::MAX {
+            let evidence = spoken - std::time::Duration::from_millis(u64::from(lease.age_millis));
+            self.lease = self.lease.max(Some(evidence));
+        }
+    }
+
+    fn take_status(&mut self, now: Instant, from: NodeId, status: Status) {
+        self.note_policy(status.policy, status.holder);
+        self.note_agreed(now, status.agreed);
+        self.take_leaving(&status.leaving);
+        let received = ReceivedStatus {
+            digest: status_digest(&status),
+            status,
+            confirmed_at: now,
+        };
+        self.statuses.insert(from, received);
+    }
+}
+
+/// Returns a digest by which two statuses are told apart; never zero.
+pub fn status_digest(status: &Status) -> u32 {
+    let hash = xxhash_rust::xxh3::xxh3_64(&bitcode::encode(status));
+    ((hash & u64::from(u32::MAX)) as u32).max(1)
+}
--- a/crates/rillgap-core/src/membership/mod.rs
+++ b/crates/rillgap-core/src/membership/mod.rs
@@ -1,33 +1,53 @@
 //! Membership: agreed views, heartbeats, failure detection and the right to serve and vote.
+//!
+//! Nobody is in charge. The view is one object in the platform's store, changed by
+//! compare-and-set. The first two live members of each zone, in an order that follows from the
+//! view, are its relays: they take the heartbeats of the zone's members and exchange digests
+//! with the relays of other zones. The first two relays of each region speak to other regions
+//! and to the store. See `docs/design/membership.md`.
+
+mod agreement;
+mod change;
+mod contact;
+mod detector;
+mod digest;
+mod heartbeat;
+mod history;
+mod joining;
+mod message;
+mod probe;
+mod proposal;
+mod protocol;
+mod relay;
+mod report;
+mod store_client;
+mod storing;
+pub mod timing;
+mod topology;
+mod views;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use bitcode::{Decode, Encode};
-
 use crate::action::Outbox;
 use crate::id::{Incarnation, NodeId, NodeName, PolicyVersion};
 use crate::node::NodeSettings;
 use crate::operator::MemberStatus;
 use crate::store::{Machine, StoreReply, StoreRequestId};
-use crate::time::{Instant, Now, WallTime};
+use crate::time::{Instant, Now};
 use crate::view::View;
 
-/// Messages about membership. (To be filled by the membership protocol.)
-#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
-pub enum MembershipMessage {
-    /// Placeholder until the protocol stands.
-    Nothing,
-}
+pub use change::{Removal, StoredView, ViewChange};
+pub use history::ActivatedView;
+pub use message::{
+    Acknowledgement, Echo, Exchange, Heartbeat, Lease, MembershipMessage, Proposal, RemovalCause,
+    RemovalRequest, Status, VersionCount, ZoneDigest,
+};
+pub use store_client::VIEW_KEY;
+pub use topology::ZoneId;
 
-/// A view together with the moment since when this node treats it as agreed.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct ActivatedView {
-    /// The view.
-    pub view: Arc<View>,
-    /// When a majority had confirmed it for longer than the vote lease, by this host's wall clock.
-    pub activated_at: WallTime,
-}
+use history::ViewHistory;
+use protocol::Protocol;
 
 /// Members that are not known to have confirmed a policy version.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -38,76 +58,125 @@
     pub nodes: Vec<NodeName>,
 }
 
-/// Membership at one node. (A fixed view from the settings yet.)
+/// A view from the settings that never changes.
 #[derive(Debug)]
-pub struct Membership {
+struct FixedView {
     view: Arc<View>,
-    history: Vec<ActivatedView>,
+    history: ViewHistory,
     policy: PolicyVersion,
 }
 
+#[derive(Debug)]
+enum Mode {
+    Fixed(FixedView),
+    Active(Box<Protocol>),
+}
+
+/// Membership at one node.
+#[derive(Debug)]
+pub struct Membership {
+    mode: Mode,
+}
+
 impl Membership {
     /// Creates the membership of a fresh node.
-    pub fn new(_now: Now, settings: &NodeSettings) -> Self {
-        let view = Arc::new(settings.initial_view.clone().unwrap_or_default());
-        Self {
-            history: vec![ActivatedView {
-                view: Arc::clone(&view),
-                activated_at: WallTime::default(),
-            }],
-            policy: PolicyVersion::default(),
-            view,
-        }
+    ///
+    /// With a view in the settings and no seeds, that view stands for ever.
+    pub fn new(now: Now, settings: &NodeSettings) -> Self {
+        let fixed = settings
+            .initial_view
+            .clone()
+            .filter(|_| settings.seeds.is_empty());
+        let mode = match fixed {
+            Some(view) => {
+                let view = Arc::new(view);
+                Mode::Fixed(FixedView {
+                    history: ViewHistory::fixed(Arc::clone(&view)),
+                    policy: PolicyVersion::default(),
+                    view,
+                })
+            }
+            None => Mode::Active(Box::new(Protocol::new(now, settings))),
+        };
+        Self { mode }
     }
 
     /// Returns the view in force.
     pub fn view(&self) -> &Arc<View> {
-        &self.view
+        match &self.mode {
+            Mode::Fixed(fixed) => &fixed.view,
+            Mode::Active(protocol) => &protocol.view,
+        }
     }
 
     /// Returns the mesh address of a member.
     pub fn address(&self, node: NodeId) -> Option<SocketAddr> {
-        self.view.member(node).map(|member| member.mesh_address)
+        self.view().member(node).map(|member| member.mesh_address)
     }
 
     /// Returns whether this node may serve requests: a member, in touch, not just thawed.
-    pub fn may_serve(&self, _now: Now) -> bool {
-        true
+    pub fn may_serve(&self, now: Now) -> bool {
+        match &self.mode {
+            Mode::Fixed(_) => true,
+            Mode::Active(protocol) => protocol.may_serve(now),
+        }
     }
 
     /// Returns whether this node may vote on claims: a majority of the members of its view is
     /// known, by evidence no older than the vote lease, to have confirmed no later view.
-    pub fn may_vote(&self, _now: Now) -> bool {
-        true
+    pub fn may_vote(&self, now: Now) -> bool {
+        match &self.mode {
+            Mode::Fixed(_) => true,
+            Mode::Active(protocol) => protocol.may_vote(now),
+        }
     }
 
     /// Returns the activated views of the longest key life, the latest last.
     ///
-    /// A member of the latest that was also in the one before votes without pause; a newcomer to
-    /// a replica group must not vote on keys made before its view was activated.
+    /// While one node treats a view as activated, no node votes under an earlier one. A replica
+    /// must vote only if it belongs to the replica group of the key in the latest activated view
+    /// *and* in [`Self::view`], which may be later. A member that was in the group before votes
+    /// without pause; a newcomer to a group must not vote on keys made before its view was
+    /// activated.
     pub fn view_history(&self) -> &[ActivatedView] {
-        &self.history
+        match &self.mode {
+            Mode::Fixed(fixed) => fixed.history.activated(),
+            Mode::Active(protocol) => protocol.history.activated(),
+        }
     }
 
     /// Returns whether a member was heard from lately, directly or by way of a relay.
     pub fn is_reachable(&self, node: NodeId) -> bool {
-        self.view.member(node).is_some()
+        match &self.mode {
+            Mode::Fixed(fixed) => fixed.view.member(node).is_some(),
+            Mode::Active(protocol) => protocol.is_reachable(node),
+        }
     }
 
     /// Tells which policy version is in force at this node; it is confirmed to others.
     pub fn set_policy_version(&mut self, version: PolicyVersion) {
-        self.policy = self.policy.max(version);
+        let policy = match &mut self.mode {
+            Mode::Fixed(fixed) => &mut fixed.policy,
+            Mode::Active(protocol) => &mut protocol.policy,
+        };
+        *policy = version.max(*policy);
     }
 
     /// Returns the highest policy version that was heard of and a node that has it.
     pub fn best_known_policy(&self) -> Option<(PolicyVersion, NodeId)> {
-        None
+        match &self.mode {
+            Mode::Fixed(_) => None,
+            Mode::Active(protocol) => protocol.best_policy,
+        }
     }
 
     /// Returns the members that are not known, by fresh evidence, to have confirmed `version`
     /// or a later one in their current run.
-    pub fn unconfirmed(&self, _version: PolicyVersion) -> Unconfirmed {
-        Unconfirmed::default()
+    pub fn unconfirmed(&self, version: PolicyVersion) -> Unconfirmed {
+        match &self.mode {
+            Mode::Fixed(_) => Unconfirmed::default(),
+            Mode::Active(protocol) => protocol.unconfirmed(version),
+        }
     }
 
     /// Returns the nodes to which this node passes news on, such as a new policy.
@@ -115,69 +184,108 @@
     /// Relays pass news to the relays of other zones and to the members of their own; all
     /// others pass them to the relays of their own zone.
     pub fn spread_targets(&self) -> Vec<NodeId> {
-        Vec::new()
+        match &self.mode {
+            Mode::Fixed(_) => Vec::new(),
+            Mode::Active(protocol) => protocol.spread_targets(),
+        }
     }
 
     /// Returns whether this node is one of the few of its region that watch the store.
     pub fn is_store_reader(&self) -> bool {
-        false
+        match &self.mode {
+            Mode::Fixed(_) => false,
+            Mode::Active(protocol) => protocol.roles.region_relay,
+        }
     }
 
     /// Returns the status of every member as this node sees it.
     pub fn member_status(&self) -> Vec<MemberStatus> {
-        self.view
-            .members
-            .iter()
-            .map(|member| MemberStatus {
-                node: member.name.clone(),
-                zone: member.zone.clone(),
-                reachable: true,
-                policy: self.policy,
-            })
-            .collect()
+        match &self.mode {
+            Mode::Fixed(fixed) => fixed.member_status(),
+            Mode::Active(protocol) => protocol.member_status(),
+        }
     }
 
     /// Handles a message of a peer.
     pub fn on_message(
         &mut self,
-        _now: Now,
-        _from: NodeId,
-        _incarnation: Incarnation,
-        _message: MembershipMessage,
-        _out: &mut Outbox,
+        now: Now,
+        from: NodeId,
+        incarnation: Incarnation,
+        message: MembershipMessage,
+        out: &mut Outbox,
     ) {
+        if let Mode::Active(protocol) = &mut self.mode {
+            protocol.on_message(now, from, incarnation, message, out);
+        }
     }
 
     /// Handles a reply of the store (identifiers with the top bit clear are membership's, those
     /// with the top bit set configuration's); returns whether the request was one of membership's.
     pub fn on_store(
         &mut self,
-        _now: Now,
-        _request: StoreRequestId,
-        _reply: &StoreReply,
-        _out: &mut Outbox,
+        now: Now,
+        request: StoreRequestId,
+        reply: &StoreReply,
+        out: &mut Outbox,
     ) -> bool {
-        false
+        match &mut self.mode {
+            Mode::Fixed(_) => false,
+            Mode::Active(protocol) => protocol.on_store(now, request, reply, out),
+        }
     }
 
-    /// Returns what the platform's machine list last said.
+    /// Returns what the platform's machine list last said: all of it at a store reader, the
+    /// machines that are leaving at other nodes.
     pub fn machines(&self) -> &[Machine] {
-        &[]
+        match &self.mode {
+            Mode::Fixed(_) => &[],
+            Mode::Active(protocol) => &protocol.store.machines,
+        }
     }
 
     /// Does what is due: heartbeats, suspicion, proposals of views.
-    pub fn poll(&mut self, _now: Now, _out: &mut Outbox) {}
+    pub fn poll(&mut self, now: Now, out: &mut Outbox) {
+        if let Mode::Active(protocol) = &mut self.mode {
+            protocol.poll(now, out);
+        }
+    }
 
     /// Returns when [`Self::poll`] must be called next.
     pub fn next_wake(&self) -> Option<Instant> {
-        None
+        match &self.mode {
+            Mode::Fixed(_) => None,
+            Mode::Active(protocol) => Some(protocol.next_tick),
+        }
     }
 
     /// Begins to leave the view; [`Self::has_left`] tells when it is done.
-    pub fn leave(&mut self, _now: Now, _out: &mut Outbox) {}
+    pub fn leave(&mut self, now: Now, _out: &mut Outbox) {
+        if let Mode::Active(protocol) = &mut self.mode {
+            protocol.leave(now.instant);
+        }
+    }
 
-    /// Returns whether this node has left the view.
+    /// Returns whether this node has left the view, or has tried for long enough.
     pub fn has_left(&self) -> bool {
-        true
+        match &self.mode {
+            Mode::Fixed(_) => true,
+            Mode::Active(protocol) => protocol.has_left(),
+        }
+    }
+}
+
+impl FixedView {
+    fn member_status(&self) -> Vec<MemberStatus> {
+        self.view
+            .members
+            .iter()
+            .map(|member| MemberStatus {
+                node: member.name.clone(),
+                zone: member.zone.clone(),
+                reachable: true,
+                policy: self.policy,
+            })
+            .collect()
     }
 }
--- /dev/null
+++ b/crates/rillgap-core/src/membership/proposal.rs
@@ -0,0 +1,187 @@
+//! Changes that wait to be written to the store.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use crate::action::Outbox;
+use crate::id::{NodeId, ViewVersion};
+use crate::store::Machine;
+use crate::time::Instant;
+use crate::view::{Member, View};
+
+use super::change::{Removal, ViewChange};
+use super::message::{MembershipMessage, Proposal, RemovalCause, RemovalRequest};
+use super::protocol::Protocol;
+use super::timing::{BATCH_INTERVAL, HOP_LIMIT};
+use super::topology::ZoneId;
+
+/// Time after which a proposal that nobody repeats is dropped.
+const PROPOSAL_LIFE: Duration = Duration::from_secs(15);
+/// Share of the members that one change may remove for silence: one in this many.
+const SILENT_REMOVAL_SHARE: usize = 10;
+
+#[derive(Debug)]
+struct Waiting<T> {
+    wanted: T,
+    refreshed: Instant,
+}
+
+/// Joins and removals that this node, as a store reader, was asked to write.
+#[derive(Debug, Default)]
+pub(super) struct Proposals {
+    joins: BTreeMap<NodeId, Waiting<Member>>,
+    removals: BTreeMap<NodeId, Waiting<RemovalRequest>>,
+    /// When the first of them came in.
+    pub waiting_since: Option<Instant>,
+}
+
+impl Proposals {
+    /// Takes in a join.
+    pub fn join(&mut self, now: Instant, member: Member) {
+        self.waiting_since.get_or_insert(now);
+        let waiting = Waiting {
+            wanted: member,
+            refreshed: now,
+        };
+        self.joins.insert(waiting.wanted.id(), waiting);
+    }
+
+    /// Takes in a removal.
+    pub fn remove(&mut self, now: Instant, request: RemovalRequest) {
+        self.waiting_since.get_or_insert(now);
+        let waiting = Waiting {
+            wanted: request,
+            refreshed: now,
+        };
+        self.removals.insert(request.removal.node, waiting);
+    }
+
+    /// Returns whether something has waited for the batch interval.
+    pub fn is_due(&self, now: Instant) -> bool {
+        self.waiting_since
+            .is_some_and(|since| now.saturating_since(since) >= BATCH_INTERVAL)
+    }
+
+    /// Drops what the view already fulfils and what nobody has repeated for long.
+    pub fn prune(&mut self, now: Instant, view: &View) {
+        let is_alive = |refreshed: Instant| now.saturating_since(refreshed) <= PROPOSAL_LIFE;
+        self.joins.retain(|node, waiting| {
+            let present = view.member(*node).map(|member| member.incarnation);
+            is_alive(waiting.refreshed) && present != Some(waiting.wanted.incarnation)
+        });
+        self.removals.retain(|node, waiting| {
+            let present = view.member(*node).map(|member| member.incarnation);
+            is_alive(waiting.refreshed) && present == Some(waiting.wanted.removal.incarnation)
+        });
+        if self.joins.is_empty() && self.removals.is_empty() {
+            self.waiting_since = None;
+        }
+    }
+
+    /// Makes the change that fulfils as much as one change may; `None` if there is nothing.
+    pub fn to_change(&self, view: &View, machines: Option<&[Machine]>) -> Option<ViewChange> {
+        let added: Vec<Member> = self
+            .joins
+            .values()
+            .map(|join| join.wanted.clone())
+            .collect();
+        let replaced = added.iter().filter_map(|member| {
+            let earlier = view.member(member.id())?;
+            Some(removal_of(earlier, true))
+        });
+        let mut removed: Vec<Removal> = replaced.collect();
+        let limit = (view.members.len() / SILENT_REMOVAL_SHARE).max(1);
+        let mut silent = 0;
+        for (node, waiting) in &self.removals {
+            let Some(member) = view
+                .member(*node)
+                .filter(|_| !self.joins.contains_key(node))
+            else {
+                continue;
+            };
+            let is_allowed = match waiting.wanted.cause {
+                RemovalCause::Left => true,
+                RemovalCause::Silent => silent < limit,
+                RemovalCause::Unlisted => machines.is_some_and(|machines| omits(machines, member)),
+            };
+            if is_allowed {
+                silent += usize::from(waiting.wanted.cause == RemovalCause::Silent);
+                let ended = waiting.wanted.cause != RemovalCause::Silent;
+                removed.push(removal_of(member, ended));
+            }
+        }
+        if added.is_empty() && removed.is_empty() {
+            return None;
+        }
+        Some(ViewChange {
+            version: ViewVersion(view.version.0 + 1),
+            removed,
+            added,
+        })
+    }
+}
+
+fn removal_of(member: &Member, ended: bool) -> Removal {
+    Removal {
+        node: member.id(),
+        incarnation: member.incarnation,
+        zone: ZoneId::from(&member.zone),
+        ended,
+    }
+}
+
+fn omits(machines: &[Machine], member: &Member) -> bool {
+    machines.iter().all(|machine| machine.node != member.name)
+}
+
+impl Protocol {
+    /// Keeps changes to be written, if this node is a store reader; else hands them on.
+    pub fn submit(
+        &mut self,
+        now: Instant,
+        joins: Vec<Member>,
+        removals: Vec<RemovalRequest>,
+        out: &mut Outbox,
+    ) {
+        let proposal = Proposal {
+            joins,
+            removals,
+            hops: 0,
+        };
+        self.on_propose(now, proposal, out);
+    }
+
+    /// Handles changes that were proposed here.
+    pub fn on_propose(&mut self, now: Instant, proposal: Proposal, out: &mut Outbox) {
+        if proposal.joins.is_empty() && proposal.removals.is_empty() {
+            return;
+        }
+        if self.roles.region_relay {
+            for member in proposal.joins {
+                self.proposals.join(now, member);
+            }
+            for request in proposal.removals {
+                self.proposals.remove(now, request);
+            }
+        } else if proposal.hops < HOP_LIMIT {
+            self.hand_on(now, proposal, out);
+        }
+    }
+
+    /// Hands a proposal on: members to a relay of their zone, relays to a region relay.
+    fn hand_on(&self, now: Instant, mut proposal: Proposal, out: &mut Outbox) {
+        proposal.hops += 1;
+        let relays = if self.roles.relay {
+            self.region_relays(now, self.identity.region)
+        } else {
+            self.zone_relays(now)
+        };
+        let next = relays
+            .live
+            .into_iter()
+            .find(|node| *node != self.identity.id);
+        if let Some(next) = next {
+            self.send(next, MembershipMessage::Propose(proposal), out);
+        }
+    }
+}
--- /dev/null
+++ b/crates/rillgap-core/src/membership/protocol.rs
@@ -0,0 +1,414 @@
+//! Membership of a running node: its state and its clockwork.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use crate::action::{Action, Outbox};
+use crate::id::{Incarnation, NodeId, PolicyVersion, ViewVersion};
+use crate::message::PeerMessage;
+use crate::node::{NodeSettings, SeedPeer};
+use crate::time::{Instant, Now};
+use crate::view::{Member, View};
+
+use super::change::ChangeLog;
+use super::contact::{Contacts, LivePeers};
+use super::detector::{Detector, Heard};
+use super::digest::DigestTable;
+use super::history::ViewHistory;
+use super::joining::Joining;
+use super::message::{MembershipMessage, Status};
+use super::probe::ProbeClock;
+use super::proposal::Proposals;
+use super::store_client::StoreClient;
+use super::timing::{
+    CONTACT_LIMIT, EXCHANGE_INTERVAL, FREEZE_LIMIT, HEARTBEAT_INTERVAL, LEAVE_LIMIT, RELAYS, TICK,
+    VOTE_LEASE,
+};
+use super::topology::{RegionId, Topology, ZoneId};
+
+/// Who this node is.
+#[derive(Clone, Debug)]
+pub(super) struct Identity {
+    pub id: NodeId,
+    pub member: Member,
+    pub zone: ZoneId,
+    pub region: RegionId,
+}
+
+/// Roles that this node has at present; they follow from the view and from who answers.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(super) struct Roles {
+    /// Among the first live members of its zone.
+    pub relay: bool,
+    /// Among the first live relays of its region: speaks to other regions and to the store.
+    pub region_relay: bool,
+}
+
+/// A status as received.
+#[derive(Clone, Debug)]
+pub(super) struct ReceivedStatus {
+    pub status: Status,
+    pub digest: u32,
+    pub confirmed_at: Instant,
+}
+
+/// Members whom another relay of the zone wants removed.
+#[derive(Clone, Debug)]
+pub(super) struct Accusation {
+    pub nodes: Vec<NodeId>,
+    pub at: Instant,
+}
+
+/// Membership of a running node.
+#[derive(Debug)]
+pub(super) struct Protocol {
+    pub identity: Identity,
+    pub seeds: Vec<SeedPeer>,
+    pub random: ChaCha8Rng,
+    pub view: Arc<View>,
+    pub topology: Topology,
+    pub log: ChangeLog,
+    pub history: ViewHistory,
+    pub agreed: ViewVersion,
+    pub policy: PolicyVersion,
+    pub best_policy: Option<(PolicyVersion, NodeId)>,
+    pub roles: Roles,
+    pub probes: ProbeClock,
+    pub contacts: Contacts,
+    pub detector: Detector,
+    pub digests: DigestTable,
+    pub own_status: Option<(Box<Status>, u32)>,
+    pub statuses: BTreeMap<NodeId, ReceivedStatus>,
+    pub accusations: BTreeMap<NodeId, Accusation>,
+    /// Time at which, at the latest, the evidence was given on which this node votes.
+    pub lease: Option<Instant>,
+    /// Latest time of a message that the own zone is known to have received.
+    pub zone_contact: Option<Instant>,
+    /// The same for relays of other zones.
+    pub other_contact: Option<Instant>,
+    pub joining: Joining,
+    pub proposals: Proposals,
+    pub store: StoreClient,
+    pub leaving_since: Option<Instant>,
+    /// Whether a later run of this node was seen in the view: it must never join again.
+    pub superseded: bool,
+    pub was_member: bool,
+    pub last_poll: Instant,
+    pub next_tick: Instant,
+    pub next_heartbeat: Instant,
+    pub next_exchange: Instant,
+    pub last_view_request: Option<Instant>,
+    pub heartbeat_turn: usize,
+}
+
+impl Protocol {
+    pub fn new(now: Now, settings: &NodeSettings) -> Self {
+        let mut random = ChaCha8Rng::seed_from_u64(settings.random_seed ^ settings.incarnation.0);
+        let identity = Identity {
+            id: settings.id(),
+            zone: ZoneId::from(&settings.zone),
+            region: RegionId::from(&settings.region),
+            member: Member {
+                name: settings.name.clone(),
+                zone: settings.zone.clone(),
+                region: settings.region.clone(),
+                incarnation: settings.incarnation,
+                mesh_address: settings.mesh_address,
+            },
+        };
+        let first_probe = random.random();
+        let joining = Joining::new(now.instant, settings, &mut random);
+        let view = Arc::new(settings.initial_view.clone().unwrap_or_default());
+        Self {
+            identity,
+            seeds: settings.seeds.clone(),
+            topology: Topology::of(&view),
+            view,
+            log: ChangeLog::default(),
+            history: ViewHistory::default(),
+            agreed: ViewVersion::default(),
+            policy: PolicyVersion::default(),
+            best_policy: None,
+            roles: Roles::default(),
+            probes: ProbeClock::new(first_probe),
+            contacts: Contacts::default(),
+            detector: Detector::default(),
+            digests: DigestTable::default(),
+            own_status: None,
+            statuses: BTreeMap::new(),
+            accusations: BTreeMap::new(),
+            lease: None,
+            zone_contact: None,
+            other_contact: None,
+            joining,
+            proposals: Proposals::default(),
+            store: StoreClient::default(),
+            leaving_since: None,
+            superseded: false,
+            was_member: false,
+            last_poll: now.instant,
+            next_tick: now.instant,
+            next_heartbeat: now.instant,
+            next_exchange: now.instant,
+            last_view_request: None,
+            heartbeat_turn: 0,
+            random,
+        }
+    }
+
+    /// Returns whether the view holds this run of this node.
+    pub fn is_member(&self) -> bool {
+        self.is_current_run(self.identity.id, self.identity.member.incarnation)
+    }
+
+    /// Returns whether the view holds a certain run of a node.
+    pub fn is_current_run(&self, node: NodeId, incarnation: Incarnation) -> bool {
+        self.view
+            .member(node)
+            .is_some_and(|member| member.incarnation == incarnation)
+    }
+
+    pub fn poll(&mut self, now: Now, out: &mut Outbox) {
+        self.notice_freeze(now.instant);
+        self.last_poll = now.instant;
+        if now.instant < self.next_tick {
+            return;
+        }
+        self.next_tick = now.instant + TICK;
+        self.update_roles(now.instant);
+        self.tick_joining(now.instant, out);
+        self.tick_heartbeat(now.instant, out);
+        self.tick_relay(now.instant, out);
+        self.tick_store(now.instant, out);
+        self.tick_leaving(now.instant, out);
+        self.history.poll(now);
+    }
+
+    /// After a freeze nothing learnt before counts any more, and nobody is accused.
+    fn notice_freeze(&mut self, now: Instant) {
+        if now.saturating_since(self.last_poll) <= FREEZE_LIMIT {
+            return;
+        }
+        self.probes.reset();
+        self.contacts.reset();
+        self.detector.reset(now);
+        self.digests.reset();
+        self.statuses.clear();
+        self.accusations.clear();
+        self.lease = None;
+        self.zone_contact = None;
+        self.other_contact = None;
+        self.next_heartbeat = now;
+        self.next_exchange = now;
+    }
+
+    pub fn update_roles(&mut self, now: Instant) {
+        let id = self.identity.id;
+        let relay = self.is_member() && self.zone_relays(now).live.contains(&id);
+        let region_relay = relay
+            && self
+                .region_relays(now, self.identity.region)
+                .live
+                .contains(&id);
+        self.roles = Roles {
+            relay,
+            region_relay,
+        };
+        self.detector.watch(now, relay);
+        if !relay {
+            self.own_status = None;
+        }
+    }
+
+    /// Returns the relays of the own zone, which may include this node.
+    pub fn zone_relays(&self, now: Instant) -> LivePeers {
+        self.relays_of(now, self.identity.zone)
+    }
+
+    /// Returns the relays of a zone.
+    pub fn relays_of(&self, now: Instant, zone: ZoneId) -> LivePeers {
+        self.contacts
+            .first_live(now, self.topology.order(zone), RELAYS)
+    }
+
+    /// Returns the relays of a region that speak to other regions and to the store.
+    pub fn region_relays(&self, now: Instant, region: RegionId) -> LivePeers {
+        self.contacts
+            .first_live(now, self.topology.region_order(region), RELAYS)
+    }
+
+    pub fn may_serve(&self, now: Now) -> bool {
+        let now = now.instant;
+        let thawed = now.saturating_since(self.last_poll) <= FREEZE_LIMIT;
+        thawed && self.is_in_service() && self.is_in_touch(now)
+    }
+
+    pub fn may_vote(&self, now: Now) -> bool {
+        let now = now.instant;
+        let thawed = now.saturating_since(self.last_poll) <= FREEZE_LIMIT;
+        let leased = self
+            .lease
+            .is_some_and(|lease| now.saturating_since(lease) <= VOTE_LEASE);
+        thawed && leased && self.is_in_service()
+    }
+
+    fn is_in_service(&self) -> bool {
+        self.is_member() && self.leaving_since.is_none() && !self.superseded
+    }
+
+    /// Returns whether the own zone has heard this node lately. The last live member of a zone
+    /// may instead be heard by another zone; an only member needs nobody.
+    pub fn is_in_touch(&self, now: Instant) -> bool {
+        let recent = |contact: Option<Instant>| {
+            contact.is_some_and(|at| now.saturating_since(at) <= CONTACT_LIMIT)
+        };
+        let order = self.topology.order(self.identity.zone);
+        if order.len() <= 1 {
+            return true;
+        }
+        if recent(self.zone_contact.max(self.detector.last_dated())) {
+            return true;
+        }
+        let is_last = order
+            .iter()
+            .all(|&node| node == self.identity.id || self.contacts.is_silent(now, node));
+        is_last && recent(self.other_contact)
+    }
+
+    pub fn leave(&mut self, now: Instant) {
+        if self.leaving_since.is_none() {
+            self.leaving_since = Some(now);
+            self.joining.request_at_once(now);
+        }
+    }
+
+    pub fn has_left(&self) -> bool {
+        self.leaving_since.is_some_and(|since| {
+            !self.is_member() || self.last_poll.saturating_since(since) >= LEAVE_LIMIT
+        })
+    }
+
+    /// Returns what this node itself has confirmed.
+    pub fn own_heard(&self, now: Instant) -> (NodeId, Heard) {
+        let heard = Heard {
+            incarnation: self.identity.member.incarnation,
+            at: now,
+            sent: Some(now),
+            view: self.view.version,
+            policy: self.policy,
+        };
+        (self.identity.id, heard)
+    }
+
+    /// Takes in that a node has a version of the policy.
+    pub fn note_policy(&mut self, version: PolicyVersion, holder: NodeId) {
+        let is_news = version > PolicyVersion::default()
+            && self.best_policy.is_none_or(|(best, _)| version > best);
+        if is_news {
+            self.best_policy = Some((version, holder));
+        }
+    }
+
+    /// Takes in how far joint majorities have confirmed views.
+    pub fn note_agreed(&mut self, now: Instant, agreed: ViewVersion) {
+        if agreed > self.agreed {
+            self.agreed = agreed;
+        }
+        self.history.agreed(now, self.agreed);
+    }
+
+    /// Returns the time of the next heartbeat, with a jitter of a tenth.
+    pub fn after_heartbeat(&mut self, now: Instant) -> Instant {
+        now + HEARTBEAT_INTERVAL.mul_f64(self.random.random_range(0.9..1.1))
+    }
+
+    /// Returns the time of the next exchange, with a jitter of a tenth.
+    pub fn after_exchange(&mut self, now: Instant) -> Instant {
+        now + EXCHANGE_INTERVAL.mul_f64(self.random.random_range(0.9..1.1))
+    }
+
+    /// Sends a message to a member of the view or a seed.
+    pub fn send(&self, to: NodeId, message: MembershipMessage, out: &mut Outbox) {
+        let member = self.view.member(to).map(|member| member.mesh_address);
+        let address = member.or_else(|| {
+            self.seeds
+                .iter()
+                .find(|seed| seed.name.id() == to)
+                .map(|seed| seed.mesh_address)
+        });
+        if let Some(address) = address {
+            out.push(Action::Send {
+                to,
+                address,
+                message: PeerMessage::Membership(message),
+            });
+        }
+    }
+
+    /// Sends a message to a node that need not be a member.
+    pub fn send_to(&self, member: &Member, message: MembershipMessage, out: &mut Outbox) {
+        out.push(Action::Send {
+            to: member.id(),
+            address: member.mesh_address,
+            message: PeerMessage::Membership(message),
+        });
+    }
+}
+
+impl Protocol {
+    pub fn on_message(
+        &mut self,
+        now: Now,
+        from: NodeId,
+        incarnation: Incarnation,
+        message: MembershipMessage,
+        out: &mut Outbox,
+    ) {
+        self.notice_freeze(now.instant);
+        match message {
+            MembershipMessage::Heartbeat(heartbeat) => {
+                self.on_heartbeat(now, from, incarnation, &heartbeat, out);
+            }
+            MembershipMessage::Acknowledgement(acknowledgement) => {
+                self.on_acknowledgement(now, from, incarnation, *acknowledgement);
+            }
+            MembershipMessage::Exchange(exchange) => {
+                self.on_exchange(now, from, incarnation, *exchange, out);
+            }
+            MembershipMessage::ViewRequest { known } => {
+                let news = self.news_since(known);
+                self.send(from, news, out);
+            }
+            MembershipMessage::Changes(changes) => {
+                self.on_join_answered(now.instant);
+                self.on_changes(now.instant, from, changes, out);
+            }
+            MembershipMessage::FullView(stored) => {
+                self.on_join_answered(now.instant);
+                self.on_full_view(now.instant, Some(from), *stored, out);
+            }
+            MembershipMessage::Join { member, known } => {
+                self.notice_later_run(now.instant, from, incarnation);
+                self.on_join(now.instant, member, known, out);
+            }
+            MembershipMessage::AlsoJoining => {
+                self.notice_later_run(now.instant, from, incarnation);
+                self.on_also_joining(now.instant, from);
+            }
+            MembershipMessage::Propose(proposal) => {
+                self.on_propose(now.instant, proposal, out);
+            }
+        }
+    }
+
+    /// A node that is joining has ended the run that the view names, which need not be waited
+    /// for.
+    fn notice_later_run(&mut self, now: Instant, node: NodeId, incarnation: Incarnation) {
+        if !self.is_current_run(node, incarnation) && self.view.member(node).is_some() {
+            self.contacts.ended(now, node);
+        }
+    }
+}
--- /dev/null
+++ b/crates/rillgap-core/src/membership/report.rs
@@ -0,0 +1,169 @@
+//! What membership tells the other parts of the node.
+
+use std::collections::BTreeSet;
+
+use crate::id::{NodeId, NodeName, PolicyVersion};
+use crate::operator::{MAX_NAMED_NODES, MemberStatus};
+use crate::time::Instant;
+use crate::view::Member;
+
+use super::Unconfirmed;
+use super::message::Status;
+use super::protocol::Protocol;
+use super::timing::NAMED_LIMIT;
+use super::topology::ZoneId;
+
+/// Members not known to have confirmed a policy version.
+#[derive(Debug, Default)]
+pub(super) struct UnconfirmedNodes {
+    pub missing: u32,
+    pub nodes: Vec<NodeId>,
+}
+
+impl Protocol {
+    /// Counts the members that have not confirmed a policy version, from digests.
+    pub fn count_unconfirmed(&self, now: Instant, version: PolicyVersion) -> UnconfirmedNodes {
+        let mut unconfirmed = UnconfirmedNodes::default();
+        for &zone in self.topology.zones.keys() {
+            let confirmed =
+                self.digests
+                    .confirmed_policies(now, &self.log, zone, self.view.version, version);
+            let missing = self.topology.zone_size(zone).saturating_sub(confirmed);
+            if missing > 0 {
+                unconfirmed.missing += missing;
+                self.name_unconfirmed(now, zone, &mut unconfirmed.nodes);
+            }
+        }
+        unconfirmed.nodes.truncate(NAMED_LIMIT);
+        unconfirmed
+    }
+
+    fn name_unconfirmed(&self, now: Instant, zone: ZoneId, nodes: &mut Vec<NodeId>) {
+        let is_silent = !self.digests.is_fresh(now, zone);
+        if is_silent {
+            nodes.extend(self.topology.order(zone).iter().take(NAMED_LIMIT));
+        }
+        for digest in self.digests.fresh(now, zone) {
+            let named = digest.silent.iter().chain(&digest.lagging);
+            for node in named {
+                if !nodes.contains(node) {
+                    nodes.push(*node);
+                }
+            }
+        }
+    }
+
+    /// Returns what is known of the deployment: a relay's own status, or the best received.
+    pub fn status(&self) -> Option<&Status> {
+        if let Some((status, _)) = &self.own_status {
+            return Some(status);
+        }
+        self.statuses
+            .values()
+            .filter(|received| Self::is_status_recent(self.last_poll, received.confirmed_at))
+            .max_by_key(|received| {
+                let status = &received.status;
+                (
+                    status.policy,
+                    std::cmp::Reverse(status.unconfirmed),
+                    status.view,
+                )
+            })
+            .map(|received| &received.status)
+    }
+
+    pub fn unconfirmed(&self, version: PolicyVersion) -> Unconfirmed {
+        if self.roles.relay {
+            let unconfirmed = self.count_unconfirmed(self.last_poll, version);
+            return self.with_names(unconfirmed.missing, &unconfirmed.nodes);
+        }
+        match self.status() {
+            Some(status) if status.policy >= version && status.view >= self.view.version => {
+                self.with_names(status.unconfirmed, &status.lagging)
+            }
+            _ => self.all_unconfirmed(),
+        }
+    }
+
+    fn with_names(&self, missing: u32, nodes: &[NodeId]) -> Unconfirmed {
+        Unconfirmed {
+            missing,
+            nodes: self.names(nodes.iter().copied()),
+        }
+    }
+
+    /// Nothing is known of anybody, not even of this node's own confirmation being heard.
+    fn all_unconfirmed(&self) -> Unconfirmed {
+        Unconfirmed {
+            missing: u32::try_from(self.view.members.len()).unwrap_or(u32::MAX),
+            nodes: self.names(self.view.members.iter().map(|member| member.id())),
+        }
+    }
+
+    fn names(&self, nodes: impl Iterator<Item = NodeId>) -> Vec<NodeName> {
+        nodes
+            .filter_map(|node| self.view.member(node))
+            .map(|member| member.name.clone())
+            .take(MAX_NAMED_NODES)
+            .collect()
+    }
+
+    pub fn is_reachable(&self, node: NodeId) -> bool {
+        self.view
+            .member(node)
+            .is_some_and(|member| self.is_member_reachable(member, node))
+    }
+
+    fn is_member_reachable(&self, member: &Member, node: NodeId) -> bool {
+        if node == self.identity.id {
+            return true;
+        }
+        self.status().is_none_or(|status| {
+            let zone = ZoneId::from(&member.zone);
+            !status.suspects.contains(&node) && !status.silent_zones.contains(&zone)
+        })
+    }
+
+    pub fn member_status(&self) -> Vec<MemberStatus> {
+        let status = self.status();
+        let lagging: BTreeSet<NodeId> = status
+            .iter()
+            .flat_map(|status| status.lagging.iter().copied())
+            .collect();
+        let confirmed = status.map_or(PolicyVersion::default(), |status| status.policy);
+        self.view
+            .members
+            .iter()
+            .map(|member| {
+                let node = member.id();
+                let reachable = self.is_member_reachable(member, node);
+                let policy = if node == self.identity.id {
+                    self.policy
+                } else if reachable && !lagging.contains(&node) {
+                    confirmed
+                } else {
+                    PolicyVersion::default()
+                };
+                MemberStatus {
+                    node: member.name.clone(),
+                    zone: member.zone.clone(),
+                    reachable,
+                    policy,
+                }
+            })
+            .collect()
+    }
+
+    pub fn spread_targets(&self) -> Vec<NodeId> {
+        let now = self.last_poll;
+        let mut targets: BTreeSet<NodeId> = BTreeSet::new();
+        if self.roles.relay {
+            targets.extend(self.topology.order(self.identity.zone));
+            targets.extend(self.exchange_partners(now));
+        } else {
+            targets.extend(self.zone_relays(now).live);
+        }
+        targets.remove(&self.identity.id);
+        targets.into_iter().collect()
+    }
+}
--- /dev/null
+++ b/crates/rillgap-core/src/membership/storing.rs
@@ -0,0 +1,250 @@
+//! How store readers watch the view and write changes, and how a fresh node bootstraps.
+
+use crate::action::Outbox;
+use crate::id::{NodeId, ViewVersion};
+use crate::store::{ModifyIndex, StoreObject, StoreReply, StoreRequestId};
+use crate::time::{Instant, Now};
+
+use super::change::{Removal, StoredView, ViewChange, apply};
+use super::message::{RemovalCause, RemovalRequest};
+use super::protocol::Protocol;
+use super::store_client::{Purpose, StoreClient, Stored};
+use super::timing::{LOG_LIMIT, UNAGREED_LIMIT};
+
+impl Protocol {
+    /// Does what is due at the store: readers watch and write, a lonely fresh node bootstraps.
+    pub fn tick_store(&mut self, now: Instant, out: &mut Outbox) {
+        for purpose in self.store.take_expired(now) {
+            self.store_failed(now, purpose);
+        }
+        if self.roles.region_relay {
+            self.store.reading_since.get_or_insert(now);
+            self.watch_store(now, out);
+            self.propose_unlisted(now);
+        } else {
+            self.store.stop_reading();
+            self.bootstrap(now, out);
+        }
+        self.write_proposals(now, out);
+    }
+
+    fn watch_store(&mut self, now: Instant, out: &mut Outbox) {
+        let views_due = self.store.watch_backoff.is_over(now);
+        if views_due && !self.store.is_pending(Purpose::WatchView) {
+            self.store.read_view(now, Purpose::WatchView, out);
+        }
+        let machines_due = self.store.machines_backoff.is_over(now);
+        if machines_due && !self.store.is_pending(Purpose::WatchMachines) {
+            self.store.watch_machines(now, out);
+        }
+    }
+
+    /// Reads the view if no peer has helped; the first node of all creates it.
+    fn bootstrap(&mut self, now: Instant, out: &mut Outbox) {
+        let is_due = now >= self.joining.store_at && self.store.write_backoff.is_over(now);
+        if !self.wants_to_join() || !is_due || self.is_busy() {
+            return;
+        }
+        if self.joining.writes_itself {
+            self.proposals.join(now, self.identity.member.clone());
+        } else {
+            self.store.read_view(now, Purpose::ReadView, out);
+        }
+    }
+
+    fn is_busy(&self) -> bool {
+        self.store.is_pending(Purpose::ReadView) || self.store.is_pending(Purpose::WriteView)
+    }
+
+    /// Proposes to remove the members of zones that nobody has heard of for long; those whom
+    /// the machine list names stay.
+    fn propose_unlisted(&mut self, now: Instant) {
+        let Some(since) = self.store.reading_since else {
+            return;
+        };
+        for zone in self.zones_unheard(now, since) {
+            for &node in self.topology.order(zone) {
+                let Some(member) = self.view.member(node) else {
+                    continue;
+                };
+                let request = RemovalRequest {
+                    removal: Removal {
+                        node,
+                        incarnation: member.incarnation,
+                        zone,
+                        ended: true,
+                    },
+                    cause: RemovalCause::Unlisted,
+                };
+                self.proposals.remove(now, request);
+            }
+        }
+    }
+
+    /// Writes what was proposed, upon the view that the store holds.
+    fn write_proposals(&mut self, now: Instant, out: &mut Outbox) {
+        self.proposals.prune(now, &self.view);
+        let may_write = self.roles.region_relay || self.joining.writes_itself;
+        let is_due = self.proposals.is_due(now) && self.store.write_backoff.is_over(now);
+        if !may_write || !is_due || self.is_busy() || self.has_left() {
+            return;
+        }
+        let machines = self.store.listed_machines();
+        let Some(change) = self.proposals.to_change(&self.view, machines) else {
+            return;
+        };
+        if self.view.version.0 >= self.agreed.0 + UNAGREED_LIMIT {
+            return;
+        }
+        let is_current = self
+            .store
+            .stored
+            .is_some_and(|stored| stored.version == self.view.version);
+        if is_current {
+            self.proposals.waiting_since = Some(now);
+            self.store.write_view(now, self.after(change), out);
+        } else {
+            self.store.read_view(now, Purpose::ReadView, out);
+        }
+    }
+
+    /// Returns the object in the store after a change.
+    fn after(&self, change: ViewChange) -> StoredView {
+        let view = apply(&self.view, &change);
+        let mut changes = self.log.to_vec();
+        changes.push(change);
+        let surplus = changes.len().saturating_sub(LOG_LIMIT);
+        changes.drain(..surplus);
+        StoredView {
+            view,
+            changes,
+            agreed: self.agreed,
+        }
+    }
+
+    pub fn on_store(
+        &mut self,
+        now: Now,
+        request: StoreRequestId,
+        reply: &StoreReply,
+        out: &mut Outbox,
+    ) -> bool {
+        if !StoreClient::is_own(request) {
+            return false;
+        }
+        let now = now.instant;
+        let Some(purpose) = self.store.take(request) else {
+            return true;
+        };
+        match reply {
+            StoreReply::Object(object) => self.on_object(now, purpose, object, out),
+            StoreReply::Written(index) => self.on_written(now, *index, out),
+            StoreReply::Conflict => {
+                self.store.write_backoff.failed(now, &mut self.random);
+                self.store.read_view(now, Purpose::ReadView, out);
+            }
+            StoreReply::Machines { index, machines } => {
+                self.store.machines_backoff.succeeded();
+                self.store.note_machines(*index, machines);
+            }
+            StoreReply::Failed => self.store_failed(now, purpose),
+        }
+        true
+    }
+
+    fn on_written(&mut self, now: Instant, index: ModifyIndex, out: &mut Outbox) {
+        self.store.write_backoff.succeeded();
+        let Some(written) = self.store.writing.take() else {
+            return;
+        };
+        self.store.stored = Some(Stored {
+            index,
+            version: written.view.version,
+        });
+        self.on_full_view(now, None, written, out);
+    }
+
+    /// Takes in the view as read. A write whose answer was lost is settled the same way: what
+    /// the view already fulfils is no longer proposed.
+    fn on_object(
+        &mut self,
+        now: Instant,
+        purpose: Purpose,
+        object: &StoreObject,
+        out: &mut Outbox,
+    ) {
+        let Some(value) = &object.value else {
+            self.on_no_view(now, out);
+            return;
+        };
+        let Some(stored) = StoredView::decode(value) else {
+            self.store_failed(now, purpose);
+            return;
+        };
+        self.store.watch_backoff.succeeded();
+        self.store.stored = Some(Stored {
+            index: object.index,
+            version: stored.view.version,
+        });
+        if stored.view.version < self.view.version {
+            self.store.write_backoff.failed(now, &mut self.random);
+        }
+        self.on_full_view(now, None, stored, out);
+        if !self.roles.region_relay && self.wants_to_join() {
+            self.joining.prepare_own_write(now, &mut self.random);
+        }
+    }
+
+    /// The store holds no view: a node that is alone creates it with itself.
+    fn on_no_view(&mut self, now: Instant, out: &mut Outbox) {
+        let is_first = self.view.version == ViewVersion::default();
+        if !is_first || !self.wants_to_join() || self.store.is_pending(Purpose::WriteView) {
+            self.store.watch_backoff.failed(now, &mut self.random);
+            return;
+        }
+        self.store.stored = Some(Stored {
+            index: ModifyIndex::default(),
+            version: ViewVersion::default(),
+        });
+        let change = ViewChange {
+            version: ViewVersion(1),
+            removed: Vec::new(),
+            added: vec![self.identity.member.clone()],
+        };
+        self.store.write_view(now, self.after(change), out);
+    }
+
+    /// A request failed; whether a write took effect is settled by the next read.
+    fn store_failed(&mut self, now: Instant, purpose: Purpose) {
+        match purpose {
+            Purpose::WatchView => self.store.watch_backoff.failed(now, &mut self.random),
+            Purpose::WatchMachines => self.store.machines_backoff.failed(now, &mut self.random),
+            Purpose::ReadView => self.store.write_backoff.failed(now, &mut self.random),
+            Purpose::WriteView => {
+                self.store.stored = None;
+                self.store.write_backoff.failed(now, &mut self.random);
+            }
+        }
+    }
+
+    /// Takes in which machines are marked as leaving, at a node that does not read the list.
+    pub fn take_leaving(&mut self, leaving: &[NodeId]) {
+        if self.roles.region_relay {
+            return;
+        }
+        self.store.machines = leaving
+            .iter()
+            .filter_map(|node| self.view.member(*node))
+            .map(|member| crate::store::Machine {
+                node: member.name.clone(),
+                leaving: true,
+            })
+            .collect();
+    }
+
+    /// Returns the members that the machine list marks as leaving.
+    pub fn leaving_hints(&self) -> Vec<NodeId> {
+        let limit = 2 * super::timing::NAMED_LIMIT;
+        self.store.leaving().take(limit).collect()
+    }
+}
--- /dev/null
+++ b/crates/rillgap-core/src/membership/views.rs
@@ -0,0 +1,202 @@
+//! Taking in views and passing them on.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
+use crate::action::Outbox;
+use crate::id::{NodeId, ViewVersion};
+use crate::time::Instant;
+use crate::view::{Member, View};
+
+use super::change::{StoredView, ViewChange, apply};
+use super::message::MembershipMessage;
+use super::protocol::Protocol;
+use super::timing::VIEW_REQUEST_INTERVAL;
+use super::topology::{Topology, ZoneId};
+
+impl Protocol {
+    /// Takes in successive changes; a later one than the next means that some are missing.
+    pub fn on_changes(
+        &mut self,
+        now: Instant,
+        from: NodeId,
+        changes: Vec<ViewChange>,
+        out: &mut Outbox,
+    ) {
+        let before = Arc::clone(&self.view);
+        let mut latest = self.view.version;
+        for change in changes {
+            latest = latest.max(change.version);
+            if change.version.0 == self.view.version.0 + 1 {
+                self.view = Arc::new(apply(&self.view, &change));
+                self.log.push(change);
+                self.history.adopted(Arc::clone(&self.view));
+            }
+        }
+        if self.view.version > before.version {
+            self.view_changed(now, &before, Some(from), out);
+        }
+        if latest > self.view.version {
+            self.request_view(now, from, out);
+        }
+    }
+
+    /// Takes in a whole view, if it is newer.
+    pub fn on_full_view(
+        &mut self,
+        now: Instant,
+        from: Option<NodeId>,
+        stored: StoredView,
+        out: &mut Outbox,
+    ) {
+        if stored.view.version <= self.view.version {
+            self.note_agreed(now, stored.agreed);
+            return;
+        }
+        let before = Arc::clone(&self.view);
+        let mut next: Vec<ViewChange> = Vec::new();
+        if before.version > ViewVersion::default() {
+            let later = stored.changes.iter();
+            next.extend(
+                later
+                    .filter(|change| change.version > before.version)
+                    .cloned(),
+            );
+        }
+        let is_successive = next
+            .first()
+            .is_some_and(|change| change.version.0 == before.version.0 + 1);
+        if is_successive {
+            self.on_changes(now, from.unwrap_or(self.identity.id), next, out);
+        } else {
+            self.view = Arc::new(stored.view);
+            self.log.replace(stored.changes);
+            self.history.adopted(Arc::clone(&self.view));
+            self.view_changed(now, &before, from, out);
+        }
+        self.note_agreed(now, stored.agreed);
+    }
+
+    /// Returns the message that brings a peer from `version` to the view in force.
+    pub fn news_since(&self, version: ViewVersion) -> MembershipMessage {
+        let changes = Some(version)
+            .filter(|version| *version > ViewVersion::default())
+            .and_then(|version| self.log.after(version));
+        changes.map_or_else(
+            || MembershipMessage::FullView(Box::new(self.stored_view())),
+            MembershipMessage::Changes,
+        )
+    }
+
+    /// Returns the view in force as the store holds it.
+    pub fn stored_view(&self) -> StoredView {
+        StoredView {
+            view: self.view.as_ref().clone(),
+            changes: self.log.to_vec(),
+            agreed: self.agreed,
+        }
+    }
+
+    /// Asks a peer for a newer view, unless one was asked just now.
+    pub fn request_view(&mut self, now: Instant, peer: NodeId, out: &mut Outbox) {
+        let is_due = self
+            .last_view_request
+            .is_none_or(|last| now.saturating_since(last) >= VIEW_REQUEST_INTERVAL);
+        if is_due {
+            self.last_view_request = Some(now);
+            let known = self.view.version;
+            self.send(peer, MembershipMessage::ViewRequest { known }, out);
+        }
+    }
+
+    fn view_changed(
+        &mut self,
+        now: Instant,
+        before: &View,
+        from: Option<NodeId>,
+        out: &mut Outbox,
+    ) {
+        self.topology = Topology::of(&self.view);
+        self.forget_ended_runs(before);
+        self.note_own_membership(now, before);
+        self.update_roles(now);
+        self.pass_on_view(now, before, from, out);
+    }
+
+    fn forget_ended_runs(&mut self, before: &View) {
+        let view = &self.view;
+        let run_of = |view: &View, node| view.member(node).map(|member| member.incarnation);
+        let is_member = |node: NodeId| {
+            let run = run_of(view, node);
+            run.is_some() && run == run_of(before, node)
+        };
+        self.probes.retain(is_member);
+        self.contacts.retain(is_member);
+        self.detector.retain(is_member);
+        self.statuses.retain(|node, _| is_member(*node));
+        self.accusations.retain(|node, _| is_member(*node));
+        let topology = &self.topology;
+        self.digests
+            .retain(|zone| topology.zones.contains_key(&zone));
+    }
+
+    fn note_own_membership(&mut self, now: Instant, before: &View) {
+        let is_member = self.is_member();
+        let own_run = self.identity.member.incarnation;
+        let was_member = before
+            .member(self.identity.id)
+            .is_some_and(|member| member.incarnation == own_run);
+        if was_member && !is_member {
+            self.joining.restart(now, &mut self.random);
+        }
+        let other_run = self.view.member(self.identity.id).is_some() && !is_member;
+        if other_run && self.was_member {
+            self.superseded = true;
+        }
+        self.was_member |= is_member;
+        if is_member {
+            self.joining.writes_itself = false;
+        }
+    }
+
+    /// Relays pass a new view on to the relays of their region and to the members of their own
+    /// zone, also to those that it removes, so that they learn it.
+    fn pass_on_view(&self, now: Instant, before: &View, from: Option<NodeId>, out: &mut Outbox) {
+        if !self.roles.relay || before.version == ViewVersion::default() {
+            return;
+        }
+        let message = self.news_since(before.version);
+        let mut passed: BTreeSet<NodeId> = from.into_iter().collect();
+        passed.insert(self.identity.id);
+        let zone = &self.identity.member.zone;
+        let in_zone = |member: &&Arc<Member>| member.zone == *zone;
+        for member in self.view.members.iter().filter(in_zone) {
+            if passed.insert(member.id()) {
+                self.send_to(member, message.clone(), out);
+            }
+        }
+        for member in before.members.iter().filter(in_zone) {
+            if passed.insert(member.id()) {
+                self.send_to(member, message.clone(), out);
+            }
+        }
+        for zone in self.topology.zones_of(self.identity.region) {
+            self.pass_on_to_relays(now, zone, &message, &mut passed, out);
+        }
+    }
+
+    fn pass_on_to_relays(
+        &self,
+        now: Instant,
+        zone: ZoneId,
+        message: &MembershipMessage,
+        passed: &mut BTreeSet<NodeId>,
+        out: &mut Outbox,
+    ) {
+        for relay in self.relays_of(now, zone).live {
+            if passed.insert(relay) {
+                self.send(relay, message.clone(), out);
+            }
+        }
+    }
+}
