Deterministic simulation of whole deployments on nexosim's clock

Ruled out: an own event queue.

Change: scenarios as TOML (both deployments), faults, hosts with own clocks, links with order, cuts and lost connections, the platform's store and machine list, back ends with slots, own queue, cold start and calls of their own, callers that give up and repeat, operators, and a ledger of what truly ran. Planted faults can be switched on in the options for the observers to come.

--- a/crates/rillgap-lab/src/lib.rs
+++ b/crates/rillgap-lab/src/lib.rs
@@ -3,4 +3,6 @@
 pub mod answer;
 pub mod command;
 pub mod load;
+pub mod model;
 pub mod serve;
+pub mod sim;
--- /dev/null
+++ b/crates/rillgap-lab/src/model/mod.rs
@@ -0,0 +1,6 @@
+//! Scenarios: deployments, call graphs, callers and faults, as files or built in code.
+
+pub mod deployment;
+pub mod fault;
+pub mod policy;
+pub mod scenario;
