Simulation: overload control of the nodes is an option of the run

Cause: baselines are compared on the same world, and views now share their members. The admission settings go from the options into every node's settings.

--- a/crates/rillgap-lab/src/sim/options.rs
+++ b/crates/rillgap-lab/src/sim/options.rs
@@ -1,10 +1,14 @@
 //! Options of a run that are not part of its scenario.
 
+use rillgap_core::admission::AdmissionSettings;
+
 /// Options of a run.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct SimulationOptions {
     /// Whether a readable timeline is recorded.
     pub timeline: bool,
+    /// Overload control of all nodes; anything but the default is a baseline.
+    pub admission: AdmissionSettings,
     /// Fault that is planted to show that a checker catches it.
     pub planted: Option<PlantedFault>,
 }
--- a/crates/rillgap-lab/src/sim/setup.rs
+++ b/crates/rillgap-lab/src/sim/setup.rs
@@ -175,6 +175,7 @@
             seeds: self.seed_peers(host),
             initial_view: fixed.then(|| self.fixed_view()),
             initial_policy: (fixed || reverts).then(|| self.policy.clone()),
+            admission: self.options.admission,
         }
     }
 
@@ -191,14 +192,8 @@
     }
 
     fn fixed_view(&self) -> View {
-        let mut members: Vec<Member> = (0..self.hosts.len())
-            .map(|index| self.member(index))
-            .collect();
-        members.sort_by_key(Member::id);
-        View {
-            version: rillgap_core::id::ViewVersion(1),
-            members,
-        }
+        let members = (0..self.hosts.len()).map(|index| self.member(index));
+        View::new(rillgap_core::id::ViewVersion(1), members)
     }
 
     fn member(&self, host: HostIndex) -> Member {
