--- a/crates/rillgap-core/src/membership/mod.rs
+++ b/crates/rillgap-core/src/membership/mod.rs
@@ -38,7 +38,7 @@
 use crate::view::View;
 
 pub use change::{Removal, StoredView, ViewChange};
-pub use history::ActivatedView;
+pub use history::{ActivatedView, NOT_ACTIVATED};
 pub use message::{
     Acknowledgement, Echo, Exchange, Heartbeat, Lease, MembershipMessage, Proposal, RemovalCause,
     RemovalRequest, Status, VersionCount, ZoneDigest,
@@ -131,17 +131,16 @@
         }
     }
 
-    /// Returns the activated views of the longest key life, the latest last.
+    /// Returns the views of the longest key life, the latest last. Those that are not activated
+    /// yet carry [`NOT_ACTIVATED`].
     ///
     /// While one node treats a view as activated, no node votes under an earlier one. A replica
-    /// must vote only if it belongs to the replica group of the key in the latest activated view
-    /// *and* in [`Self::view`], which may be later. A member that was in the group before votes
-    /// without pause; a newcomer to a group must not vote on keys made before its view was
-    /// activated.
+    /// must vote only if it belongs to the replica group of the key in [`Self::view`] and in all
+    /// views back to the one that was activated when the key was first used.
     pub fn view_history(&self) -> &[ActivatedView] {
         match &self.mode {
-            Mode::Fixed(fixed) => fixed.history.activated(),
-            Mode::Active(protocol) => protocol.history.activated(),
+            Mode::Fixed(fixed) => fixed.history.views(),
+            Mode::Active(protocol) => protocol.history.views(),
         }
     }
 
--- a/crates/rillgap-core/src/membership/protocol.rs
+++ b/crates/rillgap-core/src/membership/protocol.rs
@@ -316,8 +316,8 @@
     pub fn note_agreed(&mut self, now: Instant, agreed: ViewVersion) {
         if agreed > self.agreed {
             self.agreed = agreed;
+            self.history.agreed(now, agreed);
         }
-        self.history.agreed(now, self.agreed);
     }
 
     /// Returns the time of the next heartbeat, with a jitter of a tenth.
--- a/crates/rillgap-core/src/membership/views.rs
+++ b/crates/rillgap-core/src/membership/views.rs
@@ -117,6 +117,7 @@
         out: &mut Outbox,
     ) {
         self.topology = Topology::of(&self.view);
+        self.history.agreed(now, self.agreed);
         self.forget_ended_runs(before);
         self.note_own_membership(now, before);
         self.update_roles(now);
