Claims: random runs against what really ran; a smaller group needs overlap too; too old is unknown

Tests drive claims and guards over a network that loses, delays and cuts, with frozen, restarted and departing nodes, and compare every answer with what back ends ran.

A node left a cluster of three zones; the new view had two zones and so a group of one, whose single replica was in the old group and voted alone while two replicas still voted under the old view. Membership in both groups was not enough: a majority of the smaller group need not meet one of the larger. Standing now asks for that overlap too. And a group keeps three members while there are three, in two zones if need be: it then goes on voting on old keys when a zone is lost, which a group of one could not. - 'Key too old' was told as 'not run' for keys that had run (the storm runs showed many; their number was not kept). Whether such a key ran is forgotten, so the outcome is unknown.

--- a/crates/rillgap-core/src/claim/electorate.rs
+++ b/crates/rillgap-core/src/claim/electorate.rs
@@ -3,7 +3,8 @@
 //! The safety of claims rests on this module. Two majorities of one group always share a
 //! replica. When the view changes and with it the group, a replica of the new group votes on a
 //! key only if it was in the key's group ever since the key can have been used, so that every
-//! majority under the new view lies within the old group too.
+//! majority under the new view lies within the old group too, where it meets every majority of
+//! that group.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -51,29 +52,28 @@
     }
 }
 
-/// Returns the replicas of a key, the best first: by rendezvous hashing three members in three
-/// zones; with fewer zones as many as there are, but an odd number.
+/// Returns the replicas of a key, the best first: three members by rendezvous hashing, in as many
+/// zones as there are, or as large an odd number as there are members.
 pub fn replica_group(view: &View, key: IdempotencyKey) -> Vec<NodeId> {
-    let mut best_of_zones: Vec<Candidate<'_>> = Vec::new();
-    for member in &view.members {
-        let candidate = Candidate::new(member, key);
-        let same_zone = best_of_zones
-            .iter_mut()
-            .find(|best| best.zone == candidate.zone);
-        match same_zone {
-            Some(best) if best.rank() < candidate.rank() => *best = candidate,
-            Some(_) => {}
-            None => best_of_zones.push(candidate),
-        }
-    }
-    best_of_zones.sort_by_key(|candidate| std::cmp::Reverse(candidate.rank()));
-    let count = best_of_zones.len().min(MOST_REPLICAS);
+    let mut candidates: Vec<Candidate<'_>> = view
+        .members
+        .iter()
+        .map(|member| Candidate::new(member, key))
+        .collect();
+    let count = candidates.len().min(MOST_REPLICAS);
     let odd_count = count - usize::from(count > 0 && count.is_multiple_of(2));
-    best_of_zones.truncate(odd_count);
-    best_of_zones
-        .into_iter()
-        .map(|candidate| candidate.node)
-        .collect()
+    let mut group: Vec<Candidate<'_>> = Vec::with_capacity(odd_count);
+    while group.len() < odd_count {
+        let best = candidates
+            .iter()
+            .enumerate()
+            .max_by_key(|(_, candidate)| (candidate.is_in_new_zone(&group), candidate.rank()));
+        let Some((position, _)) = best else {
+            break;
+        };
+        group.push(candidates.swap_remove(position));
+    }
+    group.into_iter().map(|candidate| candidate.node).collect()
 }
 
 /// A member with its score for one key.
@@ -96,6 +96,10 @@
         }
     }
 
+    fn is_in_new_zone(&self, group: &[Self]) -> bool {
+        group.iter().all(|chosen| chosen.zone != self.zone)
+    }
+
     const fn rank(&self) -> (u64, NodeId) {
         (self.score, self.node)
     }
@@ -129,13 +133,11 @@
         if key.created_at() > now.wall.plus(CLOCK_SKEW) {
             return Err(AbstainReason::KeyFromFuture);
         }
-        if group != replica_group(electorate.view(), key) {
-            return Err(AbstainReason::DifferentGroup);
-        }
-        if !self.is_replica(electorate.view(), key) {
+        let same_group = group == replica_group(electorate.view(), key);
+        if !same_group || !self.is_replica(electorate.view(), group) {
             return Err(AbstainReason::DifferentGroup);
         }
-        if !self.has_standing(key, electorate) {
+        if !self.has_standing(key, group, electorate) {
             return Err(AbstainReason::NoStanding);
         }
         Ok(())
@@ -145,15 +147,22 @@
     ///
     /// The first use is no earlier than [`CLOCK_SKEW`] before the key's own time, by the clock of
     /// the node that took it, and that clock is within [`CLOCK_SKEW`] of this one.
-    fn has_standing(self, key: IdempotencyKey, electorate: &dyn Electorate) -> bool {
+    fn has_standing(
+        self,
+        key: IdempotencyKey,
+        group: &[NodeId],
+        electorate: &dyn Electorate,
+    ) -> bool {
         let first_use = key.created_at().minus(2 * CLOCK_SKEW);
         let mut later = electorate.view();
         for activated in electorate.history().iter().rev() {
             if !follows(later, &activated.view) {
                 return false;
             }
-            let checked = Arc::ptr_eq(later, &activated.view);
-            if !checked && !self.is_replica(&activated.view, key) {
+            let earlier_group = replica_group(&activated.view, key);
+            if !self.is_replica(&activated.view, &earlier_group)
+                || !majorities_overlap(group, &earlier_group)
+            {
                 return false;
             }
             if covers(activated, first_use) {
@@ -164,11 +173,11 @@
         false
     }
 
-    fn is_replica(self, view: &View, key: IdempotencyKey) -> bool {
+    fn is_replica(self, view: &View, group: &[NodeId]) -> bool {
         let same_run = view
             .member(self.node)
             .is_some_and(|member| member.incarnation == self.incarnation);
-        same_run && replica_group(view, key).contains(&self.node)
+        same_run && group.contains(&self.node)
     }
 }
 
@@ -177,6 +186,18 @@
     later.version.0.saturating_sub(earlier.version.0) <= 1
 }
 
+/// Returns whether a majority of `later` whose members are all in `earlier` must share a member
+/// with every majority of `earlier`. It need not where a view with fewer members makes the group
+/// smaller.
+const fn majorities_overlap(later: &[NodeId], earlier: &[NodeId]) -> bool {
+    majority(later) + majority(earlier) > earlier.len()
+}
+
+/// Returns the size of the smallest majority of a group.
+pub const fn majority(group: &[NodeId]) -> usize {
+    group.len() / 2 + 1
+}
+
 fn covers(activated: &ActivatedView, moment: WallTime) -> bool {
     activated.activated_at <= moment
 }
--- a/crates/rillgap-core/src/claim/replica.rs
+++ b/crates/rillgap-core/src/claim/replica.rs
@@ -127,7 +127,9 @@
             if let Some(holder) = record.other_holder(claim)
                 && !settings.faults.ignore_holder
             {
-                return Vote::Held(holder.describe(now, electorate));
+                let mut description = holder.describe(now, electorate);
+                description.protected &= !settings.faults.ignore_protection;
+                return Vote::Held(description);
             }
         }
         match self.may_grant(now, claim, settings, electorate) {
--- a/crates/rillgap-core/src/claim/settings.rs
+++ b/crates/rillgap-core/src/claim/settings.rs
@@ -124,6 +124,8 @@
     pub ignore_vote_standing: bool,
     /// Replicas grant a key that another attempt holds.
     pub ignore_holder: bool,
+    /// Replicas let a holder be barred while its caller may still be told 'not run'.
+    pub ignore_protection: bool,
     /// Claimants count votes of earlier rounds.
     pub ignore_round: bool,
     /// Guards start attempts that were barred.
--- a/crates/rillgap-core/src/code.rs
+++ b/crates/rillgap-core/src/code.rs
@@ -71,8 +71,8 @@
     KeyRequired = 11, 400, NotRun, "idempotency key required";
     /// The key is not a UUID of version 7.
     KeyMalformed = 12, 400, NotRun, "idempotency key malformed";
-    /// The key is older than the longest key life.
-    KeyTooOld = 13, 400, NotRun, "idempotency key too old";
+    /// The key is older than the longest key life, so it is forgotten whether it ran.
+    KeyTooOld = 13, 400, Unknown, "idempotency key too old";
     /// The key carries a time in the future.
     KeyFromFuture = 14, 400, NotRun, "idempotency key from the future";
     /// The key was used before for a different request.
--- /dev/null
+++ b/crates/rillgap-core/tests/claim_explore/main.rs
@@ -0,0 +1,137 @@
+//! Random runs of claims and guards under loss, delay, cuts, freezes, restarts and view changes.
+
+mod data_path;
+mod membership;
+mod random;
+mod truth;
+mod world;
+
+use googletest::prelude::*;
+use rillgap_core::claim::ClaimFaults;
+use rillgap_core::code::Outcome;
+use rillgap_core::id::{Fingerprint, IdempotencyKey};
+use rillgap_core::message::KeyedAttempt;
+use world::{KEY_LIFE_SECONDS, MILLI, SECOND, Weather, World};
+
+/// Runs of each test, unless `RILLGAP_CLAIM_RUNS` says otherwise.
+const RUNS: u64 = 2_000;
+
+fn runs() -> u64 {
+    let runs = std::env::var("RILLGAP_CLAIM_RUNS").ok();
+    runs.and_then(|runs| runs.parse().ok()).unwrap_or(RUNS)
+}
+
+const CALM: Weather = Weather {
+    drop_percent: 0,
+    late_percent: 0,
+    restarts: 0,
+    freezes: 0,
+    cuts: 0,
+    departures: 0,
+};
+
+const STORM: Weather = Weather {
+    drop_percent: 4,
+    late_percent: 4,
+    restarts: 4,
+    freezes: 5,
+    cuts: 6,
+    departures: 2,
+};
+
+/// A world in which callers repeat their keys through any entry node, some with other bodies.
+fn world(seed: u64, weather: Weather, faults: ClaimFaults) -> World {
+    let (hosts, zones) = [(3, 3), (7, 3), (9, 4)][(seed % 3) as usize];
+    let mut world = World::new(seed, hosts, zones, weather, faults);
+    for number in 0..8 {
+        let first = world.draws.within(6 * SECOND..18 * SECOND);
+        let created = World::wall_millis(first) + world.draws.within(0..2_000) - 1_000;
+        let key = IdempotencyKey(u128::from(created) << 80 | 0x7 << 76 | number);
+        let longest = [300 * MILLI, 4 * SECOND, 2 * KEY_LIFE_SECONDS * SECOND];
+        let spread = longest[world.draws.index(3)];
+        for repeat in 0..world.draws.within(1..6) {
+            let later = if repeat == 0 {
+                0
+            } else {
+                world.draws.within(0..spread)
+            };
+            let fingerprint = Fingerprint(u64::from(world.draws.percent(10)));
+            let entry = world.draws.index(hosts);
+            world.request(entry, first + later, KeyedAttempt { key, fingerprint });
+        }
+    }
+    world
+}
+
+fn violations(faults: ClaimFaults) -> Vec<String> {
+    (0..runs())
+        .filter_map(|seed| {
+            let mut world = world(seed, STORM, faults);
+            world.run();
+            let violation = world.truth.violation()?;
+            Some(format!("seed {seed}: {violation}"))
+        })
+        .collect()
+}
+
+fn shows_itself(faults: ClaimFaults) -> bool {
+    let found = violations(faults);
+    println!(
+        "{faults:?}: {} of {RUNS} runs, {:?}",
+        found.len(),
+        found.first()
+    );
+    !found.is_empty()
+}
+
+#[gtest]
+fn no_key_runs_twice_and_not_run_is_true() {
+    let found = violations(ClaimFaults::default());
+    expect_that!(found.len(), eq(0), "first: {:?}", found.first());
+}
+
+#[gtest]
+fn voting_without_standing_is_caught() {
+    expect_true!(shows_itself(ClaimFaults {
+        ignore_vote_standing: true,
+        ..ClaimFaults::default()
+    }));
+}
+
+#[gtest]
+fn granting_a_held_key_is_caught() {
+    expect_true!(shows_itself(ClaimFaults {
+        ignore_holder: true,
+        ..ClaimFaults::default()
+    }));
+}
+
+#[gtest]
+fn barring_a_live_holder_is_caught() {
+    expect_true!(shows_itself(ClaimFaults {
+        ignore_protection: true,
+        ..ClaimFaults::default()
+    }));
+}
+
+#[gtest]
+fn starting_barred_attempts_is_caught() {
+    expect_true!(shows_itself(ClaimFaults {
+        ignore_bars: true,
+        ..ClaimFaults::default()
+    }));
+}
+
+#[gtest]
+fn a_lone_request_in_calm_weather_is_never_in_doubt() {
+    let mut doubtful = 0;
+    for seed in 0..RUNS {
+        let mut world = World::new(seed, 7, 3, CALM, ClaimFaults::default());
+        let key = IdempotencyKey(u128::from(World::wall_millis(SECOND)) << 80 | 0x7 << 76);
+        let fingerprint = Fingerprint(0);
+        world.request(0, SECOND, KeyedAttempt { key, fingerprint });
+        world.run();
+        doubtful += world.truth.told_by_claims(Outcome::Unknown);
+    }
+    expect_that!(doubtful, eq(0));
+}
--- /dev/null
+++ b/crates/rillgap-core/tests/claim_explore/truth.rs
@@ -0,0 +1,95 @@
+//! What really ran, against what callers were told.
+
+use std::collections::BTreeMap;
+
+use rillgap_core::claim::settings::UNCHARGED_ATTEMPTS;
+use rillgap_core::code::{Outcome, ResultCode};
+use rillgap_core::id::{AttemptId, CallId, IdempotencyKey};
+use rillgap_core::message::KeyedAttempt;
+
+use crate::world::EXTRA_ATTEMPTS;
+
+const MOST_ATTEMPTS_OF_KEY: usize = 1 + EXTRA_ATTEMPTS as usize + UNCHARGED_ATTEMPTS;
+
+/// A request that a back end ran.
+#[derive(Clone, Copy, Debug)]
+pub struct Execution {
+    pub keyed: KeyedAttempt,
+    pub attempt: AttemptId,
+    pub at: u64,
+}
+
+/// What one caller was told.
+#[derive(Clone, Copy, Debug)]
+pub struct Told {
+    pub keyed: KeyedAttempt,
+    pub call: CallId,
+    pub code: ResultCode,
+    pub at: u64,
+}
+
+/// Record of one run.
+#[derive(Debug, Default)]
+pub struct Truth {
+    pub executions: Vec<Execution>,
+    pub told: Vec<Told>,
+    pub wrong_answers: u32,
+    pub dispatched: BTreeMap<IdempotencyKey, usize>,
+}
+
+impl Truth {
+    /// Returns the first violation, in words.
+    pub fn violation(&self) -> Option<String> {
+        self.ran_twice()
+            .or_else(|| self.untruthful())
+            .or_else(|| self.too_many_attempts())
+            .or_else(|| (self.wrong_answers > 0).then(|| "another request's answer".to_owned()))
+    }
+
+    /// Returns how many callers were told an outcome by the claim protocol itself.
+    pub fn told_by_claims(&self, outcome: Outcome) -> usize {
+        self.told
+            .iter()
+            .filter(|told| told.code.outcome() == outcome)
+            .filter(|told| {
+                !matches!(
+                    told.code,
+                    ResultCode::AnswerLost | ResultCode::AnswerTimeout
+                )
+            })
+            .count()
+    }
+
+    fn ran_twice(&self) -> Option<String> {
+        self.executions
+            .iter()
+            .enumerate()
+            .find_map(|(index, first)| {
+                let second = self.executions[index + 1..]
+                    .iter()
+                    .find(|other| other.keyed.key == first.keyed.key)?;
+                Some(format!("ran twice: {first:?} and {second:?}"))
+            })
+    }
+
+    fn too_many_attempts(&self) -> Option<String> {
+        self.dispatched
+            .iter()
+            .find(|(_, count)| **count > MOST_ATTEMPTS_OF_KEY)
+            .map(|(key, count)| format!("{count} attempts: {key:?}"))
+    }
+
+    /// "Not run" is untrue if the request itself ever ran, or the same work under its key before.
+    fn untruthful(&self) -> Option<String> {
+        self.told
+            .iter()
+            .filter(|told| told.code.outcome() == Outcome::NotRun)
+            .find_map(|told| {
+                let execution = self.executions.iter().find(|execution| {
+                    let own = execution.attempt.call == told.call;
+                    own || execution.keyed == told.keyed && execution.at < told.at
+                })?;
+                Some(format!("told not-run: {told:?} but ran: {execution:?}"))
+            })
+    }
+}
--- /dev/null
+++ b/crates/rillgap-core/tests/claim_explore/world.rs
@@ -0,0 +1,429 @@
+//! Nodes with claims and guards over an unreliable network, on a virtual clock in microseconds.
+
+use std::collections::BTreeMap;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::Arc;
+
+use rillgap_core::action::{Action, Outbox};
+use rillgap_core::claim::{
+    ClaimFaults, ClaimMessage, Claims, DispatchGuard, Electorate, RememberedAnswer,
+};
+use rillgap_core::code::ResultCode;
+use rillgap_core::id::{
+    AttemptId, Incarnation, NodeId, NodeName, RegionName, ViewVersion, ZoneName,
+};
+use rillgap_core::message::{KeyedAttempt, PeerMessage};
+use rillgap_core::policy::Bounds;
+use rillgap_core::time::{Instant, Now, WallTime};
+use rillgap_core::view::{Member, View};
+
+use crate::data_path::{Call, Dispatch};
+use crate::membership::{LEASE_MICROS, ModelMembership};
+use crate::random::Draws;
+use crate::truth::Truth;
+
+pub const MILLI: u64 = 1_000;
+pub const SECOND: u64 = 1_000_000;
+pub const KEY_LIFE_SECONDS: u64 = 10;
+pub const EXTRA_ATTEMPTS: u8 = 2;
+const EPOCH_MILLIS: u64 = 1_700_000_000_000;
+const MOST_EVENTS: usize = 200_000;
+
+/// What may go wrong in a run.
+#[derive(Clone, Copy, Debug)]
+pub struct Weather {
+    pub drop_percent: u64,
+    pub late_percent: u64,
+    pub restarts: u64,
+    pub freezes: u64,
+    pub cuts: u64,
+    pub departures: u64,
+}
+
+/// One host with the node that runs on it.
+#[derive(Debug)]
+pub struct Host {
+    pub name: NodeName,
+    zone: ZoneName,
+    wall_offset_millis: u64,
+    frozen_until: u64,
+    pub incarnation: Incarnation,
+    pub claims: Claims,
+    pub guard: DispatchGuard,
+    pub membership: ModelMembership,
+    pub calls: BTreeMap<AttemptId, Call>,
+    pub next_call: u64,
+}
+
+impl Host {
+    /// Returns the run and address of another host by this one's view.
+    pub fn membership_member(&self, other: &Self) -> Option<(Incarnation, SocketAddr)> {
+        let member = self.membership.view().member(other.name.id())?;
+        Some((member.incarnation, member.mesh_address))
+    }
+}
+
+/// What travels between nodes.
+#[derive(Clone, Debug)]
+pub enum Payload {
+    Claim(ClaimMessage),
+    Dispatch(Dispatch),
+    Refused(AttemptId),
+    Answered(AttemptId, RememberedAnswer),
+    Failed(AttemptId),
+}
+
+/// What happens at one host.
+#[derive(Clone, Debug)]
+pub enum HostEvent {
+    Deliver(usize, Payload),
+    Wake,
+    Request(KeyedAttempt),
+    Deadline(AttemptId),
+    GateStart(usize, Dispatch),
+    GateEnd(usize, Dispatch),
+    Adopt(usize),
+    Activate(usize),
+}
+
+#[derive(Clone, Debug)]
+enum Event {
+    /// At a host, in one run of its node if one is named.
+    Host(usize, Option<Incarnation>, HostEvent),
+    Freeze(usize, u64),
+    Restart(usize),
+    Cut(usize, usize, u64),
+    Depart(usize),
+    Propose,
+}
+
+pub struct World {
+    pub time: u64,
+    pub draws: Draws,
+    pub hosts: Vec<Host>,
+    pub truth: Truth,
+    weather: Weather,
+    faults: ClaimFaults,
+    cut_until: BTreeMap<(usize, usize), u64>,
+    views: Vec<Arc<View>>,
+    departed: Vec<bool>,
+    events: BTreeMap<(u64, u64), Event>,
+    next_event: u64,
+}
+
+impl World {
+    pub fn new(
+        seed: u64,
+        hosts: usize,
+        zones: usize,
+        weather: Weather,
+        faults: ClaimFaults,
+    ) -> Self {
+        let mut world = Self {
+            time: 0,
+            draws: Draws::new(seed),
+            hosts: Vec::new(),
+            truth: Truth::default(),
+            weather,
+            faults,
+            cut_until: BTreeMap::new(),
+            views: vec![Arc::new(View::default())],
+            departed: vec![false; hosts],
+            events: BTreeMap::new(),
+            next_event: 0,
+        };
+        for index in 0..hosts {
+            let host = world.host(index, zones);
+            world.hosts.push(host);
+        }
+        let view = world.view_of_hosts();
+        for host in &mut world.hosts {
+            host.membership = ModelMembership::founder(Arc::clone(&view));
+        }
+        world.views.push(view);
+        world.draw_weather();
+        world
+    }
+
+    /// Runs until nothing is left to happen.
+    pub fn run(&mut self) {
+        for _ in 0..MOST_EVENTS {
+            let Some(((time, _), event)) = self.events.pop_first() else {
+                return;
+            };
+            self.time = time;
+            self.happen(event);
+        }
+        panic!("the run does not end");
+    }
+
+    pub fn now(&self, host: usize) -> Now {
+        let offset = self.hosts[host].wall_offset_millis;
+        Now {
+            instant: Instant::from_micros(self.time),
+            wall: WallTime::from_millis(EPOCH_MILLIS + self.time / MILLI + offset),
+        }
+    }
+
+    /// Returns the time of a good clock in milliseconds, at a virtual time.
+    pub fn wall_millis(time: u64) -> u64 {
+        EPOCH_MILLIS + time / MILLI + 500
+    }
+
+    pub fn at_host(&mut self, host: usize, delay: u64, event: HostEvent) {
+        let run = Some(self.hosts[host].incarnation);
+        self.push(self.time + delay, Event::Host(host, run, event));
+    }
+
+    pub fn request(&mut self, host: usize, time: u64, keyed: KeyedAttempt) {
+        self.push(time, Event::Host(host, None, HostEvent::Request(keyed)));
+    }
+
+    pub fn send(&mut self, from: usize, to: usize, payload: Payload) {
+        let cut_until = self.cut_until.get(&(from, to)).copied().unwrap_or(0);
+        if self.time < cut_until || self.draws.percent(self.weather.drop_percent) {
+            return;
+        }
+        let late = self.draws.percent(self.weather.late_percent);
+        let longest = if late { 3 * SECOND } else { 3 * MILLI };
+        let delay = self.draws.within(300..longest);
+        let deliver = HostEvent::Deliver(from, payload);
+        self.push(self.time + delay, Event::Host(to, None, deliver));
+    }
+
+    pub fn index_of(&self, node: NodeId) -> usize {
+        let position = self.hosts.iter().position(|host| host.name.id() == node);
+        position.expect("a host")
+    }
+
+    /// Lets a node do what is due, and sends what it has to say.
+    pub fn settle(&mut self, host: usize, mut out: Outbox) {
+        let now = self.now(host);
+        let node = &mut self.hosts[host];
+        node.claims
+            .poll(now, &node.membership, &mut node.guard, &mut out);
+        for action in out {
+            if let Action::Send {
+                to,
+                message: PeerMessage::Claim(message),
+                ..
+            } = action
+            {
+                let to = self.index_of(to);
+                self.send(host, to, Payload::Claim(message));
+            }
+        }
+        while let Some(event) = self.hosts[host].claims.take_event() {
+            self.on_claim_event(host, event);
+        }
+        if let Some(wake) = self.hosts[host].claims.next_wake() {
+            let delay = wake.as_micros().saturating_sub(self.time);
+            self.at_host(host, delay, HostEvent::Wake);
+        }
+    }
+
+    fn push(&mut self, time: u64, event: Event) {
+        self.next_event += 1;
+        self.events.insert((time, self.next_event), event);
+    }
+
+    fn happen(&mut self, event: Event) {
+        match event {
+            Event::Host(host, run, event) => self.happen_at(host, run, event),
+            Event::Freeze(host, length) => self.hosts[host].frozen_until = self.time + length,
+            Event::Restart(host) => self.restart(host),
+            Event::Cut(from, to, length) => {
+                self.cut_until.insert((from, to), self.time + length);
+            }
+            Event::Depart(host) => {
+                self.departed[host] = !self.departed[host];
+                self.push(self.time + 1, Event::Propose);
+            }
+            Event::Propose => self.propose(),
+        }
+    }
+
+    fn happen_at(&mut self, host: usize, run: Option<Incarnation>, event: HostEvent) {
+        if run.is_some_and(|run| run != self.hosts[host].incarnation) {
+            return;
+        }
+        let frozen_until = self.hosts[host].frozen_until;
+        if self.time < frozen_until {
+            self.push(frozen_until, Event::Host(host, run, event));
+            return;
+        }
+        let now = self.now(host);
+        match event {
+            HostEvent::Adopt(version) => {
+                let latest = version + 1 == self.views.len();
+                let view = &self.views[version];
+                self.hosts[host].membership.adopt(view, latest);
+            }
+            HostEvent::Activate(version) => {
+                let view = &self.views[version];
+                self.hosts[host].membership.activate(now, view);
+            }
+            HostEvent::Deliver(from, Payload::Claim(message)) => {
+                let from = self.hosts[from].name.id();
+                let mut out = Outbox::new();
+                let node = &mut self.hosts[host];
+                node.claims.on_message(
+                    now,
+                    from,
+                    message,
+                    &node.membership,
+                    &mut node.guard,
+                    &mut out,
+                );
+                self.settle(host, out);
+            }
+            HostEvent::Wake => self.settle(host, Outbox::new()),
+            event => self.on_data_path(host, event),
+        }
+    }
+
+    fn host(&mut self, index: usize, zones: usize) -> Host {
+        let name = NodeName::new(format!("node-{index}"));
+        Host {
+            zone: ZoneName::new(format!("zone-{}", index % zones)),
+            wall_offset_millis: self.draws.within(0..1_000),
+            frozen_until: 0,
+            incarnation: Incarnation(0),
+            claims: self.fresh_claims(&name, Incarnation(0)),
+            guard: self.fresh_guard(),
+            membership: ModelMembership::newcomer(Arc::default()),
+            calls: BTreeMap::new(),
+            next_call: 0,
+            name,
+        }
+    }
+
+    fn fresh_claims(&self, name: &NodeName, incarnation: Incarnation) -> Claims {
+        let mut claims = Claims::new(name.id(), incarnation);
+        claims.configure(&bounds());
+        claims.plant(self.faults);
+        claims
+    }
+
+    fn fresh_guard(&self) -> DispatchGuard {
+        let mut guard = DispatchGuard::default();
+        guard.configure(&bounds());
+        guard.plant(self.faults);
+        guard
+    }
+
+    /// Replaces a node by a fresh one; the callers that it served are left without an answer.
+    fn restart(&mut self, host: usize) {
+        let incarnation = Incarnation(self.hosts[host].incarnation.0 + 1);
+        let name = self.hosts[host].name.clone();
+        let claims = self.fresh_claims(&name, incarnation);
+        let guard = self.fresh_guard();
+        let view = Arc::clone(self.views.last().expect("a view"));
+        let node = &mut self.hosts[host];
+        node.incarnation = incarnation;
+        node.claims = claims;
+        node.guard = guard;
+        node.membership = ModelMembership::newcomer(view);
+        node.calls.clear();
+        node.frozen_until = 0;
+        self.push(self.time + 20 * MILLI, Event::Propose);
+    }
+
+    /// Agrees on a view of the hosts as they are; every node learns of it in its own time.
+    fn propose(&mut self) {
+        let view = self.view_of_hosts();
+        if view.members == self.views[self.views.len() - 1].members {
+            return;
+        }
+        let version = self.views.len();
+        self.views.push(view);
+        let lease_ends = self.time + LEASE_MICROS;
+        for host in 0..self.hosts.len() {
+            let membership = &mut self.hosts[host].membership;
+            membership.superseded(Instant::from_micros(lease_ends));
+            let adopted_after = self.draws.within(0..300 * MILLI);
+            let activated_after = LEASE_MICROS + self.draws.within(0..200 * MILLI);
+            if !self.draws.percent(10) {
+                self.at_host(host, adopted_after, HostEvent::Adopt(version));
+                self.at_host(host, activated_after, HostEvent::Activate(version));
+            }
+        }
+    }
+
+    fn view_of_hosts(&self) -> Arc<View> {
+        let mut members: Vec<Arc<Member>> = self
+            .hosts
+            .iter()
+            .zip(&self.departed)
+            .filter(|(_, departed)| !**departed)
+            .map(|(host, _)| {
+                Arc::new(Member {
+                    name: host.name.clone(),
+                    zone: host.zone.clone(),
+                    region: RegionName::new("region"),
+                    incarnation: host.incarnation,
+                    mesh_address: SocketAddr::from((Ipv4Addr::LOCALHOST, 1)),
+                })
+            })
+            .collect();
+        members.sort_by_key(|member| member.id());
+        Arc::new(View {
+            version: ViewVersion(self.views.len() as u64),
+            members,
+        })
+    }
+
+    fn draw_weather(&mut self) {
+        let Weather {
+            restarts,
+            freezes,
+            cuts,
+            departures,
+            ..
+        } = self.weather;
+        let count = self.hosts.len();
+        for _ in 0..restarts {
+            let (time, host) = (self.draw_time(), self.draws.index(count));
+            self.push(time, Event::Restart(host));
+        }
+        for _ in 0..freezes {
+            let (time, host) = (self.draw_time(), self.draws.index(count));
+            let length = self.draws.within(50 * MILLI..4 * SECOND);
+            self.push(time, Event::Freeze(host, length));
+        }
+        for _ in 0..cuts {
+            let (time, length) = (self.draw_time(), self.draws.within(MILLI..5 * SECOND));
+            let (from, to) = (self.draws.index(count), self.draws.index(count));
+            self.push(time, Event::Cut(from, to, length));
+            if self.draws.percent(50) {
+                self.push(time, Event::Cut(to, from, length));
+            }
+        }
+        for _ in 0..departures {
+            let (time, host) = (self.draw_time(), self.draws.index(count));
+            self.push(time, Event::Depart(host));
+            self.push(time + 3 * SECOND, Event::Depart(host));
+        }
+    }
+
+    fn draw_time(&mut self) -> u64 {
+        self.draws.within(5 * SECOND..20 * SECOND)
+    }
+
+    pub fn tell(&mut self, call: &Call, code: ResultCode) {
+        self.truth.told.push(crate::truth::Told {
+            keyed: call.keyed,
+            call: call.id,
+            code,
+            at: self.time,
+        });
+    }
+}
+
+fn bounds() -> Bounds {
+    Bounds {
+        extra_attempts: EXTRA_ATTEMPTS,
+        key_life_seconds: KEY_LIFE_SECONDS as u32,
+        ..Bounds::default()
+    }
+}
