--- a/crates/rillgap-caller/src/handler.rs
+++ b/crates/rillgap-caller/src/handler.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use http::{Request, Response, StatusCode};
+use http::{Method, Request, Response, StatusCode};
 use hyper::body::Incoming;
 use rillgap_core::code::ResultCode;
 use rillgap_core::event::Event;
@@ -76,6 +76,7 @@
         if !shared.audience.admits(peer.ip()) {
             return Err(problem::refusal(ResultCode::TokenInvalid));
         }
+        let is_head_request = request.method() == Method::HEAD;
         let request = request::read(request, &shared.audience, &shared.limits)
             .await
             .map_err(problem::refusal)?;
@@ -91,7 +92,7 @@
             return Err(problem::refusal(not_taken(&error)));
         }
         match inbound.next_part().await {
-            Some(AnswerPart::Head(head)) => Ok(respond(head, inbound)),
+            Some(AnswerPart::Head(head)) => Ok(respond(head, is_head_request, inbound)),
             Some(AnswerPart::Refusal(refusal)) => {
                 inbound.set_ended();
                 Err(refusal)
@@ -116,16 +117,31 @@
     problem::response(refusal).map(|body| ResponseBody::Whole(Some(body)))
 }
 
-fn respond(head: AnswerHead, inbound: Inbound) -> Response<ResponseBody> {
+fn respond(
+    head: AnswerHead,
+    is_head_request: bool,
+    mut inbound: Inbound,
+) -> Response<ResponseBody> {
     let mut map = http::HeaderMap::with_capacity(head.headers.len());
     headers::append(&head.headers, &mut map);
     let content_length = map
         .get(http::header::CONTENT_LENGTH)
         .and_then(|value| value.to_str().ok())
         .and_then(|value| value.parse().ok());
+    let status = StatusCode::from_u16(head.status).unwrap_or(StatusCode::BAD_GATEWAY);
+    if is_head_request || has_no_body(status, content_length) {
+        // The connection never asks for the body, so the answer is whole as far as it goes.
+        inbound.set_ended();
+    }
     let body = ResponseBody::Streamed(AnswerStream::new(inbound, content_length));
     let mut response = Response::new(body);
-    *response.status_mut() = StatusCode::from_u16(head.status).unwrap_or(StatusCode::BAD_GATEWAY);
+    *response.status_mut() = status;
     *response.headers_mut() = map;
     response
 }
+
+fn has_no_body(status: StatusCode, content_length: Option<u64>) -> bool {
+    content_length == Some(0)
+        || status == StatusCode::NO_CONTENT
+        || status == StatusCode::NOT_MODIFIED
+}
--- /dev/null
+++ b/crates/rillgap-caller/tests/http/answers.rs
@@ -0,0 +1,198 @@
+//! What a caller sees of the node's answers, whole and broken.
+
+use std::time::Duration;
+
+use crate::support::{
+    ClientAnswer, chunk, client, exchange_with, head, limits, start, try_exchange_with,
+};
+use bytes::Bytes;
+use googletest::prelude::*;
+use http::StatusCode;
+use http_body_util::Full;
+use rillgap_caller::exchange::AnswerPart;
+use rillgap_core::code::ResultCode;
+use rillgap_core::event::Event;
+use rillgap_core::request::{Refusal, RetryAfter};
+
+/// Sends a request and answers it by the given parts.
+async fn answered_by(http2: bool, parts: impl IntoIterator<Item = AnswerPart>) -> ClientAnswer {
+    let server = start(limits()).await;
+    let request = server
+        .get("/takst/fare")
+        .body(Full::default())
+        .expect("valid");
+    let answer = tokio::spawn(exchange_with(client(http2), request));
+    let (inbound, _) = server.next_request().await;
+    server.answer(inbound, parts);
+    answer.await.expect("the client ends")
+}
+
+#[gtest]
+#[tokio::test]
+async fn an_answer_arrives_whole() {
+    for http2 in [false, true] {
+        for length in [None, Some(8)] {
+            let parts = [
+                head(length),
+                chunk(b"hel"),
+                chunk(b"lohei"),
+                AnswerPart::End,
+            ];
+            let answer = answered_by(http2, parts).await;
+            expect_that!(answer.status, eq(StatusCode::OK));
+            expect_that!(answer.body, some(eq(&Bytes::from_static(b"hellohei"))));
+        }
+    }
+}
+
+/// Sends a request, answers it by the given parts, and returns whether the transfer broke.
+///
+/// If the answer breaks off before its head is on the wire, the client sees no answer at all.
+async fn is_broken_by(http2: bool, parts: impl IntoIterator<Item = AnswerPart>) -> bool {
+    let server = start(limits()).await;
+    let request = server
+        .get("/takst/fare")
+        .body(Full::default())
+        .expect("valid");
+    let answer = tokio::spawn(try_exchange_with(client(http2), request));
+    let (inbound, _) = server.next_request().await;
+    for part in parts {
+        server.answer(inbound, [part]);
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    let answer = answer.await.expect("the client ends");
+    answer.is_none_or(|answer| answer.body.is_none())
+}
+
+#[gtest]
+#[tokio::test]
+async fn an_aborted_answer_is_a_broken_transfer() {
+    for http2 in [false, true] {
+        for length in [None, Some(8)] {
+            let parts = [head(length), chunk(b"hel"), AnswerPart::Abort];
+            expect_that!(is_broken_by(http2, parts).await, eq(true));
+        }
+        let parts = [head(None), AnswerPart::Abort];
+        expect_that!(is_broken_by(http2, parts).await, eq(true));
+    }
+}
+
+#[gtest]
+#[tokio::test]
+async fn an_answer_shorter_than_announced_is_a_broken_transfer() {
+    for http2 in [false, true] {
+        let parts = [head(Some(8)), chunk(b"hel"), AnswerPart::End];
+        expect_that!(is_broken_by(http2, parts).await, eq(true));
+    }
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_refusal_is_a_problem_with_number_outcome_and_retry_time() {
+    let refusal = Refusal {
+        code: ResultCode::Overloaded,
+        retry_after: RetryAfter { millis: 1_500 },
+    };
+    let answer = answered_by(false, [AnswerPart::Refusal(refusal)]).await;
+    expect_that!(answer.status, eq(StatusCode::SERVICE_UNAVAILABLE));
+    expect_that!(
+        answer.headers["content-type"],
+        eq("application/problem+json")
+    );
+    expect_that!(answer.headers["retry-after"], eq("2"));
+    expect_that!(answer.headers["retry-after-ms"], eq("1500"));
+    let problem: serde_json::Value =
+        serde_json::from_slice(&answer.body.expect("a body")).expect("JSON");
+    let expected = serde_json::json!({
+        "type": "https://rillgap.example/errors#40",
+        "title": ResultCode::Overloaded.title(),
+        "status": 503,
+        "code": 40,
+        "outcome": "not-run",
+        "retry_after_ms": 1_500,
+    });
+    expect_that!(problem, eq(&expected));
+}
+
+#[gtest]
+#[tokio::test]
+async fn the_node_learns_that_a_caller_went_away() {
+    for http2 in [false, true] {
+        let server = start(limits()).await;
+        let request = server
+            .get("/takst/fare")
+            .body(Full::default())
+            .expect("valid");
+        let caller = tokio::spawn(exchange_with(client(http2), request));
+        let (inbound, _) = server.next_request().await;
+        caller.abort();
+        expect_that!(
+            server.events.recv().await,
+            some(eq(&Event::InboundGone { inbound }))
+        );
+        expect_that!(server.exchange.waiting(), eq(0));
+    }
+}
+
+#[gtest]
+#[tokio::test]
+async fn the_node_learns_what_a_caller_took_in() {
+    const PART: &[u8] = &[7; 16 * 1024];
+    let server = start(limits()).await;
+    let request = server
+        .get("/takst/fare")
+        .body(Full::default())
+        .expect("valid");
+    let caller = tokio::spawn(exchange_with(client(false), request));
+    let (inbound, _) = server.next_request().await;
+    server.answer(inbound, [head(None), chunk(PART), chunk(PART)]);
+    for _ in 0..2 {
+        expect_that!(
+            server.events.recv().await,
+            some(eq(&Event::InboundConsumed {
+                inbound,
+                bytes: 16 * 1024
+            }))
+        );
+    }
+    server.answer(inbound, [AnswerPart::End]);
+    let answer = caller.await.expect("the client ends");
+    expect_that!(answer.body.map(|body| body.len()), some(eq(2 * PART.len())));
+    expect_that!(server.events.try_recv(), none());
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_stopping_listener_finishes_the_open_answer() {
+    let server = start(limits()).await;
+    let request = server
+        .get("/takst/fare")
+        .body(Full::default())
+        .expect("valid");
+    let caller = tokio::spawn(exchange_with(client(false), request));
+    let (inbound, _) = server.next_request().await;
+    server.answer(inbound, [head(Some(5)), chunk(b"he")]);
+    server.stop.cancel();
+    tokio::task::yield_now().await;
+    server.answer(inbound, [chunk(b"llo"), AnswerPart::End]);
+    let answer = caller.await.expect("the client ends");
+    expect_that!(answer.body, some(eq(&Bytes::from_static(b"hello"))));
+}
+
+#[gtest]
+#[tokio::test]
+async fn an_answer_without_body_does_not_look_like_a_lost_caller() {
+    for (method, length) in [("GET", 0), ("HEAD", 8)] {
+        let server = start(limits()).await;
+        let request = server.get("/takst/fare").method(method);
+        let request = request.body(Full::default()).expect("valid");
+        let caller = tokio::spawn(exchange_with(client(false), request));
+        let (inbound, _) = server.next_request().await;
+        server.answer(inbound, [head(Some(length))]);
+        expect_that!(
+            caller.await.expect("the client ends").body,
+            some(anything())
+        );
+        expect_that!(server.events.try_recv(), none());
+    }
+}
--- a/crates/rillgap-node/src/settings/load.rs
+++ b/crates/rillgap-node/src/settings/load.rs
@@ -250,9 +250,10 @@
     };
     let checker = Checker::new(path);
     match error.kind {
-        Kind::UnknownField(field, allowed) => SettingsError::UnknownKey {
+        // The path of an unknown field ends with the field itself.
+        Kind::UnknownField(_, allowed) => SettingsError::UnknownKey {
             file: path.to_owned(),
-            key: key_of(&field),
+            key: section,
             allowed: allowed.join(", "),
         },
         Kind::MissingField(field) => checker.missing(&key_of(&field)),
