Benchmark of what the nodes add to a call

Cause: the nodes' share of latency and processor time has to be known, as differences within one run, since the machine differs from run to run.

Change: 'rillgap-lab bench' alternates short phases of steady load and of full load straight to a back end and through the nodes, for a repeatable lookup and for a booking that may run once, and reads processor time and memory of the nodes from the system. Reports of load and bench share one form of counts, and commands one type for the form of their output.

Not run yet against nodes.

--- a/crates/rillgap-lab/src/command/load.rs
+++ b/crates/rillgap-lab/src/command/load.rs
@@ -47,8 +47,8 @@
     #[argh(option, default = "String::new()")]
     fail_on: String,
     /// form of the report, text or json (default text)
-    #[argh(option, default = "String::from(\"text\")")]
-    output: String,
+    #[argh(option, default = "super::OutputForm::Text")]
+    output: super::OutputForm,
 }
 
 impl LoadCommand {
@@ -66,7 +66,7 @@
             .build()
             .map_err(ServeError::Runtime)?;
         let report = runtime.block_on(load::run(&settings));
-        self.print(&report)?;
+        self.output.print(&report);
         check(&report, &conditions)
     }
 
@@ -104,15 +104,6 @@
             .map(|condition| parse("fail-on", condition))
             .collect()
     }
-
-    fn print(&self, report: &LoadReport) -> Result<(), CommandError> {
-        match self.output.as_str() {
-            "json" => println!("{}", serde_json::to_string(report).unwrap_or_default()),
-            "text" => print!("{report}"),
-            other => return Err(invalid("output", other, "text or json")),
-        }
-        Ok(())
-    }
 }
 
 fn check(report: &LoadReport, conditions: &[FailureCondition]) -> Result<(), CommandError> {
--- a/crates/rillgap-lab/src/command/mod.rs
+++ b/crates/rillgap-lab/src/command/mod.rs
@@ -6,10 +6,13 @@
 pub mod compare;
 pub mod explore;
 pub mod load;
+mod output;
 pub mod replay;
 pub mod scale;
 pub mod serve;
 
+pub use output::OutputForm;
+
 /// Model, stand-ins, load and experiments for rillgap.
 #[derive(FromArgs, Debug)]
 pub struct LabArguments {
@@ -75,6 +78,9 @@
         /// Number of calls.
         calls: u64,
     },
+    /// The usage of a node's process cannot be read.
+    #[error(transparent)]
+    Process(#[from] crate::bench::ProcessError),
     /// The command is not built yet.
     #[error("this command is not built yet")]
     NotBuiltYet,
--- a/crates/rillgap-lab/src/lib.rs
+++ b/crates/rillgap-lab/src/lib.rs
@@ -1,6 +1,7 @@
 //! Model, stand-ins, experiments, replay and reports.
 
 pub mod answer;
+pub mod bench;
 pub mod command;
 pub mod load;
 pub mod model;
--- a/crates/rillgap-lab/src/load/caller.rs
+++ b/crates/rillgap-lab/src/load/caller.rs
@@ -19,7 +19,7 @@
 
 use super::check::{ReceivedBody, check_own_and_whole, parse_refusal};
 use super::pacer::PlannedCall;
-use super::request::{RequestKind, RequestShape};
+use super::request::RequestShape;
 use crate::answer::CALLER_ID_HEADER;
 
 /// How a call ended, as its caller sees it.
@@ -67,8 +67,6 @@
 /// What became of one call.
 #[derive(Clone, Debug)]
 pub struct CallRecord {
-    /// Kind of the request.
-    pub kind: RequestKind,
     /// How the last attempt ended.
     pub result: CallResult,
     /// Time from the start of the first attempt to the end.
@@ -103,12 +101,7 @@
     }
 
     /// Makes a planned call.
-    pub async fn call(
-        &self,
-        planned: PlannedCall,
-        kind: RequestKind,
-        shape: RequestShape,
-    ) -> CallRecord {
+    pub async fn call(&self, planned: PlannedCall, shape: &RequestShape) -> CallRecord {
         let start = Instant::now();
         let key = shape.keyed.then(Uuid::now_v7);
         let mut attempts = 0;
@@ -116,13 +109,12 @@
             let position = planned.number.wrapping_add(u64::from(attempts));
             let target = self.targets[position as usize % self.targets.len()];
             attempts += 1;
-            let result = self.attempt(target, planned.number, &shape, key).await;
+            let result = self.attempt(target, planned.number, shape, key).await;
             if !result.was_not_run() || attempts >= self.attempts {
                 break result;
             }
         };
         CallRecord {
-            kind,
             result,
             latency: start.elapsed(),
             late: start.saturating_duration_since(planned.due),
--- a/crates/rillgap-lab/src/load/mod.rs
+++ b/crates/rillgap-lab/src/load/mod.rs
@@ -18,8 +18,8 @@
 pub use caller::{CallRecord, CallResult, Caller};
 pub use mix::{Mix, MixError};
 pub use pacer::{PlannedCall, pace};
-pub use report::{FailureCondition, FailureConditionError, KindReport, LoadReport};
-pub use request::{BulkShape, RequestKind};
+pub use report::{CallReport, FailureCondition, FailureConditionError, LoadReport};
+pub use request::{BulkShape, RequestKind, RequestShape};
 
 /// Records that may wait to be counted.
 const RECORD_QUEUE: usize = 1024;
@@ -53,7 +53,7 @@
     counting.await.unwrap_or_default()
 }
 
-async fn begin_calls(settings: &LoadSettings, records: mpsc::Sender<CallRecord>) {
+async fn begin_calls(settings: &LoadSettings, records: mpsc::Sender<(RequestKind, CallRecord)>) {
     let caller = Arc::new(Caller::new(
         settings.targets.clone(),
         settings.timeout,
@@ -67,17 +67,17 @@
         let caller = Arc::clone(&caller);
         let records = records.clone();
         tokio::spawn(async move {
-            let record = caller.call(call, kind, request).await;
+            let record = caller.call(call, &request).await;
             // The receiver lives until all senders are gone.
-            let _ = records.send(record).await;
+            let _ = records.send((kind, record)).await;
         });
     }
 }
 
-async fn collect(mut records: mpsc::Receiver<CallRecord>) -> LoadReport {
+async fn collect(mut records: mpsc::Receiver<(RequestKind, CallRecord)>) -> LoadReport {
     let mut report = LoadReport::default();
-    while let Some(record) = records.recv().await {
-        report.count(&record);
+    while let Some((kind, record)) = records.recv().await {
+        report.count(kind, &record);
     }
     report
 }
--- a/crates/rillgap-lab/src/load/report.rs
+++ b/crates/rillgap-lab/src/load/report.rs
@@ -18,9 +18,9 @@
 /// Most examples of faulty answers that are kept.
 const MAX_EXAMPLES: usize = 5;
 
-/// Counts and latencies of one kind of request.
+/// Counts and latencies of calls of one sort.
 #[derive(Debug, Serialize)]
-pub struct KindReport {
+pub struct CallReport {
     /// Calls that ended.
     pub calls: u64,
     /// Whole answers.
@@ -51,7 +51,7 @@
 #[derive(Debug, Default, Serialize)]
 pub struct LoadReport {
     /// Counts by kind of request.
-    pub kinds: BTreeMap<RequestKind, KindReport>,
+    pub kinds: BTreeMap<RequestKind, CallReport>,
     /// Longest time by which a call began later than planned, in microseconds.
     pub latest_start_micros: u64,
     /// Some faulty answers in words.
@@ -87,7 +87,7 @@
     }
 }
 
-impl Default for KindReport {
+impl Default for CallReport {
     fn default() -> Self {
         let latencies = Histogram::new_with_max(MAX_LATENCY_MICROS, LATENCY_DIGITS)
             .expect("the constants lie in the histogram's range");
@@ -108,7 +108,7 @@
     }
 }
 
-impl KindReport {
+impl CallReport {
     /// Returns the latency that this share of the whole answers did not exceed.
     pub fn latency(&self, quantile: f64) -> Duration {
         Duration::from_micros(self.latencies.value_at_quantile(quantile))
@@ -134,7 +134,8 @@
             .expect("both histograms have the same range");
     }
 
-    fn count(&mut self, record: &CallRecord) {
+    /// Counts a call that ended.
+    pub fn count(&mut self, record: &CallRecord) {
         self.calls += 1;
         self.extra_attempts += u64::from(record.attempts.saturating_sub(1));
         match &record.result {
@@ -173,20 +174,20 @@
 
 impl LoadReport {
     /// Counts a call that ended.
-    pub fn count(&mut self, record: &CallRecord) {
-        self.kinds.entry(record.kind).or_default().count(record);
+    pub fn count(&mut self, kind: RequestKind, record: &CallRecord) {
+        self.kinds.entry(kind).or_default().count(record);
         self.latest_start_micros = self.latest_start_micros.max(micros(record.late));
         match &record.result {
             CallResult::Wrong { detail } | CallResult::Cut { detail } => {
-                self.keep_example(format!("{}: {detail}", record.kind.name()));
+                self.keep_example(format!("{}: {detail}", kind.name()));
             }
             _ => {}
         }
     }
 
     /// Returns the counts of all kinds together.
-    pub fn total(&self) -> KindReport {
-        let mut total = KindReport::default();
+    pub fn total(&self) -> CallReport {
+        let mut total = CallReport::default();
         self.kinds.values().for_each(|kind| total.merge(kind));
         total
     }
@@ -218,7 +219,7 @@
     }
 }
 
-impl fmt::Display for KindReport {
+impl fmt::Display for CallReport {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(
             formatter,
