--- /dev/null
+++ b/scripts/demo.sh
@@ -0,0 +1,213 @@
+#!/usr/bin/env bash
+# Runs the whole path as separate processes on this machine and shows, step by step, that it keeps
+# its promises. Ends with 0 only if every step holds. Needs a Rust toolchain, bash and curl.
+set -euo pipefail
+source "$(dirname "$0")/deployment.sh"
+trap end_processes EXIT
+
+readonly ENTRIES=(entry-hall-a entry-hall-b entry-hall-c)
+readonly NODES=("${ENTRIES[@]}" node-bestilling-1 node-bestilling-2 node-takst-1 node-takst-2)
+readonly POLICY=$ROOT/deploy/trondheim/policy.toml
+ADDRESSES=(
+  [entry-hall-a]=127.0.0.11 [entry-hall-b]=127.0.0.12 [entry-hall-c]=127.0.0.13
+  [node-bestilling-1]=127.0.0.21 [node-bestilling-2]=127.0.0.22
+  [node-takst-1]=127.0.0.31 [node-takst-2]=127.0.0.32
+)
+
+step() { say; say "== $*"; }
+
+targets() {
+  local entry list=
+  for entry in "${ENTRIES[@]}"; do
+    list+=,$(callers_of "$entry")
+  done
+  echo "${list#,}"
+}
+
+load() { "$BIN/rillgap-lab" load --target "$(targets)" "$@"; }
+
+# answer_code NODE PATH: prints the HTTP status of a lookup at an entry node.
+answer_code() {
+  curl -s -o "$WORK/answer" -w '%{http_code}' -H 'x-caller-id: demo' "http://$(callers_of "$1")$2"
+}
+
+answers_with() { [[ $(answer_code "$1" "$2") == "$3" ]]; }
+
+# new_key: prints an idempotency key, a UUID of version 7.
+new_key() {
+  local time random
+  time=$(printf '%012x' "$(date +%s%3N)")
+  random=$(od -An -N10 -tx1 /dev/urandom | tr -d ' \n')
+  echo "${time:0:8}-${time:8:4}-7${random:0:3}-8${random:3:3}-${random:6:12}"
+}
+
+build() {
+  step "Build"
+  (cd "$ROOT" && cargo build --locked --quiet --workspace --bins)
+  choose_ports
+}
+
+check_examples() {
+  step "Example settings and policies are valid"
+  local file
+  for file in "$ROOT"/deploy/*/settings/*.toml; do
+    "$BIN/rillgapd" --settings "$file" --check-settings > /dev/null 2>&1 || fail "$file"
+  done
+  for file in "$ROOT"/deploy/*/policy*.toml; do
+    "$BIN/rillgapctl" policy check "$file" || fail "$file"
+  done
+}
+
+start_deployment() {
+  step "Start the platform, four back ends, three entry nodes and four nodes beside back ends"
+  local node number zones=(a b c)
+  start_platform "$(IFS=,; echo "${NODES[*]}")"
+  for number in 0 1 2; do
+    write_settings "${ENTRIES[$number]}" "hall-${zones[$number]}"
+  done
+  for number in 1 2; do
+    write_settings "node-bestilling-$number" "hall-${zones[$number]}" bestilling "bestilling-$number"
+    write_settings "node-takst-$number" "hall-${zones[$number]}" takst "takst-$number"
+    start_back_end "node-bestilling-$number" bestilling "bestilling-$number" \
+      --slots 15 --calls takst:/fares/zone --service-time-ms 2
+    start_back_end "node-takst-$number" takst "takst-$number" --slots 21 --service-time-ms 2
+  done
+  for node in "${NODES[@]}"; do
+    start_node "$node"
+  done
+  for node in "${NODES[@]}"; do
+    until_true "$node sees all members" has_members "$node" "${#NODES[@]}"
+  done
+  say "all ${#NODES[@]} nodes see each other; none serves before a policy is in force"
+}
+
+apply_policy() {
+  step "An operator puts the policy in force"
+  local node
+  ctl entry-hall-a policy plan "$POLICY" | tail -n 1
+  ctl entry-hall-a policy apply "$POLICY" || fail "policy not accepted"
+  for node in "${NODES[@]}"; do
+    until_true "$node serves" is_serving "$node"
+  done
+}
+
+book() {
+  step "A booking goes entry -> node -> bestilling -> node -> takst and comes home whole"
+  local key first second
+  key=$(new_key)
+  first=$(post_booking entry-hall-a "$key") || fail "booking: $(cat "$WORK/answer")"
+  say "$first"
+  grep -q '"service":"takst","status":200' <<< "$first" || fail "no fare of takst in the answer"
+  say "the same key again, through another zone, gets the same answer and runs nothing:"
+  second=$(post_booking entry-hall-b "$key") || fail "repeat: $(cat "$WORK/answer")"
+  [[ $first == "$second" ]] || fail "another answer: $second"
+  (($(executions) == 1)) || fail "the booking ran $(executions) times"
+}
+
+# post_booking ENTRY KEY: books and prints the answer's body.
+post_booking() {
+  curl -sf -o "$WORK/answer" -X POST -H "idempotency-key: $2" -H 'x-caller-id: demo' \
+    -d '{"from":"Torget"}' "http://$(callers_of "$1")/bestilling/bookings" && cat "$WORK/answer"
+}
+
+# executions: prints how many bookings ran, each counted as often as it did.
+executions() {
+  local node total=0
+  for node in node-bestilling-1 node-bestilling-2; do
+    total=$((total + $(counter "$(back_end_of "$node")" started)))
+  done
+  echo "$total"
+}
+
+change_policy() {
+  step "The path obeys a change of policy, and an operator with an old version is refused"
+  local entry status=0 version
+  for entry in "${ENTRIES[@]}"; do
+    answers_with "$entry" /takst/queues/zone 200 || fail "$entry: $(cat "$WORK/answer")"
+  done
+  # Without the route of zone queues.
+  sed '/^# Zone queues/,/^$/d' "$POLICY" > "$WORK/changed.toml"
+  version=$(ctl entry-hall-b policy plan "$WORK/changed.toml" | grep -o '[0-9]*$')
+  ctl entry-hall-b policy apply "$WORK/changed.toml" --expect-version "$version" \
+    || fail "change not accepted"
+  for entry in "${ENTRIES[@]}"; do
+    answers_with "$entry" /takst/queues/zone 404 || fail "$entry still routes zone queues"
+  done
+  say "accepted: /takst/queues is refused at every entry: $(cat "$WORK/answer")"
+  ctl entry-hall-c policy apply "$POLICY" --expect-version "$version" 2> /dev/null || status=$?
+  ((status == 101)) || fail "the old version was not refused with code 101 but $status"
+  say "an apply that expects version $version is refused with code 101"
+  ctl entry-hall-c policy apply "$POLICY" || fail "policy not accepted again"
+  for entry in "${ENTRIES[@]}"; do
+    answers_with "$entry" /takst/queues/zone 200 || fail "$entry does not route zone queues"
+  done
+}
+
+drain_back_end() {
+  step "A drained back end gets nothing new, and no call fails"
+  local address before after
+  address=$(back_end_of node-takst-1)
+  start load "$BIN/rillgap-lab" load --target "$(targets)" --rate 200 --seconds 4 \
+    --mix booking=1,browse=2 --fail-on cut,unknown,refused
+  until_true "takst-1 works" has_started_more_than "$address" "$(counter "$address" started)"
+  ctl entry-hall-a back-end drain takst-1 || fail "drain not accepted"
+  until_true "takst-1 is idle" is_idle "$address"
+  before=$(counter "$address" started)
+  wait_exit load || fail "calls failed: $(cat "$WORK/load.log")"
+  cat "$WORK/load.log"
+  after=$(counter "$address" started)
+  ((before == after)) || fail "takst-1 got $((after - before)) requests after its drain"
+  say "takst-1 ran $before requests until its drain and none after it"
+  ctl entry-hall-a back-end restore takst-1 || fail "restore not accepted"
+  load --rate 200 --seconds 1 --mix browse=1 --fail-on cut,unknown,refused > /dev/null
+  has_started_more_than "$address" "$before" || fail "takst-1 gets nothing after its return"
+}
+
+has_started_more_than() { (($(counter "$1" started) > $2)); }
+is_idle() { (($(counter "$1" running) + $(counter "$1" queued) == 0)); }
+
+stop_nodes() {
+  step "Nodes are stopped under load, with long downloads running; no call is cut"
+  local node status
+  rm -f "$WORK/load.log"
+  start load "$BIN/rillgap-lab" load --target "$(targets)" --rate 100 --seconds 6 --attempts 5 \
+    --mix booking=5,browse=10,bulk=1 --bulk-bytes 1048576 --bulk-pause-ms 30 \
+    --timeout-ms 30000 --fail-on cut,unknown,refused
+  for node in entry-hall-b node-takst-2; do
+    until_true "downloads run" is_busy "$(back_end_of node-takst-2)"
+    status=0
+    stop "$node" || status=$?
+    ((status == 0)) || fail "$node ended with $status"
+    say "$node stopped by SIGTERM with exit code 0"
+    start_node "$node"
+    until_true "$node serves again" is_serving "$node"
+    say "$node started again with empty memory and serves"
+  done
+  wait_exit load || fail "calls failed: $(cat "$WORK/load.log")"
+  cat "$WORK/load.log"
+}
+
+is_busy() { (($(counter "$1" running) >= 2)); }
+
+check_executions() {
+  step "No booking ran twice"
+  local node
+  for node in node-bestilling-1 node-bestilling-2; do
+    curl -sf "http://$(back_end_of "$node")/admin/executions" | tee "$WORK/executions"
+    say
+    grep -q '"repeated":{}' "$WORK/executions" || fail "$node ran a booking twice"
+  done
+}
+
+build
+SECONDS=0
+check_examples
+start_deployment
+apply_policy
+book
+change_policy
+drain_back_end
+stop_nodes
+check_executions
+say
+say "all steps hold ($SECONDS s)"
