Claims: rules one by one, cost of a claim, faults that the lab can plant

The random runs reach a vote of an earlier round only rarely, so that rule has its own test: with rounds ignored the late vote is counted (planted), without it is not. A replica now looks at the latest activated view only when it judges whether a claimant's run was replaced; the history holds views that are not activated yet since membership landed. The lab can plant faults through Node::plant_claim_faults and read Node::claim_counters.

--- a/crates/rillgap-core/src/claim/replica.rs
+++ b/crates/rillgap-core/src/claim/replica.rs
@@ -262,16 +262,13 @@
     /// latest another; a claimant that has only just started is in no activated view yet.
     fn claimant_is_gone(&self, electorate: &dyn Electorate) -> bool {
         let call = self.attempt.call;
-        let names_run = |activated: &ActivatedView| {
-            let member = activated.view.member(call.node);
+        let names_run = |entry: &ActivatedView| {
+            let member = entry.view.member(call.node);
             member.map(|member| member.incarnation == call.incarnation)
         };
-        let Some((latest, earlier)) = electorate.history().split_last() else {
-            return false;
-        };
-        names_run(latest) == Some(false)
-            && earlier
-                .iter()
-                .any(|activated| names_run(activated) == Some(true))
+        let history = electorate.history();
+        let latest = history.iter().rfind(|entry| entry.is_activated());
+        latest.and_then(names_run) == Some(false)
+            && history.iter().any(|entry| names_run(entry) == Some(true))
     }
 }
--- a/crates/rillgap-core/src/node.rs
+++ b/crates/rillgap-core/src/node.rs
@@ -3,7 +3,7 @@
 use crate::action::{Action, Observation, Outbox};
 use crate::admission::AdmissionSettings;
 use crate::call::CallPath;
-use crate::claim::Claims;
+use crate::claim::{ClaimCounters, ClaimFaults, Claims};
 use crate::configuration::Configuration;
 use crate::event::Event;
 use crate::id::{BackEndName, Incarnation, NodeId, NodeName, RegionName, ServiceName, ZoneName};
@@ -186,6 +186,17 @@
         &self.call_path
     }
 
+    /// Plants faults in the claim protocol, to prove that an observer catches them.
+    pub fn plant_claim_faults(&mut self, faults: ClaimFaults) {
+        self.claims.plant(faults);
+        self.call_path.guard_mut().plant(faults);
+    }
+
+    /// Returns what claims have cost since the start of the node.
+    pub const fn claim_counters(&self) -> ClaimCounters {
+        self.claims.counters()
+    }
+
     fn split<'a>(&'a mut self, out: &'a mut Outbox) -> (&'a mut CallPath, Context<'a>) {
         let context = Context {
             settings: &self.settings,
--- /dev/null
+++ b/crates/rillgap-core/tests/claim_rules.rs
@@ -0,0 +1,391 @@
+//! Rules of replica groups, guards, rounds and budgets, one by one, and what a claim costs.
+
+use std::collections::BTreeSet;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::Arc;
+use std::time::Duration;
+
+use googletest::prelude::*;
+use rillgap_core::action::{Action, Outbox};
+use rillgap_core::claim::message::{Gate, KeyHolder, Round, Vote, VoteReply};
+use rillgap_core::claim::settings::{
+    CLOCK_SKEW, LONGEST_ANSWER, MOST_ANSWER_BYTES, MOST_GUARDED_KEYS, UNCHARGED_ATTEMPTS,
+};
+use rillgap_core::claim::{
+    ClaimFaults, ClaimMessage, ClaimRequest, ClaimResult, Claims, DispatchGuard, Electorate,
+    GuardVerdict, RememberedAnswer, replica_group,
+};
+use rillgap_core::code::ResultCode;
+use rillgap_core::id::{
+    AttemptId, BackEndName, CallId, Fingerprint, IdempotencyKey, Incarnation, NodeId, NodeName,
+    RegionName, ViewVersion, ZoneName,
+};
+use rillgap_core::membership::ActivatedView;
+use rillgap_core::message::{KeyedAttempt, PeerMessage};
+use rillgap_core::policy::Bounds;
+use rillgap_core::request::AnswerHead;
+use rillgap_core::routing::Target;
+use rillgap_core::time::{Instant, Now, WallTime};
+use rillgap_core::view::{Member, View};
+
+const START_MILLIS: u64 = 1_700_000_000_000;
+const RUN: Incarnation = Incarnation(0x9e37_79b9_7f4a_7c15);
+
+/// A view that was agreed long ago.
+struct Settled {
+    history: Vec<ActivatedView>,
+}
+
+impl Settled {
+    fn new(nodes: usize, zones: usize) -> Self {
+        let mut members: Vec<Arc<Member>> = (0..nodes)
+            .map(|index| {
+                Arc::new(Member {
+                    name: NodeName::new(format!("node-{index}")),
+                    zone: ZoneName::new(format!("zone-{}", index % zones)),
+                    region: RegionName::new("region"),
+                    incarnation: RUN,
+                    mesh_address: SocketAddr::from((Ipv4Addr::LOCALHOST, 1)),
+                })
+            })
+            .collect();
+        members.sort_by_key(|member| member.id());
+        let view = Arc::new(View {
+            version: ViewVersion(1),
+            members,
+        });
+        let activated_at = WallTime::default();
+        Self {
+            history: vec![ActivatedView { view, activated_at }],
+        }
+    }
+}
+
+impl Electorate for Settled {
+    fn view(&self) -> &Arc<View> {
+        &self.history[0].view
+    }
+
+    fn may_vote(&self, _now: Now) -> bool {
+        true
+    }
+
+    fn history(&self) -> &[ActivatedView] {
+        &self.history
+    }
+}
+
+fn at(elapsed: Duration) -> Now {
+    let millis = elapsed.as_millis() as u64;
+    Now {
+        instant: Instant::from_micros(millis * 1_000),
+        wall: WallTime::from_millis(START_MILLIS + millis),
+    }
+}
+
+fn start() -> Now {
+    at(Duration::ZERO)
+}
+
+fn key(number: u64) -> IdempotencyKey {
+    IdempotencyKey(u128::from(START_MILLIS) << 80 | 0x7 << 76 | u128::from(number))
+}
+
+fn keyed(number: u64) -> KeyedAttempt {
+    KeyedAttempt {
+        key: key(number),
+        fingerprint: Fingerprint(1),
+    }
+}
+
+fn attempt(sequence: u64) -> AttemptId {
+    AttemptId {
+        call: CallId {
+            node: NodeId::from_name("entry"),
+            incarnation: RUN,
+            sequence,
+        },
+        number: 0,
+    }
+}
+
+fn request(sequence: u64, target: NodeId) -> ClaimRequest {
+    ClaimRequest {
+        attempt: attempt(sequence),
+        keyed: keyed(0),
+        target: Target {
+            node: target,
+            incarnation: RUN,
+            address: SocketAddr::from((Ipv4Addr::LOCALHOST, 1)),
+            back_end: BackEndName::new("back-end"),
+        },
+        deadline: Instant::from_micros(5_000_000),
+    }
+}
+
+fn answer(bytes: usize) -> RememberedAnswer {
+    RememberedAnswer {
+        head: AnswerHead {
+            status: 200,
+            headers: Vec::new(),
+        },
+        body: vec![0; bytes],
+    }
+}
+
+fn vote(claims: &mut Claims, from: NodeId, round: u16, vote: Vote, membership: &Settled) {
+    let reply = VoteReply {
+        attempt: attempt(1),
+        round: Round(round),
+        vote,
+    };
+    let message = ClaimMessage::Vote(Box::new(reply));
+    let mut guard = DispatchGuard::default();
+    let now = at(Duration::from_millis(u64::from(round) * 20));
+    let mut out = Outbox::new();
+    claims.poll(now, membership, &mut guard, &mut out);
+    claims.on_message(now, from, message, membership, &mut guard, &mut out);
+}
+
+#[gtest]
+fn replicas_are_in_different_zones() {
+    let membership = Settled::new(12, 4);
+    for number in 0..1_000 {
+        let group = replica_group(membership.view(), key(number));
+        let zones: BTreeSet<&ZoneName> = group
+            .iter()
+            .filter_map(|node| membership.view().member(*node))
+            .map(|member| &member.zone)
+            .collect();
+        expect_that!(zones.len(), eq(3));
+    }
+}
+
+#[gtest]
+fn a_lost_zone_leaves_the_other_replicas_in_the_group() {
+    let membership = Settled::new(9, 3);
+    let whole = membership.view();
+    let mut rest = View::clone(whole);
+    rest.members
+        .retain(|member| member.zone != ZoneName::new("zone-2"));
+    for number in 0..1_000 {
+        let before = replica_group(whole, key(number));
+        let after = replica_group(&rest, key(number));
+        let kept = before.iter().filter(|node| after.contains(node)).count();
+        expect_that!((after.len(), kept), eq((3, 2)));
+    }
+}
+
+#[gtest]
+fn groups_are_odd() {
+    let sizes: Vec<usize> = (0..6)
+        .map(|nodes| replica_group(Settled::new(nodes, 2).view(), key(0)).len())
+        .collect();
+    expect_that!(sizes, eq(&vec![0, 1, 1, 3, 3, 3]));
+}
+
+#[gtest]
+fn guard_starts_a_key_once() {
+    let mut guard = DispatchGuard::default();
+    let first = guard.start(start(), attempt(1), keyed(0));
+    let second = guard.start(start(), attempt(2), keyed(0));
+    expect_that!(first, eq(&GuardVerdict::Start));
+    expect_that!(second, eq(&GuardVerdict::AlreadyStarted));
+}
+
+#[gtest]
+fn guard_never_starts_a_refused_attempt() {
+    let mut guard = DispatchGuard::default();
+    guard.bar(start(), attempt(1), keyed(0));
+    let refused = guard.start(start(), attempt(1), keyed(0));
+    let other = guard.start(start(), attempt(2), keyed(0));
+    expect_that!(refused, eq(&GuardVerdict::Barred));
+    expect_that!(other, eq(&GuardVerdict::Start));
+}
+
+#[gtest]
+fn key_that_the_back_end_shed_may_start_again_for_another_attempt() {
+    let mut guard = DispatchGuard::default();
+    guard.start(start(), attempt(1), keyed(0));
+    guard.bar(start(), attempt(1), keyed(0));
+    let same = guard.start(start(), attempt(1), keyed(0));
+    let other = guard.start(start(), attempt(2), keyed(0));
+    expect_that!(same, eq(&GuardVerdict::Barred));
+    expect_that!(other, eq(&GuardVerdict::Start));
+}
+
+#[gtest]
+fn full_guard_refuses_rather_than_forgets() {
+    let mut guard = DispatchGuard::default();
+    for number in 0..MOST_GUARDED_KEYS as u64 {
+        guard.start(start(), attempt(number), keyed(number));
+    }
+    let unknown = guard.start(start(), attempt(0), keyed(u64::MAX));
+    let known = guard.start(start(), attempt(7), keyed(0));
+    expect_that!(unknown, eq(&GuardVerdict::Full));
+    expect_that!(known, eq(&GuardVerdict::AlreadyStarted));
+}
+
+#[gtest]
+fn forgotten_key_is_never_started() {
+    let life = Bounds::default().key_life() + 2 * CLOCK_SKEW;
+    let mut guard = DispatchGuard::default();
+    guard.start(start(), attempt(1), keyed(0));
+    let remembered = guard.start(at(life), attempt(2), keyed(0));
+    let forgotten = guard.start(at(life + CLOCK_SKEW), attempt(3), keyed(0));
+    expect_that!(remembered, eq(&GuardVerdict::AlreadyStarted));
+    expect_that!(forgotten, eq(&GuardVerdict::Barred));
+    expect_true!(guard.is_empty());
+}
+
+#[gtest]
+fn guard_keeps_answers_within_its_bound() {
+    let mut guard = DispatchGuard::default();
+    for number in 0..2 * (MOST_ANSWER_BYTES / LONGEST_ANSWER) as u64 {
+        guard.start(start(), attempt(number), keyed(number));
+        guard.complete(start(), key(number), Some(answer(LONGEST_ANSWER)));
+    }
+    expect_that!(guard.answer_bytes(), eq(MOST_ANSWER_BYTES));
+    guard.start(start(), attempt(0), keyed(u64::MAX));
+    guard.complete(start(), key(u64::MAX), Some(answer(LONGEST_ANSWER + 1)));
+    expect_that!(guard.answer_bytes(), eq(MOST_ANSWER_BYTES));
+}
+
+/// Two replicas are held by others in the first round, and the third one's vote is late. It
+/// arrives in the second round, when that vote was given back and may be another attempt's.
+fn granted_by_a_late_vote(faults: ClaimFaults) -> bool {
+    let membership = Settled::new(3, 3);
+    let group = replica_group(membership.view(), key(0));
+    let mut claims = Claims::new(NodeId(9), RUN);
+    claims.plant(faults);
+    claims.acquire(
+        start(),
+        request(1, group[0]),
+        &membership,
+        &mut Outbox::new(),
+    );
+    for (sequence, replica) in [(2, group[1]), (3, group[2])] {
+        let holder = KeyHolder {
+            attempt: attempt(sequence),
+            gate: Gate {
+                node: group[0],
+                incarnation: RUN,
+            },
+            protected: true,
+            completed: false,
+        };
+        vote(&mut claims, replica, 1, Vote::Held(holder), &membership);
+    }
+    let granted = || Vote::Granted { spent: Vec::new() };
+    vote(&mut claims, group[2], 2, granted(), &membership);
+    vote(&mut claims, group[0], 1, granted(), &membership);
+    claims.take_event().is_some()
+}
+
+#[gtest]
+fn late_vote_of_an_earlier_round_does_not_count() {
+    expect_false!(granted_by_a_late_vote(ClaimFaults::default()));
+    expect_true!(granted_by_a_late_vote(ClaimFaults {
+        ignore_round: true,
+        ..ClaimFaults::default()
+    }));
+}
+
+#[gtest]
+fn repeats_of_a_key_draw_on_one_budget() {
+    let membership = Settled::new(1, 1);
+    let node = membership.view().members[0].id();
+    let mut claims = Claims::new(node, RUN);
+    let mut results = Vec::new();
+    let most = 1 + usize::from(Bounds::default().extra_attempts) + UNCHARGED_ATTEMPTS;
+    for sequence in 0..=most as u64 {
+        let mut out = Outbox::new();
+        claims.acquire(start(), request(sequence, node), &membership, &mut out);
+        results.push(claims.take_event().map(|event| event.result));
+        claims.release(start(), attempt(sequence), &membership, &mut out);
+    }
+    let budgets: Vec<u8> = results
+        .iter()
+        .filter_map(|result| match result {
+            Some(ClaimResult::Granted { budget }) => Some(*budget),
+            _ => None,
+        })
+        .collect();
+    expect_that!(budgets, eq(&vec![4, 3, 2, 1, 0, 0, 0, 0]));
+    expect_that!(
+        results.last(),
+        some(some(pat!(ClaimResult::Refused(field!(
+            &rillgap_core::request::Refusal.code,
+            eq(ResultCode::RetryBudgetSpent)
+        )))))
+    );
+}
+
+/// Messages and bytes that one request costs whose entry node is no replica of its key.
+#[gtest]
+fn cost_of_a_claim() {
+    let membership = Settled::new(4, 4);
+    let group = replica_group(membership.view(), key(0));
+    let outsider = membership
+        .view()
+        .members
+        .iter()
+        .map(|member| member.id())
+        .find(|node| !group.contains(node));
+    let entry = outsider.expect("a fourth node");
+    let mut claims = Claims::new(entry, RUN);
+    let mut guard = DispatchGuard::default();
+    let (mut messages, mut bytes) = (0, 0);
+    let mut out = Outbox::new();
+    claims.acquire(start(), request(1, group[0]), &membership, &mut out);
+    let mut votes = Vec::new();
+    for (to, message) in sent(out) {
+        (messages, bytes) = (messages + 1, bytes + size_of_message(&message));
+        let mut replica = Claims::new(to, RUN);
+        let mut replies = Outbox::new();
+        let PeerMessage::Claim(message) = message else {
+            continue;
+        };
+        replica.on_message(
+            start(),
+            entry,
+            message,
+            &membership,
+            &mut guard,
+            &mut replies,
+        );
+        votes.extend(sent(replies).into_iter().map(|(_, reply)| (to, reply)));
+    }
+    for (from, reply) in votes {
+        (messages, bytes) = (messages + 1, bytes + size_of_message(&reply));
+        if let PeerMessage::Claim(reply) = reply {
+            let mut nothing = Outbox::new();
+            claims.on_message(start(), from, reply, &membership, &mut guard, &mut nothing);
+        }
+    }
+    expect_that!(
+        claims.take_event().map(|event| event.result),
+        some(eq(&ClaimResult::Granted { budget: 4 }))
+    );
+    let mut out = Outbox::new();
+    claims.complete(start(), attempt(1), &membership, &mut out);
+    for (_, message) in sent(out) {
+        (messages, bytes) = (messages + 1, bytes + size_of_message(&message));
+    }
+    println!("{messages} messages, {bytes} bytes, 1 round trip");
+    expect_that!(messages, eq(9));
+    expect_that!(bytes, le(1_000));
+}
+
+fn sent(out: Outbox) -> Vec<(NodeId, PeerMessage)> {
+    out.into_iter()
+        .filter_map(|action| match action {
+            Action::Send { to, message, .. } => Some((to, message)),
+            _ => None,
+        })
+        .collect()
+}
+
+fn size_of_message(message: &PeerMessage) -> usize {
+    bitcode::encode(message).len()
+}
