Baselines neither cancel work nor look at deadlines further down

Cause: the baselines of the comparison still profited from cancellation of work that nobody waits for, which is one of the mechanisms that is to be measured. In the baseline modes started work now runs on, and calls of a request past its deadline are taken.

The data path also returns the load of its back end, for status and experiments.

--- a/crates/rillgap-core/src/admission/mode.rs
+++ b/crates/rillgap-core/src/admission/mode.rs
@@ -25,6 +25,11 @@
         Self { mode }
     }
 
+    /// Returns whether work that nobody waits for any more is cancelled.
+    pub const fn cancels_work(&self) -> bool {
+        matches!(self.mode, ControlMode::Full)
+    }
+
     /// Returns whether the baseline limits only the attempts of each hop, not of the chain.
     pub const fn unbounded_chain(&self) -> bool {
         !matches!(self.mode, ControlMode::Full)
--- a/crates/rillgap-core/src/call/entry.rs
+++ b/crates/rillgap-core/src/call/entry.rs
@@ -84,7 +84,9 @@
     let parent = token.and_then(|token| gate.parent(token));
     let parent = parent.ok_or_else(|| refusal(ResultCode::TokenInvalid))?;
     let content = content_of(&request);
-    check_deadline(&parent, now)?;
+    if !sender.is_unbounded() {
+        check_deadline(&parent, now)?;
+    }
     let Parent {
         attempt,
         dispatch,
@@ -101,7 +103,11 @@
     let link = ParentLink { attempt, content };
     let (root, class) = (dispatch.root, dispatch.class);
     let call = new_call(now, inbound, request, &route, sender, ports);
-    let deadline = call.deadline.min(deadline);
+    let deadline = if sender.is_unbounded() {
+        call.deadline
+    } else {
+        call.deadline.min(deadline)
+    };
     Ok(OutgoingCall {
         root,
         class,
--- a/crates/rillgap-core/src/call/gate/ending.rs
+++ b/crates/rillgap-core/src/call/gate/ending.rs
@@ -27,6 +27,8 @@
                 self.refuse_queued(now, attempt, plain(ResultCode::Cancelled), ports);
             }
             Phase::Running { .. } if local.dispatch.key.is_some() => {}
+            // A baseline without cancellation works on for nobody.
+            Phase::Running { .. } if !self.cancels_work => {}
             Phase::Running { .. } => self.abort(now, attempt, ports),
         }
     }
@@ -146,6 +148,7 @@
                 self.admission.cancel(now.instant, attempt);
                 self.refuse_queued(now, attempt, plain(ResultCode::DeadlineUnmet), ports);
             }
+            Phase::Running { .. } if !self.cancels_work => {}
             Phase::Running { .. } => self.abort(now, attempt, ports),
         }
     }
--- a/crates/rillgap-core/src/call/gate/mod.rs
+++ b/crates/rillgap-core/src/call/gate/mod.rs
@@ -77,6 +77,7 @@
     random: ChaCha8Rng,
     announced_leaving: bool,
     stopping: bool,
+    cancels_work: bool,
     ended: Vec<AttemptId>,
 }
 
@@ -92,6 +93,7 @@
             random: ChaCha8Rng::seed_from_u64(settings.random_seed ^ TOKEN_SEED_SALT),
             announced_leaving: false,
             stopping: false,
+            cancels_work: settings.admission.cancels_work(),
             ended: Vec::new(),
         }
     }
@@ -129,6 +131,11 @@
         self.announced_leaving = leaving;
     }
 
+    /// Returns the load of the back end.
+    pub fn load(&self) -> LoadReport {
+        self.admission.load()
+    }
+
     /// Takes in the load that the answer to a call of a running attempt carried.
     pub fn nested(&mut self, attempt: AttemptId, load: &LoadReport) {
         self.admission.nested(attempt, load);
--- a/crates/rillgap-core/src/call/mod.rs
+++ b/crates/rillgap-core/src/call/mod.rs
@@ -7,6 +7,7 @@
 
 use std::collections::VecDeque;
 
+use crate::admission::LoadReport;
 use crate::claim::DispatchGuard;
 use crate::event::Event;
 use crate::id::NodeId;
@@ -181,6 +182,11 @@
         self.sender.in_flight() + self.gate.in_flight()
     }
 
+    /// Returns the load of the local back end.
+    pub fn load(&self) -> LoadReport {
+        self.gate.load()
+    }
+
     /// Returns the guard beside the back end.
     pub fn guard_mut(&mut self) -> &mut DispatchGuard {
         self.gate.guard_mut()
