--- a/crates/rillgap-lab/src/command/mod.rs
+++ b/crates/rillgap-lab/src/command/mod.rs
@@ -81,6 +81,9 @@
     /// The usage of a node's process cannot be read.
     #[error(transparent)]
     Process(#[from] crate::bench::ProcessError),
+    /// A comparison could not be made.
+    #[error(transparent)]
+    Compare(#[from] crate::compare::CompareError),
     /// The command is not built yet.
     #[error("this command is not built yet")]
     NotBuiltYet,
--- a/crates/rillgap-lab/src/lib.rs
+++ b/crates/rillgap-lab/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod answer;
 pub mod bench;
 pub mod command;
+pub mod compare;
 pub mod load;
 pub mod model;
 pub mod serve;
