Configuration: changes by compare-and-set, spread, acceptance and confirmation

Cause: a node had only the policy of its settings, so no operator could change one.

Change: any node writes the policy object for an operator with the identifier of the change; a lost answer is settled by reading back, and a write is repeated only with the index it had, so that at most one takes effect. Small changes travel whole along the spread targets, new policies by version and fetch; store readers watch; heartbeats repair. Accepted is told only when membership knows that no machine is missing. A fresh, frozen or removed node serves nothing until a confirmed member told it its version; a store reader without such a peer writes the object back unchanged to prove that its read was not stale. node.rs: one line, the gap in time is noticed before the event is handled.

Ruled out: confirmation by a plain read (a stale reader brings an older policy back after a cold start), and re-planning a write whose answer was lost before its index has moved on (it doubles).

--- a/crates/rillgap-core/src/configuration/mod.rs
+++ b/crates/rillgap-core/src/configuration/mod.rs
@@ -1,99 +1,140 @@
 //! Configuration: acceptance, spread and confirmation of the policy.
+//!
+//! The policy is one object in the store. Any node writes it for an operator ([`write`]), by
+//! compare-and-set with the identifier of the change. It spreads from node to node ([`spread`]);
+//! a few nodes also watch the store ([`watch`]). A change is accepted when every member of the
+//! view holds it ([`acceptance`]). A node serves only while its policy is confirmed
+//! ([`confirmation`], [`fence`]). No node goes back to a lower version ([`document::Held`]).
 
-use std::sync::Arc;
+pub mod acceptance;
+pub mod alteration;
+pub mod confirmation;
+pub mod document;
+mod engine;
+pub mod fence;
+pub mod message;
+pub mod operations;
+pub mod scope;
+pub mod spread;
+pub mod watch;
+pub mod write;
 
-use bitcode::{Decode, Encode};
+use std::sync::Arc;
 
 use crate::action::Outbox;
-use crate::code::ResultCode;
 use crate::id::{NodeId, PolicyVersion};
 use crate::membership::Membership;
 use crate::node::NodeSettings;
-use crate::operator::{OperatorReply, OperatorRequest, OperatorRequestId};
+use crate::operator::{OperatorRequest, OperatorRequestId};
 use crate::policy::Policy;
 use crate::store::{StoreReply, StoreRequestId};
 use crate::time::{Instant, Now};
 
-/// Messages about the policy. (To be filled by the spread protocol.)
-#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
-pub enum ConfigurationMessage {
-    /// Placeholder until the protocol stands.
-    Nothing,
-}
+use engine::Engine;
+pub use message::ConfigurationMessage;
+use scope::{Scope, StoreRequests};
 
-/// Policy at one node. (A fixed policy from the settings yet.)
+/// Policy at one node.
 #[derive(Debug)]
 pub struct Configuration {
-    policy: Option<Arc<Policy>>,
+    engine: Engine,
+    requests: StoreRequests,
 }
 
 impl Configuration {
     /// Creates the configuration of a fresh node.
-    pub fn new(_now: Now, settings: &NodeSettings) -> Self {
+    ///
+    /// A policy in the settings counts as confirmed for good.
+    pub fn new(now: Now, settings: &NodeSettings) -> Self {
         Self {
-            policy: settings.initial_policy.clone().map(Arc::new),
+            engine: Engine::new(now.instant, settings),
+            requests: StoreRequests::default(),
         }
     }
 
+    /// Takes note of the time, before anything else is done in a step: after a long gap the
+    /// policy is in doubt until it is confirmed again.
+    pub fn note_time(&mut self, now: Now) {
+        self.engine.note_time(now.instant);
+    }
+
     /// Returns the policy in force, if its version is confirmed.
     pub fn policy(&self) -> Option<&Arc<Policy>> {
-        self.policy.as_ref()
+        self.engine.policy()
     }
 
-    /// Returns the version in force, or zero.
+    /// Returns the latest version that this node holds, or zero. It never decreases.
     pub fn version(&self) -> PolicyVersion {
-        self.policy
-            .as_ref()
-            .map_or(PolicyVersion(0), |policy| policy.version)
+        self.engine.version()
     }
 
     /// Handles a request of an operator; the reply may come later.
     pub fn on_operator(
         &mut self,
-        _now: Now,
+        now: Now,
         request: OperatorRequestId,
-        _body: OperatorRequest,
-        _membership: &Membership,
+        body: OperatorRequest,
+        membership: &Membership,
         out: &mut Outbox,
     ) {
-        out.push(crate::action::Action::Reply {
-            request,
-            reply: OperatorReply::Failed {
-                code: ResultCode::StoreUnavailable,
-                version: self.version(),
-                detail: String::new(),
-            },
-        });
+        let (engine, mut scope) = self.split(now, membership, out);
+        engine.on_operator(&mut scope, request, body);
     }
 
     /// Handles a message of a peer.
     pub fn on_message(
         &mut self,
-        _now: Now,
-        _from: NodeId,
-        _message: ConfigurationMessage,
-        _membership: &Membership,
-        _out: &mut Outbox,
+        now: Now,
+        from: NodeId,
+        message: ConfigurationMessage,
+        membership: &Membership,
+        out: &mut Outbox,
     ) {
+        let (engine, mut scope) = self.split(now, membership, out);
+        engine.on_message(&mut scope, from, message);
     }
 
     /// Handles a reply of the store; returns whether the request was one of configuration's.
     pub fn on_store(
         &mut self,
-        _now: Now,
-        _request: StoreRequestId,
-        _reply: &StoreReply,
-        _membership: &Membership,
-        _out: &mut Outbox,
+        now: Now,
+        request: StoreRequestId,
+        reply: &StoreReply,
+        membership: &Membership,
+        out: &mut Outbox,
     ) -> bool {
-        false
+        if !scope::is_own(request) {
+            return false;
+        }
+        let (engine, mut scope) = self.split(now, membership, out);
+        engine.on_store(&mut scope, request, reply);
+        true
     }
 
-    /// Does what is due: watches, spread, repair.
-    pub fn poll(&mut self, _now: Now, _membership: &Membership, _out: &mut Outbox) {}
+    /// Does what is due: watches, questions, spread, repair.
+    pub fn poll(&mut self, now: Now, membership: &Membership, out: &mut Outbox) {
+        let (engine, mut scope) = self.split(now, membership, out);
+        engine.poll(&mut scope);
+    }
 
     /// Returns when [`Self::poll`] must be called next.
     pub fn next_wake(&self) -> Option<Instant> {
-        None
+        Some(self.engine.next_wake())
+    }
+
+    fn split<'a>(
+        &'a mut self,
+        now: Now,
+        membership: &'a Membership,
+        out: &'a mut Outbox,
+    ) -> (&'a mut Engine, Scope<'a>) {
+        let scope = Scope {
+            now: now.instant,
+            in_touch: membership.may_serve(now),
+            membership,
+            requests: &mut self.requests,
+            out,
+        };
+        (&mut self.engine, scope)
     }
 }
--- /dev/null
+++ b/crates/rillgap-core/src/configuration/spread.rs
@@ -0,0 +1,129 @@
+//! Spread of the policy between nodes, and repair where a message was lost.
+//!
+//! A small change goes whole along the tree of [`Membership::spread_targets`]; of a new policy
+//! only its version goes, and who does not hold it fetches it from the announcing node.
+//!
+//! [`Membership::spread_targets`]: crate::membership::Membership::spread_targets
+
+use std::time::Duration;
+
+use super::document::{Held, PolicyDocument};
+use super::message::{BackEndChange, ConfigurationMessage};
+use super::scope::Scope;
+use crate::id::{NodeId, PolicyVersion};
+use crate::time::Instant;
+
+/// Time after which a document that was asked for is asked for again.
+const FETCH_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Pause between two looks for a node that holds a later version.
+pub const REPAIR_PAUSE: Duration = Duration::from_millis(250);
+
+/// What is passed on to other nodes.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum News {
+    /// A small change.
+    BackEnd(BackEndChange),
+    /// A new policy, by its version.
+    Version(PolicyVersion),
+}
+
+impl From<News> for ConfigurationMessage {
+    fn from(news: News) -> Self {
+        match news {
+            News::BackEnd(change) => Self::BackEnd(change),
+            News::Version(version) => Self::Announce { version },
+        }
+    }
+}
+
+/// A document that was asked for.
+#[derive(Debug)]
+struct Fetch {
+    version: PolicyVersion,
+    until: Instant,
+}
+
+/// The spread at one node.
+#[derive(Debug)]
+pub struct Spread {
+    fetch: Option<Fetch>,
+    next_repair: Instant,
+}
+
+impl Spread {
+    /// Creates the state in which nothing was asked for.
+    pub fn new(now: Instant) -> Self {
+        Self {
+            fetch: None,
+            next_repair: now,
+        }
+    }
+
+    /// Passes news on to the next nodes of the tree, except to the one that they came from.
+    pub fn pass_on(&mut self, scope: &mut Scope<'_>, news: News, from: Option<NodeId>) {
+        let message = ConfigurationMessage::from(news);
+        for to in scope.membership.spread_targets() {
+            if Some(to) != from {
+                scope.send(to, message.clone());
+            }
+        }
+    }
+
+    /// Fetches a version from a node that has it, unless it is held or on its way.
+    pub fn fetch(
+        &mut self,
+        scope: &mut Scope<'_>,
+        from: NodeId,
+        version: PolicyVersion,
+        held: PolicyVersion,
+    ) {
+        if version <= held || self.is_fetching(scope.now, version) {
+            return;
+        }
+        self.fetch = Some(Fetch {
+            version,
+            until: scope.now + FETCH_TIMEOUT,
+        });
+        scope.send(from, ConfigurationMessage::Fetch { held });
+    }
+
+    /// Sends the document to a node that asked for it, if it is later than what that node holds.
+    pub fn on_fetch(scope: &mut Scope<'_>, from: NodeId, theirs: PolicyVersion, held: &Held) {
+        if held.version() > theirs {
+            let document = Box::new(held.document().clone());
+            scope.send(from, ConfigurationMessage::Document(document));
+        }
+    }
+
+    /// Fetches what others are known to hold and this node does not.
+    pub fn poll(&mut self, scope: &mut Scope<'_>, held: PolicyVersion) {
+        if scope.now < self.next_repair {
+            return;
+        }
+        self.next_repair = scope.now + REPAIR_PAUSE;
+        if let Some((version, node)) = scope.membership.best_known_policy() {
+            self.fetch(scope, node, version, held);
+        }
+    }
+
+    /// Returns when [`Self::poll`] looks next.
+    pub fn next_wake(&self) -> Instant {
+        self.next_repair
+    }
+
+    fn is_fetching(&self, now: Instant, version: PolicyVersion) -> bool {
+        self.fetch
+            .as_ref()
+            .is_some_and(|fetch| fetch.version >= version && now < fetch.until)
+    }
+}
+
+/// Returns the document that follows `held` by a change, if the change applies to it.
+pub fn apply(held: &Held, change: &BackEndChange) -> Option<PolicyDocument> {
+    if held.version() != change.base {
+        return None;
+    }
+    held.document()
+        .with_back_end(&change.back_end, change.state, change.change)
+}
--- /dev/null
+++ b/crates/rillgap-core/src/configuration/watch.rs
@@ -0,0 +1,85 @@
+//! Watch of the store, kept by the few store readers of a region.
+
+use std::time::Duration;
+
+use super::document::{DocumentError, PolicyDocument};
+use super::scope::{Scope, policy_key};
+use crate::store::{ModifyIndex, StoreReply, StoreRequest, StoreRequestId};
+use crate::time::Instant;
+
+/// Time after which a blocking read without a reply is given up; the store replies to it after
+/// half a minute at the latest.
+const REPLY_TIMEOUT: Duration = Duration::from_secs(40);
+
+/// Pause after a read, so that a store that answers at once is not read in a tight loop.
+const PAUSE: Duration = Duration::from_millis(200);
+
+/// Longest pause while the store fails.
+const LONGEST_PAUSE: Duration = Duration::from_secs(10);
+
+/// The blocking read of a store reader.
+#[derive(Debug)]
+pub struct Watch {
+    request: Option<StoreRequestId>,
+    after: Option<ModifyIndex>,
+    failures: u32,
+    due: Instant,
+}
+
+impl Watch {
+    /// Creates the state in which nothing was read.
+    pub fn new(now: Instant) -> Self {
+        Self {
+            request: None,
+            after: None,
+            failures: 0,
+            due: now,
+        }
+    }
+
+    /// Reads if this node is a store reader and no read is under way.
+    pub fn poll(&mut self, scope: &mut Scope<'_>) {
+        if scope.now < self.due || !scope.membership.is_store_reader() {
+            return;
+        }
+        let request = scope.store(StoreRequest::Read {
+            key: policy_key(),
+            after: self.after,
+        });
+        self.request = Some(request);
+        self.due = scope.now + REPLY_TIMEOUT;
+    }
+
+    /// Returns when [`Self::poll`] reads next.
+    pub fn next_wake(&self) -> Instant {
+        self.due
+    }
+
+    /// Handles a reply of the store; returns the object that was read, or `None` if there is
+    /// none or the reply belongs to another request.
+    pub fn on_reply(
+        &mut self,
+        scope: &Scope<'_>,
+        request: StoreRequestId,
+        reply: &StoreReply,
+    ) -> Option<Result<PolicyDocument, DocumentError>> {
+        if self.request != Some(request) {
+            return None;
+        }
+        self.request = None;
+        let StoreReply::Object(object) = reply else {
+            self.back_off(scope.now);
+            return None;
+        };
+        self.failures = 0;
+        self.due = scope.now + PAUSE;
+        self.after = self.after.max(Some(object.index));
+        Some(PolicyDocument::decode(object.value.as_deref()))
+    }
+
+    fn back_off(&mut self, now: Instant) {
+        let pause = PAUSE * (1 << self.failures.min(6));
+        self.due = now + pause.min(LONGEST_PAUSE);
+        self.failures = self.failures.saturating_add(1);
+    }
+}
--- a/crates/rillgap-core/src/node.rs
+++ b/crates/rillgap-core/src/node.rs
@@ -135,6 +135,7 @@
     pub fn handle(&mut self, now: Now, event: Event, out: &mut Outbox) {
         // A host that was frozen must notice before it acts on what had piled up meanwhile.
         self.poll_control(now, out);
+        self.configuration.note_time(now);
         match event {
             Event::Peer {
                 from,
--- /dev/null
+++ b/crates/rillgap-core/tests/configuration_changes.rs
@@ -0,0 +1,244 @@
+//! Changes of the policy: acceptance, lost answers, races of operators, outages of the store.
+
+mod configuration_support;
+
+use std::time::Duration;
+
+use configuration_support::store::StoreMode;
+use configuration_support::{Fleet, accepted, apply_request, name, policy};
+use googletest::prelude::*;
+use rillgap_core::code::ResultCode;
+use rillgap_core::id::{BackEndName, ChangeId, PolicyVersion};
+use rillgap_core::operator::{ChangeState, OperatorReply, OperatorRequest};
+use rillgap_core::policy::BackEndState;
+
+const SIZE: usize = 6;
+
+fn code_of(reply: &OperatorReply) -> Option<ResultCode> {
+    match reply {
+        OperatorReply::Failed { code, .. } => Some(*code),
+        _ => None,
+    }
+}
+
+fn drain(change: u128) -> OperatorRequest {
+    OperatorRequest::SetBackEndState {
+        back_end: BackEndName::new("takst-3"),
+        state: BackEndState::Leaving,
+        change: ChangeId(change),
+    }
+}
+
+#[gtest]
+fn accepted_policy_is_in_force_on_every_node() {
+    let mut fleet = Fleet::start(SIZE);
+    expect_that!(fleet.in_force(0), none());
+
+    let reply = fleet.apply(4, policy(1, SIZE), Some(0), 1);
+
+    expect_that!(reply, eq(&accepted(1)));
+    expect_true!(fleet.all_in_force(1));
+}
+
+#[gtest]
+fn back_end_change_travels_in_a_small_message() {
+    let mut fleet = Fleet::start(SIZE);
+    let reply = fleet.apply(0, policy(1, 2_000), None, 1);
+    expect_that!(reply, eq(&accepted(1)));
+    expect_that!(fleet.largest_policy_message, gt(10_000));
+    fleet.largest_policy_message = 0;
+
+    let reply = fleet.ask(2, drain(2));
+
+    expect_that!(reply, eq(&accepted(2)));
+    expect_that!(fleet.largest_policy_message, le(100));
+    for number in 0..SIZE {
+        let policy = fleet.node(number).configuration().policy().unwrap();
+        let back_end = policy.back_end(&BackEndName::new("takst-3")).unwrap();
+        expect_that!(back_end.state, eq(BackEndState::Leaving));
+    }
+}
+
+#[gtest]
+fn lost_answer_is_settled_by_reading_back() {
+    let mut fleet = Fleet::start_with_policy(SIZE);
+    fleet.store.mode = StoreMode::LosesAnswers;
+
+    let reply = fleet.apply(3, policy(2, SIZE), Some(1), 2);
+
+    expect_that!(reply, eq(&accepted(2)));
+    expect_that!(fleet.store.policy_changes, eq(2));
+}
+
+#[gtest]
+fn write_that_takes_effect_late_is_not_doubled() {
+    let mut fleet = Fleet::start_with_policy(SIZE);
+    fleet.store.mode = StoreMode::WritesLate;
+
+    let reply = fleet.apply(3, policy(2, SIZE), None, 2);
+
+    expect_that!(reply, eq(&accepted(2)));
+    fleet.run(Duration::from_secs(5));
+    expect_that!(fleet.store.policy_changes, eq(2));
+    expect_true!(fleet.all_in_force(2));
+}
+
+#[gtest]
+fn repeated_change_is_applied_once() {
+    let mut fleet = Fleet::start_with_policy(SIZE);
+    let first = fleet.send(1, apply_request(policy(2, SIZE), None, 2));
+    let second = fleet.send(4, apply_request(policy(2, SIZE), None, 2));
+    let third = fleet.send(4, apply_request(policy(2, SIZE), None, 2));
+    fleet.run(Duration::from_secs(6));
+
+    for request in [first, second, third] {
+        expect_that!(fleet.replies[&request], eq(&accepted(2)));
+    }
+    expect_that!(fleet.apply(0, policy(3, SIZE), None, 3), eq(&accepted(3)));
+    expect_that!(
+        fleet.apply(5, policy(2, SIZE), Some(1), 2),
+        eq(&accepted(2))
+    );
+    expect_that!(fleet.store.policy_changes, eq(3));
+}
+
+#[gtest]
+fn second_of_two_operators_gets_the_newer_version() {
+    let mut fleet = Fleet::start_with_policy(SIZE);
+    let first = fleet.send(0, apply_request(policy(2, SIZE), Some(1), 2));
+    let second = fleet.send(5, apply_request(policy(3, SIZE), Some(1), 3));
+    fleet.run(Duration::from_secs(6));
+
+    let replies = [&fleet.replies[&first], &fleet.replies[&second]];
+    let winners = replies.iter().filter(|reply| ***reply == accepted(2));
+    expect_that!(winners.count(), eq(1));
+    let conflicts = replies.iter().filter(|reply| {
+        matches!(
+            reply,
+            OperatorReply::Failed {
+                code: ResultCode::VersionConflict,
+                version: PolicyVersion(2),
+                ..
+            }
+        )
+    });
+    expect_that!(conflicts.count(), eq(1));
+}
+
+#[gtest]
+fn changes_without_expectation_follow_each_other() {
+    let mut fleet = Fleet::start_with_policy(SIZE);
+    let requests: Vec<_> = (0..SIZE)
+        .map(|number| {
+            fleet.send(
+                number,
+                apply_request(policy(9, SIZE), None, 10 + number as u128),
+            )
+        })
+        .collect();
+    fleet.run(Duration::from_secs(10));
+
+    for request in requests {
+        expect_that!(
+            fleet.replies[&request],
+            matches_pattern!(OperatorReply::Change { .. })
+        );
+    }
+    expect_true!(fleet.all_in_force(1 + SIZE as u64));
+}
+
+#[gtest]
+fn nothing_is_accepted_while_the_store_is_down_and_everything_runs_on() {
+    for mode in [StoreMode::Down, StoreMode::Silent] {
+        let mut fleet = Fleet::start_with_policy(SIZE);
+        fleet.store.mode = mode;
+        let begin = fleet.now;
+
+        let reply = fleet.apply(2, policy(2, SIZE), None, 2);
+
+        expect_that!(code_of(&reply), some(eq(ResultCode::StoreUnavailable)));
+        expect_that!(
+            fleet.now.saturating_since(begin),
+            le(Duration::from_millis(1_100))
+        );
+        fleet.run(Duration::from_secs(30));
+        expect_true!(fleet.all_in_force(1));
+    }
+}
+
+#[gtest]
+fn unsettled_change_is_followed_until_the_store_is_back() {
+    let mut fleet = Fleet::start_with_policy(SIZE);
+    let request = fleet.send(2, drain(2));
+    fleet.run_until("write", |fleet| fleet.store.policy_changes == 2);
+    fleet.store.mode = StoreMode::Silent;
+    fleet.drop_store_replies();
+    fleet.run_until("reply", |fleet| fleet.replies.contains_key(&request));
+    let reply = &fleet.replies[&request];
+    expect_that!(code_of(reply), some(eq(ResultCode::ChangeUnsettled)));
+
+    fleet.store.mode = StoreMode::Up;
+    let change = ChangeId(2);
+    fleet.run_until("acceptance", |fleet| fleet.all_in_force(2));
+    let reply = fleet.ask(0, OperatorRequest::GetChange { change });
+    expect_that!(
+        reply,
+        matches_pattern!(OperatorReply::Change {
+            version: eq(&PolicyVersion(2)),
+            ..
+        })
+    );
+}
+
+#[gtest]
+fn change_is_pending_while_a_node_is_cut_off() {
+    let mut fleet = Fleet::start_with_policy(SIZE);
+    fleet.cut(5);
+
+    let reply = fleet.apply(0, policy(2, SIZE), None, 2);
+
+    expect_that!(
+        reply,
+        eq(&OperatorReply::Change {
+            version: PolicyVersion(2),
+            state: ChangeState::Pending {
+                missing: 1,
+                nodes: vec![name(5)],
+            },
+        })
+    );
+    fleet.heal();
+    fleet.run_until("acceptance everywhere", |fleet| fleet.all_in_force(2));
+    fleet.run(Duration::from_secs(3));
+    let change = ChangeId(2);
+    for number in 0..SIZE {
+        let reply = fleet.ask(number, OperatorRequest::GetChange { change });
+        expect_that!(reply, eq(&accepted(2)));
+    }
+}
+
+#[gtest]
+fn invalid_unknown_and_impossible_requests_are_told_apart() {
+    let mut fleet = Fleet::start_with_policy(3);
+    let mut invalid = policy(2, 3);
+    invalid.services[0].slots = 0;
+    let reply = fleet.apply(0, invalid, None, 2);
+    expect_that!(code_of(&reply), some(eq(ResultCode::PolicyInvalid)));
+
+    let change = ChangeId(77);
+    let reply = fleet.ask(0, OperatorRequest::GetChange { change });
+    expect_that!(code_of(&reply), some(eq(ResultCode::ChangeUnknown)));
+
+    let back_end = BackEndName::new("logbok-1");
+    let state = BackEndState::Leaving;
+    let request = OperatorRequest::SetBackEndState {
+        back_end,
+        state,
+        change,
+    };
+    let reply = fleet.ask(0, request);
+    expect_that!(code_of(&reply), some(eq(ResultCode::TargetUnknown)));
+
+    let reply = fleet.apply(0, policy(2, 3), Some(9), 3);
+    expect_that!(code_of(&reply), some(eq(ResultCode::VersionConflict)));
+}
--- /dev/null
+++ b/crates/rillgap-core/tests/configuration_failures.rs
@@ -0,0 +1,104 @@
+//! An accepted policy never reverts: restarts, frozen nodes, stale reads, cold starts.
+//!
+//! The support checks after every event that no node goes back to a lower version and that none
+//! serves under a version lower than an accepted one.
+
+mod configuration_support;
+
+use std::time::Duration;
+
+use configuration_support::store::StoreMode;
+use configuration_support::{Fleet, accepted, apply_request, policy};
+use googletest::prelude::*;
+use rillgap_core::id::PolicyVersion;
+
+const SIZE: usize = 6;
+
+#[gtest]
+fn node_restarted_during_the_spread_serves_the_accepted_policy_only() {
+    for delay_micros in [0, 500, 4_000, 8_000, 12_000, 100_000] {
+        let mut fleet = Fleet::start_with_policy(SIZE);
+        let request = fleet.send(0, apply_request(policy(2, SIZE), None, 2));
+        fleet.run(Duration::from_micros(delay_micros));
+        fleet.kill(4);
+        fleet.boot(4);
+        fleet.run_until("policy on the restarted node", |fleet| {
+            fleet.in_force(4) == Some(PolicyVersion(2))
+        });
+        fleet.run_until("reply", |fleet| fleet.replies.contains_key(&request));
+    }
+}
+
+#[gtest]
+fn frozen_node_serves_nothing_until_it_is_confirmed() {
+    let mut fleet = Fleet::start_with_policy(SIZE);
+    fleet.freeze(4, Duration::from_secs(20));
+    fleet.run(Duration::from_secs(1));
+    let request = fleet.send(0, apply_request(policy(2, SIZE), None, 2));
+    fleet.run(Duration::from_secs(15));
+    expect_true!(fleet.replies.contains_key(&request));
+
+    fleet.run_until("thaw", |fleet| fleet.in_force(4).is_some());
+    expect_that!(fleet.in_force(4), some(eq(PolicyVersion(2))));
+    fleet.run(Duration::from_secs(3));
+    expect_that!(fleet.apply(0, policy(2, SIZE), None, 2), eq(&accepted(2)));
+}
+
+#[gtest]
+fn fleet_frozen_as_a_whole_runs_on_with_the_store_down() {
+    let mut fleet = Fleet::start_with_policy(SIZE);
+    fleet.store.mode = StoreMode::Down;
+    for number in 0..SIZE {
+        fleet.freeze(number, Duration::from_millis(1_500));
+    }
+    fleet.run(Duration::from_millis(1_500));
+    fleet.run_until("policy everywhere", |fleet| fleet.all_in_force(1));
+}
+
+#[gtest]
+fn stale_reads_bring_no_older_policy_back() {
+    let mut fleet = Fleet::start_with_policy(SIZE);
+    fleet.store.remember_policy();
+    expect_that!(fleet.apply(0, policy(2, SIZE), None, 2), eq(&accepted(2)));
+    fleet.store.begin_stale_reads();
+
+    for number in 0..SIZE {
+        fleet.kill(number);
+        fleet.boot(number);
+        fleet.run_until("policy on the restarted node", |fleet| {
+            fleet.in_force(number).is_some()
+        });
+        expect_that!(fleet.in_force(number), some(eq(PolicyVersion(2))));
+    }
+}
+
+#[gtest]
+fn cold_start_under_stale_reads_waits_for_the_latest_policy() {
+    let mut fleet = Fleet::start_with_policy(SIZE);
+    fleet.store.remember_policy();
+    expect_that!(fleet.apply(0, policy(2, SIZE), None, 2), eq(&accepted(2)));
+    fleet.store.begin_stale_reads();
+    (0..SIZE).for_each(|number| fleet.kill(number));
+    (0..SIZE).for_each(|number| fleet.boot(number));
+
+    fleet.run(Duration::from_secs(20));
+    expect_that!(fleet.in_force(0), none());
+
+    fleet.store.end_stale_reads();
+    fleet.run_until("policy everywhere", |fleet| fleet.all_in_force(2));
+}
+
+#[gtest]
+fn fresh_node_without_store_takes_the_policy_from_its_peers() {
+    let mut fleet = Fleet::start_with_policy(SIZE);
+    fleet.kill(4);
+    fleet.run(Duration::from_secs(8));
+    fleet.boot(4);
+    fleet.run_until("membership", |fleet| {
+        fleet.node(4).membership().view().members.len() == SIZE
+    });
+    fleet.store.mode = StoreMode::Down;
+    fleet.run_until("policy", |fleet| {
+        fleet.in_force(4) == Some(PolicyVersion(1))
+    });
+}
--- /dev/null
+++ b/crates/rillgap-core/tests/configuration_support/store.rs
@@ -0,0 +1,246 @@
+//! Stand-in for the platform's store.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use rillgap_core::store::{
+    Machine, ModifyIndex, StoreKey, StoreObject, StoreReply, StoreRequest, StoreRequestId,
+};
+
+use super::Run;
+
+/// What the store does with requests.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum StoreMode {
+    /// Answers everything.
+    #[default]
+    Up,
+    /// Answers nothing but failures.
+    Down,
+    /// Answers nothing at all.
+    Silent,
+    /// Carries out writes and reports them as failed.
+    LosesAnswers,
+    /// Reports writes of the policy as failed and carries them out a while later.
+    WritesLate,
+}
+
+/// A reply and when it leaves the store.
+#[derive(Debug)]
+pub struct StoreReplyAt {
+    pub run: Run,
+    pub request: StoreRequestId,
+    pub reply: StoreReply,
+    pub delay: Duration,
+}
+
+#[derive(Debug)]
+struct Watcher {
+    run: Run,
+    request: StoreRequestId,
+    key: Option<StoreKey>,
+    after: ModifyIndex,
+}
+
+/// The store.
+#[derive(Debug)]
+pub struct Store {
+    pub mode: StoreMode,
+    pub delay: Duration,
+    pub machines: Vec<Machine>,
+    /// Writes that took effect and changed the policy's object.
+    pub policy_changes: u64,
+    objects: BTreeMap<StoreKey, StoreObject>,
+    watchers: Vec<Watcher>,
+    index: u64,
+    remembered: Option<StoreObject>,
+    stale: Option<StoreObject>,
+    late: bool,
+}
+
+impl Default for Store {
+    fn default() -> Self {
+        Self {
+            mode: StoreMode::Up,
+            delay: Duration::from_millis(3),
+            machines: Vec::new(),
+            policy_changes: 0,
+            objects: BTreeMap::new(),
+            watchers: Vec::new(),
+            index: 1,
+            remembered: None,
+            stale: None,
+            late: false,
+        }
+    }
+}
+
+impl Store {
+    /// Remembers the policy as it is now, for [`Self::begin_stale_reads`].
+    pub fn remember_policy(&mut self) {
+        self.remembered = Some(self.object(&policy_key()));
+    }
+
+    /// From now on reads of the policy return the remembered object.
+    pub fn begin_stale_reads(&mut self) {
+        self.stale = self.remembered.clone();
+    }
+
+    pub fn end_stale_reads(&mut self) {
+        self.stale = None;
+    }
+
+    /// Returns whether the last request takes effect later.
+    pub fn takes_effect_late(&mut self) -> bool {
+        std::mem::take(&mut self.late)
+    }
+
+    pub fn request(
+        &mut self,
+        run: Run,
+        request: StoreRequestId,
+        body: StoreRequest,
+    ) -> Vec<StoreReplyAt> {
+        if self.mode == StoreMode::Silent {
+            return Vec::new();
+        }
+        if self.mode == StoreMode::Down {
+            return vec![self.reply(run, request, StoreReply::Failed)];
+        }
+        match body {
+            StoreRequest::Read { key, after } => self.read(run, request, Some(key), after),
+            StoreRequest::Machines { after } => self.read(run, request, None, after),
+            StoreRequest::CompareAndSet {
+                key,
+                expected,
+                value,
+            } => self.compare_and_set(run, request, key, expected, value),
+        }
+    }
+
+    /// Carries out a write whose answer was lost.
+    pub fn write_late(&mut self, body: StoreRequest) -> Vec<StoreReplyAt> {
+        if let StoreRequest::CompareAndSet {
+            key,
+            expected,
+            value,
+        } = body
+        {
+            self.write(key, expected, value);
+        }
+        self.answer_watchers()
+    }
+
+    fn read(
+        &mut self,
+        run: Run,
+        request: StoreRequestId,
+        key: Option<StoreKey>,
+        after: Option<ModifyIndex>,
+    ) -> Vec<StoreReplyAt> {
+        let after = after.unwrap_or_default();
+        if after > ModifyIndex(0) && self.index_of(key.as_ref()) <= after {
+            self.watchers.push(Watcher {
+                run,
+                request,
+                key,
+                after,
+            });
+            return Vec::new();
+        }
+        let reply = self.current(key.as_ref());
+        vec![self.reply(run, request, reply)]
+    }
+
+    fn compare_and_set(
+        &mut self,
+        run: Run,
+        request: StoreRequestId,
+        key: StoreKey,
+        expected: ModifyIndex,
+        value: Vec<u8>,
+    ) -> Vec<StoreReplyAt> {
+        let is_policy = key == policy_key();
+        if is_policy && self.mode == StoreMode::WritesLate {
+            self.late = true;
+            return vec![self.reply(run, request, StoreReply::Failed)];
+        }
+        let mut reply = self.write(key, expected, value);
+        if is_policy && self.mode == StoreMode::LosesAnswers {
+            reply = StoreReply::Failed;
+        }
+        let mut replies = vec![self.reply(run, request, reply)];
+        replies.extend(self.answer_watchers());
+        replies
+    }
+
+    fn write(&mut self, key: StoreKey, expected: ModifyIndex, value: Vec<u8>) -> StoreReply {
+        if self.object(&key).index != expected {
+            return StoreReply::Conflict;
+        }
+        if key == policy_key() && self.object(&key).value.as_ref() != Some(&value) {
+            self.policy_changes += 1;
+        }
+        self.index += 1;
+        let index = ModifyIndex(self.index);
+        let value = Some(value);
+        self.objects.insert(key, StoreObject { index, value });
+        StoreReply::Written(index)
+    }
+
+    fn answer_watchers(&mut self) -> Vec<StoreReplyAt> {
+        let watchers = std::mem::take(&mut self.watchers);
+        let (due, waiting) = watchers
+            .into_iter()
+            .partition(|watcher| self.index_of(watcher.key.as_ref()) > watcher.after);
+        self.watchers = waiting;
+        let due: Vec<Watcher> = due;
+        due.into_iter()
+            .map(|watcher| {
+                let reply = self.current(watcher.key.as_ref());
+                self.reply(watcher.run, watcher.request, reply)
+            })
+            .collect()
+    }
+
+    fn reply(&self, run: Run, request: StoreRequestId, reply: StoreReply) -> StoreReplyAt {
+        StoreReplyAt {
+            run,
+            request,
+            reply,
+            delay: self.delay,
+        }
+    }
+
+    fn index_of(&self, key: Option<&StoreKey>) -> ModifyIndex {
+        key.map_or(ModifyIndex(1), |key| self.readable(key).index)
+    }
+
+    fn current(&self, key: Option<&StoreKey>) -> StoreReply {
+        match key {
+            Some(key) => StoreReply::Object(self.readable(key)),
+            None => StoreReply::Machines {
+                index: ModifyIndex(1),
+                machines: self.machines.clone(),
+            },
+        }
+    }
+
+    fn readable(&self, key: &StoreKey) -> StoreObject {
+        match &self.stale {
+            Some(stale) if *key == policy_key() => stale.clone(),
+            _ => self.object(key),
+        }
+    }
+
+    fn object(&self, key: &StoreKey) -> StoreObject {
+        self.objects.get(key).cloned().unwrap_or(StoreObject {
+            index: ModifyIndex(0),
+            value: None,
+        })
+    }
+}
+
+fn policy_key() -> StoreKey {
+    StoreKey(rillgap_core::configuration::scope::POLICY_KEY.to_owned())
+}
