Claims: cheaper choice of replicas, tests with one node down and of racing claimants

Cause: the choice compared the zone of every member with those chosen, and a vote chose the group three times. Now ranks are compared first, and a view that is the one in force is not checked twice.

--- a/crates/rillgap-core/src/claim/electorate.rs
+++ b/crates/rillgap-core/src/claim/electorate.rs
@@ -64,11 +64,8 @@
     let odd_count = count - usize::from(count > 0 && count.is_multiple_of(2));
     let mut group: Vec<Candidate<'_>> = Vec::with_capacity(odd_count);
     while group.len() < odd_count {
-        let best = candidates
-            .iter()
-            .enumerate()
-            .max_by_key(|(_, candidate)| (candidate.is_in_new_zone(&group), candidate.rank()));
-        let Some((position, _)) = best else {
+        let in_new_zone = best(&candidates, |candidate| candidate.is_in_new_zone(&group));
+        let Some(position) = in_new_zone.or_else(|| best(&candidates, |_| true)) else {
             break;
         };
         group.push(candidates.swap_remove(position));
@@ -76,6 +73,19 @@
     group.into_iter().map(|candidate| candidate.node).collect()
 }
 
+/// Returns the position of the acceptable candidate with the highest rank.
+fn best(candidates: &[Candidate<'_>], accept: impl Fn(&Candidate<'_>) -> bool) -> Option<usize> {
+    let mut best: Option<(usize, (u64, NodeId))> = None;
+    for (position, candidate) in candidates.iter().enumerate() {
+        let rank = candidate.rank();
+        // The rank is compared first: names of zones are compared for few candidates only.
+        if best.is_none_or(|(_, highest)| highest < rank) && accept(candidate) {
+            best = Some((position, rank));
+        }
+    }
+    best.map(|(position, _)| position)
+}
+
 /// A member with its score for one key.
 struct Candidate<'a> {
     score: u64,
@@ -159,10 +169,8 @@
             if !follows(later, &activated.view) {
                 return false;
             }
-            let earlier_group = replica_group(&activated.view, key);
-            if !self.is_replica(&activated.view, &earlier_group)
-                || !majorities_overlap(group, &earlier_group)
-            {
+            let checked = Arc::ptr_eq(&activated.view, electorate.view());
+            if !checked && !self.is_successor(&activated.view, key, group) {
                 return false;
             }
             if covers(activated, first_use) {
@@ -173,6 +181,13 @@
         false
     }
 
+    /// Returns whether this voter was a replica under an earlier view already, and majorities of
+    /// the group under that view meet those of the present group.
+    fn is_successor(self, earlier: &View, key: IdempotencyKey, group: &[NodeId]) -> bool {
+        let earlier_group = replica_group(earlier, key);
+        self.is_replica(earlier, &earlier_group) && majorities_overlap(group, &earlier_group)
+    }
+
     fn is_replica(self, view: &View, group: &[NodeId]) -> bool {
         let same_run = view
             .member(self.node)
--- a/crates/rillgap-core/tests/claim_explore/main.rs
+++ b/crates/rillgap-core/tests/claim_explore/main.rs
@@ -129,16 +129,43 @@
     }));
 }
 
+/// A key that is first used after a second.
+fn early_key() -> KeyedAttempt {
+    KeyedAttempt {
+        key: IdempotencyKey(u128::from(World::wall_millis(SECOND)) << 80 | 0x7 << 76),
+        fingerprint: Fingerprint(0),
+    }
+}
+
 #[gtest]
-fn a_lone_request_in_calm_weather_is_never_in_doubt() {
+fn a_lone_request_is_in_no_doubt_while_at_most_one_node_is_down() {
     let mut doubtful = 0;
     for seed in 0..RUNS {
         let mut world = World::new(seed, 7, 3, CALM, ClaimFaults::default());
-        let key = IdempotencyKey(u128::from(World::wall_millis(SECOND)) << 80 | 0x7 << 76);
-        let fingerprint = Fingerprint(0);
-        world.request(0, SECOND, KeyedAttempt { key, fingerprint });
+        if seed % 2 == 0 {
+            world.freeze(1 + (seed as usize / 2) % 6, 60 * SECOND);
+        }
+        world.request(0, SECOND, early_key());
         world.run();
         doubtful += world.truth.told_by_claims(Outcome::Unknown);
     }
     expect_that!(doubtful, eq(0));
 }
+
+#[gtest]
+fn of_racing_claimants_one_wins() {
+    let mut undecided = 0;
+    for seed in 0..RUNS {
+        let mut world = World::new(seed, 7, 3, CALM, ClaimFaults::default());
+        for entry in 0..2 + seed as usize % 3 {
+            let apart = world.draws.within(0..MILLI);
+            world.request(entry, SECOND + apart, early_key());
+        }
+        world.run();
+        let granted = !world.truth.dispatched.is_empty();
+        let given_back = world.truth.told_by_claims(Outcome::NotRun) > 0;
+        undecided += usize::from(!granted && !given_back);
+    }
+    println!("undecided: {undecided} of {RUNS}");
+    expect_that!(undecided, eq(0));
+}
--- a/crates/rillgap-core/tests/claim_explore/world.rs
+++ b/crates/rillgap-core/tests/claim_explore/world.rs
@@ -179,6 +179,10 @@
         self.push(time, Event::Host(host, None, HostEvent::Request(keyed)));
     }
 
+    pub fn freeze(&mut self, host: usize, length: u64) {
+        self.push(self.time, Event::Freeze(host, length));
+    }
+
     pub fn send(&mut self, from: usize, to: usize, payload: Payload) {
         let cut_until = self.cut_until.get(&(from, to)).copied().unwrap_or(0);
         if self.time < cut_until || self.draws.percent(self.weather.drop_percent) {
