Data path: a refused retry is not told as not run if an earlier attempt may have run

A repeatable request broke off at a back end that was killed; its retry met no connection, and the caller was told BackEndUnreachable (not run).

Change: a call remembers the failure of an attempt that may have run, and its caller is told that failure in place of a later not-run code. The new test of call_path failed before and passes now.

--- a/crates/rillgap-core/src/call/entry.rs
+++ b/crates/rillgap-core/src/call/entry.rs
@@ -218,6 +218,7 @@
         deadline: now.instant + timeout,
         tried: Vec::new(),
         reroutes: 0,
+        earlier_failure: None,
         next_attempt: 0,
         attempt: None,
     }
--- a/crates/rillgap-core/src/call/outgoing.rs
+++ b/crates/rillgap-core/src/call/outgoing.rs
@@ -2,11 +2,12 @@
 
 use bytes::Bytes;
 
+use crate::code::Outcome;
 use crate::event::InboundId;
 use crate::id::{AttemptId, BackEndName, CallId, Fingerprint, RootId, ServiceName};
 use crate::message::KeyedAttempt;
 use crate::policy::Class;
-use crate::request::RequestHead;
+use crate::request::{Refusal, RequestHead};
 use crate::routing::Target;
 use crate::time::Instant;
 
@@ -85,9 +86,22 @@
     pub next_attempt: u16,
     /// Attempt that is under way.
     pub attempt: Option<CurrentAttempt>,
+    /// Failure of an earlier attempt that may have run.
+    pub earlier_failure: Option<Refusal>,
 }
 
 impl OutgoingCall {
+    /// Returns what the caller is told instead of `refusal` of the last attempt.
+    ///
+    /// That attempt may not have run, and an earlier one of the same call may have.
+    pub fn truthful(&self, refusal: Refusal) -> Refusal {
+        if refusal.code.outcome() == Outcome::NotRun {
+            self.earlier_failure.unwrap_or(refusal)
+        } else {
+            refusal
+        }
+    }
+
     /// Returns the phase of the attempt that is under way.
     pub fn phase(&self) -> Option<Phase> {
         self.attempt.as_ref().map(|attempt| attempt.phase)
--- a/crates/rillgap-core/src/call/sender/answers.rs
+++ b/crates/rillgap-core/src/call/sender/answers.rs
@@ -125,6 +125,7 @@
             return;
         };
         let (phase, repeatable) = (call.phase(), call.repeatable);
+        call.earlier_failure = Some(refusal);
         self.restore(attempt, unspent, gate);
         self.end_target(now, attempt, TargetResult::Failed);
         match phase {
--- a/crates/rillgap-core/src/call/sender/ending.rs
+++ b/crates/rillgap-core/src/call/sender/ending.rs
@@ -91,7 +91,7 @@
     ) {
         self.mark_unsent_child(id, gate);
         if let Some(call) = self.remove(id) {
-            entry::refuse(call.inbound, refusal, ports);
+            entry::refuse(call.inbound, call.truthful(refusal), ports);
         }
     }
 
--- a/crates/rillgap-core/tests/call_path.rs
+++ b/crates/rillgap-core/tests/call_path.rs
@@ -6,7 +6,7 @@
 
 use bytes::Bytes;
 use googletest::prelude::*;
-use rillgap_core::code::ResultCode;
+use rillgap_core::code::{Outcome, ResultCode};
 use rillgap_core::event::{BackEndFailure, Event, InboundId};
 use rillgap_core::id::{BackEndName, CallToken, IdempotencyKey, NodeName};
 use rillgap_core::policy::{BackEndState, Policy};
@@ -214,3 +214,16 @@
         not(eq(NodeName::new("other").id()))
     );
 }
+
+#[gtest]
+fn a_refused_retry_is_not_told_as_not_run_after_an_attempt_that_may_have_run() {
+    let mut cluster = Cluster::new(&policy());
+    let inbound = cluster.call("GET", "/page", None);
+    for failure in [BackEndFailure::Broken, BackEndFailure::NotConnected] {
+        let node = node_of(&cluster, 0);
+        let attempt = cluster.calls.remove(0).1.attempt;
+        cluster.event(&node, Event::BackEndFailed { attempt, failure });
+    }
+    let told = code(&cluster, inbound).map(ResultCode::outcome);
+    expect_that!(told, some(eq(Outcome::Unknown)));
+}
