Observers of the eight conditions, exploration of random faults, and replay

Cause: the conditions need checkers that see what truly ran, and faults nobody thought of.

Change: one observer for each condition over the simulation's ledger; `rillgap-lab explore` draws one to three faults for a seed and checks all eight; `rillgap-lab replay` prints the timeline of a seed or of a recorded trace. Nodes with a fixed view get no seeds, which membership takes as the sign of it; keyed requests failed without (the ordinary minute of tests/simulation.rs showed it).

Planted faults, each caught by its observer (tests/planted_faults.rs), none seen without: condition 1: root 546 (Keyed(546)): 8 extra attempts, bound 4 condition 2: logbok-3 refused a protected attempt (QueueFull) and began unprotected work meanwhile condition 3: submission 2: body is Foreign condition 4: call 335 was told Refused(BackEndUnreachable), but execution 908 ran condition 5: root 3: execution 7 at bestilling-3 and execution 9 at bestilling-3 condition 6: takst-1 is leaving since 1000000 us and received execution 3578 condition 7: node-bestilling-1 ended with 0 requests open and 2 running Condition 8 follows with the start from the store.

--- a/crates/rillgap-lab/src/command/mod.rs
+++ b/crates/rillgap-lab/src/command/mod.rs
@@ -9,6 +9,7 @@
 mod output;
 pub mod replay;
 pub mod scale;
+pub mod seed_range;
 pub mod serve;
 
 pub use output::OutputForm;
@@ -84,6 +85,24 @@
     /// A comparison could not be made.
     #[error(transparent)]
     Compare(#[from] crate::compare::CompareError),
+    /// A scenario cannot be used.
+    #[error(transparent)]
+    Scenario(#[from] crate::model::scenario::ScenarioError),
+    /// A simulation could not run.
+    #[error(transparent)]
+    Engine(#[from] crate::sim::engine::EngineError),
+    /// Threads could not be started.
+    #[error("threads cannot be started: {0}")]
+    Threads(String),
+    /// Runs broke a condition.
+    #[error("{seeds} seeds broke a condition")]
+    ConditionsBroken {
+        /// Number of such runs.
+        seeds: u64,
+    },
+    /// It is not clear what to replay.
+    #[error("give either --deployment and --seed, or --trace")]
+    ReplayTarget,
     /// The command is not built yet.
     #[error("this command is not built yet")]
     NotBuiltYet,
--- a/crates/rillgap-lab/src/lib.rs
+++ b/crates/rillgap-lab/src/lib.rs
@@ -6,5 +6,6 @@
 pub mod compare;
 pub mod load;
 pub mod model;
+pub mod observe;
 pub mod serve;
 pub mod sim;
--- a/crates/rillgap-lab/src/model/deployment.rs
+++ b/crates/rillgap-lab/src/model/deployment.rs
@@ -1,9 +1,14 @@
 //! The two deployments that ship as scenarios.
 
+use std::str::FromStr;
+
+use serde::{Deserialize, Serialize};
+
 use super::scenario::{Scenario, ScenarioError};
 
 /// A deployment that ships with the lab.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
 pub enum Deployment {
     /// Taxi dispatch in Trondheim.
     Trondheim,
@@ -23,13 +28,6 @@
         }
     }
 
-    /// Returns the deployment with this name.
-    pub fn from_name(name: &str) -> Option<Self> {
-        Self::ALL
-            .into_iter()
-            .find(|deployment| deployment.name() == name)
-    }
-
     /// Returns the scenario of an ordinary minute.
     ///
     /// # Errors
@@ -42,3 +40,14 @@
         })
     }
 }
+
+impl FromStr for Deployment {
+    type Err = String;
+
+    fn from_str(name: &str) -> Result<Self, Self::Err> {
+        Self::ALL
+            .into_iter()
+            .find(|deployment| deployment.name() == name)
+            .ok_or_else(|| format!("{name:?} is neither trondheim nor jylland"))
+    }
+}
--- a/crates/rillgap-lab/src/model/scenario.rs
+++ b/crates/rillgap-lab/src/model/scenario.rs
@@ -10,14 +10,20 @@
 
 use super::fault::TimedFault;
 
+/// Time that nodes need at most for their start from the store, in milliseconds.
+pub const STORE_BOOTSTRAP_MILLIS: u64 = 30_000;
+
 /// A whole scenario.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, rename_all = "kebab-case")]
 pub struct Scenario {
     /// Name, used in reports.
     pub name: String,
-    /// Virtual time for which callers send requests, in milliseconds.
+    /// Virtual time until the last arrival, in milliseconds.
     pub duration_millis: u64,
+    /// Virtual time before the first arrival, in milliseconds.
+    #[serde(default)]
+    pub callers_start_millis: u64,
     /// Virtual time that is simulated after the last arrival, in milliseconds.
     #[serde(default = "default_settle_millis")]
     pub settle_millis: u64,
@@ -57,6 +63,8 @@
     /// From their settings; the platform is not needed.
     #[default]
     Fixed,
+    /// The view from the platform's store, the policy from their settings.
+    View,
     /// From the platform's store, as in production; an operator applies the policy first.
     Store,
 }
--- a/crates/rillgap-lab/src/sim/caller.rs
+++ b/crates/rillgap-lab/src/sim/caller.rs
@@ -38,7 +38,10 @@
         let process = &mut self.arrivals[group];
         process.factor *= factor;
         process.generation += 1;
-        self.schedule_arrival(group);
+        let start = self.scenario.callers_start_millis * 1_000;
+        if self.time.as_micros() > start {
+            self.schedule_arrival(group);
+        }
     }
 
     /// Begins a new request of a group.
--- a/crates/rillgap-lab/src/sim/event.rs
+++ b/crates/rillgap-lab/src/sim/event.rs
@@ -159,6 +159,11 @@
         /// Number of the call among all that it made.
         call: u32,
     },
+    /// A group of callers begins to send.
+    CallersStart {
+        /// Position of the group in the scenario.
+        group: usize,
+    },
     /// A new request of a group of callers is due.
     Arrival {
         /// Position of the group in the scenario.
--- a/crates/rillgap-lab/src/sim/setup.rs
+++ b/crates/rillgap-lab/src/sim/setup.rs
@@ -156,7 +156,8 @@
 
     fn node_settings(&self, host: HostIndex) -> NodeSettings {
         let state = &self.hosts[host];
-        let fixed = self.scenario.bootstrap == Bootstrap::Fixed;
+        let fixed_view = self.scenario.bootstrap == Bootstrap::Fixed;
+        let fixed_policy = self.scenario.bootstrap != Bootstrap::Store;
         let reverts = self.options.planted == Some(PlantedFault::PolicyReverts) && state.run > 1;
         let back_end = state.back_end.map(|index| LocalBackEnd {
             name: self.back_ends[index].name.clone(),
@@ -172,9 +173,13 @@
             random_seed: state.id.0 ^ u64::from(state.run) ^ state.clock_offset.as_micros() as u64,
             mesh_address: mesh_address(host),
             back_end,
-            seeds: self.seed_peers(host),
-            initial_view: fixed.then(|| self.fixed_view()),
-            initial_policy: (fixed || reverts).then(|| self.policy.clone()),
+            seeds: if fixed_view {
+                Vec::new()
+            } else {
+                self.seed_peers(host)
+            },
+            initial_view: fixed_view.then(|| self.fixed_view()),
+            initial_policy: (fixed_policy || reverts).then(|| self.policy.clone()),
             admission: self.options.admission,
         }
     }
--- a/crates/rillgap-lab/src/sim/world.rs
+++ b/crates/rillgap-lab/src/sim/world.rs
@@ -141,8 +141,9 @@
             self.start_node(host);
         }
         self.bootstrap();
+        let start = Instant::from_micros(self.scenario.callers_start_millis * 1_000);
         for group in 0..self.scenario.callers.len() {
-            self.schedule_arrival(group);
+            self.schedule_at(start, SimulationEvent::CallersStart { group });
         }
         self.schedule_faults();
     }
@@ -238,6 +239,7 @@
             SimulationEvent::CallTimeout { execution, call } => {
                 self.on_call_timeout(execution, call);
             }
+            SimulationEvent::CallersStart { group } => self.schedule_arrival(group),
             SimulationEvent::Arrival { group, generation } => self.on_arrival(group, generation),
             SimulationEvent::Attempt { root } => self.submit(root),
             SimulationEvent::Answer { submission, part } => self.on_answer(submission, part),
