--- a/crates/rillgap-cli/src/arguments.rs
+++ b/crates/rillgap-cli/src/arguments.rs
@@ -8,7 +8,7 @@
 /// Address of the operators' listener that is asked if none is named.
 pub const DEFAULT_NODE: &str = "127.0.0.1:7440";
 
-const DEFAULT_TIMEOUT_SECONDS: u64 = 5;
+const DEFAULT_TIMEOUT_SECONDS: u64 = 10;
 const DEFAULT_WAIT_SECONDS: u64 = 10;
 
 /// Operates a rillgap deployment. Exit codes are the numbers of docs/ERRORS.md.
@@ -21,7 +21,7 @@
     /// form of the output: text or json (default text)
     #[argh(option, default = "OutputForm::Text")]
     pub output: OutputForm,
-    /// longest wait for the answer to one call, in seconds, 1 to 300 (default 5)
+    /// longest wait for the answer to one call, in seconds, 1 to 300 (default 10)
     #[argh(option, default = "Seconds(DEFAULT_TIMEOUT_SECONDS)")]
     pub timeout: Seconds,
     /// what to do
--- a/crates/rillgap-cli/tests/exit_codes.rs
+++ b/crates/rillgap-cli/tests/exit_codes.rs
@@ -55,6 +55,16 @@
     expect_that!(errors, eq(""));
 }
 
+#[gtest]
+fn policies_that_ship_are_valid() {
+    let deploy = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../deploy");
+    for deployment in ["trondheim", "jylland"] {
+        let (code, errors) = check(&deploy.join(deployment).join("policy.toml"));
+
+        expect_that!(code, some(eq(0)), "{errors}");
+    }
+}
+
 #[gtest]
 fn value_out_of_range_is_named() {
     let text = VALID.replace("extra-attempts = 3", "extra-attempts = 33");
