Configuration tests: a short freeze, a node without peers, stale reads in a change

Cause: planted faults (trials on a scratch state) showed three that no test caught: the gap after a short freeze not noticed, a change in the object read back not recognised, and a document of a lower version taken in.

Change: a test for each. With the fault planted each now fails: gap not noticed fails short_freeze_puts_the_policy_in_doubt; change not recognised fails node_without_peers_settles_a_lost_answer_by_the_store_alone; a lower version taken in fails stale_reads_bring_no_older_policy_back. Not caught, and found to be equal in effect in these tests: planning anew at an index that has not moved.

--- a/crates/rillgap-core/tests/configuration_changes.rs
+++ b/crates/rillgap-core/tests/configuration_changes.rs
@@ -70,6 +70,26 @@
     expect_that!(fleet.store.policy_changes, eq(2));
 }
 
+#[gtest]
+fn node_without_peers_settles_a_lost_answer_by_the_store_alone() {
+    let mut fleet = Fleet::start_with_policy(SIZE);
+    fleet.store.mode = StoreMode::LosesAnswers;
+    fleet.cut_from_peers(5);
+
+    let reply = fleet.ask(5, drain(2));
+
+    expect_that!(
+        reply,
+        matches_pattern!(OperatorReply::Change {
+            version: eq(&PolicyVersion(2)),
+            state: matches_pattern!(ChangeState::Pending { .. }),
+        })
+    );
+    expect_that!(fleet.store.policy_changes, eq(2));
+    fleet.heal();
+    fleet.run_until("acceptance everywhere", |fleet| fleet.all_in_force(2));
+}
+
 #[gtest]
 fn write_that_takes_effect_late_is_not_doubled() {
     let mut fleet = Fleet::start_with_policy(SIZE);
--- a/crates/rillgap-core/tests/configuration_failures.rs
+++ b/crates/rillgap-core/tests/configuration_failures.rs
@@ -10,7 +10,9 @@
 use configuration_support::store::StoreMode;
 use configuration_support::{Fleet, accepted, apply_request, policy};
 use googletest::prelude::*;
+use rillgap_core::code::ResultCode;
 use rillgap_core::id::PolicyVersion;
+use rillgap_core::operator::OperatorReply;
 
 const SIZE: usize = 6;
 
@@ -44,6 +46,19 @@
     expect_that!(fleet.apply(0, policy(2, SIZE), None, 2), eq(&accepted(2)));
 }
 
+#[gtest]
+fn short_freeze_puts_the_policy_in_doubt() {
+    let mut fleet = Fleet::start_with_policy(SIZE);
+    let freeze = Duration::from_millis(1_500);
+    fleet.freeze(4, freeze);
+
+    fleet.run(freeze);
+    expect_that!(fleet.node(4).configuration().policy(), none());
+
+    fleet.run(Duration::from_millis(20));
+    expect_that!(fleet.node(4).configuration().policy(), some(anything()));
+}
+
 #[gtest]
 fn fleet_frozen_as_a_whole_runs_on_with_the_store_down() {
     let mut fleet = Fleet::start_with_policy(SIZE);
@@ -62,6 +77,15 @@
     expect_that!(fleet.apply(0, policy(2, SIZE), None, 2), eq(&accepted(2)));
     fleet.store.begin_stale_reads();
 
+    let reply = fleet.apply(3, policy(3, SIZE), None, 3);
+    expect_that!(
+        reply,
+        matches_pattern!(OperatorReply::Failed {
+            code: eq(&ResultCode::VersionConflict),
+            version: eq(&PolicyVersion(2)),
+            ..
+        })
+    );
     for number in 0..SIZE {
         fleet.kill(number);
         fleet.boot(number);
--- a/crates/rillgap-core/tests/configuration_support/mod.rs
+++ b/crates/rillgap-core/tests/configuration_support/mod.rs
@@ -58,6 +58,7 @@
     hosts: BTreeMap<NodeId, Host>,
     queue: BTreeMap<(Instant, u64), Delivery>,
     cuts: BTreeSet<NodeId>,
+    store_cuts: BTreeSet<NodeId>,
     sequence: u64,
     runs: u64,
     accepted: PolicyVersion,
@@ -103,6 +104,7 @@
             hosts: BTreeMap::new(),
             queue: BTreeMap::new(),
             cuts: BTreeSet::new(),
+            store_cuts: BTreeSet::new(),
             sequence: 0,
             runs: 0,
             accepted: PolicyVersion::default(),
@@ -178,11 +180,18 @@
 
     /// Cuts a node from all others and from the store.
     pub fn cut(&mut self, number: usize) {
+        self.cut_from_peers(number);
+        self.store_cuts.insert(id(number));
+    }
+
+    /// Cuts a node from all others, not from the store.
+    pub fn cut_from_peers(&mut self, number: usize) {
         self.cuts.insert(id(number));
     }
 
     pub fn heal(&mut self) {
         self.cuts.clear();
+        self.store_cuts.clear();
     }
 
     /// Loses the replies of the store that are on their way.
@@ -306,7 +315,7 @@
             delay,
         } in answers
         {
-            let reply = if self.cuts.contains(&run.node) {
+            let reply = if self.store_cuts.contains(&run.node) {
                 StoreReply::Failed
             } else {
                 reply
