Membership: flat control cost; relays of a region apart from relays of a zone

Measured with hollow nodes at 100 nodes of 6 regions, both ways with frame headers: the nodes that were relay of a zone and of a region at once carried 6,685 bytes a second on average and 7,083 at worst, because each exchanged digests with all relays of its region and all region relays of the others, and each told all of them of all zones. Now - the relays of a region are other nodes than those of a zone, where there are enough; - relays of a zone speak to the two of the region, these to one of each other region, and each relay of a zone is told of other zones by one of the two; - heartbeats of a large zone are up to 800 ms apart, and a new policy or view is confirmed at once; - proposals go to the first region that answers, so that regions do not meet in conflicts; - the machine list is read every 5 s at most.

The vote lease is 6 s, as the ages now add up to 4.9 s in a large zone. A node that is joining tells whether it will go to the store, and others wait for it.

A store reader told its region of a drained back end by version only, so that every node fetched the whole policy: it now passes on the small change if that is all that is new (configuration). A heartbeat can overtake the policy that it confirms; best_known_policy waits 300 ms for the spread.

--- a/crates/rillgap-core/src/configuration/engine.rs
+++ b/crates/rillgap-core/src/configuration/engine.rs
@@ -303,7 +303,7 @@
     }
 
     fn adopt_from_store(&mut self, scope: &mut Scope<'_>, document: PolicyDocument) {
-        let news = News::Version(document.policy.version);
+        let news = News::between(self.held.document(), &document);
         self.adopt(scope, document, news, None);
     }
 
--- a/crates/rillgap-core/src/configuration/spread.rs
+++ b/crates/rillgap-core/src/configuration/spread.rs
@@ -28,6 +28,28 @@
     Version(PolicyVersion),
 }
 
+impl News {
+    /// Returns what to tell of a document that was read from the store: the small change, if it
+    /// is all that is new.
+    pub fn between(held: &PolicyDocument, document: &PolicyDocument) -> Self {
+        single_change(held, document).map_or(Self::Version(document.policy.version), Self::BackEnd)
+    }
+}
+
+fn single_change(held: &PolicyDocument, document: &PolicyDocument) -> Option<BackEndChange> {
+    let stored = document.changes.last()?;
+    let mut pairs = held.policy.back_ends.iter().zip(&document.policy.back_ends);
+    let (_, back_end) = pairs.find(|(before, after)| before != after)?;
+    let (name, state) = (&back_end.name, back_end.state);
+    let next = held.with_back_end(name, state, stored.change)?;
+    (next == *document).then(|| BackEndChange {
+        base: held.policy.version,
+        change: stored.change,
+        back_end: name.clone(),
+        state,
+    })
+}
+
 impl From<News> for ConfigurationMessage {
     fn from(news: News) -> Self {
         match news {
--- a/crates/rillgap-core/src/membership/digest.rs
+++ b/crates/rillgap-core/src/membership/digest.rs
@@ -21,7 +21,6 @@
     /// Time of the oldest heartbeat that is counted, if it could be dated.
     evidence: Option<Instant>,
     received: Instant,
-    from_other_region: bool,
 }
 
 impl Entry {
@@ -38,13 +37,7 @@
 
 impl DigestTable {
     /// Takes in a digest whose sender spoke at `spoken` or later, if that is known.
-    pub fn insert(
-        &mut self,
-        now: Instant,
-        digest: ZoneDigest,
-        spoken: Option<Instant>,
-        from_other_region: bool,
-    ) {
+    pub fn insert(&mut self, now: Instant, digest: ZoneDigest, spoken: Option<Instant>) {
         let evidence = spoken
             .filter(|_| digest.age_millis != UNDATED)
             .map(|spoken| spoken - Duration::from_millis(u64::from(digest.age_millis)));
@@ -57,17 +50,15 @@
             digest,
             evidence,
             received: now,
-            from_other_region,
         };
         self.entries.insert(key, entry);
     }
 
     /// Returns digests to pass on, the best of each zone, with their present ages.
-    pub fn outgoing(&self, now: Instant, choose: impl Fn(ZoneId, bool) -> bool) -> Vec<ZoneDigest> {
+    pub fn outgoing(&self, now: Instant, choose: impl Fn(ZoneId) -> bool) -> Vec<ZoneDigest> {
         let mut best: BTreeMap<ZoneId, &Entry> = BTreeMap::new();
         for entry in self.entries.values() {
-            let wanted = choose(entry.digest.zone, entry.from_other_region);
-            if !wanted || !entry.is_fresh(now) {
+            if !choose(entry.digest.zone) || !entry.is_fresh(now) {
                 continue;
             }
             let current = best.entry(entry.digest.zone).or_insert(entry);
--- /dev/null
+++ b/crates/rillgap-core/src/membership/exchange.rs
@@ -0,0 +1,202 @@
+//! Exchange of digests: between the relays of a zone, the relays of its region and other regions.
+//!
+//! The relays of a zone tell those of the region what they hear. The relays of a region collect
+//! that, exchange it with one relay of each other region, and tell the relays of their zones.
+
+use std::collections::BTreeSet;
+
+use crate::action::Outbox;
+use crate::id::{Incarnation, NodeId};
+use crate::time::{Instant, Now};
+
+use super::contact::LivePeers;
+use super::message::{Exchange, MembershipMessage, ZoneDigest};
+use super::protocol::{Accusation, Protocol};
+use super::timing::{NAMED_LIMIT, REGION_INTERVAL};
+use super::topology::{RegionId, ZoneId};
+
+impl Protocol {
+    /// Exchanges what is due if this node is a relay of its region, or may soon be one.
+    pub fn tick_region(&mut self, now: Instant, out: &mut Outbox) {
+        let is_concerned = self.roles.region_relay || self.roles.region_substitute;
+        if !is_concerned || now < self.next_region_exchange {
+            return;
+        }
+        self.next_region_exchange = self.after(now, REGION_INTERVAL);
+        for partner in self.region_partners(now) {
+            self.send_exchange(now, partner, false, out);
+        }
+    }
+
+    /// Returns all nodes with which this one exchanges digests.
+    pub fn partners(&self, now: Instant) -> BTreeSet<NodeId> {
+        let mut partners = self.relay_partners(now);
+        partners.extend(self.region_partners(now));
+        partners
+    }
+
+    /// Returns the partners of a relay: the other one of its zone, and those of the region.
+    pub fn relay_partners(&self, now: Instant) -> BTreeSet<NodeId> {
+        let mut partners = BTreeSet::new();
+        if self.roles.relay {
+            self.add_partners(now, self.zone_relays(now), &mut partners);
+            let region = self.region_relays(now, self.identity.region);
+            self.add_partners(now, region, &mut partners);
+        }
+        partners.remove(&self.identity.id);
+        partners
+    }
+
+    /// Returns the partners of a region's relay: the relays of all zones of the region, its other
+    /// relay, and one of each other region. A substitute watches the region's relays.
+    fn region_partners(&self, now: Instant) -> BTreeSet<NodeId> {
+        let mut partners = BTreeSet::new();
+        if self.roles.region_relay || self.roles.region_substitute {
+            let region = self.region_relays(now, self.identity.region);
+            self.add_partners(now, region, &mut partners);
+        }
+        if self.roles.region_relay {
+            for zone in self.topology.zones_of(self.identity.region) {
+                self.add_partners(now, self.relays_of(now, zone), &mut partners);
+            }
+            for &region in self.topology.regions.keys() {
+                if region != self.identity.region {
+                    partners.extend(self.counterpart(now, region));
+                }
+            }
+        }
+        partners.remove(&self.identity.id);
+        partners
+    }
+
+    /// Returns the relay of another region with which this region's relay exchanges digests: the
+    /// first of them speaks to the first, the second to the second.
+    pub fn counterpart(&self, now: Instant, region: RegionId) -> Option<NodeId> {
+        let own = self.region_relays(now, self.identity.region).live;
+        let position = own.iter().position(|node| *node == self.identity.id)?;
+        let others = self.region_relays(now, region);
+        let retried = others
+            .silent
+            .iter()
+            .find(|peer| self.contacts.is_retry_due(now, **peer));
+        let count = others.live.len().max(1);
+        retried
+            .or_else(|| others.live.get(position % count))
+            .copied()
+    }
+
+    fn add_partners(&self, now: Instant, relays: LivePeers, partners: &mut BTreeSet<NodeId>) {
+        partners.extend(relays.live);
+        let retried = relays.silent.into_iter();
+        partners.extend(retried.filter(|peer| self.contacts.is_retry_due(now, *peer)));
+    }
+
+    pub fn send_exchange(&mut self, now: Instant, to: NodeId, is_reply: bool, out: &mut Outbox) {
+        let accused = if self.topology.order(self.identity.zone).contains(&to) {
+            self.accused(now)
+        } else {
+            Vec::new()
+        };
+        let exchange = Exchange {
+            probe: self.probes.stamp(now),
+            echo: self.probes.echo(now, to),
+            is_reply,
+            view: self.view.version,
+            agreed: self.agreed,
+            policy: self.policy,
+            digests: self.digests_for(now, to),
+            accused,
+            leaving: self.store.leaving().take(NAMED_LIMIT).collect(),
+        };
+        self.contacts.sent(now, to);
+        self.send(to, MembershipMessage::Exchange(Box::new(exchange)), out);
+    }
+
+    /// Returns the digests for which this node speaks to another.
+    fn digests_for(&self, now: Instant, to: NodeId) -> Vec<ZoneDigest> {
+        let Some(member) = self.view.member(to) else {
+            return Vec::new();
+        };
+        let zone = ZoneId::from(&member.zone);
+        if RegionId::from(&member.region) != self.identity.region {
+            return self
+                .digests
+                .outgoing(now, |zone| self.is_in_own_region(zone));
+        }
+        let speaks_for_all = self.roles.region_relay && self.serves(now, to);
+        let is_relay = self.roles.relay;
+        self.digests.outgoing(now, |other| {
+            let is_own = other == self.identity.zone;
+            (is_relay && is_own) || (speaks_for_all && other != zone)
+        })
+    }
+
+    /// Returns whether it is this one of the region's relays that tells `to` of other zones.
+    fn serves(&self, now: Instant, to: NodeId) -> bool {
+        let relays = self.region_relays(now, self.identity.region).live;
+        let count = relays.len().max(1) as u64;
+        let position = (to.0 % count) as usize;
+        relays.contains(&to) || relays.get(position) == Some(&self.identity.id)
+    }
+
+    fn is_in_own_region(&self, zone: ZoneId) -> bool {
+        self.topology
+            .zones
+            .get(&zone)
+            .is_some_and(|zone| zone.region == self.identity.region)
+    }
+
+    pub fn on_exchange(
+        &mut self,
+        now: Now,
+        from: NodeId,
+        incarnation: Incarnation,
+        exchange: Exchange,
+        out: &mut Outbox,
+    ) {
+        if !self.is_member() {
+            let message = self.also_joining(now.instant);
+            self.send(from, message, out);
+            return;
+        }
+        if !self.is_current_run(from, incarnation) {
+            return;
+        }
+        let now = now.instant;
+        self.probes.received(now, from, exchange.probe);
+        let spoken = exchange.echo.and_then(|echo| self.probes.date(now, echo));
+        if let Some(spoken) = spoken {
+            self.contacts.answered(from);
+            self.note_contact(from, spoken);
+        }
+        for digest in exchange.digests {
+            self.digests.insert(now, digest, spoken);
+        }
+        self.note_policy(now, exchange.policy, from);
+        self.note_agreed(now, exchange.agreed);
+        if !exchange.leaving.is_empty() {
+            self.take_leaving(&exchange.leaving);
+        }
+        let accusation = Accusation {
+            nodes: exchange.accused,
+            at: now,
+        };
+        self.accusations.insert(from, accusation);
+        self.compare_views(now, from, exchange.view, out);
+        if !exchange.is_reply && !self.partners(now).contains(&from) {
+            self.send_exchange(now, from, true, out);
+        }
+    }
+
+    fn note_contact(&mut self, from: NodeId, spoken: Instant) {
+        let is_own_zone = self
+            .view
+            .member(from)
+            .is_some_and(|member| member.zone == self.identity.member.zone);
+        if is_own_zone {
+            self.zone_contact = self.zone_contact.max(Some(spoken));
+        } else {
+            self.other_contact = self.other_contact.max(Some(spoken));
+        }
+    }
+}
--- a/crates/rillgap-core/src/membership/heartbeat.rs
+++ b/crates/rillgap-core/src/membership/heartbeat.rs
@@ -1,5 +1,7 @@
 //! Heartbeats of members and their acknowledgements.
 
+use std::time::Duration;
+
 use crate::action::Outbox;
 use crate::id::{Incarnation, NodeId};
 use crate::time::{Instant, Now};
@@ -8,19 +10,26 @@
 use super::digest::age_millis;
 use super::message::{Acknowledgement, Heartbeat, Lease, MembershipMessage, Status};
 use super::protocol::{Protocol, ReceivedStatus};
+use super::timing::{HEARTBEAT_INTERVAL_MAX, HEARTBEAT_INTERVAL_MIN, HEARTBEAT_INTERVAL_STEP};
 
 impl Protocol {
-    /// Sends the heartbeats that are due: to the relays of the zone in turn, and now and then
-    /// to those of higher rank that were silent.
+    /// Sends the heartbeats that are due: to the relays of the zone in turn, to all of them when
+    /// there is something new to confirm, and now and then to those of higher rank that were
+    /// silent.
     pub fn tick_heartbeat(&mut self, now: Instant, out: &mut Outbox) {
-        if !self.is_member() || now < self.next_heartbeat {
+        let confirmed = (self.policy, self.view.version);
+        let has_news = confirmed != self.announced;
+        if !self.is_member() || (now < self.next_heartbeat && !has_news) {
             return;
         }
-        self.next_heartbeat = self.after_heartbeat(now);
+        self.announced = confirmed;
+        self.next_heartbeat = self.after(now, self.heartbeat_interval());
         let id = self.identity.id;
         let mut relays = self.zone_relays(now);
         relays.live.retain(|relay| *relay != id);
-        if !relays.live.is_empty() {
+        if has_news {
+            relays.silent.append(&mut relays.live);
+        } else if !relays.live.is_empty() {
             self.heartbeat_turn = (self.heartbeat_turn + 1) % relays.live.len();
             let relay = relays.live.get(self.heartbeat_turn).copied();
             relays.silent.extend(relay);
@@ -34,6 +43,11 @@
         }
     }
 
+    fn heartbeat_interval(&self) -> Duration {
+        let members = self.topology.zone_size(self.identity.zone);
+        (HEARTBEAT_INTERVAL_STEP * members).clamp(HEARTBEAT_INTERVAL_MIN, HEARTBEAT_INTERVAL_MAX)
+    }
+
     fn send_heartbeat(&mut self, now: Instant, relay: NodeId, out: &mut Outbox) {
         let heartbeat = Heartbeat {
             probe: self.probes.stamp(now),
@@ -55,7 +69,8 @@
         out: &mut Outbox,
     ) {
         if !self.is_member() {
-            self.send(from, MembershipMessage::AlsoJoining, out);
+            let message = self.also_joining(now.instant);
+            self.send(from, message, out);
             return;
         }
         if !self.is_current_run(from, incarnation) {
@@ -71,7 +86,7 @@
             policy: heartbeat.policy,
         };
         self.detector.heard(from, heard);
-        self.note_policy(heartbeat.policy, from);
+        self.note_policy(now, heartbeat.policy, from);
         self.acknowledge(now, from, heartbeat.status_digest, out);
         self.compare_views(now, from, heartbeat.view, out);
     }
@@ -135,13 +150,13 @@
             return;
         };
         if lease.view <= self.view.version && lease.age_millis != u16::MAX {
-            let evidence = spoken - std::time::Duration::from_millis(u64::from(lease.age_millis));
+            let evidence = spoken - Duration::from_millis(u64::from(lease.age_millis));
             self.lease = self.lease.max(Some(evidence));
         }
     }
 
     fn take_status(&mut self, now: Instant, from: NodeId, status: Status) {
-        self.note_policy(status.policy, status.holder);
+        self.note_policy(now, status.policy, status.holder);
         self.note_agreed(now, status.agreed);
         self.take_leaving(&status.leaving);
         let received = ReceivedStatus {
--- a/crates/rillgap-core/src/membership/joining.rs
+++ b/crates/rillgap-core/src/membership/joining.rs
@@ -25,7 +25,7 @@
 /// Longest interval between two requests to join.
 const REQUEST_INTERVAL_MAX: Duration = Duration::from_secs(4);
 /// Longest time for which peers that are joining too keep a node from the store.
-const PATIENCE: Duration = Duration::from_secs(15);
+const PATIENCE: Duration = Duration::from_secs(30);
 
 /// Progress of a node that is not in the view.
 #[derive(Debug)]
@@ -34,6 +34,7 @@
     next_request: Instant,
     interval: Duration,
     turn: usize,
+    postponed_until: Option<Instant>,
     /// When the node turns to the store itself.
     pub store_at: Instant,
     /// Whether the node writes itself into the view, having read it from the store.
@@ -58,6 +59,7 @@
             interval: REQUEST_INTERVAL,
             turn: random.random_range(0..16),
             store_at: now + store_delay + spread,
+            postponed_until: None,
             writes_itself: false,
         }
     }
@@ -88,10 +90,16 @@
         }
     }
 
+    /// Returns whether somebody else keeps the node from the store.
+    pub fn is_postponed(&self, now: Instant) -> bool {
+        self.postponed_until.is_some_and(|until| now < until)
+    }
+
     /// Keeps the node from the store for a while: somebody else takes care.
     fn postpone_store(&mut self, now: Instant, random: &mut ChaCha8Rng) {
         let delay = STORE_FALLBACK_AFTER + random.random_range(Duration::ZERO..SPREAD);
         self.store_at = self.store_at.max(now + delay);
+        self.postponed_until = Some(self.store_at);
         self.writes_itself = false;
     }
 }
@@ -149,7 +157,7 @@
     /// Handles the request of a node that wants to be in the view.
     pub fn on_join(&mut self, now: Instant, member: Member, known: ViewVersion, out: &mut Outbox) {
         if !self.is_member() {
-            self.send_to(&member, MembershipMessage::AlsoJoining, out);
+            self.send_to(&member, self.also_joining(now), out);
             return;
         }
         let news = if known == self.view.version {
@@ -163,15 +171,28 @@
         }
     }
 
-    /// Takes in that a peer is joining too; the one with the lowest identifier goes ahead.
-    pub fn on_also_joining(&mut self, now: Instant, from: NodeId) {
-        let is_patient = now.saturating_since(self.joining.started) < PATIENCE;
-        let is_seed = self
-            .seeds
+    /// Returns the reply to a peer that is joining too.
+    pub fn also_joining(&self, now: Instant) -> MembershipMessage {
+        let goes_ahead = self.is_seed() || !self.joining.is_postponed(now);
+        MembershipMessage::AlsoJoining { goes_ahead }
+    }
+
+    fn is_seed(&self) -> bool {
+        self.seeds
             .iter()
-            .any(|seed| seed.name == self.identity.member.name);
-        if from < self.identity.id && is_patient && !is_seed {
-            self.joining.postpone_store(now, &mut self.random);
+            .any(|seed| seed.name == self.identity.member.name)
+    }
+
+    /// Takes in that a peer is joining too: a node that is no seed waits for one that goes ahead
+    /// and for one with a lower identifier, which may go ahead.
+    pub fn on_also_joining(&mut self, now: Instant, from: NodeId, goes_ahead: bool) {
+        let is_patient = now.saturating_since(self.joining.started) < PATIENCE;
+        let is_first = from < self.identity.id;
+        if is_patient && !self.is_seed() && (goes_ahead || is_first) {
+            let defers = is_first || self.seeds.iter().any(|seed| seed.name.id() == from);
+            if defers {
+                self.joining.postpone_store(now, &mut self.random);
+            }
         }
     }
 
--- a/crates/rillgap-core/src/membership/message.rs
+++ b/crates/rillgap-core/src/membership/message.rs
@@ -189,7 +189,10 @@
         known: ViewVersion,
     },
     /// Reply of a node that is itself still joining: the sender of the join is not alone.
-    AlsoJoining,
+    AlsoJoining {
+        /// Whether the node will turn to the store itself.
+        goes_ahead: bool,
+    },
     /// Changes for a store reader to write.
     Propose(Proposal),
 }
--- a/crates/rillgap-core/src/membership/mod.rs
+++ b/crates/rillgap-core/src/membership/mod.rs
@@ -2,15 +2,16 @@
 //!
 //! Nobody is in charge. The view is one object in the platform's store, changed by
 //! compare-and-set. The first two live members of each zone, in an order that follows from the
-//! view, are its relays: they take the heartbeats of the zone's members and exchange digests
-//! with the relays of other zones. The first two relays of each region speak to other regions
-//! and to the store. See `docs/design/membership.md`.
+//! view, are its relays: they take the heartbeats of the zone's members. Two members of each
+//! region, chosen alike, collect digests of its zones, exchange them with other regions, and read
+//! and write the store. See `docs/design/membership.md`.
 
 mod agreement;
 mod change;
 mod contact;
 mod detector;
 mod digest;
+mod exchange;
 mod heartbeat;
 mod history;
 mod joining;
@@ -165,7 +166,7 @@
     pub fn best_known_policy(&self) -> Option<(PolicyVersion, NodeId)> {
         match &self.mode {
             Mode::Fixed(_) => None,
-            Mode::Active(protocol) => protocol.best_policy,
+            Mode::Active(protocol) => protocol.best_known_policy(),
         }
     }
 
@@ -180,8 +181,8 @@
 
     /// Returns the nodes to which this node passes news on, such as a new policy.
     ///
-    /// Relays pass news to the relays of other zones and to the members of their own; all
-    /// others pass them to the relays of their own zone.
+    /// Relays of a region pass news to the relays of its zones and to other regions, relays of a
+    /// zone to its members and to the relays of the region, all others to the relays of the zone.
     pub fn spread_targets(&self) -> Vec<NodeId> {
         match &self.mode {
             Mode::Fixed(_) => Vec::new(),
@@ -197,6 +198,14 @@
         }
     }
 
+    /// Returns whether this node is one of the relays of its zone.
+    pub fn is_relay(&self) -> bool {
+        match &self.mode {
+            Mode::Fixed(_) => false,
+            Mode::Active(protocol) => protocol.roles.relay,
+        }
+    }
+
     /// Returns the status of every member as this node sees it.
     pub fn member_status(&self) -> Vec<MemberStatus> {
         match &self.mode {
--- a/crates/rillgap-core/src/membership/proposal.rs
+++ b/crates/rillgap-core/src/membership/proposal.rs
@@ -12,7 +12,7 @@
 use super::change::{Removal, ViewChange};
 use super::message::{MembershipMessage, Proposal, RemovalCause, RemovalRequest};
 use super::protocol::Protocol;
-use super::timing::{BATCH_INTERVAL, HOP_LIMIT};
+use super::timing::{BATCH_INTERVAL, FALLBACK_INTERVAL, HOP_LIMIT};
 use super::topology::ZoneId;
 
 /// Time after which a proposal that nobody repeats is dropped.
@@ -56,10 +56,10 @@
         self.removals.insert(request.removal.node, waiting);
     }
 
-    /// Returns whether something has waited for the batch interval.
-    pub fn is_due(&self, now: Instant) -> bool {
+    /// Returns whether something has waited for an interval.
+    pub fn is_due(&self, now: Instant, interval: Duration) -> bool {
         self.waiting_since
-            .is_some_and(|since| now.saturating_since(since) >= BATCH_INTERVAL)
+            .is_some_and(|since| now.saturating_since(since) >= interval)
     }
 
     /// Drops what the view already fulfils and what nobody has repeated for long.
@@ -157,6 +157,7 @@
             return;
         }
         if self.roles.region_relay {
+            self.pass_to_writer(now, &proposal, out);
             for member in proposal.joins {
                 self.proposals.join(now, member);
             }
@@ -168,6 +169,35 @@
         }
     }
 
+    /// Returns the relay of the first region that answers, if it is another region: it writes for
+    /// all, so that the regions do not get in each other's way.
+    fn preferred_writer(&self, now: Instant) -> Option<NodeId> {
+        self.topology
+            .regions
+            .keys()
+            .take_while(|region| **region != self.identity.region)
+            .filter_map(|region| self.counterpart(now, *region))
+            .find(|node| !self.contacts.is_silent(now, *node))
+    }
+
+    fn pass_to_writer(&self, now: Instant, proposal: &Proposal, out: &mut Outbox) {
+        let writer = self.preferred_writer(now);
+        if let Some(writer) = writer.filter(|_| proposal.hops < HOP_LIMIT) {
+            let mut copy = proposal.clone();
+            copy.hops += 1;
+            self.send(writer, MembershipMessage::Propose(copy), out);
+        }
+    }
+
+    /// Returns how long changes wait for company here; longer where another region writes them.
+    pub fn batch_interval(&self, now: Instant) -> Duration {
+        if self.preferred_writer(now).is_some() {
+            FALLBACK_INTERVAL
+        } else {
+            BATCH_INTERVAL
+        }
+    }
+
     /// Hands a proposal on: members to a relay of their zone, relays to a region relay.
     fn hand_on(&self, now: Instant, mut proposal: Proposal, out: &mut Outbox) {
         proposal.hops += 1;
--- a/crates/rillgap-core/src/membership/protocol.rs
+++ b/crates/rillgap-core/src/membership/protocol.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
+use std::time::Duration;
 
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -24,7 +25,7 @@
 use super::proposal::Proposals;
 use super::store_client::StoreClient;
 use super::timing::{
-    CONTACT_LIMIT, EXCHANGE_INTERVAL, FREEZE_LIMIT, HEARTBEAT_INTERVAL, LEAVE_LIMIT, RELAYS, TICK,
+    CONTACT_LIMIT, FREEZE_LIMIT, LEAVE_LIMIT, REGION_SUBSTITUTES, RELAYS, SPREAD_TIME, TICK,
     VOTE_LEASE,
 };
 use super::topology::{RegionId, Topology, ZoneId};
@@ -41,10 +42,21 @@
 /// Roles that this node has at present; they follow from the view and from who answers.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(super) struct Roles {
-    /// Among the first live members of its zone.
+    /// Among the first live members of its zone: takes heartbeats.
     pub relay: bool,
-    /// Among the first live relays of its region: speaks to other regions and to the store.
+    /// Among the first live members of its region's order: collects the digests of its zones,
+    /// speaks to other regions and to the store.
     pub region_relay: bool,
+    /// Next in the region's order, and watches whether the region's relays live.
+    pub region_substitute: bool,
+}
+
+/// The highest policy version heard of.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct HeardPolicy {
+    pub version: PolicyVersion,
+    pub holder: NodeId,
+    pub since: Instant,
 }
 
 /// A status as received.
@@ -74,7 +86,7 @@
     pub history: ViewHistory,
     pub agreed: ViewVersion,
     pub policy: PolicyVersion,
-    pub best_policy: Option<(PolicyVersion, NodeId)>,
+    pub best_policy: Option<HeardPolicy>,
     pub roles: Roles,
     pub probes: ProbeClock,
     pub contacts: Contacts,
@@ -99,9 +111,12 @@
     pub last_poll: Instant,
     pub next_tick: Instant,
     pub next_heartbeat: Instant,
-    pub next_exchange: Instant,
+    pub next_relay_exchange: Instant,
+    pub next_region_exchange: Instant,
     pub last_view_request: Option<Instant>,
     pub heartbeat_turn: usize,
+    /// Policy and view that the last heartbeats to all relays have confirmed.
+    pub announced: (PolicyVersion, ViewVersion),
 }
 
 impl Protocol {
@@ -152,7 +167,9 @@
             last_poll: now.instant,
             next_tick: now.instant,
             next_heartbeat: now.instant,
-            next_exchange: now.instant,
+            next_relay_exchange: now.instant,
+            next_region_exchange: now.instant,
+            announced: (PolicyVersion::default(), ViewVersion::default()),
             last_view_request: None,
             heartbeat_turn: 0,
             random,
@@ -182,6 +199,7 @@
         self.tick_joining(now.instant, out);
         self.tick_heartbeat(now.instant, out);
         self.tick_relay(now.instant, out);
+        self.tick_region(now.instant, out);
         self.tick_store(now.instant, out);
         self.tick_leaving(now.instant, out);
         self.history.poll(now);
@@ -202,20 +220,22 @@
         self.zone_contact = None;
         self.other_contact = None;
         self.next_heartbeat = now;
-        self.next_exchange = now;
+        self.next_relay_exchange = now;
+        self.next_region_exchange = now;
     }
 
     pub fn update_roles(&mut self, now: Instant) {
         let id = self.identity.id;
-        let relay = self.is_member() && self.zone_relays(now).live.contains(&id);
-        let region_relay = relay
-            && self
-                .region_relays(now, self.identity.region)
-                .live
-                .contains(&id);
+        let is_member = self.is_member();
+        let region = self.identity.region;
+        let relay = is_member && self.zone_relays(now).live.contains(&id);
+        let region_relay = is_member && self.region_relays(now, region).live.contains(&id);
+        let first = self.topology.region_order(region).iter();
+        let is_first = first.take(REGION_SUBSTITUTES).any(|node| *node == id);
         self.roles = Roles {
             relay,
             region_relay,
+            region_substitute: is_member && is_first && !region_relay,
         };
         self.detector.watch(now, relay);
         if !relay {
@@ -234,7 +254,7 @@
             .first_live(now, self.topology.order(zone), RELAYS)
     }
 
-    /// Returns the relays of a region that speak to other regions and to the store.
+    /// Returns the relays of a region.
     pub fn region_relays(&self, now: Instant, region: RegionId) -> LivePeers {
         self.contacts
             .first_live(now, self.topology.region_order(region), RELAYS)
@@ -304,14 +324,26 @@
     }
 
     /// Takes in that a node has a version of the policy.
-    pub fn note_policy(&mut self, version: PolicyVersion, holder: NodeId) {
+    pub fn note_policy(&mut self, now: Instant, version: PolicyVersion, holder: NodeId) {
         let is_news = version > PolicyVersion::default()
-            && self.best_policy.is_none_or(|(best, _)| version > best);
+            && self.best_policy.is_none_or(|best| version > best.version);
         if is_news {
-            self.best_policy = Some((version, holder));
+            self.best_policy = Some(HeardPolicy {
+                version,
+                holder,
+                since: now,
+            });
         }
     }
 
+    /// Returns the highest policy version heard of and who has it, once the spread of the policy
+    /// has had its time: a heartbeat may well overtake the policy itself.
+    pub fn best_known_policy(&self) -> Option<(PolicyVersion, NodeId)> {
+        self.best_policy
+            .filter(|best| self.last_poll.saturating_since(best.since) >= SPREAD_TIME)
+            .map(|best| (best.version, best.holder))
+    }
+
     /// Takes in how far joint majorities have confirmed views.
     pub fn note_agreed(&mut self, now: Instant, agreed: ViewVersion) {
         if agreed > self.agreed {
@@ -320,14 +352,9 @@
         }
     }
 
-    /// Returns the time of the next heartbeat, with a jitter of a tenth.
-    pub fn after_heartbeat(&mut self, now: Instant) -> Instant {
-        now + HEARTBEAT_INTERVAL.mul_f64(self.random.random_range(0.9..1.1))
-    }
-
-    /// Returns the time of the next exchange, with a jitter of a tenth.
-    pub fn after_exchange(&mut self, now: Instant) -> Instant {
-        now + EXCHANGE_INTERVAL.mul_f64(self.random.random_range(0.9..1.1))
+    /// Returns the time after an interval, with a jitter of a tenth.
+    pub fn after(&mut self, now: Instant, interval: Duration) -> Instant {
+        now + interval.mul_f64(self.random.random_range(0.9..1.1))
     }
 
     /// Sends a message to a member of the view or a seed.
@@ -394,9 +421,9 @@
                 self.notice_later_run(now.instant, from, incarnation);
                 self.on_join(now.instant, member, known, out);
             }
-            MembershipMessage::AlsoJoining => {
+            MembershipMessage::AlsoJoining { goes_ahead } => {
                 self.notice_later_run(now.instant, from, incarnation);
-                self.on_also_joining(now.instant, from);
+                self.on_also_joining(now.instant, from, goes_ahead);
             }
             MembershipMessage::Propose(proposal) => {
                 self.on_propose(now.instant, proposal, out);
--- a/crates/rillgap-core/src/membership/report.rs
+++ b/crates/rillgap-core/src/membership/report.rs
@@ -159,10 +159,10 @@
         let mut targets: BTreeSet<NodeId> = BTreeSet::new();
         if self.roles.relay {
             targets.extend(self.topology.order(self.identity.zone));
-            targets.extend(self.exchange_partners(now));
         } else {
             targets.extend(self.zone_relays(now).live);
         }
+        targets.extend(self.partners(now));
         targets.remove(&self.identity.id);
         targets.into_iter().collect()
     }
--- a/crates/rillgap-core/src/membership/store_client.rs
+++ b/crates/rillgap-core/src/membership/store_client.rs
@@ -60,6 +60,12 @@
     pub fn succeeded(&mut self) {
         *self = Self::default();
     }
+
+    /// Records a success after which nothing is asked for a while.
+    pub fn rest(&mut self, now: Instant, pause: Duration) {
+        self.delay = Duration::ZERO;
+        self.until = Some(now + pause);
+    }
 }
 
 /// Client side of the store at one node.
--- a/crates/rillgap-core/src/membership/storing.rs
+++ b/crates/rillgap-core/src/membership/storing.rs
@@ -9,7 +9,7 @@
 use super::message::{RemovalCause, RemovalRequest};
 use super::protocol::Protocol;
 use super::store_client::{Purpose, StoreClient, Stored};
-use super::timing::{LOG_LIMIT, UNAGREED_LIMIT};
+use super::timing::{LOG_LIMIT, MACHINES_INTERVAL, UNAGREED_LIMIT};
 
 impl Protocol {
     /// Does what is due at the store: readers watch and write, a lonely fresh node bootstraps.
@@ -85,7 +85,8 @@
     fn write_proposals(&mut self, now: Instant, out: &mut Outbox) {
         self.proposals.prune(now, &self.view);
         let may_write = self.roles.region_relay || self.joining.writes_itself;
-        let is_due = self.proposals.is_due(now) && self.store.write_backoff.is_over(now);
+        let is_due = self.proposals.is_due(now, self.batch_interval(now))
+            && self.store.write_backoff.is_over(now);
         if !may_write || !is_due || self.is_busy() || self.has_left() {
             return;
         }
@@ -102,14 +103,14 @@
             .is_some_and(|stored| stored.version == self.view.version);
         if is_current {
             self.proposals.waiting_since = Some(now);
-            self.store.write_view(now, self.after(change), out);
+            self.store.write_view(now, self.stored_after(change), out);
         } else {
             self.store.read_view(now, Purpose::ReadView, out);
         }
     }
 
     /// Returns the object in the store after a change.
-    fn after(&self, change: ViewChange) -> StoredView {
+    fn stored_after(&self, change: ViewChange) -> StoredView {
         let view = apply(&self.view, &change);
         let mut changes = self.log.to_vec();
         changes.push(change);
@@ -144,7 +145,7 @@
                 self.store.read_view(now, Purpose::ReadView, out);
             }
             StoreReply::Machines { index, machines } => {
-                self.store.machines_backoff.succeeded();
+                self.store.machines_backoff.rest(now, MACHINES_INTERVAL);
                 self.store.note_machines(*index, machines);
             }
             StoreReply::Failed => self.store_failed(now, purpose),
@@ -211,7 +212,7 @@
             removed: Vec::new(),
             added: vec![self.identity.member.clone()],
         };
-        self.store.write_view(now, self.after(change), out);
+        self.store.write_view(now, self.stored_after(change), out);
     }
 
     /// A request failed; whether a write took effect is settled by the next read.
--- a/crates/rillgap-core/src/membership/timing.rs
+++ b/crates/rillgap-core/src/membership/timing.rs
@@ -8,10 +8,17 @@
 
 /// Time between two calls of [`super::Membership::poll`].
 pub const TICK: Duration = Duration::from_millis(100);
-/// Time between two heartbeats of a member; its two relays are served in turn.
-pub const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(500);
-/// Time between two exchanges of digests between the same two relays.
-pub const EXCHANGE_INTERVAL: Duration = Duration::from_millis(500);
+/// Shortest time between two heartbeats of a member; its two relays are served in turn.
+pub const HEARTBEAT_INTERVAL_MIN: Duration = Duration::from_millis(500);
+/// Longest time between two heartbeats of a member.
+pub const HEARTBEAT_INTERVAL_MAX: Duration = Duration::from_millis(800);
+/// Time that each member of a zone adds to the interval, so that relays of large zones are
+/// spared.
+pub const HEARTBEAT_INTERVAL_STEP: Duration = Duration::from_millis(10);
+/// Time between two exchanges of a zone's relay with its partners.
+pub const RELAY_INTERVAL: Duration = Duration::from_millis(500);
+/// Time between two exchanges of a region's relay with its partners.
+pub const REGION_INTERVAL: Duration = Duration::from_secs(1);
 /// Time after which an unanswered peer counts as silent.
 pub const SILENT_AFTER: Duration = Duration::from_secs(2);
 /// Time between two messages to a silent peer.
@@ -30,15 +37,19 @@
 pub const FRESH_LIMIT: Duration = Duration::from_secs(5);
 /// Longest age of the evidence under which a node votes.
 ///
-/// The ages of the hops add up: up to 1 s from member to relay, 0.5 s for each of three
-/// exchanges, 0.5 s to the voting member.
-pub const VOTE_LEASE: Duration = Duration::from_secs(5);
+/// The ages of the hops add up, in a large zone to 1.6 s from member to relay, 0.5 s to the
+/// region's relay, 1 s to another region, 1 s to the relay there and 0.8 s to the voting member.
+pub const VOTE_LEASE: Duration = Duration::from_secs(6);
 /// Allowance for clocks that run at different rates during a lease.
 pub const CLOCK_SKEW: Duration = Duration::from_millis(500);
+/// Time that a new policy has to come by itself before it counts as missed.
+pub const SPREAD_TIME: Duration = Duration::from_millis(300);
 /// Gap between two polls that shows that the process was frozen.
 pub const FREEZE_LIMIT: Duration = Duration::from_secs(1);
 /// Time during which joins and removals are collected into one view.
 pub const BATCH_INTERVAL: Duration = Duration::from_millis(300);
+/// Time after which a region writes changes that another region was asked to write.
+pub const FALLBACK_INTERVAL: Duration = Duration::from_secs(3);
 /// Time after which a planned leave ends, whether or not the store took part.
 pub const LEAVE_LIMIT: Duration = Duration::from_secs(3);
 /// Time between two attempts to join or to leave by way of peers.
@@ -51,6 +62,8 @@
 pub const STORE_BACKOFF_MIN: Duration = Duration::from_millis(300);
 /// Longest time between two failing requests to the store.
 pub const STORE_BACKOFF_MAX: Duration = Duration::from_secs(8);
+/// Shortest time between two reads of the machine list, which is long and lags anyway.
+pub const MACHINES_INTERVAL: Duration = Duration::from_secs(5);
 /// Time after which a request to the store that waits for no change counts as failed.
 pub const STORE_TIMEOUT: Duration = Duration::from_secs(5);
 /// Time after which a request to the store that waits for a change counts as failed.
@@ -58,8 +71,10 @@
 /// Time for which activated views are kept: the default life of a key and the clocks' skew.
 pub const HISTORY_LIFE: Duration = Duration::from_secs(660);
 
-/// Relays of one zone, and store readers of one region.
+/// Relays of one zone, and of one region.
 pub const RELAYS: usize = 2;
+/// First members of a region's order that watch whether its relays live.
+pub const REGION_SUBSTITUTES: usize = 4;
 /// Changes that are kept and stored beside the view.
 pub const LOG_LIMIT: usize = 64;
 /// Changes beyond the agreed view after which no further change is proposed.
--- a/crates/rillgap-core/src/membership/topology.rs
+++ b/crates/rillgap-core/src/membership/topology.rs
@@ -51,7 +51,7 @@
 pub struct Topology {
     /// Zones by identifier.
     pub zones: BTreeMap<ZoneId, Zone>,
-    /// Candidates of each region in order: the first live ones are the region's store readers.
+    /// Candidates of each region in order: the first live ones are the region's relays.
     pub regions: BTreeMap<RegionId, Vec<NodeId>>,
 }
 
@@ -100,13 +100,15 @@
     }
 }
 
-/// Orders the first members of all zones of a region: relays first, their substitutes after.
+/// Orders the first members of all zones of a region. Those that are not relays of their zones
+/// come first, so that one node need not carry both kinds of traffic.
 fn region_orders(zones: &BTreeMap<ZoneId, Zone>) -> BTreeMap<RegionId, Vec<NodeId>> {
-    let mut candidates: BTreeMap<RegionId, Vec<(usize, u64, NodeId)>> = BTreeMap::new();
+    let mut candidates: BTreeMap<RegionId, Vec<(bool, u64, NodeId)>> = BTreeMap::new();
     for zone in zones.values() {
         let region = candidates.entry(zone.region).or_default();
         for (rank, node) in zone.order.iter().take(REGION_CANDIDATES).enumerate() {
-            region.push((rank / RELAYS, weight(*node, zone.region.0), *node));
+            let is_zone_relay = rank < RELAYS;
+            region.push((is_zone_relay, weight(*node, zone.region.0), *node));
         }
     }
     candidates
--- a/crates/rillgap-core/src/membership/views.rs
+++ b/crates/rillgap-core/src/membership/views.rs
@@ -12,7 +12,7 @@
 use super::message::MembershipMessage;
 use super::protocol::Protocol;
 use super::timing::VIEW_REQUEST_INTERVAL;
-use super::topology::{Topology, ZoneId};
+use super::topology::Topology;
 
 impl Protocol {
     /// Takes in successive changes; a later one than the next means that some are missing.
@@ -160,43 +160,45 @@
         }
     }
 
-    /// Relays pass a new view on to the relays of their region and to the members of their own
-    /// zone, also to those that it removes, so that they learn it.
+    /// A new view is passed on along the partners within the region; relays of a zone also pass
+    /// it to its members, even to those that it removes, so that they learn it.
     fn pass_on_view(&self, now: Instant, before: &View, from: Option<NodeId>, out: &mut Outbox) {
-        if !self.roles.relay || before.version == ViewVersion::default() {
+        let partners = self.partners(now);
+        if before.version == ViewVersion::default() || partners.is_empty() {
             return;
         }
         let message = self.news_since(before.version);
         let mut passed: BTreeSet<NodeId> = from.into_iter().collect();
         passed.insert(self.identity.id);
-        let zone = &self.identity.member.zone;
-        let in_zone = |member: &&Arc<Member>| member.zone == *zone;
-        for member in self.view.members.iter().filter(in_zone) {
-            if passed.insert(member.id()) {
+        for partner in partners {
+            let member = self.view.member(partner);
+            let member = member.filter(|member| member.region == self.identity.member.region);
+            if let Some(member) = member.filter(|_| passed.insert(partner)) {
                 self.send_to(member, message.clone(), out);
             }
         }
-        for member in before.members.iter().filter(in_zone) {
-            if passed.insert(member.id()) {
-                self.send_to(member, message.clone(), out);
-            }
-        }
-        for zone in self.topology.zones_of(self.identity.region) {
-            self.pass_on_to_relays(now, zone, &message, &mut passed, out);
+        if self.roles.relay {
+            self.pass_on_to_zone(before, &message, &mut passed, out);
         }
     }
 
-    fn pass_on_to_relays(
+    fn pass_on_to_zone(
         &self,
-        now: Instant,
-        zone: ZoneId,
+        before: &View,
         message: &MembershipMessage,
         passed: &mut BTreeSet<NodeId>,
         out: &mut Outbox,
     ) {
-        for relay in self.relays_of(now, zone).live {
-            if passed.insert(relay) {
-                self.send(relay, message.clone(), out);
+        let zone = &self.identity.member.zone;
+        let in_zone = |member: &&Arc<Member>| member.zone == *zone;
+        for member in self.view.members.iter().filter(in_zone) {
+            if passed.insert(member.id()) {
+                self.send_to(member, message.clone(), out);
+            }
+        }
+        for member in before.members.iter().filter(in_zone) {
+            if passed.insert(member.id()) {
+                self.send_to(member, message.clone(), out);
             }
         }
     }
