Lab: scale, hollow nodes over a virtual network of 22 zones and 6 regions

Runs the real node at any size with latencies of zones and regions and meters bytes, messages, processor time, memory and requests at the store, in steady state and under slow nodes, a mass restart, the loss of a zone, a region cut off and an absent store. The simulation of whole deployments was not reused for the network: it holds a link for every pair of hosts.

--- a/crates/rillgap-lab/src/lib.rs
+++ b/crates/rillgap-lab/src/lib.rs
@@ -7,5 +7,6 @@
 pub mod load;
 pub mod model;
 pub mod observe;
+pub mod scale;
 pub mod serve;
 pub mod sim;
--- /dev/null
+++ b/crates/rillgap-lab/src/scale/experiment.rs
@@ -0,0 +1,516 @@
+//! The experiment at one size: forms a deployment, measures it, and lets faults happen.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use rillgap_core::id::{ChangeId, PolicyVersion};
+use rillgap_core::operator::{ChangeState, OperatorReply, OperatorRequest, OperatorRequestId};
+use rillgap_core::policy::Policy;
+use rillgap_core::time::Instant;
+
+use super::fleet::Fleet;
+use super::layout::Layout;
+use super::measure::resident_bytes;
+use super::meter::{HostMeter, Part};
+use super::report::{
+    ChangeReport, FaultReport, KeyedReport, PhaseReport, RoleReport, SizeReport, Spread,
+    StoreReport,
+};
+
+/// Nodes of the full size that are restarted at once.
+const RESTARTED: usize = 130;
+/// Full size.
+const FULL_SIZE: usize = 1_900;
+/// Step at which conditions are looked at.
+const STEP: Duration = Duration::from_millis(100);
+/// Longest time that a condition is waited for.
+const LIMIT: Duration = Duration::from_secs(180);
+/// Longest time that a change of policy is watched.
+const CHANGE_LIMIT: Duration = Duration::from_secs(20);
+/// Time over which the steady state is measured.
+const STEADY: Duration = Duration::from_secs(60);
+
+/// What is run.
+#[derive(Clone, Debug)]
+pub struct ExperimentOptions {
+    /// Number of nodes.
+    pub nodes: usize,
+    /// Seed of the run.
+    pub seed: u64,
+    /// Time for which the platform is away.
+    pub store_away: Duration,
+    /// Whether faults are left out.
+    pub steady_only: bool,
+}
+
+/// Runs the experiment.
+pub fn run(options: &ExperimentOptions) -> SizeReport {
+    let memory_before = resident_bytes();
+    let layout = Layout {
+        nodes: options.nodes,
+    };
+    let mut experiment = Experiment {
+        fleet: Fleet::new(layout, options.seed),
+        policy: layout.policy(),
+        next_request: 0,
+    };
+    let mut report = SizeReport {
+        nodes: options.nodes,
+        policy_bytes: bitcode::encode(&experiment.policy).len(),
+        ..SizeReport::default()
+    };
+    experiment.form(&mut report);
+    report.memory_bytes_per_node =
+        resident_bytes().saturating_sub(memory_before) / options.nodes as u64;
+    experiment.measure_steady(&mut report);
+    if !options.steady_only {
+        report.slow = experiment.slow_nodes();
+        report.restart = experiment.restart();
+        report.zone = experiment.lose_zone();
+        report.region = experiment.cut_region();
+        report.store_away = experiment.store_away(options.store_away);
+    }
+    report
+}
+
+struct Experiment {
+    fleet: Fleet,
+    policy: Policy,
+    next_request: u64,
+}
+
+impl Experiment {
+    fn form(&mut self, report: &mut SizeReport) {
+        log::info!("scale: {} nodes start", self.fleet.hosts.len());
+        for host in 0..self.fleet.hosts.len() {
+            self.fleet.start(host);
+        }
+        let begin = self.fleet.time;
+        let formed = self.fleet.run_until(LIMIT, STEP, is_one_view);
+        report.formation_seconds = formed.map(|formed| formed.as_secs_f64());
+        report.formation = self.phase(begin);
+        self.fleet.run(Duration::from_secs(15));
+        report.first_change = self.change_policy(0);
+        self.fleet.run(Duration::from_secs(15));
+    }
+
+    fn measure_steady(&mut self, report: &mut SizeReport) {
+        log::info!("scale: steady state");
+        self.fleet.reset_meters();
+        let begin = self.fleet.time;
+        self.fleet.run(STEADY);
+        report.steady = self.phase(begin);
+        let processor = self.processor();
+        report.change = self.change_policy(1);
+        self.fleet.run(Duration::from_secs(5));
+        report.keyed = self.keyed(processor);
+    }
+
+    /// Sends requests with keys for a while.
+    fn keyed(&mut self, steady_processor: Duration) -> KeyedReport {
+        let memory_before = resident_bytes();
+        self.fleet.reset_meters();
+        self.fleet.set_load(Some(Duration::from_secs(2)));
+        self.fleet.run(STEADY);
+        self.fleet.set_load(None);
+        let count = self.fleet.keyed.sent.max(1) as f64;
+        let processor = self.processor().saturating_sub(steady_processor);
+        let sum = |part: Part| {
+            let hosts = self.fleet.hosts.iter();
+            let traffic = hosts.map(|host| host.meter.sent.get(&part).copied().unwrap_or_default());
+            traffic.fold((0, 0), |sum, traffic| {
+                (sum.0 + traffic.messages, sum.1 + traffic.bytes)
+            })
+        };
+        let (claims, calls) = (sum(Part::Claim), sum(Part::Call));
+        KeyedReport {
+            sent: self.fleet.keyed.sent,
+            answered: self.fleet.keyed.answered,
+            claim_messages: claims.0 as f64 / count,
+            claim_bytes: claims.1 as f64 / count,
+            call_messages: calls.0 as f64 / count,
+            call_bytes: calls.1 as f64 / count,
+            processor_micros: processor.as_secs_f64() * 1e6 / count,
+            memory_bytes: resident_bytes().saturating_sub(memory_before) as f64 / count,
+        }
+    }
+
+    fn processor(&self) -> Duration {
+        self.fleet
+            .hosts
+            .iter()
+            .map(|host| host.meter.processor)
+            .sum()
+    }
+
+    /// A twentieth of the hosts is slow, some freeze for 0.5 to 3 s, and some links are cut one way.
+    fn slow_nodes(&mut self) -> FaultReport {
+        log::info!("scale: slow nodes");
+        let begin = self.begin_fault();
+        let count = (self.fleet.hosts.len() / 20).max(1);
+        let slow = self.draw_hosts(count);
+        for &host in &slow {
+            self.fleet
+                .network
+                .slow_host(host, Duration::from_millis(1_200));
+        }
+        for _ in 0..count {
+            let from = self.fleet.random.position(self.fleet.hosts.len());
+            let to = self.fleet.random.position(self.fleet.hosts.len());
+            self.fleet.network.cut_link(from, to);
+        }
+        let mut watch = Watch::new(&slow);
+        for _ in 0..60 {
+            let frozen = self.fleet.random.position(self.fleet.hosts.len());
+            let millis = 500 + self.fleet.random.up_to(2_500);
+            self.fleet.freeze(frozen, Duration::from_millis(millis));
+            watch.excused.insert(frozen);
+            self.fleet.run(Duration::from_secs(1));
+            watch.look(&self.fleet);
+        }
+        let change = self.change_policy(2);
+        let mut report = self.end_fault(begin, slow.len(), change);
+        watch.write(&mut report);
+        report
+    }
+
+    fn restart(&mut self) -> FaultReport {
+        log::info!("scale: restart");
+        let begin = self.begin_fault();
+        let hosts = self.draw_hosts(self.restarted());
+        let mut watch = Watch::new(&hosts);
+        for &host in &hosts {
+            self.fleet.start(host);
+        }
+        self.fleet.run(Duration::from_secs(1));
+        watch.look(&self.fleet);
+        let change = self.change_policy(3);
+        watch.look(&self.fleet);
+        let mut report = self.end_fault(begin, hosts.len(), change);
+        watch.write(&mut report);
+        report
+    }
+
+    fn restarted(&self) -> usize {
+        (self.fleet.hosts.len() * RESTARTED / FULL_SIZE).max(2)
+    }
+
+    fn lose_zone(&mut self) -> FaultReport {
+        log::info!("scale: zone lost");
+        let begin = self.begin_fault();
+        let zone = Layout::zones() - 1;
+        let hosts: Vec<usize> = (0..self.fleet.hosts.len())
+            .filter(|host| self.fleet.layout.place(*host).zone == zone)
+            .collect();
+        let mut watch = Watch::new(&hosts);
+        for &host in &hosts {
+            self.fleet.kill(host);
+        }
+        self.fleet.run(Duration::from_secs(2));
+        let change = self.change_policy(4);
+        for _ in 0..90 {
+            self.fleet.run(Duration::from_secs(1));
+            watch.look(&self.fleet);
+        }
+        for &host in &hosts {
+            self.fleet.start(host);
+        }
+        let mut report = self.end_fault(begin, hosts.len(), change);
+        watch.write(&mut report);
+        report
+    }
+
+    fn cut_region(&mut self) -> FaultReport {
+        log::info!("scale: region cut");
+        let begin = self.begin_fault();
+        let region = Layout::regions() - 1;
+        let hosts: Vec<usize> = (0..self.fleet.hosts.len())
+            .filter(|host| self.fleet.layout.place(*host).region == region)
+            .collect();
+        let mut watch = Watch::new(&[]);
+        self.fleet.network.cut_region(region);
+        self.fleet.run(Duration::from_secs(10));
+        let change = self.change_policy_at(5, &hosts);
+        for _ in 0..170 {
+            self.fleet.run(Duration::from_secs(1));
+            watch.look(&self.fleet);
+        }
+        let mut report = self.end_fault(begin, hosts.len(), change);
+        watch.write(&mut report);
+        report
+    }
+
+    /// The platform is away while nodes are replaced, one after the other, and comes back.
+    fn store_away(&mut self, duration: Duration) -> FaultReport {
+        log::info!("scale: store away");
+        let begin = self.begin_fault();
+        let hosts = self.draw_hosts(self.restarted());
+        let mut watch = Watch::new(&hosts);
+        self.fleet.set_store_away(true);
+        let pause = duration / u32::try_from(hosts.len() + 1).unwrap_or(u32::MAX);
+        for &host in &hosts {
+            self.fleet.run(pause);
+            self.fleet.start(host);
+            watch.look(&self.fleet);
+        }
+        self.fleet.run(pause);
+        self.fleet.set_store_away(false);
+        self.fleet.run(Duration::from_secs(1));
+        let mut report = self.end_fault(begin, hosts.len(), ChangeReport::default());
+        report.change = self.change_policy(6);
+        watch.write(&mut report);
+        report
+    }
+
+    fn begin_fault(&mut self) -> Instant {
+        self.fleet.reset_meters();
+        self.fleet.time
+    }
+
+    /// Ends all faults and waits until all nodes are in one view and serve.
+    fn end_fault(&mut self, begin: Instant, hosts: usize, change: ChangeReport) -> FaultReport {
+        self.fleet.network.heal();
+        let recovery = self.fleet.run_until(LIMIT, STEP, |fleet| {
+            is_one_view(fleet) && fleet.running().all(|host| fleet.hosts[host].serving)
+        });
+        let cost = self.phase(begin);
+        self.fleet.run(Duration::from_secs(20));
+        FaultReport {
+            hosts,
+            cost,
+            recovery_seconds: recovery.map(|recovery| recovery.as_secs_f64()),
+            change,
+            ..FaultReport::default()
+        }
+    }
+
+    fn draw_hosts(&mut self, count: usize) -> Vec<usize> {
+        let mut hosts = BTreeSet::new();
+        while hosts.len() < count {
+            hosts.insert(self.fleet.random.position(self.fleet.hosts.len()));
+        }
+        hosts.into_iter().collect()
+    }
+
+    fn change_policy(&mut self, number: u32) -> ChangeReport {
+        self.change_policy_at(number, &[])
+    }
+
+    /// Lets an operator change the policy and watches where it comes into force; `unreachable`
+    /// hosts are not waited for.
+    fn change_policy_at(&mut self, number: u32, unreachable: &[usize]) -> ChangeReport {
+        self.policy.bounds.key_life_seconds = 600 + number;
+        let targets: Vec<usize> = self
+            .fleet
+            .running()
+            .filter(|host| number == 0 || self.fleet.hosts[*host].serving)
+            .filter(|host| !unreachable.contains(host))
+            .collect();
+        let Some(&host) = targets.get(targets.len() / 2) else {
+            return ChangeReport::default();
+        };
+        let change = ChangeId((u128::from(number) << 64) | 1);
+        let begin = self.fleet.time;
+        let version = self.apply(host, change);
+        let mut accepted = None;
+        while self.fleet.time.saturating_since(begin) < CHANGE_LIMIT {
+            if accepted.is_none() && self.is_accepted(host, change) {
+                accepted = Some(self.fleet.time.saturating_since(begin).as_secs_f64());
+            }
+            let done = version.is_some_and(|version| {
+                targets
+                    .iter()
+                    .all(|target| holds(&self.fleet, *target, version))
+            });
+            if done && accepted.is_some() {
+                break;
+            }
+        }
+        self.change_report(begin, version, &targets, accepted)
+    }
+
+    /// Asks for the change until the node has written it; returns its version.
+    fn apply(&mut self, host: usize, change: ChangeId) -> Option<PolicyVersion> {
+        for _ in 0..10 {
+            let body = OperatorRequest::ApplyPolicy {
+                policy: self.policy.clone(),
+                expected: None,
+                change,
+            };
+            if let Some(OperatorReply::Change { version, .. }) = self.ask(host, body) {
+                return Some(version);
+            }
+            self.fleet.run(Duration::from_millis(500));
+        }
+        None
+    }
+
+    fn is_accepted(&mut self, host: usize, change: ChangeId) -> bool {
+        let reply = self.ask(host, OperatorRequest::GetChange { change });
+        self.fleet.run(Duration::from_millis(50));
+        matches!(
+            reply,
+            Some(OperatorReply::Change {
+                state: ChangeState::Accepted,
+                ..
+            })
+        )
+    }
+
+    fn ask(&mut self, host: usize, body: OperatorRequest) -> Option<OperatorReply> {
+        self.next_request += 1;
+        let request = OperatorRequestId(self.next_request);
+        self.fleet.replies.clear();
+        self.fleet.operate(host, request, body);
+        self.fleet
+            .run_until(Duration::from_secs(5), Duration::from_millis(10), |fleet| {
+                fleet.replies.iter().any(|(id, _)| *id == request)
+            });
+        let replies = std::mem::take(&mut self.fleet.replies);
+        replies
+            .into_iter()
+            .find(|(id, _)| *id == request)
+            .map(|(_, reply)| reply)
+    }
+
+    fn change_report(
+        &self,
+        begin: Instant,
+        version: Option<PolicyVersion>,
+        targets: &[usize],
+        accepted_seconds: Option<f64>,
+    ) -> ChangeReport {
+        let mut delays: Vec<f64> = targets
+            .iter()
+            .filter(|host| version.is_some_and(|version| holds(&self.fleet, **host, version)))
+            .filter_map(|host| self.fleet.hosts[*host].policy)
+            .map(|(_, since)| since.saturating_since(begin).as_secs_f64())
+            .collect();
+        delays.sort_by(f64::total_cmp);
+        ChangeReport {
+            reachable: targets.len(),
+            in_force: delays.len(),
+            median_seconds: delays.get(delays.len() / 2).copied().unwrap_or(0.0),
+            last_seconds: delays.last().copied().unwrap_or(0.0),
+            accepted_seconds,
+        }
+    }
+
+    /// Makes the report of what was metered since `begin`.
+    fn phase(&self, begin: Instant) -> PhaseReport {
+        let seconds = self.fleet.time.saturating_since(begin).as_secs_f64();
+        let mut roles: BTreeMap<&'static str, Vec<&HostMeter>> = BTreeMap::new();
+        for host in self.fleet.running() {
+            let meter = &self.fleet.hosts[host].meter;
+            roles.entry(self.role(host)).or_default().push(meter);
+            roles.entry("all").or_default().push(meter);
+        }
+        let store = &self.fleet.store_meter;
+        PhaseReport {
+            seconds,
+            roles: roles
+                .into_iter()
+                .map(|(role, meters)| role_report(role, &meters, seconds))
+                .collect(),
+            store: StoreReport {
+                requests: store.total(),
+                peak_requests: store.peak_requests(),
+                askers: store.askers(),
+                peak_askers_of_region: store
+                    .peak_askers(|host| self.fleet.layout.place(host).region),
+                writes: store.writes,
+                conflicts: store.conflicts,
+                bytes_per_second: store.bytes as f64 / seconds,
+            },
+        }
+    }
+
+    fn role(&self, host: usize) -> &'static str {
+        let Some(node) = &self.fleet.hosts[host].node else {
+            return "member";
+        };
+        if node.membership().is_store_reader() {
+            "store reader"
+        } else if node.membership().is_relay() {
+            "relay"
+        } else {
+            "member"
+        }
+    }
+}
+
+/// Watches who is removed or stops serving although it runs and is not part of a fault.
+struct Watch {
+    excused: BTreeSet<usize>,
+    removed: BTreeSet<usize>,
+    stopped: BTreeSet<usize>,
+}
+
+impl Watch {
+    fn new(excused: &[usize]) -> Self {
+        Self {
+            excused: excused.iter().copied().collect(),
+            removed: BTreeSet::new(),
+            stopped: BTreeSet::new(),
+        }
+    }
+
+    fn look(&mut self, fleet: &Fleet) {
+        let Some(viewer) = fleet
+            .running()
+            .filter(|host| fleet.hosts[*host].serving)
+            .max_by_key(|host| fleet.view_version(*host))
+        else {
+            return;
+        };
+        for host in fleet.running() {
+            let is_restarted = fleet.hosts[host].run > 1 && !fleet.hosts[host].serving;
+            if !is_restarted && !fleet.is_member(host, viewer) {
+                self.removed.insert(host);
+            }
+            if !fleet.hosts[host].serving && !self.excused.contains(&host) {
+                self.stopped.insert(host);
+            }
+        }
+    }
+
+    fn write(&self, report: &mut FaultReport) {
+        report.false_removals = self.removed.len();
+        report.stopped_serving = self.stopped.len();
+    }
+}
+
+fn is_one_view(fleet: &Fleet) -> bool {
+    let mut running = fleet.running();
+    let Some(first) = running.next() else {
+        return true;
+    };
+    let version = fleet.view_version(first);
+    let node = fleet.hosts[first].node.as_ref();
+    let members = node.map_or(0, |node| node.membership().view().members.len());
+    fleet
+        .running()
+        .all(|host| fleet.view_version(host) == version)
+        && members == fleet.running().count()
+        && fleet.running().all(|host| fleet.is_member(host, first))
+}
+
+fn holds(fleet: &Fleet, host: usize, version: PolicyVersion) -> bool {
+    fleet.hosts[host]
+        .policy
+        .is_some_and(|(policy, _)| policy >= version)
+}
+
+fn role_report(role: &'static str, meters: &[&HostMeter], seconds: f64) -> RoleReport {
+    let spread = |value: &dyn Fn(&HostMeter) -> f64| {
+        Spread::of(meters.iter().map(|meter| value(meter) / seconds).collect())
+    };
+    RoleReport {
+        role,
+        nodes: meters.len(),
+        bytes: spread(&|meter| meter.control().bytes as f64),
+        messages: spread(&|meter| meter.control().messages as f64),
+        store_bytes: spread(&|meter| meter.store.bytes as f64),
+        processor_percent: spread(&|meter| meter.processor.as_secs_f64() * 100.0),
+    }
+}
