Admission: level from demand per level instead of an integrating step; involvement per route

Search requests of katalog were refused for the load of boringslog, which only other requests of the same class and service involve.

Change: the demand per level is learned per class from arrivals and from the lowest level that arrives, so it does not depend on the filter; the level is computed from it, and the queue only corrects. A filter above the own level is another service's and is left out of account. Routes, not classes, tell which services a root involves.

--- a/crates/rillgap-core/src/admission/back_end.rs
+++ b/crates/rillgap-core/src/admission/back_end.rs
@@ -178,7 +178,7 @@
     }
 
     fn offer_full(&mut self, now: Instant, ticket: Ticket) -> Verdict {
-        self.threshold.arrived(ticket.class);
+        self.threshold.arrived(ticket.class, ticket.level());
         let expected = self.times.expected(ticket.class);
         let remaining = ticket.deadline.saturating_since(now);
         if remaining < expected && !self.may_probe() {
@@ -259,6 +259,7 @@
         let pressure = Pressure {
             limit: f64::from(self.current_limit().max(1)),
             service_micros: Class::ALL.map(|class| self.times.class_mean_micros(class)),
+            mean_service_micros: self.times.mean_micros(),
             queued: Class::ALL.map(|class| self.queue.class_len(class)),
         };
         self.threshold.update(now, &pressure);
--- a/crates/rillgap-core/src/admission/entry.rs
+++ b/crates/rillgap-core/src/admission/entry.rs
@@ -3,12 +3,14 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use xxhash_rust::xxh3::Xxh3;
+
 use super::level::Level;
 use super::mode::{AdmissionSettings, ControlMode};
 use super::report::LoadReport;
 use crate::code::ResultCode;
 use crate::id::{RootId, ServiceName};
-use crate::policy::Class;
+use crate::policy::{Class, RoutePolicy};
 use crate::request::{Refusal, RetryAfter};
 use crate::time::{Instant, micros};
 
@@ -25,8 +27,34 @@
 /// Shortest and longest time after which a refused caller is asked back, in milliseconds.
 const RETRY_AFTER_MILLIS: (u32, u32) = (200, 2_000);
 
-/// What one kind of root request is known by: the service it enters and its class.
-type Route = (ServiceName, Class);
+/// Identifies a route of the policy, by a digest of what it matches.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct RouteId(u64);
+
+impl RouteId {
+    /// Returns the identifier of a route.
+    pub fn of(route: &RoutePolicy) -> Self {
+        let mut digest = Xxh3::new();
+        for part in [route.service.as_str(), &route.method, &route.path] {
+            digest.update(part.as_bytes());
+            digest.update(&[0]);
+        }
+        Self(digest.digest())
+    }
+}
+
+/// A root request that asks to begin.
+#[derive(Clone, Copy, Debug)]
+pub struct RootRequest<'a> {
+    /// Service that it enters.
+    pub service: &'a ServiceName,
+    /// Route that it matches.
+    pub route: RouteId,
+    /// Class of the route.
+    pub class: Class,
+    /// The root.
+    pub root: RootId,
+}
 
 /// Smoothed level of one service.
 #[derive(Clone, Copy, Debug)]
@@ -59,7 +87,7 @@
 pub struct EntryAdmission {
     settings: AdmissionSettings,
     levels: BTreeMap<ServiceName, ServiceLevel>,
-    involvement: BTreeMap<Route, BTreeMap<ServiceName, f64>>,
+    involvement: BTreeMap<RouteId, BTreeMap<ServiceName, f64>>,
 }
 
 impl EntryAdmission {
@@ -76,18 +104,12 @@
     /// # Errors
     ///
     /// Returns the refusal if a request of this class would be shed further down.
-    pub fn admit(
-        &mut self,
-        now: Instant,
-        service: &ServiceName,
-        class: Class,
-        root: RootId,
-    ) -> Result<(), Refusal> {
+    pub fn admit(&mut self, now: Instant, request: RootRequest<'_>) -> Result<(), Refusal> {
         if self.settings.mode != ControlMode::Full {
             return Ok(());
         }
-        let threshold = self.threshold(now, service, class);
-        if f64::from(Level::of(class, root).0) >= threshold.floor() {
+        let threshold = self.threshold(now, request.service, request.route);
+        if f64::from(Level::of(request.class, request.root).0) >= threshold.floor() {
             return Ok(());
         }
         Err(Refusal {
@@ -110,8 +132,7 @@
     }
 
     /// Learns from the whole answer to a root request which services such requests involve.
-    pub fn learn(&mut self, service: &ServiceName, class: Class, load: &LoadReport) {
-        let route = (service.clone(), class);
+    pub fn learn(&mut self, service: &ServiceName, route: RouteId, load: &LoadReport) {
         let involved = self.involvement.entry(route).or_default();
         for share in involved.values_mut() {
             *share -= INVOLVEMENT_WEIGHT * *share;
@@ -127,10 +148,9 @@
     }
 
     /// Returns the highest level over the services that such requests involve.
-    fn threshold(&self, now: Instant, service: &ServiceName, class: Class) -> f64 {
+    fn threshold(&self, now: Instant, service: &ServiceName, route: RouteId) -> f64 {
         let level_of = |name: &ServiceName| self.levels.get(name).map_or(0.0, |at| at.at(now));
         let own = level_of(service);
-        let route = (service.clone(), class);
         let Some(involved) = self.involvement.get(&route) else {
             return own;
         };
--- a/crates/rillgap-core/src/admission/mod.rs
+++ b/crates/rillgap-core/src/admission/mod.rs
@@ -7,6 +7,7 @@
 //! `docs/design/admission.md` weighs the schemes.
 
 mod back_end;
+mod demand;
 mod entry;
 mod level;
 mod limit;
@@ -18,7 +19,7 @@
 mod threshold;
 
 pub use back_end::BackEndAdmission;
-pub use entry::EntryAdmission;
+pub use entry::{EntryAdmission, RootRequest, RouteId};
 pub use level::Level;
 pub use mode::{AdmissionSettings, ControlMode};
 pub use report::{LoadReport, MAX_SERVICE_LOADS, ServiceLoad};
--- a/crates/rillgap-core/src/admission/threshold.rs
+++ b/crates/rillgap-core/src/admission/threshold.rs
@@ -1,39 +1,41 @@
 //! The level below which a back end would shed, published upstream on every answer.
 //!
-//! An integral controller over short windows. The demand on the back end is the work that
-//! arrives per second as a share of what the limit can carry; the excess is that demand above
-//! one, corrected so that the queue drains to (or fills up to) a short target. The excess is
-//! turned into a number of levels by the density of demand over levels, which is learned per
-//! class. Without the density a fixed step is either too slow to recover or oscillates.
+//! At the end of every short window the level is computed at which the demand that remains
+//! fits what the limit can carry, from the demand per level ([`super::demand`]). As the demand
+//! per level does not depend on the level, nothing oscillates when the effect of a new level
+//! arrives late. The queue corrects what the estimate gets wrong: its distance from a short
+//! target changes the capacity that is reckoned with, at once and, by a slow trim, for good.
 
 use std::time::Duration;
 
+use super::demand::{ClassDemand, floor, top};
 use super::level::Level;
 use crate::policy::Class;
 use crate::time::{Instant, micros};
 
 /// Length of a control window.
 const WINDOW: Duration = Duration::from_millis(50);
-/// Weight of a window in the moving demand.
-const DEMAND_WEIGHT: f64 = 0.3;
-/// Queued requests, as a share of the limit, at which the controller rests.
+/// Queued requests, as a share of the limit, at which the queue rests.
 const QUEUE_TARGET: f64 = 0.4;
 /// Time within which a queue off its target shall come back to it, in microseconds.
-const HORIZON_MICROS: f64 = 200_000.0;
-/// Share of the computed correction that one window applies.
-const GAIN: f64 = 0.4;
-/// Most levels that the threshold rises in one window.
-const MAX_RISE: f64 = 128.0;
-/// Most levels that the threshold falls in one window, before it accelerates.
-const MAX_FALL: f64 = 32.0;
-/// Most windows of headroom that accelerate the fall.
-const MAX_ACCELERATION: u32 = 6;
-/// Demand of a class and those above it that surely fits, so that the class is not touched.
-const FITTING_DEMAND: f64 = 0.9;
-/// Least share of a class that must be open for its density to be learned.
-const LEARNING_SHARE: f64 = 0.1;
-/// Density assumed for a class that was never seen: one class fills the back end.
-const UNKNOWN_DENSITY: f64 = 1.0 / Level::PER_CLASS as f64;
+const HORIZON_MICROS: f64 = 300_000.0;
+/// Bounds of the queue's immediate correction of the capacity.
+const CORRECTION: (f64, f64) = (-0.5, 0.2);
+/// Bounds of the queue's lasting correction of the capacity.
+const TRIM: (f64, f64) = (0.85, 1.15);
+/// Change of the trim in one window, for a queue that is off by its whole target.
+const TRIM_STEP: f64 = 0.01;
+/// Share of the way to the computed level that one window goes, upwards and downwards.
+const APPROACH: (f64, f64) = (0.5, 0.3);
+/// Windows over which the highest own level is taken, so that its effect has arrived.
+const LEVEL_HISTORY: usize = 6;
+/// Gaps between arrivals, and levels besides, by which a filter must lie above the own level
+/// to be another service's.
+const FILTER_MARGIN: (f64, f64) = (2.0, 2.0);
+/// Largest margin, in levels.
+const MAX_MARGIN: f64 = 24.0;
+/// Demand per level below which a class takes nothing.
+const NO_DENSITY: f64 = 1e-9;
 
 const CLASSES: usize = Class::ALL.len();
 
@@ -44,6 +46,8 @@
     pub limit: f64,
     /// Mean service time of each class in microseconds.
     pub service_micros: [f64; CLASSES],
+    /// Mean service time over all classes in microseconds.
+    pub mean_service_micros: f64,
     /// Requests queued of each class.
     pub queued: [usize; CLASSES],
 }
@@ -52,22 +56,22 @@
 #[derive(Clone, Debug)]
 pub(super) struct Threshold {
     level: f64,
+    trim: f64,
     window_started: Instant,
-    arrivals: [u32; CLASSES],
-    demand: [f64; CLASSES],
-    density: [f64; CLASSES],
-    calm_windows: u32,
+    recent_levels: [f64; LEVEL_HISTORY],
+    next_recent: usize,
+    demand: [ClassDemand; CLASSES],
 }
 
 impl Default for Threshold {
     fn default() -> Self {
         Self {
             level: 0.0,
+            trim: 1.0,
             window_started: Instant::default(),
-            arrivals: [0; CLASSES],
-            demand: [0.0; CLASSES],
-            density: [UNKNOWN_DENSITY; CLASSES],
-            calm_windows: 0,
+            recent_levels: [0.0; LEVEL_HISTORY],
+            next_recent: 0,
+            demand: Class::ALL.map(ClassDemand::new),
         }
     }
 }
@@ -79,8 +83,8 @@
     }
 
     /// Counts a request that asks to be run.
-    pub fn arrived(&mut self, class: Class) {
-        self.arrivals[class.index()] += 1;
+    pub fn arrived(&mut self, class: Class, level: Level) {
+        self.demand[class.index()].arrived(level);
     }
 
     /// Returns whether a window is over, so that [`Self::update`] has something to do.
@@ -91,105 +95,82 @@
     /// Ends the window and moves the level.
     pub fn update(&mut self, now: Instant, pressure: &Pressure) {
         let elapsed = micros(now.saturating_since(self.window_started)) as f64;
-        self.window_started = now;
-        self.measure_demand(elapsed, pressure);
-        self.learn_density();
-        let windows = (elapsed / micros(WINDOW) as f64).min(f64::from(Level::COUNT));
-        let excess = self.excess(pressure);
-        let queued: usize = pressure.queued.iter().sum();
-        if excess > 0.0 && queued as f64 > pressure.limit * QUEUE_TARGET * 0.5 {
-            self.calm_windows = 0;
-            self.rise(excess);
-        } else if excess < 0.0 {
-            self.fall(-excess, windows, queued);
-        }
-        self.level = self.level.min(self.highest_needed(pressure));
-    }
-
-    fn measure_demand(&mut self, elapsed: f64, pressure: &Pressure) {
         let windows = elapsed / micros(WINDOW) as f64;
-        let weight = 1.0 - 1.0 / (1.0 + DEMAND_WEIGHT / (1.0 - DEMAND_WEIGHT) * windows);
-        for class in 0..CLASSES {
-            let work = f64::from(self.arrivals[class]) * pressure.service_micros[class];
-            let demand = work / (pressure.limit * elapsed);
-            self.demand[class] += weight * (demand - self.demand[class]);
-            self.arrivals[class] = 0;
-        }
-    }
-
-    /// Learns the demand per level of every class that is open far enough.
-    fn learn_density(&mut self) {
+        self.window_started = now;
+        self.recent_levels[self.next_recent] = self.level;
+        self.next_recent = (self.next_recent + 1) % LEVEL_HISTORY;
         for class in Class::ALL {
-            let open = self.open_levels(class);
-            if open >= LEARNING_SHARE * f64::from(Level::PER_CLASS) {
-                self.density[class.index()] = self.demand[class.index()] / open;
-            }
+            let work = pressure.service_micros[class.index()] / (pressure.limit * elapsed);
+            self.demand[class.index()].end_window(work, windows, self.level);
         }
-    }
-
-    fn open_levels(&self, class: Class) -> f64 {
-        let top = f64::from(Level::floor(class).0 + Level::PER_CLASS);
-        (top - self.level).clamp(0.0, f64::from(Level::PER_CLASS))
-    }
-
-    /// Returns by how much the demand exceeds what can be carried; negative for headroom.
-    fn excess(&self, pressure: &Pressure) -> f64 {
-        let demand: f64 = self.demand.iter().sum();
         let queued: usize = pressure.queued.iter().sum();
-        let off_target = queued as f64 / pressure.limit - QUEUE_TARGET;
-        let service = self.mean_service(pressure);
-        let correction = (off_target * service / HORIZON_MICROS).clamp(-1.0, 1.0);
-        demand - 1.0 + correction
-    }
-
-    fn mean_service(&self, pressure: &Pressure) -> f64 {
-        let total: f64 = self.demand.iter().sum();
-        if total <= 0.0 {
-            return pressure.service_micros[CLASSES - 1];
+        let queue = queued as f64 / pressure.limit;
+        if self.level < 1.0 && queue < QUEUE_TARGET {
+            self.level = 0.0;
+            self.trim = 1.0;
+            return;
         }
-        (0..CLASSES)
-            .map(|class| self.demand[class] / total * pressure.service_micros[class])
-            .sum()
+        let step = TRIM_STEP * windows.min(1.0) * (1.0 - queue / QUEUE_TARGET).max(-1.0);
+        self.trim = (self.trim + step).clamp(TRIM.0, TRIM.1);
+        self.approach(self.needed_level(pressure), windows);
     }
 
-    fn rise(&mut self, excess: f64) {
-        let class = class_at(self.level);
-        let step = GAIN * excess / self.density[class].max(UNKNOWN_DENSITY / 16.0);
-        let top = f64::from((class as u16 + 1) * Level::PER_CLASS);
-        self.level = (self.level + step.min(MAX_RISE)).min(top);
+    fn approach(&mut self, needed: f64, windows: f64) {
+        let (up, down) = APPROACH;
+        let share = if needed > self.level { up } else { down };
+        let share = (share * windows).min(1.0);
+        self.level += share * (needed - self.level);
     }
 
-    fn fall(&mut self, headroom: f64, windows: f64, queued: usize) {
-        self.calm_windows = match queued {
-            0 => (self.calm_windows + 1).min(MAX_ACCELERATION),
-            _ => 0,
-        };
-        let class = class_at((self.level - 1.0).max(0.0));
-        let density = self.density[class].max(UNKNOWN_DENSITY / 4.0);
-        let acceleration = f64::from(1 + self.calm_windows);
-        let step = (GAIN * headroom / density).clamp(1.0, MAX_FALL) * acceleration * windows;
-        self.level = (self.level - step).max(0.0);
-    }
-
-    /// Returns the highest level that may be needed: the floor of the lowest class that fits
-    /// together with all classes above it.
-    fn highest_needed(&self, pressure: &Pressure) -> f64 {
-        let mut demand = 0.0;
+    /// Returns the lowest level at which the demand that remains fits the capacity.
+    fn needed_level(&self, pressure: &Pressure) -> f64 {
+        let mut carried = 0.0;
         let mut queued = 0;
-        let mut highest = f64::from(Level::COUNT);
         for class in Class::ALL.into_iter().rev() {
-            demand += self.demand[class.index()];
             queued += pressure.queued[class.index()];
-            let fits = demand < FITTING_DEMAND && (queued as f64) < pressure.limit * QUEUE_TARGET;
-            if !fits {
-                break;
+            let left = self.capacity(queued, pressure) - carried;
+            let demand = &self.demand[class.index()];
+            let others = self.filter_of_others(class);
+            let filter = others.unwrap_or(floor(class));
+            let whole = demand.density() * (top(class) - filter);
+            if whole > left {
+                let open = left.max(0.0) / demand.density().max(NO_DENSITY);
+                // A little lower, so that another service's filter nearby shows.
+                let probe = if others.is_none() {
+                    margin(demand)
+                } else {
+                    0.0
+                };
+                return (top(class) - open - probe).max(filter);
             }
-            highest = f64::from(Level::floor(class).0);
+            carried += whole;
         }
-        highest
+        0.0
+    }
+
+    /// Returns the level below which a class is kept away by other services' levels, which
+    /// go on whatever this back end publishes; `None` if the own level explains the filter.
+    fn filter_of_others(&self, class: Class) -> Option<f64> {
+        let own = self
+            .recent_levels
+            .iter()
+            .copied()
+            .fold(self.level, f64::max);
+        let demand = &self.demand[class.index()];
+        let explained = own > floor(class) && demand.filter() < own + margin(demand);
+        (!explained).then(|| demand.filter())
+    }
+
+    /// Returns the demand to admit, given the requests queued of the classes that matter.
+    fn capacity(&self, queued: usize, pressure: &Pressure) -> f64 {
+        let off_target = QUEUE_TARGET - queued as f64 / pressure.limit;
+        let correction = off_target * pressure.mean_service_micros / HORIZON_MICROS;
+        self.trim + correction.clamp(CORRECTION.0, CORRECTION.1)
     }
 }
 
-fn class_at(level: f64) -> usize {
-    ((level as u16 / Level::PER_CLASS) as usize).min(CLASSES - 1)
+/// Returns the distance from which a filter can be told from the own level.
+fn margin(demand: &ClassDemand) -> f64 {
+    let (gaps, levels) = FILTER_MARGIN;
+    (gaps * demand.gap() + levels).min(MAX_MARGIN)
 }
--- a/crates/rillgap-core/src/call/entry.rs
+++ b/crates/rillgap-core/src/call/entry.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use crate::action::{Action, Observation};
+use crate::admission::{RootRequest, RouteId};
 use crate::call::gate::{Gate, Parent};
 use crate::call::outgoing::{OutgoingCall, ParentLink};
 use crate::call::pool::RetryPool;
@@ -56,9 +57,13 @@
     let keyed = required_key(&route, &request)?;
     let root = RootId(sender.draw_identifier());
     if keyed.is_none() {
-        sender
-            .entry_admission
-            .admit(now.instant, &request.service, route.class, root)?;
+        let request = RootRequest {
+            service: &request.service,
+            route: RouteId::of(&route),
+            class: route.class,
+            root,
+        };
+        sender.entry_admission.admit(now.instant, request)?;
     }
     let call = new_call(now, inbound, request, &route, sender, ports);
     sender.open_pool(call.id, RetryPool::new(policy.bounds.extra_attempts));
@@ -209,6 +214,7 @@
         root: RootId(0),
         parent: None,
         service: request.service,
+        route: RouteId::of(route),
         class: route.class,
         repeatable: route.repeatable,
         keyed: None,
--- a/crates/rillgap-core/src/call/outgoing.rs
+++ b/crates/rillgap-core/src/call/outgoing.rs
@@ -2,6 +2,7 @@
 
 use bytes::Bytes;
 
+use crate::admission::RouteId;
 use crate::code::Outcome;
 use crate::event::InboundId;
 use crate::id::{AttemptId, BackEndName, CallId, Fingerprint, RootId, ServiceName};
@@ -64,6 +65,8 @@
     pub parent: Option<ParentLink>,
     /// Service that is addressed.
     pub service: ServiceName,
+    /// Route that it matches.
+    pub route: RouteId,
     /// Class, inherited from the root.
     pub class: Class,
     /// Whether the request may run more than once.
--- a/crates/rillgap-core/src/call/sender/answers.rs
+++ b/crates/rillgap-core/src/call/sender/answers.rs
@@ -94,7 +94,7 @@
         self.settle_target(now, &call, TargetResult::Answered);
         self.retry_budget.success(&call.service);
         if call.parent.is_none() {
-            self.entry_admission.learn(&call.service, call.class, load);
+            self.entry_admission.learn(&call.service, call.route, load);
         }
         if call.keyed.is_some() {
             let context = &mut *ports.context;
--- a/crates/rillgap-core/src/call/sender/claims.rs
+++ b/crates/rillgap-core/src/call/sender/claims.rs
@@ -4,6 +4,7 @@
 
 use super::{Sender, plain};
 use crate::action::{Action, Observation};
+use crate::admission::RootRequest;
 use crate::call::gate::Gate;
 use crate::call::outgoing::Phase;
 use crate::call::ports::Ports;
@@ -60,9 +61,13 @@
         let Some(call) = self.calls.get(&attempt.call) else {
             return;
         };
-        let admitted =
-            self.entry_admission
-                .admit(now.instant, &call.service, call.class, call.root);
+        let request = RootRequest {
+            service: &call.service,
+            route: call.route,
+            class: call.class,
+            root: call.root,
+        };
+        let admitted = self.entry_admission.admit(now.instant, request);
         match admitted {
             Ok(()) => self.dispatch(now, attempt, gate, ports),
             Err(refusal) => self.refuse_and_release(now, attempt, refusal, gate, ports),
--- a/crates/rillgap-core/tests/admission_entry.rs
+++ b/crates/rillgap-core/tests/admission_entry.rs
@@ -1,10 +1,12 @@
 //! Admission at the entry, and the retry budget.
 
 use googletest::prelude::*;
-use rillgap_core::admission::{EntryAdmission, Level, LoadReport, RetryBudget, ServiceLoad};
+use rillgap_core::admission::{
+    EntryAdmission, Level, LoadReport, RetryBudget, RootRequest, RouteId, ServiceLoad,
+};
 use rillgap_core::code::ResultCode;
 use rillgap_core::id::{RootId, ServiceName};
-use rillgap_core::policy::Class;
+use rillgap_core::policy::{Class, RoutePolicy};
 use rillgap_core::time::Instant;
 
 fn at(millis: u64) -> Instant {
@@ -24,6 +26,26 @@
     }
 }
 
+fn route(service: &str) -> RouteId {
+    RouteId::of(&RoutePolicy {
+        service: ServiceName::new(service),
+        method: "GET".to_owned(),
+        path: "/".to_owned(),
+        class: Class::Standard,
+        repeatable: true,
+        deadline_millis: 1_000,
+    })
+}
+
+fn request(service: &ServiceName, class: Class, root: u128) -> RootRequest<'_> {
+    RootRequest {
+        service,
+        route: route(service.as_str()),
+        class,
+        root: RootId(root),
+    }
+}
+
 /// Entry that has learned that bookings involve `takst`, with `level` reported for it.
 fn entry(level: Level) -> EntryAdmission {
     let mut entry = EntryAdmission::default();
@@ -31,8 +53,7 @@
     for now in 0..500 {
         let load = load(&[("bestilling", Level(0)), ("takst", level)]);
         entry.observe(at(now), &booking, &load);
-        entry.learn(&booking, Class::Critical, &load);
-        entry.learn(&booking, Class::Sheddable, &load);
+        entry.learn(&booking, route("bestilling"), &load);
     }
     entry
 }
@@ -40,7 +61,7 @@
 fn admitted(entry: &mut EntryAdmission, now: Instant, service: &str, class: Class) -> usize {
     let service = ServiceName::new(service);
     (0..1_000_u128)
-        .filter(|root| entry.admit(now, &service, class, RootId(*root)).is_ok())
+        .filter(|root| entry.admit(now, request(&service, class, *root)).is_ok())
         .count()
 }
 
@@ -68,8 +89,8 @@
     let (mut here, mut there) = (entry(level), entry(level));
     let service = ServiceName::new("bestilling");
     for root in 0..200 {
-        let here = here.admit(at(500), &service, Class::Critical, RootId(root));
-        let there = there.admit(at(500), &service, Class::Critical, RootId(root));
+        let here = here.admit(at(500), request(&service, Class::Critical, root));
+        let there = there.admit(at(500), request(&service, Class::Critical, root));
         expect_that!(here.is_ok(), eq(there.is_ok()));
     }
 }
@@ -79,7 +100,7 @@
     let mut entry = entry(Level(Level::COUNT));
     let service = ServiceName::new("bestilling");
     let refusal = entry
-        .admit(at(500), &service, Class::Critical, RootId(1))
+        .admit(at(500), request(&service, Class::Critical, 1))
         .expect_err("everything is refused");
     expect_that!(refusal.code, eq(ResultCode::Overloaded));
     expect_that!(refusal.retry_after.millis, gt(0));
