Admission: waits further down are not charged to the waiting service; finer levels; stronger drain

Cause (timeline of levels, Trondheim slow-surge): slots of takst were held by status queries that queued at logbok, so takst took itself for the bottleneck and shut out requests that only takst serves. At four times the capacity only 12 of 256 levels of a class stay open, which is too coarse. After the onset the queues drained slowly.

Change: answers tell how long they waited in queues, and a service reckons its demand without the waits of its calls; 8,192 levels in a class; the queue corrects the capacity within 150 ms instead of 300 ms and down to a tenth. A class that is open but silent has no demand (a unit test showed the level stuck after all arrivals ceased).

--- a/crates/rillgap-core/src/admission/back_end.rs
+++ b/crates/rillgap-core/src/admission/back_end.rs
@@ -32,6 +32,10 @@
 struct Running {
     class: Class,
     involved: Vec<ServiceLoad>,
+    /// Time in the queue beside this back end.
+    waited: Duration,
+    /// Time that calls made for it waited in other back ends' queues.
+    nested_wait: Duration,
 }
 
 /// Admission beside one back end.
@@ -71,7 +75,7 @@
     /// Decides on a new ticket.
     pub fn offer(&mut self, now: Instant, ticket: Ticket) -> Verdict {
         match self.settings.mode {
-            ControlMode::None => self.start(&ticket),
+            ControlMode::None => self.start(&ticket, Duration::ZERO),
             ControlMode::Fixed => self.offer_fixed(now, ticket),
             ControlMode::Full => self.offer_full(now, ticket),
         }
@@ -92,11 +96,13 @@
         };
         self.limit.finish(now, completion, latency, running);
         match completion {
-            Completion::Answered => self.times.answered(ended.class, latency),
-            Completion::Failed => self.times.given_up(ended.class, latency),
+            Completion::Answered => self.times.answered(ended.class, latency, ended.nested_wait),
+            Completion::Failed => self.times.given_up(ended.class, latency, ended.nested_wait),
             Completion::Shed => {}
         }
         let mut load = self.load();
+        let waited = micros(ended.waited + ended.nested_wait);
+        load.waited_micros = u32::try_from(waited).unwrap_or(u32::MAX);
         merge_service_loads(&mut load.services, &ended.involved);
         load
     }
@@ -105,6 +111,7 @@
     pub fn nested(&mut self, attempt: AttemptId, load: &LoadReport) {
         if let Some(running) = self.running.get_mut(&attempt) {
             merge_service_loads(&mut running.involved, &load.services);
+            running.nested_wait += Duration::from_micros(u64::from(load.waited_micros));
         }
     }
 
@@ -136,6 +143,7 @@
             running: count(self.running.len()),
             queued: count(self.queue.len()),
             limit: self.current_limit(),
+            waited_micros: 0,
             services: service.into_iter().collect(),
         }
     }
@@ -151,10 +159,12 @@
         count(self.running.len()) < self.current_limit()
     }
 
-    fn start(&mut self, ticket: &Ticket) -> Verdict {
+    fn start(&mut self, ticket: &Ticket, waited: Duration) -> Verdict {
         let running = Running {
             class: ticket.class,
             involved: Vec::new(),
+            waited,
+            nested_wait: Duration::ZERO,
         };
         self.running.insert(ticket.attempt, running);
         Verdict::Start
@@ -162,7 +172,7 @@
 
     fn offer_fixed(&mut self, now: Instant, ticket: Ticket) -> Verdict {
         if self.has_room() {
-            return self.start(&ticket);
+            return self.start(&ticket, Duration::ZERO);
         }
         if self.queue.len() >= self.longest_queue() {
             return Verdict::Refuse(self.refusal(ResultCode::QueueFull));
@@ -173,7 +183,11 @@
             ..ticket
         };
         let cutoff = now + self.queue_bound;
-        self.queue.push(Queued { ticket, cutoff });
+        self.queue.push(Queued {
+            ticket,
+            queued_at: now,
+            cutoff,
+        });
         Verdict::Queue
     }
 
@@ -186,7 +200,7 @@
         }
         let ahead = self.queue.ahead_of(ticket.class);
         if ahead == 0 && self.has_room() {
-            return self.start(&ticket);
+            return self.start(&ticket, Duration::ZERO);
         }
         let wait = self.drain_time(ahead + 1);
         if remaining < wait + expected {
@@ -196,7 +210,11 @@
             return Verdict::Refuse(self.refusal(ResultCode::QueueFull));
         }
         let cutoff = (ticket.deadline - expected).min(now + self.class_bound(ticket.class));
-        self.queue.push(Queued { ticket, cutoff });
+        self.queue.push(Queued {
+            ticket,
+            queued_at: now,
+            cutoff,
+        });
         Verdict::Queue
     }
 
@@ -258,8 +276,8 @@
         }
         let pressure = Pressure {
             limit: f64::from(self.current_limit().max(1)),
-            service_micros: Class::ALL.map(|class| self.times.class_mean_micros(class)),
-            mean_service_micros: self.times.mean_micros(),
+            service_micros: Class::ALL.map(|class| self.times.class_occupancy_micros(class)),
+            mean_service_micros: self.times.mean_occupancy_micros(),
             queued: Class::ALL.map(|class| self.queue.class_len(class)),
         };
         self.threshold.update(now, &pressure);
@@ -285,13 +303,14 @@
             let Some(queued) = self.queue.pop() else {
                 return;
             };
-            let decision = self.decide_queued(now, &queued.ticket);
+            let decision = self.decide_queued(now, &queued);
             self.decided.push(decision);
         }
     }
 
     /// Decides again on a ticket whose turn has come: the back end may have become slower.
-    fn decide_queued(&mut self, now: Instant, ticket: &Ticket) -> QueueDecision {
+    fn decide_queued(&mut self, now: Instant, queued: &Queued) -> QueueDecision {
+        let ticket = &queued.ticket;
         let remaining = ticket.deadline.saturating_since(now);
         let doomed = self.settings.mode == ControlMode::Full
             && remaining < self.times.expected(ticket.class)
@@ -299,7 +318,7 @@
         if doomed {
             return QueueDecision::Refuse(ticket.attempt, self.refusal(ResultCode::DeadlineUnmet));
         }
-        self.start(ticket);
+        self.start(ticket, now.saturating_since(queued.queued_at));
         QueueDecision::Start(ticket.attempt)
     }
 }
--- a/crates/rillgap-core/src/admission/demand.rs
+++ b/crates/rillgap-core/src/admission/demand.rs
@@ -13,7 +13,7 @@
 /// Weight of one window in the moving density.
 const DENSITY_WEIGHT: f64 = 0.25;
 /// Least open levels that a density is computed from, against division by next to nothing.
-const LEAST_OPEN: f64 = 8.0;
+const LEAST_OPEN: f64 = Level::PER_CLASS as f64 / 256.0;
 
 /// Arrivals of one window.
 #[derive(Clone, Copy, Debug)]
@@ -68,11 +68,15 @@
         self.next = (self.next + 1) % HISTORY;
         self.current = NOTHING;
         let recent: u32 = self.history.iter().map(|window| window.count).sum();
-        if recent == 0 && level > floor(self.class) {
+        if recent == 0 && level >= top(self.class) {
             // Shut out, so nothing can be learned.
             return;
         }
-        self.observe_filter(recent);
+        if recent > 0 {
+            self.observe_filter(recent);
+        } else {
+            self.filter = level.max(floor(self.class));
+        }
         let open = (top(self.class) - self.filter).max(LEAST_OPEN);
         let sample = f64::from(count) * work / open;
         let weight = 1.0 - 1.0 / (1.0 + DENSITY_WEIGHT / (1.0 - DENSITY_WEIGHT) * windows);
--- a/crates/rillgap-core/src/admission/level.rs
+++ b/crates/rillgap-core/src/admission/level.rs
@@ -16,7 +16,7 @@
 
 impl Level {
     /// Levels within one class.
-    pub const PER_CLASS: u16 = 256;
+    pub const PER_CLASS: u16 = 8_192;
     /// Number of levels over all classes; as a threshold it admits nothing.
     pub const COUNT: u16 = Self::PER_CLASS * Class::ALL.len() as u16;
 
--- a/crates/rillgap-core/src/admission/queue.rs
+++ b/crates/rillgap-core/src/admission/queue.rs
@@ -15,6 +15,8 @@
 pub(super) struct Queued {
     /// The ticket.
     pub ticket: Ticket,
+    /// When it was queued.
+    pub queued_at: Instant,
     /// Latest time at which it may still be started.
     pub cutoff: Instant,
 }
--- a/crates/rillgap-core/src/admission/report.rs
+++ b/crates/rillgap-core/src/admission/report.rs
@@ -26,6 +26,9 @@
     pub queued: u32,
     /// Concurrency limit now in force.
     pub limit: u32,
+    /// Time that the answered attempt and the calls made for it spent in queues, in microseconds;
+    /// zero on reports that belong to no whole answer.
+    pub waited_micros: u32,
     /// Levels of the answering service and of services that the answer involved further down,
     /// at most [`MAX_SERVICE_LOADS`].
     pub services: Vec<ServiceLoad>,
--- a/crates/rillgap-core/src/admission/service_time.rs
+++ b/crates/rillgap-core/src/admission/service_time.rs
@@ -10,21 +10,22 @@
 /// Samples from which a class's own estimate is used instead of the one over all classes.
 const SETTLED_SAMPLES: u32 = 8;
 
-/// Moving mean and mean deviation of one kind of request, in microseconds.
+/// Moving means of one kind of request, in microseconds.
 #[derive(Clone, Copy, Debug, Default)]
 struct Estimate {
-    mean: f64,
-    deviation: f64,
+    /// Time from start to end.
+    latency: f64,
+    /// The same without the time that its calls waited in other back ends' queues.
+    occupancy: f64,
     samples: u32,
 }
 
 impl Estimate {
-    fn add(&mut self, sample: f64) {
+    fn add(&mut self, latency: f64, occupancy: f64) {
         self.samples = self.samples.saturating_add(1);
         let weight = WEIGHT.max(1.0 / f64::from(self.samples));
-        let error = sample - self.mean;
-        self.mean += weight * error;
-        self.deviation += weight * (error.abs() - self.deviation);
+        self.latency += weight * (latency - self.latency);
+        self.occupancy += weight * (occupancy - self.occupancy);
     }
 }
 
@@ -36,34 +37,43 @@
 }
 
 impl ServiceTimes {
-    /// Takes in the latency of a request that was answered.
-    pub fn answered(&mut self, class: Class, latency: Duration) {
-        let sample = micros(latency) as f64;
-        self.overall.add(sample);
-        self.classes[class.index()].add(sample);
+    /// Takes in a request that was answered after `latency`, during `waited` of which calls
+    /// made for it waited in other back ends' queues.
+    pub fn answered(&mut self, class: Class, latency: Duration, waited: Duration) {
+        let occupancy = micros(latency.saturating_sub(waited)) as f64;
+        let latency = micros(latency) as f64;
+        self.overall.add(latency, occupancy);
+        self.classes[class.index()].add(latency, occupancy);
     }
 
-    /// Takes in the latency of a request that was given up: it would have taken longer still,
-    /// so it counts only if it exceeds the estimate.
-    pub fn given_up(&mut self, class: Class, latency: Duration) {
-        if micros(latency) as f64 > self.class(class).mean {
-            self.answered(class, latency);
+    /// Takes in a request that was given up: it would have taken longer still, so it counts
+    /// only if it exceeds the estimate.
+    pub fn given_up(&mut self, class: Class, latency: Duration, waited: Duration) {
+        if micros(latency) as f64 > self.class(class).latency {
+            self.answered(class, latency, waited);
         }
     }
 
-    /// Returns the mean over all classes in microseconds, zero if nothing is known.
+    /// Returns the mean latency over all classes in microseconds, zero if nothing is known.
     pub fn mean_micros(&self) -> f64 {
-        self.overall.mean
+        self.overall.latency
     }
 
-    /// Returns the mean of a class in microseconds, zero if nothing is known.
-    pub fn class_mean_micros(&self, class: Class) -> f64 {
-        self.class(class).mean
+    /// Returns the mean time in a slot over all classes in microseconds, without the waits
+    /// that overload further down causes.
+    pub fn mean_occupancy_micros(&self) -> f64 {
+        self.overall.occupancy
+    }
+
+    /// Returns the mean time in a slot of a class in microseconds, without the waits that
+    /// overload further down causes.
+    pub fn class_occupancy_micros(&self, class: Class) -> f64 {
+        self.class(class).occupancy
     }
 
     /// Returns the time that a request of a class is expected to take.
     pub fn expected(&self, class: Class) -> Duration {
-        Duration::from_micros(self.class(class).mean as u64)
+        Duration::from_micros(self.class(class).latency as u64)
     }
 
     fn class(&self, class: Class) -> &Estimate {
--- a/crates/rillgap-core/src/admission/threshold.rs
+++ b/crates/rillgap-core/src/admission/threshold.rs
@@ -18,9 +18,9 @@
 /// Queued requests, as a share of the limit, at which the queue rests.
 const QUEUE_TARGET: f64 = 0.4;
 /// Time within which a queue off its target shall come back to it, in microseconds.
-const HORIZON_MICROS: f64 = 300_000.0;
+const HORIZON_MICROS: f64 = 150_000.0;
 /// Bounds of the queue's immediate correction of the capacity.
-const CORRECTION: (f64, f64) = (-0.5, 0.2);
+const CORRECTION: (f64, f64) = (-0.9, 0.2);
 /// Bounds of the queue's lasting correction of the capacity.
 const TRIM: (f64, f64) = (0.85, 1.15);
 /// Change of the trim in one window, for a queue that is off by its whole target.
@@ -29,11 +29,13 @@
 const APPROACH: (f64, f64) = (0.5, 0.3);
 /// Windows over which the highest own level is taken, so that its effect has arrived.
 const LEVEL_HISTORY: usize = 6;
-/// Gaps between arrivals, and levels besides, by which a filter must lie above the own level
-/// to be another service's.
-const FILTER_MARGIN: (f64, f64) = (2.0, 2.0);
-/// Largest margin, in levels.
-const MAX_MARGIN: f64 = 24.0;
+/// Gaps between arrivals by which a filter must lie above the own level to be another service's.
+const FILTER_MARGIN_GAPS: f64 = 3.0;
+/// Bounds of that margin, in levels.
+const FILTER_MARGIN: (f64, f64) = (
+    Level::PER_CLASS as f64 / 512.0,
+    Level::PER_CLASS as f64 / 10.0,
+);
 /// Demand per level below which a class takes nothing.
 const NO_DENSITY: f64 = 1e-9;
 
@@ -171,6 +173,6 @@
 
 /// Returns the distance from which a filter can be told from the own level.
 fn margin(demand: &ClassDemand) -> f64 {
-    let (gaps, levels) = FILTER_MARGIN;
-    (gaps * demand.gap() + levels).min(MAX_MARGIN)
+    let (least, most) = FILTER_MARGIN;
+    (FILTER_MARGIN_GAPS * demand.gap()).clamp(least, most)
 }
