--- a/crates/rillgap-backend/tests/client.rs
+++ b/crates/rillgap-backend/tests/client.rs
@@ -302,7 +302,8 @@
     let mut connection = fixture.accept().await;
     for (state, leaving) in [("leaving", true), ("serving", false)] {
         let mut request = [0; 1024];
-        connection.read(&mut request).await.expect("read");
+        let length = connection.read(&mut request).await.expect("read");
+        expect_that!(length, gt(0));
         let body = format!("{{\"state\":\"{state}\"}}");
         let answer = format!(
             "HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n{body}",
