Bounds and shape of the daemon: idle connections, bodies being received, stops

Cause, from reading the modules anew: a request that meets a back end's idle close on its way has an unknown outcome, so idle connections are now dropped after 4 s, before common servers close them. Bodies being received were bounded one by one but not together; their sum is now a setting (limits.receiving-bytes), and what does not fit is refused at once. A stop that an operator asked for had no time limit; it has the same as SIGTERM. Trace identifiers cost two reads of random numbers a request, now one.

The wiring of duties and the reading of TOML stand in modules of their own, and the listener's connection loop is one select.

--- a/crates/rillgap-backend/src/pool.rs
+++ b/crates/rillgap-backend/src/pool.rs
@@ -1,7 +1,7 @@
 //! Connections to the local back end, reused and bounded in number.
 
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -12,11 +12,17 @@
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout};
 
 /// Read buffer of a connection in bytes, which bounds the parts in which a body is read.
 const CONNECTION_BUFFER: usize = 64 * 1024;
 
+/// Longest time for which a connection stays idle.
+///
+/// Shorter than the idle timeout of common servers (5 s and more): a request that meets the
+/// server's close on its way has an unknown outcome.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(4);
+
 /// A request as it is sent to the back end.
 pub type OutgoingRequest = Request<Full<Bytes>>;
 
@@ -38,10 +44,17 @@
 pub struct ConnectionPool {
     address: SocketAddr,
     connect_timeout: Duration,
-    idle: Arc<Mutex<Vec<Sender>>>,
+    idle: Arc<Mutex<Vec<IdleConnection>>>,
     permits: Arc<Semaphore>,
 }
 
+/// A connection that waits for reuse; the one used last is reused first.
+#[derive(Debug)]
+struct IdleConnection {
+    sender: Sender,
+    since: Instant,
+}
+
 /// A connection in use; dropping it closes it, [`Lease::give_back`] keeps it for reuse.
 ///
 /// A new connection is opened only if none is idle, so the number of connections never exceeds
@@ -121,12 +134,11 @@
 
     fn take_idle(&self) -> Option<Sender> {
         let mut idle = self.lock_idle();
-        while let Some(sender) = idle.pop() {
-            if !sender.is_closed() {
-                return Some(sender);
-            }
-        }
-        None
+        let now = Instant::now();
+        idle.retain(|connection| {
+            !connection.sender.is_closed() && now - connection.since < IDLE_TIMEOUT
+        });
+        idle.pop().map(|connection| connection.sender)
     }
 
     async fn connect(&self) -> Result<Sender, SendError> {
@@ -150,7 +162,7 @@
         Ok(sender)
     }
 
-    fn lock_idle(&self) -> std::sync::MutexGuard<'_, Vec<Sender>> {
+    fn lock_idle(&self) -> MutexGuard<'_, Vec<IdleConnection>> {
         self.idle.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
@@ -158,6 +170,9 @@
 impl Lease {
     /// Keeps the connection for reuse; its last response must have been read to the end.
     pub fn give_back(self) {
-        self.pool.lock_idle().push(self.sender);
+        self.pool.lock_idle().push(IdleConnection {
+            sender: self.sender,
+            since: Instant::now(),
+        });
     }
 }
--- a/crates/rillgap-caller/src/handler.rs
+++ b/crates/rillgap-caller/src/handler.rs
@@ -10,6 +10,7 @@
 use rillgap_core::request::{AnswerHead, Refusal};
 use rillgap_http::headers;
 use rillgap_ring::{RingError, RingSender};
+use tokio::sync::Semaphore;
 
 use crate::body::{AnswerStream, ResponseBody};
 use crate::exchange::{AnswerPart, Exchange};
@@ -30,6 +31,8 @@
     limits: HttpLimits,
     exchange: Exchange,
     events: RingSender<Event>,
+    /// Bytes of bodies that may be received in addition.
+    receiving: Semaphore,
 }
 
 impl Handler {
@@ -46,6 +49,7 @@
                 limits,
                 exchange,
                 events,
+                receiving: Semaphore::new(limits.receiving_bytes),
             }),
         }
     }
@@ -77,7 +81,7 @@
             return Err(problem::refusal(ResultCode::TokenInvalid));
         }
         let is_head_request = request.method() == Method::HEAD;
-        let request = request::read(request, &shared.audience, &shared.limits)
+        let request = request::read(request, &shared.audience, &shared.limits, &shared.receiving)
             .await
             .map_err(problem::refusal)?;
         let mut inbound = Inbound::register(&shared.exchange, &shared.events);
--- a/crates/rillgap-caller/src/listener.rs
+++ b/crates/rillgap-caller/src/listener.rs
@@ -1,7 +1,9 @@
 //! Accepts connections, bounds their number and serves HTTP/1.1 and HTTP/2 on them.
 
 use std::convert::Infallible;
+use std::io;
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
@@ -15,6 +17,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::handler::Handler;
+use crate::settings::HttpLimits;
 
 /// Pause after a failed accept, which means that descriptors or memory ran out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
@@ -31,6 +34,26 @@
 /// Longest header list of an HTTP/2 request in bytes; longer ones are refused by the library.
 const MAX_HEADER_LIST: u32 = 64 * 1024;
 
+/// Why a connection ended other than by its caller's wish.
+#[derive(Debug, thiserror::Error)]
+enum ConnectionError {
+    #[error("no request in time")]
+    NoRequest,
+    #[error(transparent)]
+    Io(#[from] io::Error),
+    #[error("{0}")]
+    Http(Box<dyn std::error::Error + Send + Sync>),
+}
+
+impl ConnectionError {
+    const fn code(&self) -> ResultCode {
+        match self {
+            Self::NoRequest => ResultCode::RequestTimeout,
+            Self::Io(_) | Self::Http(_) => ResultCode::MalformedRequest,
+        }
+    }
+}
+
 /// One HTTP listener.
 #[derive(Clone, Debug)]
 pub struct Listener {
@@ -90,44 +113,45 @@
     }
 
     async fn serve(self, stream: TcpStream, peer: SocketAddr, permit: OwnedSemaphorePermit) {
-        if let Err(error) = stream.set_nodelay(true) {
-            log::debug!(peer:% = peer; "caller: connection lost: {error}");
-            return;
+        if let Err(error) = self.serve_requests(stream, peer).await {
+            log::debug!(peer:% = peer, code = error.code().number(); "caller: connection ended: {error}");
         }
-        let has_request = Arc::new(AtomicBool::new(false));
+        drop(permit);
+    }
+
+    /// Serves a connection until it ends; on a stop, until the requests it has are answered.
+    async fn serve_requests(
+        &self,
+        stream: TcpStream,
+        peer: SocketAddr,
+    ) -> Result<(), ConnectionError> {
+        stream.set_nodelay(true)?;
+        let has_request = AtomicBool::new(false);
         let service = service_fn(|request| {
             has_request.store(true, Ordering::Relaxed);
             let handler = self.handler.clone();
             async move { Ok::<_, Infallible>(handler.handle(peer, request).await) }
         });
-        let connection = self.builder.serve_connection(TokioIo::new(stream), service);
-        tokio::pin!(connection);
-        let mut is_stopping = false;
-        let first_request = tokio::time::sleep(self.handler.limits().request_timeout);
-        tokio::pin!(first_request);
-        let mut is_timed = true;
-        let result = loop {
-            tokio::select! {
-                biased;
-                result = connection.as_mut() => break result,
-                () = self.stop.cancelled(), if !is_stopping => {
-                    is_stopping = true;
-                    connection.as_mut().graceful_shutdown();
-                }
-                () = &mut first_request, if is_timed => {
-                    is_timed = false;
-                    if !has_request.load(Ordering::Relaxed) {
-                        log::info!(peer:% = peer, code = ResultCode::RequestTimeout.number(); "caller: no request in time, closing the connection");
-                        return;
-                    }
-                }
-            }
-        };
-        if let Err(error) = result {
-            log::debug!(peer:% = peer, code = ResultCode::MalformedRequest.number(); "caller: connection ended: {error}");
+        let mut connection = pin!(self.builder.serve_connection(TokioIo::new(stream), service));
+        tokio::select! {
+            biased;
+            result = connection.as_mut() => return result.map_err(ConnectionError::Http),
+            () = self.stop.cancelled() => {}
+            error = first_request_timeout(&has_request, self.handler.limits()) => return Err(error),
         }
-        drop(permit);
+        connection.as_mut().graceful_shutdown();
+        connection.await.map_err(ConnectionError::Http)
+    }
+}
+
+/// Completes if no request has come in time; the library's own timeout begins only once it
+/// knows the version of HTTP.
+async fn first_request_timeout(has_request: &AtomicBool, limits: &HttpLimits) -> ConnectionError {
+    tokio::time::sleep(limits.request_timeout).await;
+    if has_request.load(Ordering::Relaxed) {
+        std::future::pending::<()>().await;
     }
+    ConnectionError::NoRequest
 }
 
 fn builder(request_timeout: Duration) -> auto::Builder<TokioExecutor> {
--- a/crates/rillgap-caller/src/request.rs
+++ b/crates/rillgap-caller/src/request.rs
@@ -1,5 +1,7 @@
 //! Reads an HTTP request into the core's form and checks its bounds.
 
+use std::time::Duration;
+
 use bytes::Bytes;
 use http::HeaderMap;
 use http::request::Parts;
@@ -9,7 +11,7 @@
 use rillgap_core::id::{CallToken, IdempotencyKey, ServiceName};
 use rillgap_core::request::{Header, InboundRequest, Origin, RequestHead};
 use rillgap_http::{headers, names, timeout};
-use std::time::Duration;
+use tokio::sync::{Semaphore, SemaphorePermit};
 
 use crate::settings::{Audience, HttpLimits};
 use crate::{key, trace};
@@ -20,7 +22,7 @@
 /// Digits of a call token.
 const TOKEN_DIGITS: usize = 32;
 
-/// Reads a whole request.
+/// Reads a whole request, if there is room for its body.
 ///
 /// # Errors
 ///
@@ -29,9 +31,11 @@
     request: http::Request<Incoming>,
     audience: &Audience,
     limits: &HttpLimits,
+    receiving: &Semaphore,
 ) -> Result<InboundRequest, ResultCode> {
     let (parts, body) = request.into_parts();
     let mut inbound = read_head(&parts, audience, limits)?;
+    let _room = reserve(&body, limits, receiving)?;
     inbound.body = tokio::time::timeout(limits.request_timeout, read_body(body, limits))
         .await
         .map_err(|_| ResultCode::RequestTimeout)??;
@@ -152,11 +156,25 @@
         .map_or_else(trace::create, str::to_owned)
 }
 
-async fn read_body(body: Incoming, limits: &HttpLimits) -> Result<Bytes, ResultCode> {
-    let announced = body.size_hint().lower();
-    if announced > limits.body_bytes as u64 {
+/// Takes room for a body before any of it is received; `receiving` counts bytes.
+fn reserve<'a>(
+    body: &Incoming,
+    limits: &HttpLimits,
+    receiving: &'a Semaphore,
+) -> Result<SemaphorePermit<'a>, ResultCode> {
+    let longest = limits.body_bytes as u64;
+    let size = body.size_hint();
+    if size.lower() > longest {
         return Err(ResultCode::BodyTooLong);
     }
+    let expected = size.upper().map_or(longest, |upper| upper.min(longest));
+    let expected = u32::try_from(expected).unwrap_or(u32::MAX);
+    receiving
+        .try_acquire_many(expected)
+        .map_err(|_| ResultCode::Overloaded)
+}
+
+async fn read_body(body: Incoming, limits: &HttpLimits) -> Result<Bytes, ResultCode> {
     let collected = Limited::new(body, limits.body_bytes).collect().await;
     match collected {
         Ok(collected) => Ok(collected.to_bytes()),
--- a/crates/rillgap-caller/src/settings.rs
+++ b/crates/rillgap-caller/src/settings.rs
@@ -12,6 +12,8 @@
     pub header_bytes: usize,
     /// Longest request body in bytes.
     pub body_bytes: usize,
+    /// Most bytes of bodies that are being received at a time, over all connections.
+    pub receiving_bytes: usize,
     /// Longest time in which a request must arrive whole.
     pub request_timeout: Duration,
 }
@@ -22,6 +24,7 @@
             connections: 1_024,
             header_bytes: 16 * 1024,
             body_bytes: 256 * 1024,
+            receiving_bytes: 8 * 1024 * 1024,
             request_timeout: Duration::from_secs(10),
         }
     }
--- a/crates/rillgap-caller/src/trace.rs
+++ b/crates/rillgap-caller/src/trace.rs
@@ -2,6 +2,9 @@
 
 use uuid::Uuid;
 
+/// Bits by which the identifier of the parent is turned against that of the trace.
+const PARENT_ROTATION: u32 = 29;
+
 /// Returns whether a `traceparent` value is well formed.
 pub fn is_valid(value: &str) -> bool {
     let mut fields = value.split('-');
@@ -16,9 +19,11 @@
 
 /// Creates the `traceparent` of a new trace.
 pub fn create() -> String {
-    let trace = Uuid::new_v4().simple();
-    let (parent, _) = Uuid::new_v4().as_u64_pair();
-    format!("00-{trace}-{parent:016x}-01")
+    let trace = Uuid::new_v4();
+    // Random bits are drawn once a request; the parent's differ from the trace's by a rotation.
+    let (high, low) = trace.as_u64_pair();
+    let parent = (high.rotate_left(PARENT_ROTATION) ^ low) | 1;
+    format!("00-{}-{parent:016x}-01", trace.simple())
 }
 
 fn is_hex(field: &str, length: usize) -> bool {
--- a/crates/rillgap-http/src/names.rs
+++ b/crates/rillgap-http/src/names.rs
@@ -1,4 +1,4 @@
-//! Names of the headers that a node understands; `docs/operators/settings.md` describes them.
+//! Names of the headers that a node understands; `docs/operators/http.md` describes them.
 
 /// Idempotency key of a caller: a UUID of version 7, bare or as a quoted string.
 pub const IDEMPOTENCY_KEY: &str = "idempotency-key";
--- a/crates/rillgap-node/src/duty/operator.rs
+++ b/crates/rillgap-node/src/duty/operator.rs
@@ -6,7 +6,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 
 use rillgap_core::event::Event;
-use rillgap_core::operator::{OperatorReply, OperatorRequestId};
+use rillgap_core::operator::{OperatorReply, OperatorRequest, OperatorRequestId};
 use rillgap_operator::handle::{OperatorCalls, OperatorHandle};
 use rillgap_operator::service;
 use rillgap_ring::{RingReceiver, RingSender};
@@ -29,6 +29,8 @@
     pub events: RingSender<Event>,
     /// Replies of the node.
     pub replies: RingReceiver<OperatorAnswer>,
+    /// To be cancelled when an operator asks the node to stop.
+    pub stop_asked: CancellationToken,
     /// Cancelled when the listener shall close.
     pub stop: CancellationToken,
 }
@@ -44,7 +46,7 @@
     if let Some(listener) = duty.listener {
         let listener = tokio::net::TcpListener::from_std(listener)?;
         let (handle, calls) = OperatorHandle::channel(WAITING_CALLS);
-        let forwarding = tokio::spawn(forward(calls, duty.events, waiting));
+        let forwarding = tokio::spawn(forward(calls, duty.events, waiting, duty.stop_asked));
         service::serve(listener, handle, duty.stop.cancelled_owned())
             .await
             .map_err(io::Error::other)?;
@@ -55,7 +57,12 @@
 }
 
 /// Passes requests on to the node; a full ring holds back the operators.
-async fn forward(mut calls: OperatorCalls, events: RingSender<Event>, waiting: WaitingCalls) {
+async fn forward(
+    mut calls: OperatorCalls,
+    events: RingSender<Event>,
+    waiting: WaitingCalls,
+    stop_asked: CancellationToken,
+) {
     let mut next = 0;
     while let Some(call) = calls.recv().await {
         let request = OperatorRequestId(next);
@@ -65,6 +72,7 @@
             waiting.retain(|_, reply| !reply.is_closed());
             waiting.insert(request, call.reply);
         }
+        let is_stop = call.request == OperatorRequest::StopNode;
         let event = Event::Operator {
             request,
             body: call.request,
@@ -72,6 +80,9 @@
         if events.send(event).await.is_err() {
             return;
         }
+        if is_stop {
+            stop_asked.cancel();
+        }
     }
 }
 
--- a/crates/rillgap-node/src/lib.rs
+++ b/crates/rillgap-node/src/lib.rs
@@ -16,3 +16,4 @@
 pub mod rings;
 pub mod settings;
 pub mod threads;
+pub mod wiring;
--- a/crates/rillgap-node/src/settings/load.rs
+++ b/crates/rillgap-node/src/settings/load.rs
@@ -1,28 +1,28 @@
-//! Reads the settings file and checks it key by key.
+//! Checks a settings file key by key.
 
 use std::path::Path;
 use std::time::Duration;
 
-use figment::Figment;
-use figment::error::Kind;
-use figment::providers::{Format, Toml};
 use rillgap_backend::settings::BackEndSettings;
 use rillgap_caller::settings::HttpLimits;
 use rillgap_core::id::{BackEndName, Incarnation, NodeName, RegionName, ServiceName, ZoneName};
 use rillgap_core::node::{LocalBackEnd, SeedPeer};
 use rillgap_core::policy::Policy;
 use rillgap_core::view::Member;
-use serde::de::DeserializeOwned;
 
 use super::check::Checker;
 use super::file::{
     BackEndSection, FixedSection, LimitsSection, ListenSection, MemberSection, SeedSection,
     SettingsFile, StoreSection,
 };
+use super::toml::read;
 use super::{
     FixedDeployment, ListenSettings, LocalBackEndSettings, Overrides, Settings, SettingsError,
 };
 
+/// Largest limit of a request body: it must fit into one mesh frame together with its headers.
+const MAX_BODY_BYTES: u64 = 786_432;
+
 /// Reads and checks a settings file; `overrides` take the place of what the file says.
 ///
 /// # Errors
@@ -191,7 +191,12 @@
     Ok(HttpLimits {
         connections: checker.count("limits.connections", limits.connections, 1..=65_535)?,
         header_bytes: checker.count("limits.header-bytes", limits.header_bytes, 1_024..=49_152)?,
-        body_bytes: checker.count("limits.body-bytes", limits.body_bytes, 0..=786_432)?,
+        body_bytes: checker.count("limits.body-bytes", limits.body_bytes, 0..=MAX_BODY_BYTES)?,
+        receiving_bytes: checker.count(
+            "limits.receiving-bytes",
+            limits.receiving_bytes,
+            MAX_BODY_BYTES..=1_073_741_824,
+        )?,
         request_timeout: Duration::from_millis(request_timeout),
     })
 }
@@ -229,46 +234,3 @@
         mesh_address: checker.address("fixed.member.mesh", &section.mesh)?,
     })
 }
-
-/// Reads a TOML file into its typed form.
-fn read<T: DeserializeOwned>(path: &Path) -> Result<T, SettingsError> {
-    let text = std::fs::read_to_string(path).map_err(|source| SettingsError::Unreadable {
-        file: path.to_owned(),
-        source,
-    })?;
-    Figment::from(Toml::string(&text))
-        .extract()
-        .map_err(|error| describe(path, error))
-}
-
-/// Turns the first error of the reading library into one that names file, key and value.
-fn describe(path: &Path, error: figment::Error) -> SettingsError {
-    let section = error.path.join(".");
-    let key_of = |field: &str| match section.as_str() {
-        "" => field.to_owned(),
-        section => format!("{section}.{field}"),
-    };
-    let checker = Checker::new(path);
-    match error.kind {
-        // The path of an unknown field ends with the field itself.
-        Kind::UnknownField(_, allowed) => SettingsError::UnknownKey {
-            file: path.to_owned(),
-            key: section,
-            allowed: allowed.join(", "),
-        },
-        Kind::MissingField(field) => checker.missing(&key_of(&field)),
-        Kind::InvalidType(actual, allowed) | Kind::InvalidValue(actual, allowed) => {
-            checker.not_allowed(&section, actual, allowed)
-        }
-        Kind::UnknownVariant(value, allowed) => {
-            checker.not_allowed(&section, value, allowed.join(", "))
-        }
-        kind => SettingsError::Malformed {
-            file: path.to_owned(),
-            detail: match section.as_str() {
-                "" => kind.to_string(),
-                section => format!("{section}: {kind}"),
-            },
-        },
-    }
-}
--- a/crates/rillgap-node/src/settings/mod.rs
+++ b/crates/rillgap-node/src/settings/mod.rs
@@ -4,6 +4,7 @@
 mod error;
 mod file;
 mod load;
+mod toml;
 
 use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
