Policy with indexes for the data path; polls of the configuration only when due

Cause: each call scanned all routes and back ends, and each event polled the configuration, which hashes names to look for its own entry in the view.

A poll returns at once unless a timer is due or the view has changed.

--- a/crates/rillgap-core/src/call/entry.rs
+++ b/crates/rillgap-core/src/call/entry.rs
@@ -14,7 +14,7 @@
 use crate::event::InboundId;
 use crate::id::{CallToken, Fingerprint, RootId};
 use crate::message::KeyedAttempt;
-use crate::policy::{Bounds, Policy, RoutePolicy};
+use crate::policy::{Bounds, IndexedPolicy, RoutePolicy};
 use crate::request::{InboundRequest, Origin, Refusal, RetryAfter};
 use crate::time::Now;
 
@@ -138,7 +138,7 @@
     sender: &Sender,
     request: &InboundRequest,
     ports: &Ports<'_, '_>,
-) -> Result<std::sync::Arc<Policy>, Refusal> {
+) -> Result<std::sync::Arc<IndexedPolicy>, Refusal> {
     let context = &*ports.context;
     let policy = context.configuration.policy();
     let reason = if sender.is_stopping() {
@@ -156,7 +156,7 @@
 }
 
 fn find_route<'a>(
-    policy: &'a Policy,
+    policy: &'a IndexedPolicy,
     request: &InboundRequest,
 ) -> Result<&'a RoutePolicy, Refusal> {
     policy
--- a/crates/rillgap-core/src/configuration/document.rs
+++ b/crates/rillgap-core/src/configuration/document.rs
@@ -6,7 +6,7 @@
 use thiserror::Error;
 
 use crate::id::{BackEndName, ChangeId, PolicyVersion};
-use crate::policy::{BackEndState, Policy};
+use crate::policy::{BackEndState, IndexedPolicy, Policy};
 
 /// Changes that a document remembers, so that a repeat of one of them is recognised.
 pub const REMEMBERED_CHANGES: usize = 128;
@@ -104,16 +104,16 @@
 /// The latest document that this node has seen. It never goes back to a lower version.
 #[derive(Debug)]
 pub struct Held {
-    document: Arc<PolicyDocument>,
-    policy: Arc<Policy>,
+    document: PolicyDocument,
+    policy: Arc<IndexedPolicy>,
 }
 
 impl Held {
     /// Holds a document.
     pub fn new(document: PolicyDocument) -> Self {
         Self {
-            policy: Arc::new(document.policy.clone()),
-            document: Arc::new(document),
+            policy: Arc::new(IndexedPolicy::new(document.policy.clone())),
+            document,
         }
     }
 
@@ -123,7 +123,7 @@
     }
 
     /// Returns its policy.
-    pub fn policy(&self) -> &Arc<Policy> {
+    pub fn policy(&self) -> &Arc<IndexedPolicy> {
         &self.policy
     }
 
--- a/crates/rillgap-core/src/configuration/engine.rs
+++ b/crates/rillgap-core/src/configuration/engine.rs
@@ -16,7 +16,7 @@
 use crate::id::{ChangeId, NodeId, PolicyVersion};
 use crate::node::NodeSettings;
 use crate::operator::{OperatorReply, OperatorRequest, OperatorRequestId};
-use crate::policy::Policy;
+use crate::policy::{IndexedPolicy, Policy};
 use crate::store::{StoreReply, StoreRequestId};
 use crate::time::Instant;
 
@@ -57,7 +57,7 @@
     }
 
     /// Returns the policy, if there is one and it is confirmed.
-    pub fn policy(&self) -> Option<&Arc<Policy>> {
+    pub fn policy(&self) -> Option<&Arc<IndexedPolicy>> {
         let exists = self.confirmation.is_fixed() || self.held.version() > PolicyVersion(0);
         let in_force = exists && self.confirmation.is_confirmed();
         in_force.then(|| self.held.policy())
@@ -178,7 +178,7 @@
 
     fn get_policy(&mut self, scope: &mut Scope<'_>, request: OperatorRequestId) {
         if self.confirmation.is_confirmed() {
-            let policy = self.held.policy().as_ref().clone();
+            let policy = self.held.document().policy.clone();
             scope.reply(request, OperatorReply::Policy(policy));
             return;
         }
--- a/crates/rillgap-core/src/configuration/mod.rs
+++ b/crates/rillgap-core/src/configuration/mod.rs
@@ -22,11 +22,11 @@
 use std::sync::Arc;
 
 use crate::action::Outbox;
-use crate::id::{NodeId, PolicyVersion};
+use crate::id::{NodeId, PolicyVersion, ViewVersion};
 use crate::membership::Membership;
 use crate::node::NodeSettings;
 use crate::operator::{OperatorRequest, OperatorRequestId};
-use crate::policy::Policy;
+use crate::policy::IndexedPolicy;
 use crate::store::{StoreReply, StoreRequestId};
 use crate::time::{Instant, Now};
 
@@ -39,6 +39,8 @@
 pub struct Configuration {
     engine: Engine,
     requests: StoreRequests,
+    /// View at the last step; another one may not name this node any more.
+    view: ViewVersion,
 }
 
 impl Configuration {
@@ -49,6 +51,7 @@
         Self {
             engine: Engine::new(now.instant, settings),
             requests: StoreRequests::default(),
+            view: ViewVersion::default(),
         }
     }
 
@@ -59,7 +62,7 @@
     }
 
     /// Returns the policy in force, if its version is confirmed.
-    pub fn policy(&self) -> Option<&Arc<Policy>> {
+    pub fn policy(&self) -> Option<&Arc<IndexedPolicy>> {
         self.engine.policy()
     }
 
@@ -111,8 +114,13 @@
         true
     }
 
-    /// Does what is due: watches, questions, spread, repair.
+    /// Does what is due: watches, questions, spread, repair. Cheap if nothing is.
     pub fn poll(&mut self, now: Now, membership: &Membership, out: &mut Outbox) {
+        let view = membership.view().version;
+        if now.instant < self.engine.next_wake() && view == self.view {
+            return;
+        }
+        self.view = view;
         let (engine, mut scope) = self.split(now, membership, out);
         engine.poll(&mut scope);
     }
--- a/crates/rillgap-core/src/configuration/operations.rs
+++ b/crates/rillgap-core/src/configuration/operations.rs
@@ -299,7 +299,7 @@
             Wanted::Policy => {
                 let latest = document.policy.version.max(held.version());
                 let policy = if latest == held.version() {
-                    held.policy().as_ref().clone()
+                    held.document().policy.clone()
                 } else {
                     document.policy.clone()
                 };
--- a/crates/rillgap-core/src/policy/mod.rs
+++ b/crates/rillgap-core/src/policy/mod.rs
@@ -1,5 +1,6 @@
 //! The policy that operators put in force: services, routes, back ends and bounds.
 
+mod index;
 mod validate;
 
 use std::time::Duration;
@@ -9,6 +10,7 @@
 
 use crate::id::{BackEndName, NodeName, PolicyVersion, ServiceName};
 
+pub use index::IndexedPolicy;
 pub use validate::{
     InvalidPolicy, MAX_ENTRIES, MAX_METHOD_BYTES, MAX_NAME_BYTES, MAX_PATH_BYTES, Violation,
 };
@@ -131,6 +133,11 @@
 }
 
 impl RoutePolicy {
+    /// Returns whether a request of the route's service takes this route.
+    pub fn matches(&self, method: &str, path: &str) -> bool {
+        (self.method.is_empty() || self.method == method) && path.starts_with(&self.path)
+    }
+
     /// Returns the deadline from entry to the end of the answer.
     pub const fn deadline(&self) -> Duration {
         Duration::from_millis(self.deadline_millis as u64)
@@ -176,8 +183,7 @@
         self.routes
             .iter()
             .filter(|route| route.service == *service)
-            .filter(|route| route.method.is_empty() || route.method == method)
-            .filter(|route| path.starts_with(&route.path))
+            .filter(|route| route.matches(method, path))
             .max_by_key(|route| (route.path.len(), route.method.len()))
     }
 
--- a/crates/rillgap-core/src/routing/mod.rs
+++ b/crates/rillgap-core/src/routing/mod.rs
@@ -13,7 +13,7 @@
 use std::net::SocketAddr;
 
 use crate::id::{BackEndName, Incarnation, NodeId, ZoneName};
-use crate::policy::Policy;
+use crate::policy::IndexedPolicy;
 use crate::view::View;
 
 /// A back end together with the node beside it.
@@ -44,7 +44,7 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Candidates<'a> {
     /// Policy in force.
-    pub policy: &'a Policy,
+    pub policy: &'a IndexedPolicy,
     /// View in force.
     pub view: &'a View,
     /// Zone of this node.
--- a/crates/rillgap-core/src/routing/router.rs
+++ b/crates/rillgap-core/src/routing/router.rs
@@ -112,10 +112,7 @@
         settled: bool,
     ) -> Vec<Candidate> {
         let mut serving = Vec::new();
-        for back_end in &candidates.policy.back_ends {
-            if back_end.service != *service {
-                continue;
-            }
+        for back_end in candidates.policy.back_ends_of(service) {
             if back_end.state == BackEndState::Leaving {
                 // Forgotten, so that it comes back slowly when it returns into service.
                 self.targets.remove(&back_end.name);
