Default layout: data path on one thread, control on another

A call crosses eight rings; with a thread for each duty every crossing is a wake-up of another thread.

--- a/crates/rillgap-node/src/settings/mod.rs
+++ b/crates/rillgap-node/src/settings/mod.rs
@@ -91,9 +91,9 @@
 #[serde(rename_all = "kebab-case")]
 pub enum ThreadLayout {
     /// A thread for each duty.
-    #[default]
     Each,
     /// One thread for the duties of the data path, one for all others.
+    #[default]
     Paired,
     /// One thread for all duties.
     Single,
