Lab: parts of the scale experiment can be run by themselves; membership asks less often

Profiled at 1,900 nodes: a fifth of the time went into asking whether the node may serve, which looked the node up in the view and went over all heartbeats each time. Both are now kept. The platform's latency is 30 ms one way for everybody; with 5 ms all regions read a change from the store at once, which was too kind. Processor time is scaled by the share of time for which the process had a processor, as the machine is busy with other work.

--- a/crates/rillgap-core/src/membership/change.rs
+++ b/crates/rillgap-core/src/membership/change.rs
@@ -77,7 +77,7 @@
         .cloned()
         .collect();
     members.extend(change.added.iter().cloned().map(Arc::new));
-    members.sort_by_key(|member| member.id());
+    members.sort_by_cached_key(|member| member.id());
     View {
         version: change.version,
         members,
--- a/crates/rillgap-core/src/membership/detector.rs
+++ b/crates/rillgap-core/src/membership/detector.rs
@@ -48,6 +48,7 @@
 pub struct Detector {
     heard: BTreeMap<NodeId, Heard>,
     watching_since: Option<Instant>,
+    last_dated: Option<Instant>,
 }
 
 impl Detector {
@@ -62,6 +63,7 @@
 
     /// Takes in a heartbeat.
     pub fn heard(&mut self, node: NodeId, heard: Heard) {
+        self.last_dated = self.last_dated.max(heard.sent);
         self.heard.insert(node, heard);
     }
 
@@ -76,7 +78,7 @@
 
     /// Returns the latest time of a dated heartbeat, which shows that others hear this node.
     pub fn last_dated(&self) -> Option<Instant> {
-        self.heard.values().filter_map(|heard| heard.sent).max()
+        self.last_dated
     }
 
     /// Makes the digest of the zone; `own` is what this node itself has confirmed.
@@ -106,6 +108,7 @@
     /// Forgets everything: this host was frozen and must accuse nobody.
     pub fn reset(&mut self, now: Instant) {
         self.heard.clear();
+        self.last_dated = None;
         if self.watching_since.is_some() {
             self.watching_since = Some(now);
         }
--- a/crates/rillgap-core/src/membership/protocol.rs
+++ b/crates/rillgap-core/src/membership/protocol.rs
@@ -108,6 +108,8 @@
     /// Whether a later run of this node was seen in the view: it must never join again.
     pub superseded: bool,
     pub was_member: bool,
+    /// Whether the view holds this run; kept because it is asked at every step.
+    is_member: bool,
     pub last_poll: Instant,
     pub next_tick: Instant,
     pub next_heartbeat: Instant,
@@ -137,7 +139,7 @@
         let first_probe = random.random();
         let joining = Joining::new(now.instant, settings, &mut random);
         let view = Arc::new(settings.initial_view.clone().unwrap_or_default());
-        Self {
+        let mut protocol = Self {
             identity,
             seeds: settings.seeds.clone(),
             topology: Topology::of(&view),
@@ -164,6 +166,7 @@
             leaving_since: None,
             superseded: false,
             was_member: false,
+            is_member: false,
             last_poll: now.instant,
             next_tick: now.instant,
             next_heartbeat: now.instant,
@@ -173,12 +176,19 @@
             last_view_request: None,
             heartbeat_turn: 0,
             random,
-        }
+        };
+        protocol.update_is_member();
+        protocol
     }
 
     /// Returns whether the view holds this run of this node.
     pub fn is_member(&self) -> bool {
-        self.is_current_run(self.identity.id, self.identity.member.incarnation)
+        self.is_member
+    }
+
+    /// Looks up whether the view holds this run of this node.
+    pub fn update_is_member(&mut self) {
+        self.is_member = self.is_current_run(self.identity.id, self.identity.member.incarnation);
     }
 
     /// Returns whether the view holds a certain run of a node.
--- a/crates/rillgap-core/src/membership/topology.rs
+++ b/crates/rillgap-core/src/membership/topology.rs
@@ -70,7 +70,7 @@
                 .push(member.id());
         }
         for (zone, entry) in &mut zones {
-            entry.order.sort_by_key(|node| weight(*node, zone.0));
+            entry.order.sort_by_cached_key(|node| weight(*node, zone.0));
         }
         let regions = region_orders(&zones);
         Self { zones, regions }
--- a/crates/rillgap-core/src/membership/views.rs
+++ b/crates/rillgap-core/src/membership/views.rs
@@ -116,6 +116,7 @@
         from: Option<NodeId>,
         out: &mut Outbox,
     ) {
+        self.update_is_member();
         self.topology = Topology::of(&self.view);
         self.history.agreed(now, self.agreed);
         self.forget_ended_runs(before);
--- a/crates/rillgap-core/src/view.rs
+++ b/crates/rillgap-core/src/view.rs
@@ -42,7 +42,7 @@
     /// Creates a view from members in any order.
     pub fn new(version: ViewVersion, members: impl IntoIterator<Item = Member>) -> Self {
         let mut members: Vec<_> = members.into_iter().map(Arc::new).collect();
-        members.sort_by_key(|member| member.id());
+        members.sort_by_cached_key(|member| member.id());
         Self { version, members }
     }
 
--- a/crates/rillgap-lab/src/command/scale.rs
+++ b/crates/rillgap-lab/src/command/scale.rs
@@ -1,11 +1,12 @@
 //! `rillgap-lab scale`: measure control cost with hollow nodes.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use argh::FromArgs;
 
 use super::CommandError;
-use crate::scale::experiment::{self, ExperimentOptions};
+use crate::scale::experiment::{self, ExperimentOptions, ExperimentPart};
 use crate::scale::report::ScaleReport;
 
 /// measure control cost with hollow nodes
@@ -21,9 +22,12 @@
     /// seconds for which the platform's store is away (default: 3600)
     #[argh(option, default = "3600")]
     store_away: u64,
-    /// measure the steady state only
-    #[argh(switch)]
-    steady_only: bool,
+    /// parts to run, separated by commas (default: steady,slow,restart,zone,region,store)
+    #[argh(
+        option,
+        default = "String::from(\"steady,slow,restart,zone,region,store\")"
+    )]
+    parts: String,
     /// text or json (default: text)
     #[argh(option, default = "String::from(\"text\")")]
     output: String,
@@ -40,18 +44,30 @@
             seed: self.seed,
             sizes: Vec::new(),
         };
+        let parts = self.parts()?;
         for nodes in self.sizes()? {
             let options = ExperimentOptions {
                 nodes,
                 seed: self.seed,
                 store_away: Duration::from_secs(self.store_away),
-                steady_only: self.steady_only,
+                parts: parts.clone(),
             };
             report.sizes.push(experiment::run(&options));
         }
         self.print(&report)
     }
 
+    fn parts(&self) -> Result<BTreeSet<ExperimentPart>, CommandError> {
+        let allowed = ExperimentPart::ALL.map(|(name, _)| name).join(", ");
+        self.parts
+            .split(',')
+            .map(|name| {
+                ExperimentPart::from_name(name.trim())
+                    .ok_or_else(|| invalid("parts", name, &allowed))
+            })
+            .collect()
+    }
+
     fn sizes(&self) -> Result<Vec<usize>, CommandError> {
         self.nodes
             .split(',')
--- a/crates/rillgap-lab/src/scale/experiment.rs
+++ b/crates/rillgap-lab/src/scale/experiment.rs
@@ -25,6 +25,8 @@
 const STEP: Duration = Duration::from_millis(100);
 /// Longest time that a condition is waited for.
 const LIMIT: Duration = Duration::from_secs(180);
+/// Longest time that the formation of the deployment is waited for.
+const FORMATION_LIMIT: Duration = Duration::from_secs(60);
 /// Longest time that a change of policy is watched.
 const CHANGE_LIMIT: Duration = Duration::from_secs(20);
 /// Time over which the steady state is measured.
@@ -39,8 +41,43 @@
     pub seed: u64,
     /// Time for which the platform is away.
     pub store_away: Duration,
-    /// Whether faults are left out.
-    pub steady_only: bool,
+    /// Parts that are run after the deployment stands.
+    pub parts: BTreeSet<ExperimentPart>,
+}
+
+/// One part of the experiment.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum ExperimentPart {
+    /// Nothing happens, then one change of policy, then requests with keys.
+    Steady,
+    /// Slow nodes, frozen nodes and links cut one way.
+    Slow,
+    /// Nodes restarted at once.
+    Restart,
+    /// A zone lost.
+    Zone,
+    /// A region cut off.
+    Region,
+    /// The platform away.
+    Store,
+}
+
+impl ExperimentPart {
+    /// All parts with their names.
+    pub const ALL: [(&'static str, Self); 6] = [
+        ("steady", Self::Steady),
+        ("slow", Self::Slow),
+        ("restart", Self::Restart),
+        ("zone", Self::Zone),
+        ("region", Self::Region),
+        ("store", Self::Store),
+    ];
+
+    /// Returns the part of a name.
+    pub fn from_name(name: &str) -> Option<Self> {
+        let found = Self::ALL.iter().find(|(known, _)| *known == name);
+        found.map(|(_, part)| *part)
+    }
 }
 
 /// Runs the experiment.
@@ -62,13 +99,17 @@
     experiment.form(&mut report);
     report.memory_bytes_per_node =
         resident_bytes().saturating_sub(memory_before) / options.nodes as u64;
-    experiment.measure_steady(&mut report);
-    if !options.steady_only {
-        report.slow = experiment.slow_nodes();
-        report.restart = experiment.restart();
-        report.zone = experiment.lose_zone();
-        report.region = experiment.cut_region();
-        report.store_away = experiment.store_away(options.store_away);
+    for part in &options.parts {
+        match part {
+            ExperimentPart::Steady => experiment.measure_steady(&mut report),
+            ExperimentPart::Slow => report.slow = Some(experiment.slow_nodes()),
+            ExperimentPart::Restart => report.restart = Some(experiment.restart()),
+            ExperimentPart::Zone => report.zone = Some(experiment.lose_zone()),
+            ExperimentPart::Region => report.region = Some(experiment.cut_region()),
+            ExperimentPart::Store => {
+                report.store_away = Some(experiment.store_away(options.store_away));
+            }
+        }
     }
     report
 }
@@ -86,7 +127,11 @@
             self.fleet.start(host);
         }
         let begin = self.fleet.time;
-        let formed = self.fleet.run_until(LIMIT, STEP, is_one_view);
+        let formed = self.fleet.run_until(FORMATION_LIMIT, STEP, is_one_view);
+        log::info!(
+            "scale: formed after {formed:?}, view {:?}",
+            self.fleet.view_version(0)
+        );
         report.formation_seconds = formed.map(|formed| formed.as_secs_f64());
         report.formation = self.phase(begin);
         self.fleet.run(Duration::from_secs(15));
@@ -99,11 +144,11 @@
         self.fleet.reset_meters();
         let begin = self.fleet.time;
         self.fleet.run(STEADY);
-        report.steady = self.phase(begin);
+        report.steady = Some(self.phase(begin));
         let processor = self.processor();
-        report.change = self.change_policy(1);
+        report.change = Some(self.change_policy(1));
         self.fleet.run(Duration::from_secs(5));
-        report.keyed = self.keyed(processor);
+        report.keyed = Some(self.keyed(processor));
     }
 
     /// Sends requests with keys for a while.
@@ -135,12 +180,11 @@
         }
     }
 
+    /// Returns the processor time of all nodes since the meters were reset.
     fn processor(&self) -> Duration {
-        self.fleet
-            .hosts
-            .iter()
-            .map(|host| host.meter.processor)
-            .sum()
+        let hosts = self.fleet.hosts.iter();
+        let sum: Duration = hosts.map(|host| host.meter.processor).sum();
+        sum.mul_f64(self.fleet.phase_clock.share())
     }
 
     /// A twentieth of the hosts is slow, some freeze for 0.5 to 3 s, and some links are cut one way.
@@ -406,16 +450,18 @@
             roles.entry("all").or_default().push(meter);
         }
         let store = &self.fleet.store_meter;
+        let share = self.fleet.phase_clock.share();
         PhaseReport {
             seconds,
             roles: roles
                 .into_iter()
-                .map(|(role, meters)| role_report(role, &meters, seconds))
+                .map(|(role, meters)| role_report(role, &meters, seconds, share))
                 .collect(),
             store: StoreReport {
                 requests: store.total(),
                 peak_requests: store.peak_requests(),
                 askers: store.askers(),
+                peak_readers_of_region: store.peak_readers,
                 peak_askers_of_region: store
                     .peak_askers(|host| self.fleet.layout.place(host).region),
                 writes: store.writes,
@@ -501,7 +547,12 @@
         .is_some_and(|(policy, _)| policy >= version)
 }
 
-fn role_report(role: &'static str, meters: &[&HostMeter], seconds: f64) -> RoleReport {
+fn role_report(
+    role: &'static str,
+    meters: &[&HostMeter],
+    seconds: f64,
+    processor_share: f64,
+) -> RoleReport {
     let spread = |value: &dyn Fn(&HostMeter) -> f64| {
         Spread::of(meters.iter().map(|meter| value(meter) / seconds).collect())
     };
@@ -511,6 +562,6 @@
         bytes: spread(&|meter| meter.control().bytes as f64),
         messages: spread(&|meter| meter.control().messages as f64),
         store_bytes: spread(&|meter| meter.store.bytes as f64),
-        processor_percent: spread(&|meter| meter.processor.as_secs_f64() * 100.0),
+        processor_percent: spread(&|meter| meter.processor.as_secs_f64() * processor_share * 100.0),
     }
 }
--- a/crates/rillgap-lab/src/scale/fleet.rs
+++ b/crates/rillgap-lab/src/scale/fleet.rs
@@ -15,7 +15,7 @@
 use rillgap_core::time::{Instant, Now, WallTime};
 
 use super::layout::{Layout, incarnation};
-use super::measure::Stopwatch;
+use super::measure::{PhaseClock, Stopwatch};
 use super::meter::{FRAME_HEADER, HostMeter, Part, StoreMeter};
 use super::network::Network;
 use super::queue::EventQueue;
@@ -107,6 +107,8 @@
     pub keyed: KeyedRequests,
     /// Replies to operators.
     pub replies: Vec<(OperatorRequestId, OperatorReply)>,
+    /// Share of real time for which the process was on a processor, since the last reset.
+    pub phase_clock: PhaseClock,
     /// Random numbers of experiments.
     pub random: Stream,
     pub(super) platform: Platform,
@@ -144,6 +146,7 @@
             store_meter: StoreMeter::default(),
             keyed: KeyedRequests::default(),
             replies: Vec::new(),
+            phase_clock: PhaseClock::start(),
             random: Stream::new(seed, 2),
             platform: Platform::default(),
             list_changes: BTreeSet::new(),
@@ -161,6 +164,7 @@
     /// Starts the node of a host with an empty memory.
     pub fn start(&mut self, host: usize) {
         let now = self.now();
+        self.store_meter.host_ended(host);
         let state = &mut self.hosts[host];
         state.run += 1;
         let settings = self.layout.settings(host, state.run, self.seed);
@@ -175,6 +179,7 @@
 
     /// Ends the node of a host without notice.
     pub fn kill(&mut self, host: usize) {
+        self.store_meter.host_ended(host);
         self.hosts[host].node = None;
         self.hosts[host].serving = false;
         self.list_changes.insert(host);
@@ -264,7 +269,8 @@
         for host in &mut self.hosts {
             host.meter = HostMeter::default();
         }
-        self.store_meter = StoreMeter::default();
+        self.store_meter.reset();
+        self.phase_clock = PhaseClock::start();
         self.keyed = KeyedRequests::default();
     }
 
--- a/crates/rillgap-lab/src/scale/meter.rs
+++ b/crates/rillgap-lab/src/scale/meter.rs
@@ -100,6 +100,10 @@
     requests: BTreeMap<u64, u64>,
     /// Hosts that sent requests, by the second.
     askers: BTreeMap<u64, BTreeSet<usize>>,
+    /// Queries that wait at the platform, with the host and its region.
+    watches: BTreeMap<u64, (usize, usize)>,
+    /// Most hosts of one region with waiting queries at the same time.
+    pub peak_readers: usize,
     /// Writes.
     pub writes: u64,
     /// Writes refused because of a conflict.
@@ -116,6 +120,32 @@
         self.askers.entry(second).or_default().insert(host);
     }
 
+    /// Records that a query waits for a change.
+    pub fn watch_began(&mut self, waiter: u64, host: usize, region: usize) {
+        self.watches.insert(waiter, (host, region));
+        let in_region = self.watches.values().filter(|watch| watch.1 == region);
+        let readers: BTreeSet<usize> = in_region.map(|watch| watch.0).collect();
+        self.peak_readers = self.peak_readers.max(readers.len());
+    }
+
+    /// Records that a query was answered.
+    pub fn watch_ended(&mut self, waiter: u64) {
+        self.watches.remove(&waiter);
+    }
+
+    /// Records that the process of a host has ended, and its connections with it.
+    pub fn host_ended(&mut self, host: usize) {
+        self.watches.retain(|_, watch| watch.0 != host);
+    }
+
+    /// Sets the meter to zero; queries that wait stay known.
+    pub fn reset(&mut self) {
+        *self = Self {
+            watches: std::mem::take(&mut self.watches),
+            ..Self::default()
+        };
+    }
+
     /// Returns the number of requests.
     pub fn total(&self) -> u64 {
         self.requests.values().sum()
--- a/crates/rillgap-lab/src/scale/report.rs
+++ b/crates/rillgap-lab/src/scale/report.rs
@@ -29,21 +29,21 @@
     /// The first policy.
     pub first_change: ChangeReport,
     /// Nothing happens.
-    pub steady: PhaseReport,
+    pub steady: Option<PhaseReport>,
     /// Requests with keys.
-    pub keyed: KeyedReport,
+    pub keyed: Option<KeyedReport>,
     /// A change of policy while nothing else happens.
-    pub change: ChangeReport,
+    pub change: Option<ChangeReport>,
     /// Slow nodes, frozen nodes and links cut one way.
-    pub slow: FaultReport,
+    pub slow: Option<FaultReport>,
     /// Nodes restarted at once.
-    pub restart: FaultReport,
+    pub restart: Option<FaultReport>,
     /// All nodes of a zone killed at once.
-    pub zone: FaultReport,
+    pub zone: Option<FaultReport>,
     /// A region cut off.
-    pub region: FaultReport,
+    pub region: Option<FaultReport>,
     /// Platform away while nodes are replaced.
-    pub store_away: FaultReport,
+    pub store_away: Option<FaultReport>,
 }
 
 /// Cost during some time.
@@ -110,7 +110,9 @@
     pub peak_requests: u64,
     /// Different nodes that asked.
     pub askers: usize,
-    /// Most nodes of one region that asked within one second.
+    /// Most nodes of one region that had a blocking query open at the same time.
+    pub peak_readers_of_region: usize,
+    /// Most nodes of one region that asked for anything within one second.
     pub peak_askers_of_region: usize,
     /// Writes.
     pub writes: u64,
@@ -194,14 +196,28 @@
         )?;
         write_phase(formatter, "formation", &self.formation)?;
         write_change(formatter, "first policy", &self.first_change)?;
-        write_phase(formatter, "steady", &self.steady)?;
-        write_change(formatter, "change", &self.change)?;
-        write_keyed(formatter, &self.keyed)?;
-        write_fault(formatter, "slow nodes", &self.slow)?;
-        write_fault(formatter, "restart", &self.restart)?;
-        write_fault(formatter, "zone lost", &self.zone)?;
-        write_fault(formatter, "region cut", &self.region)?;
-        write_fault(formatter, "store away", &self.store_away)
+        if let Some(steady) = &self.steady {
+            write_phase(formatter, "steady", steady)?;
+        }
+        if let Some(change) = &self.change {
+            write_change(formatter, "change", change)?;
+        }
+        if let Some(keyed) = &self.keyed {
+            write_keyed(formatter, keyed)?;
+        }
+        let faults = [
+            ("slow nodes", &self.slow),
+            ("restart", &self.restart),
+            ("zone lost", &self.zone),
+            ("region cut", &self.region),
+            ("store away", &self.store_away),
+        ];
+        for (name, fault) in faults {
+            if let Some(fault) = fault {
+                write_fault(formatter, name, fault)?;
+            }
+        }
+        Ok(())
     }
 }
 
@@ -229,10 +245,11 @@
     let store = &phase.store;
     writeln!(
         formatter,
-        "  {name:<12} store: {:.0} s, {} requests, peak {}/s, askers {}, peak of a region {}, writes {}, conflicts {}, {:.0} B/s",
+        "  {name:<12} store: {:.0} s, {} requests, peak {}/s, readers of a region at most {}, askers {}, of a region in a second {}, writes {}, conflicts {}, {:.0} B/s",
         phase.seconds,
         store.requests,
         store.peak_requests,
+        store.peak_readers_of_region,
         store.askers,
         store.peak_askers_of_region,
         store.writes,
--- a/crates/rillgap-lab/src/scale/store.rs
+++ b/crates/rillgap-lab/src/scale/store.rs
@@ -8,8 +8,8 @@
 use super::fleet::{Fleet, FleetEvent};
 use crate::sim::platform::Handling;
 
-/// One-way latency of the platform.
-const LATENCY: Duration = Duration::from_millis(5);
+/// One-way latency of the platform, as if it were in another region for everybody.
+const LATENCY: Duration = Duration::from_millis(30);
 /// Longest wait of a blocking query.
 const WAIT: Duration = Duration::from_secs(55);
 /// Time after which a request to a platform that is away fails.
@@ -55,6 +55,8 @@
         match self.platform.handle(&body) {
             Handling::Waits => {
                 let waiter = self.platform.wait(host, run, request, body);
+                let region = self.layout.place(host).region;
+                self.store_meter.watch_began(waiter, host, region);
                 self.schedule(WAIT, FleetEvent::StoreWaitOver { waiter });
             }
             Handling::Reply(reply) => {
@@ -69,6 +71,7 @@
 
     fn wake_store_waiters(&mut self) {
         for (waiter, reply) in self.platform.take_ready() {
+            self.store_meter.watch_ended(waiter.id);
             self.reply(waiter.host, waiter.run, waiter.request, reply, LATENCY);
         }
     }
@@ -95,6 +98,7 @@
         let Some(waiter) = self.platform.take_waiter(waiter) else {
             return;
         };
+        self.store_meter.watch_ended(waiter.id);
         let is_away = self.platform.down > 0 || self.network.is_cut_from_platform(waiter.host);
         let reply = if is_away {
             StoreReply::Failed
