--- a/crates/rillgap-lab/src/bench/mod.rs
+++ b/crates/rillgap-lab/src/bench/mod.rs
@@ -19,8 +19,9 @@
 
 /// Time for which a call may take until it counts as failed.
 const CALL_TIMEOUT: Duration = Duration::from_secs(5);
-/// Length of the phases that warm up connections and code, not counted.
-const WARM_UP: Duration = Duration::from_secs(1);
+/// Phases of full load are shorter than steady ones by this factor: a node remembers every key of
+/// a booking for its whole life, and more than it can remember are refused.
+const FULL_LOAD_SHARE: u32 = 2;
 
 /// What is measured.
 #[derive(Clone, Debug)]
@@ -33,7 +34,9 @@
     pub nodes: Vec<u32>,
     /// Calls begun per second in the phases of steady load.
     pub rate: f64,
-    /// Length of a phase.
+    /// Length of the phases that warm up connections and code, not counted.
+    pub warm_up: Duration,
+    /// Length of a phase of steady load.
     pub phase: Duration,
     /// Number of pairs of phases for each sort of request.
     pub rounds: u32,
@@ -102,8 +105,8 @@
 ) -> Result<RequestReport, ProcessError> {
     let shape = &request.shape;
     let rate = settings.rate;
-    phase::steady(&paths.direct, shape, rate, WARM_UP).await;
-    phase::steady(&paths.through, shape, rate, WARM_UP).await;
+    phase::steady(&paths.direct, shape, rate, settings.warm_up).await;
+    phase::steady(&paths.through, shape, rate, settings.warm_up).await;
     let mut report = RequestReport::new(request.name);
     for _ in 0..settings.rounds {
         let direct = phase::steady(&paths.direct, shape, rate, settings.phase).await;
@@ -119,7 +122,7 @@
     paths: &Paths,
     shape: &RequestShape,
 ) -> Result<Saturation, ProcessError> {
-    let (concurrency, duration) = (settings.concurrency, settings.phase);
+    let (concurrency, duration) = (settings.concurrency, settings.phase / FULL_LOAD_SHARE);
     let mut saturation = Saturation::default();
     for _ in 0..settings.rounds {
         let direct = phase::full(&paths.direct, shape, concurrency, duration).await;
--- a/crates/rillgap-lab/src/command/bench.rs
+++ b/crates/rillgap-lab/src/command/bench.rs
@@ -12,6 +12,9 @@
 /// Threads that send calls.
 const WORKER_THREADS: usize = 4;
 
+/// Length of the phases that warm up connections and code, not counted.
+const WARM_UP: Duration = Duration::from_secs(1);
+
 /// measure what the nodes add to a call, against calls straight to the same back end
 /// (scripts/bench.sh starts the processes and calls this)
 #[derive(FromArgs, Debug)]
@@ -29,7 +32,7 @@
     /// calls begun per second under steady load (default 500)
     #[argh(option, default = "500.0")]
     rate: f64,
-    /// length of a phase in seconds (default 2)
+    /// length of a phase of steady load in seconds; of full load, half of it (default 2)
     #[argh(option, default = "2.0")]
     phase_seconds: f64,
     /// pairs of phases for each sort of request (default 5)
@@ -60,6 +63,7 @@
             through: self.through,
             nodes: self.pid,
             rate: self.rate,
+            warm_up: WARM_UP,
             phase: Duration::from_secs_f64(self.phase_seconds),
             rounds: self.rounds,
             concurrency: self.concurrency,
--- a/crates/rillgap-lab/src/serve/backend/mod.rs
+++ b/crates/rillgap-lab/src/serve/backend/mod.rs
@@ -6,6 +6,7 @@
 mod counters;
 mod downstream;
 mod reports;
+mod response;
 mod slots;
 mod work;
 
--- a/crates/rillgap-lab/src/serve/platform/mod.rs
+++ b/crates/rillgap-lab/src/serve/platform/mod.rs
@@ -2,6 +2,7 @@
 
 mod faults;
 mod machines;
+mod query;
 mod routes;
 mod statistics;
 mod store;
--- a/crates/rillgap-platform/src/client.rs
+++ b/crates/rillgap-platform/src/client.rs
@@ -6,14 +6,11 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{Method, Request, StatusCode, Uri};
-use http_body_util::{BodyExt, Full, Limited};
-use hyper_util::client::legacy::Client;
-use hyper_util::client::legacy::connect::HttpConnector;
-use hyper_util::rt::TokioExecutor;
+use http::{Method, StatusCode};
 use rillgap_core::store::{Machine, ModifyIndex, StoreKey, StoreObject, StoreReply, StoreRequest};
 
 use crate::error::PlatformError;
+use crate::transport::{Answer, INDEX_HEADER, Transport};
 use crate::wire;
 
 /// Time in which a request that does not wait must be answered.
@@ -23,24 +20,12 @@
 
 /// Time that a blocking query may take beyond [`BLOCKING_WAIT`].
 const BLOCKING_GRACE: Duration = Duration::from_secs(5);
-/// Longest answer that is read, in bytes.
-const MAX_ANSWER_BYTES: usize = 8 * 1024 * 1024;
-/// Header with the index that a blocking query waits to be passed.
-const INDEX_HEADER: &str = "x-consul-index";
-
 /// Client of the platform, cheap to clone; its requests may run at the same time.
 #[derive(Clone, Debug)]
 pub struct PlatformClient {
     endpoints: Arc<[SocketAddr]>,
     preferred: Arc<AtomicUsize>,
-    http: Client<HttpConnector, Full<Bytes>>,
-}
-
-/// A whole answer of the platform.
-struct Answer {
-    status: StatusCode,
-    index: Option<ModifyIndex>,
-    body: Bytes,
+    transport: Transport,
 }
 
 /// A read, with its answer if the object exists, and the index on which to wait next.
@@ -52,13 +37,10 @@
 impl PlatformClient {
     /// Creates a client of the given endpoints, of which the first is asked first.
     pub fn new(endpoints: impl Into<Arc<[SocketAddr]>>) -> Self {
-        let mut connector = HttpConnector::new();
-        connector.set_nodelay(true);
-        connector.set_connect_timeout(Some(PLAIN_TIMEOUT));
         Self {
             endpoints: endpoints.into(),
             preferred: Arc::new(AtomicUsize::new(0)),
-            http: Client::builder(TokioExecutor::new()).build(connector),
+            transport: Transport::new(PLAIN_TIMEOUT),
         }
     }
 
@@ -150,10 +132,11 @@
         let path = format!("/v1/kv/{}?cas={}", key.0, expected.0);
         let value = Bytes::from(value);
         let answer = self
+            .transport
             .send(endpoint, Method::PUT, &path, value.clone(), PLAIN_TIMEOUT)
             .await
             .inspect_err(|_| self.prefer_next())?;
-        expect_status(&answer, &[StatusCode::OK])?;
+        answer.expect_status(&[StatusCode::OK])?;
         if !wire::decode_written(&answer.body)? {
             return Ok(StoreReply::Conflict);
         }
@@ -199,9 +182,10 @@
         timeout: Duration,
     ) -> Result<Answer, PlatformError> {
         let answer = self
+            .transport
             .send(endpoint, Method::GET, path, Bytes::new(), timeout)
             .await?;
-        expect_status(&answer, &[StatusCode::OK, StatusCode::NOT_FOUND])?;
+        answer.expect_status(&[StatusCode::OK, StatusCode::NOT_FOUND])?;
         Ok(answer)
     }
 
@@ -216,63 +200,6 @@
     fn prefer_next(&self) {
         self.preferred.fetch_add(1, Ordering::Relaxed);
     }
-
-    async fn send(
-        &self,
-        endpoint: SocketAddr,
-        method: Method,
-        path: &str,
-        body: Bytes,
-        timeout: Duration,
-    ) -> Result<Answer, PlatformError> {
-        let uri = Uri::builder()
-            .scheme("http")
-            .authority(endpoint.to_string())
-            .path_and_query(path)
-            .build()?;
-        let request = Request::builder()
-            .method(method)
-            .uri(uri)
-            .body(Full::new(body))?;
-        tokio::time::timeout(timeout, self.exchange(endpoint, request))
-            .await
-            .unwrap_or(Err(PlatformError::Timeout {
-                endpoint,
-                millis: timeout.as_millis(),
-            }))
-    }
-
-    async fn exchange(
-        &self,
-        endpoint: SocketAddr,
-        request: Request<Full<Bytes>>,
-    ) -> Result<Answer, PlatformError> {
-        let response = self
-            .http
-            .request(request)
-            .await
-            .map_err(|source| PlatformError::Connection { endpoint, source })?;
-        let status = response.status();
-        let index = response
-            .headers()
-            .get(INDEX_HEADER)
-            .and_then(|value| value.to_str().ok())
-            .and_then(|text| text.parse().ok())
-            .map(ModifyIndex);
-        let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES)
-            .collect()
-            .await
-            .map_err(|error| PlatformError::Body {
-                endpoint,
-                detail: error.to_string(),
-            })?
-            .to_bytes();
-        Ok(Answer {
-            status,
-            index,
-            body,
-        })
-    }
 }
 
 fn blocking_query(after: Option<ModifyIndex>) -> String {
@@ -288,13 +215,3 @@
         None => PLAIN_TIMEOUT,
     }
 }
-
-fn expect_status(answer: &Answer, expected: &[StatusCode]) -> Result<(), PlatformError> {
-    if expected.contains(&answer.status) {
-        Ok(())
-    } else {
-        Err(PlatformError::Status {
-            status: answer.status.as_u16(),
-        })
-    }
-}
--- a/crates/rillgap-platform/src/lib.rs
+++ b/crates/rillgap-platform/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod client;
 mod error;
+mod transport;
 mod wire;
 
 pub use client::{BLOCKING_WAIT, PLAIN_TIMEOUT, PlatformClient};
--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -1,6 +1,7 @@
 #!/usr/bin/env bash
 # Measures, in one run, calls straight to a stand-in back end and calls through the entry node and
-# the node beside the back end. Arguments are passed on to rillgap-lab bench.
+# the node beside the back end. Arguments are passed on to rillgap-lab bench. THREAD_LAYOUT (each,
+# paired or single) is written into the settings of the nodes.
 set -euo pipefail
 source "$(dirname "$0")/deployment.sh"
 trap end_processes EXIT
--- a/scripts/deployment.sh
+++ b/scripts/deployment.sh
@@ -118,6 +118,9 @@
       printf 'address = "%s"\nhealth-path = "/health"\n' "$(back_end_of "$name")"
       printf 'connections = 110\nhealth-interval-millis = 200\n'
     fi
+    if [[ -n ${THREAD_LAYOUT:-} ]]; then
+      printf '\n[threads]\nlayout = "%s"\n' "$THREAD_LAYOUT"
+    fi
     printf '\n[store]\nendpoints = ["%s"]\n' "$(platform_address)"
     for seed in entry-hall-a entry-hall-b entry-hall-c; do
       [[ $seed == "$name" ]] && continue
