--- a/crates/rillgap-lab/src/sim/options.rs
+++ b/crates/rillgap-lab/src/sim/options.rs
@@ -1,6 +1,7 @@
 //! Options of a run that are not part of its scenario.
 
 use rillgap_core::admission::AdmissionSettings;
+use rillgap_core::claim::ClaimFaults;
 
 /// Options of a run.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -11,6 +12,8 @@
     pub admission: AdmissionSettings,
     /// Fault that is planted to show that a checker catches it.
     pub planted: Option<PlantedFault>,
+    /// Faults of the claim protocol that are planted in every node; none by default.
+    pub claim_faults: ClaimFaults,
 }
 
 /// Faults that are planted to show that a checker catches them, one for each condition.
--- a/crates/rillgap-lab/src/sim/setup.rs
+++ b/crates/rillgap-lab/src/sim/setup.rs
@@ -125,7 +125,9 @@
         let settings = self.node_settings(host);
         let time = self.time;
         let state = &mut self.hosts[host];
-        state.node = Some(Node::new(state.now(time), settings));
+        let mut node = Node::new(state.now(time), settings);
+        node.plant_claim_faults(self.options.claim_faults);
+        state.node = Some(node);
         state.frozen = false;
         state.stopping = false;
         state.wake_at = None;
