--- a/crates/rillgap-core/src/admission/back_end.rs
+++ b/crates/rillgap-core/src/admission/back_end.rs
@@ -12,7 +12,7 @@
 use super::threshold::{Pressure, Threshold};
 use super::{Completion, QueueDecision, Ticket, Verdict};
 use crate::code::ResultCode;
-use crate::id::{AttemptId, ServiceName};
+use crate::id::{AttemptId, NodeId, ServiceName};
 use crate::policy::{Class, ServicePolicy};
 use crate::request::{Refusal, RetryAfter};
 use crate::time::{Instant, micros};
@@ -42,6 +42,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct BackEndAdmission {
     settings: AdmissionSettings,
+    node: NodeId,
     service: Option<ServiceName>,
     slots: u16,
     queue_bound: Duration,
@@ -55,9 +56,10 @@
 
 impl BackEndAdmission {
     /// Creates the admission of a fresh node.
-    pub fn new(settings: AdmissionSettings) -> Self {
+    pub fn new(settings: AdmissionSettings, node: NodeId) -> Self {
         Self {
             settings,
+            node,
             ..Self::default()
         }
     }
@@ -137,6 +139,7 @@
     pub fn load(&self) -> LoadReport {
         let service = self.service.as_ref().map(|name| ServiceLoad {
             service: name.clone(),
+            reporter: self.node,
             level: self.threshold.level(),
         });
         LoadReport {
--- a/crates/rillgap-core/src/admission/report.rs
+++ b/crates/rillgap-core/src/admission/report.rs
@@ -3,7 +3,7 @@
 use bitcode::{Decode, Encode};
 
 use super::level::Level;
-use crate::id::ServiceName;
+use crate::id::{NodeId, ServiceName};
 
 /// Most services that one report names.
 pub const MAX_SERVICE_LOADS: usize = 8;
@@ -13,6 +13,8 @@
 pub struct ServiceLoad {
     /// The service.
     pub service: ServiceName,
+    /// Node beside the back end that says so.
+    pub reporter: NodeId,
     /// Requests below this level would be shed.
     pub level: Level,
 }
@@ -46,7 +48,8 @@
 pub(super) fn merge_service_loads(into: &mut Vec<ServiceLoad>, from: &[ServiceLoad]) {
     for load in from {
         match into.iter_mut().find(|known| known.service == load.service) {
-            Some(known) => known.level = known.level.max(load.level),
+            Some(known) if known.level < load.level => *known = load.clone(),
+            Some(_) => {}
             None => into.push(load.clone()),
         }
     }
--- a/crates/rillgap-core/src/call/gate/mod.rs
+++ b/crates/rillgap-core/src/call/gate/mod.rs
@@ -88,7 +88,7 @@
             attempts: BTreeMap::new(),
             tokens: BTreeMap::new(),
             deadlines: Deadlines::default(),
-            admission: BackEndAdmission::new(settings.admission),
+            admission: BackEndAdmission::new(settings.admission, settings.id()),
             guard: DispatchGuard::default(),
             random: ChaCha8Rng::seed_from_u64(settings.random_seed ^ TOKEN_SEED_SALT),
             announced_leaving: false,
--- a/crates/rillgap-core/src/id.rs
+++ b/crates/rillgap-core/src/id.rs
@@ -9,7 +9,7 @@
 use crate::time::WallTime;
 
 /// Identifies a node by the 64-bit hash of its configured name.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Encode, Decode)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Encode, Decode)]
 pub struct NodeId(pub u64);
 
 impl NodeId {
--- a/crates/rillgap-core/tests/admission_back_end.rs
+++ b/crates/rillgap-core/tests/admission_back_end.rs
@@ -217,6 +217,7 @@
     let nested = LoadReport {
         services: vec![ServiceLoad {
             service: ServiceName::new("logbok"),
+            reporter: NodeId(2),
             level: Level(300),
         }],
         ..LoadReport::default()
@@ -281,7 +282,7 @@
 
 #[gtest]
 fn no_control_starts_everything() {
-    let mut admission = BackEndAdmission::new(AdmissionSettings::new(ControlMode::None));
+    let mut admission = BackEndAdmission::new(AdmissionSettings::new(ControlMode::None), NodeId(1));
     admission.configure(&policy(2));
     for sequence in 0..100 {
         let verdict = admission.offer(at(0), ticket(sequence, Class::Bulk, at(1)));
@@ -291,7 +292,8 @@
 
 #[gtest]
 fn fixed_limit_queues_in_order_of_arrival() {
-    let mut admission = BackEndAdmission::new(AdmissionSettings::new(ControlMode::Fixed));
+    let mut admission =
+        BackEndAdmission::new(AdmissionSettings::new(ControlMode::Fixed), NodeId(1));
     admission.configure(&policy(1));
     admission.offer(at(0), ticket(1, Class::Bulk, at(1_000)));
     admission.offer(at(0), ticket(2, Class::Bulk, at(1_000)));
--- a/crates/rillgap-core/tests/admission_entry.rs
+++ b/crates/rillgap-core/tests/admission_entry.rs
@@ -5,7 +5,7 @@
     EntryAdmission, Level, LoadReport, RetryBudget, RootRequest, RouteId, ServiceLoad,
 };
 use rillgap_core::code::ResultCode;
-use rillgap_core::id::{RootId, ServiceName};
+use rillgap_core::id::{NodeId, RootId, ServiceName};
 use rillgap_core::policy::{Class, RoutePolicy};
 use rillgap_core::time::Instant;
 
@@ -19,6 +19,7 @@
             .iter()
             .map(|(service, level)| ServiceLoad {
                 service: ServiceName::new(*service),
+                reporter: NodeId(1),
                 level: *level,
             })
             .collect(),
