Admission: the queue rests at a fifth of the limit instead of two fifths

Cause: status queries of Trondheim held slots of takst while they queued at logbok.

A shorter queue costs the bottleneck some idle slots, and saves far more slots of the services that wait for it.

--- a/crates/rillgap-core/src/admission/threshold.rs
+++ b/crates/rillgap-core/src/admission/threshold.rs
@@ -16,7 +16,7 @@
 /// Length of a control window.
 const WINDOW: Duration = Duration::from_millis(50);
 /// Queued requests, as a share of the limit, at which the queue rests.
-const QUEUE_TARGET: f64 = 0.4;
+const QUEUE_TARGET: f64 = 0.2;
 /// Time within which a queue off its target shall come back to it, in microseconds.
 const HORIZON_MICROS: f64 = 150_000.0;
 /// Bounds of the queue's immediate correction of the capacity.
