--- a/crates/rillgap-lab/src/compare/recovery.rs
+++ b/crates/rillgap-lab/src/compare/recovery.rs
@@ -9,6 +9,9 @@
 /// Share of the former goodput that counts as back.
 pub const BACK_SHARE: f64 = 0.95;
 
+/// Least share of good requests before the trigger.
+pub const LEAST_BEFORE: f64 = 0.5;
+
 /// Requests created in one bin, and those of them that were good.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Bin {
@@ -60,8 +63,12 @@
 
 /// Returns the recovery time from bins that begin at the end of the trigger.
 ///
-/// `before` is the share of good requests before the trigger.
+/// `before` is the share of good requests before the trigger. If that was below
+/// [`LEAST_BEFORE`], there is nothing to come back to and recovery is `never`.
 pub fn recovery(bins: &[Bin], before: f64) -> Recovery {
+    if before < LEAST_BEFORE {
+        return Recovery::Never;
+    }
     let stay = (STAY_MILLIS / BIN_MILLIS) as usize;
     let back = |bin: &Bin| bin.share() >= BACK_SHARE * before;
     bins.windows(stay)
--- a/crates/rillgap-lab/src/compare/trigger.rs
+++ b/crates/rillgap-lab/src/compare/trigger.rs
@@ -5,7 +5,8 @@
 use crate::model::fault::{Fault, TimedFault};
 use crate::model::scenario::Scenario;
 
-/// Time for which figures ignore the start of a run, while back ends warm up, in milliseconds.
+/// Time for which figures ignore the start of a run without a trigger, in milliseconds. With a
+/// trigger it is the first half of the time before it.
 pub const WARM_UP_MILLIS: u64 = 4_000;
 
 /// Span of virtual time, in milliseconds; the end is excluded.
@@ -41,10 +42,6 @@
 impl Spans {
     /// Returns the spans of a scenario.
     pub fn of(scenario: &Scenario) -> Self {
-        let measured = Span {
-            from: WARM_UP_MILLIS.min(scenario.duration_millis),
-            to: scenario.duration_millis,
-        };
         let faults: Vec<&TimedFault> = scenario
             .faults
             .iter()
@@ -54,6 +51,11 @@
         let to = faults
             .iter()
             .map(|timed| timed.at_millis + timed.for_millis);
+        let warm_up = from.map_or(WARM_UP_MILLIS, |from| from / 2);
+        let measured = Span {
+            from: warm_up.min(scenario.duration_millis),
+            to: scenario.duration_millis,
+        };
         match (from, to.max()) {
             (Some(from), Some(to)) => Self {
                 before: Span {
--- a/crates/rillgap-lab/tests/compare_figures.rs
+++ b/crates/rillgap-lab/tests/compare_figures.rs
@@ -84,8 +84,8 @@
     expect_that!(
         spans.trigger,
         eq(Span {
-            from: 8_000,
-            to: 18_000
+            from: 44_000,
+            to: 54_000
         })
     );
     expect_that!(Spans::of(&overload("trondheim.toml")).disturbed, eq(false));
