Configuration: changes and look-ups apart; a conflict names the version in the store

Reading it showed a fault: a node that had just read a later version told the operator of a conflict the older version that it still held.

Change: changes.rs and lookup.rs; the version told is the later of what was read and what is held. The new test conflict_names_the_version_in_the_store_not_the_ one_held fails with the held version in its place and passes now.

Conclusion: tests of rillgap-core pass.

--- a/crates/rillgap-core/src/configuration/engine.rs
+++ b/crates/rillgap-core/src/configuration/engine.rs
@@ -4,11 +4,12 @@
 
 use super::acceptance::{self, Acceptance};
 use super::alteration::Alteration;
+use super::changes::{Changes, Finding};
 use super::confirmation::{Answer, Confirmation};
 use super::document::{Held, PolicyDocument};
 use super::fence::{Fence, FenceResult};
+use super::lookup::{Lookups, Wanted};
 use super::message::{BackEndChange, ConfigurationMessage, Standing};
-use super::operations::{Finding, Operations, Wanted};
 use super::scope::Scope;
 use super::spread::{self, News, Spread};
 use super::watch::Watch;
@@ -28,7 +29,8 @@
     fence: Fence,
     watch: Watch,
     spread: Spread,
-    operations: Operations,
+    changes: Changes,
+    lookups: Lookups,
     acceptance: Acceptance,
 }
 
@@ -46,7 +48,8 @@
             fence: Fence::new(now),
             watch: Watch::new(now),
             spread: Spread::new(now),
-            operations: Operations::default(),
+            changes: Changes::default(),
+            lookups: Lookups::default(),
             acceptance: Acceptance::default(),
         }
     }
@@ -146,7 +149,7 @@
                 self.confirmation.on_current();
             }
             FenceResult::Undecided => {}
-            FenceResult::Foreign => self.on_operations_reply(scope, request, reply),
+            FenceResult::Foreign => self.on_operator_store(scope, request, reply),
         }
     }
 
@@ -158,18 +161,20 @@
             self.fence.poll(scope);
         }
         self.spread.poll(scope, self.held.version());
-        self.operations
-            .poll(scope, &self.held, &mut self.acceptance);
+        self.changes.poll(scope, &self.held, &mut self.acceptance);
+        self.lookups.poll(scope, &self.held);
         self.acceptance.poll(scope);
     }
 
     /// Returns when [`Self::poll`] must be called next.
     pub fn next_wake(&self) -> Instant {
         let steady = self.confirmation.next_wake().min(self.spread.next_wake());
-        [self.operations.next_wake(), self.acceptance.next_wake()]
-            .into_iter()
-            .flatten()
-            .fold(steady, Instant::min)
+        let busy = [
+            self.changes.next_wake(),
+            self.lookups.next_wake(),
+            self.acceptance.next_wake(),
+        ];
+        busy.into_iter().flatten().fold(steady, Instant::min)
     }
 
     fn may_fence(&self, scope: &Scope<'_>) -> bool {
@@ -182,8 +187,8 @@
             scope.reply(request, OperatorReply::Policy(policy));
             return;
         }
-        self.operations
-            .look_up(scope, request, Wanted::Policy, &self.held);
+        self.lookups
+            .begin(scope, request, Wanted::Policy, &self.held);
     }
 
     fn get_change(&mut self, scope: &mut Scope<'_>, request: OperatorRequestId, change: ChangeId) {
@@ -192,9 +197,10 @@
             acceptance::report(scope, request, version, state);
             return;
         }
-        if !self.operations.join(request, change) {
-            self.operations
-                .look_up(scope, request, Wanted::Change(change), &self.held);
+        if !self.changes.join(request, change) {
+            let unsettled = self.changes.is_unsettled(change);
+            let wanted = Wanted::Change { change, unsettled };
+            self.lookups.begin(scope, request, wanted, &self.held);
         }
     }
 
@@ -241,7 +247,7 @@
             self.acceptance.wait(scope.now, request, version);
             return;
         }
-        self.operations
+        self.changes
             .submit(scope, request, change, alteration, &self.held);
     }
 
@@ -276,15 +282,25 @@
         }
     }
 
-    fn on_operations_reply(
+    /// Handles a reply of the store to what operators have asked for.
+    fn on_operator_store(
         &mut self,
         scope: &mut Scope<'_>,
         request: StoreRequestId,
         reply: &StoreReply,
     ) {
-        let finding =
-            self.operations
-                .on_reply(scope, request, reply, &self.held, &mut self.acceptance);
+        let held = &self.held;
+        let acceptance = &mut self.acceptance;
+        if let Some(document) = self
+            .lookups
+            .on_reply(scope, request, reply, held, acceptance)
+        {
+            self.adopt_from_store(scope, document);
+            return;
+        }
+        let finding = self
+            .changes
+            .on_reply(scope, request, reply, held, acceptance);
         match finding {
             Some(Finding {
                 document,
--- a/crates/rillgap-core/src/configuration/mod.rs
+++ b/crates/rillgap-core/src/configuration/mod.rs
@@ -8,12 +8,13 @@
 
 pub mod acceptance;
 pub mod alteration;
+pub mod changes;
 pub mod confirmation;
 pub mod document;
 mod engine;
 pub mod fence;
+pub mod lookup;
 pub mod message;
-pub mod operations;
 pub mod scope;
 pub mod spread;
 pub mod watch;
--- a/crates/rillgap-core/tests/configuration_changes.rs
+++ b/crates/rillgap-core/tests/configuration_changes.rs
@@ -145,6 +145,26 @@
     expect_that!(conflicts.count(), eq(1));
 }
 
+#[gtest]
+fn conflict_names_the_version_in_the_store_not_the_one_held() {
+    for number in 1..SIZE {
+        let mut fleet = Fleet::start_with_policy(SIZE);
+        fleet.cut_from_peers(number);
+        fleet.apply(0, policy(2, SIZE), Some(1), 2);
+
+        let reply = fleet.apply(number, policy(3, SIZE), Some(1), 3);
+
+        expect_that!(
+            reply,
+            matches_pattern!(OperatorReply::Failed {
+                code: eq(&ResultCode::VersionConflict),
+                version: eq(&PolicyVersion(2)),
+                ..
+            })
+        );
+    }
+}
+
 #[gtest]
 fn changes_without_expectation_follow_each_other() {
     let mut fleet = Fleet::start_with_policy(SIZE);
