Claims: the key of a dead entry node is settled after its deadline

New test: the entry node dies within 8 ms of the request, a repeat comes through another node after the deadline.

--- a/crates/rillgap-core/tests/claim_explore/main.rs
+++ b/crates/rillgap-core/tests/claim_explore/main.rs
@@ -8,7 +8,7 @@
 
 use googletest::prelude::*;
 use rillgap_core::claim::ClaimFaults;
-use rillgap_core::code::Outcome;
+use rillgap_core::code::{Outcome, ResultCode};
 use rillgap_core::id::{Fingerprint, IdempotencyKey};
 use rillgap_core::message::KeyedAttempt;
 use world::{KEY_LIFE_SECONDS, MILLI, SECOND, Weather, World};
@@ -28,6 +28,7 @@
     freezes: 0,
     cuts: 0,
     departures: 0,
+    missed_view_percent: 0,
 };
 
 const STORM: Weather = Weather {
@@ -37,6 +38,7 @@
     freezes: 5,
     cuts: 6,
     departures: 2,
+    missed_view_percent: 10,
 };
 
 /// A world in which callers repeat their keys through any entry node, some with other bodies.
@@ -169,3 +171,30 @@
     println!("undecided: {undecided} of {RUNS}");
     expect_that!(undecided, eq(0));
 }
+
+/// The entry node dies around its grant; a repeat comes through another one after the deadline.
+#[gtest]
+fn key_of_a_dead_entry_node_is_settled_after_its_deadline() {
+    let mut unsettled = 0;
+    let mut ran = 0;
+    for seed in 0..RUNS {
+        let mut world = World::new(seed, 7, 3, CALM, ClaimFaults::default());
+        let dies_after = world.draws.within(0..8 * MILLI);
+        world.request(0, SECOND, early_key());
+        world.restart_at(0, SECOND + dies_after);
+        world.request(1, 4 * SECOND, early_key());
+        world.run();
+        let told = world.truth.told.iter();
+        let ended = told.filter(|told| {
+            matches!(
+                told.code,
+                ResultCode::ResultLost | ResultCode::AnswerForgotten
+            )
+        });
+        unsettled += world.truth.told_by_claims(Outcome::Unknown) - ended.count();
+        ran += world.truth.executions.len();
+    }
+    println!("ran: {ran} of {RUNS}, unsettled: {unsettled}");
+    expect_that!(unsettled, eq(0));
+    expect_that!(ran, gt(RUNS as usize / 2));
+}
