Configuration: an answer from before a freeze proves nothing

Cause: a node that was frozen while its question was on the way took the answer as fresh: coming into doubt kept the round of questions when nothing was collected in it. A write of the store whose reply waited out a freeze confirmed in the same way. Found by reading.

Change: every doubt begins a new round, and replies of the store confirm only in the round in which they were asked for. The new test answer_from_before_a_second_freeze_confirms_nothing failed before (7 passed, 1 failed) and passes now.

Conclusion: 21 tests of the configuration pass.

--- a/crates/rillgap-core/src/configuration/changes.rs
+++ b/crates/rillgap-core/src/configuration/changes.rs
@@ -31,6 +31,7 @@
 #[derive(Debug)]
 struct Active {
     write: Write,
+    round: u64,
     requests: Vec<OperatorRequestId>,
 }
 
@@ -39,8 +40,19 @@
 pub struct Finding {
     /// The document.
     pub document: PolicyDocument,
-    /// The alteration that was just written, if this is its document.
-    pub written: Option<(ChangeId, Alteration)>,
+    /// The change that was just written, if this is its document.
+    pub written: Option<WrittenChange>,
+}
+
+/// A change that was just written.
+#[derive(Debug)]
+pub struct WrittenChange {
+    /// The change.
+    pub change: ChangeId,
+    /// What it changed.
+    pub alteration: Alteration,
+    /// Round of questions in which the change was begun.
+    pub round: u64,
 }
 
 /// The changes under way.
@@ -126,6 +138,7 @@
         if let Some(next) = self.waiting.pop_front() {
             self.active = Some(Active {
                 write: Write::begin(scope, next.change, next.alteration),
+                round: scope.round,
                 requests: next.requests,
             });
         }
@@ -138,10 +151,15 @@
         held: &Held,
         acceptance: &mut Acceptance,
     ) -> Option<Finding> {
-        let written = self.active.as_ref().filter(|_| step.written).map(|active| {
-            let alteration = active.write.alteration().clone();
-            (active.write.change(), alteration)
-        });
+        let written = self
+            .active
+            .as_ref()
+            .filter(|_| step.written)
+            .map(|active| WrittenChange {
+                change: active.write.change(),
+                alteration: active.write.alteration().clone(),
+                round: active.round,
+            });
         if let Some(end) = step.end {
             let read = step.document.as_ref().map(|read| read.policy.version);
             let latest = read.unwrap_or_default().max(held.version());
--- a/crates/rillgap-core/src/configuration/confirmation.rs
+++ b/crates/rillgap-core/src/configuration/confirmation.rs
@@ -140,9 +140,16 @@
         self.settle(scope, held);
     }
 
-    /// Takes in that the store had nothing later than what this node holds.
-    pub fn on_current(&mut self) {
-        self.standing = Standing::Confirmed;
+    /// Takes in that the store, asked in `round`, had nothing later than what this node holds.
+    pub fn on_current(&mut self, round: u64) {
+        if round == self.round {
+            self.standing = Standing::Confirmed;
+        }
+    }
+
+    /// Returns the round of questions; what was asked in an earlier one proves nothing.
+    pub fn round(&self) -> u64 {
+        self.round
     }
 
     /// Asks the peers at once and first of all, for there is news.
@@ -162,10 +169,9 @@
         alive.min(self.next_attempt)
     }
 
-    /// Gives up a confirmation, and every answer to an earlier question with it.
+    /// Gives up a confirmation, and with it every answer to an earlier question.
     fn doubt(&mut self, now: Instant) {
-        if self.fixed || !self.is_confirmed() && self.agreeing.is_empty() && self.required.is_none()
-        {
+        if self.fixed {
             return;
         }
         if self.is_confirmed() {
--- a/crates/rillgap-core/src/configuration/engine.rs
+++ b/crates/rillgap-core/src/configuration/engine.rs
@@ -66,6 +66,11 @@
         in_force.then(|| self.held.policy())
     }
 
+    /// Returns the round of questions of the confirmation.
+    pub fn round(&self) -> u64 {
+        self.confirmation.round()
+    }
+
     /// Returns the version that is held.
     pub fn version(&self) -> PolicyVersion {
         self.held.version()
@@ -144,9 +149,9 @@
             return;
         }
         match self.fence.on_reply(scope, request, reply) {
-            FenceResult::Latest(document) => {
+            FenceResult::Latest { document, round } => {
                 self.adopt_from_store(scope, *document);
-                self.confirmation.on_current();
+                self.confirmation.on_current(round);
             }
             FenceResult::Undecided => {}
             FenceResult::Foreign => self.on_operator_store(scope, request, reply),
@@ -304,11 +309,12 @@
         match finding {
             Some(Finding {
                 document,
-                written: Some((change, alteration)),
+                written: Some(written),
             }) => {
-                let news = alteration.news(change, document.policy.version);
+                let version = document.policy.version;
+                let news = written.alteration.news(written.change, version);
                 self.adopt(scope, document, news, None);
-                self.confirmation.on_current();
+                self.confirmation.on_current(written.round);
             }
             Some(Finding {
                 document,
--- a/crates/rillgap-core/src/configuration/fence.rs
+++ b/crates/rillgap-core/src/configuration/fence.rs
@@ -23,8 +23,13 @@
     Foreign,
     /// Nothing is certain yet.
     Undecided,
-    /// This is the latest document.
-    Latest(Box<PolicyDocument>),
+    /// The latest document at some time after the question was asked.
+    Latest {
+        /// The document.
+        document: Box<PolicyDocument>,
+        /// Round of questions in which it was asked for.
+        round: u64,
+    },
 }
 
 /// What is on its way to the store.
@@ -40,6 +45,7 @@
 pub struct Fence {
     step: Step,
     due: Instant,
+    round: u64,
 }
 
 impl Fence {
@@ -48,6 +54,7 @@
         Self {
             step: Step::Idle,
             due: now,
+            round: 0,
         }
     }
 
@@ -61,6 +68,7 @@
             after: None,
         });
         self.step = Step::Reading(request);
+        self.round = scope.round;
         self.due = scope.now + REPLY_TIMEOUT;
     }
 
@@ -127,7 +135,10 @@
     ) -> FenceResult {
         self.due = scope.now + PAUSE;
         match reply {
-            StoreReply::Written(_) => FenceResult::Latest(document),
+            StoreReply::Written(_) => FenceResult::Latest {
+                document,
+                round: self.round,
+            },
             _ => FenceResult::Undecided,
         }
     }
--- a/crates/rillgap-core/src/configuration/mod.rs
+++ b/crates/rillgap-core/src/configuration/mod.rs
@@ -140,6 +140,7 @@
         let scope = Scope {
             now: now.instant,
             in_touch: membership.may_serve(now),
+            round: self.engine.round(),
             membership,
             requests: &mut self.requests,
             out,
--- a/crates/rillgap-core/src/configuration/scope.rs
+++ b/crates/rillgap-core/src/configuration/scope.rs
@@ -46,6 +46,8 @@
     pub now: Instant,
     /// Whether this node is a member of the view and in touch with others.
     pub in_touch: bool,
+    /// Round of questions of the confirmation at the beginning of the step.
+    pub round: u64,
     /// Membership.
     pub membership: &'a Membership,
     /// Identifiers of store requests.
--- a/crates/rillgap-core/tests/configuration_failures.rs
+++ b/crates/rillgap-core/tests/configuration_failures.rs
@@ -59,6 +59,18 @@
     expect_that!(fleet.node(4).configuration().policy(), some(anything()));
 }
 
+#[gtest]
+fn answer_from_before_a_second_freeze_confirms_nothing() {
+    let mut fleet = Fleet::start_with_policy(SIZE);
+    let freeze = Duration::from_millis(1_500);
+    fleet.freeze(4, freeze);
+    fleet.run(freeze);
+
+    fleet.freeze(4, freeze);
+    fleet.run(freeze);
+    expect_that!(fleet.node(4).configuration().policy(), none());
+}
+
 #[gtest]
 fn fleet_frozen_as_a_whole_runs_on_with_the_store_down() {
     let mut fleet = Fleet::start_with_policy(SIZE);
