Claims: a spent budget is told as not run only with the lease on the view

A claimant that was replaced while frozen may count old votes after its thaw; the key may have been given to another attempt by then.

--- a/crates/rillgap-core/src/claim/claimant/voting.rs
+++ b/crates/rillgap-core/src/claim/claimant/voting.rs
@@ -93,7 +93,7 @@
         };
         match tally.conclude(closed) {
             Conclusion::Open => {}
-            Conclusion::Won { spent } => self.win(now, attempt, spent, settings),
+            Conclusion::Won { spent } => self.win(now, attempt, spent, settings, electorate),
             Conclusion::Lost {
                 holder,
                 by_majority,
@@ -104,7 +104,14 @@
     }
 
     /// Takes the claim into possession, or gives it back if the key's budget is spent.
-    fn win(&mut self, now: Now, attempt: AttemptId, spent: usize, settings: &ClaimSettings) {
+    fn win(
+        &mut self,
+        now: Now,
+        attempt: AttemptId,
+        spent: usize,
+        settings: &ClaimSettings,
+        electorate: &dyn Electorate,
+    ) {
         let expired = self
             .pending
             .get(&attempt)
@@ -115,7 +122,13 @@
         }
         let extra_attempts = usize::from(settings.extra_attempts);
         if spent > extra_attempts + UNCHARGED_ATTEMPTS {
-            self.refuse(attempt, ResultCode::RetryBudgetSpent);
+            // Without the lease the claim may have been given to another attempt since.
+            let code = if electorate.may_vote(now) {
+                ResultCode::RetryBudgetSpent
+            } else {
+                ResultCode::NoQuorum
+            };
+            self.refuse(attempt, code);
             return;
         }
         let Some(pending) = self.remove_pending(attempt) else {
--- a/crates/rillgap-core/src/claim/claims.rs
+++ b/crates/rillgap-core/src/claim/claims.rs
@@ -66,8 +66,8 @@
     /// refused or given up undispatched.
     ///
     /// True while the granted claim is exclusively this attempt's: it was granted, neither
-    /// released nor reassigned, its deadline passed only just, and this node is still in touch
-    /// with the view. Otherwise another claimant may have barred the attempt and run the key, so
+    /// released nor reassigned, its deadline has not passed (or only just), and this node holds
+    /// the lease on its view. Otherwise another claimant may have barred the attempt and run the key, so
     /// the outcome is unknown ([`crate::code::ResultCode::InProgress`]). Ask before
     /// [`Self::release`]; tell the caller and release in the same step.
     pub fn holds(&self, now: Now, attempt: AttemptId, membership: &impl Electorate) -> bool {
