Node: a node that has left the view refuses for a second what is still on its way

Cause: found by the proof of the planned stop (every node in turn, under load). A dispatch sent by a peer that did not know of the leave yet arrived after the exit; its caller was told AnswerLost.

Change: between leaving the view and the exit the node goes on for one second and refuses what arrives (not run, so it is sent elsewhere).

--- a/crates/rillgap-core/src/node.rs
+++ b/crates/rillgap-core/src/node.rs
@@ -1,5 +1,7 @@
 //! One node: the subsystems joined into a single state machine.
 
+use std::time::Duration;
+
 use crate::action::{Action, Observation, Outbox};
 use crate::admission::AdmissionSettings;
 use crate::call::CallPath;
@@ -15,6 +17,10 @@
 use crate::time::{Instant, Now};
 use crate::view::View;
 
+/// Time for which a node that has left the view still refuses what peers send it: long enough
+/// for the new view to reach them.
+const EXIT_DELAY: Duration = Duration::from_secs(1);
+
 /// A peer that a fresh node asks first.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct SeedPeer {
@@ -111,6 +117,7 @@
     view_in_force: crate::id::ViewVersion,
     serving: bool,
     stopping: bool,
+    exit_at: Option<Instant>,
     exited: bool,
 }
 
@@ -126,6 +133,7 @@
             view_in_force: crate::id::ViewVersion::default(),
             serving: false,
             stopping: false,
+            exit_at: None,
             exited: false,
             settings,
         }
@@ -161,6 +169,7 @@
             self.configuration.next_wake(),
             self.claims.next_wake(),
             self.call_path.next_wake(),
+            self.exit_at.filter(|_| !self.exited),
         ]
         .into_iter()
         .flatten()
@@ -330,13 +339,18 @@
     }
 
     /// Ends a planned stop: leaves the view once nothing is in flight (peers need the address
-    /// of a member to send it their answers), then exits.
+    /// of a member to send it their answers), refuses for a while what peers that do not know
+    /// it yet have sent on its way, then exits.
     fn leave_when_idle(&mut self, now: Now, out: &mut Outbox) {
         if !self.stopping || self.exited || !self.call_path.is_idle() {
             return;
         }
         self.membership.leave(now, out);
-        if self.membership.has_left() {
+        if !self.membership.has_left() {
+            return;
+        }
+        let exit_at = *self.exit_at.get_or_insert(now.instant + EXIT_DELAY);
+        if exit_at <= now.instant {
             self.exited = true;
             out.push(Action::Exit);
         }
