Data path: an attempt whose target has left the view meanwhile is not sent, and moves

The grant of a claim came just after the view without the target; there was no address to send the dispatch to, so nothing was sent, and the call waited until the link was lost and told AnswerLost.

Change: such an attempt counts as not run and is moved to another back end.

--- a/crates/rillgap-core/src/call/sender/attempts.rs
+++ b/crates/rillgap-core/src/call/sender/attempts.rs
@@ -118,6 +118,10 @@
         gate: &mut Gate,
         ports: &mut Ports<'_, '_>,
     ) {
+        if self.is_unreachable(attempt, ports) {
+            self.retry(now, attempt, plain(ResultCode::NodeStopping), gate, ports);
+            return;
+        }
         let lent = self
             .with_pool(attempt.call, gate, RetryPool::lend)
             .unwrap_or(0);
@@ -152,6 +156,20 @@
         ports.send(target.node, CallMessage::Dispatch(Box::new(dispatch)));
     }
 
+    /// Returns whether the target has left the view since it was chosen, so that nothing can be
+    /// sent to it.
+    fn is_unreachable(&self, attempt: AttemptId, ports: &Ports<'_, '_>) -> bool {
+        let current = self
+            .calls
+            .get(&attempt.call)
+            .and_then(|call| call.attempt.as_ref());
+        current.is_some_and(|current| {
+            let node = current.target.node;
+            let context = &*ports.context;
+            node != context.settings.id() && context.membership.address(node).is_none()
+        })
+    }
+
     /// Tries another back end if bounds, budgets and deadline allow, or refuses the call.
     pub(super) fn retry(
         &mut self,
