--- a/crates/rillgap-lab/src/sim/ledger.rs
+++ b/crates/rillgap-lab/src/sim/ledger.rs
@@ -1,5 +1,7 @@
 //! The ground truth of a run: what back ends executed and what callers were told.
 
+use std::ops::Range;
+
 use rillgap_core::code::{Outcome, ResultCode};
 use rillgap_core::event::InboundId;
 use rillgap_core::id::{AttemptId, IdempotencyKey, PolicyVersion};
@@ -177,14 +179,14 @@
 }
 
 /// An attempt that a node refused beside its back end.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub struct GateRefusal {
     /// Back end beside which it was refused.
     pub back_end: BackEndIndex,
     /// Time of the refusal.
     pub at: Instant,
-    /// Time at which the attempt reached the node, if it was seen.
-    pub arrived: Instant,
+    /// Executions that were recorded from its arrival at the node to its refusal.
+    pub executions: Range<ExecutionIndex>,
     /// The attempt.
     pub attempt: AttemptId,
     /// True class of its root.
--- a/crates/rillgap-lab/src/sim/operator.rs
+++ b/crates/rillgap-lab/src/sim/operator.rs
@@ -158,9 +158,12 @@
         });
     }
 
-    /// Records that a back end is no longer leaving.
+    /// Records that a back end is no longer leaving, or no longer wanted to leave.
     pub(super) fn end_leaving(&mut self, back_end: BackEndIndex) {
         let time = self.time;
+        for task in &mut self.operator_tasks {
+            task.drains.take_if(|drained| *drained == back_end);
+        }
         for leaving in &mut self.ledger.leavings {
             if leaving.back_end == back_end {
                 leaving.until.get_or_insert(time);
--- a/crates/rillgap-lab/src/sim/world.rs
+++ b/crates/rillgap-lab/src/sim/world.rs
@@ -76,13 +76,22 @@
     pub(super) slowdowns: Vec<f64>,
     pub(super) operator_tasks: Vec<OperatorTask>,
     pub(super) stalled: BTreeMap<(HostIndex, HostIndex), Vec<SimulationEvent>>,
-    pub(super) dispatched: BTreeMap<AttemptId, (Instant, Class)>,
+    pub(super) dispatched: BTreeMap<AttemptId, SeenDispatch>,
     pub(super) highest_accepted: PolicyVersion,
     pub(super) scheduled: Vec<(Instant, SimulationEvent)>,
     outbox: Outbox,
     digest: RunDigest,
 }
 
+/// A dispatch that a node beside a back end has handled and not settled yet.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct SeenDispatch {
+    /// True class of its root.
+    pub class: Class,
+    /// Number of executions in the ledger when the node handled it.
+    pub executions: usize,
+}
+
 /// Arrivals of one group of callers.
 #[derive(Clone, Copy, Debug)]
 pub struct ArrivalProcess {
@@ -266,6 +275,7 @@
 
     /// Feeds an event into a node that is awake and carries out its actions.
     pub(super) fn feed(&mut self, host: HostIndex, event: Event) {
+        self.note_dispatch(&event);
         let state = &mut self.hosts[host];
         let now = state.now(self.time);
         let Some(node) = state.node.as_mut() else {
