Mesh: forget ended links, and say a peer's absence once

The table of accepted links kept an entry for every node identifier that ever sent a hello, so a stranger could make it grow without bound; a link that ends by itself is now forgotten. A peer that stays away was logged at every try, once a second; only its first loss is a warning now.

--- a/crates/rillgap-mesh/src/accept.rs
+++ b/crates/rillgap-mesh/src/accept.rs
@@ -10,7 +10,7 @@
 use rillgap_ring::RingSender;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
-use tokio::task::AbortHandle;
+use tokio::task::{AbortHandle, Id};
 use tokio::time::timeout;
 use tokio_stream::StreamExt;
 use tokio_util::codec::FramedRead;
@@ -33,16 +33,11 @@
 pub struct MeshReceiver {
     hello: Hello,
     events: RingSender<Event>,
-    links: Arc<Mutex<BTreeMap<NodeId, AcceptedLink>>>,
+    /// The link that each peer opened last.
+    links: Arc<Mutex<BTreeMap<NodeId, AbortHandle>>>,
     permits: Arc<Semaphore>,
 }
 
-/// The link that a peer opened last.
-#[derive(Debug)]
-struct AcceptedLink {
-    task: AbortHandle,
-}
-
 impl MeshReceiver {
     /// Creates the receiving side, which accepts a bounded number of connections.
     pub fn new(hello: Hello, events: RingSender<Event>, max_connections: usize) -> Self {
@@ -86,6 +81,7 @@
             let error = reader.read(stream, hello).await;
             let peer = hello.node;
             log::warn!(peer = peer.0, code = error.code().number(); "mesh: link ended: {error}");
+            reader.forget(peer, tokio::task::id());
             reader.report_loss(peer).await;
             drop(permit);
         });
@@ -106,14 +102,22 @@
             .links
             .lock()
             .unwrap_or_else(PoisonError::into_inner)
-            .insert(peer, AcceptedLink { task });
-        let Some(earlier) = earlier.filter(|link| !link.task.is_finished()) else {
+            .insert(peer, task);
+        let Some(earlier) = earlier.filter(|task| !task.is_finished()) else {
             return;
         };
-        earlier.task.abort();
+        earlier.abort();
         self.report_loss(peer).await;
     }
 
+    /// Forgets a link that ended by itself, unless another has taken its place.
+    fn forget(&self, peer: NodeId, task: Id) {
+        let mut links = self.links.lock().unwrap_or_else(PoisonError::into_inner);
+        if links.get(&peer).is_some_and(|link| link.id() == task) {
+            links.remove(&peer);
+        }
+    }
+
     /// Feeds the messages of a link to the node until the link ends.
     async fn read(&self, stream: TcpStream, hello: Hello) -> LinkError {
         let mut frames = FramedRead::with_capacity(stream, FrameDecoder::default(), READ_BUFFER);
--- a/crates/rillgap-mesh/src/supervisor.rs
+++ b/crates/rillgap-mesh/src/supervisor.rs
@@ -55,8 +55,8 @@
         self.peers.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Forgets a link that ended; returns its peer, or `None` if it was replaced before.
-    fn remove(&self, actor: ActorId, now: Instant) -> Option<NodeId> {
+    /// Forgets a link that ended; `None` if it was replaced before.
+    fn remove(&self, actor: ActorId, now: Instant) -> Option<EndedLink> {
         let mut peers = self.lock();
         let (peer, entry) = peers.iter_mut().find(|(_, entry)| {
             entry
@@ -65,12 +65,24 @@
                 .is_some_and(|link| link.actor.get_id() == actor)
         })?;
         entry.link = None;
+        let was_open = entry.backoff.is_zero();
         entry.backoff = (entry.backoff * 2).clamp(FIRST_BACKOFF, LONGEST_BACKOFF);
         entry.not_before = Some(now + entry.backoff);
-        Some(*peer)
+        Some(EndedLink {
+            peer: *peer,
+            was_open,
+        })
     }
 }
 
+/// A link that ended.
+#[derive(Clone, Copy, Debug)]
+struct EndedLink {
+    peer: NodeId,
+    /// Whether it had been opened, or was the first try to open one.
+    was_open: bool,
+}
+
 /// Message to the supervisor.
 #[derive(Clone, Copy, Debug)]
 pub enum SupervisorMessage {
@@ -140,11 +152,17 @@
 
 impl SupervisorState {
     async fn on_ended(&mut self, link: &ActorCell, reason: &str) {
-        let Some(peer) = self.links.remove(link.get_id(), Instant::now()) else {
+        let Some(ended) = self.links.remove(link.get_id(), Instant::now()) else {
             return;
         };
-        log::warn!(peer = peer.0, reason = reason; "mesh: link lost");
-        self.report_loss(peer).await;
+        // A peer that stays away is tried every second; only its first loss is news.
+        let level = if ended.was_open {
+            log::Level::Warn
+        } else {
+            log::Level::Debug
+        };
+        log::log!(level, peer = ended.peer.0, reason = reason; "mesh: link lost");
+        self.report_loss(ended.peer).await;
     }
 
     async fn report_loss(&mut self, peer: NodeId) {
--- a/crates/rillgap-mesh/tests/link.rs
+++ b/crates/rillgap-mesh/tests/link.rs
@@ -189,3 +189,28 @@
         some(eq(&Event::PeerLost { peer: ALICE }))
     );
 }
+
+/// Opens a link by hand and returns its stream.
+async fn open_by_hand(address: SocketAddr, incarnation: u64) -> TcpStream {
+    let mut stream = TcpStream::connect(address).await.expect("connect");
+    let hello = Hello::new(ALICE, Incarnation(incarnation));
+    stream.write_all(&hello.encode()).await.expect("write");
+    let mut reply = [0; HELLO_LENGTH];
+    stream.read_exact(&mut reply).await.expect("a hello");
+    stream
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_second_link_of_a_peer_ends_the_first() {
+    let (listener, address) = listen().await;
+    let received = start_receiver(listener);
+    let mut first = open_by_hand(address, 1).await;
+    let _second = open_by_hand(address, 2).await;
+    expect_that!(
+        received.recv().await,
+        some(eq(&Event::PeerLost { peer: ALICE }))
+    );
+    let mut rest = [0; 1];
+    expect_that!(first.read(&mut rest).await, ok(eq(&0)));
+}
