Admission: a standing queue gets a short bound, except for the highest class

A short bound for everybody would refuse requests in bursts without overload.

Change: after 100 ms without an empty queue, classes below the highest may wait half of the mean request time, less for lower ones; the idea of CoDel.

--- a/crates/rillgap-core/src/admission/back_end.rs
+++ b/crates/rillgap-core/src/admission/back_end.rs
@@ -23,6 +23,10 @@
 const QUEUE_LENGTH: (usize, usize) = (32, 1_024);
 /// Shortest and longest time after which a refused caller is asked back, in milliseconds.
 const RETRY_AFTER_MILLIS: (u64, u64) = (50, 5_000);
+/// Time after which a queue that never emptied counts as standing.
+const STANDING_AFTER: Duration = Duration::from_millis(100);
+/// Longest wait in a standing queue, as a share of the mean time that requests take.
+const STANDING_BOUND: f64 = 0.5;
 /// Share of the limit that may run although it is not expected to meet its deadline, so that
 /// an estimate which has become too long is corrected.
 const PROBE_SHARE: f64 = 0.1;
@@ -50,6 +54,7 @@
     times: ServiceTimes,
     threshold: Threshold,
     queue: ClassQueue,
+    queued_since: Option<Instant>,
     running: BTreeMap<AttemptId, Running>,
     decided: Vec<QueueDecision>,
 }
@@ -127,6 +132,7 @@
         self.update_threshold(now);
         self.refuse_expired(now);
         self.start_queued(now);
+        self.watch_queue(now);
         std::mem::take(&mut self.decided)
     }
 
@@ -209,10 +215,11 @@
         if remaining < wait + expected {
             return Verdict::Refuse(self.refusal(ResultCode::DeadlineUnmet));
         }
-        if wait > self.class_bound(ticket.class) || !self.make_room(&ticket) {
+        let bound = self.class_bound(now, ticket.class);
+        if wait > bound || !self.make_room(&ticket) {
             return Verdict::Refuse(self.refusal(ResultCode::QueueFull));
         }
-        let cutoff = (ticket.deadline - expected).min(now + self.class_bound(ticket.class));
+        let cutoff = (ticket.deadline - expected).min(now + bound);
         self.queue.push(Queued {
             ticket,
             queued_at: now,
@@ -247,10 +254,20 @@
     }
 
     /// Returns the longest time in the queue for a class: all of the policy's bound for the
-    /// highest class, a quarter less for each class below.
-    fn class_bound(&self, class: Class) -> Duration {
+    /// highest class, a quarter less for each class below. A standing queue is no burst that
+    /// passes, so all but the highest class get a short one, as CoDel does.
+    fn class_bound(&self, now: Instant, class: Class) -> Duration {
         let classes = Class::ALL.len() as u32;
-        self.queue_bound * (class.index() as u32 + 1) / classes
+        let standing = self
+            .queued_since
+            .is_some_and(|since| now.saturating_since(since) >= STANDING_AFTER);
+        let whole = if standing && class != Class::Critical {
+            let short = Duration::from_micros((STANDING_BOUND * self.times.mean_micros()) as u64);
+            short.min(self.queue_bound)
+        } else {
+            self.queue_bound
+        };
+        whole * (class.index() as u32 + 1) / classes
     }
 
     /// Returns the time in which `count` queued requests come to their turn.
@@ -273,6 +290,14 @@
         }
     }
 
+    fn watch_queue(&mut self, now: Instant) {
+        if self.queue.len() == 0 {
+            self.queued_since = None;
+        } else {
+            self.queued_since.get_or_insert(now);
+        }
+    }
+
     fn update_threshold(&mut self, now: Instant) {
         if self.settings.mode != ControlMode::Full || !self.threshold.is_due(now) {
             return;
