--- a/crates/rillgap-lab/src/command/scale.rs
+++ b/crates/rillgap-lab/src/command/scale.rs
@@ -22,6 +22,9 @@
     /// seconds for which the platform's store is away (default: 3600)
     #[argh(option, default = "3600")]
     store_away: u64,
+    /// seconds over which the steady state is measured (default: 60)
+    #[argh(option, default = "60")]
+    steady: u64,
     /// parts to run, separated by commas (default: steady,slow,restart,zone,region,store)
     #[argh(
         option,
@@ -50,6 +53,7 @@
                 nodes,
                 seed: self.seed,
                 store_away: Duration::from_secs(self.store_away),
+                steady: Duration::from_secs(self.steady),
                 parts: parts.clone(),
             };
             report.sizes.push(experiment::run(&options));
