One piece of code where the same logic stood twice; the scale experiment in three modules

Cause: read through once more.

Change: report_end, cancel_queued and hears take the repeated parts; the change of policy and the watch over running hosts are modules of their own. Behaviour and tests are as they were.

--- a/crates/rillgap-core/src/call/gate/ending.rs
+++ b/crates/rillgap-core/src/call/gate/ending.rs
@@ -23,8 +23,7 @@
         };
         match local.phase {
             Phase::Queued => {
-                self.admission.cancel(now.instant, attempt);
-                self.refuse_queued(now, attempt, plain(ResultCode::Cancelled), ports);
+                self.cancel_queued(now, attempt, ResultCode::Cancelled, ports);
             }
             Phase::Running { .. } if local.dispatch.key.is_some() => {}
             // A baseline without cancellation works on for nobody.
@@ -61,8 +60,7 @@
             .map(|(attempt, _)| *attempt)
             .collect();
         for attempt in queued {
-            self.admission.cancel(now.instant, attempt);
-            self.refuse_queued(now, attempt, plain(code), ports);
+            self.cancel_queued(now, attempt, code, ports);
         }
     }
 
@@ -145,14 +143,25 @@
         };
         match local.phase {
             Phase::Queued => {
-                self.admission.cancel(now.instant, attempt);
-                self.refuse_queued(now, attempt, plain(ResultCode::DeadlineUnmet), ports);
+                self.cancel_queued(now, attempt, ResultCode::DeadlineUnmet, ports);
             }
             Phase::Running { .. } if !self.cancels_work => {}
             Phase::Running { .. } => self.abort(now, attempt, ports),
         }
     }
 
+    /// Takes an attempt out of admission's queue and refuses it.
+    pub(super) fn cancel_queued(
+        &mut self,
+        now: Now,
+        attempt: AttemptId,
+        code: ResultCode,
+        ports: &mut Ports<'_, '_>,
+    ) {
+        self.admission.cancel(now.instant, attempt);
+        self.refuse_queued(now, attempt, plain(code), ports);
+    }
+
     /// Refuses an attempt that admission has already taken out of its queue.
     pub(super) fn refuse_queued(
         &mut self,
--- a/crates/rillgap-core/src/call/sender/answers.rs
+++ b/crates/rillgap-core/src/call/sender/answers.rs
@@ -13,7 +13,7 @@
 use crate::id::{AttemptId, NodeId};
 use crate::message::CallMessage;
 use crate::request::{AnswerHead, Refusal};
-use crate::routing::TargetResult;
+use crate::routing::{Router, TargetResult};
 use crate::time::Now;
 
 impl Sender {
@@ -238,23 +238,16 @@
         }
     }
 
+    /// Tells routing how the attempt under way of a call ended.
     pub(super) fn end_target(&mut self, now: Now, attempt: AttemptId, result: TargetResult) {
-        let Some(call) = self.calls.get(&attempt.call) else {
-            return;
-        };
-        if let Some(current) = &call.attempt {
-            let latency = now.instant.saturating_since(current.begun_at);
-            self.router
-                .finished(now.instant, &current.target, latency, result);
+        if let Some(call) = self.calls.get(&attempt.call) {
+            report_end(&mut self.router, now, call, result);
         }
     }
 
+    /// Tells routing how the last attempt of a call that was removed ended.
     pub(super) fn settle_target(&mut self, now: Now, call: &OutgoingCall, result: TargetResult) {
-        if let Some(current) = &call.attempt {
-            let latency = now.instant.saturating_since(current.begun_at);
-            self.router
-                .finished(now.instant, &current.target, latency, result);
-        }
+        report_end(&mut self.router, now, call, result);
     }
 
     pub(super) fn current(&mut self, attempt: AttemptId) -> Option<&mut OutgoingCall> {
@@ -263,3 +256,10 @@
             .filter(|call| call.is_current(attempt))
     }
 }
+
+fn report_end(router: &mut Router, now: Now, call: &OutgoingCall, result: TargetResult) {
+    if let Some(current) = &call.attempt {
+        let latency = now.instant.saturating_since(current.begun_at);
+        router.finished(now.instant, &current.target, latency, result);
+    }
+}
--- a/crates/rillgap-core/src/membership/heartbeat.rs
+++ b/crates/rillgap-core/src/membership/heartbeat.rs
@@ -68,12 +68,7 @@
         heartbeat: &Heartbeat,
         out: &mut Outbox,
     ) {
-        if !self.is_member() {
-            let message = self.also_joining(now.instant);
-            self.send(from, message, out);
-            return;
-        }
-        if !self.is_current_run(from, incarnation) {
+        if !self.hears(now.instant, from, incarnation, out) {
             return;
         }
         let now = now.instant;
--- a/crates/rillgap-core/src/membership/joining.rs
+++ b/crates/rillgap-core/src/membership/joining.rs
@@ -6,7 +6,7 @@
 use rand_chacha::ChaCha8Rng;
 
 use crate::action::Outbox;
-use crate::id::{NodeId, ViewVersion};
+use crate::id::{Incarnation, NodeId, ViewVersion};
 use crate::node::NodeSettings;
 use crate::time::Instant;
 use crate::view::Member;
@@ -171,6 +171,23 @@
         }
     }
 
+    /// Returns whether a message among members counts: this node is a member, and the sender's
+    /// run is the one that the view names. A node that is still joining says so in reply.
+    pub fn hears(
+        &mut self,
+        now: Instant,
+        from: NodeId,
+        incarnation: Incarnation,
+        out: &mut Outbox,
+    ) -> bool {
+        if !self.is_member() {
+            let message = self.also_joining(now);
+            self.send(from, message, out);
+            return false;
+        }
+        self.is_current_run(from, incarnation)
+    }
+
     /// Returns the reply to a peer that is joining too.
     pub fn also_joining(&self, now: Instant) -> MembershipMessage {
         let goes_ahead = self.is_seed() || !self.joining.is_postponed(now);
--- a/crates/rillgap-lab/src/scale/experiment.rs
+++ b/crates/rillgap-lab/src/scale/experiment/mod.rs
@@ -3,20 +3,23 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use rillgap_core::id::{ChangeId, PolicyVersion};
-use rillgap_core::operator::{ChangeState, OperatorReply, OperatorRequest, OperatorRequestId};
 use rillgap_core::policy::Policy;
 use rillgap_core::time::Instant;
 
-use super::fleet::Fleet;
-use super::layout::Layout;
-use super::measure::resident_bytes;
-use super::meter::{HostMeter, Part};
-use super::report::{
+use crate::scale::fleet::Fleet;
+use crate::scale::layout::Layout;
+use crate::scale::measure::resident_bytes;
+use crate::scale::meter::{HostMeter, Part};
+use crate::scale::report::{
     ChangeReport, FaultReport, KeyedReport, PhaseReport, RoleReport, SizeReport, Spread,
     StoreReport,
 };
 
+mod change;
+mod watch;
+
+use watch::Watch;
+
 /// Nodes of the full size that are restarted at once.
 const RESTARTED: usize = 130;
 /// Full size.
@@ -27,8 +30,6 @@
 const LIMIT: Duration = Duration::from_secs(180);
 /// Longest time that the formation of the deployment is waited for.
 const FORMATION_LIMIT: Duration = Duration::from_secs(60);
-/// Longest time that a change of policy is watched.
-const CHANGE_LIMIT: Duration = Duration::from_secs(20);
 /// What is run.
 #[derive(Clone, Debug)]
 pub struct ExperimentOptions {
@@ -207,7 +208,7 @@
             let frozen = self.fleet.random.position(self.fleet.hosts.len());
             let millis = 500 + self.fleet.random.up_to(2_500);
             self.fleet.freeze(frozen, Duration::from_millis(millis));
-            watch.excused.insert(frozen);
+            watch.excuse(frozen);
             self.fleet.run(Duration::from_secs(1));
             watch.look(&self.fleet);
         }
@@ -335,110 +336,6 @@
         hosts.into_iter().collect()
     }
 
-    fn change_policy(&mut self, number: u32) -> ChangeReport {
-        self.change_policy_at(number, &[])
-    }
-
-    /// Lets an operator change the policy and watches where it comes into force; `unreachable`
-    /// hosts are not waited for.
-    fn change_policy_at(&mut self, number: u32, unreachable: &[usize]) -> ChangeReport {
-        self.policy.bounds.key_life_seconds = 600 + number;
-        let targets: Vec<usize> = self
-            .fleet
-            .running()
-            .filter(|host| number == 0 || self.fleet.hosts[*host].serving)
-            .filter(|host| !unreachable.contains(host))
-            .collect();
-        let Some(&host) = targets.get(targets.len() / 2) else {
-            return ChangeReport::default();
-        };
-        let change = ChangeId((u128::from(number) << 64) | 1);
-        let begin = self.fleet.time;
-        let version = self.apply(host, change);
-        let mut accepted = None;
-        while self.fleet.time.saturating_since(begin) < CHANGE_LIMIT {
-            if accepted.is_none() && self.is_accepted(host, change) {
-                accepted = Some(self.fleet.time.saturating_since(begin).as_secs_f64());
-            }
-            let done = version.is_some_and(|version| {
-                targets
-                    .iter()
-                    .all(|target| holds(&self.fleet, *target, version))
-            });
-            if done && accepted.is_some() {
-                break;
-            }
-        }
-        self.change_report(begin, version, &targets, accepted)
-    }
-
-    /// Asks for the change until the node has written it; returns its version.
-    fn apply(&mut self, host: usize, change: ChangeId) -> Option<PolicyVersion> {
-        for _ in 0..10 {
-            let body = OperatorRequest::ApplyPolicy {
-                policy: self.policy.clone(),
-                expected: None,
-                change,
-            };
-            if let Some(OperatorReply::Change { version, .. }) = self.ask(host, body) {
-                return Some(version);
-            }
-            self.fleet.run(Duration::from_millis(500));
-        }
-        None
-    }
-
-    fn is_accepted(&mut self, host: usize, change: ChangeId) -> bool {
-        let reply = self.ask(host, OperatorRequest::GetChange { change });
-        self.fleet.run(Duration::from_millis(50));
-        matches!(
-            reply,
-            Some(OperatorReply::Change {
-                state: ChangeState::Accepted,
-                ..
-            })
-        )
-    }
-
-    fn ask(&mut self, host: usize, body: OperatorRequest) -> Option<OperatorReply> {
-        self.next_request += 1;
-        let request = OperatorRequestId(self.next_request);
-        self.fleet.replies.clear();
-        self.fleet.operate(host, request, body);
-        self.fleet
-            .run_until(Duration::from_secs(5), Duration::from_millis(10), |fleet| {
-                fleet.replies.iter().any(|(id, _)| *id == request)
-            });
-        let replies = std::mem::take(&mut self.fleet.replies);
-        replies
-            .into_iter()
-            .find(|(id, _)| *id == request)
-            .map(|(_, reply)| reply)
-    }
-
-    fn change_report(
-        &self,
-        begin: Instant,
-        version: Option<PolicyVersion>,
-        targets: &[usize],
-        accepted_seconds: Option<f64>,
-    ) -> ChangeReport {
-        let mut delays: Vec<f64> = targets
-            .iter()
-            .filter(|host| version.is_some_and(|version| holds(&self.fleet, **host, version)))
-            .filter_map(|host| self.fleet.hosts[*host].policy)
-            .map(|(_, since)| since.saturating_since(begin).as_secs_f64())
-            .collect();
-        delays.sort_by(f64::total_cmp);
-        ChangeReport {
-            reachable: targets.len(),
-            in_force: delays.len(),
-            median_seconds: delays.get(delays.len() / 2).copied().unwrap_or(0.0),
-            last_seconds: delays.last().copied().unwrap_or(0.0),
-            accepted_seconds,
-        }
-    }
-
     /// Makes the report of what was metered since `begin`.
     fn phase(&self, begin: Instant) -> PhaseReport {
         let seconds = self.fleet.time.saturating_since(begin).as_secs_f64();
@@ -484,47 +381,6 @@
     }
 }
 
-/// Watches who is removed or stops serving although it runs and is not part of a fault.
-struct Watch {
-    excused: BTreeSet<usize>,
-    removed: BTreeSet<usize>,
-    stopped: BTreeSet<usize>,
-}
-
-impl Watch {
-    fn new(excused: &[usize]) -> Self {
-        Self {
-            excused: excused.iter().copied().collect(),
-            removed: BTreeSet::new(),
-            stopped: BTreeSet::new(),
-        }
-    }
-
-    fn look(&mut self, fleet: &Fleet) {
-        let Some(viewer) = fleet
-            .running()
-            .filter(|host| fleet.hosts[*host].serving)
-            .max_by_key(|host| fleet.view_version(*host))
-        else {
-            return;
-        };
-        for host in fleet.running() {
-            let is_restarted = fleet.hosts[host].run > 1 && !fleet.hosts[host].serving;
-            if !is_restarted && !fleet.is_member(host, viewer) {
-                self.removed.insert(host);
-            }
-            if !fleet.hosts[host].serving && !self.excused.contains(&host) {
-                self.stopped.insert(host);
-            }
-        }
-    }
-
-    fn write(&self, report: &mut FaultReport) {
-        report.false_removals = self.removed.len();
-        report.stopped_serving = self.stopped.len();
-    }
-}
-
 fn is_one_view(fleet: &Fleet) -> bool {
     let mut running = fleet.running();
     let Some(first) = running.next() else {
@@ -540,12 +396,6 @@
         && fleet.running().all(|host| fleet.is_member(host, first))
 }
 
-fn holds(fleet: &Fleet, host: usize, version: PolicyVersion) -> bool {
-    fleet.hosts[host]
-        .policy
-        .is_some_and(|(policy, _)| policy >= version)
-}
-
 fn role_report(
     role: &'static str,
     meters: &[&HostMeter],
