--- /dev/null
+++ b/crates/rillgap-forward/src/balancer.rs
@@ -0,0 +1,93 @@
+//! Choice of the node that runs a request.
+//!
+//! Of two nodes of the own zone and two of other zones, drawn at random, the one of the lowest
+//! cost is taken. The cost is the load as a share of the limit, raised for back ends that are
+//! slower than the fastest of the service, plus a penalty for leaving the zone.
+
+use rand_chacha::ChaCha8Rng;
+use rand_chacha::rand_core::{Rng, SeedableRng};
+
+/// Cost of leaving the zone, in shares of a back end's limit.
+const CROSS_ZONE_PENALTY: f64 = 0.3;
+/// Largest factor by which slowness raises the cost.
+const MOST_SLOWNESS: f64 = 4.0;
+/// Candidates drawn of each kind.
+const DRAWN: usize = 2;
+
+/// A node whose back end takes requests.
+#[derive(Clone, Debug)]
+pub struct Candidate<T> {
+    /// What the caller wants back.
+    pub target: T,
+    /// Whether it is in the own zone.
+    pub is_local: bool,
+    /// Requests there as a share of its limit.
+    pub utilization: f64,
+    /// Requests that may run at once there.
+    pub limit: u32,
+    /// Mean time that a request takes there, in microseconds; 0 if unknown.
+    pub mean_micros: u32,
+}
+
+impl<T> Candidate<T> {
+    fn cost(&self, fastest: f64) -> f64 {
+        let slowness = match self.mean_micros {
+            0 => 1.0,
+            mean => (f64::from(mean) / fastest).clamp(1.0, MOST_SLOWNESS),
+        };
+        let next = 1.0 / f64::from(self.limit.max(1));
+        let distance = if self.is_local {
+            0.0
+        } else {
+            CROSS_ZONE_PENALTY
+        };
+        (self.utilization + next) * slowness + distance
+    }
+}
+
+/// Chooses among candidates.
+#[derive(Clone, Debug)]
+pub struct Balancer {
+    random: ChaCha8Rng,
+}
+
+impl Balancer {
+    /// Creates a balancer whose random draws follow from `seed`.
+    pub fn new(seed: u64) -> Self {
+        Self {
+            random: ChaCha8Rng::seed_from_u64(seed),
+        }
+    }
+
+    /// Chooses a candidate; `None` if there is none.
+    pub fn choose<T>(&mut self, candidates: Vec<Candidate<T>>) -> Option<T> {
+        let fastest = candidates
+            .iter()
+            .filter(|candidate| candidate.mean_micros > 0)
+            .map(|candidate| f64::from(candidate.mean_micros))
+            .fold(f64::INFINITY, f64::min);
+        let (local, remote): (Vec<_>, Vec<_>) = candidates
+            .into_iter()
+            .partition(|candidate| candidate.is_local);
+        let mut drawn = self.draw_some(local);
+        drawn.extend(self.draw_some(remote));
+        drawn
+            .into_iter()
+            .min_by(|left, right| left.cost(fastest).total_cmp(&right.cost(fastest)))
+            .map(|candidate| candidate.target)
+    }
+
+    fn draw_some<T>(&mut self, mut candidates: Vec<Candidate<T>>) -> Vec<Candidate<T>> {
+        let mut drawn = Vec::with_capacity(DRAWN);
+        while drawn.len() < DRAWN && !candidates.is_empty() {
+            let index = self.draw(candidates.len());
+            drawn.push(candidates.swap_remove(index));
+        }
+        drawn
+    }
+
+    /// Draws a number below `bound`, which is small.
+    fn draw(&mut self, bound: usize) -> usize {
+        ((u64::from(self.random.next_u32()) * bound as u64) >> 32) as usize
+    }
+}
--- /dev/null
+++ b/crates/rillgap-forward/src/configuration.rs
@@ -0,0 +1,178 @@
+//! The configuration in force: routes, services and limits.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bitcode::{Decode, Encode};
+
+/// Whether a request may run more than once.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Encode, Decode)]
+pub enum Repeatability {
+    /// May run any number of times.
+    Idempotent,
+    /// Must run at most once.
+    AtMostOnce,
+}
+
+/// A service that takes a share of a route's requests.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct WeightedService {
+    /// Name of the service.
+    pub service: String,
+    /// Share, relative to the sum of the route's weights.
+    pub weight: u32,
+}
+
+/// A route.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct Route {
+    /// Name of the route.
+    pub name: String,
+    /// Host that requests must name, in lower case.
+    pub host: String,
+    /// Beginning of the paths that belong to the route.
+    pub path_prefix: String,
+    /// Whether requests may run more than once.
+    pub repeatability: Repeatability,
+    /// Longest time for which a request is held, in milliseconds.
+    pub timeout_millis: u32,
+    /// Time within which an answer is of full use, in milliseconds.
+    pub target_latency_millis: u32,
+    /// Rank; 0 is served first.
+    pub priority: u8,
+    /// Services that take the route's requests.
+    pub services: Vec<WeightedService>,
+    /// Most back ends that one request may be sent to.
+    pub max_attempts: u32,
+}
+
+impl Route {
+    /// Returns the longest time for which a request is held.
+    pub fn timeout(&self) -> Duration {
+        Duration::from_millis(u64::from(self.timeout_millis))
+    }
+
+    /// Returns the time within which an answer is of full use.
+    pub fn target_latency(&self) -> Duration {
+        Duration::from_millis(u64::from(self.target_latency_millis))
+    }
+
+    /// Returns whether requests may run more than once.
+    pub fn is_idempotent(&self) -> bool {
+        self.repeatability == Repeatability::Idempotent
+    }
+}
+
+/// A service.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct Service {
+    /// Name of the service.
+    pub name: String,
+    /// Path of the health endpoint of its back ends.
+    pub health_path: String,
+    /// Most connections that one back end takes.
+    pub max_connections: u32,
+}
+
+/// Bounds on what callers send.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct CallerLimits {
+    /// Longest request head in bytes.
+    pub head_bytes: u32,
+    /// Longest request body in bytes.
+    pub body_bytes: u64,
+    /// Longest time for a head to arrive, in milliseconds.
+    pub head_timeout_millis: u32,
+    /// Longest time for which a connection may rest, in milliseconds.
+    pub idle_timeout_millis: u32,
+}
+
+impl Default for CallerLimits {
+    fn default() -> Self {
+        Self {
+            head_bytes: 16 * 1024,
+            body_bytes: 64 * 1024 * 1024,
+            head_timeout_millis: 3_000,
+            idle_timeout_millis: 15_000,
+        }
+    }
+}
+
+/// A whole configuration.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Encode, Decode)]
+pub struct Configuration {
+    /// Version; grows with every change.
+    pub version: u64,
+    /// Routes.
+    pub routes: Vec<Route>,
+    /// Services.
+    pub services: Vec<Service>,
+    /// Bounds on what callers send.
+    pub limits: CallerLimits,
+}
+
+/// A configuration with an index of its routes.
+#[derive(Clone, Debug, Default)]
+pub struct RouteTable {
+    configuration: Configuration,
+    /// Routes by host, the longest prefix first.
+    by_host: BTreeMap<String, Vec<Arc<Route>>>,
+}
+
+impl RouteTable {
+    /// Indexes a configuration.
+    pub fn new(configuration: Configuration) -> Self {
+        let mut by_host: BTreeMap<String, Vec<Arc<Route>>> = BTreeMap::new();
+        for route in &configuration.routes {
+            let routes = by_host.entry(route.host.to_ascii_lowercase()).or_default();
+            routes.push(Arc::new(route.clone()));
+        }
+        for routes in by_host.values_mut() {
+            routes.sort_by_key(|route| std::cmp::Reverse(route.path_prefix.len()));
+        }
+        Self {
+            configuration,
+            by_host,
+        }
+    }
+
+    /// Returns the configuration.
+    pub const fn configuration(&self) -> &Configuration {
+        &self.configuration
+    }
+
+    /// Returns the version.
+    pub const fn version(&self) -> u64 {
+        self.configuration.version
+    }
+
+    /// Returns the route for a host and a request target: the longest prefix that begins the path.
+    pub fn lookup(&self, host: &str, target: &str) -> Option<&Arc<Route>> {
+        let path = target.split(['?', '#']).next().unwrap_or_default();
+        let routes = match self.by_host.get(host) {
+            Some(routes) => routes,
+            None => self.by_host.get(&normalize_host(host))?,
+        };
+        routes
+            .iter()
+            .find(|route| path.starts_with(route.path_prefix.as_str()))
+    }
+
+    /// Returns a service by its name.
+    pub fn service(&self, name: &str) -> Option<&Service> {
+        self.configuration
+            .services
+            .iter()
+            .find(|service| service.name == name)
+    }
+}
+
+/// Returns a host in lower case and without its port.
+fn normalize_host(host: &str) -> String {
+    let name = match host.rsplit_once(':') {
+        Some((name, port)) if port.bytes().all(|byte| byte.is_ascii_digit()) => name,
+        _ => host,
+    };
+    name.to_ascii_lowercase()
+}
--- /dev/null
+++ b/crates/rillgap-forward/src/event.rs
@@ -0,0 +1,149 @@
+//! What happens to a node.
+
+use std::time::Duration;
+
+use crate::id::{ConnectionId, ExchangeId, LinkId, ProbeId, Turn};
+use crate::message::{ForwardedAnswer, Hello, LinkMessage};
+use crate::store_sync::{StoreReply, StoreRequestId};
+
+/// A request of a caller, received whole.
+#[derive(Clone, Debug)]
+pub struct CallerRequest {
+    /// Identifier that the caller gave.
+    pub request_id: String,
+    /// Method.
+    pub method: String,
+    /// Target.
+    pub target: String,
+    /// Value of `Host`.
+    pub host: String,
+    /// End-to-end fields, encoded.
+    pub fields: Vec<u8>,
+    /// Whole body.
+    pub body: Vec<u8>,
+    /// How long the caller waits, if it says so.
+    pub deadline: Option<Duration>,
+    /// Whether the back end beside the node made the request.
+    pub is_from_back_end: bool,
+}
+
+/// How a request that was handed to the back end ended.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ExchangeResult {
+    /// A whole and genuine answer.
+    Answered(ForwardedAnswer),
+    /// The back end says that it did not run the request.
+    NotExecuted,
+    /// Another back end has the address; the request was not run.
+    WrongInstance,
+    /// No byte was sent.
+    NotSent,
+    /// The request was sent and no whole or genuine answer came.
+    Lost,
+}
+
+/// State that a back end announces.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AnnouncedState {
+    /// Takes requests.
+    Ready,
+    /// Leaves service.
+    Draining,
+}
+
+/// A heartbeat of a back end.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Heartbeat {
+    /// Incarnation of the back end.
+    pub instance: String,
+    /// Service.
+    pub service: String,
+    /// Address, as text.
+    pub address: String,
+    /// Requests that it works on at the same time.
+    pub slots: u32,
+    /// Announced state.
+    pub state: AnnouncedState,
+    /// How much longer it stays slow.
+    pub cold: Duration,
+    /// Number that grows with every heartbeat of the incarnation.
+    pub sequence: u64,
+}
+
+/// Answer of the health endpoint.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ProbeResult {
+    /// Healthy and not leaving.
+    Healthy {
+        /// Incarnation that answered.
+        instance: String,
+    },
+    /// Failing or leaving.
+    Unhealthy,
+    /// No answer.
+    Unreachable,
+}
+
+/// What happens to a node.
+#[derive(Clone, Debug)]
+pub enum Event {
+    /// A request has arrived whole.
+    Request {
+        /// Connection.
+        connection: ConnectionId,
+        /// Place on the connection.
+        turn: Turn,
+        /// The request.
+        request: CallerRequest,
+    },
+    /// A connection has ended; nobody waits for its answers.
+    CallerGone(ConnectionId),
+    /// A link that the node opened is up.
+    LinkOpened {
+        /// Link.
+        link: LinkId,
+        /// Introduction of the peer.
+        hello: Hello,
+    },
+    /// A peer has opened a link.
+    LinkAccepted {
+        /// Link.
+        link: LinkId,
+        /// Introduction of the peer.
+        hello: Hello,
+    },
+    /// A message on a link.
+    Link {
+        /// Link.
+        link: LinkId,
+        /// Message.
+        message: LinkMessage,
+    },
+    /// A link has ended or could not be opened.
+    LinkClosed(LinkId),
+    /// A request at the back end has ended.
+    ExchangeEnded {
+        /// Request.
+        exchange: ExchangeId,
+        /// How.
+        result: ExchangeResult,
+    },
+    /// The health endpoint has answered.
+    ProbeEnded {
+        /// Probe.
+        probe: ProbeId,
+        /// Answer.
+        result: ProbeResult,
+    },
+    /// The store has answered.
+    Store {
+        /// Request.
+        request: StoreRequestId,
+        /// Answer.
+        reply: StoreReply,
+    },
+    /// A planned stop begins.
+    Stop,
+    /// Time has passed.
+    Wake,
+}
--- /dev/null
+++ b/crates/rillgap-forward/src/inbound/back_end.rs
@@ -0,0 +1,312 @@
+//! What a node believes of the back end beside it.
+//!
+//! Heartbeats may arrive seconds late and a restarted node does not remember their numbers. So a
+//! new incarnation is believed only after the health endpoint has named it, healthy and not
+//! leaving; and an incarnation that has announced that it leaves never comes back.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use rillgap_core::time::Instant;
+
+use crate::event::{AnnouncedState, ExchangeResult, Heartbeat, ProbeResult};
+use crate::id::ProbeId;
+
+/// Heartbeat intervals without a heartbeat after which the back end is probed.
+const SILENT_INTERVALS: f64 = 3.2;
+/// Lost answers in a row after which the back end is probed.
+const LOST_IN_A_ROW: u32 = 3;
+/// Incarnations that are remembered as having left.
+const MOST_LEFT: usize = 64;
+
+/// Standing of the current incarnation.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Standing {
+    /// Nothing is known.
+    Unknown,
+    /// Confirmed and taking requests.
+    Serving,
+    /// Has announced that it leaves, or has left.
+    Leaving,
+    /// Does not answer.
+    Down,
+}
+
+/// What follows from something that was learned.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Effect {
+    /// The standing has changed for this reason.
+    pub change: Option<&'static str>,
+}
+
+impl Effect {
+    const NONE: Self = Self { change: None };
+
+    const fn changed(cause: &'static str) -> Self {
+        Self {
+            change: Some(cause),
+        }
+    }
+}
+
+/// What is announced by an incarnation.
+#[derive(Clone, Debug)]
+struct Announcement {
+    instance: String,
+    service: String,
+    slots: u32,
+    sequence: u64,
+}
+
+/// What a node believes of the back end beside it.
+#[derive(Clone, Debug)]
+pub(super) struct BackEnd {
+    address: SocketAddr,
+    silence_limit: Duration,
+    standing: Standing,
+    current: Option<Announcement>,
+    announced: Option<Announcement>,
+    left: BTreeSet<String>,
+    heard_at: Instant,
+    lost_in_a_row: u32,
+    wants_probe: bool,
+    probing: Option<ProbeId>,
+    next_probe: u64,
+}
+
+impl BackEnd {
+    /// Creates the belief of a fresh node.
+    pub fn new(address: SocketAddr, heartbeat_interval: Duration) -> Self {
+        Self {
+            address,
+            silence_limit: heartbeat_interval.mul_f64(SILENT_INTERVALS),
+            standing: Standing::Unknown,
+            current: None,
+            announced: None,
+            left: BTreeSet::new(),
+            heard_at: Instant::default(),
+            lost_in_a_row: 0,
+            wants_probe: false,
+            probing: None,
+            next_probe: 0,
+        }
+    }
+
+    pub fn is_serving(&self) -> bool {
+        self.standing == Standing::Serving
+    }
+
+    pub fn has_left(&self) -> bool {
+        self.standing == Standing::Leaving
+    }
+
+    pub const fn standing_name(&self) -> &'static str {
+        match self.standing {
+            Standing::Unknown => "unknown",
+            Standing::Serving => "serving",
+            Standing::Leaving => "leaving",
+            Standing::Down => "down",
+        }
+    }
+
+    pub fn instance(&self) -> &str {
+        self.current.as_ref().map_or("", |known| &known.instance)
+    }
+
+    pub fn service(&self) -> &str {
+        self.current
+            .as_ref()
+            .or(self.announced.as_ref())
+            .map_or("", |known| &known.service)
+    }
+
+    pub fn slots(&self) -> u32 {
+        self.current.as_ref().map_or(1, |known| known.slots)
+    }
+
+    pub fn sequence(&self) -> u64 {
+        self.current.as_ref().map_or(0, |known| known.sequence)
+    }
+
+    /// Returns whether a heartbeat is of the back end beside the node.
+    pub fn is_own(&self, heartbeat: &Heartbeat) -> bool {
+        heartbeat
+            .address
+            .parse()
+            .is_ok_and(|address: SocketAddr| address == self.address)
+    }
+
+    /// Takes in a heartbeat.
+    pub fn on_heartbeat(&mut self, now: Instant, heartbeat: &Heartbeat) -> Effect {
+        if !self.is_own(heartbeat) {
+            return Effect::NONE;
+        }
+        if heartbeat.state == AnnouncedState::Draining {
+            return self.leave(&heartbeat.instance, "announced draining");
+        }
+        if self.left.contains(&heartbeat.instance) {
+            return Effect::NONE;
+        }
+        let is_current = self.instance() == heartbeat.instance;
+        if is_current && heartbeat.sequence <= self.sequence() {
+            return Effect::NONE;
+        }
+        self.heard_at = now;
+        if is_current {
+            return self.refresh(heartbeat);
+        }
+        self.announced = Some(announcement(heartbeat));
+        self.wants_probe = true;
+        Effect::NONE
+    }
+
+    /// Takes in that an incarnation leaves.
+    pub fn on_leave(&mut self, instance: &str) -> Effect {
+        self.leave(instance, "left")
+    }
+
+    /// Takes in an answer of the health endpoint.
+    pub fn on_probe(&mut self, now: Instant, probe: ProbeId, result: &ProbeResult) -> Effect {
+        if self.probing != Some(probe) {
+            return Effect::NONE;
+        }
+        self.probing = None;
+        match result {
+            ProbeResult::Healthy { instance } => self.confirm(now, instance),
+            ProbeResult::Unhealthy => self.down("health endpoint says no"),
+            ProbeResult::Unreachable => self.down("health endpoint unreachable"),
+        }
+    }
+
+    /// Takes in how a request ended.
+    pub fn on_exchange(&mut self, result: &ExchangeResult) -> Effect {
+        match result {
+            ExchangeResult::Answered(_) | ExchangeResult::NotExecuted => {
+                self.lost_in_a_row = 0;
+                Effect::NONE
+            }
+            ExchangeResult::Lost => self.on_silence(),
+            ExchangeResult::NotSent => {
+                self.wants_probe |= self.standing == Standing::Serving;
+                Effect::NONE
+            }
+            ExchangeResult::WrongInstance => self.on_wrong_instance(),
+        }
+    }
+
+    /// Takes in that a request got no answer.
+    pub fn on_silence(&mut self) -> Effect {
+        self.lost_in_a_row += 1;
+        if self.lost_in_a_row >= LOST_IN_A_ROW && self.standing == Standing::Serving {
+            self.lost_in_a_row = 0;
+            self.wants_probe = true;
+        }
+        Effect::NONE
+    }
+
+    /// Does what is due.
+    pub fn poll(&mut self, now: Instant) {
+        let is_silent = now.saturating_since(self.heard_at) >= self.silence_limit;
+        if self.standing == Standing::Serving && is_silent {
+            self.heard_at = now;
+            self.wants_probe = true;
+        }
+    }
+
+    /// Returns when [`Self::poll`] must be called next.
+    pub fn next_wake(&self) -> Option<Instant> {
+        (self.standing == Standing::Serving).then(|| self.heard_at + self.silence_limit)
+    }
+
+    /// Returns whether the health endpoint is to be asked.
+    pub fn wants_probe(&self) -> bool {
+        let may_serve = self.standing != Standing::Leaving || self.announced.is_some();
+        self.wants_probe && self.probing.is_none() && may_serve
+    }
+
+    /// Begins a probe.
+    pub fn begin_probe(&mut self) -> ProbeId {
+        self.wants_probe = false;
+        self.next_probe += 1;
+        let probe = ProbeId(self.next_probe);
+        self.probing = Some(probe);
+        probe
+    }
+
+    fn refresh(&mut self, heartbeat: &Heartbeat) -> Effect {
+        let slots_changed = self.slots() != heartbeat.slots.max(1);
+        self.current = Some(announcement(heartbeat));
+        if self.standing != Standing::Serving {
+            // A live one that did not answer: only the health endpoint tells.
+            self.wants_probe = true;
+            return Effect::NONE;
+        }
+        if slots_changed {
+            return Effect::changed("slots changed");
+        }
+        Effect::NONE
+    }
+
+    fn confirm(&mut self, now: Instant, instance: &str) -> Effect {
+        if self.left.contains(instance) {
+            return Effect::NONE;
+        }
+        if let Some(announced) = self
+            .announced
+            .take_if(|announced| announced.instance == instance)
+        {
+            self.current = Some(announced);
+        }
+        if self.instance() != instance {
+            // Neither the current nor the announced one: wait for its heartbeat.
+            return self.down("health endpoint names another incarnation");
+        }
+        self.lost_in_a_row = 0;
+        if self.standing == Standing::Serving {
+            return Effect::NONE;
+        }
+        self.standing = Standing::Serving;
+        self.heard_at = now;
+        Effect::changed("confirmed by the health endpoint")
+    }
+
+    fn down(&mut self, cause: &'static str) -> Effect {
+        if self.standing != Standing::Serving {
+            return Effect::NONE;
+        }
+        self.standing = Standing::Down;
+        Effect::changed(cause)
+    }
+
+    fn on_wrong_instance(&mut self) -> Effect {
+        if self.standing != Standing::Serving {
+            return Effect::NONE;
+        }
+        self.standing = Standing::Down;
+        self.wants_probe = true;
+        Effect::changed("another incarnation answers")
+    }
+
+    fn leave(&mut self, instance: &str, cause: &'static str) -> Effect {
+        if self.left.len() >= MOST_LEFT {
+            self.left.pop_first();
+        }
+        self.left.insert(instance.to_owned());
+        self.announced.take_if(|known| known.instance == instance);
+        if self.instance() != instance || self.standing == Standing::Leaving {
+            return Effect::NONE;
+        }
+        self.standing = Standing::Leaving;
+        Effect::changed(cause)
+    }
+}
+
+fn announcement(heartbeat: &Heartbeat) -> Announcement {
+    Announcement {
+        instance: heartbeat.instance.clone(),
+        service: heartbeat.service.clone(),
+        slots: heartbeat.slots.max(1),
+        sequence: heartbeat.sequence,
+    }
+}
--- /dev/null
+++ b/crates/rillgap-forward/src/inbound/mod.rs
@@ -0,0 +1,560 @@
+//! The only way to the back end beside the node.
+//!
+//! Everything that the back end gets passes here, so this side alone knows what runs, may say
+//! truthfully that something did not run, orders what waits, and enforces that a back end which
+//! leaves gets nothing new.
+
+mod back_end;
+mod queue;
+mod service_time;
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+use rillgap_core::code::ResultCode;
+use rillgap_core::time::Instant;
+
+use crate::action::{Action, Actions, Exchange};
+use crate::configuration::RouteTable;
+use crate::event::{ExchangeResult, Heartbeat, ProbeResult};
+use crate::id::{ExchangeId, LinkId, ProbeId, Sequence};
+use crate::message::{ForwardResponse, ForwardResult, ForwardedRequest, LinkMessage, Load, Status};
+use crate::note::Note;
+use crate::settings::ForwardSettings;
+
+use back_end::{BackEnd, Effect};
+use queue::{Queued, RankQueue};
+use service_time::ServiceTimes;
+
+/// Share of the slots that are used: back ends get slower when they are almost full.
+const SLOT_SHARE: f64 = 0.94;
+/// Share of the limit up to which a request of a low rank runs although others wait.
+const RESERVED_SHARE: f64 = 0.2;
+/// Share of the expected time that must be left for a request to be started.
+const NEEDED_SHARE: f64 = 0.7;
+/// Share of the limit that may run although it is not expected to end in time, so that an
+/// estimate that has become too long is corrected.
+const PROBE_SHARE: f64 = 0.1;
+/// Time after the end of a request's time at which its connection is given up.
+const OVERTIME: Duration = Duration::from_millis(250);
+/// Shortest and longest time after which a refused caller is asked back, in milliseconds.
+const RETRY_AFTER_MILLIS: (u64, u64) = (50, 2_000);
+/// Longest queue.
+const QUEUE_LENGTH: usize = 2_048;
+
+/// A request that runs.
+#[derive(Clone, Debug)]
+struct Running {
+    link: LinkId,
+    sequence: Sequence,
+    request: Arc<ForwardedRequest>,
+    arrived: Instant,
+    started: Instant,
+    deadline: Instant,
+    is_awaited: bool,
+}
+
+/// A request that has arrived.
+#[derive(Clone, Debug)]
+struct Arrival {
+    link: LinkId,
+    sequence: Sequence,
+    request: Arc<ForwardedRequest>,
+    arrived: Instant,
+    deadline: Instant,
+}
+
+/// Where a request is.
+#[derive(Clone, Copy, Debug)]
+enum Place {
+    Queued(u64),
+    Running(ExchangeId),
+}
+
+/// The inbound side of a node.
+#[derive(Debug)]
+pub struct Inbound {
+    back_end: BackEnd,
+    queue: RankQueue<Arrival>,
+    running: BTreeMap<ExchangeId, Running>,
+    deadlines: BTreeSet<(Instant, ExchangeId)>,
+    places: BTreeMap<(LinkId, Sequence), Place>,
+    times: ServiceTimes,
+    next_exchange: u64,
+    is_stopping: bool,
+    status_changed: bool,
+}
+
+impl Inbound {
+    /// Creates the inbound side of a fresh node, which believes nothing of its back end.
+    pub fn new(settings: &ForwardSettings) -> Self {
+        Self {
+            back_end: BackEnd::new(settings.back_end_address, settings.heartbeat_interval),
+            queue: RankQueue::default(),
+            running: BTreeMap::new(),
+            deadlines: BTreeSet::new(),
+            places: BTreeMap::new(),
+            times: ServiceTimes::default(),
+            next_exchange: 0,
+            is_stopping: false,
+            status_changed: false,
+        }
+    }
+
+    /// Returns what other nodes are told.
+    pub fn status(&self) -> Status {
+        Status {
+            service: self.back_end.service().to_owned(),
+            is_serving: self.back_end.is_serving(),
+            is_stopping: self.is_stopping,
+            load: self.load(),
+        }
+    }
+
+    /// Returns the load of the back end.
+    pub fn load(&self) -> Load {
+        Load {
+            limit: self.limit(),
+            running: count(self.running.len()),
+            queued: count(self.queue.len()),
+            mean_micros: self.times.mean_micros(),
+        }
+    }
+
+    /// Returns whether peers must be told of a change, and forgets it.
+    pub fn take_status_change(&mut self) -> bool {
+        std::mem::take(&mut self.status_changed)
+    }
+
+    /// Returns the number of requests that run or wait.
+    pub fn in_flight(&self) -> usize {
+        self.running.len() + self.queue.len()
+    }
+
+    /// Returns whether the back end has left service for good.
+    pub fn has_left(&self) -> bool {
+        self.back_end.has_left()
+    }
+
+    /// Begins a planned stop: peers are told to send nothing more.
+    pub fn stop(&mut self) {
+        self.is_stopping = true;
+        self.status_changed = true;
+    }
+
+    /// Takes in a heartbeat; returns whether it may be acknowledged.
+    pub fn on_heartbeat(
+        &mut self,
+        now: Instant,
+        heartbeat: &Heartbeat,
+        table: Option<&RouteTable>,
+        out: &mut Actions,
+    ) -> bool {
+        let effect = self.back_end.on_heartbeat(now, heartbeat);
+        self.carry_out(now, effect, table, out);
+        self.back_end.is_own(heartbeat)
+    }
+
+    /// Takes in that a back end leaves.
+    pub fn on_leave(&mut self, now: Instant, instance: &str, out: &mut Actions) {
+        let effect = self.back_end.on_leave(instance);
+        self.carry_out(now, effect, None, out);
+    }
+
+    /// Takes in an answer of the health endpoint.
+    pub fn on_probe(
+        &mut self,
+        now: Instant,
+        probe: ProbeId,
+        result: &ProbeResult,
+        out: &mut Actions,
+    ) {
+        let effect = self.back_end.on_probe(now, probe, result);
+        self.carry_out(now, effect, None, out);
+    }
+
+    /// Takes in a request.
+    pub fn on_request(
+        &mut self,
+        now: Instant,
+        link: LinkId,
+        sequence: Sequence,
+        request: Arc<ForwardedRequest>,
+        out: &mut Actions,
+    ) {
+        let deadline = now + Duration::from_micros(request.remaining_micros);
+        let arrival = Arrival {
+            link,
+            sequence,
+            request,
+            arrived: now,
+            deadline,
+        };
+        if let Some(code) = self.refusal_of_service(&arrival.request) {
+            self.refuse(now, &arrival, code, out);
+            return;
+        }
+        if self.is_doomed(now, &arrival) {
+            self.refuse(now, &arrival, ResultCode::DeadlineUnmet, out);
+            return;
+        }
+        let rank = arrival.request.rank;
+        let nobody_ahead = self.queue.ahead_of(rank) == 0;
+        if self.has_room() && (nobody_ahead || self.is_within_reserve(rank)) {
+            self.start(now, arrival, out);
+            return;
+        }
+        self.enqueue(now, arrival, out);
+    }
+
+    /// Takes in that nobody waits for a request any more.
+    pub fn on_cancel(&mut self, now: Instant, link: LinkId, sequence: Sequence, out: &mut Actions) {
+        match self.places.remove(&(link, sequence)) {
+            Some(Place::Queued(ticket)) => {
+                self.queue.remove(ticket);
+            }
+            Some(Place::Running(exchange)) => self.abandon(exchange, out),
+            None => {}
+        }
+        self.start_queued(now, out);
+    }
+
+    /// Takes in that a link has ended: nobody waits for its requests.
+    pub fn on_link_closed(&mut self, now: Instant, link: LinkId, out: &mut Actions) {
+        let first = (link, Sequence(0));
+        let last = (link, Sequence(u64::MAX));
+        let lost: Vec<Sequence> = self
+            .places
+            .range(first..=last)
+            .map(|((_, sequence), _)| *sequence)
+            .collect();
+        for sequence in lost {
+            self.on_cancel(now, link, sequence, out);
+        }
+    }
+
+    /// Takes in that a request at the back end has ended.
+    pub fn on_exchange(
+        &mut self,
+        now: Instant,
+        exchange: ExchangeId,
+        result: ExchangeResult,
+        table: Option<&RouteTable>,
+        out: &mut Actions,
+    ) {
+        let Some(running) = self.running.remove(&exchange) else {
+            return;
+        };
+        self.deadlines.remove(&(running.deadline, exchange));
+        self.places.remove(&(running.link, running.sequence));
+        let elapsed = now.saturating_since(running.started);
+        if matches!(result, ExchangeResult::Answered(_)) {
+            self.times.record(&running.request.route, elapsed);
+        }
+        let effect = self.back_end.on_exchange(&result);
+        let result = self.forward_result(result);
+        if running.is_awaited {
+            self.note_failure(now, &running, &result, out);
+            self.respond(running.link, running.sequence, result, out);
+        }
+        self.carry_out(now, effect, table, out);
+        self.start_queued(now, out);
+    }
+
+    /// Does what is due.
+    pub fn poll(&mut self, now: Instant, table: Option<&RouteTable>, out: &mut Actions) {
+        self.back_end.poll(now);
+        self.carry_out(now, Effect::default(), table, out);
+        self.refuse_expired(now, out);
+        self.end_overdue(now, out);
+        self.start_queued(now, out);
+    }
+
+    /// Returns when [`Self::poll`] must be called next.
+    pub fn next_wake(&self) -> Option<Instant> {
+        let overdue = self.deadlines.first().map(|(at, _)| *at + OVERTIME);
+        let cutoff = self.queue.next_cutoff();
+        let back_end = self.back_end.next_wake();
+        overdue.into_iter().chain(cutoff).chain(back_end).min()
+    }
+
+    fn limit(&self) -> u32 {
+        let usable = f64::from(self.back_end.slots()) * SLOT_SHARE;
+        (usable as u32).max(1)
+    }
+
+    fn has_room(&self) -> bool {
+        count(self.running.len()) < self.limit()
+    }
+
+    /// Returns whether a rank has less than its reserved share of the limit.
+    fn is_within_reserve(&self, rank: u8) -> bool {
+        let running = self
+            .running
+            .values()
+            .filter(|running| running.request.rank == rank)
+            .count();
+        (running as f64) < f64::from(self.limit()) * RESERVED_SHARE
+    }
+
+    /// Returns why the back end takes no requests of this service, if it does not.
+    fn refusal_of_service(&self, request: &ForwardedRequest) -> Option<ResultCode> {
+        if self.is_stopping {
+            return Some(ResultCode::NodeStopping);
+        }
+        if !self.back_end.is_serving() {
+            return Some(ResultCode::BackEndLeaving);
+        }
+        (self.back_end.service() != request.service).then_some(ResultCode::NoBackEnd)
+    }
+
+    /// Returns whether a request is not expected to end in time.
+    fn is_doomed(&self, now: Instant, arrival: &Arrival) -> bool {
+        let remaining = arrival.deadline.saturating_since(now);
+        let expected = self.times.expected(&arrival.request.route);
+        let probes = (f64::from(self.limit()) * PROBE_SHARE).max(1.0);
+        remaining.is_zero()
+            || remaining < expected.mul_f64(NEEDED_SHARE) && self.running.len() as f64 >= probes
+    }
+
+    fn enqueue(&mut self, now: Instant, arrival: Arrival, out: &mut Actions) {
+        let bound = Duration::from_micros(arrival.request.queue_limit_micros);
+        let ahead = self.queue.ahead_of(arrival.request.rank);
+        if self.drain_time(ahead + 1) > bound || self.queue.len() >= QUEUE_LENGTH {
+            self.refuse(now, &arrival, ResultCode::QueueFull, out);
+            return;
+        }
+        let expected = self.times.expected(&arrival.request.route);
+        let latest = arrival.deadline - expected.mul_f64(NEEDED_SHARE);
+        let place = (arrival.link, arrival.sequence);
+        let ticket = self.queue.push(Queued {
+            rank: arrival.request.rank,
+            cutoff: latest.min(now + bound),
+            item: arrival,
+        });
+        self.places.insert(place, Place::Queued(ticket));
+    }
+
+    fn start(&mut self, now: Instant, arrival: Arrival, out: &mut Actions) {
+        self.next_exchange += 1;
+        let id = ExchangeId(self.next_exchange);
+        self.places
+            .insert((arrival.link, arrival.sequence), Place::Running(id));
+        self.deadlines.insert((arrival.deadline, id));
+        out.push(Action::StartExchange(Exchange {
+            id,
+            request: arrival.request.clone(),
+            instance: self.back_end.instance().to_owned(),
+            remaining: arrival.deadline.saturating_since(now),
+        }));
+        let running = Running {
+            link: arrival.link,
+            sequence: arrival.sequence,
+            request: arrival.request,
+            arrived: arrival.arrived,
+            started: now,
+            deadline: arrival.deadline,
+            is_awaited: true,
+        };
+        self.running.insert(id, running);
+    }
+
+    fn start_queued(&mut self, now: Instant, out: &mut Actions) {
+        while self.has_room() {
+            let reserve = self
+                .queue
+                .ranks()
+                .rev()
+                .find(|rank| self.is_within_reserve(*rank));
+            let next = match reserve {
+                Some(rank) => self.queue.pop_rank(rank),
+                None => self.queue.pop(),
+            };
+            let Some(arrival) = next else {
+                return;
+            };
+            if self.is_doomed(now, &arrival) {
+                self.refuse(now, &arrival, ResultCode::DeadlineUnmet, out);
+            } else {
+                self.start(now, arrival, out);
+            }
+        }
+    }
+
+    fn refuse_expired(&mut self, now: Instant, out: &mut Actions) {
+        while let Some(arrival) = self.queue.pop_expired(now) {
+            self.refuse(now, &arrival, ResultCode::QueueFull, out);
+        }
+    }
+
+    /// Gives up on requests whose time is over and whose answer has not come.
+    fn end_overdue(&mut self, now: Instant, out: &mut Actions) {
+        while let Some((deadline, exchange)) = self.deadlines.first().copied() {
+            if deadline + OVERTIME > now {
+                return;
+            }
+            self.deadlines.pop_first();
+            let Some(running) = self.running.remove(&exchange) else {
+                continue;
+            };
+            self.places.remove(&(running.link, running.sequence));
+            out.push(Action::CancelExchange(exchange));
+            let elapsed = now.saturating_since(running.started);
+            self.times.record(&running.request.route, elapsed);
+            if running.is_awaited {
+                let result = ForwardResult::Unknown {
+                    code: ResultCode::AnswerTimeout,
+                };
+                self.note_failure(now, &running, &result, out);
+                self.respond(running.link, running.sequence, result, out);
+            }
+            let effect = self.back_end.on_silence();
+            self.carry_out(now, effect, None, out);
+        }
+    }
+
+    /// Stops a running request that nobody waits for. One that may run only once goes on: its
+    /// work is done or half done, and cutting it would leave that unknown to everybody.
+    fn abandon(&mut self, exchange: ExchangeId, out: &mut Actions) {
+        let Some(running) = self.running.get_mut(&exchange) else {
+            return;
+        };
+        if !running.request.is_idempotent {
+            running.is_awaited = false;
+            return;
+        }
+        let deadline = running.deadline;
+        self.running.remove(&exchange);
+        self.deadlines.remove(&(deadline, exchange));
+        out.push(Action::CancelExchange(exchange));
+    }
+
+    /// Refuses everything that waits.
+    fn refuse_queued(&mut self, now: Instant, code: ResultCode, out: &mut Actions) {
+        while let Some(arrival) = self.queue.pop() {
+            self.refuse(now, &arrival, code, out);
+        }
+    }
+
+    fn refuse(&mut self, now: Instant, arrival: &Arrival, code: ResultCode, out: &mut Actions) {
+        self.places.remove(&(arrival.link, arrival.sequence));
+        out.push(Action::Note(Note::NotAnswered {
+            request_id: arrival.request.request_id.clone(),
+            code,
+            elapsed_micros: elapsed_micros(now, arrival.arrived),
+            running: count(self.running.len()),
+            queued: count(self.queue.len()),
+            limit: self.limit(),
+        }));
+        let result = ForwardResult::NotRun {
+            code,
+            arrived: false,
+            retry_after_millis: self.retry_after_millis(),
+        };
+        self.respond(arrival.link, arrival.sequence, result, out);
+    }
+
+    fn respond(&self, link: LinkId, sequence: Sequence, result: ForwardResult, out: &mut Actions) {
+        out.push(Action::SendOnLink {
+            link,
+            message: LinkMessage::Response(ForwardResponse {
+                sequence,
+                load: self.load(),
+                result,
+            }),
+        });
+    }
+
+    fn forward_result(&self, result: ExchangeResult) -> ForwardResult {
+        let (code, arrived) = match result {
+            ExchangeResult::Answered(answer) => return ForwardResult::Answered(answer),
+            ExchangeResult::Lost => {
+                return ForwardResult::Unknown {
+                    code: ResultCode::AnswerLost,
+                };
+            }
+            ExchangeResult::NotExecuted => (ResultCode::BackEndShed, true),
+            ExchangeResult::WrongInstance => (ResultCode::BackEndLeaving, true),
+            ExchangeResult::NotSent => (ResultCode::BackEndUnreachable, false),
+        };
+        ForwardResult::NotRun {
+            code,
+            arrived,
+            retry_after_millis: self.retry_after_millis(),
+        }
+    }
+
+    fn note_failure(
+        &self,
+        now: Instant,
+        running: &Running,
+        result: &ForwardResult,
+        out: &mut Actions,
+    ) {
+        let (ForwardResult::NotRun { code, .. } | ForwardResult::Unknown { code }) = result else {
+            return;
+        };
+        out.push(Action::Note(Note::NotAnswered {
+            request_id: running.request.request_id.clone(),
+            code: *code,
+            elapsed_micros: elapsed_micros(now, running.arrived),
+            running: count(self.running.len()),
+            queued: count(self.queue.len()),
+            limit: self.limit(),
+        }));
+    }
+
+    /// Returns the time in which `count` queued requests come to their turn.
+    fn drain_time(&self, count: usize) -> Duration {
+        let mean = f64::from(self.times.mean_micros());
+        let micros = count as f64 * mean / f64::from(self.limit());
+        Duration::from_micros(micros as u64)
+    }
+
+    fn retry_after_millis(&self) -> u32 {
+        let drain = self.drain_time(self.queue.len() + 1).as_millis();
+        let (shortest, longest) = RETRY_AFTER_MILLIS;
+        let millis = u64::try_from(drain).unwrap_or(longest);
+        u32::try_from(millis.clamp(shortest, longest)).unwrap_or(u32::MAX)
+    }
+
+    fn carry_out(
+        &mut self,
+        now: Instant,
+        effect: Effect,
+        table: Option<&RouteTable>,
+        out: &mut Actions,
+    ) {
+        if let Some(change) = effect.change {
+            self.status_changed = true;
+            out.push(Action::Note(Note::BackEnd {
+                instance: self.back_end.instance().to_owned(),
+                standing: self.back_end.standing_name(),
+                cause: change,
+                sequence: self.back_end.sequence(),
+            }));
+            if !self.back_end.is_serving() {
+                self.refuse_queued(now, ResultCode::BackEndLeaving, out);
+            }
+        }
+        let path = table
+            .and_then(|table| table.service(self.back_end.service()))
+            .map(|service| service.health_path.clone());
+        if let Some(path) = path.as_ref().filter(|_| self.back_end.wants_probe()) {
+            let probe = self.back_end.begin_probe();
+            out.push(Action::Probe {
+                probe,
+                path: path.clone(),
+            });
+        }
+    }
+}
+
+fn count(length: usize) -> u32 {
+    u32::try_from(length).unwrap_or(u32::MAX)
+}
+
+fn elapsed_micros(now: Instant, since: Instant) -> u64 {
+    u64::try_from(now.saturating_since(since).as_micros()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/rillgap-forward/src/inbound/queue.rs
@@ -0,0 +1,107 @@
+//! Queue by rank, within a rank by arrival.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use rillgap_core::time::Instant;
+
+/// Something that waits.
+#[derive(Clone, Debug)]
+pub(super) struct Queued<T> {
+    /// Rank; 0 is served first.
+    pub rank: u8,
+    /// Latest time at which it may still be started.
+    pub cutoff: Instant,
+    /// What waits.
+    pub item: T,
+}
+
+/// Queue by rank, within a rank by arrival.
+#[derive(Clone, Debug)]
+pub(super) struct RankQueue<T> {
+    ranks: BTreeMap<u8, BTreeMap<u64, Queued<T>>>,
+    rank_of: BTreeMap<u64, u8>,
+    cutoffs: BTreeSet<(Instant, u64)>,
+    next_ticket: u64,
+}
+
+impl<T> Default for RankQueue<T> {
+    fn default() -> Self {
+        Self {
+            ranks: BTreeMap::new(),
+            rank_of: BTreeMap::new(),
+            cutoffs: BTreeSet::new(),
+            next_ticket: 0,
+        }
+    }
+}
+
+impl<T> RankQueue<T> {
+    /// Returns how many wait.
+    pub fn len(&self) -> usize {
+        self.rank_of.len()
+    }
+
+    /// Returns how many are served before a new one of `rank`.
+    pub fn ahead_of(&self, rank: u8) -> usize {
+        self.ranks
+            .range(..=rank)
+            .map(|(_, queue)| queue.len())
+            .sum()
+    }
+
+    /// Returns the ranks that have something waiting, the first to be served first.
+    pub fn ranks(&self) -> impl DoubleEndedIterator<Item = u8> {
+        self.ranks.keys().copied()
+    }
+
+    /// Appends; returns a ticket.
+    pub fn push(&mut self, queued: Queued<T>) -> u64 {
+        let ticket = self.next_ticket;
+        self.next_ticket += 1;
+        self.rank_of.insert(ticket, queued.rank);
+        self.cutoffs.insert((queued.cutoff, ticket));
+        self.ranks
+            .entry(queued.rank)
+            .or_default()
+            .insert(ticket, queued);
+        ticket
+    }
+
+    /// Takes out by ticket.
+    pub fn remove(&mut self, ticket: u64) -> Option<T> {
+        let rank = self.rank_of.remove(&ticket)?;
+        let queue = self.ranks.get_mut(&rank)?;
+        let queued = queue.remove(&ticket)?;
+        if queue.is_empty() {
+            self.ranks.remove(&rank);
+        }
+        self.cutoffs.remove(&(queued.cutoff, ticket));
+        Some(queued.item)
+    }
+
+    /// Takes out what is served next.
+    pub fn pop(&mut self) -> Option<T> {
+        let rank = self.ranks().next()?;
+        self.pop_rank(rank)
+    }
+
+    /// Takes out the oldest of a rank.
+    pub fn pop_rank(&mut self, rank: u8) -> Option<T> {
+        let ticket = *self.ranks.get(&rank)?.first_key_value()?.0;
+        self.remove(ticket)
+    }
+
+    /// Takes out one whose cutoff has passed.
+    pub fn pop_expired(&mut self, now: Instant) -> Option<T> {
+        let (cutoff, ticket) = *self.cutoffs.first()?;
+        if cutoff > now {
+            return None;
+        }
+        self.remove(ticket)
+    }
+
+    /// Returns the earliest cutoff.
+    pub fn next_cutoff(&self) -> Option<Instant> {
+        self.cutoffs.first().map(|(cutoff, _)| *cutoff)
+    }
+}
--- /dev/null
+++ b/crates/rillgap-forward/src/message.rs
@@ -0,0 +1,168 @@
+//! Messages between nodes.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use bitcode::{Decode, Encode};
+use rillgap_core::code::ResultCode;
+
+use crate::configuration::Configuration;
+use crate::id::Sequence;
+
+/// A node as others know it.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct NodeRecord {
+    /// Name, unique in the deployment.
+    pub name: String,
+    /// Address for links.
+    pub address: SocketAddr,
+    /// Failure zone.
+    pub zone: String,
+    /// Service of the back end beside the node.
+    pub service: String,
+}
+
+/// Load of a back end, as the node beside it sees it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Encode, Decode)]
+pub struct Load {
+    /// Requests that may run at once.
+    pub limit: u32,
+    /// Requests that run.
+    pub running: u32,
+    /// Requests that wait.
+    pub queued: u32,
+    /// Mean time that a request takes, in microseconds.
+    pub mean_micros: u32,
+}
+
+/// What a node says about the back end beside it.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Encode, Decode)]
+pub struct Status {
+    /// Service that the back end runs.
+    pub service: String,
+    /// Whether the back end takes new requests.
+    pub is_serving: bool,
+    /// Whether the node is in a planned stop.
+    pub is_stopping: bool,
+    /// Load of the back end.
+    pub load: Load,
+}
+
+/// First message in both directions of a link.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct Hello {
+    /// Version of the protocol.
+    pub protocol: u32,
+    /// The sender.
+    pub node: NodeRecord,
+    /// Run of the sender.
+    pub incarnation: u64,
+    /// The sender's back end.
+    pub status: Status,
+    /// Nodes that the sender knows.
+    pub peers: Vec<NodeRecord>,
+    /// Version of the sender's configuration; 0 for none.
+    pub configuration_version: u64,
+}
+
+/// A request as it goes to the back end.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct ForwardedRequest {
+    /// The caller's identifier of the request.
+    pub request_id: String,
+    /// Method.
+    pub method: String,
+    /// Target.
+    pub target: String,
+    /// End-to-end fields, encoded.
+    pub fields: Vec<u8>,
+    /// Whole body.
+    pub body: Vec<u8>,
+    /// Service beside whose back end the request began.
+    pub caller_service: String,
+    /// Service that is to run the request.
+    pub service: String,
+    /// Name of the route.
+    pub route: String,
+    /// Whether the request may run more than once.
+    pub is_idempotent: bool,
+    /// Rank in a queue; 0 is served first.
+    pub rank: u8,
+    /// Time that is left for the request, in microseconds.
+    pub remaining_micros: u64,
+    /// Longest time for which the request may wait in a queue, in microseconds.
+    pub queue_limit_micros: u64,
+}
+
+/// An answer of a back end.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct ForwardedAnswer {
+    /// Status code.
+    pub status: u16,
+    /// End-to-end fields, encoded.
+    pub fields: Vec<u8>,
+    /// Whole body.
+    pub body: Vec<u8>,
+}
+
+/// What became of a request at the node beside the back end.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub enum ForwardResult {
+    /// The back end answered whole.
+    Answered(ForwardedAnswer),
+    /// The request did not run there and never will.
+    NotRun {
+        /// Why.
+        code: ResultCode,
+        /// Whether it had reached the back end.
+        arrived: bool,
+        /// Time after which there may be room, in milliseconds.
+        retry_after_millis: u32,
+    },
+    /// The request may have run; there is no answer.
+    Unknown {
+        /// Why.
+        code: ResultCode,
+    },
+}
+
+/// Answer to a forwarded request.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct ForwardResponse {
+    /// Number of the request on its link.
+    pub sequence: Sequence,
+    /// Load of the back end.
+    pub load: Load,
+    /// What became of the request.
+    pub result: ForwardResult,
+}
+
+/// A message on a link.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum LinkMessage {
+    /// Introduction.
+    Hello(Hello),
+    /// Run this request.
+    Request {
+        /// Number of the request on its link.
+        sequence: Sequence,
+        /// The request.
+        request: Arc<ForwardedRequest>,
+    },
+    /// Nobody waits for this request any more.
+    Cancel(Sequence),
+    /// Answer to a request.
+    Response(ForwardResponse),
+    /// The sender's back end has changed, or a sign of life.
+    Status(Status),
+    /// Say that you live.
+    Ping,
+    /// Answer to a ping.
+    Pong,
+    /// The sender has this version of the configuration.
+    ConfigurationOffer(u64),
+    /// Send the configuration if it is newer than this version.
+    ConfigurationQuery(u64),
+    /// A configuration.
+    Configuration(Arc<Configuration>),
+}
--- /dev/null
+++ b/crates/rillgap-forward/src/node.rs
@@ -0,0 +1,596 @@
+//! One node: its two sides, the directory of peers, the configuration and the store.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::Duration;
+
+use rillgap_core::time::Instant;
+
+use crate::action::{Action, Actions};
+use crate::configuration::{CallerLimits, Configuration, RouteTable};
+use crate::directory::{Directory, LinkState};
+use crate::event::{Event, Heartbeat};
+use crate::id::{ConnectionId, LinkId, Turn};
+use crate::inbound::Inbound;
+use crate::message::{Hello, LinkMessage, NodeRecord, Status};
+use crate::note::Note;
+use crate::outbound::{Outbound, OutboundContext};
+use crate::settings::ForwardSettings;
+use crate::store_sync::{StoreNews, StoreReply, StoreRequestId, StoreSync};
+
+/// Version of the protocol between nodes.
+pub const PROTOCOL_VERSION: u32 = 1;
+
+/// Time between two looks at links.
+const HOUSEKEEPING: Duration = Duration::from_millis(200);
+/// Time between two reports of a node's back end on a link, which are also signs of life.
+const STATUS_INTERVAL: Duration = Duration::from_secs(1);
+/// Silence of a link with requests under way after which the peer is pinged.
+const PING_AFTER: Duration = Duration::from_millis(300);
+/// Silence of a link with requests under way after which it is given up.
+const SILENT_BUSY: Duration = Duration::from_millis(1_100);
+/// Silence of a link without requests after which it is given up.
+const SILENT_IDLE: Duration = Duration::from_millis(3_200);
+/// Gap between two steps after which the node takes it that it stood still itself.
+const STOOD_STILL: Duration = Duration::from_millis(700);
+/// Time after a stand-still in which no peer is given up: what has arrived is read first.
+const READ_FIRST: Duration = Duration::from_millis(400);
+/// Time after a newer version was heard of in which the node waits for the store to bring it.
+const OFFER_PATIENCE: Duration = Duration::from_millis(200);
+/// Time after the begin of a planned stop before which the node does not exit: callers learn by
+/// then that it is not ready.
+const STOP_NOTICE: Duration = Duration::from_millis(2_500);
+/// Time before the end of the grace at which a planned stop ends whatever is in flight.
+const STOP_MARGIN: Duration = Duration::from_millis(400);
+
+/// A newer configuration that a peer has.
+#[derive(Clone, Copy, Debug)]
+struct Offer {
+    link: LinkId,
+    version: u64,
+    ask_at: Instant,
+}
+
+/// One node.
+#[derive(Debug)]
+pub struct Node {
+    settings: ForwardSettings,
+    table: Option<Arc<RouteTable>>,
+    directory: Directory,
+    inbound: Inbound,
+    outbound: Outbound,
+    store: StoreSync,
+    store_is_up: bool,
+    accepted: BTreeSet<LinkId>,
+    offer: Option<Offer>,
+    next_link: u64,
+    next_housekeeping: Instant,
+    next_status: Instant,
+    last_step: Instant,
+    judge_after: Instant,
+    stopping_since: Option<Instant>,
+    unregistering: bool,
+    exited: bool,
+}
+
+impl Node {
+    /// Creates a fresh node, which remembers nothing.
+    pub fn new(now: Instant, settings: ForwardSettings) -> Self {
+        Self {
+            table: None,
+            directory: Directory::default(),
+            inbound: Inbound::new(&settings),
+            outbound: Outbound::new(&settings),
+            store: StoreSync::new(settings.record.clone()),
+            store_is_up: true,
+            accepted: BTreeSet::new(),
+            offer: None,
+            next_link: 0,
+            next_housekeeping: now,
+            next_status: now,
+            last_step: now,
+            judge_after: now,
+            stopping_since: None,
+            unregistering: false,
+            exited: false,
+            settings,
+        }
+    }
+
+    /// Returns a number for a new link.
+    pub fn new_link(&mut self) -> LinkId {
+        self.next_link += 1;
+        LinkId(self.next_link)
+    }
+
+    /// Returns whether new callers are welcome.
+    pub fn is_ready(&self) -> bool {
+        self.table.is_some() && self.stopping_since.is_none()
+    }
+
+    /// Returns the bounds on what callers send.
+    pub fn limits(&self) -> CallerLimits {
+        self.table
+            .as_ref()
+            .map_or_else(CallerLimits::default, |table| {
+                table.configuration().limits.clone()
+            })
+    }
+
+    /// Returns the version of the configuration in force; 0 for none.
+    pub fn configuration_version(&self) -> u64 {
+        self.table.as_ref().map_or(0, |table| table.version())
+    }
+
+    /// Returns the introduction for peers.
+    pub fn hello(&self) -> Hello {
+        Hello {
+            protocol: PROTOCOL_VERSION,
+            node: self.settings.record.clone(),
+            incarnation: self.settings.incarnation,
+            status: self.inbound.status(),
+            peers: self.known_peers(),
+            configuration_version: self.configuration_version(),
+        }
+    }
+
+    /// Returns the inbound side.
+    pub const fn inbound(&self) -> &Inbound {
+        &self.inbound
+    }
+
+    /// Returns the outbound side.
+    pub const fn outbound(&self) -> &Outbound {
+        &self.outbound
+    }
+
+    /// Returns the directory.
+    pub const fn directory(&self) -> &Directory {
+        &self.directory
+    }
+
+    /// Takes in a heartbeat of the back end; returns whether it may be acknowledged.
+    pub fn on_heartbeat(&mut self, now: Instant, heartbeat: &Heartbeat, out: &mut Actions) -> bool {
+        let table = self.table.clone();
+        let acknowledged = self
+            .inbound
+            .on_heartbeat(now, heartbeat, table.as_deref(), out);
+        self.settle(now, out);
+        acknowledged
+    }
+
+    /// Takes in that a back end leaves.
+    pub fn on_leave(&mut self, now: Instant, instance: &str, out: &mut Actions) {
+        self.inbound.on_leave(now, instance, out);
+        self.settle(now, out);
+    }
+
+    /// Handles an event; actions are appended to `out`.
+    pub fn handle(&mut self, now: Instant, event: Event, out: &mut Actions) {
+        self.note_time(now);
+        match event {
+            Event::Request {
+                connection,
+                turn,
+                request,
+            } => self.on_request(now, connection, turn, request, out),
+            Event::CallerGone(connection) => {
+                let (outbound, mut context) = self.split(out);
+                outbound.on_caller_gone(connection, &mut context);
+            }
+            Event::LinkOpened { link, hello } => self.on_link_opened(now, link, &hello, out),
+            Event::LinkAccepted { link, hello } => self.on_link_accepted(now, link, &hello, out),
+            Event::Link { link, message } => self.on_link_message(now, link, message, out),
+            Event::LinkClosed(link) => self.on_link_closed(now, link, out),
+            Event::ExchangeEnded { exchange, result } => {
+                let table = self.table.clone();
+                self.inbound
+                    .on_exchange(now, exchange, result, table.as_deref(), out);
+            }
+            Event::ProbeEnded { probe, result } => {
+                self.inbound.on_probe(now, probe, &result, out);
+            }
+            Event::Store { request, reply } => self.on_store(now, request, reply, out),
+            Event::Stop => self.begin_stop(now, out),
+            Event::Wake => {}
+        }
+        self.deliver_local(now, out);
+        self.settle(now, out);
+    }
+
+    /// Returns when [`Event::Wake`] is due next.
+    pub fn next_wake(&self) -> Instant {
+        [
+            self.inbound.next_wake(),
+            self.outbound.next_wake(),
+            self.store.next_wake(),
+            self.offer.map(|offer| offer.ask_at),
+        ]
+        .into_iter()
+        .flatten()
+        .fold(self.next_housekeeping, Instant::min)
+    }
+
+    fn split<'a>(&'a mut self, out: &'a mut Actions) -> (&'a mut Outbound, OutboundContext<'a>) {
+        let context = OutboundContext {
+            table: self.table.as_deref(),
+            own_status: self.inbound.status(),
+            directory: &mut self.directory,
+            is_stopping: self.stopping_since.is_some(),
+            out,
+        };
+        (&mut self.outbound, context)
+    }
+
+    /// Notices that the process stood still: then no peer is judged before what it has sent
+    /// meanwhile is read.
+    fn note_time(&mut self, now: Instant) {
+        if now.saturating_since(self.last_step) >= STOOD_STILL {
+            self.judge_after = now + READ_FIRST;
+        }
+        self.last_step = now;
+    }
+
+    fn on_request(
+        &mut self,
+        now: Instant,
+        connection: ConnectionId,
+        turn: Turn,
+        request: crate::event::CallerRequest,
+        out: &mut Actions,
+    ) {
+        let (outbound, mut context) = self.split(out);
+        outbound.on_request(now, connection, turn, request, &mut context);
+    }
+
+    fn on_link_opened(&mut self, now: Instant, link: LinkId, hello: &Hello, out: &mut Actions) {
+        if hello.protocol != PROTOCOL_VERSION || !self.directory.opened(now, link, hello) {
+            out.push(Action::CloseLink(link));
+            self.directory.closed(now, link);
+            return;
+        }
+        note_peer(&hello.node.name, true, "link opened", out);
+        self.learn_peers(now, hello);
+        self.on_offer(now, link, hello.configuration_version, out);
+    }
+
+    fn on_link_accepted(&mut self, now: Instant, link: LinkId, hello: &Hello, out: &mut Actions) {
+        if hello.protocol != PROTOCOL_VERSION {
+            out.push(Action::CloseLink(link));
+            return;
+        }
+        self.accepted.insert(link);
+        self.directory.learn(now, &hello.node);
+        self.directory.hurry(now, &hello.node.name);
+        self.learn_peers(now, hello);
+        self.on_offer(now, link, hello.configuration_version, out);
+    }
+
+    fn learn_peers(&mut self, now: Instant, hello: &Hello) {
+        for record in &hello.peers {
+            self.learn(now, record);
+        }
+    }
+
+    fn learn(&mut self, now: Instant, record: &NodeRecord) {
+        if record.name != self.settings.record.name {
+            self.directory.learn(now, record);
+        }
+    }
+
+    fn on_link_message(
+        &mut self,
+        now: Instant,
+        link: LinkId,
+        message: LinkMessage,
+        out: &mut Actions,
+    ) {
+        if let Some(peer) = self.directory.by_link(link) {
+            peer.heard_at = now;
+        }
+        match message {
+            LinkMessage::Request { sequence, request } => {
+                self.inbound.on_request(now, link, sequence, request, out);
+            }
+            LinkMessage::Cancel(sequence) => self.inbound.on_cancel(now, link, sequence, out),
+            LinkMessage::Response(response) => {
+                let (outbound, mut context) = self.split(out);
+                outbound.on_response(now, link, response, &mut context);
+            }
+            LinkMessage::Status(status) => {
+                if let Some(peer) = self.directory.by_link(link) {
+                    peer.status = status;
+                    peer.unreported = 0;
+                }
+            }
+            LinkMessage::Ping => out.push(Action::SendOnLink {
+                link,
+                message: LinkMessage::Pong,
+            }),
+            LinkMessage::Hello(_) | LinkMessage::Pong => {}
+            LinkMessage::ConfigurationOffer(version) => self.on_offer(now, link, version, out),
+            LinkMessage::ConfigurationQuery(version) => self.on_query(link, version, out),
+            LinkMessage::Configuration(configuration) => {
+                self.adopt(now, Arc::unwrap_or_clone(configuration), "peer", out);
+            }
+        }
+    }
+
+    fn on_link_closed(&mut self, now: Instant, link: LinkId, out: &mut Actions) {
+        if self.accepted.remove(&link) {
+            self.inbound.on_link_closed(now, link, out);
+            return;
+        }
+        let Some((name, was_open)) = self.directory.closed(now, link) else {
+            return;
+        };
+        if was_open {
+            note_peer(&name, false, "link closed", out);
+            let (outbound, mut context) = self.split(out);
+            outbound.on_link_closed(now, link, &mut context);
+        }
+    }
+
+    fn on_store(
+        &mut self,
+        now: Instant,
+        request: StoreRequestId,
+        reply: StoreReply,
+        out: &mut Actions,
+    ) {
+        let news = self.store.on_reply(now, request, reply);
+        let failure = match &news {
+            Some(StoreNews::Failed { call, detail }) => Some((*call, detail.clone())),
+            _ => None,
+        };
+        if failure.is_some() == self.store_is_up {
+            self.store_is_up = failure.is_none();
+            let (call, detail) = failure.unwrap_or(("", String::new()));
+            out.push(Action::Note(Note::Store {
+                is_up: self.store_is_up,
+                call,
+                detail,
+            }));
+        }
+        match news {
+            Some(StoreNews::Configuration(configuration)) => {
+                self.adopt(now, configuration, "store", out);
+            }
+            Some(StoreNews::Nodes(records)) => {
+                for record in records {
+                    self.learn(now, &record);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    /// Puts a configuration in force unless it is not newer.
+    fn adopt(
+        &mut self,
+        now: Instant,
+        configuration: Configuration,
+        source: &'static str,
+        out: &mut Actions,
+    ) {
+        if self.table.is_some() && configuration.version <= self.configuration_version() {
+            return;
+        }
+        out.push(Action::Note(Note::Configuration {
+            version: configuration.version,
+            routes: configuration.routes.len(),
+            source,
+        }));
+        let version = configuration.version;
+        self.table = Some(Arc::new(RouteTable::new(configuration)));
+        if self.offer.is_some_and(|offer| offer.version <= version) {
+            self.offer = None;
+        }
+        self.broadcast(&LinkMessage::ConfigurationOffer(version), out);
+        // The health endpoint's path may be known now.
+        let table = self.table.clone();
+        self.inbound.poll(now, table.as_deref(), out);
+    }
+
+    fn on_offer(&mut self, now: Instant, link: LinkId, version: u64, out: &mut Actions) {
+        let own = self.configuration_version();
+        if version < own {
+            out.push(Action::SendOnLink {
+                link,
+                message: LinkMessage::ConfigurationOffer(own),
+            });
+        }
+        if version > own && self.offer.is_none_or(|offer| offer.version < version) {
+            self.offer = Some(Offer {
+                link,
+                version,
+                ask_at: now + OFFER_PATIENCE,
+            });
+        }
+    }
+
+    fn on_query(&mut self, link: LinkId, version: u64, out: &mut Actions) {
+        let Some(table) = self
+            .table
+            .as_ref()
+            .filter(|table| table.version() > version)
+        else {
+            return;
+        };
+        out.push(Action::SendOnLink {
+            link,
+            message: LinkMessage::Configuration(Arc::new(table.configuration().clone())),
+        });
+    }
+
+    fn begin_stop(&mut self, now: Instant, out: &mut Actions) {
+        if self.stopping_since.is_some() {
+            return;
+        }
+        self.stopping_since = Some(now);
+        self.note_lifecycle("stopping", out);
+        if self.inbound.has_left() {
+            self.unregistering = true;
+            self.store.unregister(now);
+        }
+        self.inbound.stop();
+    }
+
+    /// Does what is due and passes on what one part has for another.
+    fn settle(&mut self, now: Instant, out: &mut Actions) {
+        let table = self.table.clone();
+        self.inbound.poll(now, table.as_deref(), out);
+        let (outbound, mut context) = self.split(out);
+        outbound.poll(now, &mut context);
+        self.deliver_local(now, out);
+        for (id, request) in self.store.poll(now) {
+            out.push(Action::CallStore { id, request });
+        }
+        self.ask_for_offer(now, out);
+        if self.inbound.take_status_change() {
+            self.broadcast_status(out);
+        }
+        if now >= self.next_housekeeping {
+            self.next_housekeeping = now + HOUSEKEEPING;
+            self.keep_links(now, out);
+        }
+        self.exit_when_done(now, out);
+    }
+
+    /// Hands what one side has for the other across, without a link.
+    fn deliver_local(&mut self, now: Instant, out: &mut Actions) {
+        let is_local = |action: &Action| matches!(action, Action::SendOnLink { link, .. } if *link == LinkId::LOCAL);
+        while let Some(position) = out.iter().position(is_local) {
+            if let Action::SendOnLink { message, .. } = out.remove(position) {
+                self.on_link_message(now, LinkId::LOCAL, message, out);
+            }
+        }
+    }
+
+    fn ask_for_offer(&mut self, now: Instant, out: &mut Actions) {
+        if let Some(offer) = self.offer.filter(|offer| offer.ask_at <= now) {
+            self.offer = None;
+            out.push(Action::SendOnLink {
+                link: offer.link,
+                message: LinkMessage::ConfigurationQuery(self.configuration_version()),
+            });
+        }
+    }
+
+    fn keep_links(&mut self, now: Instant, out: &mut Actions) {
+        self.close_silent_links(now, out);
+        self.open_links(now, out);
+        if now >= self.next_status {
+            self.next_status = now + STATUS_INTERVAL;
+            self.broadcast_status(out);
+        }
+    }
+
+    fn close_silent_links(&mut self, now: Instant, out: &mut Actions) {
+        let mut silent = Vec::new();
+        for peer in self.directory.peers_mut() {
+            let LinkState::Open(link) = peer.link else {
+                continue;
+            };
+            let silence = now.saturating_since(peer.heard_at);
+            let limit = if peer.in_flight > 0 {
+                SILENT_BUSY
+            } else {
+                SILENT_IDLE
+            };
+            if silence >= limit && now >= self.judge_after {
+                silent.push(link);
+            } else if peer.in_flight > 0
+                && silence >= PING_AFTER
+                && now.saturating_since(peer.pinged_at) >= PING_AFTER
+            {
+                peer.pinged_at = now;
+                out.push(Action::SendOnLink {
+                    link,
+                    message: LinkMessage::Ping,
+                });
+            }
+        }
+        for link in silent {
+            out.push(Action::CloseLink(link));
+            self.on_link_closed(now, link, out);
+        }
+    }
+
+    fn open_links(&mut self, now: Instant, out: &mut Actions) {
+        let due: Vec<NodeRecord> = self
+            .directory
+            .peers()
+            .filter(|peer| matches!(peer.link, LinkState::Closed { retry_at } if retry_at <= now))
+            .map(|peer| peer.record.clone())
+            .collect();
+        for record in due {
+            let link = self.new_link();
+            self.directory.opening(&record.name, link);
+            out.push(Action::OpenLink {
+                link,
+                address: record.address,
+            });
+        }
+    }
+
+    fn broadcast_status(&mut self, out: &mut Actions) {
+        let status: Status = self.inbound.status();
+        for link in &self.accepted {
+            out.push(Action::SendOnLink {
+                link: *link,
+                message: LinkMessage::Status(status.clone()),
+            });
+        }
+    }
+
+    fn broadcast(&self, message: &LinkMessage, out: &mut Actions) {
+        for peer in self.directory.peers() {
+            if let Some(link) = peer.open_link() {
+                out.push(Action::SendOnLink {
+                    link,
+                    message: message.clone(),
+                });
+            }
+        }
+    }
+
+    fn known_peers(&self) -> Vec<NodeRecord> {
+        self.directory
+            .peers()
+            .filter(|peer| peer.open_link().is_some())
+            .map(|peer| peer.record.clone())
+            .collect()
+    }
+
+    fn exit_when_done(&mut self, now: Instant, out: &mut Actions) {
+        let Some(since) = self.stopping_since else {
+            return;
+        };
+        let elapsed = now.saturating_since(since);
+        let in_flight = self.inbound.in_flight() + self.outbound.in_flight();
+        let is_done = elapsed >= STOP_NOTICE && in_flight == 0;
+        let is_late = elapsed + STOP_MARGIN >= self.settings.grace;
+        if self.exited || !(is_done || is_late) {
+            return;
+        }
+        self.exited = true;
+        self.note_lifecycle("exiting", out);
+        out.push(Action::Exit);
+    }
+
+    fn note_lifecycle(&self, state: &'static str, out: &mut Actions) {
+        out.push(Action::Note(Note::Lifecycle {
+            state,
+            in_flight: self.inbound.in_flight() + self.outbound.in_flight(),
+        }));
+    }
+}
+
+fn note_peer(peer: &str, is_up: bool, cause: &'static str, out: &mut Actions) {
+    out.push(Action::Note(Note::Peer {
+        peer: peer.to_owned(),
+        is_up,
+        cause,
+    }));
+}
--- /dev/null
+++ b/crates/rillgap-forward/src/note.rs
@@ -0,0 +1,103 @@
+//! Records for the log: each decision on a request, each change of what a node believes.
+
+use rillgap_core::code::ResultCode;
+
+/// A record for the log.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Note {
+    /// A request was answered.
+    Answered {
+        /// The caller's identifier.
+        request_id: String,
+        /// Route, empty if there is none.
+        route: String,
+        /// Status that the caller got.
+        status: u16,
+        /// Code of an answer of the node's own.
+        code: Option<ResultCode>,
+        /// Node that was asked last, empty if none was.
+        peer: String,
+        /// Nodes that were asked.
+        attempts: u32,
+        /// Time since the request arrived, in microseconds.
+        elapsed_micros: u64,
+        /// Version of the configuration that chose the route.
+        configuration: u64,
+    },
+    /// A request was sent to another node after a first one.
+    Moved {
+        /// The caller's identifier.
+        request_id: String,
+        /// Node that was asked before.
+        from: String,
+        /// Why.
+        code: ResultCode,
+        /// Whether the move was paid from the retry budget.
+        paid: bool,
+    },
+    /// The inbound side did not get an answer for a request.
+    NotAnswered {
+        /// The caller's identifier.
+        request_id: String,
+        /// Why.
+        code: ResultCode,
+        /// Time since the request arrived at this side, in microseconds.
+        elapsed_micros: u64,
+        /// Requests that run.
+        running: u32,
+        /// Requests that wait.
+        queued: u32,
+        /// Requests that may run at once.
+        limit: u32,
+    },
+    /// The caller of a request has gone.
+    Cancelled {
+        /// The caller's identifier.
+        request_id: String,
+    },
+    /// What the node believes of its back end has changed.
+    BackEnd {
+        /// Incarnation.
+        instance: String,
+        /// New standing.
+        standing: &'static str,
+        /// What changed it.
+        cause: &'static str,
+        /// Number of the last heartbeat.
+        sequence: u64,
+    },
+    /// A peer can be reached, or not any more.
+    Peer {
+        /// Name of the peer.
+        peer: String,
+        /// Whether it can be reached.
+        is_up: bool,
+        /// What changed it.
+        cause: &'static str,
+    },
+    /// A configuration is in force.
+    Configuration {
+        /// Version.
+        version: u64,
+        /// Routes.
+        routes: usize,
+        /// `store` or `peer`.
+        source: &'static str,
+    },
+    /// The store answers, or not any more.
+    Store {
+        /// Whether it answers.
+        is_up: bool,
+        /// Kind of the call.
+        call: &'static str,
+        /// What it said.
+        detail: String,
+    },
+    /// The node's own state.
+    Lifecycle {
+        /// `started`, `stopping`, `exiting`.
+        state: &'static str,
+        /// Requests in flight.
+        in_flight: usize,
+    },
+}
--- /dev/null
+++ b/crates/rillgap-forward/src/outbound/request.rs
@@ -0,0 +1,143 @@
+//! State of one request at the node that took it in.
+
+use std::sync::Arc;
+
+use rillgap_core::time::Instant;
+
+use super::queue_limit;
+use crate::configuration::Route;
+use crate::id::{ConnectionId, LinkId, Sequence, Turn};
+use crate::message::ForwardedRequest;
+
+/// A request by its place on a connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) struct RequestKey {
+    pub connection: ConnectionId,
+    pub turn: Turn,
+}
+
+impl RequestKey {
+    /// Returns the key before all others of a connection.
+    pub const fn first(connection: ConnectionId) -> Self {
+        Self {
+            connection,
+            turn: Turn(0),
+        }
+    }
+
+    /// Returns the key after all others of a connection.
+    pub const fn last(connection: ConnectionId) -> Self {
+        Self {
+            connection,
+            turn: Turn(u64::MAX),
+        }
+    }
+}
+
+/// An attempt that is under way.
+#[derive(Clone, Copy, Debug)]
+struct Attempt {
+    link: LinkId,
+    sequence: Sequence,
+}
+
+/// State of one request.
+#[derive(Clone, Debug)]
+pub(super) struct Request {
+    pub arrived: Instant,
+    pub deadline: Instant,
+    pub route: Arc<Route>,
+    pub is_call: bool,
+    pub configuration: u64,
+    pub forwarded: Arc<ForwardedRequest>,
+    /// Nodes that the request was sent to.
+    tried: Vec<String>,
+    /// Back ends that the request may have reached.
+    pub arrivals: u32,
+    /// Sends after the first.
+    pub moves: u32,
+    /// Whether a back end may have worked on the request.
+    pub may_have_run: bool,
+    /// Longest time after which a node that refused asked to come back.
+    pub retry_after_millis: Option<u32>,
+    current: Option<Attempt>,
+}
+
+impl Request {
+    pub fn new(
+        arrived: Instant,
+        deadline: Instant,
+        route: Arc<Route>,
+        is_call: bool,
+        configuration: u64,
+        forwarded: Arc<ForwardedRequest>,
+    ) -> Self {
+        Self {
+            arrived,
+            deadline,
+            route,
+            is_call,
+            configuration,
+            forwarded,
+            tried: Vec::new(),
+            arrivals: 0,
+            moves: 0,
+            may_have_run: false,
+            retry_after_millis: None,
+            current: None,
+        }
+    }
+
+    /// Begins an attempt; returns the request as it is sent.
+    pub fn begin_attempt(
+        &mut self,
+        now: Instant,
+        link: LinkId,
+        node: &str,
+        sequence: Sequence,
+    ) -> Arc<ForwardedRequest> {
+        let remaining = self.deadline.saturating_since(now);
+        let limit = queue_limit(&self.route, self.is_call, remaining);
+        self.tried.push(node.to_owned());
+        self.arrivals += 1;
+        self.current = Some(Attempt { link, sequence });
+        let forwarded = Arc::make_mut(&mut self.forwarded);
+        forwarded.remaining_micros = u64::try_from(remaining.as_micros()).unwrap_or(u64::MAX);
+        forwarded.queue_limit_micros = u64::try_from(limit.as_micros()).unwrap_or(u64::MAX);
+        self.forwarded.clone()
+    }
+
+    /// Ends the attempt that is under way.
+    pub fn end_attempt(&mut self) {
+        self.current = None;
+    }
+
+    /// Takes in that the last attempt did not run.
+    pub fn not_run(&mut self, arrived: bool, retry_after_millis: u32) {
+        if !arrived {
+            self.arrivals = self.arrivals.saturating_sub(1);
+        }
+        let longest = self.retry_after_millis.unwrap_or(0).max(retry_after_millis);
+        self.retry_after_millis = Some(longest);
+    }
+
+    pub fn current(&self) -> Option<(LinkId, Sequence)> {
+        self.current.map(|attempt| (attempt.link, attempt.sequence))
+    }
+
+    pub fn is_at(&self, link: LinkId) -> bool {
+        self.current.is_some_and(|attempt| attempt.link == link)
+    }
+
+    pub fn was_tried(&self, node: &str) -> bool {
+        self.tried.iter().any(|tried| tried == node)
+    }
+
+    pub fn last_target(&self) -> &str {
+        self.tried.last().map_or("", String::as_str)
+    }
+
+    pub fn attempts(&self) -> u32 {
+        u32::try_from(self.tried.len()).unwrap_or(u32::MAX)
+    }
+}
--- /dev/null
+++ b/crates/rillgap-forward/src/store_sync.rs
@@ -0,0 +1,269 @@
+//! What a node asks of the store: the configuration, its own record and the first peers.
+//!
+//! The store is the only address that all nodes know. A node registers itself and then lists the
+//! others; of two nodes that start at the same time, the one that lists later sees the other, and
+//! links spread the rest. The configuration is read once and then watched by a call that waits.
+
+use std::time::Duration;
+
+use rillgap_core::time::Instant;
+
+use crate::configuration::Configuration;
+use crate::message::NodeRecord;
+
+/// First and longest pause after a failed call.
+const RETRY_PAUSE: (Duration, Duration) = (Duration::from_millis(100), Duration::from_secs(1));
+
+/// Number of a call, used once.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct StoreRequestId(pub u64);
+
+/// A call to the store.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum StoreRequest {
+    /// Read the newest configuration, linearizably.
+    ReadConfiguration,
+    /// Wait for a configuration after this position.
+    WatchConfiguration {
+        /// Position of the last read or watch.
+        after: u64,
+    },
+    /// Make sure that the store holds this record.
+    Register(NodeRecord),
+    /// Read the records of all nodes.
+    ListNodes,
+    /// Remove the record of a node.
+    Unregister {
+        /// Name of the node.
+        name: String,
+    },
+}
+
+impl StoreRequest {
+    /// Returns a short name for logs and metrics.
+    pub const fn name(&self) -> &'static str {
+        match self {
+            Self::ReadConfiguration => "read-configuration",
+            Self::WatchConfiguration { .. } => "watch-configuration",
+            Self::Register(_) => "register",
+            Self::ListNodes => "list-nodes",
+            Self::Unregister { .. } => "unregister",
+        }
+    }
+}
+
+/// Answer of the store.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum StoreReply {
+    /// The configuration, if it was asked for and there is a (newer) one.
+    Configuration {
+        /// Position to watch from.
+        position: u64,
+        /// The configuration.
+        configuration: Option<Configuration>,
+    },
+    /// The position of a watch is no longer known.
+    HistoryGone,
+    /// The record is stored.
+    Registered,
+    /// Records of all nodes.
+    Nodes(Vec<NodeRecord>),
+    /// The record is removed.
+    Unregistered,
+    /// No or an unusable answer.
+    Failed(String),
+}
+
+/// What to do after an answer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum StoreNews {
+    /// A configuration.
+    Configuration(Configuration),
+    /// Peers.
+    Nodes(Vec<NodeRecord>),
+    /// The store could not be asked.
+    Failed {
+        /// Name of the call.
+        call: &'static str,
+        /// What it said.
+        detail: String,
+    },
+}
+
+/// One chain of calls, of which one is under way at a time.
+#[derive(Clone, Debug)]
+struct Chain {
+    next: Option<StoreRequest>,
+    due: Instant,
+    under_way: Option<(StoreRequestId, StoreRequest)>,
+    pause: Duration,
+}
+
+impl Chain {
+    fn new(first: StoreRequest) -> Self {
+        Self {
+            next: Some(first),
+            due: Instant::default(),
+            under_way: None,
+            pause: RETRY_PAUSE.0,
+        }
+    }
+
+    fn take_due(&mut self, now: Instant, ids: &mut u64) -> Option<(StoreRequestId, StoreRequest)> {
+        if self.due > now {
+            return None;
+        }
+        let request = self.next.take()?;
+        *ids += 1;
+        let id = StoreRequestId(*ids);
+        self.under_way = Some((id, request.clone()));
+        Some((id, request))
+    }
+
+    fn take_answered(&mut self, id: StoreRequestId) -> Option<StoreRequest> {
+        let (under_way, _) = self.under_way.as_ref()?;
+        if *under_way != id {
+            return None;
+        }
+        self.under_way.take().map(|(_, request)| request)
+    }
+
+    fn proceed(&mut self, now: Instant, next: Option<StoreRequest>) {
+        self.pause = RETRY_PAUSE.0;
+        self.due = now;
+        self.next = next;
+    }
+
+    fn retry(&mut self, now: Instant, next: StoreRequest) {
+        self.due = now + self.pause;
+        self.pause = (self.pause * 2).min(RETRY_PAUSE.1);
+        self.next = Some(next);
+    }
+
+    fn next_wake(&self) -> Option<Instant> {
+        self.next.as_ref().map(|_| self.due)
+    }
+}
+
+/// Calls of one node to the store.
+#[derive(Clone, Debug)]
+pub struct StoreSync {
+    record: NodeRecord,
+    ids: u64,
+    configuration: Chain,
+    membership: Chain,
+}
+
+impl StoreSync {
+    /// Creates the calls of a fresh node.
+    pub fn new(record: NodeRecord) -> Self {
+        Self {
+            ids: 0,
+            configuration: Chain::new(StoreRequest::ReadConfiguration),
+            membership: Chain::new(StoreRequest::Register(record.clone())),
+            record,
+        }
+    }
+
+    /// Returns the calls that are due.
+    pub fn poll(&mut self, now: Instant) -> Vec<(StoreRequestId, StoreRequest)> {
+        let ids = &mut self.ids;
+        let configuration = self.configuration.take_due(now, ids);
+        let membership = self.membership.take_due(now, ids);
+        configuration.into_iter().chain(membership).collect()
+    }
+
+    /// Returns when [`Self::poll`] must be called next.
+    pub fn next_wake(&self) -> Option<Instant> {
+        let configuration = self.configuration.next_wake();
+        let membership = self.membership.next_wake();
+        configuration.into_iter().chain(membership).min()
+    }
+
+    /// Removes the node's record: its back end is gone for good.
+    pub fn unregister(&mut self, now: Instant) {
+        let name = self.record.name.clone();
+        self.membership
+            .proceed(now, Some(StoreRequest::Unregister { name }));
+    }
+
+    /// Takes in an answer.
+    pub fn on_reply(
+        &mut self,
+        now: Instant,
+        id: StoreRequestId,
+        reply: StoreReply,
+    ) -> Option<StoreNews> {
+        if let Some(request) = self.configuration.take_answered(id) {
+            return self.on_configuration(now, request, reply);
+        }
+        let request = self.membership.take_answered(id)?;
+        self.on_membership(now, request, reply)
+    }
+
+    fn on_configuration(
+        &mut self,
+        now: Instant,
+        request: StoreRequest,
+        reply: StoreReply,
+    ) -> Option<StoreNews> {
+        match reply {
+            StoreReply::Configuration {
+                position,
+                configuration,
+            } => {
+                let next = StoreRequest::WatchConfiguration { after: position };
+                self.configuration.proceed(now, Some(next));
+                configuration.map(StoreNews::Configuration)
+            }
+            StoreReply::HistoryGone => {
+                let next = StoreRequest::ReadConfiguration;
+                self.configuration.proceed(now, Some(next));
+                None
+            }
+            StoreReply::Failed(detail) => {
+                let call = request.name();
+                // A watch that broke off goes on from its position: nothing is missed, or the
+                // store says that it has forgotten.
+                self.configuration.retry(now, request);
+                Some(StoreNews::Failed { call, detail })
+            }
+            _ => {
+                self.configuration
+                    .retry(now, StoreRequest::ReadConfiguration);
+                None
+            }
+        }
+    }
+
+    fn on_membership(
+        &mut self,
+        now: Instant,
+        request: StoreRequest,
+        reply: StoreReply,
+    ) -> Option<StoreNews> {
+        match reply {
+            StoreReply::Registered => {
+                self.membership.proceed(now, Some(StoreRequest::ListNodes));
+                None
+            }
+            StoreReply::Nodes(records) => {
+                self.membership.proceed(now, None);
+                Some(StoreNews::Nodes(records))
+            }
+            StoreReply::Unregistered => {
+                self.membership.proceed(now, None);
+                None
+            }
+            StoreReply::Failed(detail) => {
+                let call = request.name();
+                self.membership.retry(now, request);
+                Some(StoreNews::Failed { call, detail })
+            }
+            _ => {
+                self.membership.retry(now, request);
+                None
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/rillgap-http/src/h1/head.rs
@@ -0,0 +1,152 @@
+//! What the heads of requests and responses have in common.
+
+use httparse::Header;
+
+use super::body::Framing;
+use super::error::MessageError;
+use crate::headers::is_hop_by_hop;
+
+/// Most header fields of one head.
+pub(super) const MAX_FIELDS: usize = 100;
+
+/// Bounds of a head.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct HeadLimits {
+    /// Longest head in bytes, start line included.
+    pub bytes: usize,
+}
+
+impl HeadLimits {
+    /// Returns an error if `length` bytes without the end of a head are already too many.
+    pub(super) fn check(self, length: usize) -> Result<(), MessageError> {
+        if length > self.bytes {
+            return Err(MessageError::HeadTooLong);
+        }
+        Ok(())
+    }
+}
+
+/// Whether a connection goes on after a message.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Connection {
+    /// Further messages may follow.
+    KeepAlive,
+    /// The connection ends with this message.
+    Close,
+}
+
+/// End-to-end header fields as they go over the wire: `Name: value\r\n` for each.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct FieldBlock(Vec<u8>);
+
+impl FieldBlock {
+    /// Appends a field.
+    pub fn push(&mut self, name: &str, value: &[u8]) {
+        self.0.extend_from_slice(name.as_bytes());
+        self.0.extend_from_slice(b": ");
+        self.0.extend_from_slice(value);
+        self.0.extend_from_slice(b"\r\n");
+    }
+
+    /// Returns the encoded fields.
+    pub fn into_bytes(self) -> Vec<u8> {
+        self.0
+    }
+
+    /// Returns the encoded fields.
+    pub fn as_bytes(&self) -> &[u8] {
+        &self.0
+    }
+}
+
+/// Header fields that govern one connection and one body.
+#[derive(Clone, Debug, Default)]
+pub(super) struct ControlFields {
+    pub content_length: Option<u64>,
+    pub chunked: bool,
+    pub close: bool,
+    pub keep_alive: bool,
+    named_by_connection: Vec<String>,
+}
+
+impl ControlFields {
+    /// Reads the fields that govern the connection and the body.
+    pub fn read(headers: &[Header<'_>]) -> Result<Self, MessageError> {
+        let mut fields = Self::default();
+        for header in headers {
+            if header.name.eq_ignore_ascii_case("content-length") {
+                fields.add_content_length(header.value)?;
+            } else if header.name.eq_ignore_ascii_case("transfer-encoding") {
+                fields.add_transfer_encoding(header.value)?;
+            } else if header.name.eq_ignore_ascii_case("connection") {
+                fields.add_connection(header.value);
+            }
+        }
+        Ok(fields)
+    }
+
+    fn add_content_length(&mut self, value: &[u8]) -> Result<(), MessageError> {
+        let text = std::str::from_utf8(value).map_err(|_| MessageError::MalformedLength)?;
+        let text = text.trim();
+        if text.is_empty() || !text.bytes().all(|byte| byte.is_ascii_digit()) {
+            return Err(MessageError::MalformedLength);
+        }
+        let length = text.parse().map_err(|_| MessageError::MalformedLength)?;
+        if self.content_length.is_some_and(|known| known != length) {
+            return Err(MessageError::MalformedLength);
+        }
+        self.content_length = Some(length);
+        Ok(())
+    }
+
+    fn add_transfer_encoding(&mut self, value: &[u8]) -> Result<(), MessageError> {
+        if self.chunked || !value.trim_ascii().eq_ignore_ascii_case(b"chunked") {
+            return Err(MessageError::MalformedLength);
+        }
+        self.chunked = true;
+        Ok(())
+    }
+
+    fn add_connection(&mut self, value: &[u8]) {
+        for option in String::from_utf8_lossy(value).split(',') {
+            let option = option.trim().to_ascii_lowercase();
+            match option.as_str() {
+                "close" => self.close = true,
+                "keep-alive" => self.keep_alive = true,
+                _ => self.named_by_connection.push(option),
+            }
+        }
+    }
+
+    /// Returns whether the message goes on after its answer, for HTTP/1.`minor`.
+    pub fn connection(&self, minor: u8) -> Connection {
+        let persistent = minor == 1 || self.keep_alive;
+        if persistent && !self.close {
+            Connection::KeepAlive
+        } else {
+            Connection::Close
+        }
+    }
+
+    /// Returns whether a field may be passed on to the next hop.
+    pub fn is_end_to_end(&self, name: &str) -> bool {
+        if name.eq_ignore_ascii_case("content-length") {
+            return false;
+        }
+        let lower = name.to_ascii_lowercase();
+        !is_hop_by_hop(&lower) && !self.named_by_connection.contains(&lower)
+    }
+
+    /// Returns the framing of a body that is announced by its fields, if it is.
+    ///
+    /// A message with both kinds of length is refused: the next hop might read it differently
+    /// (RFC 9112, section 6.1).
+    pub fn announced_framing(&self) -> Result<Option<Framing>, MessageError> {
+        match (self.chunked, self.content_length) {
+            (true, Some(_)) => Err(MessageError::MalformedLength),
+            (true, None) => Ok(Some(Framing::Chunked)),
+            (false, Some(length)) => Ok(Some(Framing::Length(length))),
+            (false, None) => Ok(None),
+        }
+    }
+}
--- /dev/null
+++ b/crates/rillgap-sidecar/src/back_end/connection.rs
@@ -0,0 +1,247 @@
+//! One connection to the back end: one request at a time.
+
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::{Buf, BytesMut};
+use rillgap_forward::action::Exchange;
+use rillgap_forward::event::ExchangeResult;
+use tokio::net::TcpStream;
+use tokio::sync::mpsc::{self, UnboundedReceiver};
+use tokio::time::{Instant, timeout};
+
+use super::Job;
+use super::response::{ResponseReader, Step};
+use crate::dialect::HeaderNames;
+use crate::hub::Hub;
+
+/// Longest time to open a connection.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// Time for which a connection is kept if the back end does not say how long it keeps it.
+const DEFAULT_KEEP: Duration = Duration::from_secs(4);
+/// Share of the time that the back end names for which a connection is kept.
+const KEEP_SHARE: f64 = 0.7;
+/// Bytes read at a time.
+const READ_SIZE: usize = 16 * 1024;
+
+/// How a request on a connection ended.
+enum Outcome {
+    /// With this result; the connection can be used again if `reusable`.
+    Ended {
+        result: ExchangeResult,
+        reusable: bool,
+    },
+    /// Nobody waits for it any more.
+    Cancelled,
+    /// Not a byte of it was sent: the connection had ended before.
+    Stale,
+}
+
+/// Opens a connection for a job and serves jobs on it until it ends.
+pub(super) async fn open(hub: Rc<Hub>, address: SocketAddr, mut job: Job) {
+    let connected = tokio::select! {
+        biased;
+        _ = &mut job.cancelled => return,
+        connected = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)) => connected,
+    };
+    let Ok(Ok(stream)) = connected else {
+        let client = hub.back_end();
+        client.ended(&hub, job.exchange.id, ExchangeResult::NotSent);
+        return;
+    };
+    hub.metrics().back_end_connections.inc();
+    let connection = BackEndConnection::new(hub, stream);
+    connection.serve(job).await;
+}
+
+struct BackEndConnection {
+    hub: Rc<Hub>,
+    stream: TcpStream,
+    input: BytesMut,
+    keep: Duration,
+}
+
+impl BackEndConnection {
+    fn new(hub: Rc<Hub>, stream: TcpStream) -> Self {
+        // Requests would wait for acknowledgements; a connection works without it, too.
+        let _ = stream.set_nodelay(true);
+        Self {
+            hub,
+            stream,
+            input: BytesMut::new(),
+            keep: DEFAULT_KEEP,
+        }
+    }
+
+    async fn serve(mut self, first: Job) {
+        let (sender, mut jobs) = mpsc::unbounded_channel();
+        let mut job = first;
+        loop {
+            let exchange = job.exchange.id;
+            match self.run(&mut job).await {
+                Outcome::Stale => {
+                    let hub = self.hub.clone();
+                    drop(self);
+                    hub.back_end().run(&hub, job);
+                    return;
+                }
+                Outcome::Cancelled => return,
+                Outcome::Ended { result, reusable } => {
+                    if !reusable {
+                        let hub = self.hub.clone();
+                        drop(self);
+                        hub.back_end().ended(&hub, exchange, result);
+                        return;
+                    }
+                    // Offered first, so that a request that the end of this one lets start can
+                    // use the connection.
+                    self.hub.back_end().offer(sender.clone());
+                    self.hub.back_end().ended(&self.hub, exchange, result);
+                }
+            }
+            match self.rest(&mut jobs).await {
+                Some(next) => job = next,
+                None => return,
+            }
+        }
+    }
+
+    /// Waits for the next job; `None` if the connection has ended or rested for too long.
+    async fn rest(&mut self, jobs: &mut UnboundedReceiver<Job>) -> Option<Job> {
+        let until = Instant::now() + self.keep;
+        loop {
+            tokio::select! {
+                biased;
+                job = jobs.recv() => return job,
+                // Bytes that nobody asked for, the end, or nothing.
+                _ = self.stream.readable() => {
+                    if !self.is_quiet() {
+                        break;
+                    }
+                }
+                () = tokio::time::sleep_until(until) => break,
+            }
+        }
+        jobs.close();
+        if let Ok(job) = jobs.try_recv() {
+            self.hub.back_end().run(&self.hub, job);
+        }
+        self.hub.back_end().forget_closed();
+        None
+    }
+
+    async fn run(&mut self, job: &mut Job) -> Outcome {
+        if !self.is_quiet() {
+            return Outcome::Stale;
+        }
+        let names = self.hub.dialect().headers().clone();
+        let mut output = BytesMut::from(encode(&job.exchange, &names).as_slice());
+        let is_head = job.exchange.request.method == "HEAD";
+        let mut reader = ResponseReader::new(&job.exchange.request.request_id, is_head);
+        loop {
+            if self.flush(&mut output).is_err() {
+                return lost();
+            }
+            tokio::select! {
+                biased;
+                _ = &mut job.cancelled => return Outcome::Cancelled,
+                _ = self.stream.readable() => {
+                    let step = self.read(&mut reader, &names);
+                    if let Some(outcome) = self.conclude(step, output.is_empty()) {
+                        return outcome;
+                    }
+                }
+                _ = self.stream.writable(), if !output.is_empty() => {}
+            }
+        }
+    }
+
+    /// Returns whether nothing has arrived since the last answer.
+    fn is_quiet(&self) -> bool {
+        let mut byte = [0];
+        let nothing = self.stream.try_read(&mut byte);
+        self.input.is_empty()
+            && matches!(nothing, Err(error) if error.kind() == io::ErrorKind::WouldBlock)
+    }
+
+    fn read(&mut self, reader: &mut ResponseReader, names: &HeaderNames) -> Step {
+        self.input.reserve(READ_SIZE);
+        match self.stream.try_read_buf(&mut self.input) {
+            Ok(0) => reader.at_end(),
+            Ok(_) => reader.read(&mut self.input, names),
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => Step::Partial,
+            Err(_) => Step::Broken,
+        }
+    }
+
+    fn conclude(&mut self, step: Step, is_sent: bool) -> Option<Outcome> {
+        match step {
+            Step::Partial => None,
+            Step::Broken => Some(lost()),
+            Step::Complete {
+                result,
+                keep_alive,
+                keep,
+            } => {
+                if let Some(keep) = keep {
+                    self.keep = keep.mul_f64(KEEP_SHARE);
+                }
+                let reusable = keep_alive && is_sent && self.input.is_empty();
+                Some(Outcome::Ended { result, reusable })
+            }
+        }
+    }
+
+    fn flush(&mut self, output: &mut BytesMut) -> io::Result<()> {
+        while !output.is_empty() {
+            match self.stream.try_write(output) {
+                Ok(written) => output.advance(written),
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Ok(()),
+                Err(error) => return Err(error),
+            }
+        }
+        Ok(())
+    }
+}
+
+fn lost() -> Outcome {
+    Outcome::Ended {
+        result: ExchangeResult::Lost,
+        reusable: false,
+    }
+}
+
+/// Encodes a request for the back end.
+fn encode(exchange: &Exchange, names: &HeaderNames) -> Vec<u8> {
+    let request = &exchange.request;
+    let mut bytes = Vec::with_capacity(512 + request.fields.len() + request.body.len());
+    bytes.extend_from_slice(request.method.as_bytes());
+    bytes.push(b' ');
+    bytes.extend_from_slice(request.target.as_bytes());
+    bytes.extend_from_slice(b" HTTP/1.1\r\n");
+    bytes.extend_from_slice(&request.fields);
+    let millis = exchange.remaining.as_millis();
+    push_field(&mut bytes, names.deadline_millis, &millis.to_string());
+    push_field(&mut bytes, names.expected_instance, &exchange.instance);
+    push_field(&mut bytes, names.caller_service, &request.caller_service);
+    let has_body = !request.body.is_empty() || !matches!(request.method.as_str(), "GET" | "HEAD");
+    if has_body {
+        push_field(
+            &mut bytes,
+            "Content-Length",
+            &request.body.len().to_string(),
+        );
+    }
+    bytes.extend_from_slice(b"\r\n");
+    bytes.extend_from_slice(&request.body);
+    bytes
+}
+
+fn push_field(bytes: &mut Vec<u8>, name: &str, value: &str) {
+    bytes.extend_from_slice(name.as_bytes());
+    bytes.extend_from_slice(b": ");
+    bytes.extend_from_slice(value.as_bytes());
+    bytes.extend_from_slice(b"\r\n");
+}
--- /dev/null
+++ b/crates/rillgap-sidecar/src/caller/connection.rs
@@ -0,0 +1,328 @@
+//! One connection of a caller: requests run side by side, answers go back in order.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::io;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::{Buf, BytesMut};
+use rillgap_core::code::ResultCode;
+use rillgap_forward::action::CallerAnswer;
+use rillgap_forward::event::Event;
+use rillgap_forward::id::{ConnectionId, Turn};
+use rillgap_http::h1::{Connection, encode_status_line};
+use tokio::net::TcpStream;
+use tokio::sync::mpsc::UnboundedReceiver;
+use tokio::time::Instant;
+
+use super::reader::{Progress, ReadRequest, RequestReader};
+use crate::hub::{Hub, TurnAnswer};
+
+/// Most requests of one connection under way.
+const MOST_PIPELINED: usize = 32;
+/// Bytes of further requests that are read ahead.
+const MOST_READ_AHEAD: usize = 256 * 1024;
+/// Bytes read at a time.
+const READ_SIZE: usize = 16 * 1024;
+/// Longest time for which an answer may lie unread.
+const UNREAD_LIMIT: Duration = Duration::from_secs(10);
+/// Longest time for which the peer's close is waited for after the last answer.
+const LINGER: Duration = Duration::from_millis(500);
+
+/// A request that waits for its answer.
+#[derive(Debug)]
+struct PendingTurn {
+    turn: Turn,
+    is_head: bool,
+    connection: Connection,
+}
+
+/// Why a connection ends.
+#[derive(Debug)]
+enum End {
+    /// The peer has closed, or does not read or send.
+    Gone,
+    /// All answers are written and no further request is taken.
+    Finished,
+}
+
+impl From<io::Error> for End {
+    fn from(_: io::Error) -> Self {
+        Self::Gone
+    }
+}
+
+/// One connection of a caller.
+pub(super) struct CallerConnection {
+    hub: Rc<Hub>,
+    id: ConnectionId,
+    stream: TcpStream,
+    is_from_back_end: bool,
+    reader: RequestReader,
+    input: BytesMut,
+    output: BytesMut,
+    pending: VecDeque<PendingTurn>,
+    answers: BTreeMap<Turn, CallerAnswer>,
+    next_turn: u64,
+    takes_requests: bool,
+    active_at: Instant,
+}
+
+impl CallerConnection {
+    pub fn new(hub: Rc<Hub>, id: ConnectionId, stream: TcpStream, is_from_back_end: bool) -> Self {
+        // Answers would wait for acknowledgements; a connection works without it, too.
+        let _ = stream.set_nodelay(true);
+        Self {
+            hub,
+            id,
+            stream,
+            is_from_back_end,
+            reader: RequestReader::default(),
+            input: BytesMut::new(),
+            output: BytesMut::new(),
+            pending: VecDeque::new(),
+            answers: BTreeMap::new(),
+            next_turn: 0,
+            takes_requests: true,
+            active_at: Instant::now(),
+        }
+    }
+
+    /// Serves the connection until it ends.
+    pub async fn run(mut self, mut answers: UnboundedReceiver<TurnAnswer>) {
+        if let Err(End::Finished) = self.serve(&mut answers).await {
+            self.linger().await;
+        }
+    }
+
+    async fn serve(&mut self, answers: &mut UnboundedReceiver<TurnAnswer>) -> Result<(), End> {
+        let timer = tokio::time::sleep_until(self.times_out_at());
+        tokio::pin!(timer);
+        loop {
+            if !self.takes_requests && self.pending.is_empty() && self.output.is_empty() {
+                return Err(End::Finished);
+            }
+            let may_read = self.input.len() < MOST_READ_AHEAD;
+            tokio::select! {
+                biased;
+                answer = answers.recv() => {
+                    let Some((turn, answer)) = answer else {
+                        return Err(End::Gone);
+                    };
+                    self.take_answers(turn, answer, answers)?;
+                }
+                ready = self.stream.readable(), if may_read => {
+                    ready?;
+                    self.read()?;
+                }
+                ready = self.stream.writable(), if !self.output.is_empty() => {
+                    ready?;
+                    self.flush()?;
+                }
+                () = &mut timer => {
+                    let times_out_at = self.times_out_at();
+                    if times_out_at <= Instant::now() {
+                        self.time_out()?;
+                    }
+                    let again = self.times_out_at().max(Instant::now() + Duration::from_millis(20));
+                    timer.as_mut().reset(again);
+                }
+            }
+        }
+    }
+
+    /// Returns when the connection has been without progress for too long.
+    fn times_out_at(&self) -> Instant {
+        let limits = self.hub.with_node(|node| node.limits());
+        let idle = Duration::from_millis(u64::from(limits.idle_timeout_millis));
+        let head = Duration::from_millis(u64::from(limits.head_timeout_millis));
+        let patience = if !self.output.is_empty() {
+            UNREAD_LIMIT
+        } else if !self.pending.is_empty() {
+            // The node answers every request in its time.
+            Duration::from_secs(3_600)
+        } else if self.reader.is_within_request(&self.input) && !self.reader.is_within_body() {
+            head
+        } else {
+            idle
+        };
+        self.active_at + patience
+    }
+
+    fn time_out(&mut self) -> Result<(), End> {
+        if self.pending.is_empty() && self.reader.is_within_request(&self.input) {
+            self.refuse(ResultCode::RequestTimeout)?;
+            return Ok(());
+        }
+        Err(End::Gone)
+    }
+
+    fn read(&mut self) -> Result<(), End> {
+        self.input.reserve(READ_SIZE);
+        match self.stream.try_read_buf(&mut self.input) {
+            Ok(0) => return Err(End::Gone),
+            Ok(_) => {}
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Ok(()),
+            Err(error) => return Err(error.into()),
+        }
+        if !self.reader.is_within_request(&self.input) || self.pending.is_empty() {
+            self.active_at = Instant::now();
+        }
+        self.take_requests()
+    }
+
+    fn take_requests(&mut self) -> Result<(), End> {
+        while self.takes_requests && self.pending.len() < MOST_PIPELINED && !self.input.is_empty() {
+            let limits = self.hub.with_node(|node| node.limits());
+            let names = self.hub.dialect().headers().clone();
+            let progress =
+                self.reader
+                    .read(&mut self.input, &names, &limits, self.is_from_back_end);
+            match progress {
+                Progress::Request(read) => self.begin(*read),
+                Progress::Partial => return Ok(()),
+                Progress::SendContinue => {
+                    self.output
+                        .extend_from_slice(b"HTTP/1.1 100 Continue\r\n\r\n");
+                    return self.flush();
+                }
+                Progress::Refused(code) => return self.refuse(code),
+            }
+        }
+        if !self.takes_requests {
+            self.input.clear();
+        }
+        Ok(())
+    }
+
+    fn begin(&mut self, read: ReadRequest) {
+        let turn = Turn(self.next_turn);
+        self.next_turn += 1;
+        self.takes_requests = read.connection == Connection::KeepAlive;
+        self.pending.push_back(PendingTurn {
+            turn,
+            is_head: read.is_head,
+            connection: read.connection,
+        });
+        self.hub.dispatch(Event::Request {
+            connection: self.id,
+            turn,
+            request: read.request,
+        });
+    }
+
+    /// Refuses bytes that are no request; nothing further is read from them.
+    fn refuse(&mut self, code: ResultCode) -> Result<(), End> {
+        self.takes_requests = false;
+        self.input.clear();
+        self.reader = RequestReader::default();
+        log::warn!(code = code.number(), connection = self.id.0; "caller: bytes refused");
+        let turn = Turn(self.next_turn);
+        self.next_turn += 1;
+        self.pending.push_back(PendingTurn {
+            turn,
+            is_head: false,
+            connection: Connection::Close,
+        });
+        let answer = CallerAnswer {
+            status: code.http_status(),
+            fields: Vec::new(),
+            body: code.title().as_bytes().to_vec(),
+            close: true,
+        };
+        self.answers.insert(turn, answer);
+        self.write_answers()
+    }
+
+    /// Takes in an answer and all others that wait.
+    fn take_answers(
+        &mut self,
+        turn: Turn,
+        answer: CallerAnswer,
+        answers: &mut UnboundedReceiver<TurnAnswer>,
+    ) -> Result<(), End> {
+        self.answers.insert(turn, answer);
+        while let Ok((turn, answer)) = answers.try_recv() {
+            self.answers.insert(turn, answer);
+        }
+        self.write_answers()?;
+        // Requests that had to wait for a place.
+        self.take_requests()
+    }
+
+    /// Writes the answers whose turn has come.
+    fn write_answers(&mut self) -> Result<(), End> {
+        while let Some(answer) = self
+            .pending
+            .front()
+            .and_then(|pending| self.answers.remove(&pending.turn))
+        {
+            let Some(pending) = self.pending.pop_front() else {
+                break;
+            };
+            self.encode(&pending, &answer);
+        }
+        self.flush()
+    }
+
+    fn encode(&mut self, pending: &PendingTurn, answer: &CallerAnswer) {
+        // A request that was already taken keeps the connection open for its answer.
+        let is_last = self.pending.is_empty() && !self.reader.is_within_request(&self.input);
+        let closes = pending.connection == Connection::Close || answer.close && is_last;
+        let mut head = Vec::with_capacity(256 + answer.fields.len());
+        encode_status_line(answer.status, &mut head);
+        head.extend_from_slice(&answer.fields);
+        let has_body = !matches!(answer.status, 204 | 304);
+        if has_body && !pending.is_head {
+            head.extend_from_slice(format!("Content-Length: {}\r\n", answer.body.len()).as_bytes());
+        }
+        if closes {
+            head.extend_from_slice(b"Connection: close\r\n");
+            self.takes_requests = false;
+        }
+        head.extend_from_slice(b"\r\n");
+        self.output.extend_from_slice(&head);
+        if has_body && !pending.is_head {
+            self.output.extend_from_slice(&answer.body);
+        }
+        self.active_at = Instant::now();
+    }
+
+    fn flush(&mut self) -> Result<(), End> {
+        while !self.output.is_empty() {
+            match self.stream.try_write(&self.output) {
+                Ok(written) => {
+                    self.output.advance(written);
+                    self.active_at = Instant::now();
+                }
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Ok(()),
+                Err(error) => return Err(error.into()),
+            }
+        }
+        Ok(())
+    }
+
+    /// Closes so that the peer can read the last answer: what it still sends is read, since
+    /// closing with unread bytes would reset the connection.
+    async fn linger(&mut self) {
+        use tokio::io::AsyncWriteExt;
+        if self.stream.shutdown().await.is_err() {
+            return;
+        }
+        let until = Instant::now() + LINGER;
+        loop {
+            let ready = tokio::time::timeout_at(until, self.stream.readable()).await;
+            if !matches!(ready, Ok(Ok(()))) {
+                return;
+            }
+            self.input.clear();
+            self.input.reserve(READ_SIZE);
+            match self.stream.try_read_buf(&mut self.input) {
+                Ok(0) => return,
+                Ok(_) => {}
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                Err(_) => return,
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/rillgap-sidecar/src/caller/reader.rs
@@ -0,0 +1,181 @@
+//! Reads requests out of the bytes of a connection.
+
+use std::time::Duration;
+
+use bytes::BytesMut;
+use rillgap_core::code::ResultCode;
+use rillgap_forward::configuration::CallerLimits;
+use rillgap_forward::event::CallerRequest;
+use rillgap_http::h1::{
+    BodyDecoder, BodyProgress, Connection, Framing, HeadLimits, MessageError, RequestHead,
+    decode_request,
+};
+
+use crate::dialect::HeaderNames;
+
+/// A request that has arrived whole.
+#[derive(Debug)]
+pub(super) struct ReadRequest {
+    pub request: CallerRequest,
+    pub connection: Connection,
+    pub is_head: bool,
+}
+
+/// What the bytes so far amount to.
+#[derive(Debug)]
+pub(super) enum Progress {
+    /// A request has arrived whole.
+    Request(Box<ReadRequest>),
+    /// More bytes are needed.
+    Partial,
+    /// More bytes are needed, and the sender waits for `100 Continue`.
+    SendContinue,
+    /// The bytes are refused.
+    Refused(ResultCode),
+}
+
+/// A request of which only the head has arrived.
+#[derive(Debug)]
+struct Unfinished {
+    head: RequestHead,
+    request_id: String,
+    deadline: Option<Duration>,
+    decoder: BodyDecoder,
+    body: Vec<u8>,
+}
+
+/// Reads requests out of the bytes of a connection.
+#[derive(Debug, Default)]
+pub(super) struct RequestReader {
+    unfinished: Option<Unfinished>,
+}
+
+impl RequestReader {
+    /// Returns whether a request has begun to arrive.
+    pub fn is_within_request(&self, input: &BytesMut) -> bool {
+        self.unfinished.is_some() || !input.is_empty()
+    }
+
+    /// Returns whether a head has arrived and its body has not ended.
+    pub const fn is_within_body(&self) -> bool {
+        self.unfinished.is_some()
+    }
+
+    /// Takes the next request out of `input`.
+    pub fn read(
+        &mut self,
+        input: &mut BytesMut,
+        names: &HeaderNames,
+        limits: &CallerLimits,
+        is_from_back_end: bool,
+    ) -> Progress {
+        let mut wants_continue = false;
+        if self.unfinished.is_none() {
+            match read_head(input, names, limits) {
+                Ok(Some(unfinished)) => {
+                    wants_continue = unfinished.head.expects_continue;
+                    self.unfinished = Some(unfinished);
+                }
+                Ok(None) => return Progress::Partial,
+                Err(code) => return Progress::Refused(code),
+            }
+        }
+        let Some(unfinished) = &mut self.unfinished else {
+            return Progress::Partial;
+        };
+        match unfinished.decoder.decode(input, &mut unfinished.body) {
+            Err(_) => return Progress::Refused(ResultCode::MalformedRequest),
+            Ok(_) if unfinished.body.len() as u64 > limits.body_bytes => {
+                return Progress::Refused(ResultCode::BodyTooLong);
+            }
+            Ok(BodyProgress::Partial) if wants_continue => return Progress::SendContinue,
+            Ok(BodyProgress::Partial) => return Progress::Partial,
+            Ok(BodyProgress::Complete) => {}
+        }
+        match self.unfinished.take() {
+            Some(unfinished) => Progress::Request(Box::new(unfinished.finish(is_from_back_end))),
+            None => Progress::Partial,
+        }
+    }
+}
+
+impl Unfinished {
+    fn finish(self, is_from_back_end: bool) -> ReadRequest {
+        ReadRequest {
+            connection: self.head.connection,
+            is_head: self.head.method == "HEAD",
+            request: CallerRequest {
+                request_id: self.request_id,
+                method: self.head.method,
+                target: self.head.target,
+                host: self.head.host,
+                fields: self.head.fields.into_bytes(),
+                body: self.body,
+                deadline: self.deadline,
+                is_from_back_end,
+            },
+        }
+    }
+}
+
+fn read_head(
+    input: &mut BytesMut,
+    names: &HeaderNames,
+    limits: &CallerLimits,
+) -> Result<Option<Unfinished>, ResultCode> {
+    let mut request_id = String::new();
+    let mut deadline = None;
+    let head_limits = HeadLimits {
+        bytes: limits.head_bytes as usize,
+    };
+    let head = decode_request(input, head_limits, |name, value| {
+        if name.eq_ignore_ascii_case(names.request_id) {
+            request_id = String::from_utf8_lossy(value).trim().to_owned();
+            return true;
+        }
+        if name.eq_ignore_ascii_case(names.deadline_millis) {
+            deadline = parse_millis(value);
+            return false;
+        }
+        !is_set_by_nodes(name, names)
+    });
+    let head = match head {
+        Ok(Some(head)) => head,
+        Ok(None) => return Ok(None),
+        Err(MessageError::HeadTooLong | MessageError::TooManyFields) => {
+            return Err(ResultCode::HeadersTooLong);
+        }
+        Err(_) => return Err(ResultCode::MalformedRequest),
+    };
+    if matches!(head.framing, Framing::Length(length) if length > limits.body_bytes) {
+        return Err(ResultCode::BodyTooLong);
+    }
+    Ok(Some(Unfinished {
+        decoder: BodyDecoder::new(head.framing),
+        head,
+        request_id,
+        deadline,
+        body: Vec::new(),
+    }))
+}
+
+/// Returns whether only nodes and back ends may set a field; a caller's is dropped.
+fn is_set_by_nodes(name: &str, names: &HeaderNames) -> bool {
+    [
+        names.caller_service,
+        names.expected_instance,
+        names.not_executed,
+        names.signature,
+        names.instance,
+    ]
+    .iter()
+    .any(|reserved| name.eq_ignore_ascii_case(reserved))
+}
+
+fn parse_millis(value: &[u8]) -> Option<Duration> {
+    let text = std::str::from_utf8(value).ok()?.trim();
+    let millis: f64 = text.parse().ok()?;
+    (0.0..=86_400_000.0)
+        .contains(&millis)
+        .then(|| Duration::from_micros((millis * 1_000.0) as u64))
+}
--- /dev/null
+++ b/crates/rillgap-sidecar/src/control.rs
@@ -0,0 +1,104 @@
+//! Small HTTP services: readiness, heartbeats of the back end, metrics.
+
+use std::convert::Infallible;
+use std::rc::Rc;
+use std::time::Duration;
+
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::{Bytes, Incoming};
+use hyper::service::service_fn;
+use hyper::{Request, Response, StatusCode};
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpListener;
+
+use crate::dialect::{ControlCall, ControlError};
+use crate::hub::Hub;
+
+/// Longest body of a call.
+const BODY_LIMIT: usize = 64 * 1024;
+/// Content type of the metrics.
+const OPEN_METRICS: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
+
+/// What a listener serves.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ControlService {
+    /// Calls of the platform and of the back end.
+    Calls,
+    /// Metrics.
+    Metrics,
+}
+
+/// Serves a listener until the process ends.
+pub async fn serve(hub: Rc<Hub>, listener: TcpListener, service: ControlService) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            tokio::time::sleep(Duration::from_millis(50)).await;
+            continue;
+        };
+        let hub = hub.clone();
+        tokio::task::spawn_local(async move {
+            let answer = service_fn(move |request| answer(hub.clone(), request, service));
+            let connection = hyper::server::conn::http1::Builder::new()
+                .serve_connection(TokioIo::new(stream), answer);
+            if let Err(error) = connection.await {
+                log::debug!("control: connection ended: {error}");
+            }
+        });
+    }
+}
+
+async fn answer(
+    hub: Rc<Hub>,
+    request: Request<Incoming>,
+    service: ControlService,
+) -> Result<Response<Full<Bytes>>, Infallible> {
+    if service == ControlService::Metrics {
+        hub.update_gauges();
+        return Ok(text(StatusCode::OK, OPEN_METRICS, hub.metrics().encode()));
+    }
+    let (parts, body) = request.into_parts();
+    let Ok(body) = Limited::new(body, BODY_LIMIT).collect().await else {
+        return Ok(empty(StatusCode::PAYLOAD_TOO_LARGE));
+    };
+    let body = body.to_bytes();
+    let call = hub
+        .dialect()
+        .control_call(parts.method.as_str(), parts.uri.path(), &body);
+    Ok(match call {
+        Ok(call) => empty(carry_out(&hub, call)),
+        Err(ControlError::UnknownCall) => empty(StatusCode::NOT_FOUND),
+        Err(error @ ControlError::Malformed(_)) => {
+            log::warn!(path = parts.uri.path(); "control: call refused: {error}");
+            empty(StatusCode::BAD_REQUEST)
+        }
+    })
+}
+
+fn carry_out(hub: &Rc<Hub>, call: ControlCall) -> StatusCode {
+    match call {
+        ControlCall::Readiness if hub.with_node(|node| node.is_ready()) => StatusCode::OK,
+        ControlCall::Readiness => StatusCode::SERVICE_UNAVAILABLE,
+        ControlCall::Heartbeat(heartbeat) if hub.heartbeat(&heartbeat) => StatusCode::OK,
+        ControlCall::Heartbeat(_) => StatusCode::NOT_FOUND,
+        ControlCall::Leave { instance } => {
+            hub.leave(&instance);
+            StatusCode::OK
+        }
+    }
+}
+
+fn empty(status: StatusCode) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::default());
+    *response.status_mut() = status;
+    response
+}
+
+fn text(status: StatusCode, content_type: &'static str, body: String) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::from(body));
+    *response.status_mut() = status;
+    let value = hyper::header::HeaderValue::from_static(content_type);
+    response
+        .headers_mut()
+        .insert(hyper::header::CONTENT_TYPE, value);
+    response
+}
--- /dev/null
+++ b/crates/rillgap-sidecar/src/daemon.rs
@@ -0,0 +1,162 @@
+//! Runs a sidecar node from its start to the orderly end of the process.
+
+use std::io;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::rc::Rc;
+use std::time::Duration;
+
+use rillgap_core::code::ResultCode;
+use rillgap_forward::event::Event;
+use tokio::net::TcpListener;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::task::LocalSet;
+
+use crate::control::{self, ControlService};
+use crate::dialect::Dialect;
+use crate::hub::Hub;
+use crate::logging::{self, RequestLog};
+use crate::metrics::Metrics;
+use crate::settings::{SettingsError, SidecarSettings};
+use crate::store::Store;
+use crate::{caller, link};
+
+/// Time for what was answered last to leave the process.
+const LAST_WRITES: Duration = Duration::from_millis(50);
+
+/// Why the daemon ended other than by a planned stop.
+#[derive(Debug, thiserror::Error)]
+pub enum DaemonError {
+    /// The settings are refused.
+    #[error(transparent)]
+    Settings(#[from] SettingsError),
+    /// An address cannot be bound.
+    #[error("cannot listen on {address}: {cause}")]
+    Bind {
+        /// Address.
+        address: SocketAddr,
+        /// Cause.
+        cause: io::Error,
+    },
+    /// The operating system refused a thread, a runtime or a signal handler.
+    #[error("cannot start: {0}")]
+    Start(#[from] io::Error),
+}
+
+impl DaemonError {
+    /// Returns the numbered result code, with which the process exits.
+    pub const fn code(&self) -> ResultCode {
+        match self {
+            Self::Settings(error) => error.code(),
+            Self::Bind { .. } => ResultCode::AddressInUse,
+            Self::Start(_) => ResultCode::Internal,
+        }
+    }
+}
+
+/// A platform's part of a node.
+pub struct Platform {
+    /// How the platform speaks.
+    pub dialect: Rc<dyn Dialect>,
+    /// The store.
+    pub store: Rc<dyn Store>,
+}
+
+/// Runs a node until it is asked to stop and nothing is in flight any more.
+///
+/// # Errors
+///
+/// Fails if the node cannot start.
+pub fn run(
+    path: &Path,
+    platform: impl FnOnce(&SidecarSettings) -> Platform,
+) -> Result<(), DaemonError> {
+    let settings = SidecarSettings::load(path)?;
+    let platform = platform(&settings);
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
+    let tasks = LocalSet::new();
+    tasks.block_on(&runtime, supervise(path, settings, platform))
+}
+
+async fn supervise(
+    path: &Path,
+    settings: SidecarSettings,
+    platform: Platform,
+) -> Result<(), DaemonError> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    let mut hangup = signal(SignalKind::hangup())?;
+    let metrics = Metrics::new();
+    logging::start(metrics.log_lines_dropped.clone())?;
+    let hub = start(&settings, platform, metrics).await?;
+    log::info!(node = settings.node.name.as_str(), zone = settings.node.zone.as_str(),
+        service = settings.back_end.service.as_str(); "node: started");
+    let mut current = settings;
+    loop {
+        tokio::select! {
+            biased;
+            () = hub.exited() => break,
+            _ = terminate.recv() => hub.dispatch(Event::Stop),
+            _ = interrupt.recv() => hub.dispatch(Event::Stop),
+            _ = hangup.recv() => current = reload(path, current),
+        }
+    }
+    tokio::time::sleep(LAST_WRITES).await;
+    Ok(())
+}
+
+async fn start(
+    settings: &SidecarSettings,
+    platform: Platform,
+    metrics: Metrics,
+) -> Result<Rc<Hub>, DaemonError> {
+    let (incarnation, random_seed) = uuid::Uuid::new_v4().as_u64_pair();
+    let forward = settings.forward(incarnation, random_seed);
+    let log = RequestLog::new(settings.log.clone());
+    let listen = &settings.listen;
+    let callers = bind(listen.callers).await?;
+    let control = bind(listen.control).await?;
+    let readiness = bind(listen.readiness).await?;
+    let mesh = bind(listen.mesh).await?;
+    let hub = Hub::new(forward, platform.dialect, platform.store, log, metrics);
+    let back_end = settings.back_end.address;
+    tokio::task::spawn_local(caller::accept(hub.clone(), callers, back_end));
+    tokio::task::spawn_local(link::accept(hub.clone(), mesh));
+    let calls = ControlService::Calls;
+    tokio::task::spawn_local(control::serve(hub.clone(), control, calls));
+    tokio::task::spawn_local(control::serve(hub.clone(), readiness, calls));
+    if let Some(address) = listen.metrics {
+        let listener = bind(address).await?;
+        let service = ControlService::Metrics;
+        tokio::task::spawn_local(control::serve(hub.clone(), listener, service));
+    }
+    tokio::task::spawn_local(hub.clone().run_timer());
+    hub.dispatch(Event::Wake);
+    Ok(hub)
+}
+
+async fn bind(address: SocketAddr) -> Result<TcpListener, DaemonError> {
+    TcpListener::bind(address)
+        .await
+        .map_err(|cause| DaemonError::Bind { address, cause })
+}
+
+/// Reads the settings again; what cannot change while the node runs is said, and kept.
+fn reload(path: &Path, current: SidecarSettings) -> SidecarSettings {
+    match SidecarSettings::load(path) {
+        Ok(settings) if settings == current => {
+            log::info!("settings: read again, unchanged");
+            current
+        }
+        Ok(settings) => {
+            log::warn!("settings: changed, in force with the next start");
+            settings
+        }
+        Err(error) => {
+            log::error!(code = error.code().number(); "settings: {error}; the old ones stay");
+            current
+        }
+    }
+}
--- /dev/null
+++ b/crates/rillgap-sidecar/src/hub.rs
@@ -0,0 +1,274 @@
+//! Joins the node's state machine with the tasks that do its I/O.
+//!
+//! Tasks hand events to [`Hub::dispatch`], which runs the state machine and passes each action to
+//! the queue of the task that carries it out. Nothing here waits.
+
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, VecDeque};
+use std::rc::Rc;
+
+use rillgap_core::time::Instant;
+use rillgap_forward::action::{Action, CallerAnswer};
+use rillgap_forward::event::{Event, Heartbeat};
+use rillgap_forward::id::{ConnectionId, LinkId, Turn};
+use rillgap_forward::message::LinkMessage;
+use rillgap_forward::node::Node;
+use rillgap_forward::settings::ForwardSettings;
+use tokio::sync::Notify;
+use tokio::sync::mpsc::UnboundedSender;
+
+use crate::back_end::BackEndClient;
+use crate::dialect::Dialect;
+use crate::link;
+use crate::logging::RequestLog;
+use crate::metrics::Metrics;
+use crate::store::Store;
+
+/// An answer for a place on a connection.
+pub type TurnAnswer = (Turn, CallerAnswer);
+
+/// Joins the node's state machine with the tasks that do its I/O.
+pub struct Hub {
+    origin: tokio::time::Instant,
+    node: RefCell<Node>,
+    events: RefCell<VecDeque<Event>>,
+    is_running: Cell<bool>,
+    wake_at: Cell<Instant>,
+    wake_changed: Notify,
+    exit: Notify,
+    next_connection: Cell<u64>,
+    callers: RefCell<BTreeMap<ConnectionId, UnboundedSender<TurnAnswer>>>,
+    links: RefCell<BTreeMap<LinkId, UnboundedSender<LinkMessage>>>,
+    back_end: BackEndClient,
+    dialect: Rc<dyn Dialect>,
+    store: Rc<dyn Store>,
+    log: RefCell<RequestLog>,
+    metrics: Metrics,
+}
+
+impl Hub {
+    /// Creates the hub of a fresh node.
+    pub fn new(
+        settings: ForwardSettings,
+        dialect: Rc<dyn Dialect>,
+        store: Rc<dyn Store>,
+        log: RequestLog,
+        metrics: Metrics,
+    ) -> Rc<Self> {
+        let back_end = BackEndClient::new(settings.back_end_address);
+        let now = Instant::from_micros(0);
+        Rc::new(Self {
+            origin: tokio::time::Instant::now(),
+            node: RefCell::new(Node::new(now, settings)),
+            events: RefCell::default(),
+            is_running: Cell::new(false),
+            wake_at: Cell::new(now),
+            wake_changed: Notify::new(),
+            exit: Notify::new(),
+            next_connection: Cell::new(0),
+            callers: RefCell::default(),
+            links: RefCell::default(),
+            back_end,
+            dialect,
+            store,
+            log: RefCell::new(log),
+            metrics,
+        })
+    }
+
+    /// Returns the time of the state machine.
+    pub fn now(&self) -> Instant {
+        let micros = self.origin.elapsed().as_micros();
+        Instant::from_micros(u64::try_from(micros).unwrap_or(u64::MAX))
+    }
+
+    /// Returns how the platform speaks.
+    pub fn dialect(&self) -> &Rc<dyn Dialect> {
+        &self.dialect
+    }
+
+    /// Returns the metrics.
+    pub const fn metrics(&self) -> &Metrics {
+        &self.metrics
+    }
+
+    /// Returns the connections to the back end.
+    pub const fn back_end(&self) -> &BackEndClient {
+        &self.back_end
+    }
+
+    /// Looks at the node.
+    pub fn with_node<T>(&self, look: impl FnOnce(&Node) -> T) -> T {
+        look(&self.node.borrow())
+    }
+
+    /// Registers a connection of a caller.
+    pub fn add_caller(&self, answers: UnboundedSender<TurnAnswer>) -> ConnectionId {
+        let id = ConnectionId(self.next_connection.get() + 1);
+        self.next_connection.set(id.0);
+        self.callers.borrow_mut().insert(id, answers);
+        id
+    }
+
+    /// Forgets a connection of a caller.
+    pub fn remove_caller(self: &Rc<Self>, id: ConnectionId) {
+        self.callers.borrow_mut().remove(&id);
+        self.dispatch(Event::CallerGone(id));
+    }
+
+    /// Returns the number of connections of callers.
+    pub fn caller_count(&self) -> usize {
+        self.callers.borrow().len()
+    }
+
+    /// Returns a number for a new link.
+    pub fn new_link(&self) -> LinkId {
+        self.node.borrow_mut().new_link()
+    }
+
+    /// Registers the queue of a link.
+    pub fn add_link(&self, link: LinkId, messages: UnboundedSender<LinkMessage>) {
+        self.links.borrow_mut().insert(link, messages);
+    }
+
+    /// Forgets a link.
+    pub fn remove_link(self: &Rc<Self>, link: LinkId) {
+        self.links.borrow_mut().remove(&link);
+        self.dispatch(Event::LinkClosed(link));
+    }
+
+    /// Takes in a heartbeat; returns whether it may be acknowledged.
+    pub fn heartbeat(self: &Rc<Self>, heartbeat: &Heartbeat) -> bool {
+        let mut actions = Vec::new();
+        let now = self.now();
+        let acknowledged = self
+            .node
+            .borrow_mut()
+            .on_heartbeat(now, heartbeat, &mut actions);
+        self.carry_out_all(actions);
+        self.dispatch(Event::Wake);
+        acknowledged
+    }
+
+    /// Takes in that a back end leaves.
+    pub fn leave(self: &Rc<Self>, instance: &str) {
+        let mut actions = Vec::new();
+        let now = self.now();
+        self.node.borrow_mut().on_leave(now, instance, &mut actions);
+        self.carry_out_all(actions);
+        self.dispatch(Event::Wake);
+    }
+
+    /// Hands an event to the node and carries out what follows.
+    pub fn dispatch(self: &Rc<Self>, event: Event) {
+        self.events.borrow_mut().push_back(event);
+        if self.is_running.replace(true) {
+            return;
+        }
+        while let Some(event) = self.take_event() {
+            let mut actions = Vec::new();
+            let now = self.now();
+            self.node.borrow_mut().handle(now, event, &mut actions);
+            self.carry_out_all(actions);
+        }
+        self.is_running.set(false);
+        self.update_wake();
+    }
+
+    /// Wakes the node whenever it wants to be woken; never returns.
+    pub async fn run_timer(self: Rc<Self>) {
+        loop {
+            let wake_at = std::time::Duration::from_micros(self.wake_at.get().as_micros());
+            tokio::select! {
+                biased;
+                () = self.wake_changed.notified() => {}
+                () = tokio::time::sleep_until(self.origin + wake_at) => self.dispatch(Event::Wake),
+            }
+        }
+    }
+
+    /// Waits until the node wants the process to end.
+    pub async fn exited(&self) {
+        self.exit.notified().await;
+    }
+
+    fn take_event(&self) -> Option<Event> {
+        self.events.borrow_mut().pop_front()
+    }
+
+    fn update_wake(&self) {
+        let wake_at = self.node.borrow().next_wake();
+        let sooner = wake_at < self.wake_at.get() || self.wake_at.get() <= self.now();
+        self.wake_at.set(wake_at);
+        if sooner {
+            self.wake_changed.notify_one();
+        }
+    }
+
+    fn carry_out_all(self: &Rc<Self>, actions: Vec<Action>) {
+        for action in actions {
+            self.carry_out(action);
+        }
+    }
+
+    fn carry_out(self: &Rc<Self>, action: Action) {
+        match action {
+            Action::Answer {
+                connection,
+                turn,
+                answer,
+            } => {
+                if let Some(answers) = self.callers.borrow().get(&connection) {
+                    // The connection may just have ended; its caller is then gone as well.
+                    let _ = answers.send((turn, answer));
+                }
+            }
+            Action::OpenLink { link, address } => link::open(self.clone(), link, address),
+            Action::SendOnLink { link, message } => {
+                if let Some(messages) = self.links.borrow().get(&link) {
+                    // A link that has just ended reports that itself.
+                    let _ = messages.send(message);
+                }
+            }
+            Action::CloseLink(link) => {
+                self.links.borrow_mut().remove(&link);
+            }
+            Action::StartExchange(exchange) => self.back_end.start(self, exchange),
+            Action::CancelExchange(exchange) => self.back_end.cancel(exchange),
+            Action::Probe { probe, path } => self.back_end.probe(self, probe, path),
+            Action::CallStore { id, request } => {
+                let hub = self.clone();
+                let call = request.name();
+                let reply = self.store.call(request);
+                tokio::task::spawn_local(async move {
+                    let reply = reply.await;
+                    hub.metrics.count_store_call(call, &reply);
+                    hub.dispatch(Event::Store { request: id, reply });
+                });
+            }
+            Action::Note(note) => {
+                self.metrics.observe(&note);
+                self.log.borrow_mut().write(&note);
+            }
+            Action::Exit => self.exit.notify_one(),
+        }
+    }
+}
+
+impl Hub {
+    /// Brings the gauges up to date.
+    pub fn update_gauges(&self) {
+        let node = self.node.borrow();
+        let load = node.inbound().load();
+        let peers = node.directory().peers();
+        let reachable = peers.filter(|peer| peer.open_link().is_some()).count();
+        self.metrics.running.set(u64::from(load.running));
+        self.metrics.queued.set(u64::from(load.queued));
+        self.metrics.limit.set(u64::from(load.limit));
+        self.metrics.peers.set(reachable as u64);
+        self.metrics.ready.set(u64::from(node.is_ready()));
+        self.metrics
+            .configuration_version
+            .set(node.configuration_version());
+    }
+}
--- /dev/null
+++ b/crates/rillgap-sidecar/src/link/codec.rs
@@ -0,0 +1,183 @@
+//! Frames on links: a big-endian length of four bytes, the kind of the message in one byte, then
+//! the message encoded by `bitcode`.
+//!
+//! The kind stands outside the encoding because the codec visits the fields of every variant of
+//! an enumeration, used or not.
+
+use std::sync::Arc;
+
+use bytes::{Buf, BufMut, BytesMut};
+use rillgap_forward::configuration::Configuration;
+use rillgap_forward::id::Sequence;
+use rillgap_forward::message::{ForwardResponse, ForwardedRequest, Hello, LinkMessage, Status};
+
+/// Longest frame in bytes, without its length.
+const MAX_FRAME: usize = 96 * 1024 * 1024;
+/// Length of the length field in bytes.
+const LENGTH_FIELD: usize = 4;
+/// Length of a number in bytes.
+const NUMBER: usize = 8;
+
+const HELLO: u8 = 0;
+const REQUEST: u8 = 1;
+const CANCEL: u8 = 2;
+const RESPONSE: u8 = 3;
+const STATUS: u8 = 4;
+const PING: u8 = 5;
+const PONG: u8 = 6;
+const CONFIGURATION_OFFER: u8 = 7;
+const CONFIGURATION_QUERY: u8 = 8;
+const CONFIGURATION: u8 = 9;
+
+/// Why bytes are not frames.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum FrameError {
+    /// The frame is longer than the limit.
+    #[error("frame too long")]
+    TooLong,
+    /// The frame is malformed.
+    #[error("frame malformed")]
+    Malformed,
+}
+
+/// Working memory of the codec, one for each kind of message.
+#[derive(Default)]
+struct Buffers {
+    hello: bitcode::Buffer,
+    request: bitcode::Buffer,
+    response: bitcode::Buffer,
+    status: bitcode::Buffer,
+    configuration: bitcode::Buffer,
+}
+
+/// Encodes messages and reuses its working memory.
+#[derive(Default)]
+pub struct FrameEncoder {
+    buffers: Buffers,
+}
+
+impl FrameEncoder {
+    /// Appends a message as a frame.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the message is too long for a frame.
+    pub fn encode(&mut self, message: &LinkMessage, out: &mut BytesMut) -> Result<(), FrameError> {
+        let buffers = &mut self.buffers;
+        match message {
+            LinkMessage::Hello(hello) => put(out, HELLO, &[], buffers.hello.encode(hello)),
+            LinkMessage::Request { sequence, request } => {
+                let number = sequence.0.to_be_bytes();
+                put(out, REQUEST, &number, buffers.request.encode(&**request))
+            }
+            LinkMessage::Cancel(sequence) => put(out, CANCEL, &sequence.0.to_be_bytes(), &[]),
+            LinkMessage::Response(response) => {
+                put(out, RESPONSE, &[], buffers.response.encode(response))
+            }
+            LinkMessage::Status(status) => put(out, STATUS, &[], buffers.status.encode(status)),
+            LinkMessage::Ping => put(out, PING, &[], &[]),
+            LinkMessage::Pong => put(out, PONG, &[], &[]),
+            LinkMessage::ConfigurationOffer(version) => {
+                put(out, CONFIGURATION_OFFER, &version.to_be_bytes(), &[])
+            }
+            LinkMessage::ConfigurationQuery(version) => {
+                put(out, CONFIGURATION_QUERY, &version.to_be_bytes(), &[])
+            }
+            LinkMessage::Configuration(configuration) => {
+                let payload = buffers.configuration.encode(&**configuration);
+                put(out, CONFIGURATION, &[], payload)
+            }
+        }
+    }
+}
+
+fn put(out: &mut BytesMut, kind: u8, prefix: &[u8], payload: &[u8]) -> Result<(), FrameError> {
+    let length = 1 + prefix.len() + payload.len();
+    if length > MAX_FRAME {
+        return Err(FrameError::TooLong);
+    }
+    out.reserve(LENGTH_FIELD + length);
+    out.put_u32(u32::try_from(length).map_err(|_| FrameError::TooLong)?);
+    out.put_u8(kind);
+    out.put_slice(prefix);
+    out.put_slice(payload);
+    Ok(())
+}
+
+/// Decodes frames out of a stream of bytes.
+#[derive(Default)]
+pub struct FrameDecoder {
+    buffers: Buffers,
+}
+
+impl FrameDecoder {
+    /// Takes the next message out of `input`; `None` if it has not arrived whole.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the bytes are not a frame.
+    pub fn decode(&mut self, input: &mut BytesMut) -> Result<Option<LinkMessage>, FrameError> {
+        if input.len() < LENGTH_FIELD {
+            return Ok(None);
+        }
+        let mut field = &input[..LENGTH_FIELD];
+        let length = field.get_u32() as usize;
+        if length > MAX_FRAME {
+            return Err(FrameError::TooLong);
+        }
+        if input.len() < LENGTH_FIELD + length {
+            return Ok(None);
+        }
+        input.advance(LENGTH_FIELD);
+        let frame = input.split_to(length);
+        self.decode_frame(&frame).map(Some)
+    }
+
+    fn decode_frame(&mut self, frame: &[u8]) -> Result<LinkMessage, FrameError> {
+        let (kind, payload) = frame.split_first().ok_or(FrameError::Malformed)?;
+        let buffers = &mut self.buffers;
+        match *kind {
+            HELLO => decode::<Hello>(&mut buffers.hello, payload).map(LinkMessage::Hello),
+            REQUEST => {
+                let (number, payload) = split_number(payload)?;
+                let request = decode::<ForwardedRequest>(&mut buffers.request, payload)?;
+                Ok(LinkMessage::Request {
+                    sequence: Sequence(number),
+                    request: Arc::new(request),
+                })
+            }
+            CANCEL => {
+                split_number(payload).map(|(number, _)| LinkMessage::Cancel(Sequence(number)))
+            }
+            RESPONSE => {
+                decode::<ForwardResponse>(&mut buffers.response, payload).map(LinkMessage::Response)
+            }
+            STATUS => decode::<Status>(&mut buffers.status, payload).map(LinkMessage::Status),
+            PING => Ok(LinkMessage::Ping),
+            PONG => Ok(LinkMessage::Pong),
+            CONFIGURATION_OFFER => {
+                split_number(payload).map(|(number, _)| LinkMessage::ConfigurationOffer(number))
+            }
+            CONFIGURATION_QUERY => {
+                split_number(payload).map(|(number, _)| LinkMessage::ConfigurationQuery(number))
+            }
+            CONFIGURATION => decode::<Configuration>(&mut buffers.configuration, payload)
+                .map(|configuration| LinkMessage::Configuration(Arc::new(configuration))),
+            _ => Err(FrameError::Malformed),
+        }
+    }
+}
+
+fn decode<'a, T: bitcode::Decode<'a>>(
+    buffer: &'a mut bitcode::Buffer,
+    payload: &'a [u8],
+) -> Result<T, FrameError> {
+    buffer.decode(payload).map_err(|_| FrameError::Malformed)
+}
+
+fn split_number(payload: &[u8]) -> Result<(u64, &[u8]), FrameError> {
+    let (number, rest) = payload
+        .split_first_chunk::<NUMBER>()
+        .ok_or(FrameError::Malformed)?;
+    Ok((u64::from_be_bytes(*number), rest))
+}
--- /dev/null
+++ b/crates/rillgap-sidecar/src/link/mod.rs
@@ -0,0 +1,218 @@
+//! Links between nodes: one TCP connection for each ordered pair.
+
+mod codec;
+
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::{Buf, BytesMut};
+use rillgap_forward::event::Event;
+use rillgap_forward::id::LinkId;
+use rillgap_forward::message::{Hello, LinkMessage};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc::{UnboundedReceiver, unbounded_channel};
+use tokio::time::timeout;
+
+pub use codec::{FrameDecoder, FrameEncoder, FrameError};
+
+use crate::hub::Hub;
+
+/// Longest time to open a link and to exchange introductions.
+const OPEN_TIMEOUT: Duration = Duration::from_millis(900);
+/// Bytes that a peer may leave unread before its link is given up.
+const MOST_UNSENT: usize = 64 * 1024 * 1024;
+/// Bytes read at a time.
+const READ_SIZE: usize = 32 * 1024;
+
+/// Why a link ended.
+#[derive(Debug, thiserror::Error)]
+enum LinkError {
+    #[error("connection lost: {0}")]
+    Io(#[from] io::Error),
+    #[error("{0}")]
+    Frame(#[from] FrameError),
+    #[error("closed by the peer")]
+    Closed,
+    #[error("no introduction")]
+    NoHello,
+    #[error("the peer does not read")]
+    TooMuchUnsent,
+}
+
+/// Which end opened a link.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Direction {
+    Opened,
+    Accepted,
+}
+
+/// Opens a link; its events go to the hub.
+pub fn open(hub: Rc<Hub>, link: LinkId, address: SocketAddr) {
+    tokio::task::spawn_local(async move {
+        let connected = timeout(OPEN_TIMEOUT, TcpStream::connect(address)).await;
+        if let Ok(Ok(stream)) = connected {
+            run(&hub, link, stream, Direction::Opened).await;
+        }
+        hub.remove_link(link);
+    });
+}
+
+/// Accepts links until the process ends.
+pub async fn accept(hub: Rc<Hub>, listener: TcpListener) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            tokio::time::sleep(Duration::from_millis(50)).await;
+            continue;
+        };
+        let hub = hub.clone();
+        tokio::task::spawn_local(async move {
+            let link = hub.new_link();
+            run(&hub, link, stream, Direction::Accepted).await;
+            hub.remove_link(link);
+        });
+    }
+}
+
+async fn run(hub: &Rc<Hub>, link: LinkId, stream: TcpStream, direction: Direction) {
+    let (sender, receiver) = unbounded_channel();
+    let mut connection = LinkConnection::new(stream);
+    let hello = hub.with_node(|node| node.hello());
+    let introduced = timeout(OPEN_TIMEOUT, connection.introduce(hello)).await;
+    let Ok(Ok(hello)) = introduced else {
+        return;
+    };
+    hub.add_link(link, sender);
+    hub.dispatch(match direction {
+        Direction::Opened => Event::LinkOpened { link, hello },
+        Direction::Accepted => Event::LinkAccepted { link, hello },
+    });
+    if let Err(error) = connection.exchange(hub, link, receiver).await {
+        log::debug!(link = link.0; "link: ended: {error}");
+    }
+}
+
+/// One end of a link.
+struct LinkConnection {
+    stream: TcpStream,
+    encoder: FrameEncoder,
+    decoder: FrameDecoder,
+    input: BytesMut,
+    output: BytesMut,
+}
+
+impl LinkConnection {
+    fn new(stream: TcpStream) -> Self {
+        // Without it small frames wait for acknowledgements; a link works without it, too.
+        let _ = stream.set_nodelay(true);
+        Self {
+            stream,
+            encoder: FrameEncoder::default(),
+            decoder: FrameDecoder::default(),
+            input: BytesMut::with_capacity(READ_SIZE),
+            output: BytesMut::new(),
+        }
+    }
+
+    /// Sends the node's introduction and returns the peer's.
+    async fn introduce(&mut self, hello: Hello) -> Result<Hello, LinkError> {
+        self.encoder
+            .encode(&LinkMessage::Hello(hello), &mut self.output)?;
+        self.flush()?;
+        loop {
+            if let Some(message) = self.decoder.decode(&mut self.input)? {
+                return match message {
+                    LinkMessage::Hello(hello) => Ok(hello),
+                    _ => Err(LinkError::NoHello),
+                };
+            }
+            tokio::select! {
+                biased;
+                ready = self.stream.readable() => {
+                    ready?;
+                    self.read()?;
+                }
+                ready = self.stream.writable(), if !self.output.is_empty() => {
+                    ready?;
+                    self.flush()?;
+                }
+            }
+        }
+    }
+
+    /// Carries messages both ways until the link ends or its queue is closed.
+    async fn exchange(
+        &mut self,
+        hub: &Rc<Hub>,
+        link: LinkId,
+        mut messages: UnboundedReceiver<LinkMessage>,
+    ) -> Result<(), LinkError> {
+        self.deliver(hub, link)?;
+        loop {
+            tokio::select! {
+                biased;
+                ready = self.stream.readable() => {
+                    ready?;
+                    self.read()?;
+                    self.deliver(hub, link)?;
+                }
+                message = messages.recv() => {
+                    let Some(message) = message else {
+                        return Ok(());
+                    };
+                    self.encode_batch(message, &mut messages)?;
+                    self.flush()?;
+                }
+                ready = self.stream.writable(), if !self.output.is_empty() => {
+                    ready?;
+                    self.flush()?;
+                }
+            }
+        }
+    }
+
+    /// Encodes a message and all others that wait.
+    fn encode_batch(
+        &mut self,
+        first: LinkMessage,
+        messages: &mut UnboundedReceiver<LinkMessage>,
+    ) -> Result<(), LinkError> {
+        self.encoder.encode(&first, &mut self.output)?;
+        while let Ok(message) = messages.try_recv() {
+            self.encoder.encode(&message, &mut self.output)?;
+        }
+        if self.output.len() > MOST_UNSENT {
+            return Err(LinkError::TooMuchUnsent);
+        }
+        Ok(())
+    }
+
+    fn deliver(&mut self, hub: &Rc<Hub>, link: LinkId) -> Result<(), LinkError> {
+        while let Some(message) = self.decoder.decode(&mut self.input)? {
+            hub.dispatch(Event::Link { link, message });
+        }
+        Ok(())
+    }
+
+    fn read(&mut self) -> Result<(), LinkError> {
+        self.input.reserve(READ_SIZE);
+        match self.stream.try_read_buf(&mut self.input) {
+            Ok(0) => Err(LinkError::Closed),
+            Ok(_) => Ok(()),
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => Ok(()),
+            Err(error) => Err(error.into()),
+        }
+    }
+
+    fn flush(&mut self) -> Result<(), LinkError> {
+        while !self.output.is_empty() {
+            match self.stream.try_write(&self.output) {
+                Ok(written) => self.output.advance(written),
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Ok(()),
+                Err(error) => return Err(error.into()),
+            }
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/rillgap-sidecar/src/logging/notes.rs
@@ -0,0 +1,158 @@
+//! Which records are written, and with which fields.
+
+use std::hash::{BuildHasher, BuildHasherDefault, DefaultHasher};
+
+use rillgap_forward::note::Note;
+
+use crate::settings::LogSection;
+
+/// Writes records, bounded in number.
+///
+/// Successes are sampled by the request's identifier, so that the same requests are told by every
+/// node on their path. Everything else is written as long as the bound for a second allows.
+#[derive(Debug)]
+pub struct RequestLog {
+    settings: LogSection,
+    second: u64,
+    written: u32,
+    left_out: u64,
+    origin: tokio::time::Instant,
+}
+
+impl RequestLog {
+    /// Creates a log with these bounds.
+    pub fn new(settings: LogSection) -> Self {
+        Self {
+            settings,
+            second: 0,
+            written: 0,
+            left_out: 0,
+            origin: tokio::time::Instant::now(),
+        }
+    }
+
+    /// Writes a record unless a bound leaves it out.
+    pub fn write(&mut self, note: &Note) {
+        if self.is_sampled_out(note) || !self.has_room(note) {
+            return;
+        }
+        write(note, self.origin.elapsed().as_secs_f64());
+    }
+
+    fn is_sampled_out(&self, note: &Note) -> bool {
+        let id = match note {
+            Note::Answered {
+                request_id,
+                status,
+                attempts,
+                ..
+            } if *status < 300 && *attempts <= 1 => request_id,
+            Note::Cancelled { request_id } => request_id,
+            _ => return false,
+        };
+        match self.settings.success_sample {
+            0 => true,
+            sample => sample_hash(id) % u64::from(sample) != 0,
+        }
+    }
+
+    fn has_room(&mut self, note: &Note) -> bool {
+        let second = self.origin.elapsed().as_secs();
+        if second != self.second {
+            if self.left_out > 0 {
+                log::warn!(lines = self.left_out; "log: lines left out");
+            }
+            self.second = second;
+            self.written = 0;
+            self.left_out = 0;
+        }
+        let is_about_request = matches!(
+            note,
+            Note::Answered { .. }
+                | Note::Moved { .. }
+                | Note::NotAnswered { .. }
+                | Note::Cancelled { .. }
+        );
+        if is_about_request && self.written >= self.settings.lines_per_second {
+            self.left_out += 1;
+            return false;
+        }
+        self.written += 1;
+        true
+    }
+}
+
+fn sample_hash(id: &str) -> u64 {
+    BuildHasherDefault::<DefaultHasher>::default().hash_one(id)
+}
+
+fn write(note: &Note, uptime: f64) {
+    match note {
+        Note::Answered {
+            request_id,
+            route,
+            status,
+            code,
+            peer,
+            attempts,
+            elapsed_micros,
+            configuration,
+        } => log::info!(
+            uptime, request = request_id.as_str(), route = route.as_str(), status,
+            code = code.map_or(0, |code| code.number()), peer = peer.as_str(), attempts,
+            elapsed_micros, configuration; "outbound: answered"
+        ),
+        Note::Moved {
+            request_id,
+            from,
+            code,
+            paid,
+        } => log::info!(
+            uptime, request = request_id.as_str(), from = from.as_str(), code = code.number(),
+            paid; "outbound: sent to another node"
+        ),
+        Note::NotAnswered {
+            request_id,
+            code,
+            elapsed_micros,
+            running,
+            queued,
+            limit,
+        } => log::info!(
+            uptime, request = request_id.as_str(), code = code.number(),
+            reason = code.title(), elapsed_micros, running, queued, limit; "inbound: no answer"
+        ),
+        Note::Cancelled { request_id } => log::info!(
+            uptime, request = request_id.as_str(); "outbound: caller gone"
+        ),
+        Note::BackEnd {
+            instance,
+            standing,
+            cause,
+            sequence,
+        } => log::info!(
+            uptime, instance = instance.as_str(), standing = *standing, cause = *cause, sequence;
+            "inbound: back end"
+        ),
+        Note::Peer { peer, is_up, cause } => log::info!(
+            uptime, peer = peer.as_str(), is_up, cause = *cause; "mesh: peer"
+        ),
+        Note::Configuration {
+            version,
+            routes,
+            source,
+        } => log::info!(
+            uptime, version, routes = *routes as u64, source = *source; "configuration: in force"
+        ),
+        Note::Store {
+            is_up,
+            call,
+            detail,
+        } => log::warn!(
+            uptime, is_up, call = *call, detail = detail.as_str(); "store: dependency"
+        ),
+        Note::Lifecycle { state, in_flight } => log::info!(
+            uptime, state = *state, in_flight = *in_flight as u64; "node: lifecycle"
+        ),
+    }
+}
--- /dev/null
+++ b/crates/rillgap-sidecar/src/metrics.rs
@@ -0,0 +1,213 @@
+//! Metrics of a sidecar node in the OpenMetrics text format.
+
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
+use prometheus_client::registry::{Registry, Unit};
+use rillgap_forward::note::Note;
+use rillgap_forward::store_sync::StoreReply;
+
+/// Lower end of the latency buckets in seconds.
+const FIRST_LATENCY_BUCKET: f64 = 0.001;
+/// Number of latency buckets, each twice as wide as the one before.
+const LATENCY_BUCKETS: u16 = 14;
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct AnswerLabels {
+    status: u16,
+    code: u8,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct CodeLabels {
+    code: u8,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct StoreLabels {
+    call: &'static str,
+    outcome: &'static str,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct MoveLabels {
+    paid: &'static str,
+}
+
+/// Metrics of a sidecar node; clones share them.
+#[derive(Clone, Debug)]
+pub struct Metrics {
+    registry: Arc<Registry>,
+    answers: Family<AnswerLabels, Counter>,
+    latency: Histogram,
+    failures: Family<CodeLabels, Counter>,
+    moves: Family<MoveLabels, Counter>,
+    store_calls: Family<StoreLabels, Counter>,
+    /// Connections that were opened to the back end.
+    pub back_end_connections: Counter,
+    /// Log lines that were left out.
+    pub log_lines_dropped: Counter,
+    /// Version of the configuration in force.
+    pub configuration_version: Gauge<u64, AtomicU64>,
+    /// Requests that run at the back end.
+    pub running: Gauge<u64, AtomicU64>,
+    /// Requests that wait for the back end.
+    pub queued: Gauge<u64, AtomicU64>,
+    /// Requests that may run at the back end at once.
+    pub limit: Gauge<u64, AtomicU64>,
+    /// Peers with an open link.
+    pub peers: Gauge<u64, AtomicU64>,
+    /// Whether new callers are welcome.
+    pub ready: Gauge<u64, AtomicU64>,
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl Metrics {
+    /// Creates and registers the metrics.
+    pub fn new() -> Self {
+        let buckets = exponential_buckets(FIRST_LATENCY_BUCKET, 2.0, LATENCY_BUCKETS);
+        let mut metrics = Self {
+            registry: Arc::default(),
+            answers: Family::default(),
+            latency: Histogram::new(buckets),
+            failures: Family::default(),
+            moves: Family::default(),
+            store_calls: Family::default(),
+            back_end_connections: Counter::default(),
+            log_lines_dropped: Counter::default(),
+            configuration_version: Gauge::default(),
+            running: Gauge::default(),
+            queued: Gauge::default(),
+            limit: Gauge::default(),
+            peers: Gauge::default(),
+            ready: Gauge::default(),
+        };
+        metrics.registry = Arc::new(metrics.registered());
+        metrics
+    }
+
+    /// Returns the metrics as text.
+    pub fn encode(&self) -> String {
+        let mut text = String::new();
+        // Writing to a string does not fail.
+        let _ = prometheus_client::encoding::text::encode(&mut text, &self.registry);
+        text
+    }
+
+    /// Counts what a record for the log tells.
+    pub fn observe(&self, note: &Note) {
+        match note {
+            Note::Answered {
+                status,
+                code,
+                elapsed_micros,
+                ..
+            } => {
+                let code = code.map_or(0, |code| code.number());
+                let status = *status;
+                self.answers
+                    .get_or_create(&AnswerLabels { status, code })
+                    .inc();
+                self.latency.observe(*elapsed_micros as f64 / 1e6);
+            }
+            Note::Moved { paid, .. } => {
+                let paid = if *paid { "yes" } else { "no" };
+                self.moves.get_or_create(&MoveLabels { paid }).inc();
+            }
+            Note::NotAnswered { code, .. } => {
+                let code = code.number();
+                self.failures.get_or_create(&CodeLabels { code }).inc();
+            }
+            _ => {}
+        }
+    }
+
+    /// Counts a call to the store.
+    pub fn count_store_call(&self, call: &'static str, reply: &StoreReply) {
+        let outcome = match reply {
+            StoreReply::Failed(_) => "failed",
+            _ => "answered",
+        };
+        self.store_calls
+            .get_or_create(&StoreLabels { call, outcome })
+            .inc();
+    }
+
+    fn registered(&self) -> Registry {
+        let mut registry = Registry::with_prefix("rillgap");
+        registry.register(
+            "answers",
+            "Requests answered, by status and result code",
+            self.answers.clone(),
+        );
+        registry.register_with_unit(
+            "answer_latency",
+            "Time from a request's arrival to its answer",
+            Unit::Seconds,
+            self.latency.clone(),
+        );
+        registry.register(
+            "back_end_failures",
+            "Requests that the inbound side did not get answered, by result code",
+            self.failures.clone(),
+        );
+        registry.register(
+            "moves",
+            "Requests sent to another node, by whether the retry budget paid",
+            self.moves.clone(),
+        );
+        registry.register(
+            "store_calls",
+            "Calls to the store, by call and outcome",
+            self.store_calls.clone(),
+        );
+        registry.register(
+            "back_end_connections",
+            "Connections opened to the back end",
+            self.back_end_connections.clone(),
+        );
+        registry.register(
+            "log_lines_dropped",
+            "Log lines left out",
+            self.log_lines_dropped.clone(),
+        );
+        let gauges = [
+            (
+                "configuration_version",
+                "Version of the configuration in force",
+                &self.configuration_version,
+            ),
+            (
+                "running",
+                "Requests that run at the back end",
+                &self.running,
+            ),
+            (
+                "queued",
+                "Requests that wait for the back end",
+                &self.queued,
+            ),
+            (
+                "limit",
+                "Requests that may run at the back end at once",
+                &self.limit,
+            ),
+            ("peers", "Peers with an open link", &self.peers),
+            ("ready", "1 if new callers are welcome", &self.ready),
+        ];
+        for (name, help, gauge) in gauges {
+            registry.register(name, help, gauge.clone());
+        }
+        registry
+    }
+}
--- /dev/null
+++ b/crates/rillgap-sidecar/src/settings.rs
@@ -0,0 +1,271 @@
+//! Settings file of a sidecar node, in TOML.
+
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+use rillgap_core::code::ResultCode;
+use rillgap_forward::message::NodeRecord;
+use rillgap_forward::settings::{ForwardSettings, RetryBound};
+use serde::Deserialize;
+
+/// Why settings are refused.
+#[derive(Debug, thiserror::Error)]
+pub enum SettingsError {
+    /// The file cannot be read.
+    #[error("cannot read {path}: {cause}")]
+    Unreadable {
+        /// File.
+        path: PathBuf,
+        /// Cause.
+        cause: std::io::Error,
+    },
+    /// The file is not valid TOML of the known keys.
+    #[error("{path}: {cause}")]
+    Malformed {
+        /// File.
+        path: PathBuf,
+        /// Cause.
+        cause: Box<toml::de::Error>,
+    },
+    /// A value is out of range.
+    #[error("{path}: {key} = {value}: must be {expected}")]
+    OutOfRange {
+        /// File.
+        path: PathBuf,
+        /// Key.
+        key: &'static str,
+        /// Value found.
+        value: String,
+        /// What is allowed.
+        expected: &'static str,
+    },
+}
+
+impl SettingsError {
+    /// Returns the numbered result code, with which the process exits.
+    pub const fn code(&self) -> ResultCode {
+        match self {
+            Self::Unreadable { .. } => ResultCode::SettingsUnreadable,
+            Self::Malformed { .. } | Self::OutOfRange { .. } => ResultCode::SettingsInvalid,
+        }
+    }
+}
+
+/// Settings of a sidecar node.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(rename_all = "kebab-case", deny_unknown_fields)]
+pub struct SidecarSettings {
+    /// The node.
+    pub node: NodeSection,
+    /// Addresses to listen on.
+    pub listen: ListenSection,
+    /// The back end beside the node.
+    pub back_end: BackEndSection,
+    /// The store.
+    pub store: StoreSection,
+    /// Bounds of the deployment.
+    #[serde(default)]
+    pub bounds: BoundsSection,
+    /// Logs.
+    #[serde(default)]
+    pub log: LogSection,
+}
+
+/// `[node]`.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "kebab-case", deny_unknown_fields)]
+pub struct NodeSection {
+    /// Name, unique in the deployment.
+    pub name: String,
+    /// Failure zone.
+    pub zone: String,
+    /// Region of the zone.
+    pub region: String,
+}
+
+/// `[listen]`.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "kebab-case", deny_unknown_fields)]
+pub struct ListenSection {
+    /// HTTP for callers and for the back end's own calls.
+    pub callers: SocketAddr,
+    /// Heartbeats of the back end.
+    pub control: SocketAddr,
+    /// Readiness.
+    pub readiness: SocketAddr,
+    /// Links of other nodes.
+    pub mesh: SocketAddr,
+    /// Metrics; none if left out.
+    pub metrics: Option<SocketAddr>,
+}
+
+/// `[back-end]`.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "kebab-case", deny_unknown_fields)]
+pub struct BackEndSection {
+    /// Service that it runs.
+    pub service: String,
+    /// Address at which it takes requests.
+    pub address: SocketAddr,
+    /// Seconds between two of its heartbeats.
+    #[serde(rename = "heartbeat-seconds")]
+    pub heartbeat: Seconds,
+}
+
+/// `[store]`.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "kebab-case", deny_unknown_fields)]
+pub struct StoreSection {
+    /// Address.
+    pub address: SocketAddr,
+}
+
+/// `[bounds]`.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(rename_all = "kebab-case", deny_unknown_fields, default)]
+pub struct BoundsSection {
+    /// Longest planned stop, in seconds.
+    pub grace_seconds: Seconds,
+    /// Repeated sends as a share of requests, summed over all nodes.
+    pub retry_ratio: f64,
+    /// Repeated sends on top of that.
+    pub retry_slack: f64,
+    /// Window of the two, in seconds.
+    pub retry_window_seconds: Seconds,
+}
+
+impl Default for BoundsSection {
+    fn default() -> Self {
+        Self {
+            grace_seconds: Seconds(6_000),
+            retry_ratio: 0.2,
+            retry_slack: 50.0,
+            retry_window_seconds: Seconds(10_000),
+        }
+    }
+}
+
+/// `[log]`.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "kebab-case", deny_unknown_fields, default)]
+pub struct LogSection {
+    /// One of so many successful requests is logged; 0 logs none.
+    pub success_sample: u32,
+    /// Most lines a second.
+    pub lines_per_second: u32,
+}
+
+impl Default for LogSection {
+    fn default() -> Self {
+        Self {
+            success_sample: 64,
+            lines_per_second: 200,
+        }
+    }
+}
+
+/// A duration that is written as seconds with an optional fraction; kept in milliseconds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+#[serde(try_from = "f64")]
+pub struct Seconds(u64);
+
+impl Seconds {
+    /// Returns the duration.
+    pub const fn duration(self) -> Duration {
+        Duration::from_millis(self.0)
+    }
+}
+
+impl TryFrom<f64> for Seconds {
+    type Error = &'static str;
+
+    fn try_from(seconds: f64) -> Result<Self, Self::Error> {
+        if !(0.0..=86_400.0).contains(&seconds) {
+            return Err("must be between 0 and 86400 seconds");
+        }
+        Ok(Self((seconds * 1_000.0).round() as u64))
+    }
+}
+
+impl SidecarSettings {
+    /// Reads and checks a settings file.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the file cannot be read, is malformed or holds a value that is out of range.
+    pub fn load(path: &Path) -> Result<Self, SettingsError> {
+        let text = std::fs::read_to_string(path).map_err(|cause| SettingsError::Unreadable {
+            path: path.to_owned(),
+            cause,
+        })?;
+        Self::parse(path, &text)
+    }
+
+    /// Checks the text of a settings file.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the text is malformed or holds a value that is out of range.
+    pub fn parse(path: &Path, text: &str) -> Result<Self, SettingsError> {
+        let settings: Self = toml::from_str(text).map_err(|cause| SettingsError::Malformed {
+            path: path.to_owned(),
+            cause: Box::new(cause),
+        })?;
+        settings.check(path)?;
+        Ok(settings)
+    }
+
+    /// Returns the settings of the node's state machine.
+    pub fn forward(&self, incarnation: u64, random_seed: u64) -> ForwardSettings {
+        ForwardSettings {
+            record: NodeRecord {
+                name: self.node.name.clone(),
+                address: self.listen.mesh,
+                zone: self.node.zone.clone(),
+                service: self.back_end.service.clone(),
+            },
+            incarnation,
+            random_seed,
+            back_end_address: self.back_end.address,
+            heartbeat_interval: self.back_end.heartbeat.duration(),
+            grace: self.bounds.grace_seconds.duration(),
+            retry_bound: RetryBound {
+                ratio: self.bounds.retry_ratio,
+                slack: self.bounds.retry_slack as u32,
+                window: self.bounds.retry_window_seconds.duration(),
+            },
+        }
+    }
+
+    fn check(&self, path: &Path) -> Result<(), SettingsError> {
+        let out_of_range = |key, value: String, expected| SettingsError::OutOfRange {
+            path: path.to_owned(),
+            key,
+            value,
+            expected,
+        };
+        if self.node.name.is_empty() {
+            let value = self.node.name.clone();
+            return Err(out_of_range("node.name", value, "a name"));
+        }
+        if self.back_end.service.is_empty() {
+            let value = self.back_end.service.clone();
+            return Err(out_of_range("back-end.service", value, "a name"));
+        }
+        if !(0.0..=10.0).contains(&self.bounds.retry_ratio) {
+            let value = self.bounds.retry_ratio.to_string();
+            return Err(out_of_range(
+                "bounds.retry-ratio",
+                value,
+                "between 0 and 10",
+            ));
+        }
+        if self.bounds.retry_window_seconds.duration() < Duration::from_secs(1) {
+            let value = format!("{:?}", self.bounds.retry_window_seconds.duration());
+            let expected = "at least 1 second";
+            return Err(out_of_range("bounds.retry-window-seconds", value, expected));
+        }
+        Ok(())
+    }
+}
