Membership: the two known red tests are mended

at_most_two_nodes_of_a_region_read_the_store. Cause: a node that ceases to read the store keeps its blocking query open until it is answered (up to 55 s), since it had no way to give up a request. The core now says so (Action::CancelStore) for the view, the machine list and the policy; the daemon ends the request's task, and with it the connection; the simulations end the wait. change_is_pending_while_a_node_is_cut_off. Cause: after healing, a silent member was tried every 2 s, so the confirmation took 4.3 s to reach everybody. Tried every second now: one more small message a second to each silent peer.

--- a/crates/rillgap-core/src/action.rs
+++ b/crates/rillgap-core/src/action.rs
@@ -96,6 +96,11 @@
         /// What is asked.
         body: StoreRequest,
     },
+    /// Give up a request to the platform: its reply is of no use any more.
+    CancelStore {
+        /// Request.
+        request: StoreRequestId,
+    },
     /// Reply to an operator.
     Reply {
         /// Request that is answered.
--- a/crates/rillgap-core/src/configuration/scope.rs
+++ b/crates/rillgap-core/src/configuration/scope.rs
@@ -75,6 +75,11 @@
         request
     }
 
+    /// Gives up a request to the store.
+    pub fn cancel_store(&mut self, request: StoreRequestId) {
+        self.out.push(Action::CancelStore { request });
+    }
+
     /// Replies to an operator.
     pub fn reply(&mut self, request: OperatorRequestId, reply: OperatorReply) {
         self.out.push(Action::Reply { request, reply });
--- a/crates/rillgap-core/src/configuration/watch.rs
+++ b/crates/rillgap-core/src/configuration/watch.rs
@@ -39,7 +39,11 @@
 
     /// Reads if this node is a store reader and no read is under way.
     pub fn poll(&mut self, scope: &mut Scope<'_>) {
-        if scope.now < self.due || !scope.membership.is_store_reader() {
+        if !scope.membership.is_store_reader() {
+            self.stop(scope);
+            return;
+        }
+        if scope.now < self.due {
             return;
         }
         let request = scope.store(StoreRequest::Read {
@@ -77,6 +81,15 @@
         Some(PolicyDocument::decode(object.value.as_deref()))
     }
 
+    /// Gives up the read under way: the store bears only a few readers, and a node that no longer
+    /// is one would stay one until its read is answered.
+    fn stop(&mut self, scope: &mut Scope<'_>) {
+        if let Some(request) = self.request.take() {
+            scope.cancel_store(request);
+            self.due = scope.now;
+        }
+    }
+
     fn back_off(&mut self, now: Instant) {
         let pause = PAUSE * (1 << self.failures.min(6));
         self.due = now + pause.min(LONGEST_PAUSE);
--- a/crates/rillgap-core/src/membership/store_client.rs
+++ b/crates/rillgap-core/src/membership/store_client.rs
@@ -169,8 +169,14 @@
             .map(|machine| machine.node.id())
     }
 
-    /// Forgets the machine list: this node reads it no longer.
-    pub fn stop_reading(&mut self) {
+    /// Forgets the machine list and gives up the reads that wait: this node reads no longer.
+    pub fn stop_reading(&mut self, out: &mut Outbox) {
+        let waits =
+            |purpose: Purpose| matches!(purpose, Purpose::WatchView | Purpose::WatchMachines);
+        let given_up = self
+            .pending
+            .extract_if(.., |_, (purpose, _)| waits(*purpose));
+        out.extend(given_up.map(|(request, _)| Action::CancelStore { request }));
         self.machines_index = None;
         self.reading_since = None;
     }
--- a/crates/rillgap-core/src/membership/storing.rs
+++ b/crates/rillgap-core/src/membership/storing.rs
@@ -22,7 +22,7 @@
             self.watch_store(now, out);
             self.propose_unlisted(now);
         } else {
-            self.store.stop_reading();
+            self.store.stop_reading(out);
             self.bootstrap(now, out);
         }
         self.write_proposals(now, out);
--- a/crates/rillgap-core/src/membership/timing.rs
+++ b/crates/rillgap-core/src/membership/timing.rs
@@ -22,7 +22,7 @@
 /// Time after which an unanswered peer counts as silent.
 pub const SILENT_AFTER: Duration = Duration::from_secs(2);
 /// Time between two messages to a silent peer.
-pub const SILENT_RETRY: Duration = Duration::from_secs(2);
+pub const SILENT_RETRY: Duration = Duration::from_secs(1);
 /// Longest time without an acknowledgement of the own zone during which a node serves.
 pub const CONTACT_LIMIT: Duration = Duration::from_secs(2);
 /// Time without a heartbeat after which a relay suspects a member: three missed heartbeats.
--- a/crates/rillgap-lab/src/scale/fleet.rs
+++ b/crates/rillgap-lab/src/scale/fleet.rs
@@ -57,6 +57,11 @@
     StoreWaitOver {
         waiter: u64,
     },
+    StoreCancel {
+        host: usize,
+        run: u32,
+        request: StoreRequestId,
+    },
     MachineList,
     /// A request with a key arrives at a host.
     Arrival {
@@ -294,6 +299,9 @@
                 body,
             } => self.on_store_request(host, run, request, body),
             FleetEvent::StoreWaitOver { waiter } => self.on_store_wait_over(waiter),
+            FleetEvent::StoreCancel { host, run, request } => {
+                self.on_store_cancel(host, run, request);
+            }
             FleetEvent::MachineList => self.update_machine_list(),
             FleetEvent::Arrival { host } => self.on_arrival(host),
             FleetEvent::Peer { to, .. } => self.step(to, event),
@@ -388,6 +396,7 @@
         let run = self.hosts[host].run;
         match action {
             Action::Store { request, body } => self.send_to_store(host, run, request, body),
+            Action::CancelStore { request } => self.cancel_store(host, run, request),
             Action::Reply { request, reply } => self.replies.push((request, reply)),
             Action::CallBackEnd(request) => self.answer_back_end(host, run, request.attempt),
             Action::AnswerEnd { .. } => self.keyed.answered += 1,
--- a/crates/rillgap-lab/src/scale/store.rs
+++ b/crates/rillgap-lab/src/scale/store.rs
@@ -35,6 +35,17 @@
         self.schedule(LATENCY, event);
     }
 
+    /// Gives up a request to the platform.
+    pub(super) fn cancel_store(&mut self, host: usize, run: u32, request: StoreRequestId) {
+        self.schedule(LATENCY, FleetEvent::StoreCancel { host, run, request });
+    }
+
+    pub(super) fn on_store_cancel(&mut self, host: usize, run: u32, request: StoreRequestId) {
+        if let Some(waiter) = self.platform.take_waiter_of(host, run, request) {
+            self.store_meter.watch_ended(waiter.id);
+        }
+    }
+
     pub(super) fn on_store_request(
         &mut self,
         host: usize,
--- a/crates/rillgap-lab/src/sim/drive.rs
+++ b/crates/rillgap-lab/src/sim/drive.rs
@@ -38,6 +38,7 @@
             Action::ReadBackEnd { attempt, bytes } => self.credit_back_end(host, attempt, bytes),
             Action::Send { to, message, .. } => self.send(host, to, message),
             Action::Store { request, body } => self.send_to_store(host, request, body),
+            Action::CancelStore { request } => self.cancel_store(host, request),
             Action::Reply { request, reply } => self.reply_to_operator(host, request, reply),
             Action::Observe(observation) => self.observe(host, &observation),
             Action::Exit => self.exit(host),
--- a/crates/rillgap-lab/src/sim/platform.rs
+++ b/crates/rillgap-lab/src/sim/platform.rs
@@ -120,6 +120,19 @@
         Some(self.waiters.remove(position))
     }
 
+    /// Ends the wait of a query that its node has given up.
+    pub fn take_waiter_of(
+        &mut self,
+        host: HostIndex,
+        run: u32,
+        request: StoreRequestId,
+    ) -> Option<Waiter> {
+        let is_it =
+            |waiter: &Waiter| waiter.host == host && waiter.run == run && waiter.request == request;
+        let position = self.waiters.iter().position(is_it)?;
+        Some(self.waiters.remove(position))
+    }
+
     /// Takes out all queries whose wait has an answer now.
     pub fn take_ready(&mut self) -> Vec<(Waiter, StoreReply)> {
         let waiters = std::mem::take(&mut self.waiters);
--- a/crates/rillgap-lab/src/sim/platform_drive.rs
+++ b/crates/rillgap-lab/src/sim/platform_drive.rs
@@ -31,6 +31,12 @@
         self.schedule(delay, event);
     }
 
+    /// Closes the connection of a request that a node has given up.
+    pub(super) fn cancel_store(&mut self, host: HostIndex, request: StoreRequestId) {
+        let run = self.hosts[host].run;
+        self.platform.take_waiter_of(host, run, request);
+    }
+
     fn store_latency(&mut self) -> Duration {
         let base = self.scenario.platform.round_trip_millis * 500;
         let jitter = self.random.hosts.up_to(base);
--- a/crates/rillgap-node/src/actions.rs
+++ b/crates/rillgap-node/src/actions.rs
@@ -63,7 +63,12 @@
                 self.send(&self.outputs.mesh, RingName::Mesh, message).await;
             }
             Action::Store { request, body } => {
-                let command = StoreCommand { request, body };
+                let command = StoreCommand::Request { request, body };
+                self.send(&self.outputs.store, RingName::Store, command)
+                    .await;
+            }
+            Action::CancelStore { request } => {
+                let command = StoreCommand::Cancel(request);
                 self.send(&self.outputs.store, RingName::Store, command)
                     .await;
             }
--- a/crates/rillgap-node/src/duty/platform.rs
+++ b/crates/rillgap-node/src/duty/platform.rs
@@ -1,13 +1,15 @@
 //! Platform duty: sends the node's requests to the store and to the machine list.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
 use rillgap_core::event::Event;
-use rillgap_core::store::StoreReply;
+use rillgap_core::store::{StoreReply, StoreRequest, StoreRequestId};
 use rillgap_platform::PlatformClient;
 use rillgap_ring::{RingReceiver, RingSender};
 use tokio::sync::Semaphore;
+use tokio::task::AbortHandle;
 
 use crate::rings::StoreCommand;
 
@@ -22,24 +24,50 @@
     events: RingSender<Event>,
     commands: RingReceiver<StoreCommand>,
 ) {
-    let client = (!endpoints.is_empty()).then(|| PlatformClient::new(endpoints));
-    let permits = Arc::new(Semaphore::new(MAX_REQUESTS));
+    let mut requests = Requests {
+        client: (!endpoints.is_empty()).then(|| PlatformClient::new(endpoints)),
+        permits: Arc::new(Semaphore::new(MAX_REQUESTS)),
+        events,
+        under_way: BTreeMap::new(),
+    };
     while let Some(command) = commands.recv().await {
-        let permit = Arc::clone(&permits).try_acquire_owned().ok();
-        let client = client.clone().filter(|_| permit.is_some());
-        let events = events.clone();
-        tokio::spawn(async move {
+        match command {
+            StoreCommand::Request { request, body } => requests.start(request, body),
+            StoreCommand::Cancel(request) => requests.cancel(request),
+        }
+    }
+}
+
+/// Requests under way.
+struct Requests {
+    client: Option<PlatformClient>,
+    permits: Arc<Semaphore>,
+    events: RingSender<Event>,
+    under_way: BTreeMap<StoreRequestId, AbortHandle>,
+}
+
+impl Requests {
+    fn start(&mut self, request: StoreRequestId, body: StoreRequest) {
+        self.under_way.retain(|_, task| !task.is_finished());
+        let permit = Arc::clone(&self.permits).try_acquire_owned().ok();
+        let client = self.client.clone().filter(|_| permit.is_some());
+        let events = self.events.clone();
+        let task = tokio::spawn(async move {
             let reply = match client {
-                Some(client) => client.execute(command.body).await,
+                Some(client) => client.execute(body).await,
                 None => StoreReply::Failed,
             };
             drop(permit);
-            let event = Event::Store {
-                request: command.request,
-                reply,
-            };
             // A closed ring means that the process ends.
-            let _ = events.send(event).await;
+            let _ = events.send(Event::Store { request, reply }).await;
         });
+        self.under_way.insert(request, task.abort_handle());
+    }
+
+    /// Ends a request; its connection closes with it.
+    fn cancel(&mut self, request: StoreRequestId) {
+        if let Some(task) = self.under_way.remove(&request) {
+            task.abort();
+        }
     }
 }
--- a/crates/rillgap-node/src/rings.rs
+++ b/crates/rillgap-node/src/rings.rs
@@ -21,13 +21,18 @@
 /// Slots of each ring off the data path.
 const CONTROL_SLOTS: usize = 64;
 
-/// A request to the platform on its way to the platform duty.
+/// An order on its way to the platform duty.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct StoreCommand {
-    /// Identifies the reply.
-    pub request: StoreRequestId,
-    /// What is asked.
-    pub body: StoreRequest,
+pub enum StoreCommand {
+    /// Send a request to the platform.
+    Request {
+        /// Identifies the reply.
+        request: StoreRequestId,
+        /// What is asked.
+        body: StoreRequest,
+    },
+    /// Give up a request.
+    Cancel(StoreRequestId),
 }
 
 /// A reply on its way to the operator duty.
