Entry: admitted shares by pressure and failures; a back end's own failure outlives a second try that came to nothing

Change: a mean queue wait over 20 ms is told by the node beside the back end; under such pressure a route whose requests fail is cut, least important first; calls may wait a third of their target latency; what a request has waited counts against its next queue. Two servers still do not carry what they could.

--- a/crates/rillgap-forward/src/directory.rs
+++ b/crates/rillgap-forward/src/directory.rs
@@ -142,6 +142,18 @@
         self.peers.get_mut(name)
     }
 
+    /// Adds each service's mean wait over its serving peers to `waits`, as sum and count.
+    pub fn collect_waits(&self, waits: &mut BTreeMap<String, (u64, u64)>) {
+        for peer in self.peers.values() {
+            if peer.serving_link().is_none() {
+                continue;
+            }
+            let (sum, count) = waits.entry(peer.status.service.clone()).or_default();
+            *sum += u64::from(peer.status.load.wait_micros);
+            *count += 1;
+        }
+    }
+
     /// Marks a link as being opened.
     pub fn opening(&mut self, name: &str, link: LinkId) {
         if let Some(peer) = self.peers.get_mut(name) {
--- a/crates/rillgap-forward/src/inbound/mod.rs
+++ b/crates/rillgap-forward/src/inbound/mod.rs
@@ -27,6 +27,9 @@
 use queue::{Queued, RankQueue};
 use service_time::ServiceTimes;
 
+/// Mean wait from which a back end counts as under pressure, in microseconds.
+pub const PRESSURE_MICROS: u32 = 20_000;
+
 /// Share of the slots that are used: back ends get slower when they are almost full.
 const SLOT_SHARE: f64 = 0.94;
 /// Share of the limit up to which a request of a low rank runs although others wait.
@@ -40,6 +43,8 @@
 const OVERTIME: Duration = Duration::from_millis(250);
 /// Shortest and longest time after which a refused caller is asked back, in milliseconds.
 const RETRY_AFTER_MILLIS: (u64, u64) = (50, 2_000);
+/// Mean wait at which peers are told at once that it has ended, in microseconds.
+const PRESSURE_ENDS_MICROS: u32 = PRESSURE_MICROS / 4;
 /// Longest queue.
 const QUEUE_LENGTH: usize = 2_048;
 
@@ -84,6 +89,7 @@
     next_exchange: u64,
     is_stopping: bool,
     status_changed: bool,
+    is_pressed: bool,
 }
 
 impl Inbound {
@@ -99,6 +105,7 @@
             next_exchange: 0,
             is_stopping: false,
             status_changed: false,
+            is_pressed: false,
         }
     }
 
@@ -119,6 +126,7 @@
             running: count(self.running.len()),
             queued: count(self.queue.len()),
             mean_micros: self.times.mean_micros(),
+            wait_micros: self.times.wait_micros(),
         }
     }
 
@@ -288,6 +296,20 @@
         count(self.running.len()) < self.limit()
     }
 
+    /// Tells peers at once when pressure begins or ends.
+    fn update_pressure(&mut self) {
+        let wait = self.times.wait_micros();
+        let limit = if self.is_pressed {
+            PRESSURE_ENDS_MICROS
+        } else {
+            PRESSURE_MICROS
+        };
+        if (wait > limit) != self.is_pressed {
+            self.is_pressed = !self.is_pressed;
+            self.status_changed = true;
+        }
+    }
+
     /// Returns whether a rank has less than its reserved share of the limit.
     fn is_within_reserve(&self, rank: u8) -> bool {
         let running = self
@@ -321,7 +343,10 @@
     fn enqueue(&mut self, now: Instant, arrival: Arrival, out: &mut Actions) {
         let bound = Duration::from_micros(arrival.request.queue_limit_micros);
         let ahead = self.queue.ahead_of(arrival.request.rank);
-        if self.drain_time(ahead + 1) > bound || self.queue.len() >= QUEUE_LENGTH {
+        let wait = self.drain_time(ahead + 1);
+        if wait > bound || self.queue.len() >= QUEUE_LENGTH {
+            self.times.record_wait(wait);
+            self.update_pressure();
             self.refuse(now, &arrival, ResultCode::QueueFull, out);
             return;
         }
@@ -337,6 +362,9 @@
     }
 
     fn start(&mut self, now: Instant, arrival: Arrival, out: &mut Actions) {
+        self.times
+            .record_wait(now.saturating_since(arrival.arrived));
+        self.update_pressure();
         self.next_exchange += 1;
         let id = ExchangeId(self.next_exchange);
         self.places
--- a/crates/rillgap-forward/src/inbound/service_time.rs
+++ b/crates/rillgap-forward/src/inbound/service_time.rs
@@ -6,11 +6,15 @@
 /// Weight of the newest sample.
 const NEWEST: f64 = 0.05;
 
+/// Weight of the newest wait.
+const NEWEST_WAIT: f64 = 0.1;
+
 /// Moving means of the time that requests take, by route and of all.
 #[derive(Clone, Debug, Default)]
 pub(super) struct ServiceTimes {
     all_micros: f64,
     by_route: BTreeMap<String, f64>,
+    wait_micros: f64,
 }
 
 impl ServiceTimes {
@@ -26,6 +30,17 @@
         }
     }
 
+    /// Takes in how long a request has waited before it was started or refused.
+    pub fn record_wait(&mut self, waited: Duration) {
+        let micros = waited.as_micros() as f64;
+        self.wait_micros += (micros - self.wait_micros) * NEWEST_WAIT;
+    }
+
+    /// Returns the mean wait of recent requests, in microseconds.
+    pub fn wait_micros(&self) -> u32 {
+        self.wait_micros as u32
+    }
+
     /// Returns how long a request of a route is expected to take; zero if unknown.
     pub fn expected(&self, route: &str) -> Duration {
         let micros = self.by_route.get(route).copied().unwrap_or(0.0);
--- a/crates/rillgap-forward/src/message.rs
+++ b/crates/rillgap-forward/src/message.rs
@@ -33,6 +33,8 @@
     pub queued: u32,
     /// Mean time that a request takes, in microseconds.
     pub mean_micros: u32,
+    /// Mean time that recent requests have waited, in microseconds.
+    pub wait_micros: u32,
 }
 
 /// What a node says about the back end beside it.
--- a/crates/rillgap-forward/src/outbound/mod.rs
+++ b/crates/rillgap-forward/src/outbound/mod.rs
@@ -22,11 +22,14 @@
 use crate::directory::Directory;
 use crate::event::CallerRequest;
 use crate::id::{ConnectionId, LinkId, Sequence, Turn};
-use crate::message::{ForwardResponse, ForwardResult, ForwardedRequest, LinkMessage, Status};
+use crate::inbound::PRESSURE_MICROS;
+use crate::message::{
+    ForwardResponse, ForwardResult, ForwardedAnswer, ForwardedRequest, LinkMessage, Status,
+};
 use crate::note::Note;
 use crate::retry_budget::RetryBudget;
 use crate::settings::ForwardSettings;
-use crate::throttle::Throttle;
+use crate::throttle::{Outcome, Throttle};
 
 use request::{Request, RequestKey};
 use weights::WeightedChoice;
@@ -37,8 +40,9 @@
 /// Share of the target latency for which a caller's request may wait in a queue: a refusal within
 /// a quarter is early enough for the caller to come back.
 const QUEUE_SHARE: f64 = 0.2;
-/// Share of its time for which a back end's own request may wait in a queue.
-const CALL_QUEUE_SHARE: f64 = 0.5;
+/// Share of the target latency for which a back end's own request may wait in a queue: it is one
+/// of several that follow each other within the time of one caller's request.
+const CALL_QUEUE_SHARE: f64 = 0.33;
 /// Moves to another node that has not let the request reach its back end.
 const MOST_MOVES: u32 = 3;
 /// Time after which to come back when no back end takes requests, in milliseconds.
@@ -192,8 +196,11 @@
         }
     }
 
-    /// Answers requests whose time is over.
+    /// Answers requests whose time is over, and moves the admitted shares.
     pub fn poll(&mut self, now: Instant, context: &mut OutboundContext<'_>) {
+        if self.throttle.is_due(now) {
+            self.throttle.step(now, is_under_pressure(context));
+        }
         while let Some((deadline, key)) = self.deadlines.first().copied() {
             if deadline > now {
                 return;
@@ -224,7 +231,7 @@
             return Err((Box::new(caller), ResultCode::MalformedRequest, 0));
         }
         let is_call = caller.is_from_back_end;
-        if !is_call && !self.throttle.admit(now, &route.name, route.priority) {
+        if !is_call && !self.throttle.admit(&route.name, route.priority) {
             return Err((Box::new(caller), ResultCode::Overloaded, THROTTLED_MILLIS));
         }
         let service = self.weights.choose(&route).to_owned();
@@ -354,7 +361,7 @@
         &mut self,
         now: Instant,
         key: RequestKey,
-        forwarded: crate::message::ForwardedAnswer,
+        forwarded: ForwardedAnswer,
         context: &mut OutboundContext<'_>,
     ) {
         let Some(request) = self.requests.get_mut(&key) else {
@@ -363,22 +370,32 @@
         request.may_have_run = true;
         let is_failure = forwarded.status >= 500;
         if is_failure && self.has_other_target(key, context) && self.may_repeat(now, key) {
+            if let Some(request) = self.requests.get_mut(&key) {
+                request.failed_answer = Some(forwarded);
+            }
             self.repeat(now, key, ResultCode::AnswerBroken, true, context);
             return;
         }
         let Some(request) = self.requests.get(&key) else {
             return;
         };
-        if !is_failure && !request.is_call {
-            let route = request.route.name.clone();
-            self.throttle.succeeded(now, &route);
-        }
         // A promise that the request did not run is only the system's to give.
         let breaks_promise = matches!(forwarded.status, 408 | 421 | 429 | 503);
         if breaks_promise && !request.route.is_idempotent() {
             self.answer_own(now, key, ResultCode::AnswerLost, 0, context);
             return;
         }
+        self.finish_forwarded(now, key, forwarded, context);
+    }
+
+    /// Answers with what a back end has answered.
+    fn finish_forwarded(
+        &mut self,
+        now: Instant,
+        key: RequestKey,
+        forwarded: ForwardedAnswer,
+        context: &mut OutboundContext<'_>,
+    ) {
         let answer = CallerAnswer {
             status: forwarded.status,
             fields: forwarded.fields,
@@ -515,9 +532,14 @@
         retry_after_millis: u32,
         context: &mut OutboundContext<'_>,
     ) {
-        let Some(request) = self.requests.get(&key) else {
+        let Some(request) = self.requests.get_mut(&key) else {
             return;
         };
+        // A back end's own failure says more than that a second try came to nothing.
+        if let Some(forwarded) = request.failed_answer.take() {
+            self.finish_forwarded(now, key, forwarded, context);
+            return;
+        }
         let answer = answer::own(
             code,
             retry_after_millis,
@@ -538,6 +560,7 @@
         let Some(request) = self.take(key) else {
             return;
         };
+        self.count_outcome(&request, answer.status);
         let elapsed = now.saturating_since(request.arrived).as_micros();
         context.out.push(Action::Note(Note::Answered {
             request_id: request.forwarded.request_id.clone(),
@@ -556,6 +579,20 @@
         });
     }
 
+    /// Tells the throttle how a caller's request has ended.
+    fn count_outcome(&mut self, request: &Request, status: u16) {
+        if request.is_call {
+            return;
+        }
+        let outcome = if status >= 500 {
+            Outcome::Failed
+        } else {
+            Outcome::Succeeded
+        };
+        let route = &request.route;
+        self.throttle.ended(&route.name, route.priority, outcome);
+    }
+
     fn answer_rejected(
         &self,
         key: RequestKey,
@@ -633,11 +670,29 @@
     }
 }
 
-/// Returns the longest time for which a request may wait in a queue.
-fn queue_limit(route: &Route, is_call: bool, remaining: Duration) -> Duration {
-    if is_call {
-        remaining.mul_f64(CALL_QUEUE_SHARE)
+/// Returns the longest time for which a request may still wait in queues, `elapsed` after its
+/// arrival.
+fn queue_limit(route: &Route, is_call: bool, elapsed: Duration) -> Duration {
+    let share = if is_call {
+        CALL_QUEUE_SHARE
     } else {
-        route.target_latency().mul_f64(QUEUE_SHARE).min(remaining)
+        QUEUE_SHARE
+    };
+    let limit = route.target_latency().mul_f64(share);
+    limit.saturating_sub(elapsed)
+}
+
+/// Returns whether requests wait for too long at some service, on the mean of its back ends.
+fn is_under_pressure(context: &OutboundContext<'_>) -> bool {
+    let mut waits = BTreeMap::new();
+    context.directory.collect_waits(&mut waits);
+    let own = &context.own_status;
+    if own.is_serving {
+        let (sum, count) = waits.entry(own.service.clone()).or_default();
+        *sum += u64::from(own.load.wait_micros);
+        *count += 1;
     }
+    waits
+        .values()
+        .any(|(sum, count)| *sum > u64::from(PRESSURE_MICROS) * count)
 }
--- a/crates/rillgap-forward/src/outbound/request.rs
+++ b/crates/rillgap-forward/src/outbound/request.rs
@@ -7,7 +7,7 @@
 use super::queue_limit;
 use crate::configuration::Route;
 use crate::id::{ConnectionId, LinkId, Sequence, Turn};
-use crate::message::ForwardedRequest;
+use crate::message::{ForwardedAnswer, ForwardedRequest};
 
 /// A request by its place on a connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -60,6 +60,8 @@
     pub may_have_run: bool,
     /// Longest time after which a node that refused asked to come back.
     pub retry_after_millis: Option<u32>,
+    /// Failure that a back end has answered, while another one is tried.
+    pub failed_answer: Option<ForwardedAnswer>,
     current: Option<Attempt>,
 }
 
@@ -84,6 +86,7 @@
             moves: 0,
             may_have_run: false,
             retry_after_millis: None,
+            failed_answer: None,
             current: None,
         }
     }
@@ -97,7 +100,8 @@
         sequence: Sequence,
     ) -> Arc<ForwardedRequest> {
         let remaining = self.deadline.saturating_since(now);
-        let limit = queue_limit(&self.route, self.is_call, remaining);
+        let elapsed = now.saturating_since(self.arrived);
+        let limit = queue_limit(&self.route, self.is_call, elapsed);
         self.tried.push(node.to_owned());
         self.arrivals += 1;
         self.current = Some(Attempt { link, sequence });
--- a/crates/rillgap-forward/src/throttle.rs
+++ b/crates/rillgap-forward/src/throttle.rs
@@ -1,11 +1,18 @@
 //! Refusal at the entry of requests that would fail further down.
 //!
 //! A chain that is overloaded at its deepest service shows at its entry as requests that end
-//! without success although a back end worked on them. The entry then refuses a part of the
-//! route's requests before any work is done (client-side adaptive throttling, after *Site
-//! Reliability Engineering*, chapter 21): with `n` requests and `a` successes within the last
-//! seconds, a request is refused with probability `(n - K a) / (n + 1)`. `K` is larger for
-//! important routes, so they are refused last.
+//! without success although a back end worked on them: each makes several calls to that service
+//! one after the other, so a few calls that are refused or late spoil most requests, and what was
+//! done for them is waste. Refusing calls is therefore no way out; the entry must send fewer
+//! requests.
+//!
+//! Every route has an admitted share. While some service is under pressure (requests wait there
+//! for longer than a few milliseconds), the share of a route whose requests fail shrinks with
+//! the failing share, step by step, the least important routes first. It grows again by a fixed
+//! amount as long as requests succeed (additive increase, multiplicative decrease). Routes that
+//! succeed are not touched: they do not depend on the service under pressure. Failures without
+//! pressure (a back end that is gone, lost answers) are no reason either, since refusing would not
+//! help the others.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -14,39 +21,67 @@
 use rand_chacha::rand_core::{Rng, SeedableRng};
 use rillgap_core::time::Instant;
 
+/// Time between two steps of the shares.
+const STEP: Duration = Duration::from_millis(200);
 /// Time in which what was counted loses all but 1/e of its weight.
-const MEMORY: Duration = Duration::from_secs(2);
-/// Requests for each success that the least important routes may send.
-const LOWEST_MULTIPLIER: f64 = 1.3;
-/// Addition to the multiplier for the most important routes.
-const IMPORTANCE: f64 = 0.7;
-/// Never more than this share is refused, so that a recovery is noticed.
-const MOST_REFUSED: f64 = 0.9;
-/// Weight of requests below which nothing is refused.
-const LEAST_REQUESTS: f64 = 8.0;
-
-#[derive(Clone, Copy, Debug, Default)]
-struct Counts {
-    requests: f64,
-    successes: f64,
-    updated: Instant,
+const MEMORY: Duration = Duration::from_millis(400);
+/// Share of failures above which a route's share shrinks.
+const FAILING: f64 = 0.1;
+/// Weight of outcomes below which nothing is concluded.
+const LEAST_OUTCOMES: f64 = 2.0;
+/// Part of the failing share by which the admitted share shrinks in one step.
+const DECREASE: f64 = 0.6;
+/// Growth of the admitted share in one step, under pressure and without.
+const INCREASE: (f64, f64) = (0.02, 0.1);
+/// Smallest admitted share, so that a recovery is noticed.
+const LEAST_SHARE: f64 = 0.1;
+/// Admitted share down to which less important routes are cut before more important ones.
+const CUT_FIRST: f64 = 0.3;
+
+#[derive(Clone, Copy, Debug)]
+struct RouteState {
+    priority: u8,
+    share: f64,
+    succeeded: f64,
+    failed: f64,
 }
 
-impl Counts {
-    fn decay(&mut self, now: Instant) {
-        let elapsed = now.saturating_since(self.updated).as_secs_f64();
-        let factor = (-elapsed / MEMORY.as_secs_f64()).exp();
-        self.requests *= factor;
-        self.successes *= factor;
-        self.updated = now;
+impl RouteState {
+    const fn new(priority: u8) -> Self {
+        Self {
+            priority,
+            share: 1.0,
+            succeeded: 0.0,
+            failed: 0.0,
+        }
     }
+
+    /// Returns the failing share of recent outcomes; zero if there are too few.
+    fn failing(&self) -> f64 {
+        let outcomes = self.succeeded + self.failed;
+        if outcomes < LEAST_OUTCOMES {
+            return 0.0;
+        }
+        self.failed / outcomes
+    }
+}
+
+/// How a request that was let in has ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// With an answer that is no failure of the chain.
+    Succeeded,
+    /// With a failure of the back end, or not in time.
+    Failed,
 }
 
-/// Adaptive throttle by route.
+/// Admitted shares by route.
 #[derive(Clone, Debug)]
 pub struct Throttle {
     random: ChaCha8Rng,
-    routes: BTreeMap<String, Counts>,
+    routes: BTreeMap<String, RouteState>,
+    next_step: Instant,
+    stepped_at: Instant,
 }
 
 impl Throttle {
@@ -55,41 +90,78 @@
         Self {
             random: ChaCha8Rng::seed_from_u64(seed),
             routes: BTreeMap::new(),
+            next_step: Instant::default(),
+            stepped_at: Instant::default(),
         }
     }
 
-    /// Decides whether a request is let in, and counts it.
-    pub fn admit(&mut self, now: Instant, route: &str, priority: u8) -> bool {
-        let share = self.refused_share(now, route, priority);
-        let counts = self.counts(route);
-        counts.requests += 1.0;
-        share <= 0.0 || self.draw() >= share
+    /// Decides whether a request is let in.
+    pub fn admit(&mut self, route: &str, priority: u8) -> bool {
+        let share = self.route(route, priority).share;
+        share >= 1.0 || self.draw() < share
     }
 
-    /// Counts a request that ended well, or badly for another reason than overload.
-    pub fn succeeded(&mut self, now: Instant, route: &str) {
-        let counts = self.counts(route);
-        counts.decay(now);
-        counts.successes += 1.0;
+    /// Takes in how a request that was let in has ended.
+    pub fn ended(&mut self, route: &str, priority: u8, outcome: Outcome) {
+        let state = self.route(route, priority);
+        match outcome {
+            Outcome::Succeeded => state.succeeded += 1.0,
+            Outcome::Failed => state.failed += 1.0,
+        }
     }
 
-    /// Returns the share of a route's requests that is refused now.
-    pub fn refused_share(&mut self, now: Instant, route: &str, priority: u8) -> f64 {
-        let counts = self.counts(route);
-        counts.decay(now);
-        if counts.requests < LEAST_REQUESTS {
-            return 0.0;
+    /// Returns whether [`Self::step`] is due.
+    pub fn is_due(&self, now: Instant) -> bool {
+        now >= self.next_step
+    }
+
+    /// Moves the shares; `pressure` tells whether some service is under pressure.
+    pub fn step(&mut self, now: Instant, pressure: bool) {
+        let elapsed = now.saturating_since(self.stepped_at).as_secs_f64();
+        let kept = (-elapsed / MEMORY.as_secs_f64()).exp();
+        self.stepped_at = now;
+        self.next_step = now + STEP;
+        let cut_from = self.first_priority_to_cut();
+        for state in self.routes.values_mut() {
+            let failing = state.failing();
+            if pressure && failing > FAILING {
+                if cut_from.is_none_or(|first| state.priority >= first) {
+                    state.share = (state.share * (1.0 - DECREASE * failing)).max(LEAST_SHARE);
+                }
+            } else {
+                let growth = if pressure { INCREASE.0 } else { INCREASE.1 };
+                state.share = (state.share + growth).min(1.0);
+            }
+            state.succeeded *= kept;
+            state.failed *= kept;
         }
-        let multiplier = LOWEST_MULTIPLIER + IMPORTANCE / (1.0 + f64::from(priority));
-        let excess = counts.requests - multiplier * counts.successes;
-        (excess / (counts.requests + 1.0)).clamp(0.0, MOST_REFUSED)
     }
 
-    fn counts(&mut self, route: &str) -> &mut Counts {
+    /// Returns the admitted share of a route.
+    pub fn share(&self, route: &str) -> f64 {
+        self.routes.get(route).map_or(1.0, |state| state.share)
+    }
+
+    /// Returns the least important priority among failing routes that can still be cut.
+    fn first_priority_to_cut(&self) -> Option<u8> {
+        self.routes
+            .values()
+            .filter(|state| state.failing() > FAILING && state.share > CUT_FIRST)
+            .map(|state| state.priority)
+            .max()
+    }
+
+    fn route(&mut self, route: &str, priority: u8) -> &mut RouteState {
         if !self.routes.contains_key(route) {
-            self.routes.insert(route.to_owned(), Counts::default());
+            let state = RouteState::new(priority);
+            self.routes.insert(route.to_owned(), state);
         }
-        self.routes.entry(route.to_owned()).or_default()
+        let state = self
+            .routes
+            .entry(route.to_owned())
+            .or_insert(RouteState::new(priority));
+        state.priority = priority;
+        state
     }
 
     fn draw(&mut self) -> f64 {
