Balancer: slowness is added, and the zone's penalty fades as it fills

Cause: the cost multiplied load by slowness, so of two takst servers the slow one (2.3 times) was left at 43% when the fast one was full, and the own zone's was preferred by 30% of its limit even when full.

--- a/crates/rillgap-forward/src/balancer.rs
+++ b/crates/rillgap-forward/src/balancer.rs
@@ -1,15 +1,22 @@
 //! Choice of the node that runs a request.
 //!
 //! Of two nodes of the own zone and two of other zones, drawn at random, the one of the lowest
-//! cost is taken. The cost is the load as a share of the limit, raised for back ends that are
-//! slower than the fastest of the service, plus a penalty for leaving the zone.
+//! cost is taken. The cost is the load as a share of the limit, plus a little for back ends that
+//! are slower than the fastest of the service, plus a penalty for leaving the zone. Slowness is
+//! added, not multiplied: a slow back end is spared while there is room elsewhere, but when the
+//! fast ones fill up its slots are needed. For the same reason the penalty vanishes as the own
+//! zone fills up.
 
 use rand_chacha::ChaCha8Rng;
 use rand_chacha::rand_core::{Rng, SeedableRng};
 
-/// Cost of leaving the zone, in shares of a back end's limit.
+/// Cost of leaving a zone that is idle, in shares of a back end's limit.
 const CROSS_ZONE_PENALTY: f64 = 0.3;
-/// Largest factor by which slowness raises the cost.
+/// Load of the own zone up to which the whole penalty counts, and from which none does.
+const PENALTY_FADES: (f64, f64) = (0.4, 0.8);
+/// Cost of being twice as slow as the fastest.
+const SLOWNESS_COST: f64 = 0.15;
+/// Largest factor of slowness that counts.
 const MOST_SLOWNESS: f64 = 4.0;
 /// Candidates drawn of each kind.
 const DRAWN: usize = 2;
@@ -30,18 +37,14 @@
 }
 
 impl<T> Candidate<T> {
-    fn cost(&self, fastest: f64) -> f64 {
+    fn cost(&self, fastest: f64, penalty: f64) -> f64 {
         let slowness = match self.mean_micros {
             0 => 1.0,
             mean => (f64::from(mean) / fastest).clamp(1.0, MOST_SLOWNESS),
         };
         let next = 1.0 / f64::from(self.limit.max(1));
-        let distance = if self.is_local {
-            0.0
-        } else {
-            CROSS_ZONE_PENALTY
-        };
-        (self.utilization + next) * slowness + distance
+        let distance = if self.is_local { 0.0 } else { penalty };
+        self.utilization + next + (slowness - 1.0) * SLOWNESS_COST + distance
     }
 }
 
@@ -69,11 +72,15 @@
         let (local, remote): (Vec<_>, Vec<_>) = candidates
             .into_iter()
             .partition(|candidate| candidate.is_local);
+        let penalty = cross_zone_penalty(&local);
         let mut drawn = self.draw_some(local);
         drawn.extend(self.draw_some(remote));
         drawn
             .into_iter()
-            .min_by(|left, right| left.cost(fastest).total_cmp(&right.cost(fastest)))
+            .min_by(|left, right| {
+                let left = left.cost(fastest, penalty);
+                left.total_cmp(&right.cost(fastest, penalty))
+            })
             .map(|candidate| candidate.target)
     }
 
@@ -91,3 +98,14 @@
         ((u64::from(self.random.next_u32()) * bound as u64) >> 32) as usize
     }
 }
+
+/// Returns the cost of leaving a zone with these back ends.
+fn cross_zone_penalty<T>(local: &[Candidate<T>]) -> f64 {
+    let least = local
+        .iter()
+        .map(|candidate| candidate.utilization)
+        .fold(f64::INFINITY, f64::min);
+    let (whole, none) = PENALTY_FADES;
+    let faded = ((least - whole) / (none - whole)).clamp(0.0, 1.0);
+    CROSS_ZONE_PENALTY * (1.0 - faded)
+}
--- a/crates/rillgap-forward/src/inbound/mod.rs
+++ b/crates/rillgap-forward/src/inbound/mod.rs
@@ -31,7 +31,7 @@
 pub const PRESSURE_MICROS: u32 = 20_000;
 
 /// Share of the slots that are used: back ends get slower when they are almost full.
-const SLOT_SHARE: f64 = 0.94;
+const SLOT_SHARE: f64 = 0.95;
 /// Share of the limit up to which a request of a low rank runs although others wait.
 const RESERVED_SHARE: f64 = 0.2;
 /// Share of the expected time that must be left for a request to be started.
