A call inherits the priority of its chain's root; callers' requests are told from calls

Change: a request whose identifier extends that of a request which the back end beside the node works on is its call, whatever address it comes from; it takes over the root's priority and whether the chain is a repeat (such calls are charged to the retry budget). Throttle: the admitted share follows the wait at the service under pressure. Ruled out: source addresses; route lists (a route is not told to be inner).

--- a/crates/rillgap-forward/src/event.rs
+++ b/crates/rillgap-forward/src/event.rs
@@ -23,8 +23,9 @@
     pub body: Vec<u8>,
     /// How long the caller waits, if it says so.
     pub deadline: Option<Duration>,
-    /// Whether the back end beside the node made the request.
-    pub is_from_back_end: bool,
+    /// Identifier of the request for which the back end beside the node would have made this one,
+    /// as far as its own identifier tells.
+    pub parent_id: Option<String>,
 }
 
 /// How a request that was handed to the back end ended.
--- a/crates/rillgap-forward/src/inbound/mod.rs
+++ b/crates/rillgap-forward/src/inbound/mod.rs
@@ -85,6 +85,7 @@
     running: BTreeMap<ExchangeId, Running>,
     deadlines: BTreeSet<(Instant, ExchangeId)>,
     places: BTreeMap<(LinkId, Sequence), Place>,
+    by_request_id: BTreeMap<String, ExchangeId>,
     times: ServiceTimes,
     next_exchange: u64,
     is_stopping: bool,
@@ -101,6 +102,7 @@
             running: BTreeMap::new(),
             deadlines: BTreeSet::new(),
             places: BTreeMap::new(),
+            by_request_id: BTreeMap::new(),
             times: ServiceTimes::default(),
             next_exchange: 0,
             is_stopping: false,
@@ -140,6 +142,13 @@
         self.running.len() + self.queue.len()
     }
 
+    /// Returns the request with this identifier that the back end works on.
+    pub fn running_request(&self, request_id: &str) -> Option<&ForwardedRequest> {
+        let exchange = self.by_request_id.get(request_id)?;
+        let running = self.running.get(exchange)?;
+        Some(&running.request)
+    }
+
     /// Returns whether the back end has left service for good.
     pub fn has_left(&self) -> bool {
         self.back_end.has_left()
@@ -207,7 +216,7 @@
             self.refuse(now, &arrival, ResultCode::DeadlineUnmet, out);
             return;
         }
-        let rank = arrival.request.rank;
+        let rank = arrival.request.rank();
         let nobody_ahead = self.queue.ahead_of(rank) == 0;
         if self.has_room() && (nobody_ahead || self.is_within_reserve(rank)) {
             self.start(now, arrival, out);
@@ -251,7 +260,7 @@
         table: Option<&RouteTable>,
         out: &mut Actions,
     ) {
-        let Some(running) = self.running.remove(&exchange) else {
+        let Some(running) = self.take_running(exchange) else {
             return;
         };
         self.deadlines.remove(&(running.deadline, exchange));
@@ -315,7 +324,7 @@
         let running = self
             .running
             .values()
-            .filter(|running| running.request.rank == rank)
+            .filter(|running| running.request.rank() == rank)
             .count();
         (running as f64) < f64::from(self.limit()) * RESERVED_SHARE
     }
@@ -342,7 +351,7 @@
 
     fn enqueue(&mut self, now: Instant, arrival: Arrival, out: &mut Actions) {
         let bound = Duration::from_micros(arrival.request.queue_limit_micros);
-        let ahead = self.queue.ahead_of(arrival.request.rank);
+        let ahead = self.queue.ahead_of(arrival.request.rank());
         let wait = self.drain_time(ahead + 1);
         if wait > bound || self.queue.len() >= QUEUE_LENGTH {
             self.times.record_wait(wait);
@@ -354,7 +363,7 @@
         let latest = arrival.deadline - expected.mul_f64(NEEDED_SHARE);
         let place = (arrival.link, arrival.sequence);
         let ticket = self.queue.push(Queued {
-            rank: arrival.request.rank,
+            rank: arrival.request.rank(),
             cutoff: latest.min(now + bound),
             item: arrival,
         });
@@ -370,6 +379,8 @@
         self.places
             .insert((arrival.link, arrival.sequence), Place::Running(id));
         self.deadlines.insert((arrival.deadline, id));
+        self.by_request_id
+            .insert(arrival.request.request_id.clone(), id);
         out.push(Action::StartExchange(Exchange {
             id,
             request: arrival.request.clone(),
@@ -388,6 +399,15 @@
         self.running.insert(id, running);
     }
 
+    fn take_running(&mut self, exchange: ExchangeId) -> Option<Running> {
+        let running = self.running.remove(&exchange)?;
+        let id = &running.request.request_id;
+        if self.by_request_id.get(id) == Some(&exchange) {
+            self.by_request_id.remove(id);
+        }
+        Some(running)
+    }
+
     fn start_queued(&mut self, now: Instant, out: &mut Actions) {
         while self.has_room() {
             let reserve = self
@@ -423,7 +443,7 @@
                 return;
             }
             self.deadlines.pop_first();
-            let Some(running) = self.running.remove(&exchange) else {
+            let Some(running) = self.take_running(exchange) else {
                 continue;
             };
             self.places.remove(&(running.link, running.sequence));
@@ -453,7 +473,7 @@
             return;
         }
         let deadline = running.deadline;
-        self.running.remove(&exchange);
+        self.take_running(exchange);
         self.deadlines.remove(&(deadline, exchange));
         out.push(Action::CancelExchange(exchange));
     }
--- a/crates/rillgap-forward/src/message.rs
+++ b/crates/rillgap-forward/src/message.rs
@@ -88,14 +88,29 @@
     pub route: String,
     /// Whether the request may run more than once.
     pub is_idempotent: bool,
-    /// Rank in a queue; 0 is served first.
-    pub rank: u8,
+    /// Priority of the caller's request at the root of the chain; 0 is the highest.
+    pub root_priority: u8,
+    /// Whether a back end made the request while it works on another.
+    pub is_call: bool,
+    /// Whether the request, or one further up its chain, was sent to a back end before.
+    pub is_repeat: bool,
     /// Time that is left for the request, in microseconds.
     pub remaining_micros: u64,
     /// Longest time for which the request may wait in a queue, in microseconds.
     pub queue_limit_micros: u64,
 }
 
+impl ForwardedRequest {
+    /// Returns the rank in a queue; 0 is served first.
+    ///
+    /// The priority of the root decides for the whole chain. Within it, calls go before new
+    /// requests: they decide whether work that is already done was for nothing.
+    pub fn rank(&self) -> u8 {
+        let last = if self.is_call { 0 } else { 1 };
+        self.root_priority.saturating_mul(2).saturating_add(last)
+    }
+}
+
 /// An answer of a back end.
 #[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
 pub struct ForwardedAnswer {
--- a/crates/rillgap-forward/src/node.rs
+++ b/crates/rillgap-forward/src/node.rs
@@ -9,12 +9,12 @@
 use crate::action::{Action, Actions};
 use crate::configuration::{CallerLimits, Configuration, RouteTable};
 use crate::directory::{Directory, LinkState};
-use crate::event::{Event, Heartbeat};
+use crate::event::{CallerRequest, Event, Heartbeat};
 use crate::id::{ConnectionId, LinkId, Turn};
 use crate::inbound::Inbound;
 use crate::message::{Hello, LinkMessage, NodeRecord, Status};
 use crate::note::Note;
-use crate::outbound::{Outbound, OutboundContext};
+use crate::outbound::{Origin, Outbound, OutboundContext};
 use crate::settings::ForwardSettings;
 use crate::store_sync::{StoreNews, StoreReply, StoreRequestId, StoreSync};
 
@@ -236,11 +236,23 @@
         now: Instant,
         connection: ConnectionId,
         turn: Turn,
-        request: crate::event::CallerRequest,
+        request: CallerRequest,
         out: &mut Actions,
     ) {
+        let origin = self.origin(&request);
         let (outbound, mut context) = self.split(out);
-        outbound.on_request(now, connection, turn, request, &mut context);
+        outbound.on_request(now, connection, turn, request, origin, &mut context);
+    }
+
+    /// Tells a call of the back end from a caller's request: its identifier must lead to a request
+    /// that the back end works on.
+    fn origin(&self, request: &CallerRequest) -> Origin {
+        let parent_id = request.parent_id.as_deref();
+        let parent = parent_id.and_then(|parent_id| self.inbound.running_request(parent_id));
+        parent.map_or(Origin::Caller, |parent| Origin::BackEnd {
+            root_priority: parent.root_priority,
+            is_repeat: parent.is_repeat,
+        })
     }
 
     fn on_link_opened(&mut self, now: Instant, link: LinkId, hello: &Hello, out: &mut Actions) {
--- a/crates/rillgap-forward/src/outbound/mod.rs
+++ b/crates/rillgap-forward/src/outbound/mod.rs
@@ -34,9 +34,6 @@
 use request::{Request, RequestKey};
 use weights::WeightedChoice;
 
-/// Rank of requests that a back end makes while it works on another: they decide whether that
-/// work was for nothing.
-const CALL_RANK: u8 = 0;
 /// Share of the target latency for which a caller's request may wait in a queue: a refusal within
 /// a quarter is early enough for the caller to come back.
 const QUEUE_SHARE: f64 = 0.2;
@@ -57,6 +54,20 @@
     name: String,
 }
 
+/// Where a request comes from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Origin {
+    /// A caller.
+    Caller,
+    /// The back end beside the node, for a request that it works on.
+    BackEnd {
+        /// Priority of the root of the chain.
+        root_priority: u8,
+        /// Whether a request further up the chain was sent to a back end before.
+        is_repeat: bool,
+    },
+}
+
 /// What the outbound side consults.
 #[derive(Debug)]
 pub struct OutboundContext<'a> {
@@ -120,10 +131,11 @@
         connection: ConnectionId,
         turn: Turn,
         caller: CallerRequest,
+        origin: Origin,
         context: &mut OutboundContext<'_>,
     ) {
         let key = RequestKey { connection, turn };
-        let request = match self.prepare(now, caller, context) {
+        let request = match self.prepare(now, caller, origin, context) {
             Ok(request) => request,
             Err((rejected, code, retry_after)) => {
                 let answer = answer::own(code, retry_after, false, context.is_stopping);
@@ -199,7 +211,7 @@
     /// Answers requests whose time is over, and moves the admitted shares.
     pub fn poll(&mut self, now: Instant, context: &mut OutboundContext<'_>) {
         if self.throttle.is_due(now) {
-            self.throttle.step(now, is_under_pressure(context));
+            self.throttle.step(now, pressure(context));
         }
         while let Some((deadline, key)) = self.deadlines.first().copied() {
             if deadline > now {
@@ -219,6 +231,7 @@
         &mut self,
         now: Instant,
         caller: CallerRequest,
+        origin: Origin,
         context: &OutboundContext<'_>,
     ) -> Result<Request, (Box<CallerRequest>, ResultCode, u32)> {
         let Some(table) = context.table else {
@@ -230,12 +243,22 @@
         if caller.request_id.is_empty() {
             return Err((Box::new(caller), ResultCode::MalformedRequest, 0));
         }
-        let is_call = caller.is_from_back_end;
+        let is_call = origin != Origin::Caller;
         if !is_call && !self.throttle.admit(&route.name, route.priority) {
             return Err((Box::new(caller), ResultCode::Overloaded, THROTTLED_MILLIS));
         }
         let service = self.weights.choose(&route).to_owned();
         self.budget.count_request(now, &service);
+        let (root_priority, is_repeat) = match origin {
+            Origin::Caller => (route.priority, false),
+            Origin::BackEnd {
+                root_priority,
+                is_repeat,
+            } => (root_priority, is_repeat),
+        };
+        if is_repeat {
+            self.budget.spend(now, &service);
+        }
         let timeout = caller
             .deadline
             .map_or(route.timeout(), |deadline| deadline.min(route.timeout()));
@@ -249,7 +272,9 @@
             service,
             route: route.name.clone(),
             is_idempotent: route.is_idempotent(),
-            rank: rank(&route, is_call),
+            root_priority,
+            is_call,
+            is_repeat,
             remaining_micros: 0,
             queue_limit_micros: 0,
         };
@@ -662,14 +687,6 @@
     }
 }
 
-fn rank(route: &Route, is_call: bool) -> u8 {
-    if is_call {
-        CALL_RANK
-    } else {
-        route.priority.saturating_add(1)
-    }
-}
-
 /// Returns the longest time for which a request may still wait in queues, `elapsed` after its
 /// arrival.
 fn queue_limit(route: &Route, is_call: bool, elapsed: Duration) -> Duration {
@@ -682,8 +699,9 @@
     limit.saturating_sub(elapsed)
 }
 
-/// Returns whether requests wait for too long at some service, on the mean of its back ends.
-fn is_under_pressure(context: &OutboundContext<'_>) -> bool {
+/// Returns the longest mean wait at any service, relative to the one from which a service counts
+/// as under pressure.
+fn pressure(context: &OutboundContext<'_>) -> f64 {
     let mut waits = BTreeMap::new();
     context.directory.collect_waits(&mut waits);
     let own = &context.own_status;
@@ -694,5 +712,6 @@
     }
     waits
         .values()
-        .any(|(sum, count)| *sum > u64::from(PRESSURE_MICROS) * count)
+        .map(|(sum, count)| *sum as f64 / (*count as f64 * f64::from(PRESSURE_MICROS)))
+        .fold(0.0, f64::max)
 }
--- a/crates/rillgap-forward/src/outbound/request.rs
+++ b/crates/rillgap-forward/src/outbound/request.rs
@@ -106,6 +106,7 @@
         self.arrivals += 1;
         self.current = Some(Attempt { link, sequence });
         let forwarded = Arc::make_mut(&mut self.forwarded);
+        forwarded.is_repeat |= self.arrivals > 1;
         forwarded.remaining_micros = u64::try_from(remaining.as_micros()).unwrap_or(u64::MAX);
         forwarded.queue_limit_micros = u64::try_from(limit.as_micros()).unwrap_or(u64::MAX);
         self.forwarded.clone()
--- a/crates/rillgap-forward/src/retry_budget.rs
+++ b/crates/rillgap-forward/src/retry_budget.rs
@@ -49,6 +49,11 @@
         self.current(now, service).requests += 1;
     }
 
+    /// Counts a repeat that cannot be refused any more: a call made by a repeated request.
+    pub fn spend(&mut self, now: Instant, service: &str) {
+        self.current(now, service).repeats += 1;
+    }
+
     /// Takes one repeat out of the budget; returns whether there was one.
     pub fn try_spend(&mut self, now: Instant, service: &str) -> bool {
         self.current(now, service);
--- a/crates/rillgap-forward/src/throttle.rs
+++ b/crates/rillgap-forward/src/throttle.rs
@@ -7,12 +7,12 @@
 //! requests.
 //!
 //! Every route has an admitted share. While some service is under pressure (requests wait there
-//! for longer than a few milliseconds), the share of a route whose requests fail shrinks with
-//! the failing share, step by step, the least important routes first. It grows again by a fixed
-//! amount as long as requests succeed (additive increase, multiplicative decrease). Routes that
-//! succeed are not touched: they do not depend on the service under pressure. Failures without
-//! pressure (a back end that is gone, lost answers) are no reason either, since refusing would not
-//! help the others.
+//! for longer than a few milliseconds), the shares of the routes that depend on it shrink with
+//! that wait, the least important routes first; they grow again by a fixed amount when the wait
+//! is short (additive increase, multiplicative decrease). A route depends on what is under
+//! pressure if its requests fail meanwhile: routes that succeed are not touched. Failures without
+//! pressure (a back end that is gone, lost answers) are no reason to refuse, since that would
+//! not help the others.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -24,15 +24,21 @@
 /// Time between two steps of the shares.
 const STEP: Duration = Duration::from_millis(200);
 /// Time in which what was counted loses all but 1/e of its weight.
-const MEMORY: Duration = Duration::from_millis(400);
-/// Share of failures above which a route's share shrinks.
-const FAILING: f64 = 0.1;
+const MEMORY: Duration = Duration::from_millis(1_500);
+/// Share of failures under pressure from which a route counts as dependent.
+const DEPENDENT: f64 = 0.05;
 /// Weight of outcomes below which nothing is concluded.
-const LEAST_OUTCOMES: f64 = 2.0;
-/// Part of the failing share by which the admitted share shrinks in one step.
-const DECREASE: f64 = 0.6;
-/// Growth of the admitted share in one step, under pressure and without.
-const INCREASE: (f64, f64) = (0.02, 0.1);
+const LEAST_OUTCOMES: f64 = 4.0;
+/// Time for which a route counts as dependent after it has last shown to be.
+const DEPENDENT_FOR: Duration = Duration::from_secs(5);
+/// Least and most by which an admitted share shrinks in one step.
+const DECREASE: (f64, f64) = (0.05, 0.3);
+/// Pressure at which a share shrinks most.
+const FULL_PRESSURE: f64 = 4.0;
+/// Pressure below which shares grow.
+const RELIEVED: f64 = 0.6;
+/// Growth of the admitted share in one step, of a dependent route and of others.
+const INCREASE: (f64, f64) = (0.03, 0.1);
 /// Smallest admitted share, so that a recovery is noticed.
 const LEAST_SHARE: f64 = 0.1;
 /// Admitted share down to which less important routes are cut before more important ones.
@@ -44,6 +50,7 @@
     share: f64,
     succeeded: f64,
     failed: f64,
+    dependent_until: Instant,
 }
 
 impl RouteState {
@@ -53,6 +60,7 @@
             share: 1.0,
             succeeded: 0.0,
             failed: 0.0,
+            dependent_until: Instant::from_micros(0),
         }
     }
 
@@ -115,21 +123,25 @@
         now >= self.next_step
     }
 
-    /// Moves the shares; `pressure` tells whether some service is under pressure.
-    pub fn step(&mut self, now: Instant, pressure: bool) {
+    /// Moves the shares. `pressure` is the longest mean wait at any service, relative to the one
+    /// from which a service counts as under pressure.
+    pub fn step(&mut self, now: Instant, pressure: f64) {
         let elapsed = now.saturating_since(self.stepped_at).as_secs_f64();
         let kept = (-elapsed / MEMORY.as_secs_f64()).exp();
         self.stepped_at = now;
         self.next_step = now + STEP;
-        let cut_from = self.first_priority_to_cut();
+        self.find_dependent(now, pressure);
+        let cut_from = self.first_priority_to_cut(now);
         for state in self.routes.values_mut() {
-            let failing = state.failing();
-            if pressure && failing > FAILING {
-                if cut_from.is_none_or(|first| state.priority >= first) {
-                    state.share = (state.share * (1.0 - DECREASE * failing)).max(LEAST_SHARE);
+            let is_dependent = now < state.dependent_until;
+            let is_in_turn = cut_from.is_none_or(|first| state.priority >= first);
+            if is_dependent && pressure > 1.0 {
+                if is_in_turn {
+                    let share = state.share * (1.0 - decrease(pressure));
+                    state.share = share.max(LEAST_SHARE);
                 }
-            } else {
-                let growth = if pressure { INCREASE.0 } else { INCREASE.1 };
+            } else if !is_dependent || pressure < RELIEVED {
+                let growth = if is_dependent { INCREASE.0 } else { INCREASE.1 };
                 state.share = (state.share + growth).min(1.0);
             }
             state.succeeded *= kept;
@@ -137,16 +149,27 @@
         }
     }
 
+    fn find_dependent(&mut self, now: Instant, pressure: f64) {
+        if pressure <= 1.0 {
+            return;
+        }
+        for state in self.routes.values_mut() {
+            if state.failing() > DEPENDENT {
+                state.dependent_until = now + DEPENDENT_FOR;
+            }
+        }
+    }
+
     /// Returns the admitted share of a route.
     pub fn share(&self, route: &str) -> f64 {
         self.routes.get(route).map_or(1.0, |state| state.share)
     }
 
-    /// Returns the least important priority among failing routes that can still be cut.
-    fn first_priority_to_cut(&self) -> Option<u8> {
+    /// Returns the least important priority among dependent routes that can still be cut.
+    fn first_priority_to_cut(&self, now: Instant) -> Option<u8> {
         self.routes
             .values()
-            .filter(|state| state.failing() > FAILING && state.share > CUT_FIRST)
+            .filter(|state| now < state.dependent_until && state.share > CUT_FIRST)
             .map(|state| state.priority)
             .max()
     }
@@ -168,3 +191,10 @@
         f64::from(self.random.next_u32()) / (f64::from(u32::MAX) + 1.0)
     }
 }
+
+/// Returns by how much a share shrinks in one step.
+fn decrease(pressure: f64) -> f64 {
+    let (least, most) = DECREASE;
+    let excess = ((pressure - 1.0) / (FULL_PRESSURE - 1.0)).clamp(0.0, 1.0);
+    least + (most - least) * excess
+}
--- a/crates/rillgap-sidecar/src/caller/connection.rs
+++ b/crates/rillgap-sidecar/src/caller/connection.rs
@@ -57,7 +57,6 @@
     hub: Rc<Hub>,
     id: ConnectionId,
     stream: TcpStream,
-    is_from_back_end: bool,
     reader: RequestReader,
     input: BytesMut,
     output: BytesMut,
@@ -69,14 +68,13 @@
 }
 
 impl CallerConnection {
-    pub fn new(hub: Rc<Hub>, id: ConnectionId, stream: TcpStream, is_from_back_end: bool) -> Self {
+    pub fn new(hub: Rc<Hub>, id: ConnectionId, stream: TcpStream) -> Self {
         // Answers would wait for acknowledgements; a connection works without it, too.
         let _ = stream.set_nodelay(true);
         Self {
             hub,
             id,
             stream,
-            is_from_back_end,
             reader: RequestReader::default(),
             input: BytesMut::new(),
             output: BytesMut::new(),
@@ -174,10 +172,8 @@
     fn take_requests(&mut self) -> Result<(), End> {
         while self.takes_requests && self.pending.len() < MOST_PIPELINED && !self.input.is_empty() {
             let limits = self.hub.with_node(|node| node.limits());
-            let names = self.hub.dialect().headers().clone();
-            let progress =
-                self.reader
-                    .read(&mut self.input, &names, &limits, self.is_from_back_end);
+            let dialect = self.hub.dialect().clone();
+            let progress = self.reader.read(&mut self.input, &*dialect, &limits);
             match progress {
                 Progress::Request(read) => self.begin(*read),
                 Progress::Partial => return Ok(()),
--- a/crates/rillgap-sidecar/src/caller/mod.rs
+++ b/crates/rillgap-sidecar/src/caller/mod.rs
@@ -3,7 +3,6 @@
 mod connection;
 mod reader;
 
-use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -17,28 +16,22 @@
 const MOST_CONNECTIONS: usize = 3_000;
 
 /// Accepts connections until the process ends.
-pub async fn accept(hub: Rc<Hub>, listener: TcpListener, back_end_address: SocketAddr) {
+pub async fn accept(hub: Rc<Hub>, listener: TcpListener) {
     loop {
-        let Ok((stream, peer)) = listener.accept().await else {
+        let Ok((stream, _)) = listener.accept().await else {
             tokio::time::sleep(Duration::from_millis(20)).await;
             continue;
         };
         if hub.caller_count() >= MOST_CONNECTIONS {
             continue;
         }
-        let is_from_back_end = is_back_end(peer.ip(), back_end_address.ip());
         let hub = hub.clone();
         tokio::task::spawn_local(async move {
             let (sender, answers) = unbounded_channel();
             let id = hub.add_caller(sender);
-            let connection = CallerConnection::new(hub.clone(), id, stream, is_from_back_end);
+            let connection = CallerConnection::new(hub.clone(), id, stream);
             connection.run(answers).await;
             hub.remove_caller(id);
         });
     }
 }
-
-/// Returns whether a connection comes from the back end beside the node.
-fn is_back_end(peer: IpAddr, back_end: IpAddr) -> bool {
-    peer == back_end || peer.is_loopback()
-}
--- a/crates/rillgap-sidecar/src/caller/reader.rs
+++ b/crates/rillgap-sidecar/src/caller/reader.rs
@@ -11,7 +11,7 @@
     decode_request,
 };
 
-use crate::dialect::HeaderNames;
+use crate::dialect::{Dialect, HeaderNames};
 
 /// A request that has arrived whole.
 #[derive(Debug)]
@@ -65,13 +65,12 @@
     pub fn read(
         &mut self,
         input: &mut BytesMut,
-        names: &HeaderNames,
+        dialect: &dyn Dialect,
         limits: &CallerLimits,
-        is_from_back_end: bool,
     ) -> Progress {
         let mut wants_continue = false;
         if self.unfinished.is_none() {
-            match read_head(input, names, limits) {
+            match read_head(input, dialect.headers(), limits) {
                 Ok(Some(unfinished)) => {
                     wants_continue = unfinished.head.expects_continue;
                     self.unfinished = Some(unfinished);
@@ -93,14 +92,15 @@
             Ok(BodyProgress::Complete) => {}
         }
         match self.unfinished.take() {
-            Some(unfinished) => Progress::Request(Box::new(unfinished.finish(is_from_back_end))),
+            Some(unfinished) => Progress::Request(Box::new(unfinished.finish(dialect))),
             None => Progress::Partial,
         }
     }
 }
 
 impl Unfinished {
-    fn finish(self, is_from_back_end: bool) -> ReadRequest {
+    fn finish(self, dialect: &dyn Dialect) -> ReadRequest {
+        let parent_id = dialect.parent_id(&self.request_id).map(str::to_owned);
         ReadRequest {
             connection: self.head.connection,
             is_head: self.head.method == "HEAD",
@@ -112,7 +112,7 @@
                 fields: self.head.fields.into_bytes(),
                 body: self.body,
                 deadline: self.deadline,
-                is_from_back_end,
+                parent_id,
             },
         }
     }
--- a/crates/rillgap-sidecar/src/daemon.rs
+++ b/crates/rillgap-sidecar/src/daemon.rs
@@ -121,8 +121,7 @@
     let readiness = bind(listen.readiness).await?;
     let mesh = bind(listen.mesh).await?;
     let hub = Hub::new(forward, platform.dialect, platform.store, log, metrics);
-    let back_end = settings.back_end.address;
-    tokio::task::spawn_local(caller::accept(hub.clone(), callers, back_end));
+    tokio::task::spawn_local(caller::accept(hub.clone(), callers));
     tokio::task::spawn_local(link::accept(hub.clone(), mesh));
     let calls = ControlService::Calls;
     tokio::task::spawn_local(control::serve(hub.clone(), control, calls));
--- a/crates/rillgap-sidecar/src/dialect.rs
+++ b/crates/rillgap-sidecar/src/dialect.rs
@@ -51,6 +51,11 @@
     /// Returns the names of header fields.
     fn headers(&self) -> &HeaderNames;
 
+    /// Returns the identifier of the request for which a back end made the one with this
+    /// identifier, if identifiers tell. It is a hint: the node believes it only if its back end
+    /// works on that request.
+    fn parent_id<'a>(&self, request_id: &'a str) -> Option<&'a str>;
+
     /// Reads a call to the node.
     ///
     /// # Errors
