--- /dev/null
+++ b/crates/rillgap-forward/tests/control.rs
@@ -0,0 +1,215 @@
+//! Configuration, store, peers and planned stops.
+
+mod support;
+
+use googletest::prelude::*;
+use rillgap_forward::action::Action;
+use rillgap_forward::event::{AnnouncedState, Event, ExchangeResult};
+use rillgap_forward::message::{LinkMessage, NodeRecord};
+use rillgap_forward::store_sync::{StoreReply, StoreRequest, StoreRequestId, StoreSync};
+use support::{
+    INSTANCE, SERVICE, TestNode, address, answer, at, configuration, forwarded, settings,
+};
+
+fn store() -> StoreSync {
+    StoreSync::new(settings("own", SERVICE).record)
+}
+
+fn requests(calls: &[(StoreRequestId, StoreRequest)]) -> Vec<StoreRequest> {
+    calls.iter().map(|(_, request)| request.clone()).collect()
+}
+
+#[gtest]
+fn node_registers_before_it_lists_the_others() {
+    let mut store = store();
+    let first = store.poll(at(0));
+    expect_that!(first.len(), eq(2));
+    expect_that!(
+        requests(&first)[1],
+        matches_pattern!(StoreRequest::Register(_))
+    );
+    expect_that!(store.poll(at(1)), is_empty());
+    store.on_reply(at(2), first[1].0, StoreReply::Registered);
+    let second = store.poll(at(2));
+    expect_that!(
+        requests(&second),
+        elements_are![eq(&StoreRequest::ListNodes)]
+    );
+}
+
+#[gtest]
+fn watch_goes_on_from_its_position_and_reads_anew_when_history_is_gone() {
+    let mut store = store();
+    let read = store.poll(at(0))[0].0;
+    let reply = StoreReply::Configuration {
+        position: 40,
+        configuration: Some(configuration(3)),
+    };
+    expect_that!(store.on_reply(at(1), read, reply), some(anything()));
+    let watch = store.poll(at(1));
+    let expected = StoreRequest::WatchConfiguration { after: 40 };
+    expect_that!(requests(&watch), elements_are![eq(&expected)]);
+    store.on_reply(at(2), watch[0].0, StoreReply::Failed("cut".to_owned()));
+    expect_that!(store.poll(at(2)), is_empty());
+    let again = store.poll(at(500));
+    expect_that!(requests(&again), elements_are![eq(&expected)]);
+    store.on_reply(at(501), again[0].0, StoreReply::HistoryGone);
+    let read = store.poll(at(501));
+    let expected = StoreRequest::ReadConfiguration;
+    expect_that!(requests(&read), elements_are![eq(&expected)]);
+}
+
+#[gtest]
+fn calls_to_a_store_that_fails_are_spaced_out() {
+    let mut store = store();
+    let mut calls = 0;
+    for now in 0..10_000 {
+        for (id, _) in store.poll(at(now)) {
+            calls += 1;
+            store.on_reply(at(now), id, StoreReply::Failed("down".to_owned()));
+        }
+    }
+    // Two chains, at most one call a second each once the pause has grown.
+    expect_that!(calls, all!(ge(16), le(30)));
+}
+
+#[gtest]
+fn older_configuration_is_never_put_in_force() {
+    let mut test = TestNode::configured(SERVICE);
+    let link = test.accept(50);
+    let older = std::sync::Arc::new(configuration(0));
+    test.event(Event::Link {
+        link,
+        message: LinkMessage::Configuration(older),
+    });
+    expect_that!(test.node.configuration_version(), eq(1));
+    let newer = std::sync::Arc::new(configuration(9));
+    test.event(Event::Link {
+        link,
+        message: LinkMessage::Configuration(newer),
+    });
+    expect_that!(test.node.configuration_version(), eq(9));
+}
+
+#[gtest]
+fn node_that_the_store_does_not_reach_gets_the_configuration_from_a_peer() {
+    let mut test = TestNode::fresh("logbok");
+    let link = test.accept(50);
+    test.event(Event::Link {
+        link,
+        message: LinkMessage::ConfigurationOffer(7),
+    });
+    let asked = |test: &TestNode| {
+        test.actions.iter().any(|action| {
+            matches!(
+                action,
+                Action::SendOnLink {
+                    message: LinkMessage::ConfigurationQuery(0),
+                    ..
+                }
+            )
+        })
+    };
+    expect_that!(asked(&test), eq(false));
+    test.pass(201);
+    expect_that!(asked(&test), eq(true));
+}
+
+#[gtest]
+fn peers_of_peers_are_linked_and_a_lost_link_is_opened_again() {
+    let mut test = TestNode::configured("logbok");
+    let link = test.connect("peer-a", 2, SERVICE);
+    test.event(Event::LinkClosed(link));
+    test.actions.clear();
+    test.pass(1_500);
+    let opened = test
+        .actions
+        .iter()
+        .any(|action| matches!(action, Action::OpenLink { address: to, .. } if *to == address(2)));
+    expect_that!(opened, eq(true));
+}
+
+#[gtest]
+fn node_that_stood_still_reads_what_has_arrived_before_it_judges_its_peers() {
+    let mut test = TestNode::configured("logbok");
+    test.connect("peer-a", 2, SERVICE);
+    test.actions.clear();
+    // Frozen for eight seconds.
+    test.now += 8_000;
+    test.event(Event::Wake);
+    let closed = |test: &TestNode| {
+        let is_close = |action: &Action| matches!(action, Action::CloseLink(_));
+        test.actions.iter().any(is_close)
+    };
+    expect_that!(closed(&test), eq(false));
+    test.pass(700);
+    expect_that!(closed(&test), eq(true));
+}
+
+#[gtest]
+fn planned_stop_waits_for_what_is_in_flight() {
+    let mut test = TestNode::serving();
+    let link = test.accept(50);
+    let mut slow = forwarded("a", false);
+    slow.remaining_micros = 10_000_000;
+    test.forward(link, 1, slow);
+    test.event(Event::Stop);
+    let exits = |test: &TestNode| {
+        let is_exit = |action: &Action| matches!(action, Action::Exit);
+        test.actions.iter().any(is_exit)
+    };
+    test.pass(4_000);
+    expect_that!(exits(&test), eq(false));
+    let exchange = test.exchanges()[0].id;
+    test.end_exchange(exchange, ExchangeResult::Answered(answer(200)));
+    expect_that!(exits(&test), eq(true));
+    expect_that!(test.results().len(), eq(1));
+}
+
+#[gtest]
+fn planned_stop_ends_within_the_grace() {
+    let mut test = TestNode::serving();
+    let link = test.accept(50);
+    let mut endless = forwarded("a", false);
+    endless.remaining_micros = 60_000_000;
+    test.forward(link, 1, endless);
+    test.event(Event::Stop);
+    test.pass(5_900);
+    let exits = test
+        .actions
+        .iter()
+        .any(|action| matches!(action, Action::Exit));
+    expect_that!(exits, eq(true));
+}
+
+#[gtest]
+fn record_is_removed_only_if_the_back_end_has_left() {
+    for has_left in [false, true] {
+        let mut test = TestNode::serving();
+        // The registration of the start is answered.
+        test.event(Event::Store {
+            request: StoreRequestId(2),
+            reply: StoreReply::Registered,
+        });
+        test.event(Event::Store {
+            request: StoreRequestId(4),
+            reply: StoreReply::Nodes(Vec::<NodeRecord>::new()),
+        });
+        if has_left {
+            test.heartbeat(9, AnnouncedState::Draining);
+            test.leave(INSTANCE);
+        }
+        test.event(Event::Stop);
+        test.pass(10);
+        let removed = test.actions.iter().any(|action| {
+            matches!(
+                action,
+                Action::CallStore {
+                    request: StoreRequest::Unregister { .. },
+                    ..
+                }
+            )
+        });
+        expect_that!(removed, eq(has_left));
+    }
+}
--- /dev/null
+++ b/crates/rillgap-forward/tests/inbound.rs
@@ -0,0 +1,270 @@
+//! The side beside the back end: what it believes, what it lets run and what it says.
+
+mod support;
+
+use googletest::prelude::*;
+use rillgap_core::code::ResultCode;
+use rillgap_forward::event::{AnnouncedState, Event, ExchangeResult, ProbeResult};
+use rillgap_forward::id::{LinkId, Sequence};
+use rillgap_forward::message::{ForwardResult, LinkMessage};
+use support::{INSTANCE, TestNode, answer, forwarded};
+
+fn code_of(result: &ForwardResult) -> Option<ResultCode> {
+    match result {
+        ForwardResult::Answered(_) => None,
+        ForwardResult::NotRun { code, .. } | ForwardResult::Unknown { code } => Some(*code),
+    }
+}
+
+fn cancel(test: &mut TestNode, link: LinkId, sequence: u64) {
+    test.event(Event::Link {
+        link,
+        message: LinkMessage::Cancel(Sequence(sequence)),
+    });
+}
+
+#[gtest]
+fn fresh_node_believes_a_heartbeat_only_after_the_health_endpoint() {
+    let mut test = TestNode::configured(support::SERVICE);
+    expect_that!(test.heartbeat(1, AnnouncedState::Ready), eq(true));
+    expect_that!(test.node.inbound().status().is_serving, eq(false));
+    test.confirm(INSTANCE);
+    expect_that!(test.node.inbound().status().is_serving, eq(true));
+}
+
+#[gtest]
+fn late_ready_does_not_revive_what_announced_draining() {
+    let mut test = TestNode::serving();
+    expect_that!(test.heartbeat(5, AnnouncedState::Draining), eq(true));
+    expect_that!(test.heartbeat(4, AnnouncedState::Ready), eq(true));
+    expect_that!(test.heartbeat(6, AnnouncedState::Ready), eq(true));
+    expect_that!(test.node.inbound().status().is_serving, eq(false));
+    expect_that!(test.probe(), none());
+}
+
+#[gtest]
+fn restarted_node_does_not_take_a_leaving_back_end_for_a_serving_one() {
+    let mut test = TestNode::configured(support::SERVICE);
+    // A late heartbeat from before the announcement, which this run has not heard.
+    test.heartbeat(3, AnnouncedState::Ready);
+    let probe = test.probe().expect("a probe");
+    test.end_probe(probe, ProbeResult::Unhealthy);
+    expect_that!(test.node.inbound().status().is_serving, eq(false));
+}
+
+#[gtest]
+fn back_end_that_leaves_without_draining_gets_nothing_more() {
+    let mut test = TestNode::serving();
+    test.leave(INSTANCE);
+    let link = test.accept(50);
+    test.forward(link, 1, forwarded("a", true));
+    expect_that!(test.exchanges(), is_empty());
+    let results = test.results();
+    expect_that!(code_of(&results[0].1), some(eq(ResultCode::BackEndLeaving)));
+}
+
+#[gtest]
+fn next_incarnation_is_believed_after_the_first_has_left() {
+    let mut test = TestNode::serving();
+    test.heartbeat(9, AnnouncedState::Draining);
+    test.heartbeat_of("i-2", 1, AnnouncedState::Ready);
+    test.confirm("i-2");
+    expect_that!(test.node.inbound().status().is_serving, eq(true));
+    let link = test.accept(50);
+    test.forward(link, 1, forwarded("a", true));
+    expect_that!(test.exchanges()[0].instance, eq("i-2"));
+}
+
+#[gtest]
+fn heartbeat_of_another_address_is_not_acknowledged() {
+    let mut test = TestNode::serving();
+    let mut foreign = support::heartbeat("i-9", 1, AnnouncedState::Draining);
+    foreign.address = "127.0.0.77:1".to_owned();
+    let now = support::at(test.now);
+    let acknowledged = test.node.on_heartbeat(now, &foreign, &mut test.actions);
+    expect_that!(acknowledged, eq(false));
+}
+
+#[gtest]
+fn never_more_run_than_the_back_end_has_slots() {
+    let mut test = TestNode::serving();
+    let link = test.accept(50);
+    for sequence in 0..20 {
+        test.forward(link, sequence, forwarded(&format!("r{sequence}"), true));
+    }
+    // Four slots, of which a few in a hundred are left free.
+    expect_that!(test.exchanges().len(), eq(3));
+}
+
+#[gtest]
+fn draining_refuses_at_once_what_waits_and_lets_finish_what_runs() {
+    let mut test = TestNode::serving();
+    let link = test.accept(50);
+    for sequence in 0..5 {
+        test.forward(link, sequence, forwarded(&format!("r{sequence}"), true));
+    }
+    test.heartbeat(2, AnnouncedState::Draining);
+    let refused: Vec<u64> = test
+        .results()
+        .iter()
+        .map(|(sequence, _)| *sequence)
+        .collect();
+    expect_that!(refused, elements_are![eq(&3), eq(&4)]);
+    let running = test.exchanges()[0].id;
+    test.end_exchange(running, ExchangeResult::Answered(answer(200)));
+    expect_that!(test.results().len(), eq(3));
+    expect_that!(test.exchanges().len(), eq(3));
+}
+
+#[gtest]
+fn higher_priority_is_served_first_and_lower_keeps_a_reserve() {
+    let mut test = TestNode::serving();
+    let link = test.accept(50);
+    for sequence in 0..3 {
+        test.forward(link, sequence, forwarded(&format!("r{sequence}"), true));
+    }
+    let mut low = forwarded("low", true);
+    low.root_priority = 5;
+    let mut high = forwarded("high", true);
+    high.root_priority = 0;
+    test.forward(link, 10, low);
+    test.forward(link, 11, high);
+    let first = test.exchanges()[0].id;
+    test.end_exchange(first, ExchangeResult::Answered(answer(200)));
+    let second = test.exchanges()[1].id;
+    test.end_exchange(second, ExchangeResult::Answered(answer(200)));
+    let ids: Vec<String> = test
+        .exchanges()
+        .iter()
+        .skip(3)
+        .map(|exchange| exchange.request.request_id.clone())
+        .collect();
+    // The reserve of the lower rank is empty, so it gets one place first.
+    expect_that!(ids, elements_are![eq("low"), eq("high")]);
+}
+
+#[gtest]
+fn cancelled_request_frees_its_place_unless_it_may_run_only_once() {
+    let mut test = TestNode::serving();
+    let link = test.accept(50);
+    test.forward(link, 1, forwarded("safe", true));
+    test.forward(link, 2, forwarded("once", false));
+    let exchanges = test.exchanges();
+    cancel(&mut test, link, 1);
+    cancel(&mut test, link, 2);
+    expect_that!(test.has_cancelled(exchanges[0].id), eq(true));
+    expect_that!(test.has_cancelled(exchanges[1].id), eq(false));
+    expect_that!(test.node.inbound().load().running, eq(1));
+    test.end_exchange(exchanges[1].id, ExchangeResult::Answered(answer(200)));
+    expect_that!(test.results(), is_empty());
+}
+
+#[gtest]
+fn end_of_a_link_cancels_its_requests_only() {
+    let mut test = TestNode::serving();
+    let first = test.accept(50);
+    let second = test.accept(51);
+    test.forward(first, 1, forwarded("a", true));
+    test.forward(second, 1, forwarded("b", true));
+    let exchanges = test.exchanges();
+    test.event(Event::LinkClosed(first));
+    expect_that!(test.has_cancelled(exchanges[0].id), eq(true));
+    expect_that!(test.has_cancelled(exchanges[1].id), eq(false));
+}
+
+#[gtest]
+fn silence_ends_as_unknown_after_the_deadline_and_never_as_not_run() {
+    let mut test = TestNode::serving();
+    let link = test.accept(50);
+    test.forward(link, 1, forwarded("a", false));
+    test.pass(1_200);
+    let results = test.results();
+    expect_that!(
+        results[0].1,
+        eq(&ForwardResult::Unknown {
+            code: ResultCode::AnswerTimeout
+        })
+    );
+}
+
+#[gtest]
+fn what_cannot_be_proved_is_unknown_and_what_can_is_not_run() {
+    let cases = [
+        (ExchangeResult::Lost, ResultCode::AnswerLost, false),
+        (
+            ExchangeResult::NotSent,
+            ResultCode::BackEndUnreachable,
+            true,
+        ),
+        (ExchangeResult::NotExecuted, ResultCode::BackEndShed, true),
+        (
+            ExchangeResult::WrongInstance,
+            ResultCode::BackEndLeaving,
+            true,
+        ),
+    ];
+    for (result, code, is_not_run) in cases {
+        let mut test = TestNode::serving();
+        let link = test.accept(50);
+        test.forward(link, 1, forwarded("a", false));
+        let exchange = test.exchanges()[0].id;
+        test.end_exchange(exchange, result);
+        let results = test.results();
+        expect_that!(code_of(&results[0].1), some(eq(code)));
+        let said = matches!(results[0].1, ForwardResult::NotRun { .. });
+        expect_that!(said, eq(is_not_run));
+    }
+}
+
+#[gtest]
+fn stopping_node_refuses_new_requests_as_not_run() {
+    let mut test = TestNode::serving();
+    let link = test.accept(50);
+    test.event(Event::Stop);
+    test.forward(link, 1, forwarded("a", false));
+    let results = test.results();
+    expect_that!(code_of(&results[0].1), some(eq(ResultCode::NodeStopping)));
+    expect_that!(test.node.is_ready(), eq(false));
+}
+
+#[gtest]
+fn queue_that_is_too_long_refuses_at_once_with_a_time_to_come_back() {
+    let mut test = TestNode::serving();
+    let link = test.accept(50);
+    test.forward(link, 0, forwarded("warm", true));
+    let warm = test.exchanges()[0].id;
+    test.pass(200);
+    test.end_exchange(warm, ExchangeResult::Answered(answer(200)));
+    test.actions.clear();
+    for sequence in 1..10 {
+        test.forward(link, sequence, forwarded(&format!("r{sequence}"), true));
+    }
+    let refused = test.results();
+    expect_that!(refused.len(), gt(0));
+    for (_, result) in refused {
+        let ForwardResult::NotRun {
+            code,
+            retry_after_millis,
+            ..
+        } = result
+        else {
+            panic!("{result:?}");
+        };
+        expect_that!(code, eq(ResultCode::QueueFull));
+        expect_that!(retry_after_millis, ge(50));
+    }
+}
+
+#[gtest]
+fn silent_back_end_is_probed_and_taken_out_if_it_does_not_answer() {
+    let mut test = TestNode::serving();
+    test.pass(4_900);
+    let probe = test.probe().expect("a probe after missed heartbeats");
+    expect_that!(test.node.inbound().status().is_serving, eq(true));
+    test.end_probe(probe, ProbeResult::Unreachable);
+    expect_that!(test.node.inbound().status().is_serving, eq(false));
+    test.actions.clear();
+    test.heartbeat(2, AnnouncedState::Ready);
+    test.confirm(INSTANCE);
+    expect_that!(test.node.inbound().status().is_serving, eq(true));
+}
--- /dev/null
+++ b/crates/rillgap-forward/tests/outbound.rs
@@ -0,0 +1,256 @@
+//! The side that takes requests in: where they go, when they move, how they are answered.
+
+mod support;
+
+use googletest::prelude::*;
+use rillgap_core::code::ResultCode;
+use rillgap_forward::action::Action;
+use rillgap_forward::event::{Event, ExchangeResult};
+use rillgap_forward::id::ConnectionId;
+use rillgap_forward::message::{ForwardResult, LinkMessage, Status};
+use support::{SERVICE, TestNode, answer, caller_request, serving};
+
+fn not_run(arrived: bool) -> ForwardResult {
+    ForwardResult::NotRun {
+        code: ResultCode::QueueFull,
+        arrived,
+        retry_after_millis: 350,
+    }
+}
+
+fn lost() -> ForwardResult {
+    ForwardResult::Unknown {
+        code: ResultCode::AnswerLost,
+    }
+}
+
+/// A node without a back end in service, linked to two peers that serve.
+fn entry() -> TestNode {
+    let mut test = TestNode::configured("logbok");
+    test.connect("peer-a", 2, SERVICE);
+    test.connect("peer-b", 3, SERVICE);
+    test.actions.clear();
+    test
+}
+
+fn has_retry_after(fields: &[u8]) -> bool {
+    String::from_utf8_lossy(fields).contains("Retry-After: ")
+}
+
+#[gtest]
+fn node_without_a_configuration_answers_503_and_is_not_ready() {
+    let mut test = TestNode::fresh("logbok");
+    expect_that!(test.node.is_ready(), eq(false));
+    test.request(0, caller_request("a", "/safe/1"));
+    expect_that!(test.statuses(), elements_are![eq(&503)]);
+    expect_that!(has_retry_after(&test.answers()[0].fields), eq(true));
+}
+
+#[gtest]
+fn unknown_route_is_404() {
+    let mut test = entry();
+    test.request(0, caller_request("a", "/other/1"));
+    expect_that!(test.statuses(), elements_are![eq(&404)]);
+}
+
+#[gtest]
+fn answer_of_the_peer_goes_back_unchanged() {
+    let mut test = entry();
+    test.request(0, caller_request("a", "/safe/1"));
+    test.respond(ForwardResult::Answered(answer(200)));
+    let answers = test.answers();
+    expect_that!(answers[0].status, eq(200));
+    expect_that!(answers[0].body, eq(b"body"));
+}
+
+#[gtest]
+fn request_carries_the_smaller_of_deadline_and_time_out() {
+    let mut test = entry();
+    test.request(0, caller_request("a", "/safe/1"));
+    let mut patient = caller_request("b", "/safe/1");
+    patient.deadline = Some(std::time::Duration::from_secs(60));
+    test.request(1, patient);
+    let remaining: Vec<u64> = test
+        .sent()
+        .iter()
+        .map(|(_, _, request)| request.remaining_micros)
+        .collect();
+    expect_that!(remaining, elements_are![eq(&800_000), eq(&1_000_000)]);
+}
+
+#[gtest]
+fn request_that_may_run_once_is_not_sent_again_after_a_lost_answer() {
+    let mut test = entry();
+    test.request(0, caller_request("a", "/once/1"));
+    test.respond(lost());
+    expect_that!(test.sent().len(), eq(1));
+    expect_that!(test.statuses(), elements_are![eq(&502)]);
+}
+
+#[gtest]
+fn request_that_may_run_once_moves_on_the_word_that_it_did_not_run() {
+    let mut test = entry();
+    test.request(0, caller_request("a", "/once/1"));
+    test.respond(not_run(false));
+    let sent = test.sent();
+    expect_that!(sent.len(), eq(2));
+    expect_that!(sent[0].0, not(eq(sent[1].0)));
+    test.respond(not_run(false));
+    expect_that!(test.statuses(), elements_are![eq(&503)]);
+    expect_that!(has_retry_after(&test.answers()[0].fields), eq(true));
+}
+
+#[gtest]
+fn refusal_after_a_try_of_unknown_fate_promises_nothing() {
+    let mut test = entry();
+    test.request(0, caller_request("a", "/safe/1"));
+    test.respond(lost());
+    expect_that!(test.sent().len(), eq(2));
+    test.respond(not_run(false));
+    expect_that!(test.statuses(), elements_are![eq(&502)]);
+}
+
+#[gtest]
+fn failure_of_the_back_end_outlives_a_second_try_that_came_to_nothing() {
+    let mut test = entry();
+    test.request(0, caller_request("a", "/safe/1"));
+    test.respond(ForwardResult::Answered(answer(500)));
+    expect_that!(test.sent().len(), eq(2));
+    test.respond(not_run(false));
+    expect_that!(test.statuses(), elements_are![eq(&500)]);
+}
+
+#[gtest]
+fn promise_of_a_back_end_is_not_passed_on_for_what_may_have_run() {
+    let mut test = entry();
+    test.request(0, caller_request("a", "/once/1"));
+    test.respond(ForwardResult::Answered(answer(503)));
+    expect_that!(test.statuses(), elements_are![eq(&502)]);
+}
+
+#[gtest]
+fn time_out_is_answered_at_once_and_cancels_the_work() {
+    let mut test = entry();
+    test.request(0, caller_request("a", "/safe/1"));
+    test.pass(801);
+    expect_that!(test.statuses(), elements_are![eq(&504)]);
+    let cancels = test.actions.iter().filter(|action| {
+        matches!(
+            action,
+            Action::SendOnLink {
+                message: LinkMessage::Cancel(_),
+                ..
+            }
+        )
+    });
+    expect_that!(cancels.count(), eq(1));
+    // A late answer belongs to nothing any more.
+    test.respond(ForwardResult::Answered(answer(200)));
+    expect_that!(test.statuses(), elements_are![eq(&504)]);
+}
+
+#[gtest]
+fn caller_that_has_gone_cancels_all_its_requests() {
+    let mut test = entry();
+    test.request(0, caller_request("a", "/safe/1"));
+    test.request(1, caller_request("b", "/safe/1"));
+    test.event(Event::CallerGone(ConnectionId(1)));
+    expect_that!(test.node.outbound().in_flight(), eq(0));
+    expect_that!(test.answers(), is_empty());
+}
+
+#[gtest]
+fn end_of_a_link_moves_what_may_run_again_and_answers_the_rest() {
+    let mut test = TestNode::configured("logbok");
+    let first = test.connect("peer-a", 2, SERVICE);
+    test.request(0, caller_request("a", "/safe/1"));
+    test.request(1, caller_request("b", "/once/1"));
+    test.connect("peer-b", 3, SERVICE);
+    test.event(Event::LinkClosed(first));
+    expect_that!(test.statuses(), elements_are![eq(&502)]);
+    expect_that!(test.sent().len(), eq(3));
+}
+
+#[gtest]
+fn no_back_end_is_refused_with_a_time_to_come_back() {
+    let mut test = TestNode::configured("logbok");
+    test.request(0, caller_request("a", "/once/1"));
+    expect_that!(test.statuses(), elements_are![eq(&503)]);
+    expect_that!(has_retry_after(&test.answers()[0].fields), eq(true));
+}
+
+#[gtest]
+fn stopping_or_leaving_peers_get_nothing() {
+    let mut test = TestNode::configured("logbok");
+    let link = test.connect("peer-a", 2, SERVICE);
+    let status = Status {
+        is_stopping: true,
+        ..serving(SERVICE)
+    };
+    test.event(Event::Link {
+        link,
+        message: LinkMessage::Status(status),
+    });
+    test.request(0, caller_request("a", "/safe/1"));
+    expect_that!(test.sent(), is_empty());
+    expect_that!(test.statuses(), elements_are![eq(&503)]);
+}
+
+#[gtest]
+fn repeats_stay_within_the_share_of_the_requests() {
+    let mut test = entry();
+    for turn in 0..200 {
+        test.request(turn, caller_request(&format!("r{turn}"), "/safe/1"));
+        test.respond(lost());
+        if test.node.outbound().in_flight() > 0 {
+            test.respond(ForwardResult::Answered(answer(200)));
+        }
+    }
+    let repeats = test.sent().len() - 200;
+    // A quarter of a fifth of the requests, and one.
+    expect_that!(repeats, all!(ge(5), le(11)));
+}
+
+#[gtest]
+fn call_of_the_back_end_inherits_the_priority_of_its_root() {
+    let mut test = TestNode::serving();
+    let link = test.accept(50);
+    let mut parent = support::forwarded("root", false);
+    parent.root_priority = 0;
+    test.forward(link, 1, parent);
+    test.request(0, caller_request("root.child", "/safe/1"));
+    test.request(1, caller_request("stranger.child", "/safe/1"));
+    let exchanges = test.exchanges();
+    let child = &exchanges[1].request;
+    expect_that!(child.is_call, eq(true));
+    expect_that!(child.root_priority, eq(0));
+    // Its identifier leads to nothing that runs here: a caller's request.
+    let stranger = &exchanges[2].request;
+    expect_that!(stranger.is_call, eq(false));
+    expect_that!(stranger.root_priority, eq(1));
+}
+
+#[gtest]
+fn own_back_end_is_reached_without_a_link() {
+    let mut test = TestNode::serving();
+    test.request(0, caller_request("a", "/safe/1"));
+    let exchange = test.exchanges()[0].id;
+    test.end_exchange(exchange, ExchangeResult::Answered(answer(200)));
+    expect_that!(test.statuses(), elements_are![eq(&200)]);
+}
+
+#[gtest]
+fn silent_link_with_requests_is_given_up_far_before_their_time_is_over() {
+    let mut test = TestNode::configured("logbok");
+    let link = test.connect("peer-a", 2, SERVICE);
+    let mut patient = caller_request("a", "/once/1");
+    patient.deadline = None;
+    test.request(0, patient);
+    test.actions.clear();
+    test.pass(990);
+    expect_that!(test.statuses(), is_empty());
+    let pings = test.actions.iter().filter(|action| {
+        matches!(action, Action::SendOnLink { link: on, message: LinkMessage::Ping } if *on == link)
+    });
+    expect_that!(pings.count(), ge(2));
+}
--- /dev/null
+++ b/crates/rillgap-forward/tests/policies.rs
@@ -0,0 +1,221 @@
+//! Policies by themselves: routes, weights, balance, throttle, retry budget.
+
+mod support;
+
+use std::collections::BTreeMap;
+
+use googletest::prelude::*;
+use rillgap_forward::balancer::{Balancer, Candidate};
+use rillgap_forward::configuration::{
+    Configuration, Repeatability, Route, RouteTable, WeightedService,
+};
+use rillgap_forward::retry_budget::RetryBudget;
+use rillgap_forward::throttle::{Outcome, Throttle};
+use support::{HOST, TestNode, at, caller_request, configuration, route, settings};
+
+fn table(paths: &[&str]) -> RouteTable {
+    let routes: Vec<Route> = paths
+        .iter()
+        .map(|path| route(path, path, Repeatability::Idempotent))
+        .collect();
+    RouteTable::new(Configuration {
+        routes,
+        ..Configuration::default()
+    })
+}
+
+fn prefix<'a>(table: &'a RouteTable, host: &str, target: &str) -> Option<&'a str> {
+    let route = table.lookup(host, target)?;
+    Some(route.path_prefix.as_str())
+}
+
+#[gtest]
+fn longest_prefix_of_the_host_wins() {
+    let table = table(&["/", "/a/", "/a/b/"]);
+    expect_that!(prefix(&table, HOST, "/a/b/c?x=/"), some(eq("/a/b/")));
+    expect_that!(prefix(&table, HOST, "/a/bc"), some(eq("/a/")));
+    expect_that!(prefix(&table, HOST, "/z"), some(eq("/")));
+    expect_that!(
+        prefix(&table, "Fares.Example:80", "/a/b/"),
+        some(eq("/a/b/"))
+    );
+    expect_that!(prefix(&table, "other.example", "/a/b/"), none());
+}
+
+#[gtest]
+fn query_is_no_part_of_the_path() {
+    let table = table(&["/a/b/"]);
+    expect_that!(prefix(&table, HOST, "/a?/a/b/"), none());
+}
+
+#[gtest]
+fn weights_are_held_in_every_span_of_requests() {
+    let mut test = TestNode::fresh("logbok");
+    let mut split = configuration(1);
+    split.routes[0].services = vec![
+        WeightedService {
+            service: "old".to_owned(),
+            weight: 90,
+        },
+        WeightedService {
+            service: "new".to_owned(),
+            weight: 10,
+        },
+    ];
+    test.configure(split);
+    test.connect("peer-a", 2, "old");
+    test.connect("peer-b", 3, "new");
+    test.actions.clear();
+    for turn in 0..100 {
+        test.request(turn, caller_request(&format!("r{turn}"), "/safe/1"));
+    }
+    let mut counts: BTreeMap<String, u32> = BTreeMap::new();
+    for (_, _, request) in test.sent() {
+        *counts.entry(request.service).or_default() += 1;
+    }
+    expect_that!(counts["new"], all!(ge(9), le(11)));
+    expect_that!(counts["old"], all!(ge(89), le(91)));
+}
+
+fn candidate(
+    name: &'static str,
+    is_local: bool,
+    utilization: f64,
+    mean: u32,
+) -> Candidate<&'static str> {
+    Candidate {
+        target: name,
+        is_local,
+        utilization,
+        limit: 100,
+        mean_micros: mean,
+    }
+}
+
+fn choose(candidates: &[Candidate<&'static str>]) -> Option<&'static str> {
+    Balancer::new(1).choose(candidates.to_vec())
+}
+
+#[gtest]
+fn own_zone_is_preferred_while_it_has_room() {
+    let near = candidate("near", true, 0.3, 1_000);
+    let far = candidate("far", false, 0.1, 1_000);
+    expect_that!(choose(&[near, far.clone()]), some(eq("near")));
+    let full = candidate("near", true, 0.9, 1_000);
+    expect_that!(choose(&[full, far]), some(eq("far")));
+    expect_that!(choose(&[]), none());
+}
+
+#[gtest]
+fn slow_back_end_is_spared_but_used_when_the_fast_one_is_full() {
+    let slow = candidate("slow", true, 0.5, 2_300);
+    expect_that!(
+        choose(&[slow.clone(), candidate("fast", true, 0.5, 1_000)]),
+        some(eq("fast"))
+    );
+    expect_that!(
+        choose(&[slow, candidate("fast", true, 0.95, 1_000)]),
+        some(eq("slow"))
+    );
+}
+
+/// Plays ten seconds in which routes fail at these shares; returns the admitted shares.
+fn throttled(pressure: f64, failing: &[(&str, u8, u32)]) -> BTreeMap<String, f64> {
+    let mut throttle = Throttle::new(1);
+    for step in 0..50 {
+        for (name, priority, percent) in failing {
+            for request in 0..100 {
+                let outcome = if request < *percent {
+                    Outcome::Failed
+                } else {
+                    Outcome::Succeeded
+                };
+                throttle.ended(name, *priority, outcome);
+            }
+        }
+        throttle.step(at(step * 200), pressure);
+    }
+    failing
+        .iter()
+        .map(|(name, ..)| ((*name).to_owned(), throttle.share(name)))
+        .collect()
+}
+
+#[gtest]
+fn failing_routes_are_cut_under_pressure_and_others_are_not() {
+    let shares = throttled(2.0, &[("chained", 2, 30), ("direct", 2, 0)]);
+    expect_that!(shares["chained"], lt(0.3));
+    expect_that!(shares["direct"], eq(1.0));
+}
+
+#[gtest]
+fn failures_without_pressure_are_no_reason_to_refuse() {
+    let shares = throttled(0.2, &[("chained", 2, 60)]);
+    expect_that!(shares["chained"], eq(1.0));
+}
+
+#[gtest]
+fn important_routes_are_cut_after_less_important_ones() {
+    let mut throttle = Throttle::new(1);
+    let mut least_when_touched = None;
+    for step in 0..50 {
+        for (name, priority) in [("booking", 0), ("browsing", 2)] {
+            for request in 0..100 {
+                let outcome = if request < 30 {
+                    Outcome::Failed
+                } else {
+                    Outcome::Succeeded
+                };
+                throttle.ended(name, priority, outcome);
+            }
+        }
+        throttle.step(at(step * 200), 1.5);
+        if throttle.share("booking") < 1.0 && least_when_touched.is_none() {
+            least_when_touched = Some(throttle.share("browsing"));
+        }
+    }
+    expect_that!(least_when_touched, some(le(0.3)));
+}
+
+#[gtest]
+fn shares_grow_back_when_the_pressure_is_gone() {
+    let mut throttle = Throttle::new(1);
+    let fail = |throttle: &mut Throttle| {
+        for _ in 0..10 {
+            throttle.ended("chained", 2, Outcome::Failed);
+        }
+    };
+    for step in 0..20 {
+        fail(&mut throttle);
+        throttle.step(at(step * 200), 4.0);
+    }
+    expect_that!(throttle.share("chained"), lt(0.2));
+    for step in 20..60 {
+        throttle.step(at(step * 200), 0.0);
+    }
+    expect_that!(throttle.share("chained"), eq(1.0));
+}
+
+#[gtest]
+fn retry_budget_follows_the_requests_of_the_window() {
+    let mut budget = RetryBudget::new(settings("own", "logbok").retry_bound);
+    let spend =
+        |budget: &mut RetryBudget, now| (0..100).filter(|_| budget.try_spend(now, "takst")).count();
+    expect_that!(spend(&mut budget, at(0)), eq(1));
+    for _ in 0..100 {
+        budget.count_request(at(100), "takst");
+    }
+    expect_that!(spend(&mut budget, at(200)), eq(5));
+    // Both the requests and the repeats leave the window.
+    expect_that!(spend(&mut budget, at(20_000)), eq(1));
+}
+
+#[gtest]
+fn calls_of_a_repeated_request_use_up_the_budget() {
+    let mut budget = RetryBudget::new(settings("own", "logbok").retry_bound);
+    for _ in 0..100 {
+        budget.count_request(at(0), "takst");
+        budget.spend(at(0), "takst");
+    }
+    expect_that!(budget.try_spend(at(1), "takst"), eq(false));
+}
--- /dev/null
+++ b/crates/rillgap-forward/tests/support/mod.rs
@@ -0,0 +1,402 @@
+//! Builders that the tests of this crate share.
+
+#![allow(dead_code, reason = "each test file uses a part of it")]
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use rillgap_core::time::Instant;
+use rillgap_forward::action::{Action, Actions, CallerAnswer, Exchange};
+use rillgap_forward::configuration::{
+    CallerLimits, Configuration, Repeatability, Route, Service, WeightedService,
+};
+use rillgap_forward::event::{
+    AnnouncedState, CallerRequest, Event, ExchangeResult, Heartbeat, ProbeResult,
+};
+use rillgap_forward::id::{ConnectionId, ExchangeId, LinkId, ProbeId, Sequence, Turn};
+use rillgap_forward::message::{
+    ForwardResponse, ForwardResult, ForwardedAnswer, ForwardedRequest, Hello, LinkMessage, Load,
+    NodeRecord, Status,
+};
+use rillgap_forward::node::{Node, PROTOCOL_VERSION};
+use rillgap_forward::settings::{ForwardSettings, RetryBound};
+use rillgap_forward::store_sync::{StoreReply, StoreRequest};
+
+pub const SERVICE: &str = "takst";
+pub const INSTANCE: &str = "i-1";
+pub const HOST: &str = "fares.example";
+
+pub fn at(millis: u64) -> Instant {
+    Instant::from_micros(millis * 1_000)
+}
+
+pub fn address(last: u8) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, last], 7_000))
+}
+
+pub fn back_end_address() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 9_000))
+}
+
+pub fn settings(name: &str, service: &str) -> ForwardSettings {
+    ForwardSettings {
+        record: NodeRecord {
+            name: name.to_owned(),
+            address: address(1),
+            zone: "hall-a".to_owned(),
+            service: service.to_owned(),
+        },
+        incarnation: 1,
+        random_seed: 7,
+        back_end_address: back_end_address(),
+        heartbeat_interval: Duration::from_millis(1_500),
+        grace: Duration::from_secs(6),
+        retry_bound: RetryBound {
+            ratio: 0.2,
+            slack: 50,
+            window: Duration::from_secs(10),
+        },
+    }
+}
+
+pub fn route(path: &str, service: &str, repeatability: Repeatability) -> Route {
+    Route {
+        name: path.to_owned(),
+        host: HOST.to_owned(),
+        path_prefix: path.to_owned(),
+        repeatability,
+        timeout_millis: 1_000,
+        target_latency_millis: 500,
+        priority: 1,
+        services: vec![WeightedService {
+            service: service.to_owned(),
+            weight: 1,
+        }],
+        max_attempts: 3,
+    }
+}
+
+/// Routes `/safe/` and `/once/` to [`SERVICE`].
+pub fn configuration(version: u64) -> Configuration {
+    Configuration {
+        version,
+        routes: vec![
+            route("/safe/", SERVICE, Repeatability::Idempotent),
+            route("/once/", SERVICE, Repeatability::AtMostOnce),
+        ],
+        services: vec![Service {
+            name: SERVICE.to_owned(),
+            health_path: "/health".to_owned(),
+            max_connections: 100,
+        }],
+        limits: CallerLimits::default(),
+    }
+}
+
+pub fn heartbeat(instance: &str, sequence: u64, state: AnnouncedState) -> Heartbeat {
+    Heartbeat {
+        instance: instance.to_owned(),
+        service: SERVICE.to_owned(),
+        address: back_end_address().to_string(),
+        slots: 4,
+        state,
+        cold: Duration::ZERO,
+        sequence,
+    }
+}
+
+pub fn caller_request(id: &str, target: &str) -> CallerRequest {
+    CallerRequest {
+        request_id: id.to_owned(),
+        method: "GET".to_owned(),
+        target: target.to_owned(),
+        host: HOST.to_owned(),
+        fields: Vec::new(),
+        body: Vec::new(),
+        deadline: Some(Duration::from_millis(800)),
+        parent_id: id.rsplit_once('.').map(|(parent, _)| parent.to_owned()),
+    }
+}
+
+pub fn forwarded(id: &str, is_idempotent: bool) -> ForwardedRequest {
+    ForwardedRequest {
+        request_id: id.to_owned(),
+        method: "GET".to_owned(),
+        target: "/safe/1".to_owned(),
+        fields: Vec::new(),
+        body: Vec::new(),
+        caller_service: "logbok".to_owned(),
+        service: SERVICE.to_owned(),
+        route: "/safe/".to_owned(),
+        is_idempotent,
+        root_priority: 1,
+        is_call: false,
+        is_repeat: false,
+        remaining_micros: 800_000,
+        queue_limit_micros: 100_000,
+    }
+}
+
+pub fn answer(status: u16) -> ForwardedAnswer {
+    ForwardedAnswer {
+        status,
+        fields: Vec::new(),
+        body: b"body".to_vec(),
+    }
+}
+
+pub fn serving(service: &str) -> Status {
+    Status {
+        service: service.to_owned(),
+        is_serving: true,
+        is_stopping: false,
+        load: Load {
+            limit: 10,
+            ..Load::default()
+        },
+    }
+}
+
+pub fn hello(name: &str, last: u8, status: Status, version: u64) -> Hello {
+    Hello {
+        protocol: PROTOCOL_VERSION,
+        node: NodeRecord {
+            name: name.to_owned(),
+            address: address(last),
+            zone: "hall-b".to_owned(),
+            service: status.service.clone(),
+        },
+        incarnation: 1,
+        status,
+        peers: Vec::new(),
+        configuration_version: version,
+    }
+}
+
+/// A node with what it has asked for.
+pub struct TestNode {
+    pub node: Node,
+    pub now: u64,
+    pub actions: Actions,
+}
+
+impl TestNode {
+    /// Creates a node that knows nothing.
+    pub fn fresh(service: &str) -> Self {
+        let mut test = Self {
+            node: Node::new(at(0), settings("own", service)),
+            now: 0,
+            actions: Vec::new(),
+        };
+        test.event(Event::Wake);
+        test
+    }
+
+    /// Creates a node with a configuration and no back end in service.
+    pub fn configured(service: &str) -> Self {
+        let mut test = Self::fresh(service);
+        test.configure(configuration(1));
+        test
+    }
+
+    /// Creates a node whose back end serves [`SERVICE`].
+    pub fn serving() -> Self {
+        let mut test = Self::configured(SERVICE);
+        test.heartbeat(1, AnnouncedState::Ready);
+        test.confirm(INSTANCE);
+        test.actions.clear();
+        test
+    }
+
+    pub fn event(&mut self, event: Event) {
+        self.node.handle(at(self.now), event, &mut self.actions);
+    }
+
+    pub fn pass(&mut self, millis: u64) {
+        for _ in 0..millis {
+            self.now += 1;
+            if self.node.next_wake() <= at(self.now) {
+                self.event(Event::Wake);
+            }
+        }
+    }
+
+    /// Answers the read of the configuration that the node has asked for.
+    pub fn configure(&mut self, configuration: Configuration) {
+        let position = configuration.version;
+        let request = self
+            .actions
+            .iter()
+            .find_map(|action| match action {
+                Action::CallStore {
+                    id,
+                    request:
+                        StoreRequest::ReadConfiguration | StoreRequest::WatchConfiguration { .. },
+                } => Some(*id),
+                _ => None,
+            })
+            .expect("a read of the configuration");
+        self.actions.clear();
+        self.event(Event::Store {
+            request,
+            reply: StoreReply::Configuration {
+                position,
+                configuration: Some(configuration),
+            },
+        });
+    }
+
+    pub fn heartbeat(&mut self, sequence: u64, state: AnnouncedState) -> bool {
+        self.heartbeat_of(INSTANCE, sequence, state)
+    }
+
+    pub fn heartbeat_of(&mut self, instance: &str, sequence: u64, state: AnnouncedState) -> bool {
+        let heartbeat = heartbeat(instance, sequence, state);
+        let now = at(self.now);
+        self.node.on_heartbeat(now, &heartbeat, &mut self.actions)
+    }
+
+    pub fn leave(&mut self, instance: &str) {
+        self.node
+            .on_leave(at(self.now), instance, &mut self.actions);
+    }
+
+    /// Returns the probe that is asked for last.
+    pub fn probe(&self) -> Option<ProbeId> {
+        self.actions.iter().rev().find_map(|action| match action {
+            Action::Probe { probe, .. } => Some(*probe),
+            _ => None,
+        })
+    }
+
+    /// Lets the health endpoint name an incarnation as healthy.
+    pub fn confirm(&mut self, instance: &str) {
+        let probe = self.probe().expect("a probe");
+        let instance = instance.to_owned();
+        self.end_probe(probe, ProbeResult::Healthy { instance });
+    }
+
+    pub fn end_probe(&mut self, probe: ProbeId, result: ProbeResult) {
+        self.event(Event::ProbeEnded { probe, result });
+    }
+
+    /// Lets a peer open a link to the node.
+    pub fn accept(&mut self, link: u64) -> LinkId {
+        let link = LinkId(link);
+        let hello = hello("caller-side", 9, Status::default(), 0);
+        self.event(Event::LinkAccepted { link, hello });
+        link
+    }
+
+    /// Opens a link to a peer whose back end serves `service`.
+    pub fn connect(&mut self, name: &str, last: u8, service: &str) -> LinkId {
+        let greeting = hello(name, last, serving(service), 0);
+        self.event(Event::LinkAccepted {
+            link: LinkId(1_000 + u64::from(last)),
+            hello: greeting.clone(),
+        });
+        self.pass(250);
+        let link = self
+            .actions
+            .iter()
+            .rev()
+            .find_map(|action| match action {
+                Action::OpenLink { link, address: to } if *to == address(last) => Some(*link),
+                _ => None,
+            })
+            .expect("a link that is opened");
+        self.event(Event::LinkOpened {
+            link,
+            hello: greeting,
+        });
+        link
+    }
+
+    /// Sends a request to the node's inbound side.
+    pub fn forward(&mut self, link: LinkId, sequence: u64, request: ForwardedRequest) {
+        self.event(Event::Link {
+            link,
+            message: LinkMessage::Request {
+                sequence: Sequence(sequence),
+                request: request.into(),
+            },
+        });
+    }
+
+    pub fn request(&mut self, turn: u64, request: CallerRequest) {
+        self.event(Event::Request {
+            connection: ConnectionId(1),
+            turn: Turn(turn),
+            request,
+        });
+    }
+
+    /// Returns the requests that were handed to the back end, in order.
+    pub fn exchanges(&self) -> Vec<Exchange> {
+        let exchange = |action: &Action| match action {
+            Action::StartExchange(exchange) => Some(exchange.clone()),
+            _ => None,
+        };
+        self.actions.iter().filter_map(exchange).collect()
+    }
+
+    pub fn end_exchange(&mut self, exchange: ExchangeId, result: ExchangeResult) {
+        self.event(Event::ExchangeEnded { exchange, result });
+    }
+
+    /// Returns what the inbound side has answered to requests on links.
+    pub fn results(&self) -> Vec<(u64, ForwardResult)> {
+        let result = |action: &Action| match action {
+            Action::SendOnLink {
+                message: LinkMessage::Response(response),
+                ..
+            } => Some((response.sequence.0, response.result.clone())),
+            _ => None,
+        };
+        self.actions.iter().filter_map(result).collect()
+    }
+
+    /// Returns the requests that were sent to peers, with their links.
+    pub fn sent(&self) -> Vec<(LinkId, Sequence, ForwardedRequest)> {
+        let sent = |action: &Action| match action {
+            Action::SendOnLink {
+                link,
+                message: LinkMessage::Request { sequence, request },
+            } => Some((*link, *sequence, (**request).clone())),
+            _ => None,
+        };
+        self.actions.iter().filter_map(sent).collect()
+    }
+
+    /// Lets a peer answer the request that was sent last.
+    pub fn respond(&mut self, result: ForwardResult) {
+        let (link, sequence, _) = self.sent().pop().expect("a request that was sent");
+        self.event(Event::Link {
+            link,
+            message: LinkMessage::Response(ForwardResponse {
+                sequence,
+                load: serving(SERVICE).load,
+                result,
+            }),
+        });
+    }
+
+    /// Returns the answers for callers.
+    pub fn answers(&self) -> Vec<CallerAnswer> {
+        let answer = |action: &Action| match action {
+            Action::Answer { answer, .. } => Some(answer.clone()),
+            _ => None,
+        };
+        self.actions.iter().filter_map(answer).collect()
+    }
+
+    pub fn statuses(&self) -> Vec<u16> {
+        self.answers().iter().map(|answer| answer.status).collect()
+    }
+
+    pub fn has_cancelled(&self, exchange: ExchangeId) -> bool {
+        self.actions.iter().any(
+            |action| matches!(action, Action::CancelExchange(cancelled) if *cancelled == exchange),
+        )
+    }
+}
