--- a/crates/rillgap-sidecar/src/logging/notes.rs
+++ b/crates/rillgap-sidecar/src/logging/notes.rs
@@ -52,7 +52,7 @@
         };
         match self.settings.success_sample {
             0 => true,
-            sample => sample_hash(id) % u64::from(sample) != 0,
+            sample => !sample_hash(id).is_multiple_of(u64::from(sample)),
         }
     }
 
