--- a/crates/rillgap-forward/src/directory.rs
+++ b/crates/rillgap-forward/src/directory.rs
@@ -11,6 +11,9 @@
 /// First and longest pause before a link is opened again.
 const RECONNECT_PAUSE: (Duration, Duration) = (Duration::from_millis(100), Duration::from_secs(1));
 
+/// Time after which a peer that has not answered a ping is suspected.
+const PING_PATIENCE: Duration = Duration::from_millis(150);
+
 /// Where the link to a peer stands.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum LinkState {
@@ -38,6 +41,10 @@
     pub heard_at: Instant,
     /// When the last ping was sent.
     pub pinged_at: Instant,
+    /// When the first ping since the peer was heard was sent.
+    pinged_since: Option<Instant>,
+    /// Whether the peer has not answered a ping for a while.
+    is_suspected: bool,
     /// What the peer says about its back end.
     pub status: Status,
     /// Requests sent to the peer since its last report, less those that have ended since.
@@ -55,6 +62,8 @@
             link: LinkState::Closed { retry_at: now },
             heard_at: now,
             pinged_at: now,
+            pinged_since: None,
+            is_suspected: false,
             status: Status::default(),
             unreported: 0,
             in_flight: 0,
@@ -70,10 +79,41 @@
         }
     }
 
-    /// Returns the open link if the peer's back end takes new requests.
+    /// Returns the open link if the peer's back end takes new requests and the peer is not
+    /// suspected.
     pub fn serving_link(&self) -> Option<LinkId> {
         let takes_requests = self.status.is_serving && !self.status.is_stopping;
-        self.open_link().filter(|_| takes_requests)
+        self.open_link()
+            .filter(|_| takes_requests && !self.is_suspected)
+    }
+
+    /// Takes in that something was heard on the link.
+    pub fn heard(&mut self, now: Instant) {
+        self.heard_at = now;
+        self.is_suspected = false;
+    }
+
+    /// Suspects the peer if it has not answered a ping for a while: it gets no new requests until
+    /// it is heard again.
+    pub fn suspect_if_silent(&mut self, now: Instant) {
+        let has_unanswered_ping = self.first_unanswered_ping(now).is_some();
+        self.is_suspected = has_unanswered_ping;
+    }
+
+    fn first_unanswered_ping(&self, now: Instant) -> Option<Instant> {
+        let pinged_at = self.pinged_since?;
+        let is_unanswered = pinged_at > self.heard_at;
+        let is_old = now.saturating_since(pinged_at) >= PING_PATIENCE;
+        Some(pinged_at).filter(|_| is_unanswered && is_old)
+    }
+
+    /// Takes in that a ping is sent.
+    pub fn pinged(&mut self, now: Instant) {
+        let is_first = self.pinged_since.is_none_or(|since| since <= self.heard_at);
+        if is_first {
+            self.pinged_since = Some(now);
+        }
+        self.pinged_at = now;
     }
 
     /// Takes in a report of the peer's load.
@@ -177,6 +217,8 @@
         peer.status = hello.status.clone();
         peer.heard_at = now;
         peer.pinged_at = now;
+        peer.pinged_since = None;
+        peer.is_suspected = false;
         peer.unreported = 0;
         peer.in_flight = 0;
         peer.pause = RECONNECT_PAUSE.0;
--- a/crates/rillgap-forward/src/node.rs
+++ b/crates/rillgap-forward/src/node.rs
@@ -22,11 +22,11 @@
 pub const PROTOCOL_VERSION: u32 = 1;
 
 /// Time between two looks at links.
-const HOUSEKEEPING: Duration = Duration::from_millis(200);
+const HOUSEKEEPING: Duration = Duration::from_millis(100);
 /// Time between two reports of a node's back end on a link, which are also signs of life.
 const STATUS_INTERVAL: Duration = Duration::from_secs(1);
 /// Silence of a link with requests under way after which the peer is pinged.
-const PING_AFTER: Duration = Duration::from_millis(300);
+const PING_AFTER: Duration = Duration::from_millis(200);
 /// Silence of a link with requests under way after which it is given up.
 const SILENT_BUSY: Duration = Duration::from_millis(1_100);
 /// Silence of a link without requests after which it is given up.
@@ -298,7 +298,7 @@
         out: &mut Actions,
     ) {
         if let Some(peer) = self.directory.by_link(link) {
-            peer.heard_at = now;
+            peer.heard(now);
         }
         match message {
             LinkMessage::Request { sequence, request } => {
@@ -510,13 +510,16 @@
             } else {
                 SILENT_IDLE
             };
+            if now >= self.judge_after {
+                peer.suspect_if_silent(now);
+            }
             if silence >= limit && now >= self.judge_after {
                 silent.push(link);
             } else if peer.in_flight > 0
                 && silence >= PING_AFTER
                 && now.saturating_since(peer.pinged_at) >= PING_AFTER
             {
-                peer.pinged_at = now;
+                peer.pinged(now);
                 out.push(Action::SendOnLink {
                     link,
                     message: LinkMessage::Ping,
--- a/crates/rillgap-forward/tests/inbound.rs
+++ b/crates/rillgap-forward/tests/inbound.rs
@@ -268,3 +268,16 @@
     test.confirm(INSTANCE);
     expect_that!(test.node.inbound().status().is_serving, eq(true));
 }
+
+#[gtest]
+fn stale_heartbeat_changes_nothing() {
+    let mut test = TestNode::serving();
+    let mut newer = support::heartbeat(INSTANCE, 5, AnnouncedState::Ready);
+    newer.slots = 100;
+    let mut older = support::heartbeat(INSTANCE, 4, AnnouncedState::Ready);
+    older.slots = 10;
+    let now = support::at(test.now);
+    test.node.on_heartbeat(now, &newer, &mut test.actions);
+    test.node.on_heartbeat(now, &older, &mut test.actions);
+    expect_that!(test.node.inbound().load().limit, eq(95));
+}
--- a/crates/rillgap-forward/tests/outbound.rs
+++ b/crates/rillgap-forward/tests/outbound.rs
@@ -254,3 +254,19 @@
     });
     expect_that!(pings.count(), ge(2));
 }
+
+#[gtest]
+fn peer_that_does_not_answer_a_ping_gets_no_new_requests_until_it_is_heard() {
+    let mut test = TestNode::configured("logbok");
+    let link = test.connect("peer-a", 2, SERVICE);
+    test.request(0, caller_request("a", "/safe/1"));
+    test.pass(500);
+    test.request(1, caller_request("b", "/safe/1"));
+    expect_that!(test.statuses(), elements_are![eq(&503)]);
+    test.event(Event::Link {
+        link,
+        message: LinkMessage::Pong,
+    });
+    test.request(2, caller_request("c", "/safe/1"));
+    expect_that!(test.sent().len(), eq(2));
+}
--- a/crates/rillgap-sidecar/src/daemon.rs
+++ b/crates/rillgap-sidecar/src/daemon.rs
@@ -21,8 +21,9 @@
 use crate::store::Store;
 use crate::{caller, link};
 
-/// Time for what was answered last to leave the process.
-const LAST_WRITES: Duration = Duration::from_millis(50);
+/// Time for what was answered and logged last to leave the process; more than the pause of the
+/// log's writer.
+const LAST_WRITES: Duration = Duration::from_millis(150);
 
 /// Why the daemon ended other than by a planned stop.
 #[derive(Debug, thiserror::Error)]
