--- a/crates/rillgap-forward/src/directory.rs
+++ b/crates/rillgap-forward/src/directory.rs
@@ -94,17 +94,18 @@
     }
 
     /// Suspects the peer if it has not answered a ping for a while: it gets no new requests until
-    /// it is heard again.
-    pub fn suspect_if_silent(&mut self, now: Instant) {
-        let has_unanswered_ping = self.first_unanswered_ping(now).is_some();
-        self.is_suspected = has_unanswered_ping;
-    }
-
-    fn first_unanswered_ping(&self, now: Instant) -> Option<Instant> {
-        let pinged_at = self.pinged_since?;
-        let is_unanswered = pinged_at > self.heard_at;
-        let is_old = now.saturating_since(pinged_at) >= PING_PATIENCE;
-        Some(pinged_at).filter(|_| is_unanswered && is_old)
+    /// it is heard again. Returns whether the suspicion is new.
+    pub fn suspect_if_silent(&mut self, now: Instant) -> bool {
+        let was_suspected = self.is_suspected;
+        self.is_suspected = self.has_unanswered_ping(now);
+        self.is_suspected && !was_suspected
+    }
+
+    fn has_unanswered_ping(&self, now: Instant) -> bool {
+        self.pinged_since.is_some_and(|pinged_at| {
+            let is_old = now.saturating_since(pinged_at) >= PING_PATIENCE;
+            pinged_at > self.heard_at && is_old
+        })
     }
 
     /// Takes in that a ping is sent.
--- a/crates/rillgap-forward/src/outbound/mod.rs
+++ b/crates/rillgap-forward/src/outbound/mod.rs
@@ -193,13 +193,7 @@
         link: LinkId,
         context: &mut OutboundContext<'_>,
     ) {
-        let keys: Vec<RequestKey> = self
-            .requests
-            .iter()
-            .filter(|(_, request)| request.is_at(link))
-            .map(|(key, _)| *key)
-            .collect();
-        for key in keys {
+        for key in self.requests_at(link) {
             self.end_attempt(key, context);
             let result = ForwardResult::Unknown {
                 code: ResultCode::AnswerLost,
@@ -208,6 +202,18 @@
         }
     }
 
+    /// Takes in that the peer at a link is suspected: what may run again goes to another node as
+    /// far as the retry budget allows; the rest waits, since silence is no proof of anything.
+    pub fn on_suspected(&mut self, now: Instant, link: LinkId, context: &mut OutboundContext<'_>) {
+        for key in self.requests_at(link) {
+            if !self.has_other_target(key, context) || !self.may_repeat(now, key) {
+                continue;
+            }
+            self.withdraw_attempt(key, context);
+            self.repeat(now, key, ResultCode::AnswerLost, true, context);
+        }
+    }
+
     /// Answers requests whose time is over, and moves the admitted shares.
     pub fn poll(&mut self, now: Instant, context: &mut OutboundContext<'_>) {
         if self.throttle.is_due(now) {
@@ -533,13 +539,12 @@
 
     /// Answers a request whose time is over.
     fn give_up(&mut self, now: Instant, key: RequestKey, context: &mut OutboundContext<'_>) {
-        let Some(mut request) = self.requests.remove(&key) else {
+        let Some(request) = self.requests.get(&key) else {
             self.deadlines.retain(|(_, other)| *other != key);
             return;
         };
         let was_sent = request.current().is_some();
-        self.cancel_attempt(&mut request, context);
-        self.requests.insert(key, request);
+        self.withdraw_attempt(key, context);
         let code = if was_sent {
             ResultCode::AnswerTimeout
         } else {
@@ -650,6 +655,22 @@
         Some(request)
     }
 
+    fn requests_at(&self, link: LinkId) -> Vec<RequestKey> {
+        self.requests
+            .iter()
+            .filter(|(_, request)| request.is_at(link))
+            .map(|(key, _)| *key)
+            .collect()
+    }
+
+    /// Ends the attempt of a request that goes on.
+    fn withdraw_attempt(&mut self, key: RequestKey, context: &mut OutboundContext<'_>) {
+        if let Some(mut request) = self.requests.remove(&key) {
+            self.cancel_attempt(&mut request, context);
+            self.requests.insert(key, request);
+        }
+    }
+
     /// Tells the node that works on a request that nobody waits for it.
     fn cancel_attempt(&mut self, request: &mut Request, context: &mut OutboundContext<'_>) {
         let Some((link, sequence)) = request.current() else {
