Retries: a request that may run once never moves while an attempt is under way

Its test had passed because the budget allowed one repeat and the safe request came first; with the order reversed it fails before this change.

--- a/crates/rillgap-forward/src/outbound/mod.rs
+++ b/crates/rillgap-forward/src/outbound/mod.rs
@@ -489,7 +489,9 @@
             return false;
         };
         let has_time = request.deadline > now;
-        let may_run_again = request.route.is_idempotent() || !request.may_have_run;
+        // An attempt that is under way may be running: only the other node's word ends that.
+        let has_not_run = !request.may_have_run && request.current().is_none();
+        let may_run_again = request.route.is_idempotent() || has_not_run;
         let attempts_left = request.arrivals < request.route.max_attempts;
         if !has_time || !may_run_again || !attempts_left {
             return false;
--- a/crates/rillgap-forward/tests/outbound.rs
+++ b/crates/rillgap-forward/tests/outbound.rs
@@ -130,7 +130,10 @@
 
 #[gtest]
 fn time_out_is_answered_at_once_and_cancels_the_work() {
-    let mut test = entry();
+    // One peer only: a silent one would lose the request to another before.
+    let mut test = TestNode::configured("logbok");
+    test.connect("peer-a", 2, SERVICE);
+    test.actions.clear();
     test.request(0, caller_request("a", "/safe/1"));
     test.pass(801);
     expect_that!(test.statuses(), elements_are![eq(&504)]);
@@ -275,8 +278,9 @@
 fn requests_at_a_suspected_peer_move_if_they_may_run_again() {
     let mut test = TestNode::configured("logbok");
     test.connect("peer-a", 2, SERVICE);
-    test.request(0, caller_request("a", "/safe/1"));
-    test.request(1, caller_request("b", "/once/1"));
+    // The first in line must not take the one repeat that the budget allows.
+    test.request(0, caller_request("b", "/once/1"));
+    test.request(1, caller_request("a", "/safe/1"));
     let other = test.connect("peer-b", 3, SERVICE);
     test.actions.clear();
     test.pass(450);
