--- a/crates/rillgap-forward/src/directory.rs
+++ b/crates/rillgap-forward/src/directory.rs
@@ -94,11 +94,9 @@
     }
 
     /// Suspects the peer if it has not answered a ping for a while: it gets no new requests until
-    /// it is heard again. Returns whether the suspicion is new.
-    pub fn suspect_if_silent(&mut self, now: Instant) -> bool {
-        let was_suspected = self.is_suspected;
+    /// it is heard again.
+    pub fn suspect_if_silent(&mut self, now: Instant) {
         self.is_suspected = self.has_unanswered_ping(now);
-        self.is_suspected && !was_suspected
     }
 
     fn has_unanswered_ping(&self, now: Instant) -> bool {
--- a/crates/rillgap-forward/src/node.rs
+++ b/crates/rillgap-forward/src/node.rs
@@ -500,7 +500,6 @@
 
     fn close_silent_links(&mut self, now: Instant, out: &mut Actions) {
         let mut silent = Vec::new();
-        let mut suspected = Vec::new();
         for peer in self.directory.peers_mut() {
             let LinkState::Open(link) = peer.link else {
                 continue;
@@ -511,8 +510,8 @@
             } else {
                 SILENT_IDLE
             };
-            if now >= self.judge_after && peer.suspect_if_silent(now) {
-                suspected.push(link);
+            if now >= self.judge_after {
+                peer.suspect_if_silent(now);
             }
             if silence >= limit && now >= self.judge_after {
                 silent.push(link);
@@ -527,10 +526,6 @@
                 });
             }
         }
-        for link in suspected {
-            let (outbound, mut context) = self.split(out);
-            outbound.on_suspected(now, link, &mut context);
-        }
         for link in silent {
             out.push(Action::CloseLink(link));
             self.on_link_closed(now, link, out);
--- a/crates/rillgap-forward/src/outbound/mod.rs
+++ b/crates/rillgap-forward/src/outbound/mod.rs
@@ -202,18 +202,6 @@
         }
     }
 
-    /// Takes in that the peer at a link is suspected: what may run again goes to another node as
-    /// far as the retry budget allows; the rest waits, since silence is no proof of anything.
-    pub fn on_suspected(&mut self, now: Instant, link: LinkId, context: &mut OutboundContext<'_>) {
-        for key in self.requests_at(link) {
-            if !self.has_other_target(key, context) || !self.may_repeat(now, key) {
-                continue;
-            }
-            self.withdraw_attempt(key, context);
-            self.repeat(now, key, ResultCode::AnswerLost, true, context);
-        }
-    }
-
     /// Answers requests whose time is over, and moves the admitted shares.
     pub fn poll(&mut self, now: Instant, context: &mut OutboundContext<'_>) {
         if self.throttle.is_due(now) {
