Planned stop: the back end beside a stopping node gets requests for a quarter of the grace

Found from the log: lifecycle and back-end lines of b-4 (19.0 to 23.1 s), c-4 (21.0 to 24.6 s), a-4 (23.0 to 27.4 s), code 40 and 41 refusals between.

--- a/crates/rillgap-forward/src/node.rs
+++ b/crates/rillgap-forward/src/node.rs
@@ -40,6 +40,9 @@
 /// Time after the begin of a planned stop before which the node does not exit: callers learn by
 /// then that it is not ready.
 const STOP_NOTICE: Duration = Duration::from_millis(2_500);
+/// Share of the grace for which the back end beside a stopping node still gets requests: nobody
+/// else can reach it, so every moment it gets none is capacity lost.
+const INBOUND_SHARE: f64 = 0.25;
 /// Time before the end of the grace at which a planned stop ends whatever is in flight.
 const STOP_MARGIN: Duration = Duration::from_millis(400);
 
@@ -69,7 +72,7 @@
     last_step: Instant,
     judge_after: Instant,
     stopping_since: Option<Instant>,
-    unregistering: bool,
+    inbound_stops_at: Option<Instant>,
     exited: bool,
 }
 
@@ -91,7 +94,7 @@
             last_step: now,
             judge_after: now,
             stopping_since: None,
-            unregistering: false,
+            inbound_stops_at: None,
             exited: false,
             settings,
         }
@@ -205,6 +208,7 @@
             self.outbound.next_wake(),
             self.store.next_wake(),
             self.offer.map(|offer| offer.ask_at),
+            self.inbound_stops_at,
         ]
         .into_iter()
         .flatten()
@@ -442,10 +446,16 @@
         self.stopping_since = Some(now);
         self.note_lifecycle("stopping", out);
         if self.inbound.has_left() {
-            self.unregistering = true;
             self.store.unregister(now);
         }
-        self.inbound.stop();
+        self.inbound_stops_at = Some(now + self.settings.grace.mul_f64(INBOUND_SHARE));
+    }
+
+    fn stop_inbound_when_due(&mut self, now: Instant) {
+        if self.inbound_stops_at.is_some_and(|at| at <= now) {
+            self.inbound_stops_at = None;
+            self.inbound.stop();
+        }
     }
 
     /// Does what is due and passes on what one part has for another.
@@ -459,6 +469,7 @@
             out.push(Action::CallStore { id, request });
         }
         self.ask_for_offer(now, out);
+        self.stop_inbound_when_due(now);
         if self.inbound.take_status_change() {
             self.broadcast_status(out);
         }
