--- /dev/null
+++ b/crates/rillgap-forward/tests/simulation/judge.rs
@@ -0,0 +1,157 @@
+//! Judges a day by what callers and back ends saw.
+
+use std::collections::BTreeMap;
+
+/// Milliseconds after the acknowledgement of draining in which requests may still arrive.
+const DRAIN_MILLIS: u64 = 2_000;
+/// Milliseconds after a stored configuration by which every node in touch uses it.
+const APPLY_MILLIS: u64 = 2_000;
+/// Milliseconds of a day after which the share served again is judged.
+const WINDOW_MILLIS: u64 = 10_000;
+
+/// One request, as its caller and the back ends saw it.
+#[derive(Clone, Debug, Default)]
+struct Record {
+    is_idempotent: bool,
+    is_call: bool,
+    sent_at: u64,
+    runs: u32,
+    promised: bool,
+}
+
+/// Judges a day.
+#[derive(Debug, Default)]
+pub struct Judge {
+    requests: BTreeMap<String, Record>,
+    acknowledged: BTreeMap<String, u64>,
+    arrivals: Vec<(u64, String, bool)>,
+    /// What was broken.
+    pub broken: Vec<String>,
+    /// Requests of callers.
+    pub asked: u64,
+    /// Those that were answered with success.
+    pub served: u64,
+}
+
+impl Judge {
+    /// A caller sends a request.
+    pub fn sent(&mut self, now: u64, id: &str, is_idempotent: bool, is_call: bool) {
+        let record = Record {
+            is_idempotent,
+            is_call,
+            sent_at: now,
+            ..Record::default()
+        };
+        self.requests.insert(id.to_owned(), record);
+        self.asked += u64::from(!is_call);
+    }
+
+    /// A back end begins to work on a request.
+    pub fn ran(&mut self, now: u64, id: &str, instance: &str, service: &str) {
+        let Some(record) = self.requests.get_mut(id) else {
+            self.broken.push(format!("UNASKED {id}"));
+            return;
+        };
+        record.runs += 1;
+        let is_again = record.runs > 1;
+        self.arrivals.push((now, service.to_owned(), is_again));
+        if record.runs > 1 && !record.is_idempotent {
+            self.broken.push(format!("TWICE {id}"));
+        }
+        if record.promised && !record.is_idempotent {
+            self.broken
+                .push(format!("REFUSED {id} ran after the promise"));
+        }
+        let acknowledged = self.acknowledged.get(instance).copied();
+        if acknowledged.is_some_and(|at| now > at + DRAIN_MILLIS) {
+            self.broken.push(format!("DRAIN {id} reached {instance}"));
+        }
+    }
+
+    /// A node acknowledges that a back end drains.
+    pub fn drained(&mut self, now: u64, instance: &str) {
+        self.acknowledged.entry(instance.to_owned()).or_insert(now);
+    }
+
+    /// A caller gets an answer, of the run of `body` if it is a success.
+    pub fn answered(&mut self, id: &str, status: u16, body: &str) {
+        let Some(record) = self.requests.get_mut(id) else {
+            self.broken
+                .push(format!("MIXED answer to {id}, which nobody sent"));
+            return;
+        };
+        let is_promise = matches!(status, 408 | 421 | 429 | 503);
+        if is_promise && !record.is_idempotent && record.runs > 0 {
+            self.broken.push(format!("REFUSED {id} had run"));
+        }
+        record.promised |= is_promise;
+        if status == 200 && body != id {
+            self.broken
+                .push(format!("MIXED {id} got the answer of {body}"));
+        }
+        if status == 200 && record.runs == 0 {
+            self.broken
+                .push(format!("MIXED {id} succeeded and did not run"));
+        }
+        self.served += u64::from(status == 200 && !record.is_call);
+    }
+
+    /// A node puts a configuration in force.
+    pub fn configured(&mut self, node: &str, before: u64, version: u64) {
+        if version < before {
+            self.broken.push(format!(
+                "CONFIG {node} went from {before} back to {version}"
+            ));
+        }
+    }
+
+    /// A node in touch still uses `version` at the end of `since` milliseconds with `stored`.
+    pub fn in_touch(&mut self, node: &str, version: u64, stored: u64, since: u64) {
+        if version < stored && since > APPLY_MILLIS {
+            self.broken
+                .push(format!("CONFIG {node} has {version}, {stored} is stored"));
+        }
+    }
+
+    /// Judges the budget of repeats: arrivals past the first within any window.
+    pub fn check_budget(&mut self, ratio: f64, slack: f64) {
+        let mut by_service: BTreeMap<String, Vec<(u64, bool)>> = BTreeMap::new();
+        for (at, service, is_again) in &self.arrivals {
+            let arrivals = by_service.entry(service.clone()).or_default();
+            arrivals.push((*at, *is_again));
+        }
+        for (service, arrivals) in by_service {
+            let mut first = 0;
+            for last in 0..arrivals.len() {
+                while arrivals[first].0 + WINDOW_MILLIS < arrivals[last].0 {
+                    first += 1;
+                }
+                let window = &arrivals[first..=last];
+                let again = window.iter().filter(|(_, is_again)| *is_again).count();
+                let requests = window.len() - again;
+                if again as f64 > ratio * requests as f64 + slack {
+                    self.broken
+                        .push(format!("BUDGET {service}: {again} of {requests}"));
+                    return;
+                }
+            }
+        }
+    }
+
+    /// Judges the recovery: the share served of what was sent from a moment on.
+    pub fn check_recovery(&mut self, answered: &BTreeMap<String, u16>, from: u64, to: u64) {
+        let late = self
+            .requests
+            .iter()
+            .filter(|(_, record)| !record.is_call && (from..to).contains(&record.sent_at));
+        let statuses: Vec<Option<u16>> = late.map(|(id, _)| answered.get(id).copied()).collect();
+        let served = statuses
+            .iter()
+            .filter(|status| **status == Some(200))
+            .count();
+        if served * 4 < statuses.len() {
+            self.broken
+                .push(format!("RECOVER {served} of {} served", statuses.len()));
+        }
+    }
+}
--- /dev/null
+++ b/crates/rillgap-forward/tests/simulation/main.rs
@@ -0,0 +1,78 @@
+//! Random days of a whole deployment on a virtual clock, judged by what truly ran.
+//!
+//! Every day follows from its seed. A day that ever failed stays here as a case of its own.
+
+mod day;
+mod judge;
+mod world;
+
+use day::{Planted, play};
+use googletest::prelude::*;
+
+/// Days that every run of the tests plays.
+const DAYS: u64 = 150;
+
+/// Environment variable that names another number of days, for exploration by hand.
+const DAYS_VARIABLE: &str = "RILLGAP_SIMULATED_DAYS";
+
+#[gtest]
+fn no_promise_is_broken_on_random_days() {
+    let mut served = 0;
+    let mut asked = 0;
+    let days = std::env::var(DAYS_VARIABLE).ok();
+    let days = days.and_then(|text| text.parse().ok()).unwrap_or(DAYS);
+    for seed in 0..days {
+        let report = play(seed, Planted::Nothing);
+        expect_that!(report.broken, is_empty(), "seed {seed}");
+        served += report.served;
+        asked += report.asked;
+    }
+    // Days full of faults, but by far not all is lost.
+    expect_that!(served * 10, gt(asked * 6));
+}
+
+#[gtest]
+fn same_seed_gives_the_same_day() {
+    for seed in [3, 77] {
+        let first = play(seed, Planted::Nothing);
+        let second = play(seed, Planted::Nothing);
+        expect_that!(first, eq(&second));
+    }
+}
+
+/// Returns what is broken on the first days, with a fault planted into the world.
+fn broken_with(planted: Planted) -> Vec<String> {
+    (0..DAYS)
+        .flat_map(|seed| play(seed, planted).broken)
+        .collect()
+}
+
+#[gtest]
+fn judge_catches_a_request_that_is_run_twice() {
+    let broken = broken_with(Planted::RunTwice);
+    expect_that!(broken, contains(starts_with("TWICE")));
+}
+
+#[gtest]
+fn judge_catches_a_false_word_that_something_did_not_run() {
+    let broken = broken_with(Planted::FalseNotExecuted);
+    expect_that!(broken, contains(starts_with("REFUSED")));
+}
+
+#[gtest]
+fn judge_catches_answers_that_are_swapped() {
+    let broken = broken_with(Planted::SwappedAnswer);
+    expect_that!(broken, contains(starts_with("MIXED")));
+}
+
+#[gtest]
+fn judge_catches_requests_that_reach_a_drained_back_end() {
+    let broken = broken_with(Planted::ForgottenDraining);
+    expect_that!(broken, contains(starts_with("DRAIN")));
+}
+
+#[gtest]
+fn judge_catches_an_older_configuration() {
+    let broken = broken_with(Planted::StaleConfiguration);
+    expect_that!(broken, contains(starts_with("CONFIG")));
+}
