Routing: a back end that cannot be reached draws no calls

Cause: the node beside a crashed back end refuses at once (code 50). Routing took that refusal for a sign of life, so the crashed back end looked idle, was never left out, and every call tried it first; with two of three down, leaving out more than half was refused as well. Ruled out: the entry's threshold (refusals were code 50 retries, 28 per request) and the retry pool (it only ran empty behind them). Change: unreachable is a result of its own.

--- a/crates/rillgap-core/src/call/sender/answers.rs
+++ b/crates/rillgap-core/src/call/sender/answers.rs
@@ -160,7 +160,7 @@
         };
         let phase = call.phase();
         self.restore(attempt, u8::MAX, gate);
-        self.end_target(now, attempt, TargetResult::Refused);
+        self.end_target(now, attempt, result_of_refusal(refusal));
         if phase == Some(Phase::Orphaned) {
             self.release_claim(now, attempt, ports);
             self.remove(attempt.call);
@@ -263,3 +263,12 @@
         router.finished(now.instant, &current.target, latency, result);
     }
 }
+
+/// Returns what a refusal says about the target. A back end that cannot be reached refuses at once
+/// and looks idle: it must be left out like one that fails, or it draws all calls.
+fn result_of_refusal(refusal: Refusal) -> TargetResult {
+    match refusal.code {
+        ResultCode::BackEndUnreachable => TargetResult::Unreachable,
+        _ => TargetResult::Refused,
+    }
+}
--- a/crates/rillgap-core/src/routing/health.rs
+++ b/crates/rillgap-core/src/routing/health.rs
@@ -36,6 +36,7 @@
     ejected_until: Option<Instant>,
     probe_until: Option<Instant>,
     returned_at: Option<Instant>,
+    is_unreachable: bool,
 }
 
 impl Health {
@@ -76,6 +77,7 @@
     /// Tells that the back end answered, be it with a refusal.
     pub fn succeeded(&mut self, now: Instant) {
         self.failures = 0;
+        self.is_unreachable = false;
         if self.ejected_until.take().is_some() {
             self.probe_until = None;
             self.returned_at = Some(now);
@@ -94,6 +96,17 @@
         }
     }
 
+    /// Tells that the back end cannot be reached: one refused connection is proof enough.
+    pub fn unreachable(&mut self, now: Instant) {
+        self.is_unreachable = true;
+        self.eject(now);
+    }
+
+    /// Returns whether the back end could not be reached when it was last tried.
+    pub const fn is_unreachable(&self) -> bool {
+        self.is_unreachable
+    }
+
     fn eject(&mut self, now: Instant) {
         let factor = 1_u32 << self.ejections.min(8);
         let duration = (FIRST_EJECTION * factor).min(LONGEST_EJECTION);
--- a/crates/rillgap-core/src/routing/mod.rs
+++ b/crates/rillgap-core/src/routing/mod.rs
@@ -38,6 +38,8 @@
     Refused,
     /// Failed, lost or too late.
     Failed,
+    /// The node beside the back end could not reach it; nothing ran.
+    Unreachable,
 }
 
 /// What routing may choose from.
--- a/crates/rillgap-core/src/routing/router.rs
+++ b/crates/rillgap-core/src/routing/router.rs
@@ -30,6 +30,7 @@
     target: Target,
     local: bool,
     availability: Availability,
+    is_unreachable: bool,
     cost: f64,
     utilization: f64,
 }
@@ -229,6 +230,7 @@
         },
         local: member.zone == *zone,
         availability: state.health.availability(now),
+        is_unreachable: state.health.is_unreachable(),
         cost: utilization,
         utilization,
     }
@@ -253,8 +255,11 @@
     }
 }
 
-/// Leaves out ejected back ends, unless that would leave out more than half of them.
+/// Leaves out ejected back ends, unless that would leave out more than half of them: then it is
+/// more likely that something else is wrong. Those that cannot be reached are left out as long as
+/// any other is there: they refuse at once, look idle and would draw all calls.
 fn usable(serving: Vec<Candidate>) -> Vec<Candidate> {
+    let serving = reachable(serving);
     let ejected = serving
         .iter()
         .filter(|candidate| candidate.availability == Availability::Ejected)
@@ -267,3 +272,13 @@
         .filter(|candidate| candidate.availability != Availability::Ejected)
         .collect()
 }
+
+fn reachable(serving: Vec<Candidate>) -> Vec<Candidate> {
+    let is_usable = |candidate: &Candidate| {
+        !candidate.is_unreachable || candidate.availability == Availability::Probe
+    };
+    if !serving.iter().any(is_usable) {
+        return serving;
+    }
+    serving.into_iter().filter(is_usable).collect()
+}
--- a/crates/rillgap-core/src/routing/target_state.rs
+++ b/crates/rillgap-core/src/routing/target_state.rs
@@ -84,6 +84,7 @@
                 self.take_latency(latency);
             }
             TargetResult::Refused => self.health.succeeded(now),
+            TargetResult::Unreachable => self.health.unreachable(now),
             TargetResult::Failed => {
                 self.health.failed(now);
                 if micros(latency) as f64 > self.latency_micros {
--- a/crates/rillgap-lab/tests/compare_figures.rs
+++ b/crates/rillgap-lab/tests/compare_figures.rs
@@ -1,12 +1,14 @@
 //! Figures of a comparison.
 
 use std::path::PathBuf;
+use std::sync::Arc;
 
 use googletest::prelude::*;
 use rillgap_core::policy::Class;
 use rillgap_lab::compare::recovery::{Bin, Recovery, recovery};
 use rillgap_lab::compare::trigger::{Span, Spans};
-use rillgap_lab::compare::{ideal, layering};
+use rillgap_lab::compare::variant::Variant;
+use rillgap_lab::compare::{ideal, layering, plan};
 use rillgap_lab::model::scenario::Scenario;
 
 fn overload(name: &str) -> Scenario {
@@ -107,3 +109,18 @@
     }
     expect_that!(count, ge(18));
 }
+
+#[gtest]
+fn crashed_back_ends_do_not_draw_the_calls_of_their_service() {
+    for name in [
+        "trondheim-back-end-down.toml",
+        "trondheim-two-back-ends-down.toml",
+    ] {
+        let scenario = Arc::new(overload(name));
+        let figures = plan::run(&scenario, &[Variant::Rillgap], 1..=2).expect("runs");
+        for run in figures {
+            expect_that!(run.goodput_of_offered(), gt(0.99), "{name}");
+            expect_that!(run.highest_retries, le(2), "{name}");
+        }
+    }
+}
