--- a/crates/rillgap-forward/tests/simulation/world.rs
+++ b/crates/rillgap-forward/tests/simulation/world.rs
@@ -217,7 +217,7 @@
 
     /// Returns a number below `bound`.
     pub fn draw(&mut self, bound: u64) -> u64 {
-        u64::from(self.random.next_u32()) * bound >> 32
+        (u64::from(self.random.next_u32()) * bound) >> 32
     }
 
     /// Returns the number of hosts.
