--- a/crates/rillgap-forward/src/message.rs
+++ b/crates/rillgap-forward/src/message.rs
@@ -61,8 +61,6 @@
     pub incarnation: u64,
     /// The sender's back end.
     pub status: Status,
-    /// Nodes that the sender knows.
-    pub peers: Vec<NodeRecord>,
     /// Version of the sender's configuration; 0 for none.
     pub configuration_version: u64,
 }
--- a/crates/rillgap-forward/src/node.rs
+++ b/crates/rillgap-forward/src/node.rs
@@ -23,14 +23,16 @@
 
 /// Time between two looks at links.
 const HOUSEKEEPING: Duration = Duration::from_millis(100);
-/// Time between two reports of a node's back end on a link, which are also signs of life.
+/// Shortest time between two reports of a node's back end on a link, which are also signs of life.
 const STATUS_INTERVAL: Duration = Duration::from_secs(1);
+/// Time that each peer adds beyond that, so that reports cost the same in large deployments.
+const STATUS_STEP: Duration = Duration::from_millis(10);
 /// Silence of a link with requests under way after which the peer is pinged.
 const PING_AFTER: Duration = Duration::from_millis(200);
 /// Silence of a link with requests under way after which it is given up.
 const SILENT_BUSY: Duration = Duration::from_millis(1_100);
-/// Silence of a link without requests after which it is given up.
-const SILENT_IDLE: Duration = Duration::from_millis(3_200);
+/// Reports that must be missing before a link without requests is given up.
+const MISSED_REPORTS: f64 = 3.2;
 /// Gap between two steps after which the node takes it that it stood still itself.
 const STOOD_STILL: Duration = Duration::from_millis(700);
 /// Time after a stand-still in which no peer is given up: what has arrived is read first.
@@ -132,7 +134,6 @@
             node: self.settings.record.clone(),
             incarnation: self.settings.incarnation,
             status: self.inbound.status(),
-            peers: self.known_peers(),
             configuration_version: self.configuration_version(),
         }
     }
@@ -266,7 +267,6 @@
             return;
         }
         note_peer(&hello.node.name, true, "link opened", out);
-        self.learn_peers(now, hello);
         self.on_offer(now, link, hello.configuration_version, out);
     }
 
@@ -278,16 +278,9 @@
         self.accepted.insert(link);
         self.directory.learn(now, &hello.node);
         self.directory.hurry(now, &hello.node.name);
-        self.learn_peers(now, hello);
         self.on_offer(now, link, hello.configuration_version, out);
     }
 
-    fn learn_peers(&mut self, now: Instant, hello: &Hello) {
-        for record in &hello.peers {
-            self.learn(now, record);
-        }
-    }
-
     fn learn(&mut self, now: Instant, record: &NodeRecord) {
         if record.name != self.settings.record.name {
             self.directory.learn(now, record);
@@ -504,13 +497,19 @@
         self.close_silent_links(now, out);
         self.open_links(now, out);
         if now >= self.next_status {
-            self.next_status = now + STATUS_INTERVAL;
+            self.next_status = now + self.status_interval();
             self.broadcast_status(out);
         }
     }
 
+    fn status_interval(&self) -> Duration {
+        let peers = u32::try_from(self.directory.peers().count()).unwrap_or(u32::MAX);
+        STATUS_INTERVAL.max(STATUS_STEP.saturating_mul(peers))
+    }
+
     fn close_silent_links(&mut self, now: Instant, out: &mut Actions) {
         let mut silent = Vec::new();
+        let silent_idle = self.status_interval().mul_f64(MISSED_REPORTS);
         for peer in self.directory.peers_mut() {
             let LinkState::Open(link) = peer.link else {
                 continue;
@@ -519,7 +518,7 @@
             let limit = if peer.in_flight > 0 {
                 SILENT_BUSY
             } else {
-                SILENT_IDLE
+                silent_idle
             };
             if now >= self.judge_after {
                 peer.suspect_if_silent(now);
@@ -581,14 +580,6 @@
         }
     }
 
-    fn known_peers(&self) -> Vec<NodeRecord> {
-        self.directory
-            .peers()
-            .filter(|peer| peer.open_link().is_some())
-            .map(|peer| peer.record.clone())
-            .collect()
-    }
-
     fn exit_when_done(&mut self, now: Instant, out: &mut Actions) {
         let Some(since) = self.stopping_since else {
             return;
