--- a/crates/rillgap-forward/src/inbound/mod.rs
+++ b/crates/rillgap-forward/src/inbound/mod.rs
@@ -282,6 +282,8 @@
     /// Does what is due.
     pub fn poll(&mut self, now: Instant, table: Option<&RouteTable>, out: &mut Actions) {
         self.back_end.poll(now);
+        self.times.fade_wait(now);
+        self.update_pressure();
         self.carry_out(now, Effect::default(), table, out);
         self.refuse_expired(now, out);
         self.end_overdue(now, out);
--- a/crates/rillgap-forward/tests/inbound.rs
+++ b/crates/rillgap-forward/tests/inbound.rs
@@ -288,3 +288,23 @@
     test.node.on_heartbeat(now, &older, &mut test.actions);
     expect_that!(test.node.inbound().load().limit, eq(95));
 }
+
+#[gtest]
+fn pressure_ends_when_nothing_arrives_any_more() {
+    let mut test = TestNode::serving();
+    let link = test.accept(50);
+    for sequence in 0..6 {
+        test.forward(link, sequence, forwarded(&format!("r{sequence}"), true));
+    }
+    test.pass(90);
+    for _ in 0..6 {
+        let next = test.exchanges().len().min(6);
+        for exchange in &test.exchanges()[..next] {
+            test.end_exchange(exchange.id, ExchangeResult::Answered(answer(200)));
+        }
+    }
+    expect_that!(test.node.inbound().load().queued, eq(0));
+    expect_that!(test.node.inbound().load().wait_micros, gt(10_000));
+    test.pass(3_000);
+    expect_that!(test.node.inbound().load().wait_micros, lt(2_000));
+}
