Links: reports every second again; the first one when a link is accepted

A status that changed between an introduction and its acceptance was unknown to the peer until the next report; it is sent again on acceptance.

--- a/crates/rillgap-forward/src/node.rs
+++ b/crates/rillgap-forward/src/node.rs
@@ -23,16 +23,14 @@
 
 /// Time between two looks at links.
 const HOUSEKEEPING: Duration = Duration::from_millis(100);
-/// Shortest time between two reports of a node's back end on a link, which are also signs of life.
+/// Time between two reports of a node's back end on a link, which are also signs of life.
 const STATUS_INTERVAL: Duration = Duration::from_secs(1);
-/// Time that each peer adds beyond that, so that reports cost the same in large deployments.
-const STATUS_STEP: Duration = Duration::from_millis(10);
 /// Silence of a link with requests under way after which the peer is pinged.
 const PING_AFTER: Duration = Duration::from_millis(200);
 /// Silence of a link with requests under way after which it is given up.
 const SILENT_BUSY: Duration = Duration::from_millis(1_100);
-/// Reports that must be missing before a link without requests is given up.
-const MISSED_REPORTS: f64 = 3.2;
+/// Silence of a link without requests after which it is given up: three reports are missing.
+const SILENT_IDLE: Duration = Duration::from_millis(3_200);
 /// Gap between two steps after which the node takes it that it stood still itself.
 const STOOD_STILL: Duration = Duration::from_millis(700);
 /// Time after a stand-still in which no peer is given up: what has arrived is read first.
@@ -276,6 +274,11 @@
             return;
         }
         self.accepted.insert(link);
+        // The introduction may have been written before the back end was confirmed.
+        out.push(Action::SendOnLink {
+            link,
+            message: LinkMessage::Status(self.inbound.status()),
+        });
         self.directory.learn(now, &hello.node);
         self.directory.hurry(now, &hello.node.name);
         self.on_offer(now, link, hello.configuration_version, out);
@@ -497,19 +500,13 @@
         self.close_silent_links(now, out);
         self.open_links(now, out);
         if now >= self.next_status {
-            self.next_status = now + self.status_interval();
+            self.next_status = now + STATUS_INTERVAL;
             self.broadcast_status(out);
         }
     }
 
-    fn status_interval(&self) -> Duration {
-        let peers = u32::try_from(self.directory.peers().count()).unwrap_or(u32::MAX);
-        STATUS_INTERVAL.max(STATUS_STEP.saturating_mul(peers))
-    }
-
     fn close_silent_links(&mut self, now: Instant, out: &mut Actions) {
         let mut silent = Vec::new();
-        let silent_idle = self.status_interval().mul_f64(MISSED_REPORTS);
         for peer in self.directory.peers_mut() {
             let LinkState::Open(link) = peer.link else {
                 continue;
@@ -518,7 +515,7 @@
             let limit = if peer.in_flight > 0 {
                 SILENT_BUSY
             } else {
-                silent_idle
+                SILENT_IDLE
             };
             if now >= self.judge_after {
                 peer.suspect_if_silent(now);
