Forwarding decisions in smaller modules; one reading of a head's end

outbound, inbound and node each split by concern (results, attempts, ending, pressure; admission, ending; links, spread, stop).

--- /dev/null
+++ b/crates/rillgap-forward/src/inbound/admission.rs
@@ -0,0 +1,104 @@
+//! What may run, what waits and what is refused at once.
+
+use std::time::Duration;
+
+use rillgap_core::code::ResultCode;
+use rillgap_core::time::Instant;
+
+use super::queue::Queued;
+use super::{
+    Arrival, Inbound, NEEDED_SHARE, PRESSURE_ENDS_MICROS, PRESSURE_MICROS, PROBE_SHARE, Place,
+    QUEUE_LENGTH, RESERVED_SHARE, RETRY_AFTER_MILLIS, SLOT_SHARE, count,
+};
+use crate::action::Actions;
+use crate::message::ForwardedRequest;
+
+impl Inbound {
+    pub(super) fn limit(&self) -> u32 {
+        let usable = f64::from(self.back_end.slots()) * SLOT_SHARE;
+        (usable as u32).max(1)
+    }
+
+    pub(super) fn has_room(&self) -> bool {
+        count(self.running.len()) < self.limit()
+    }
+
+    /// Tells peers at once when pressure begins or ends.
+    pub(super) fn update_pressure(&mut self) {
+        let wait = self.times.wait_micros();
+        let limit = if self.is_pressed {
+            PRESSURE_ENDS_MICROS
+        } else {
+            PRESSURE_MICROS
+        };
+        if (wait > limit) != self.is_pressed {
+            self.is_pressed = !self.is_pressed;
+            self.status_changed = true;
+        }
+    }
+
+    /// Returns whether a rank has less than its reserved share of the limit.
+    pub(super) fn is_within_reserve(&self, rank: u8) -> bool {
+        let running = self
+            .running
+            .values()
+            .filter(|running| running.request.rank() == rank)
+            .count();
+        (running as f64) < f64::from(self.limit()) * RESERVED_SHARE
+    }
+
+    /// Returns why the back end takes no requests of this service, if it does not.
+    pub(super) fn refusal_of_service(&self, request: &ForwardedRequest) -> Option<ResultCode> {
+        if self.is_stopping {
+            return Some(ResultCode::NodeStopping);
+        }
+        if !self.back_end.is_serving() {
+            return Some(ResultCode::BackEndLeaving);
+        }
+        (self.back_end.service() != request.service).then_some(ResultCode::NoBackEnd)
+    }
+
+    /// Returns whether a request is not expected to end in time.
+    pub(super) fn is_doomed(&self, now: Instant, arrival: &Arrival) -> bool {
+        let remaining = arrival.deadline.saturating_since(now);
+        let expected = self.times.expected(&arrival.request.route);
+        let probes = (f64::from(self.limit()) * PROBE_SHARE).max(1.0);
+        remaining.is_zero()
+            || remaining < expected.mul_f64(NEEDED_SHARE) && self.running.len() as f64 >= probes
+    }
+
+    pub(super) fn enqueue(&mut self, now: Instant, arrival: Arrival, out: &mut Actions) {
+        let bound = Duration::from_micros(arrival.request.queue_limit_micros);
+        let ahead = self.queue.ahead_of(arrival.request.rank());
+        let wait = self.drain_time(ahead + 1);
+        if wait > bound || self.queue.len() >= QUEUE_LENGTH {
+            self.times.record_wait(wait);
+            self.update_pressure();
+            self.refuse(now, &arrival, ResultCode::QueueFull, out);
+            return;
+        }
+        let expected = self.times.expected(&arrival.request.route);
+        let latest = arrival.deadline - expected.mul_f64(NEEDED_SHARE);
+        let place = (arrival.link, arrival.sequence);
+        let ticket = self.queue.push(Queued {
+            rank: arrival.request.rank(),
+            cutoff: latest.min(now + bound),
+            item: arrival,
+        });
+        self.places.insert(place, Place::Queued(ticket));
+    }
+
+    /// Returns the time in which `count` queued requests come to their turn.
+    pub(super) fn drain_time(&self, count: usize) -> Duration {
+        let mean = f64::from(self.times.mean_micros());
+        let micros = count as f64 * mean / f64::from(self.limit());
+        Duration::from_micros(micros as u64)
+    }
+
+    pub(super) fn retry_after_millis(&self) -> u32 {
+        let drain = self.drain_time(self.queue.len() + 1).as_millis();
+        let (shortest, longest) = RETRY_AFTER_MILLIS;
+        let millis = u64::try_from(drain).unwrap_or(longest);
+        u32::try_from(millis.clamp(shortest, longest)).unwrap_or(u32::MAX)
+    }
+}
--- /dev/null
+++ b/crates/rillgap-forward/src/inbound/ending.rs
@@ -0,0 +1,148 @@
+//! How requests end at the node beside the back end, and what is said of them.
+
+use rillgap_core::code::ResultCode;
+use rillgap_core::time::Instant;
+
+use super::{Arrival, Inbound, OVERTIME, Running, count, elapsed_micros};
+use crate::action::{Action, Actions};
+use crate::event::ExchangeResult;
+use crate::id::{ExchangeId, LinkId, Sequence};
+use crate::message::{ForwardResponse, ForwardResult, LinkMessage};
+use crate::note::Note;
+
+impl Inbound {
+    /// Gives up on requests whose time is over and whose answer has not come.
+    pub(super) fn end_overdue(&mut self, now: Instant, out: &mut Actions) {
+        while let Some((deadline, exchange)) = self.deadlines.first().copied() {
+            if deadline + OVERTIME > now {
+                return;
+            }
+            self.deadlines.pop_first();
+            let Some(running) = self.take_running(exchange) else {
+                continue;
+            };
+            self.places.remove(&(running.link, running.sequence));
+            out.push(Action::CancelExchange(exchange));
+            let elapsed = now.saturating_since(running.started);
+            self.times.record(&running.request.route, elapsed);
+            if running.is_awaited {
+                let result = ForwardResult::Unknown {
+                    code: ResultCode::AnswerTimeout,
+                };
+                self.note_failure(now, &running, &result, out);
+                self.respond(running.link, running.sequence, result, out);
+            }
+            let effect = self.back_end.on_silence();
+            self.carry_out(now, effect, None, out);
+        }
+    }
+
+    /// Stops a running request that nobody waits for. One that may run only once goes on: its
+    /// work is done or half done, and cutting it would leave that unknown to everybody.
+    pub(super) fn abandon(&mut self, exchange: ExchangeId, out: &mut Actions) {
+        let Some(running) = self.running.get_mut(&exchange) else {
+            return;
+        };
+        if !running.request.is_idempotent {
+            running.is_awaited = false;
+            return;
+        }
+        let deadline = running.deadline;
+        self.take_running(exchange);
+        self.deadlines.remove(&(deadline, exchange));
+        out.push(Action::CancelExchange(exchange));
+    }
+
+    /// Refuses everything that waits.
+    pub(super) fn refuse_queued(&mut self, now: Instant, code: ResultCode, out: &mut Actions) {
+        while let Some(arrival) = self.queue.pop() {
+            self.refuse(now, &arrival, code, out);
+        }
+    }
+
+    pub(super) fn refuse_expired(&mut self, now: Instant, out: &mut Actions) {
+        while let Some(arrival) = self.queue.pop_expired(now) {
+            self.refuse(now, &arrival, ResultCode::QueueFull, out);
+        }
+    }
+
+    pub(super) fn refuse(
+        &mut self,
+        now: Instant,
+        arrival: &Arrival,
+        code: ResultCode,
+        out: &mut Actions,
+    ) {
+        self.places.remove(&(arrival.link, arrival.sequence));
+        out.push(Action::Note(Note::NotAnswered {
+            request_id: arrival.request.request_id.clone(),
+            code,
+            elapsed_micros: elapsed_micros(now, arrival.arrived),
+            running: count(self.running.len()),
+            queued: count(self.queue.len()),
+            limit: self.limit(),
+        }));
+        let result = ForwardResult::NotRun {
+            code,
+            arrived: false,
+            retry_after_millis: self.retry_after_millis(),
+        };
+        self.respond(arrival.link, arrival.sequence, result, out);
+    }
+
+    pub(super) fn respond(
+        &self,
+        link: LinkId,
+        sequence: Sequence,
+        result: ForwardResult,
+        out: &mut Actions,
+    ) {
+        out.push(Action::SendOnLink {
+            link,
+            message: LinkMessage::Response(ForwardResponse {
+                sequence,
+                load: self.load(),
+                result,
+            }),
+        });
+    }
+
+    pub(super) fn forward_result(&self, result: ExchangeResult) -> ForwardResult {
+        let (code, arrived) = match result {
+            ExchangeResult::Answered(answer) => return ForwardResult::Answered(answer),
+            ExchangeResult::Lost => {
+                return ForwardResult::Unknown {
+                    code: ResultCode::AnswerLost,
+                };
+            }
+            ExchangeResult::NotExecuted => (ResultCode::BackEndShed, true),
+            ExchangeResult::WrongInstance => (ResultCode::BackEndLeaving, true),
+            ExchangeResult::NotSent => (ResultCode::BackEndUnreachable, false),
+        };
+        ForwardResult::NotRun {
+            code,
+            arrived,
+            retry_after_millis: self.retry_after_millis(),
+        }
+    }
+
+    pub(super) fn note_failure(
+        &self,
+        now: Instant,
+        running: &Running,
+        result: &ForwardResult,
+        out: &mut Actions,
+    ) {
+        let (ForwardResult::NotRun { code, .. } | ForwardResult::Unknown { code }) = result else {
+            return;
+        };
+        out.push(Action::Note(Note::NotAnswered {
+            request_id: running.request.request_id.clone(),
+            code: *code,
+            elapsed_micros: elapsed_micros(now, running.arrived),
+            running: count(self.running.len()),
+            queued: count(self.queue.len()),
+            limit: self.limit(),
+        }));
+    }
+}
--- a/crates/rillgap-forward/src/inbound/mod.rs
+++ b/crates/rillgap-forward/src/inbound/mod.rs
@@ -4,7 +4,9 @@
 //! truthfully that something did not run, orders what waits, and enforces that a back end which
 //! leaves gets nothing new.
 
+mod admission;
 mod back_end;
+mod ending;
 mod queue;
 mod service_time;
 
@@ -19,12 +21,12 @@
 use crate::configuration::RouteTable;
 use crate::event::{ExchangeResult, Heartbeat, ProbeResult};
 use crate::id::{ExchangeId, LinkId, ProbeId, Sequence};
-use crate::message::{ForwardResponse, ForwardResult, ForwardedRequest, LinkMessage, Load, Status};
+use crate::message::{ForwardedRequest, Load, Status};
 use crate::note::Note;
 use crate::settings::ForwardSettings;
 
 use back_end::{BackEnd, Effect};
-use queue::{Queued, RankQueue};
+use queue::RankQueue;
 use service_time::ServiceTimes;
 
 /// Mean wait from which a back end counts as under pressure, in microseconds.
@@ -298,80 +300,6 @@
         overdue.into_iter().chain(cutoff).chain(back_end).min()
     }
 
-    fn limit(&self) -> u32 {
-        let usable = f64::from(self.back_end.slots()) * SLOT_SHARE;
-        (usable as u32).max(1)
-    }
-
-    fn has_room(&self) -> bool {
-        count(self.running.len()) < self.limit()
-    }
-
-    /// Tells peers at once when pressure begins or ends.
-    fn update_pressure(&mut self) {
-        let wait = self.times.wait_micros();
-        let limit = if self.is_pressed {
-            PRESSURE_ENDS_MICROS
-        } else {
-            PRESSURE_MICROS
-        };
-        if (wait > limit) != self.is_pressed {
-            self.is_pressed = !self.is_pressed;
-            self.status_changed = true;
-        }
-    }
-
-    /// Returns whether a rank has less than its reserved share of the limit.
-    fn is_within_reserve(&self, rank: u8) -> bool {
-        let running = self
-            .running
-            .values()
-            .filter(|running| running.request.rank() == rank)
-            .count();
-        (running as f64) < f64::from(self.limit()) * RESERVED_SHARE
-    }
-
-    /// Returns why the back end takes no requests of this service, if it does not.
-    fn refusal_of_service(&self, request: &ForwardedRequest) -> Option<ResultCode> {
-        if self.is_stopping {
-            return Some(ResultCode::NodeStopping);
-        }
-        if !self.back_end.is_serving() {
-            return Some(ResultCode::BackEndLeaving);
-        }
-        (self.back_end.service() != request.service).then_some(ResultCode::NoBackEnd)
-    }
-
-    /// Returns whether a request is not expected to end in time.
-    fn is_doomed(&self, now: Instant, arrival: &Arrival) -> bool {
-        let remaining = arrival.deadline.saturating_since(now);
-        let expected = self.times.expected(&arrival.request.route);
-        let probes = (f64::from(self.limit()) * PROBE_SHARE).max(1.0);
-        remaining.is_zero()
-            || remaining < expected.mul_f64(NEEDED_SHARE) && self.running.len() as f64 >= probes
-    }
-
-    fn enqueue(&mut self, now: Instant, arrival: Arrival, out: &mut Actions) {
-        let bound = Duration::from_micros(arrival.request.queue_limit_micros);
-        let ahead = self.queue.ahead_of(arrival.request.rank());
-        let wait = self.drain_time(ahead + 1);
-        if wait > bound || self.queue.len() >= QUEUE_LENGTH {
-            self.times.record_wait(wait);
-            self.update_pressure();
-            self.refuse(now, &arrival, ResultCode::QueueFull, out);
-            return;
-        }
-        let expected = self.times.expected(&arrival.request.route);
-        let latest = arrival.deadline - expected.mul_f64(NEEDED_SHARE);
-        let place = (arrival.link, arrival.sequence);
-        let ticket = self.queue.push(Queued {
-            rank: arrival.request.rank(),
-            cutoff: latest.min(now + bound),
-            item: arrival,
-        });
-        self.places.insert(place, Place::Queued(ticket));
-    }
-
     fn start(&mut self, now: Instant, arrival: Arrival, out: &mut Actions) {
         self.times
             .record_wait(now.saturating_since(arrival.arrived));
@@ -432,143 +360,6 @@
         }
     }
 
-    fn refuse_expired(&mut self, now: Instant, out: &mut Actions) {
-        while let Some(arrival) = self.queue.pop_expired(now) {
-            self.refuse(now, &arrival, ResultCode::QueueFull, out);
-        }
-    }
-
-    /// Gives up on requests whose time is over and whose answer has not come.
-    fn end_overdue(&mut self, now: Instant, out: &mut Actions) {
-        while let Some((deadline, exchange)) = self.deadlines.first().copied() {
-            if deadline + OVERTIME > now {
-                return;
-            }
-            self.deadlines.pop_first();
-            let Some(running) = self.take_running(exchange) else {
-                continue;
-            };
-            self.places.remove(&(running.link, running.sequence));
-            out.push(Action::CancelExchange(exchange));
-            let elapsed = now.saturating_since(running.started);
-            self.times.record(&running.request.route, elapsed);
-            if running.is_awaited {
-                let result = ForwardResult::Unknown {
-                    code: ResultCode::AnswerTimeout,
-                };
-                self.note_failure(now, &running, &result, out);
-                self.respond(running.link, running.sequence, result, out);
-            }
-            let effect = self.back_end.on_silence();
-            self.carry_out(now, effect, None, out);
-        }
-    }
-
-    /// Stops a running request that nobody waits for. One that may run only once goes on: its
-    /// work is done or half done, and cutting it would leave that unknown to everybody.
-    fn abandon(&mut self, exchange: ExchangeId, out: &mut Actions) {
-        let Some(running) = self.running.get_mut(&exchange) else {
-            return;
-        };
-        if !running.request.is_idempotent {
-            running.is_awaited = false;
-            return;
-        }
-        let deadline = running.deadline;
-        self.take_running(exchange);
-        self.deadlines.remove(&(deadline, exchange));
-        out.push(Action::CancelExchange(exchange));
-    }
-
-    /// Refuses everything that waits.
-    fn refuse_queued(&mut self, now: Instant, code: ResultCode, out: &mut Actions) {
-        while let Some(arrival) = self.queue.pop() {
-            self.refuse(now, &arrival, code, out);
-        }
-    }
-
-    fn refuse(&mut self, now: Instant, arrival: &Arrival, code: ResultCode, out: &mut Actions) {
-        self.places.remove(&(arrival.link, arrival.sequence));
-        out.push(Action::Note(Note::NotAnswered {
-            request_id: arrival.request.request_id.clone(),
-            code,
-            elapsed_micros: elapsed_micros(now, arrival.arrived),
-            running: count(self.running.len()),
-            queued: count(self.queue.len()),
-            limit: self.limit(),
-        }));
-        let result = ForwardResult::NotRun {
-            code,
-            arrived: false,
-            retry_after_millis: self.retry_after_millis(),
-        };
-        self.respond(arrival.link, arrival.sequence, result, out);
-    }
-
-    fn respond(&self, link: LinkId, sequence: Sequence, result: ForwardResult, out: &mut Actions) {
-        out.push(Action::SendOnLink {
-            link,
-            message: LinkMessage::Response(ForwardResponse {
-                sequence,
-                load: self.load(),
-                result,
-            }),
-        });
-    }
-
-    fn forward_result(&self, result: ExchangeResult) -> ForwardResult {
-        let (code, arrived) = match result {
-            ExchangeResult::Answered(answer) => return ForwardResult::Answered(answer),
-            ExchangeResult::Lost => {
-                return ForwardResult::Unknown {
-                    code: ResultCode::AnswerLost,
-                };
-            }
-            ExchangeResult::NotExecuted => (ResultCode::BackEndShed, true),
-            ExchangeResult::WrongInstance => (ResultCode::BackEndLeaving, true),
-            ExchangeResult::NotSent => (ResultCode::BackEndUnreachable, false),
-        };
-        ForwardResult::NotRun {
-            code,
-            arrived,
-            retry_after_millis: self.retry_after_millis(),
-        }
-    }
-
-    fn note_failure(
-        &self,
-        now: Instant,
-        running: &Running,
-        result: &ForwardResult,
-        out: &mut Actions,
-    ) {
-        let (ForwardResult::NotRun { code, .. } | ForwardResult::Unknown { code }) = result else {
-            return;
-        };
-        out.push(Action::Note(Note::NotAnswered {
-            request_id: running.request.request_id.clone(),
-            code: *code,
-            elapsed_micros: elapsed_micros(now, running.arrived),
-            running: count(self.running.len()),
-            queued: count(self.queue.len()),
-            limit: self.limit(),
-        }));
-    }
-
-    /// Returns the time in which `count` queued requests come to their turn.
-    fn drain_time(&self, count: usize) -> Duration {
-        let mean = f64::from(self.times.mean_micros());
-        let micros = count as f64 * mean / f64::from(self.limit());
-        Duration::from_micros(micros as u64)
-    }
-
-    fn retry_after_millis(&self) -> u32 {
-        let drain = self.drain_time(self.queue.len() + 1).as_millis();
-        let (shortest, longest) = RETRY_AFTER_MILLIS;
-        let millis = u64::try_from(drain).unwrap_or(longest);
-        u32::try_from(millis.clamp(shortest, longest)).unwrap_or(u32::MAX)
-    }
-
     fn carry_out(
         &mut self,
         now: Instant,
--- a/crates/rillgap-forward/src/node.rs
+++ b/crates/rillgap-forward/src/node/mod.rs
@@ -1,5 +1,9 @@
 //! One node: its two sides, the directory of peers, the configuration and the store.
 
+mod links;
+mod spread;
+mod stop;
+
 use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
@@ -7,12 +11,12 @@
 use rillgap_core::time::Instant;
 
 use crate::action::{Action, Actions};
-use crate::configuration::{CallerLimits, Configuration, RouteTable};
-use crate::directory::{Directory, LinkState};
+use crate::configuration::{CallerLimits, RouteTable};
+use crate::directory::Directory;
 use crate::event::{CallerRequest, Event, Heartbeat};
 use crate::id::{ConnectionId, LinkId, Turn};
 use crate::inbound::Inbound;
-use crate::message::{Hello, LinkMessage, NodeRecord, Status};
+use crate::message::{Hello, LinkMessage};
 use crate::note::Note;
 use crate::outbound::{Origin, Outbound, OutboundContext};
 use crate::settings::ForwardSettings;
@@ -23,28 +27,10 @@
 
 /// Time between two looks at links.
 const HOUSEKEEPING: Duration = Duration::from_millis(100);
-/// Time between two reports of a node's back end on a link, which are also signs of life.
-const STATUS_INTERVAL: Duration = Duration::from_secs(1);
-/// Silence of a link with requests under way after which the peer is pinged.
-const PING_AFTER: Duration = Duration::from_millis(200);
-/// Silence of a link with requests under way after which it is given up.
-const SILENT_BUSY: Duration = Duration::from_millis(1_100);
-/// Silence of a link without requests after which it is given up: three reports are missing.
-const SILENT_IDLE: Duration = Duration::from_millis(3_200);
 /// Gap between two steps after which the node takes it that it stood still itself.
 const STOOD_STILL: Duration = Duration::from_millis(700);
 /// Time after a stand-still in which no peer is given up: what has arrived is read first.
 const READ_FIRST: Duration = Duration::from_millis(400);
-/// Time after a newer version was heard of in which the node waits for the store to bring it.
-const OFFER_PATIENCE: Duration = Duration::from_millis(200);
-/// Time after the begin of a planned stop before which the node does not exit: callers learn by
-/// then that it is not ready.
-const STOP_NOTICE: Duration = Duration::from_millis(2_500);
-/// Share of the grace for which the back end beside a stopping node still gets requests: nobody
-/// else can reach it, so every moment it gets none is capacity lost.
-const INBOUND_SHARE: f64 = 0.25;
-/// Time before the end of the grace at which a planned stop ends whatever is in flight.
-const STOP_MARGIN: Duration = Duration::from_millis(400);
 
 /// A newer configuration that a peer has.
 #[derive(Clone, Copy, Debug)]
@@ -258,38 +244,6 @@
         })
     }
 
-    fn on_link_opened(&mut self, now: Instant, link: LinkId, hello: &Hello, out: &mut Actions) {
-        if hello.protocol != PROTOCOL_VERSION || !self.directory.opened(now, link, hello) {
-            out.push(Action::CloseLink(link));
-            self.directory.closed(now, link);
-            return;
-        }
-        note_peer(&hello.node.name, true, "link opened", out);
-        self.on_offer(now, link, hello.configuration_version, out);
-    }
-
-    fn on_link_accepted(&mut self, now: Instant, link: LinkId, hello: &Hello, out: &mut Actions) {
-        if hello.protocol != PROTOCOL_VERSION {
-            out.push(Action::CloseLink(link));
-            return;
-        }
-        self.accepted.insert(link);
-        // The introduction may have been written before the back end was confirmed.
-        out.push(Action::SendOnLink {
-            link,
-            message: LinkMessage::Status(self.inbound.status()),
-        });
-        self.directory.learn(now, &hello.node);
-        self.directory.hurry(now, &hello.node.name);
-        self.on_offer(now, link, hello.configuration_version, out);
-    }
-
-    fn learn(&mut self, now: Instant, record: &NodeRecord) {
-        if record.name != self.settings.record.name {
-            self.directory.learn(now, record);
-        }
-    }
-
     fn on_link_message(
         &mut self,
         now: Instant,
@@ -328,21 +282,6 @@
         }
     }
 
-    fn on_link_closed(&mut self, now: Instant, link: LinkId, out: &mut Actions) {
-        if self.accepted.remove(&link) {
-            self.inbound.on_link_closed(now, link, out);
-            return;
-        }
-        let Some((name, was_open)) = self.directory.closed(now, link) else {
-            return;
-        };
-        if was_open {
-            note_peer(&name, false, "link closed", out);
-            let (outbound, mut context) = self.split(out);
-            outbound.on_link_closed(now, link, &mut context);
-        }
-    }
-
     fn on_store(
         &mut self,
         now: Instant,
@@ -377,83 +316,6 @@
         }
     }
 
-    /// Puts a configuration in force unless it is not newer.
-    fn adopt(
-        &mut self,
-        now: Instant,
-        configuration: Configuration,
-        source: &'static str,
-        out: &mut Actions,
-    ) {
-        if self.table.is_some() && configuration.version <= self.configuration_version() {
-            return;
-        }
-        out.push(Action::Note(Note::Configuration {
-            version: configuration.version,
-            routes: configuration.routes.len(),
-            source,
-        }));
-        let version = configuration.version;
-        self.table = Some(Arc::new(RouteTable::new(configuration)));
-        if self.offer.is_some_and(|offer| offer.version <= version) {
-            self.offer = None;
-        }
-        self.broadcast(&LinkMessage::ConfigurationOffer(version), out);
-        // The health endpoint's path may be known now.
-        let table = self.table.clone();
-        self.inbound.poll(now, table.as_deref(), out);
-    }
-
-    fn on_offer(&mut self, now: Instant, link: LinkId, version: u64, out: &mut Actions) {
-        let own = self.configuration_version();
-        if version < own {
-            out.push(Action::SendOnLink {
-                link,
-                message: LinkMessage::ConfigurationOffer(own),
-            });
-        }
-        if version > own && self.offer.is_none_or(|offer| offer.version < version) {
-            self.offer = Some(Offer {
-                link,
-                version,
-                ask_at: now + OFFER_PATIENCE,
-            });
-        }
-    }
-
-    fn on_query(&mut self, link: LinkId, version: u64, out: &mut Actions) {
-        let Some(table) = self
-            .table
-            .as_ref()
-            .filter(|table| table.version() > version)
-        else {
-            return;
-        };
-        out.push(Action::SendOnLink {
-            link,
-            message: LinkMessage::Configuration(Arc::new(table.configuration().clone())),
-        });
-    }
-
-    fn begin_stop(&mut self, now: Instant, out: &mut Actions) {
-        if self.stopping_since.is_some() {
-            return;
-        }
-        self.stopping_since = Some(now);
-        self.note_lifecycle("stopping", out);
-        if self.inbound.has_left() {
-            self.store.unregister(now);
-        }
-        self.inbound_stops_at = Some(now + self.settings.grace.mul_f64(INBOUND_SHARE));
-    }
-
-    fn stop_inbound_when_due(&mut self, now: Instant) {
-        if self.inbound_stops_at.is_some_and(|at| at <= now) {
-            self.inbound_stops_at = None;
-            self.inbound.stop();
-        }
-    }
-
     /// Does what is due and passes on what one part has for another.
     fn settle(&mut self, now: Instant, out: &mut Actions) {
         let table = self.table.clone();
@@ -485,126 +347,4 @@
             }
         }
     }
-
-    fn ask_for_offer(&mut self, now: Instant, out: &mut Actions) {
-        if let Some(offer) = self.offer.filter(|offer| offer.ask_at <= now) {
-            self.offer = None;
-            out.push(Action::SendOnLink {
-                link: offer.link,
-                message: LinkMessage::ConfigurationQuery(self.configuration_version()),
-            });
-        }
-    }
-
-    fn keep_links(&mut self, now: Instant, out: &mut Actions) {
-        self.close_silent_links(now, out);
-        self.open_links(now, out);
-        if now >= self.next_status {
-            self.next_status = now + STATUS_INTERVAL;
-            self.broadcast_status(out);
-        }
-    }
-
-    fn close_silent_links(&mut self, now: Instant, out: &mut Actions) {
-        let mut silent = Vec::new();
-        for peer in self.directory.peers_mut() {
-            let LinkState::Open(link) = peer.link else {
-                continue;
-            };
-            let silence = now.saturating_since(peer.heard_at);
-            let limit = if peer.in_flight > 0 {
-                SILENT_BUSY
-            } else {
-                SILENT_IDLE
-            };
-            if now >= self.judge_after {
-                peer.suspect_if_silent(now);
-            }
-            if silence >= limit && now >= self.judge_after {
-                silent.push(link);
-            } else if peer.in_flight > 0
-                && silence >= PING_AFTER
-                && now.saturating_since(peer.pinged_at) >= PING_AFTER
-            {
-                peer.pinged(now);
-                out.push(Action::SendOnLink {
-                    link,
-                    message: LinkMessage::Ping,
-                });
-            }
-        }
-        for link in silent {
-            out.push(Action::CloseLink(link));
-            self.on_link_closed(now, link, out);
-        }
-    }
-
-    fn open_links(&mut self, now: Instant, out: &mut Actions) {
-        let due: Vec<NodeRecord> = self
-            .directory
-            .peers()
-            .filter(|peer| matches!(peer.link, LinkState::Closed { retry_at } if retry_at <= now))
-            .map(|peer| peer.record.clone())
-            .collect();
-        for record in due {
-            let link = self.new_link();
-            self.directory.opening(&record.name, link);
-            out.push(Action::OpenLink {
-                link,
-                address: record.address,
-            });
-        }
-    }
-
-    fn broadcast_status(&mut self, out: &mut Actions) {
-        let status: Status = self.inbound.status();
-        for link in &self.accepted {
-            out.push(Action::SendOnLink {
-                link: *link,
-                message: LinkMessage::Status(status.clone()),
-            });
-        }
-    }
-
-    fn broadcast(&self, message: &LinkMessage, out: &mut Actions) {
-        for peer in self.directory.peers() {
-            if let Some(link) = peer.open_link() {
-                out.push(Action::SendOnLink {
-                    link,
-                    message: message.clone(),
-                });
-            }
-        }
-    }
-
-    fn exit_when_done(&mut self, now: Instant, out: &mut Actions) {
-        let Some(since) = self.stopping_since else {
-            return;
-        };
-        let elapsed = now.saturating_since(since);
-        let in_flight = self.inbound.in_flight() + self.outbound.in_flight();
-        let is_done = elapsed >= STOP_NOTICE && in_flight == 0;
-        let is_late = elapsed + STOP_MARGIN >= self.settings.grace;
-        if self.exited || !(is_done || is_late) {
-            return;
-        }
-        self.exited = true;
-        self.note_lifecycle("exiting", out);
-        out.push(Action::Exit);
-    }
-
-    fn note_lifecycle(&self, state: &'static str, out: &mut Actions) {
-        out.push(Action::Note(Note::Lifecycle {
-            state,
-            in_flight: self.inbound.in_flight() + self.outbound.in_flight(),
-        }));
-    }
-}
-
-fn note_peer(peer: &str, is_up: bool, cause: &'static str, out: &mut Actions) {
-    out.push(Action::Note(Note::Peer {
-        peer: peer.to_owned(),
-        is_up,
-        cause,
-    }));
 }
--- /dev/null
+++ b/crates/rillgap-forward/src/node/spread.rs
@@ -0,0 +1,86 @@
+//! The configuration: put in force, offered to peers, asked from them.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use rillgap_core::time::Instant;
+
+use super::{Node, Offer};
+use crate::action::{Action, Actions};
+use crate::configuration::{Configuration, RouteTable};
+use crate::id::LinkId;
+use crate::message::LinkMessage;
+use crate::note::Note;
+
+/// Time after a newer version was heard of in which the node waits for the store to bring it.
+const OFFER_PATIENCE: Duration = Duration::from_millis(200);
+
+impl Node {
+    /// Puts a configuration in force unless it is not newer.
+    pub(super) fn adopt(
+        &mut self,
+        now: Instant,
+        configuration: Configuration,
+        source: &'static str,
+        out: &mut Actions,
+    ) {
+        if self.table.is_some() && configuration.version <= self.configuration_version() {
+            return;
+        }
+        out.push(Action::Note(Note::Configuration {
+            version: configuration.version,
+            routes: configuration.routes.len(),
+            source,
+        }));
+        let version = configuration.version;
+        self.table = Some(Arc::new(RouteTable::new(configuration)));
+        if self.offer.is_some_and(|offer| offer.version <= version) {
+            self.offer = None;
+        }
+        self.broadcast(&LinkMessage::ConfigurationOffer(version), out);
+        // The health endpoint's path may be known now.
+        let table = self.table.clone();
+        self.inbound.poll(now, table.as_deref(), out);
+    }
+
+    pub(super) fn on_offer(&mut self, now: Instant, link: LinkId, version: u64, out: &mut Actions) {
+        let own = self.configuration_version();
+        if version < own {
+            out.push(Action::SendOnLink {
+                link,
+                message: LinkMessage::ConfigurationOffer(own),
+            });
+        }
+        if version > own && self.offer.is_none_or(|offer| offer.version < version) {
+            self.offer = Some(Offer {
+                link,
+                version,
+                ask_at: now + OFFER_PATIENCE,
+            });
+        }
+    }
+
+    pub(super) fn on_query(&mut self, link: LinkId, version: u64, out: &mut Actions) {
+        let Some(table) = self
+            .table
+            .as_ref()
+            .filter(|table| table.version() > version)
+        else {
+            return;
+        };
+        out.push(Action::SendOnLink {
+            link,
+            message: LinkMessage::Configuration(Arc::new(table.configuration().clone())),
+        });
+    }
+
+    pub(super) fn ask_for_offer(&mut self, now: Instant, out: &mut Actions) {
+        if let Some(offer) = self.offer.filter(|offer| offer.ask_at <= now) {
+            self.offer = None;
+            out.push(Action::SendOnLink {
+                link: offer.link,
+                message: LinkMessage::ConfigurationQuery(self.configuration_version()),
+            });
+        }
+    }
+}
--- /dev/null
+++ b/crates/rillgap-forward/src/outbound/attempts.rs
@@ -0,0 +1,149 @@
+//! Attempts: which node gets a request, and how an attempt ends.
+
+use rillgap_core::time::Instant;
+
+use super::request::{Request, RequestKey};
+use super::{Outbound, OutboundContext, Target};
+use crate::action::Action;
+use crate::balancer::Candidate;
+use crate::id::{LinkId, Sequence};
+use crate::message::LinkMessage;
+
+impl Outbound {
+    /// Sends a request to a node that it has not been sent to, or answers it.
+    pub(super) fn dispatch(
+        &mut self,
+        now: Instant,
+        key: RequestKey,
+        context: &mut OutboundContext<'_>,
+    ) {
+        let Some(request) = self.requests.get(&key) else {
+            return;
+        };
+        let candidates = self.candidates(request, context);
+        let Some(target) = self.balancer.choose(candidates) else {
+            self.answer_without_target(now, key, context);
+            return;
+        };
+        self.next_sequence += 1;
+        let sequence = Sequence(self.next_sequence);
+        let Some(request) = self.requests.get_mut(&key) else {
+            return;
+        };
+        let forwarded = request.begin_attempt(now, target.link, &target.name, sequence);
+        self.by_sequence.insert(sequence, key);
+        if target.link == LinkId::LOCAL {
+            self.own_in_flight += 1;
+        } else if let Some(peer) = context.directory.by_link(target.link) {
+            peer.in_flight += 1;
+            peer.unreported += 1;
+        }
+        context.out.push(Action::SendOnLink {
+            link: target.link,
+            message: LinkMessage::Request {
+                sequence,
+                request: forwarded,
+            },
+        });
+    }
+
+    pub(super) fn candidates(
+        &self,
+        request: &Request,
+        context: &OutboundContext<'_>,
+    ) -> Vec<Candidate<Target>> {
+        let service = &request.forwarded.service;
+        let mut candidates = Vec::new();
+        let own = &context.own_status;
+        let serves = own.is_serving && own.service == *service && !context.is_stopping;
+        if serves && !request.was_tried(&self.own_name) {
+            let load = own.load;
+            let in_use = load.running + load.queued;
+            candidates.push(Candidate {
+                target: Target {
+                    link: LinkId::LOCAL,
+                    name: self.own_name.clone(),
+                },
+                is_local: true,
+                utilization: f64::from(in_use) / f64::from(load.limit.max(1)),
+                limit: load.limit,
+                mean_micros: load.mean_micros,
+            });
+        }
+        for peer in context.directory.peers() {
+            let Some(link) = peer.serving_link() else {
+                continue;
+            };
+            if peer.status.service != *service || request.was_tried(&peer.record.name) {
+                continue;
+            }
+            candidates.push(Candidate {
+                target: Target {
+                    link,
+                    name: peer.record.name.clone(),
+                },
+                is_local: peer.record.zone == self.own_zone,
+                utilization: peer.utilization(),
+                limit: peer.status.load.limit,
+                mean_micros: peer.status.load.mean_micros,
+            });
+        }
+        candidates
+    }
+
+    pub(super) fn requests_at(&self, link: LinkId) -> Vec<RequestKey> {
+        self.requests
+            .iter()
+            .filter(|(_, request)| request.is_at(link))
+            .map(|(key, _)| *key)
+            .collect()
+    }
+
+    /// Ends the attempt of a request that goes on.
+    pub(super) fn withdraw_attempt(&mut self, key: RequestKey, context: &mut OutboundContext<'_>) {
+        if let Some(mut request) = self.requests.remove(&key) {
+            self.cancel_attempt(&mut request, context);
+            self.requests.insert(key, request);
+        }
+    }
+
+    /// Tells the node that works on a request that nobody waits for it.
+    pub(super) fn cancel_attempt(
+        &mut self,
+        request: &mut Request,
+        context: &mut OutboundContext<'_>,
+    ) {
+        let Some((link, sequence)) = request.current() else {
+            return;
+        };
+        request.end_attempt();
+        request.may_have_run = true;
+        self.by_sequence.remove(&sequence);
+        self.release(link, context);
+        context.out.push(Action::SendOnLink {
+            link,
+            message: LinkMessage::Cancel(sequence),
+        });
+    }
+
+    pub(super) fn end_attempt(&mut self, key: RequestKey, context: &mut OutboundContext<'_>) {
+        let Some(request) = self.requests.get_mut(&key) else {
+            return;
+        };
+        let Some((link, sequence)) = request.current() else {
+            return;
+        };
+        request.end_attempt();
+        self.by_sequence.remove(&sequence);
+        self.release(link, context);
+    }
+
+    pub(super) fn release(&mut self, link: LinkId, context: &mut OutboundContext<'_>) {
+        if link == LinkId::LOCAL {
+            self.own_in_flight = self.own_in_flight.saturating_sub(1);
+        } else if let Some(peer) = context.directory.by_link(link) {
+            peer.in_flight = peer.in_flight.saturating_sub(1);
+            peer.unreported -= 1;
+        }
+    }
+}
--- /dev/null
+++ b/crates/rillgap-forward/src/outbound/ending.rs
@@ -0,0 +1,168 @@
+//! How requests end: with an answer of a back end, or of the node's own.
+
+use rillgap_core::code::ResultCode;
+use rillgap_core::time::Instant;
+
+use super::request::{Request, RequestKey};
+use super::{NO_BACK_END_MILLIS, Outbound, OutboundContext, answer};
+use crate::action::{Action, CallerAnswer};
+use crate::configuration::RouteTable;
+use crate::event::CallerRequest;
+use crate::message::ForwardedAnswer;
+use crate::note::Note;
+use crate::throttle::Outcome;
+
+impl Outbound {
+    /// Answers with what a back end has answered.
+    pub(super) fn finish_forwarded(
+        &mut self,
+        now: Instant,
+        key: RequestKey,
+        forwarded: ForwardedAnswer,
+        context: &mut OutboundContext<'_>,
+    ) {
+        let answer = CallerAnswer {
+            status: forwarded.status,
+            fields: forwarded.fields,
+            body: forwarded.body,
+            close: context.is_stopping,
+        };
+        self.finish(now, key, answer, None, context);
+    }
+
+    pub(super) fn answer_without_target(
+        &mut self,
+        now: Instant,
+        key: RequestKey,
+        context: &mut OutboundContext<'_>,
+    ) {
+        let Some(request) = self.requests.get(&key) else {
+            return;
+        };
+        let retry_after = request.retry_after_millis.unwrap_or(NO_BACK_END_MILLIS);
+        self.answer_own(now, key, ResultCode::NoBackEnd, retry_after, context);
+    }
+
+    /// Answers a request whose time is over.
+    pub(super) fn give_up(
+        &mut self,
+        now: Instant,
+        key: RequestKey,
+        context: &mut OutboundContext<'_>,
+    ) {
+        let Some(request) = self.requests.get(&key) else {
+            self.deadlines.retain(|(_, other)| *other != key);
+            return;
+        };
+        let was_sent = request.current().is_some();
+        self.withdraw_attempt(key, context);
+        let code = if was_sent {
+            ResultCode::AnswerTimeout
+        } else {
+            ResultCode::DeadlineUnmet
+        };
+        self.answer_own(now, key, code, 0, context);
+    }
+
+    /// Answers with a result of the node's own.
+    pub(super) fn answer_own(
+        &mut self,
+        now: Instant,
+        key: RequestKey,
+        code: ResultCode,
+        retry_after_millis: u32,
+        context: &mut OutboundContext<'_>,
+    ) {
+        let Some(request) = self.requests.get_mut(&key) else {
+            return;
+        };
+        // A back end's own failure says more than that a second try came to nothing.
+        if let Some(forwarded) = request.failed_answer.take() {
+            self.finish_forwarded(now, key, forwarded, context);
+            return;
+        }
+        let answer = answer::own(
+            code,
+            retry_after_millis,
+            request.may_have_run,
+            context.is_stopping,
+        );
+        self.finish(now, key, answer, Some(code), context);
+    }
+
+    pub(super) fn finish(
+        &mut self,
+        now: Instant,
+        key: RequestKey,
+        answer: CallerAnswer,
+        code: Option<ResultCode>,
+        context: &mut OutboundContext<'_>,
+    ) {
+        let Some(request) = self.take(key) else {
+            return;
+        };
+        self.count_outcome(&request, answer.status);
+        let elapsed = now.saturating_since(request.arrived).as_micros();
+        context.out.push(Action::Note(Note::Answered {
+            request_id: request.forwarded.request_id.clone(),
+            route: request.route.name.clone(),
+            status: answer.status,
+            code,
+            peer: request.last_target().to_owned(),
+            attempts: request.attempts(),
+            elapsed_micros: u64::try_from(elapsed).unwrap_or(u64::MAX),
+            configuration: request.configuration,
+        }));
+        context.out.push(Action::Answer {
+            connection: key.connection,
+            turn: key.turn,
+            answer,
+        });
+    }
+
+    /// Tells the throttle how a caller's request has ended.
+    pub(super) fn count_outcome(&mut self, request: &Request, status: u16) {
+        if request.is_call {
+            return;
+        }
+        let outcome = if status >= 500 {
+            Outcome::Failed
+        } else {
+            Outcome::Succeeded
+        };
+        let route = &request.route;
+        self.throttle.ended(&route.name, route.priority, outcome);
+    }
+
+    pub(super) fn answer_rejected(
+        &self,
+        key: RequestKey,
+        caller: CallerRequest,
+        code: ResultCode,
+        answer: CallerAnswer,
+        context: &mut OutboundContext<'_>,
+    ) {
+        context.out.push(Action::Note(Note::Answered {
+            request_id: caller.request_id,
+            route: String::new(),
+            status: answer.status,
+            code: Some(code),
+            peer: String::new(),
+            attempts: 0,
+            elapsed_micros: 0,
+            configuration: context.table.map_or(0, RouteTable::version),
+        }));
+        context.out.push(Action::Answer {
+            connection: key.connection,
+            turn: key.turn,
+            answer,
+        });
+    }
+
+    /// Forgets a request.
+    pub(super) fn take(&mut self, key: RequestKey) -> Option<Request> {
+        let request = self.requests.remove(&key)?;
+        self.deadlines.remove(&(request.deadline, key));
+        Some(request)
+    }
+}
--- /dev/null
+++ b/crates/rillgap-forward/src/outbound/results.rs
@@ -0,0 +1,151 @@
+//! What follows from the word of the node that was asked.
+
+use rillgap_core::code::ResultCode;
+use rillgap_core::time::Instant;
+
+use super::request::RequestKey;
+use super::{MOST_MOVES, Outbound, OutboundContext};
+use crate::action::Action;
+use crate::message::{ForwardResult, ForwardedAnswer};
+use crate::note::Note;
+
+impl Outbound {
+    pub(super) fn on_result(
+        &mut self,
+        now: Instant,
+        key: RequestKey,
+        result: ForwardResult,
+        context: &mut OutboundContext<'_>,
+    ) {
+        match result {
+            ForwardResult::Answered(answer) => self.on_answer(now, key, answer, context),
+            ForwardResult::NotRun {
+                code,
+                arrived,
+                retry_after_millis,
+            } => self.on_not_run(now, key, code, arrived, retry_after_millis, context),
+            ForwardResult::Unknown { code } => self.on_unknown(now, key, code, context),
+        }
+    }
+
+    pub(super) fn on_answer(
+        &mut self,
+        now: Instant,
+        key: RequestKey,
+        forwarded: ForwardedAnswer,
+        context: &mut OutboundContext<'_>,
+    ) {
+        let Some(request) = self.requests.get_mut(&key) else {
+            return;
+        };
+        request.may_have_run = true;
+        let is_failure = forwarded.status >= 500;
+        if is_failure && self.has_other_target(key, context) && self.may_repeat(now, key) {
+            if let Some(request) = self.requests.get_mut(&key) {
+                request.failed_answer = Some(forwarded);
+            }
+            self.repeat(now, key, ResultCode::AnswerBroken, true, context);
+            return;
+        }
+        let Some(request) = self.requests.get(&key) else {
+            return;
+        };
+        // A promise that the request did not run is only the system's to give.
+        let breaks_promise = matches!(forwarded.status, 408 | 421 | 429 | 503);
+        if breaks_promise && !request.route.is_idempotent() {
+            self.answer_own(now, key, ResultCode::AnswerLost, 0, context);
+            return;
+        }
+        self.finish_forwarded(now, key, forwarded, context);
+    }
+
+    pub(super) fn on_not_run(
+        &mut self,
+        now: Instant,
+        key: RequestKey,
+        code: ResultCode,
+        arrived: bool,
+        retry_after_millis: u32,
+        context: &mut OutboundContext<'_>,
+    ) {
+        let Some(request) = self.requests.get_mut(&key) else {
+            return;
+        };
+        request.not_run(arrived, retry_after_millis);
+        let moves_left = request.moves < MOST_MOVES;
+        // A queue that is full here is likely to be short elsewhere; a deadline that cannot be
+        // met is not.
+        let worth_moving = code != ResultCode::DeadlineUnmet || request.is_call;
+        let may_move = moves_left
+            && worth_moving
+            && self.has_other_target(key, context)
+            && (!arrived || self.may_repeat(now, key));
+        if may_move {
+            self.repeat(now, key, code, arrived, context);
+            return;
+        }
+        self.answer_own(now, key, code, retry_after_millis, context);
+    }
+
+    pub(super) fn on_unknown(
+        &mut self,
+        now: Instant,
+        key: RequestKey,
+        code: ResultCode,
+        context: &mut OutboundContext<'_>,
+    ) {
+        let Some(request) = self.requests.get_mut(&key) else {
+            return;
+        };
+        request.may_have_run = true;
+        if self.has_other_target(key, context) && self.may_repeat(now, key) {
+            self.repeat(now, key, code, true, context);
+            return;
+        }
+        self.answer_own(now, key, code, 0, context);
+    }
+
+    /// Returns whether a request that has reached a back end may be sent to another one, and pays
+    /// for it.
+    pub(super) fn may_repeat(&mut self, now: Instant, key: RequestKey) -> bool {
+        let Some(request) = self.requests.get(&key) else {
+            return false;
+        };
+        let has_time = request.deadline > now;
+        // An attempt that is under way may be running: only the other node's word ends that.
+        let has_not_run = !request.may_have_run && request.current().is_none();
+        let may_run_again = request.route.is_idempotent() || has_not_run;
+        let attempts_left = request.arrivals < request.route.max_attempts;
+        if !has_time || !may_run_again || !attempts_left {
+            return false;
+        }
+        let service = request.forwarded.service.clone();
+        self.budget.try_spend(now, &service)
+    }
+
+    pub(super) fn has_other_target(&self, key: RequestKey, context: &OutboundContext<'_>) -> bool {
+        self.requests
+            .get(&key)
+            .is_some_and(|request| !self.candidates(request, context).is_empty())
+    }
+
+    pub(super) fn repeat(
+        &mut self,
+        now: Instant,
+        key: RequestKey,
+        code: ResultCode,
+        paid: bool,
+        context: &mut OutboundContext<'_>,
+    ) {
+        if let Some(request) = self.requests.get_mut(&key) {
+            request.moves += 1;
+            context.out.push(Action::Note(Note::Moved {
+                request_id: request.forwarded.request_id.clone(),
+                from: request.last_target().to_owned(),
+                code,
+                paid,
+            }));
+        }
+        self.dispatch(now, key, context);
+    }
+}
--- a/crates/rillgap-http/src/h1/head.rs
+++ b/crates/rillgap-http/src/h1/head.rs
@@ -17,12 +17,22 @@
 }
 
 impl HeadLimits {
-    /// Returns an error if `length` bytes without the end of a head are already too many.
-    pub(super) fn check(self, length: usize) -> Result<(), MessageError> {
+    /// Returns the length of a parsed head; `None` if it is not whole after `available` bytes.
+    pub(super) fn length_of_head(
+        self,
+        parsed: httparse::Result<usize>,
+        available: usize,
+    ) -> Result<Option<usize>, MessageError> {
+        let (length, is_whole) = match parsed {
+            Ok(httparse::Status::Complete(length)) => (length, true),
+            Ok(httparse::Status::Partial) => (available, false),
+            Err(httparse::Error::TooManyHeaders) => return Err(MessageError::TooManyFields),
+            Err(_) => return Err(MessageError::MalformedHead),
+        };
         if length > self.bytes {
             return Err(MessageError::HeadTooLong);
         }
-        Ok(())
+        Ok(is_whole.then_some(length))
     }
 }
 
--- a/crates/rillgap-http/src/h1/request.rs
+++ b/crates/rillgap-http/src/h1/request.rs
@@ -39,16 +39,9 @@
 ) -> Result<Option<RequestHead>, MessageError> {
     let mut fields = [httparse::EMPTY_HEADER; MAX_FIELDS];
     let mut request = httparse::Request::new(&mut fields);
-    let length = match request.parse(buffer) {
-        Ok(httparse::Status::Complete(length)) => length,
-        Ok(httparse::Status::Partial) => {
-            limits.check(buffer.len())?;
-            return Ok(None);
-        }
-        Err(httparse::Error::TooManyHeaders) => return Err(MessageError::TooManyFields),
-        Err(_) => return Err(MessageError::MalformedHead),
+    let Some(length) = limits.length_of_head(request.parse(buffer), buffer.len())? else {
+        return Ok(None);
     };
-    limits.check(length)?;
     let minor = request.version.unwrap_or(1);
     let control = ControlFields::read(request.headers)?;
     let mut head = RequestHead {
--- a/crates/rillgap-http/src/h1/response.rs
+++ b/crates/rillgap-http/src/h1/response.rs
@@ -44,16 +44,9 @@
 ) -> Result<Option<ResponseHead>, MessageError> {
     let mut fields = [httparse::EMPTY_HEADER; MAX_FIELDS];
     let mut response = httparse::Response::new(&mut fields);
-    let length = match response.parse(buffer) {
-        Ok(httparse::Status::Complete(length)) => length,
-        Ok(httparse::Status::Partial) => {
-            limits.check(buffer.len())?;
-            return Ok(None);
-        }
-        Err(httparse::Error::TooManyHeaders) => return Err(MessageError::TooManyFields),
-        Err(_) => return Err(MessageError::MalformedHead),
+    let Some(length) = limits.length_of_head(response.parse(buffer), buffer.len())? else {
+        return Ok(None);
     };
-    limits.check(length)?;
     let status = response.code.unwrap_or_default();
     let control = ControlFields::read(response.headers)?;
     let framing = match control.announced_framing()? {
