Planned stop: nothing is taken after the decision to exit

After the decision every request is refused (code 45, 503, not run) and its connection closed behind the answer. The test fails before this change.

--- a/crates/rillgap-forward/src/node/mod.rs
+++ b/crates/rillgap-forward/src/node/mod.rs
@@ -206,6 +206,7 @@
             own_status: self.inbound.status(),
             directory: &mut self.directory,
             is_stopping: self.stopping_since.is_some(),
+            is_exiting: self.exited,
             out,
         };
         (&mut self.outbound, context)
--- a/crates/rillgap-forward/src/outbound/mod.rs
+++ b/crates/rillgap-forward/src/outbound/mod.rs
@@ -80,6 +80,8 @@
     pub own_status: Status,
     /// Whether the node is in a planned stop.
     pub is_stopping: bool,
+    /// Whether the process is about to end: nothing new can be finished.
+    pub is_exiting: bool,
     /// Actions for the driver.
     pub out: &'a mut Actions,
 }
@@ -229,6 +231,9 @@
         origin: Origin,
         context: &OutboundContext<'_>,
     ) -> Result<Request, (Box<CallerRequest>, ResultCode, u32)> {
+        if context.is_exiting {
+            return Err((Box::new(caller), ResultCode::NodeStopping, 0));
+        }
         let Some(table) = context.table else {
             return Err((Box::new(caller), ResultCode::NotReady, NO_BACK_END_MILLIS));
         };
--- a/crates/rillgap-forward/tests/control.rs
+++ b/crates/rillgap-forward/tests/control.rs
@@ -213,3 +213,18 @@
         expect_that!(removed, eq(has_left));
     }
 }
+
+#[gtest]
+fn request_that_arrives_after_the_decision_to_exit_is_refused_and_not_taken() {
+    let mut test = TestNode::configured("logbok");
+    test.connect("peer-a", 2, SERVICE);
+    test.event(Event::Stop);
+    test.pass(2_600);
+    let is_exit = |action: &Action| matches!(action, Action::Exit);
+    expect_that!(test.actions.iter().any(is_exit), eq(true));
+    test.actions.clear();
+    test.request(0, support::caller_request("a", "/safe/1"));
+    expect_that!(test.statuses(), elements_are![eq(&503)]);
+    expect_that!(test.answers()[0].close, eq(true));
+    expect_that!(test.sent(), is_empty());
+}
