Path tests: every listener of a node has an address of its own

Cause: failure_of_the_back_end_goes_back_as_it_is failed once with AddrInUse. A free port was asked for and given back before the node bound it, so an outgoing connection of a test beside it could take it. Addresses of 127/8 by counter and process take its place; the checks are unchanged.

--- a/crates/rillgap-sidecar/tests/path/support.rs
+++ b/crates/rillgap-sidecar/tests/path/support.rs
@@ -5,6 +5,7 @@
 use std::net::SocketAddr;
 use std::path::Path;
 use std::rc::Rc;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 
 use bytes::BytesMut;
@@ -321,7 +322,7 @@
         let store = Rc::new(MemoryStore::default());
         let (back_end, address) = BackEnd::start(script).await;
         let (beside, _) = start_node(&store, "beside", "work", address).await;
-        let nowhere = free_address().await;
+        let nowhere = own_address();
         let (entry, callers) = start_node(&store, "entry", "front", nowhere).await;
         let heartbeat = Heartbeat {
             instance: INSTANCE.to_owned(),
@@ -366,9 +367,18 @@
     }
 }
 
-async fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").await.expect("an address");
-    listener.local_addr().expect("an address")
+/// Port of all listeners of nodes; their addresses differ.
+const NODE_PORT: u16 = 7_000;
+
+/// Returns an address of its own for each call, also of tests that run side by side.
+///
+/// A port that the system hands out and gets back could meanwhile serve an outgoing connection.
+fn own_address() -> SocketAddr {
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    let number = NEXT.fetch_add(1, Ordering::Relaxed);
+    let network = 64 + (std::process::id() % 128) as u8;
+    let [_, _, high, low] = (number + 1).to_be_bytes();
+    SocketAddr::from(([127, network, high, low], NODE_PORT))
 }
 
 async fn start_node(
@@ -377,10 +387,10 @@
     service: &str,
     back_end: SocketAddr,
 ) -> (Rc<Hub>, SocketAddr) {
-    let callers = free_address().await;
-    let control = free_address().await;
-    let readiness = free_address().await;
-    let mesh = free_address().await;
+    let callers = own_address();
+    let control = own_address();
+    let readiness = own_address();
+    let mesh = own_address();
     let text = format!(
         "[node]\nname = \"{name}\"\nzone = \"z\"\nregion = \"r\"\n\
          [listen]\ncallers = \"{callers}\"\ncontrol = \"{control}\"\n\
