Forwarding: a counter nobody read is gone, one piece of code notes what was not answered

Outbound::own_in_flight was counted and never read. The log record of an unanswered request was built in two places of the inbound side.

--- a/crates/rillgap-forward/src/inbound/ending.rs
+++ b/crates/rillgap-forward/src/inbound/ending.rs
@@ -7,7 +7,7 @@
 use crate::action::{Action, Actions};
 use crate::event::ExchangeResult;
 use crate::id::{ExchangeId, LinkId, Sequence};
-use crate::message::{ForwardResponse, ForwardResult, LinkMessage};
+use crate::message::{ForwardResponse, ForwardResult, ForwardedRequest, LinkMessage};
 use crate::note::Note;
 
 impl Inbound {
@@ -74,14 +74,7 @@
         out: &mut Actions,
     ) {
         self.places.remove(&(arrival.link, arrival.sequence));
-        out.push(Action::Note(Note::NotAnswered {
-            request_id: arrival.request.request_id.clone(),
-            code,
-            elapsed_micros: elapsed_micros(now, arrival.arrived),
-            running: count(self.running.len()),
-            queued: count(self.queue.len()),
-            limit: self.limit(),
-        }));
+        self.note_not_answered(now, &arrival.request, arrival.arrived, code, out);
         let result = ForwardResult::NotRun {
             code,
             arrived: false,
@@ -136,10 +129,21 @@
         let (ForwardResult::NotRun { code, .. } | ForwardResult::Unknown { code }) = result else {
             return;
         };
+        self.note_not_answered(now, &running.request, running.arrived, *code, out);
+    }
+
+    fn note_not_answered(
+        &self,
+        now: Instant,
+        request: &ForwardedRequest,
+        arrived: Instant,
+        code: ResultCode,
+        out: &mut Actions,
+    ) {
         out.push(Action::Note(Note::NotAnswered {
-            request_id: running.request.request_id.clone(),
-            code: *code,
-            elapsed_micros: elapsed_micros(now, running.arrived),
+            request_id: request.request_id.clone(),
+            code,
+            elapsed_micros: elapsed_micros(now, arrived),
             running: count(self.running.len()),
             queued: count(self.queue.len()),
             limit: self.limit(),
--- a/crates/rillgap-forward/src/outbound/attempts.rs
+++ b/crates/rillgap-forward/src/outbound/attempts.rs
@@ -32,9 +32,7 @@
         };
         let forwarded = request.begin_attempt(now, target.link, &target.name, sequence);
         self.by_sequence.insert(sequence, key);
-        if target.link == LinkId::LOCAL {
-            self.own_in_flight += 1;
-        } else if let Some(peer) = context.directory.by_link(target.link) {
+        if let Some(peer) = context.directory.by_link(target.link) {
             peer.in_flight += 1;
             peer.unreported += 1;
         }
@@ -139,9 +137,7 @@
     }
 
     pub(super) fn release(&mut self, link: LinkId, context: &mut OutboundContext<'_>) {
-        if link == LinkId::LOCAL {
-            self.own_in_flight = self.own_in_flight.saturating_sub(1);
-        } else if let Some(peer) = context.directory.by_link(link) {
+        if let Some(peer) = context.directory.by_link(link) {
             peer.in_flight = peer.in_flight.saturating_sub(1);
             peer.unreported -= 1;
         }
--- a/crates/rillgap-forward/src/outbound/mod.rs
+++ b/crates/rillgap-forward/src/outbound/mod.rs
@@ -100,7 +100,6 @@
     budget: RetryBudget,
     throttle: Throttle,
     weights: WeightedChoice,
-    own_in_flight: u32,
 }
 
 impl Outbound {
@@ -118,7 +117,6 @@
             budget: RetryBudget::new(settings.retry_bound),
             throttle: Throttle::new(settings.random_seed),
             weights: WeightedChoice::new(settings.random_seed),
-            own_in_flight: 0,
         }
     }
 
