Balancer: back ends that fail requests of their own are spared

Nothing told the entry nodes which back ends fail: only health, load and speed count.

Ruled out: retries (the budget, a sum over all machines, is far below 1,300 a second); taking the back ends out by probes (their health endpoint says yes).

Change: the node beside a back end counts how requests end there (lost, not executed, no answer at the deadline, its own 500) and reports the share with its load. A failure of a back end's own call is not blamed on it. The balancer draws from sound back ends first and adds the share to the cost, so the others get requests when the sound ones are full. A health endpoint that says no is outweighed by a request answered within the last second.

--- a/crates/rillgap-forward/src/balancer.rs
+++ b/crates/rillgap-forward/src/balancer.rs
@@ -1,7 +1,8 @@
 //! Choice of the node that runs a request.
 //!
 //! Of two nodes of the own zone and two of other zones, drawn at random, the one of the lowest
-//! cost is taken. The cost is the load as a share of the limit, plus a little for back ends that
+//! cost is taken. Back ends that fail many requests stand apart: they are drawn as a third kind, and
+//! what they fail is added to their cost, so they get requests when the others are full. The cost is the load as a share of the limit, plus a little for back ends that
 //! are slower than the fastest of the service, plus a penalty for leaving the zone. Slowness is
 //! added, not multiplied: a slow back end is spared while there is room elsewhere, but when the
 //! fast ones fill up its slots are needed. For the same reason the penalty vanishes as the own
@@ -10,6 +11,8 @@
 use rand_chacha::ChaCha8Rng;
 use rand_chacha::rand_core::{Rng, SeedableRng};
 
+use crate::inbound::FAILING_PERMILLE;
+
 /// Cost of leaving a zone that is idle, in shares of a back end's limit.
 const CROSS_ZONE_PENALTY: f64 = 0.3;
 /// Load of the own zone up to which the whole penalty counts, and from which none does.
@@ -18,6 +21,9 @@
 const SLOWNESS_COST: f64 = 0.15;
 /// Largest factor of slowness that counts.
 const MOST_SLOWNESS: f64 = 4.0;
+/// Cost of failing every request. A back end that fails half of them gets requests when the others
+/// are full.
+const FAILURE_COST: f64 = 2.0;
 /// Candidates drawn of each kind.
 const DRAWN: usize = 2;
 
@@ -34,6 +40,8 @@
     pub limit: u32,
     /// Mean time that a request takes there, in microseconds; 0 if unknown.
     pub mean_micros: u32,
+    /// Share of requests that the back end itself fails, in thousandths.
+    pub failing_permille: u32,
 }
 
 impl<T> Candidate<T> {
@@ -44,7 +52,9 @@
         };
         let next = 1.0 / f64::from(self.limit.max(1));
         let distance = if self.is_local { 0.0 } else { penalty };
-        self.utilization + next + (slowness - 1.0) * SLOWNESS_COST + distance
+        let failing = f64::from(self.failing_permille) / 1_000.0;
+        let quality = (slowness - 1.0) * SLOWNESS_COST + failing * FAILURE_COST;
+        self.utilization + next + quality + distance
     }
 }
 
@@ -69,12 +79,15 @@
             .filter(|candidate| candidate.mean_micros > 0)
             .map(|candidate| f64::from(candidate.mean_micros))
             .fold(f64::INFINITY, f64::min);
-        let (local, remote): (Vec<_>, Vec<_>) = candidates
+        let (failing, sound): (Vec<_>, Vec<_>) = candidates
             .into_iter()
-            .partition(|candidate| candidate.is_local);
+            .partition(|candidate| candidate.failing_permille >= FAILING_PERMILLE);
+        let (local, remote): (Vec<_>, Vec<_>) =
+            sound.into_iter().partition(|candidate| candidate.is_local);
         let penalty = cross_zone_penalty(&local);
         let mut drawn = self.draw_some(local);
         drawn.extend(self.draw_some(remote));
+        drawn.extend(self.draw_some(failing));
         drawn
             .into_iter()
             .min_by(|left, right| {
--- a/crates/rillgap-forward/src/inbound/back_end.rs
+++ b/crates/rillgap-forward/src/inbound/back_end.rs
@@ -17,6 +17,8 @@
 const SILENT_INTERVALS: f64 = 3.2;
 /// Lost answers in a row after which the back end is probed.
 const LOST_IN_A_ROW: u32 = 3;
+/// Time for which an answer to a request outweighs a health endpoint that says no.
+const ANSWER_COUNTS: Duration = Duration::from_secs(1);
 /// Incarnations that are remembered as having left.
 const MOST_LEFT: usize = 64;
 
@@ -69,6 +71,7 @@
     announced: Option<Announcement>,
     left: BTreeSet<String>,
     heard_at: Instant,
+    answered_at: Option<Instant>,
     lost_in_a_row: u32,
     wants_probe: bool,
     probing: Option<ProbeId>,
@@ -86,6 +89,7 @@
             announced: None,
             left: BTreeSet::new(),
             heard_at: Instant::default(),
+            answered_at: None,
             lost_in_a_row: 0,
             wants_probe: false,
             probing: None,
@@ -174,15 +178,22 @@
         self.probing = None;
         match result {
             ProbeResult::Healthy { instance } => self.confirm(now, instance),
+            // Health endpoints may be wrong; what the back end does counts more.
+            ProbeResult::Unhealthy if self.has_answered_lately(now) => Effect::NONE,
             ProbeResult::Unhealthy => self.down("health endpoint says no"),
             ProbeResult::Unreachable => self.down("health endpoint unreachable"),
         }
     }
 
     /// Takes in how a request ended.
-    pub fn on_exchange(&mut self, result: &ExchangeResult) -> Effect {
+    pub fn on_exchange(&mut self, now: Instant, result: &ExchangeResult) -> Effect {
         match result {
-            ExchangeResult::Answered(_) | ExchangeResult::NotExecuted => {
+            ExchangeResult::Answered(_) => {
+                self.answered_at = Some(now);
+                self.lost_in_a_row = 0;
+                Effect::NONE
+            }
+            ExchangeResult::NotExecuted => {
                 self.lost_in_a_row = 0;
                 Effect::NONE
             }
@@ -195,6 +206,11 @@
         }
     }
 
+    fn has_answered_lately(&self, now: Instant) -> bool {
+        self.answered_at
+            .is_some_and(|at| now.saturating_since(at) < ANSWER_COUNTS)
+    }
+
     /// Takes in that a request got no answer.
     pub fn on_silence(&mut self) -> Effect {
         self.lost_in_a_row += 1;
--- a/crates/rillgap-forward/src/inbound/ending.rs
+++ b/crates/rillgap-forward/src/inbound/ending.rs
@@ -3,13 +3,18 @@
 use rillgap_core::code::ResultCode;
 use rillgap_core::time::Instant;
 
-use super::{Arrival, Inbound, OVERTIME, Running, count, elapsed_micros};
+use super::{
+    Arrival, CLOSE_TO_DEADLINE, FAILING_PERMILLE, Inbound, OVERTIME, Running, count, elapsed_micros,
+};
 use crate::action::{Action, Actions};
 use crate::event::ExchangeResult;
 use crate::id::{ExchangeId, LinkId, Sequence};
 use crate::message::{ForwardResponse, ForwardResult, ForwardedRequest, LinkMessage};
 use crate::note::Note;
 
+/// Status of a back end's own failure.
+const SERVER_ERROR: u16 = 500;
+
 impl Inbound {
     /// Gives up on requests whose time is over and whose answer has not come.
     pub(super) fn end_overdue(&mut self, now: Instant, out: &mut Actions) {
@@ -32,6 +37,7 @@
                 self.note_failure(now, &running, &result, out);
                 self.respond(running.link, running.sequence, result, out);
             }
+            self.failures.record(now, running.is_own_fault());
             let effect = self.back_end.on_silence();
             self.carry_out(now, effect, None, out);
         }
@@ -39,10 +45,14 @@
 
     /// Stops a running request that nobody waits for. One that may run only once goes on: its
     /// work is done or half done, and cutting it would leave that unknown to everybody.
-    pub(super) fn abandon(&mut self, exchange: ExchangeId, out: &mut Actions) {
+    pub(super) fn abandon(&mut self, now: Instant, exchange: ExchangeId, out: &mut Actions) {
         let Some(running) = self.running.get_mut(&exchange) else {
             return;
         };
+        if now + CLOSE_TO_DEADLINE >= running.deadline {
+            let is_failure = running.is_own_fault();
+            self.failures.record(now, is_failure);
+        }
         if !running.request.is_idempotent {
             running.is_awaited = false;
             return;
@@ -53,6 +63,33 @@
         out.push(Action::CancelExchange(exchange));
     }
 
+    /// Counts whether the back end itself has failed a request.
+    pub(super) fn record_outcome(
+        &mut self,
+        now: Instant,
+        running: &Running,
+        result: &ExchangeResult,
+    ) {
+        let is_failure = match result {
+            ExchangeResult::Answered(answer) => {
+                answer.status == SERVER_ERROR && running.is_own_fault()
+            }
+            ExchangeResult::NotExecuted | ExchangeResult::Lost => true,
+            // No word of the back end that is meant.
+            ExchangeResult::WrongInstance | ExchangeResult::NotSent => return,
+        };
+        self.failures.record(now, is_failure);
+    }
+
+    /// Brings the reported share of failures up to date; peers are told at once when the back end
+    /// begins or ceases to stand out.
+    pub(super) fn update_failing(&mut self, now: Instant) {
+        let stood_out = self.failing_permille >= FAILING_PERMILLE;
+        self.failing_permille = self.failures.permille(now);
+        let stands_out = self.failing_permille >= FAILING_PERMILLE;
+        self.status_changed |= stood_out != stands_out;
+    }
+
     /// Refuses everything that waits.
     pub(super) fn refuse_queued(&mut self, now: Instant, code: ResultCode, out: &mut Actions) {
         while let Some(arrival) = self.queue.pop() {
--- a/crates/rillgap-forward/src/inbound/mod.rs
+++ b/crates/rillgap-forward/src/inbound/mod.rs
@@ -7,6 +7,7 @@
 mod admission;
 mod back_end;
 mod ending;
+mod failure_share;
 mod queue;
 mod service_time;
 
@@ -26,6 +27,7 @@
 use crate::settings::ForwardSettings;
 
 use back_end::{BackEnd, Effect};
+use failure_share::FailureShare;
 use queue::RankQueue;
 use service_time::ServiceTimes;
 
@@ -47,6 +49,10 @@
 const RETRY_AFTER_MILLIS: (u64, u64) = (50, 2_000);
 /// Mean wait at which peers are told at once that it has ended, in microseconds.
 const PRESSURE_ENDS_MICROS: u32 = PRESSURE_MICROS / 4;
+/// Time before the end of a request's time from which a cancellation means that no answer came.
+const CLOSE_TO_DEADLINE: Duration = Duration::from_millis(20);
+/// Share of failures of its own from which a back end stands out, in thousandths.
+pub const FAILING_PERMILLE: u32 = 100;
 /// Longest queue.
 const QUEUE_LENGTH: usize = 2_048;
 
@@ -60,6 +66,28 @@
     started: Instant,
     deadline: Instant,
     is_awaited: bool,
+    /// The back end's own calls for the request that have no answer yet.
+    open_calls: u32,
+    /// Whether one of those calls has failed.
+    has_failed_call: bool,
+}
+
+impl Running {
+    /// Returns whether the back end alone is to blame if the request fails.
+    fn is_own_fault(&self) -> bool {
+        self.open_calls == 0 && !self.has_failed_call
+    }
+}
+
+/// What became of a call that the back end makes while it works on a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CallProgress {
+    /// It is under way.
+    Begun,
+    /// It was answered without a failure.
+    Succeeded,
+    /// It came to nothing.
+    Failed,
 }
 
 /// A request that has arrived.
@@ -89,6 +117,8 @@
     places: BTreeMap<(LinkId, Sequence), Place>,
     by_request_id: BTreeMap<String, ExchangeId>,
     times: ServiceTimes,
+    failures: FailureShare,
+    failing_permille: u32,
     next_exchange: u64,
     is_stopping: bool,
     status_changed: bool,
@@ -106,6 +136,8 @@
             places: BTreeMap::new(),
             by_request_id: BTreeMap::new(),
             times: ServiceTimes::default(),
+            failures: FailureShare::default(),
+            failing_permille: 0,
             next_exchange: 0,
             is_stopping: false,
             status_changed: false,
@@ -131,6 +163,7 @@
             queued: count(self.queue.len()),
             mean_micros: self.times.mean_micros(),
             wait_micros: self.times.wait_micros(),
+            failing_permille: self.failing_permille,
         }
     }
 
@@ -151,6 +184,22 @@
         Some(&running.request)
     }
 
+    /// Takes in what became of a call that the back end makes while it works on a request.
+    pub fn on_call(&mut self, parent_id: &str, progress: CallProgress) {
+        let exchange = self.by_request_id.get(parent_id);
+        let Some(running) = exchange.and_then(|exchange| self.running.get_mut(exchange)) else {
+            return;
+        };
+        match progress {
+            CallProgress::Begun => running.open_calls += 1,
+            CallProgress::Succeeded => running.open_calls = running.open_calls.saturating_sub(1),
+            CallProgress::Failed => {
+                running.open_calls = running.open_calls.saturating_sub(1);
+                running.has_failed_call = true;
+            }
+        }
+    }
+
     /// Returns whether the back end has left service for good.
     pub fn has_left(&self) -> bool {
         self.back_end.has_left()
@@ -233,7 +282,7 @@
             Some(Place::Queued(ticket)) => {
                 self.queue.remove(ticket);
             }
-            Some(Place::Running(exchange)) => self.abandon(exchange, out),
+            Some(Place::Running(exchange)) => self.abandon(now, exchange, out),
             None => {}
         }
         self.start_queued(now, out);
@@ -271,7 +320,8 @@
         if matches!(result, ExchangeResult::Answered(_)) {
             self.times.record(&running.request.route, elapsed);
         }
-        let effect = self.back_end.on_exchange(&result);
+        self.record_outcome(now, &running, &result);
+        let effect = self.back_end.on_exchange(now, &result);
         let result = self.forward_result(result);
         if running.is_awaited {
             self.note_failure(now, &running, &result, out);
@@ -286,6 +336,7 @@
         self.back_end.poll(now);
         self.times.fade_wait(now);
         self.update_pressure();
+        self.update_failing(now);
         self.carry_out(now, Effect::default(), table, out);
         self.refuse_expired(now, out);
         self.end_overdue(now, out);
@@ -325,6 +376,8 @@
             started: now,
             deadline: arrival.deadline,
             is_awaited: true,
+            open_calls: 0,
+            has_failed_call: false,
         };
         self.running.insert(id, running);
     }
--- a/crates/rillgap-forward/src/message.rs
+++ b/crates/rillgap-forward/src/message.rs
@@ -35,6 +35,8 @@
     pub mean_micros: u32,
     /// Mean time that recent requests have waited, in microseconds.
     pub wait_micros: u32,
+    /// Share of recent requests that the back end itself has failed, in thousandths.
+    pub failing_permille: u32,
 }
 
 /// What a node says about the back end beside it.
--- a/crates/rillgap-forward/src/node/mod.rs
+++ b/crates/rillgap-forward/src/node/mod.rs
@@ -324,6 +324,9 @@
         let (outbound, mut context) = self.split(out);
         outbound.poll(now, &mut context);
         self.deliver_local(now, out);
+        for (parent_id, progress) in self.outbound.take_call_progress() {
+            self.inbound.on_call(&parent_id, progress);
+        }
         for (id, request) in self.store.poll(now) {
             out.push(Action::CallStore { id, request });
         }
--- a/crates/rillgap-forward/src/outbound/attempts.rs
+++ b/crates/rillgap-forward/src/outbound/attempts.rs
@@ -66,6 +66,7 @@
                 utilization: f64::from(in_use) / f64::from(load.limit.max(1)),
                 limit: load.limit,
                 mean_micros: load.mean_micros,
+                failing_permille: load.failing_permille,
             });
         }
         for peer in context.directory.peers() {
@@ -84,6 +85,7 @@
                 utilization: peer.utilization(),
                 limit: peer.status.load.limit,
                 mean_micros: peer.status.load.mean_micros,
+                failing_permille: peer.status.load.failing_permille,
             });
         }
         candidates
--- a/crates/rillgap-forward/src/outbound/ending.rs
+++ b/crates/rillgap-forward/src/outbound/ending.rs
@@ -8,6 +8,7 @@
 use crate::action::{Action, CallerAnswer};
 use crate::configuration::RouteTable;
 use crate::event::CallerRequest;
+use crate::inbound::CallProgress;
 use crate::message::ForwardedAnswer;
 use crate::note::Note;
 use crate::throttle::Outcome;
@@ -120,9 +121,14 @@
         });
     }
 
-    /// Tells the throttle how a caller's request has ended.
+    /// Counts how a request has ended: a caller's for the throttle, a call for its parent.
     pub(super) fn count_outcome(&mut self, request: &Request, status: u16) {
-        if request.is_call {
+        if let Some(parent_id) = &request.parent_id {
+            let progress = match status {
+                500.. => CallProgress::Failed,
+                _ => CallProgress::Succeeded,
+            };
+            self.call_progress.push((parent_id.clone(), progress));
             return;
         }
         let outcome = if status >= 500 {
--- a/crates/rillgap-forward/src/outbound/mod.rs
+++ b/crates/rillgap-forward/src/outbound/mod.rs
@@ -26,6 +26,7 @@
 use crate::directory::Directory;
 use crate::event::CallerRequest;
 use crate::id::{ConnectionId, LinkId, Sequence, Turn};
+use crate::inbound::CallProgress;
 use crate::message::{ForwardResponse, ForwardResult, ForwardedRequest, Status};
 use crate::note::Note;
 use crate::retry_budget::RetryBudget;
@@ -100,6 +101,7 @@
     budget: RetryBudget,
     throttle: Throttle,
     weights: WeightedChoice,
+    call_progress: Vec<(String, CallProgress)>,
 }
 
 impl Outbound {
@@ -117,6 +119,7 @@
             budget: RetryBudget::new(settings.retry_bound),
             throttle: Throttle::new(settings.random_seed),
             weights: WeightedChoice::new(settings.random_seed),
+            call_progress: Vec::new(),
         }
     }
 
@@ -144,6 +147,10 @@
                 return;
             }
         };
+        if let Some(parent_id) = &request.parent_id {
+            let begun = (parent_id.clone(), CallProgress::Begun);
+            self.call_progress.push(begun);
+        }
         self.deadlines.insert((request.deadline, key));
         self.requests.insert(key, request);
         self.dispatch(now, key, context);
@@ -216,6 +223,12 @@
         }
     }
 
+    /// Returns what became of the back end's calls since the last look, by the request that each is
+    /// made for.
+    pub fn take_call_progress(&mut self) -> Vec<(String, CallProgress)> {
+        std::mem::take(&mut self.call_progress)
+    }
+
     /// Returns when [`Self::poll`] must be called next.
     pub fn next_wake(&self) -> Option<Instant> {
         self.deadlines.first().map(|(deadline, _)| *deadline)
@@ -260,6 +273,7 @@
         let timeout = caller
             .deadline
             .map_or(route.timeout(), |deadline| deadline.min(route.timeout()));
+        let parent_id = caller.parent_id.filter(|_| is_call);
         let forwarded = ForwardedRequest {
             request_id: caller.request_id,
             method: caller.method,
@@ -280,7 +294,7 @@
             now,
             now + timeout,
             route,
-            is_call,
+            parent_id,
             table.version(),
             Arc::new(forwarded),
         ))
--- a/crates/rillgap-forward/src/outbound/request.rs
+++ b/crates/rillgap-forward/src/outbound/request.rs
@@ -48,6 +48,8 @@
     pub deadline: Instant,
     pub route: Arc<Route>,
     pub is_call: bool,
+    /// Identifier of the request that a call is made for.
+    pub parent_id: Option<String>,
     pub configuration: u64,
     pub forwarded: Arc<ForwardedRequest>,
     /// Nodes that the request was sent to.
@@ -70,7 +72,7 @@
         arrived: Instant,
         deadline: Instant,
         route: Arc<Route>,
-        is_call: bool,
+        parent_id: Option<String>,
         configuration: u64,
         forwarded: Arc<ForwardedRequest>,
     ) -> Self {
@@ -78,7 +80,8 @@
             arrived,
             deadline,
             route,
-            is_call,
+            is_call: parent_id.is_some(),
+            parent_id,
             configuration,
             forwarded,
             tried: Vec::new(),
--- a/crates/rillgap-forward/tests/inbound.rs
+++ b/crates/rillgap-forward/tests/inbound.rs
@@ -4,10 +4,13 @@
 
 use googletest::prelude::*;
 use rillgap_core::code::ResultCode;
+use rillgap_forward::configuration::Repeatability;
 use rillgap_forward::event::{AnnouncedState, Event, ExchangeResult, ProbeResult};
 use rillgap_forward::id::{LinkId, Sequence};
 use rillgap_forward::message::{ForwardResult, LinkMessage};
-use support::{INSTANCE, TestNode, answer, forwarded};
+use support::{
+    INSTANCE, SERVICE, TestNode, answer, caller_request, configuration, forwarded, route,
+};
 
 fn code_of(result: &ForwardResult) -> Option<ResultCode> {
     match result {
@@ -308,3 +311,90 @@
     test.pass(3_000);
     expect_that!(test.node.inbound().load().wait_micros, lt(2_000));
 }
+
+/// Hands so many requests to the back end, one after the other, which all end in this way.
+fn run_and_end(test: &mut TestNode, first: u64, count: u64, result: &ExchangeResult) {
+    let link = test.accept(70);
+    for number in first..first + count {
+        test.forward(link, number, forwarded(&format!("r{number}"), true));
+        let exchange = test.exchanges().pop().expect("an exchange").id;
+        test.end_exchange(exchange, result.clone());
+    }
+}
+
+#[gtest]
+fn back_end_that_loses_answers_stands_out_until_it_has_been_spared_for_a_while() {
+    let mut test = TestNode::serving();
+    run_and_end(&mut test, 1, 20, &ExchangeResult::Lost);
+    test.event(Event::Wake);
+    expect_that!(test.node.inbound().load().failing_permille, gt(500));
+    test.pass(6_000);
+    expect_that!(test.node.inbound().load().failing_permille, lt(100));
+}
+
+#[gtest]
+fn few_failures_among_many_successes_do_not_stand_out() {
+    let mut test = TestNode::serving();
+    run_and_end(&mut test, 1, 1, &ExchangeResult::Lost);
+    run_and_end(&mut test, 2, 30, &ExchangeResult::Answered(answer(200)));
+    test.event(Event::Wake);
+    expect_that!(test.node.inbound().load().failing_permille, lt(100));
+}
+
+#[gtest]
+fn failure_of_a_call_is_not_blamed_on_the_back_end_that_made_it() {
+    let mut test = TestNode::fresh(SERVICE);
+    let mut table = configuration(1);
+    let other = route("/other/", "other", Repeatability::Idempotent);
+    table.routes.push(other);
+    test.configure(table);
+    test.heartbeat(1, AnnouncedState::Ready);
+    test.confirm(INSTANCE);
+    test.actions.clear();
+    let link = test.accept(70);
+    for number in 1..=20 {
+        let id = format!("r{number}");
+        test.forward(link, number, forwarded(&id, true));
+        // No back end of the called service is known, so the call fails.
+        test.request(number, caller_request(&format!("{id}.1"), "/other/1"));
+        let exchange = test.exchanges().first().expect("an exchange").id;
+        test.actions.clear();
+        test.end_exchange(exchange, ExchangeResult::Answered(answer(500)));
+    }
+    test.event(Event::Wake);
+    expect_that!(test.node.inbound().load().failing_permille, eq(0));
+}
+
+#[gtest]
+fn failure_without_a_failed_call_is_the_back_ends_own() {
+    let mut test = TestNode::serving();
+    run_and_end(&mut test, 1, 20, &ExchangeResult::Answered(answer(500)));
+    test.event(Event::Wake);
+    expect_that!(test.node.inbound().load().failing_permille, gt(500));
+}
+
+#[gtest]
+fn cancellation_at_the_deadline_counts_as_no_answer() {
+    let mut test = TestNode::serving();
+    let link = test.accept(70);
+    for number in 1..=4 {
+        test.forward(link, number, forwarded(&format!("r{number}"), true));
+    }
+    test.pass(795);
+    for number in 1..=4 {
+        cancel(&mut test, link, number);
+    }
+    test.event(Event::Wake);
+    expect_that!(test.node.inbound().load().failing_permille, gt(300));
+}
+
+#[gtest]
+fn wrong_health_answer_does_not_take_out_a_back_end_that_answers_requests() {
+    let mut test = TestNode::serving();
+    // Three lost answers ask for a probe; the next request is answered.
+    run_and_end(&mut test, 1, 3, &ExchangeResult::Lost);
+    let probe = test.probe().expect("a probe");
+    run_and_end(&mut test, 4, 1, &ExchangeResult::Answered(answer(200)));
+    test.end_probe(probe, ProbeResult::Unhealthy);
+    expect_that!(test.node.inbound().status().is_serving, eq(true));
+}
--- a/crates/rillgap-forward/tests/policies.rs
+++ b/crates/rillgap-forward/tests/policies.rs
@@ -89,6 +89,7 @@
         utilization,
         limit: 100,
         mean_micros: mean,
+        failing_permille: 0,
     }
 }
 
@@ -119,6 +120,33 @@
     );
 }
 
+fn failing(name: &'static str, utilization: f64, permille: u32) -> Candidate<&'static str> {
+    Candidate {
+        failing_permille: permille,
+        ..candidate(name, true, utilization, 1_000)
+    }
+}
+
+#[gtest]
+fn back_end_that_fails_requests_is_spared_but_used_when_sound_ones_are_full() {
+    let sound = |utilization| candidate("sound", false, utilization, 1_000);
+    let bad = failing("bad", 0.0, 400);
+    expect_that!(choose(&[bad.clone(), sound(0.4)]), some(eq("sound")));
+    expect_that!(choose(&[bad.clone(), sound(1.2)]), some(eq("bad")));
+    // Nothing better is to be had.
+    expect_that!(choose(&[bad]), some(eq("bad")));
+}
+
+#[gtest]
+fn sound_back_end_is_found_among_many_that_fail() {
+    let mut candidates: Vec<_> = (0..20).map(|_| failing("bad", 0.1, 400)).collect();
+    candidates.push(candidate("sound", false, 0.3, 1_000));
+    let mut balancer = Balancer::new(1);
+    for _ in 0..50 {
+        expect_that!(balancer.choose(candidates.clone()), some(eq("sound")));
+    }
+}
+
 /// Plays ten seconds in which routes fail at these shares; returns the admitted shares.
 fn throttled(pressure: f64, failing: &[(&str, u8, u32)]) -> BTreeMap<String, f64> {
     let mut throttle = Throttle::new(1);
