--- a/crates/rillgap-sidecar/src/settings.rs
+++ b/crates/rillgap-sidecar/src/settings.rs
@@ -96,6 +96,8 @@
     pub readiness: SocketAddr,
     /// Links of other nodes.
     pub mesh: SocketAddr,
+    /// Address at which other nodes reach `mesh`; that address itself if left out.
+    pub mesh_advertised: Option<SocketAddr>,
     /// Metrics; none if left out.
     pub metrics: Option<SocketAddr>,
 }
@@ -221,7 +223,7 @@
         ForwardSettings {
             record: NodeRecord {
                 name: self.node.name.clone(),
-                address: self.listen.mesh,
+                address: self.listen.mesh_advertised.unwrap_or(self.listen.mesh),
                 zone: self.node.zone.clone(),
                 service: self.back_end.service.clone(),
             },
--- a/crates/rillgap-sidecar/tests/settings.rs
+++ b/crates/rillgap-sidecar/tests/settings.rs
@@ -48,6 +48,17 @@
     expect_that!(forward.retry_bound.slack, eq(55));
 }
 
+#[gtest]
+fn peers_are_told_the_advertised_address() {
+    let own = parse(VALID).expect("valid settings").forward(1, 2);
+    expect_that!(own.record.address.to_string(), eq("127.0.1.1:7000"));
+    let mesh = "mesh = \"127.0.1.1:7000\"";
+    let advertised = format!("{mesh}\nmesh-advertised = \"127.0.2.1:7001\"");
+    let text = VALID.replace(mesh, &advertised);
+    let proxied = parse(&text).expect("valid settings").forward(1, 2);
+    expect_that!(proxied.record.address.to_string(), eq("127.0.2.1:7001"));
+}
+
 #[gtest]
 fn wrong_settings_are_refused_with_the_place() {
     let cases = [
--- /dev/null
+++ b/tests/soak/src/back_end.rs
@@ -0,0 +1,371 @@
+//! Stand-ins of the back ends: slots, a queue, hanging when full, their own calls, draining, and
+//! answers that go wrong.
+
+use std::io;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use serde_json::json;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{Semaphore, mpsc, watch};
+use tokio::task::JoinSet;
+
+use crate::caller::{self, Outgoing};
+use crate::deployment::{DRAIN_TIME, HEARTBEAT, Layout, QUEUE, SLOTS};
+use crate::judge::{Arrived, body_of, signature_of};
+use crate::soak::Soak;
+use crate::wire::{Connection, Request, encode_request, encode_response};
+
+/// Shortest work, and the bound of what is drawn on top, in milliseconds.
+const WORK_MILLIS: (u64, u64) = (4, 30);
+/// Time between two announcements that are not acknowledged.
+const INSIST: Duration = Duration::from_millis(300);
+/// Longest time for an acknowledgement.
+const ACKNOWLEDGED_WITHIN: Duration = Duration::from_secs(1);
+/// Time after which a back end that gets no acknowledgement ends all the same.
+const UNACKNOWLEDGED_END: Duration = Duration::from_secs(6);
+/// Time for which a drained back end serves beyond the time that it must.
+const SERVES_ON: Duration = Duration::from_millis(800);
+/// Pause before a replacement starts.
+const REPLACED_AFTER: Duration = Duration::from_millis(400);
+/// Pause before an extra answer that comes late.
+const LATE: Duration = Duration::from_millis(60);
+
+/// What happens to a back end.
+#[derive(Clone, Copy, Debug)]
+pub enum Order {
+    /// It crashes and another one starts after a while.
+    Crash(Duration),
+    /// It announces that it leaves; another one takes its place.
+    Drain,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum State {
+    Ready,
+    Draining,
+    Acknowledged,
+}
+
+/// One incarnation.
+struct Incarnation {
+    soak: Arc<Soak>,
+    node: usize,
+    instance: String,
+    state: watch::Sender<State>,
+    slots: Semaphore,
+    places: Semaphore,
+}
+
+/// Keeps a back end running beside a node.
+pub async fn supervise(soak: Arc<Soak>, node: usize, mut orders: mpsc::UnboundedReceiver<Order>) {
+    let mut number = 0;
+    loop {
+        number += 1;
+        let incarnation = Arc::new(Incarnation {
+            soak: soak.clone(),
+            node,
+            instance: format!("b{node}-{number}"),
+            state: watch::Sender::new(State::Ready),
+            slots: Semaphore::new(SLOTS),
+            places: Semaphore::new(SLOTS + QUEUE),
+        });
+        let Ok(listener) = TcpListener::bind(soak.layout.back_end(node).0).await else {
+            tokio::time::sleep(Duration::from_millis(100)).await;
+            continue;
+        };
+        let mut tasks = JoinSet::new();
+        tasks.spawn(incarnation.clone().accept(listener));
+        tasks.spawn(incarnation.clone().announce());
+        let pause = match orders.recv().await {
+            None => return,
+            Some(Order::Crash(down)) => down,
+            Some(Order::Drain) => {
+                incarnation.drain().await;
+                REPLACED_AFTER
+            }
+        };
+        tasks.shutdown().await;
+        tokio::time::sleep(pause).await;
+        // What was ordered meanwhile was meant for the one that is gone.
+        while orders.try_recv().is_ok() {}
+    }
+}
+
+/// Notes the end of a run, also if it is cut off.
+struct RunGuard {
+    soak: Arc<Soak>,
+    id: String,
+    instance: String,
+}
+
+impl Drop for RunGuard {
+    fn drop(&mut self) {
+        let now = self.soak.now();
+        self.soak.judge().stopped(now, &self.id, &self.instance);
+    }
+}
+
+impl Incarnation {
+    async fn accept(self: Arc<Self>, listener: TcpListener) {
+        let mut connections = JoinSet::new();
+        loop {
+            if let Ok((stream, _)) = listener.accept().await {
+                connections.spawn(self.clone().serve(stream));
+            }
+            while connections.try_join_next().is_some() {}
+        }
+    }
+
+    async fn serve(self: Arc<Self>, stream: TcpStream) {
+        let mut connection = Connection::new(stream);
+        while let Ok(Some(request)) = connection.read_request().await {
+            let served = if request.target == "/health" {
+                self.answer_health(&mut connection).await
+            } else {
+                self.answer(&mut connection, &request).await
+            };
+            if !served.unwrap_or(false) {
+                return;
+            }
+        }
+    }
+
+    async fn answer_health(&self, connection: &mut Connection) -> io::Result<bool> {
+        let is_ready = *self.state.borrow() == State::Ready;
+        let status = if is_ready { 200 } else { 503 };
+        let fields = [("Instance-Id", self.instance.clone())];
+        connection
+            .write(&encode_response(status, &fields, b""))
+            .await?;
+        Ok(true)
+    }
+
+    /// Answers a request; returns whether the connection goes on.
+    async fn answer(&self, connection: &mut Connection, request: &Request) -> io::Result<bool> {
+        let id = request
+            .fields
+            .get("Attempt-Id")
+            .unwrap_or_default()
+            .to_owned();
+        let arrived = Arrived {
+            id: &id,
+            method: &request.method,
+            target: &request.target,
+            body: &request.body,
+            caller_service: request.fields.get("Caller-Service").unwrap_or_default(),
+            service: Layout::service(self.node),
+            instance: &self.instance,
+        };
+        if request
+            .fields
+            .get("Expected-Instance")
+            .is_some_and(|name| name != self.instance)
+        {
+            let fields = [("Instance-Id", self.instance.clone()), ("Attempt-Id", id)];
+            connection
+                .write(&encode_response(421, &fields, b""))
+                .await?;
+            return Ok(true);
+        }
+        self.soak.judge().arrived(self.soak.now(), &arrived);
+        let Ok(_place) = self.places.try_acquire() else {
+            // What cannot be queued never gets an answer, nor does this connection.
+            connection.closed().await;
+            return Ok(false);
+        };
+        let Ok(_slot) = self.slots.acquire().await else {
+            return Ok(false);
+        };
+        self.soak.judge().runs(self.soak.now(), &arrived);
+        let _guard = RunGuard {
+            soak: self.soak.clone(),
+            id: id.clone(),
+            instance: self.instance.clone(),
+        };
+        let deadline = request
+            .fields
+            .get("Deadline-Ms")
+            .and_then(|text| text.parse().ok());
+        let deadline = Duration::from_millis(deadline.unwrap_or(10_000));
+        let status = tokio::select! {
+            status = tokio::time::timeout(deadline, self.work(request, &id)) => {
+                status.unwrap_or(504)
+            }
+            () = connection.closed() => return Ok(false),
+        };
+        self.reply(connection, &id, status).await
+    }
+
+    /// Works on a request and makes its calls; returns the status of the answer.
+    async fn work(&self, request: &Request, id: &str) -> u16 {
+        let machine = &self.soak.machines[self.node];
+        let (least, spread) = WORK_MILLIS;
+        let slowness = u64::from(machine.slowness.load(Ordering::Relaxed).max(1));
+        let millis = (least + self.soak.draw(spread)) * slowness;
+        tokio::time::sleep(Duration::from_millis(millis)).await;
+        if self.soak.hits(&machine.failed_percent) {
+            return 500;
+        }
+        let Some(target) = call_of(Layout::service(self.node), &request.target) else {
+            return 200;
+        };
+        let call = Outgoing {
+            id: format!("{id}.1"),
+            method: "GET",
+            target,
+            body: Vec::new(),
+            is_idempotent: true,
+            is_call: true,
+            deadline: Duration::from_millis(700),
+        };
+        let answer = caller::exchange(&self.soak, self.node, &mut None, &call).await;
+        match answer {
+            Some(response) if response.status == 200 => 200,
+            _ => 500,
+        }
+    }
+
+    /// Sends the answer, or what is left of it; returns whether the connection goes on.
+    async fn reply(&self, connection: &mut Connection, id: &str, status: u16) -> io::Result<bool> {
+        let machine = &self.soak.machines[self.node];
+        if self.soak.hits(&machine.lost_percent) {
+            if self.soak.draw(2) == 0 {
+                let _ = connection.stream.set_zero_linger();
+            }
+            return Ok(false);
+        }
+        let body = body_of(id, &self.instance);
+        let fields = [
+            ("Attempt-Id", id.to_owned()),
+            ("Response-Signature", signature_of(&body)),
+            ("Keep-Alive", "timeout=5".to_owned()),
+        ];
+        let bytes = encode_response(status, &fields, &body);
+        if self.soak.hits(&machine.spoiled_percent) {
+            return self.spoil(connection, &bytes).await;
+        }
+        connection.write(&bytes).await?;
+        Ok(true)
+    }
+
+    async fn spoil(&self, connection: &mut Connection, bytes: &[u8]) -> io::Result<bool> {
+        match self.soak.draw(5) {
+            // Cut short.
+            0 => connection.write(&bytes[..bytes.len() - 3]).await?,
+            // No answer at all.
+            1 => {
+                connection
+                    .write(b"\x16\x03\x01 this is no answer\r\n\r\n")
+                    .await?
+            }
+            // A second answer at once.
+            2 => {
+                connection.write(bytes).await?;
+                connection.write(bytes).await?;
+                return Ok(true);
+            }
+            // A second answer where the next one should be.
+            3 => {
+                connection.write(bytes).await?;
+                tokio::time::sleep(LATE).await;
+                connection.write(bytes).await?;
+                return Ok(true);
+            }
+            // Reset in the middle.
+            _ => {
+                connection.write(&bytes[..bytes.len() / 2]).await?;
+                let _ = connection.stream.set_zero_linger();
+            }
+        }
+        Ok(false)
+    }
+
+    /// Sends heartbeats until the incarnation ends.
+    async fn announce(self: Arc<Self>) {
+        let mut state = self.state.subscribe();
+        let mut sequence = 0;
+        loop {
+            sequence += 1;
+            let announced = *state.borrow_and_update();
+            let acknowledged = self.heartbeat(announced, sequence).await;
+            if announced == State::Draining && acknowledged {
+                let now = self.soak.now();
+                self.soak.judge().drain_acknowledged(now, &self.instance);
+                self.state.send_replace(State::Acknowledged);
+            }
+            let pause = match *self.state.borrow() {
+                State::Draining => INSIST,
+                _ => HEARTBEAT,
+            };
+            let _ = tokio::time::timeout(pause, state.changed()).await;
+        }
+    }
+
+    /// Sends a heartbeat; returns whether it was acknowledged.
+    async fn heartbeat(&self, state: State, sequence: u64) -> bool {
+        let word = if state == State::Ready {
+            "ready"
+        } else {
+            "draining"
+        };
+        let body = json!({
+            "service": Layout::service(self.node),
+            "address": self.soak.layout.back_end(self.node).1.to_string(),
+            "zone": Layout::zone(self.node),
+            "version": "v1",
+            "slots": SLOTS,
+            "state": word,
+            "cold-remaining-s": 0,
+            "call-seq": sequence,
+        });
+        let path = format!("/-/instances/{}/heartbeat", self.instance);
+        self.control(&path, &body.to_string()).await
+    }
+
+    async fn control(&self, path: &str, body: &str) -> bool {
+        let address = self.soak.layout.control(self.node);
+        let fields = [
+            ("Host", address.to_string()),
+            ("Content-Type", "application/json".to_owned()),
+            ("Connection", "close".to_owned()),
+        ];
+        let bytes = encode_request("POST", path, &fields, body.as_bytes());
+        let call = async {
+            let mut connection = Connection::new(TcpStream::connect(address).await?);
+            connection.write(&bytes).await?;
+            connection.read_response().await
+        };
+        let answer = tokio::time::timeout(ACKNOWLEDGED_WITHIN, call).await;
+        matches!(answer, Ok(Ok(response)) if response.status == 200)
+    }
+
+    /// Announces that it leaves, serves on for a while and says goodbye.
+    async fn drain(&self) {
+        let mut state = self.state.subscribe();
+        self.state.send_replace(State::Draining);
+        let is_acknowledged = |state: &State| *state == State::Acknowledged;
+        let acknowledged = state.wait_for(is_acknowledged);
+        if tokio::time::timeout(UNACKNOWLEDGED_END, acknowledged)
+            .await
+            .is_ok()
+        {
+            tokio::time::sleep(DRAIN_TIME + SERVES_ON).await;
+        }
+        let path = format!("/-/instances/{}/leave", self.instance);
+        self.control(&path, "{}").await;
+    }
+}
+
+/// Returns the target of the call that a service makes for a request.
+fn call_of(service: &str, target: &str) -> Option<String> {
+    if !target.contains("/calls") {
+        return None;
+    }
+    match service {
+        "front" => Some("/middle/calls".to_owned()),
+        "middle" => Some("/deep/plain".to_owned()),
+        _ => None,
+    }
+}
--- /dev/null
+++ b/tests/soak/src/caller.rs
@@ -0,0 +1,204 @@
+//! Callers: they send requests to the node of their machine and report what they get.
+
+use std::io;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use tokio::net::TcpStream;
+
+use crate::deployment::{HOST, Layout};
+use crate::judge::{Answer, Sent, prefix_of};
+use crate::soak::Soak;
+use crate::wire::{Connection, Response, encode_request};
+
+/// Time that a caller gives a request.
+const DEADLINE: Duration = Duration::from_millis(1_500);
+/// Time beyond the deadline for which an answer is waited for.
+const PATIENCE: Duration = Duration::from_millis(700);
+/// Longest time to connect.
+const CONNECT_TIME: Duration = Duration::from_secs(1);
+/// Versions whose routes stand at the same time.
+pub const STANDING_VERSIONS: u64 = 3;
+
+/// A request to be sent.
+#[derive(Clone, Debug)]
+pub struct Outgoing {
+    /// Identifier.
+    pub id: String,
+    /// Method.
+    pub method: &'static str,
+    /// Target.
+    pub target: String,
+    /// Body.
+    pub body: Vec<u8>,
+    /// Whether it may run more than once.
+    pub is_idempotent: bool,
+    /// Whether a back end sends it while it works on another.
+    pub is_call: bool,
+    /// Time that the sender waits.
+    pub deadline: Duration,
+}
+
+/// Sends a request to a node and reports how it ended; `None` without an answer.
+pub async fn exchange(
+    soak: &Arc<Soak>,
+    node: usize,
+    kept: &mut Option<Connection>,
+    outgoing: &Outgoing,
+) -> Option<Response> {
+    let was_kept = kept.is_some();
+    let mut connection = match kept.take() {
+        Some(connection) => connection,
+        None => connect(soak, node).await.ok()?,
+    };
+    let run = soak.run_of(node);
+    let sent = Sent {
+        at: soak.now(),
+        node,
+        method: outgoing.method,
+        target: outgoing.target.clone(),
+        body: outgoing.body.clone(),
+        is_idempotent: outgoing.is_idempotent,
+        caller_service: Layout::service(node),
+    };
+    let sent_at = sent.at;
+    let service = service_of(&outgoing.target);
+    soak.judge()
+        .sent(&outgoing.id, sent, service, outgoing.is_call);
+    let limit = outgoing.deadline + PATIENCE;
+    let talk = tokio::time::timeout(limit, talk(&mut connection, outgoing));
+    let Ok(Ok(response)) = talk.await else {
+        // A request that crosses the close of a kept connection was not taken.
+        if !was_kept {
+            let now = soak.now();
+            soak.judge().unanswered(now, &outgoing.id, outgoing.is_call);
+        }
+        return None;
+    };
+    report(soak, outgoing, &response, (node, run), sent_at);
+    if !response.closes() && !connection.has_unread() {
+        *kept = Some(connection);
+    }
+    Some(response)
+}
+
+async fn connect(soak: &Arc<Soak>, node: usize) -> io::Result<Connection> {
+    let address = soak.layout.callers(node);
+    let connected = tokio::time::timeout(CONNECT_TIME, TcpStream::connect(address)).await;
+    let stream = connected.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
+    Ok(Connection::new(stream))
+}
+
+async fn talk(connection: &mut Connection, outgoing: &Outgoing) -> io::Result<Response> {
+    let fields = [
+        ("Host", HOST.to_owned()),
+        ("Attempt-Id", outgoing.id.clone()),
+        ("Deadline-Ms", outgoing.deadline.as_millis().to_string()),
+        // Whatever is claimed here must not be believed.
+        ("Caller-Service", "forged".to_owned()),
+    ];
+    let bytes = encode_request(outgoing.method, &outgoing.target, &fields, &outgoing.body);
+    connection.write(&bytes).await?;
+    connection.read_response().await
+}
+
+fn report(
+    soak: &Arc<Soak>,
+    outgoing: &Outgoing,
+    response: &Response,
+    (node, run): (usize, u32),
+    sent_at: Duration,
+) {
+    let now = soak.now();
+    let answer = Answer {
+        status: response.status,
+        id: response.fields.get("Attempt-Id"),
+        signature: response.fields.get("Response-Signature"),
+        body: &response.body,
+    };
+    let newest = soak.version.load(Ordering::SeqCst);
+    let mut judge = soak.judge();
+    judge.answered(now, &outgoing.id, &answer, outgoing.is_call);
+    if matches!(answer.status, 408 | 421 | 429 | 503) {
+        judge.promised(now, &outgoing.id);
+    }
+    if let Some(version) = version_of(&outgoing.target) {
+        if answer.signature.is_some() {
+            judge.served_version(now, node, run, version);
+        } else if answer.status == 404 && version + STANDING_VERSIONS > newest {
+            judge.denied_version(sent_at, node, run, version);
+        }
+    }
+}
+
+/// Returns the service to which a target's route sends requests.
+fn service_of(target: &str) -> &'static str {
+    match prefix_of(target) {
+        "/front/" => "front",
+        "/middle/" | "/once/" => "middle",
+        _ => "deep",
+    }
+}
+
+/// Returns the version with which a target's route came.
+fn version_of(target: &str) -> Option<u64> {
+    let version = prefix_of(target).strip_prefix("/v")?;
+    version.strip_suffix('/')?.parse().ok()
+}
+
+/// Sends requests to one node, one after the other, until the soak ends.
+pub async fn run(soak: Arc<Soak>, node: usize) {
+    let mut kept = None;
+    loop {
+        tokio::time::sleep(Duration::from_millis(10 + soak.draw(80))).await;
+        if !soak.machines[node].is_ready.load(Ordering::Relaxed) {
+            kept = None;
+            continue;
+        }
+        let outgoing = draw_request(&soak);
+        if soak.draw(25) == 0 {
+            leave_early(&soak, node, &outgoing).await;
+            continue;
+        }
+        exchange(&soak, node, &mut kept, &outgoing).await;
+    }
+}
+
+fn draw_request(soak: &Arc<Soak>) -> Outgoing {
+    let newest = soak.version.load(Ordering::SeqCst);
+    let (method, path, is_idempotent) = match soak.draw(10) {
+        0..=2 => ("POST", "/once/calls".to_owned(), false),
+        3..=5 => ("GET", "/front/calls".to_owned(), true),
+        6 => ("GET", "/middle/plain".to_owned(), true),
+        7 => ("GET", format!("/v{newest}/plain"), true),
+        _ => ("GET", "/deep/plain".to_owned(), true),
+    };
+    let length = match method {
+        "POST" => usize::try_from(soak.draw(3_000)).unwrap_or(0),
+        _ => 0,
+    };
+    Outgoing {
+        id: soak.next_id(),
+        method,
+        target: format!("{path}?n={}", soak.draw(1_000)),
+        body: vec![b'b'; length],
+        is_idempotent,
+        is_call: false,
+        deadline: DEADLINE,
+    }
+}
+
+/// Sends a request and leaves before its answer.
+async fn leave_early(soak: &Arc<Soak>, node: usize, outgoing: &Outgoing) {
+    let mut none = None;
+    let stay = Duration::from_millis(soak.draw(40));
+    let left = tokio::time::timeout(stay, exchange(soak, node, &mut none, outgoing)).await;
+    if left.is_err() {
+        let now = soak.now();
+        soak.judge().left(now, &outgoing.id);
+    }
+}
+
+/// Returns the route's service for a version's own route.
+pub const VERSION_SERVICE: &str = "deep";
--- /dev/null
+++ b/tests/soak/src/judge.rs
@@ -0,0 +1,495 @@
+//! What truly happened, as callers and back ends saw it, and the promises it is held against.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::deployment::{APPLY_TIME, DRAIN_TIME, RETRY_RATIO, RETRY_SLACK, RETRY_WINDOW};
+
+/// Violations that are kept; more are only counted.
+const MOST_VIOLATIONS: usize = 40;
+/// Time after its caller has left within which a repeatable request must have been stopped.
+const STOPPED_WITHIN: Duration = Duration::from_millis(700);
+/// Time before and after a disturbance in which a lost request may be its doing.
+const DISTURBED: Duration = Duration::from_secs(3);
+
+/// Time since the start of the soak.
+pub type Moment = Duration;
+
+/// A request as its sender knows it.
+#[derive(Clone, Debug)]
+pub struct Sent {
+    /// When it was sent.
+    pub at: Moment,
+    /// Node that it was sent to.
+    pub node: usize,
+    /// Method.
+    pub method: &'static str,
+    /// Target.
+    pub target: String,
+    /// Body.
+    pub body: Vec<u8>,
+    /// Whether it may run more than once.
+    pub is_idempotent: bool,
+    /// Service of the machine on which it began.
+    pub caller_service: &'static str,
+}
+
+/// A run of a request at a back end.
+#[derive(Clone, Debug)]
+struct Run {
+    at: Moment,
+    instance: String,
+    ended: Option<Moment>,
+}
+
+/// What became of a request.
+#[derive(Clone, Debug, Default)]
+struct Fate {
+    sent: Option<Sent>,
+    runs: Vec<Run>,
+    arrivals: u32,
+    is_repeat: bool,
+    left: Option<Moment>,
+}
+
+/// What a back end got.
+#[derive(Clone, Copy, Debug)]
+pub struct Arrived<'a> {
+    /// Identifier.
+    pub id: &'a str,
+    /// Method.
+    pub method: &'a str,
+    /// Target.
+    pub target: &'a str,
+    /// Body.
+    pub body: &'a [u8],
+    /// Service that the request is said to come from.
+    pub caller_service: &'a str,
+    /// Service of the back end.
+    pub service: &'static str,
+    /// Incarnation of the back end.
+    pub instance: &'a str,
+}
+
+/// What a caller got.
+#[derive(Clone, Copy, Debug)]
+pub struct Answer<'a> {
+    /// Status code.
+    pub status: u16,
+    /// Identifier that came back.
+    pub id: Option<&'a str>,
+    /// Signature of a back end.
+    pub signature: Option<&'a str>,
+    /// Body.
+    pub body: &'a [u8],
+}
+
+/// Figures of a soak.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Totals {
+    /// Requests of callers.
+    pub asked: u64,
+    /// Those answered with success.
+    pub served: u64,
+    /// Those refused with a promise.
+    pub refused: u64,
+    /// Those that ended otherwise.
+    pub failed: u64,
+    /// Those whose callers left before an answer.
+    pub left: u64,
+}
+
+/// Arrivals at a service: when, and whether it was a repeat.
+type ArrivalLog = BTreeMap<&'static str, Vec<(Moment, bool)>>;
+
+/// What truly happened.
+#[derive(Debug, Default)]
+pub struct Judge {
+    fates: BTreeMap<String, Fate>,
+    drained: BTreeMap<String, Moment>,
+    arrivals: ArrivalLog,
+    requests: ArrivalLog,
+    allowed: BTreeMap<String, BTreeSet<&'static str>>,
+    proven: BTreeMap<(usize, u32), Vec<(Moment, u64)>>,
+    disturbances: Vec<(Moment, Moment)>,
+    planned: Vec<(usize, Moment, Moment)>,
+    promised: BTreeMap<String, Moment>,
+    accepted: BTreeMap<u64, Moment>,
+    abandoned: u64,
+    not_stopped: u64,
+    violations: Vec<String>,
+    violation_count: u64,
+    totals: Totals,
+}
+
+impl Judge {
+    /// Notes a broken promise.
+    pub fn violate(&mut self, at: Moment, text: &str) {
+        self.violation_count += 1;
+        if self.violations.len() < MOST_VIOLATIONS {
+            let seconds = at.as_secs_f64();
+            self.violations.push(format!("{seconds:8.3} {text}"));
+        }
+    }
+
+    /// Returns the broken promises.
+    pub fn violations(&self) -> &[String] {
+        &self.violations
+    }
+
+    /// Returns the number of broken promises.
+    pub const fn violation_count(&self) -> u64 {
+        self.violation_count
+    }
+
+    /// Returns the figures so far.
+    pub const fn totals(&self) -> Totals {
+        self.totals
+    }
+
+    /// Takes in that a configuration lets requests under a prefix go to a service.
+    pub fn allow(&mut self, prefix: &str, service: &'static str) {
+        self.allowed
+            .entry(prefix.to_owned())
+            .or_default()
+            .insert(service);
+    }
+
+    /// Takes in that something unplanned goes on between two moments.
+    pub fn disturbed(&mut self, from: Moment, until: Moment) {
+        self.disturbances.push((from, until));
+    }
+
+    /// Takes in a planned stop of a node.
+    pub fn planned_stop(&mut self, node: usize, from: Moment, until: Moment) {
+        self.planned.push((node, from, until));
+    }
+
+    /// Takes in that a request is sent; `service` is where it should go.
+    pub fn sent(&mut self, id: &str, sent: Sent, service: &'static str, is_call: bool) {
+        if !is_call {
+            self.totals.asked += 1;
+        }
+        let at = sent.at;
+        self.requests.entry(service).or_default().push((at, false));
+        self.fates.entry(id.to_owned()).or_default().sent = Some(sent);
+    }
+
+    /// Takes in that a request reached a back end, whether or not it runs there.
+    pub fn arrived(&mut self, at: Moment, arrived: &Arrived<'_>) {
+        let parent = arrived.id.rsplit_once('.').map(|(parent, _)| parent);
+        let repeats_parent = parent
+            .and_then(|parent| self.fates.get(parent))
+            .is_some_and(|fate| fate.is_repeat);
+        let fate = self.fates.entry(arrived.id.to_owned()).or_default();
+        fate.arrivals += 1;
+        let is_repeat = fate.arrivals > 1 || repeats_parent;
+        fate.is_repeat |= is_repeat;
+        let log = self.arrivals.entry(arrived.service).or_default();
+        log.push((at, is_repeat));
+    }
+
+    /// Takes in that a back end begins to work on a request.
+    pub fn runs(&mut self, at: Moment, arrived: &Arrived<'_>) {
+        self.judge_content(at, arrived);
+        self.judge_route(at, arrived);
+        self.judge_drain(at, arrived);
+        let fate = self.fates.entry(arrived.id.to_owned()).or_default();
+        let is_idempotent = fate.sent.as_ref().is_none_or(|sent| sent.is_idempotent);
+        fate.runs.push(Run {
+            at,
+            instance: arrived.instance.to_owned(),
+            ended: None,
+        });
+        if !is_idempotent && fate.runs.len() > 1 {
+            let runs: Vec<String> = fate
+                .runs
+                .iter()
+                .map(|run| format!("{:.3} at {}", run.at.as_secs_f64(), run.instance))
+                .collect();
+            let text = format!("TWICE {} ran {}", arrived.id, runs.join(", "));
+            self.violate(at, &text);
+        }
+    }
+
+    /// Takes in that a back end has stopped to work on a request.
+    pub fn stopped(&mut self, at: Moment, id: &str, instance: &str) {
+        if let Some(fate) = self.fates.get_mut(id)
+            && let Some(run) = fate
+                .runs
+                .iter_mut()
+                .rev()
+                .find(|run| run.instance == instance && run.ended.is_none())
+        {
+            run.ended = Some(at);
+        }
+    }
+
+    /// Takes in that an incarnation's announcement that it leaves was acknowledged.
+    pub fn drain_acknowledged(&mut self, at: Moment, instance: &str) {
+        self.drained.entry(instance.to_owned()).or_insert(at);
+    }
+
+    /// Takes in an answer to a request.
+    pub fn answered(&mut self, at: Moment, id: &str, answer: &Answer<'_>, is_call: bool) {
+        if !is_call {
+            match answer.status {
+                200..300 => self.totals.served += 1,
+                408 | 421 | 429 | 503 => self.totals.refused += 1,
+                _ => self.totals.failed += 1,
+            }
+        }
+        if answer.signature.is_some() && answer.id != Some(id) {
+            let text = format!("MIXED {id} got the answer of {:?}", answer.id);
+            self.violate(at, &text);
+        }
+        if (200..300).contains(&answer.status) {
+            self.judge_success(at, id, answer);
+        }
+    }
+
+    /// Takes in that a connection ended without an answer to a request.
+    pub fn unanswered(&mut self, at: Moment, id: &str, is_call: bool) {
+        if !is_call {
+            self.totals.failed += 1;
+        }
+        let Some(sent) = self.fates.get(id).and_then(|fate| fate.sent.clone()) else {
+            return;
+        };
+        let is_disturbed = self.is_disturbed(sent.at, at);
+        let was_planned = self
+            .planned
+            .iter()
+            .any(|(node, from, until)| *node == sent.node && *from <= at && *until >= sent.at);
+        if was_planned && !is_disturbed {
+            let since = sent.at.as_secs_f64();
+            let text = format!("LOST {id}, sent {since:.3} to node {}", sent.node);
+            self.violate(at, &text);
+        }
+    }
+
+    /// Takes in that a caller has left.
+    pub fn left(&mut self, at: Moment, id: &str) {
+        if let Some(fate) = self.fates.get_mut(id) {
+            self.totals.left += 1;
+            fate.left = Some(at);
+        }
+    }
+
+    /// Takes in that a node has served a route which came with a version.
+    pub fn served_version(&mut self, at: Moment, node: usize, run: u32, version: u64) {
+        let proven = self.proven.entry((node, run)).or_default();
+        proven.push((at, version));
+    }
+
+    /// Takes in that a version of the configuration is accepted.
+    pub fn accepted(&mut self, at: Moment, version: u64) {
+        self.accepted.insert(version, at);
+    }
+
+    /// Takes in that a node does not know a route which came with a version and still stands.
+    pub fn denied_version(&mut self, sent: Moment, node: usize, run: u32, version: u64) {
+        let proven = self.proven.entry((node, run)).or_default();
+        let earlier = proven
+            .iter()
+            .find(|(at, known)| *at < sent && *known >= version)
+            .copied();
+        if let Some((at, known)) = earlier {
+            let since = at.as_secs_f64();
+            let text = format!(
+                "CONFIG node {node} denies version {version}, but served {known} at {since:.3}"
+            );
+            self.violate(sent, &text);
+        }
+        let accepted = self.accepted.get(&version).copied().unwrap_or(sent);
+        let was_planned = self.planned.iter().any(|(other, from, until)| {
+            *other == node && *from <= sent && *until + DISTURBED >= accepted
+        });
+        let is_late = accepted + APPLY_TIME < sent;
+        if is_late && !was_planned && !self.is_disturbed(accepted, sent) {
+            let text = format!("CONFIG node {node} denies version {version} for too long");
+            self.violate(sent, &text);
+        }
+    }
+
+    /// Returns whether something unplanned went on between two moments, or shortly before.
+    fn is_disturbed(&self, from: Moment, until: Moment) -> bool {
+        self.disturbances
+            .iter()
+            .any(|(begin, end)| *begin <= until && *end + DISTURBED >= from)
+    }
+
+    /// Judges everything that can only be judged when all is over.
+    pub fn conclude(&mut self, now: Moment) {
+        self.judge_promises();
+        self.judge_budget();
+        self.judge_stopping(now);
+    }
+
+    /// Takes in that a request was answered with a promise that it did not run and never will.
+    pub fn promised(&mut self, at: Moment, id: &str) {
+        self.promised.insert(id.to_owned(), at);
+    }
+
+    fn judge_promises(&mut self) {
+        let is_broken = |id: &String| {
+            self.fates.get(id).is_some_and(|fate| {
+                let once = fate.sent.as_ref().is_some_and(|sent| !sent.is_idempotent);
+                once && !fate.runs.is_empty()
+            })
+        };
+        let broken: Vec<(String, Moment)> = self
+            .promised
+            .iter()
+            .filter(|(id, _)| is_broken(id))
+            .map(|(id, at)| (id.clone(), *at))
+            .collect();
+        for (id, at) in broken {
+            let text = format!("REFUSED {id} was promised not to have run, but has");
+            self.violate(at, &text);
+        }
+    }
+
+    fn judge_content(&mut self, at: Moment, arrived: &Arrived<'_>) {
+        let sent = self
+            .fates
+            .get(arrived.id)
+            .and_then(|fate| fate.sent.as_ref());
+        let fault = match sent {
+            None => Some("nobody sent it"),
+            Some(sent) if sent.method != arrived.method => Some("method changed"),
+            Some(sent) if sent.target != arrived.target => Some("target changed"),
+            Some(sent) if sent.body != arrived.body => Some("body changed"),
+            Some(sent) if sent.caller_service != arrived.caller_service => Some("other caller"),
+            Some(_) => None,
+        };
+        if let Some(fault) = fault {
+            let text = format!("UNASKED {}: {fault}", arrived.id);
+            self.violate(at, &text);
+        }
+    }
+
+    fn judge_route(&mut self, at: Moment, arrived: &Arrived<'_>) {
+        let prefix = prefix_of(arrived.target);
+        let allowed = self.allowed.get(prefix);
+        if allowed.is_none_or(|services| !services.contains(arrived.service)) {
+            let text = format!(
+                "ROUTE {} {} ran at {}",
+                arrived.id, arrived.target, arrived.service
+            );
+            self.violate(at, &text);
+        }
+    }
+
+    fn judge_drain(&mut self, at: Moment, arrived: &Arrived<'_>) {
+        let acknowledged = self.drained.get(arrived.instance).copied();
+        if acknowledged.is_some_and(|moment| moment + DRAIN_TIME < at) {
+            let text = format!("DRAIN {} ran at {}", arrived.id, arrived.instance);
+            self.violate(at, &text);
+        }
+    }
+
+    fn judge_success(&mut self, at: Moment, id: &str, answer: &Answer<'_>) {
+        let runs = self.fates.get(id).map_or(&[][..], |fate| &fate.runs[..]);
+        let is_genuine = runs.iter().any(|run| {
+            let expected = body_of(id, &run.instance);
+            let signature = signature_of(&expected);
+            answer.body == expected && answer.signature == Some(signature.as_str())
+        });
+        if !is_genuine {
+            let length = answer.body.len();
+            let text = format!("MIXED {id} got {length} bytes that no back end gave");
+            self.violate(at, &text);
+        }
+    }
+
+    fn judge_budget(&mut self) {
+        let services: Vec<&'static str> = self.arrivals.keys().copied().collect();
+        for service in services {
+            let requests = self.requests.get(service).cloned().unwrap_or_default();
+            let arrivals = self.arrivals.get(service).cloned().unwrap_or_default();
+            let repeats: Vec<Moment> = arrivals
+                .iter()
+                .filter(|(_, is_repeat)| *is_repeat)
+                .map(|(at, _)| *at)
+                .collect();
+            for (index, end) in repeats.iter().enumerate() {
+                let start = end.saturating_sub(RETRY_WINDOW);
+                let count = repeats[..=index].iter().filter(|at| **at > start).count();
+                let asked = most_requests(&requests, *end);
+                let bound = asked as f64 * RETRY_RATIO + RETRY_SLACK;
+                if count as f64 > bound {
+                    let text = format!("BUDGET {service}: {count} repeats, {asked} requests");
+                    self.violate(*end, &text);
+                    break;
+                }
+            }
+        }
+    }
+
+    /// Judges whether work for callers that have left is stopped.
+    fn judge_stopping(&mut self, now: Moment) {
+        for fate in self.fates.values() {
+            let (Some(left), Some(sent)) = (fate.left, &fate.sent) else {
+                continue;
+            };
+            let late = left + STOPPED_WITHIN;
+            let is_calm = !self.is_disturbed(left, late);
+            if !sent.is_idempotent || !is_calm || late > now {
+                continue;
+            }
+            self.abandoned += 1;
+            let goes_on = fate
+                .runs
+                .iter()
+                .any(|run| run.at < left && run.ended.is_none_or(|ended| ended > late));
+            self.not_stopped += u64::from(goes_on);
+        }
+        if self.not_stopped > 4 && self.not_stopped * 4 > self.abandoned {
+            let text = format!(
+                "GONE {} of {} requests went on without their callers",
+                self.not_stopped, self.abandoned
+            );
+            self.violate(now, &text);
+        }
+    }
+}
+
+/// Returns the requests in the window that ends at a moment, in the one before it or in the one half
+/// a window before it, whichever has most.
+fn most_requests(requests: &[(Moment, bool)], end: Moment) -> usize {
+    let count = |end: Moment| {
+        let start = end.saturating_sub(RETRY_WINDOW);
+        let is_within = |(at, _): &&(Moment, bool)| *at >= start && *at <= end;
+        requests.iter().filter(is_within).count()
+    };
+    let earlier = [RETRY_WINDOW / 2, RETRY_WINDOW];
+    earlier
+        .iter()
+        .map(|offset| count(end.saturating_sub(*offset)))
+        .fold(count(end), usize::max)
+}
+
+/// Returns the first segment of a target, which names its route.
+pub fn prefix_of(target: &str) -> &str {
+    let end = target
+        .char_indices()
+        .filter(|(_, character)| *character == '/')
+        .nth(1);
+    end.map_or(target, |(index, _)| &target[..=index])
+}
+
+/// Returns the body that an incarnation answers a request with.
+pub fn body_of(id: &str, instance: &str) -> Vec<u8> {
+    let unit = format!("{id} at {instance};");
+    let repeats = 1 + xxh3_64(id.as_bytes()) % 200;
+    unit.repeat(usize::try_from(repeats).unwrap_or(1))
+        .into_bytes()
+}
+
+/// Returns the signature of a body.
+pub fn signature_of(body: &[u8]) -> String {
+    format!("{:016x}", xxh3_64(body))
+}
--- /dev/null
+++ b/tests/soak/src/main.rs
@@ -0,0 +1,147 @@
+//! Command line of the soak.
+
+use std::io;
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::sync::Arc;
+use std::time::Duration;
+
+use argh::FromArgs;
+use tokio::sync::mpsc;
+use tokio::time::sleep;
+
+use rillgap_soak::deployment::{Layout, NODES};
+use rillgap_soak::faults::{Proxies, Schedule, Targets};
+use rillgap_soak::node::Files;
+use rillgap_soak::proxy::Proxy;
+use rillgap_soak::soak::Soak;
+use rillgap_soak::{back_end, caller, node, operator};
+
+/// Callers beside each node.
+const CALLERS: usize = 3;
+/// Time for the first start before the schedule begins.
+const START_TIME: Duration = Duration::from_secs(4);
+
+/// Soaks rillgap-fleet: nine processes, disturbed by proxies and signals.
+#[derive(Debug, FromArgs)]
+struct Arguments {
+    /// seed of the schedule
+    #[argh(option, default = "1")]
+    seed: u64,
+    /// seconds for which to go on
+    #[argh(option, default = "60")]
+    seconds: u64,
+    /// the program
+    #[argh(option, default = "PathBuf::from(\"target/release/rillgap-fleet\")")]
+    program: PathBuf,
+    /// folder for settings and logs
+    #[argh(option, default = "PathBuf::from(\"target/soak\")")]
+    folder: PathBuf,
+    /// second byte of the loopback addresses, to run several side by side
+    #[argh(option, default = "77")]
+    network: u8,
+}
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    let arguments: Arguments = argh::from_env();
+    match run(&arguments).await {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::FAILURE,
+        Err(error) => {
+            eprintln!("soak: {error}");
+            ExitCode::from(2)
+        }
+    }
+}
+
+/// Runs a soak; returns whether all promises were kept.
+async fn run(arguments: &Arguments) -> io::Result<bool> {
+    let layout = Layout {
+        network: arguments.network,
+    };
+    let folder = arguments.folder.join(format!("seed-{}", arguments.seed));
+    if folder.exists() {
+        std::fs::remove_dir_all(&folder)?;
+    }
+    std::fs::create_dir_all(&folder)?;
+    let files = Files {
+        program: arguments.program.clone(),
+        folder,
+    };
+    let soak = Soak::new(layout, arguments.seed);
+    operator::configure(&soak);
+    let (targets, supervisors) = start(&soak, &files).await?;
+    sleep(START_TIME).await;
+    for node in 0..NODES {
+        for _ in 0..CALLERS {
+            tokio::spawn(caller::run(soak.clone(), node));
+        }
+    }
+    let mut schedule = Schedule::new(soak.clone(), targets, arguments.seed);
+    let end = Duration::from_secs(arguments.seconds);
+    while soak.now() < end {
+        schedule.cycle().await;
+    }
+    // Without anybody to order anything, the supervisors end their processes.
+    drop(schedule);
+    for supervisor in supervisors {
+        let _ = supervisor.await;
+    }
+    Ok(conclude(&soak, arguments.seed))
+}
+
+async fn start(
+    soak: &Arc<Soak>,
+    files: &Files,
+) -> io::Result<(Targets, Vec<tokio::task::JoinHandle<io::Result<()>>>)> {
+    let mut targets = Targets {
+        proxies: Vec::new(),
+        nodes: Vec::new(),
+        back_ends: Vec::new(),
+    };
+    let mut supervisors = Vec::new();
+    for node in 0..NODES {
+        targets.proxies.push(start_proxies(soak, node).await?);
+        let (orders, received) = mpsc::unbounded_channel();
+        targets.back_ends.push(orders);
+        tokio::spawn(back_end::supervise(soak.clone(), node, received));
+        let (orders, received) = mpsc::unbounded_channel();
+        targets.nodes.push(orders);
+        let process = node::supervise(soak.clone(), node, files.clone(), received);
+        supervisors.push(tokio::spawn(process));
+    }
+    Ok((targets, supervisors))
+}
+
+async fn start_proxies(soak: &Arc<Soak>, node: usize) -> io::Result<Proxies> {
+    let (mesh, mesh_proxy) = soak.layout.mesh(node);
+    let (back_end, back_end_proxy) = soak.layout.back_end(node);
+    let (store, store_proxy) = soak.layout.store(node);
+    soak.store.listen(node, store).await?;
+    Ok(Proxies {
+        mesh: Proxy::start(mesh_proxy, mesh).await?,
+        back_end: Proxy::start(back_end_proxy, back_end).await?,
+        store: Proxy::start(store_proxy, store).await?,
+    })
+}
+
+fn conclude(soak: &Arc<Soak>, seed: u64) -> bool {
+    let now = soak.now();
+    let mut judge = soak.judge();
+    judge.conclude(now);
+    let totals = judge.totals();
+    println!(
+        "seed {seed}: {} asked, {} served, {} refused, {} failed, {} left; {} broken promises",
+        totals.asked,
+        totals.served,
+        totals.refused,
+        totals.failed,
+        totals.left,
+        judge.violation_count()
+    );
+    for violation in judge.violations() {
+        println!("BROKEN {violation}");
+    }
+    judge.violation_count() == 0
+}
--- /dev/null
+++ b/tests/soak/src/node.rs
@@ -0,0 +1,194 @@
+//! Processes of the real program: started, stopped, paused, killed by signals.
+
+use std::fs::File;
+use std::io;
+use std::path::PathBuf;
+use std::process::Stdio;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use nix::sys::signal::{Signal, kill};
+use nix::unistd::Pid;
+use tokio::process::{Child, Command};
+use tokio::sync::mpsc;
+use tokio::time::{interval, sleep, timeout};
+
+use crate::deployment::{GRACE, Layout, MOST_MEMORY_KB};
+use crate::soak::Soak;
+use crate::wire::{Connection, encode_request};
+
+/// Time beyond the grace after which a stopping process is killed.
+const GRACE_MARGIN: Duration = Duration::from_millis(500);
+/// Pause before a stopped process is started again.
+const RESTARTED_AFTER: Duration = Duration::from_millis(600);
+/// Time between two looks at readiness and memory.
+const LOOK: Duration = Duration::from_secs(1);
+
+/// What happens to a node's process.
+#[derive(Clone, Copy, Debug)]
+pub enum Order {
+    /// SIGTERM, then a start.
+    Stop,
+    /// SIGKILL, then a start after a while.
+    Kill(Duration),
+    /// SIGSTOP, then SIGCONT after a while.
+    Pause(Duration),
+    /// SIGHUP.
+    Reload,
+}
+
+/// Where programs and files of a soak are.
+#[derive(Clone, Debug)]
+pub struct Files {
+    /// The program.
+    pub program: PathBuf,
+    /// Folder for settings and logs.
+    pub folder: PathBuf,
+}
+
+/// Keeps a node running until the soak ends.
+///
+/// # Errors
+///
+/// Fails if the process cannot be started.
+pub async fn supervise(
+    soak: Arc<Soak>,
+    node: usize,
+    files: Files,
+    mut orders: mpsc::UnboundedReceiver<Order>,
+) -> io::Result<()> {
+    loop {
+        let mut child = start(&soak, node, &files)?;
+        let pause = match live(&soak, node, &mut child, &mut orders).await {
+            Some(pause) => pause,
+            None => return Ok(()),
+        };
+        soak.machines[node].is_ready.store(false, Ordering::Relaxed);
+        sleep(pause).await;
+        while orders.try_recv().is_ok() {}
+    }
+}
+
+fn start(soak: &Arc<Soak>, node: usize, files: &Files) -> io::Result<Child> {
+    let name = Layout::name(node);
+    let settings = files.folder.join(format!("{name}.toml"));
+    std::fs::write(&settings, soak.layout.settings(node))?;
+    let log = File::options()
+        .create(true)
+        .append(true)
+        .open(files.folder.join(format!("{name}.log")))?;
+    soak.machines[node].run.fetch_add(1, Ordering::Relaxed);
+    Command::new(&files.program)
+        .arg("--settings")
+        .arg(&settings)
+        .stdin(Stdio::null())
+        .stdout(log.try_clone()?)
+        .stderr(log)
+        .kill_on_drop(true)
+        .spawn()
+}
+
+/// Lets a process run until it ends; returns the pause before the next start, or `None` if the
+/// soak is over.
+async fn live(
+    soak: &Arc<Soak>,
+    node: usize,
+    child: &mut Child,
+    orders: &mut mpsc::UnboundedReceiver<Order>,
+) -> Option<Duration> {
+    let mut looks = interval(LOOK);
+    loop {
+        tokio::select! {
+            biased;
+            order = orders.recv() => match order {
+                None => {
+                    let _ = child.kill().await;
+                    return None;
+                }
+                Some(Order::Reload) => signal(child, Signal::SIGHUP),
+                Some(Order::Pause(length)) => {
+                    signal(child, Signal::SIGSTOP);
+                    sleep(length).await;
+                    signal(child, Signal::SIGCONT);
+                }
+                Some(Order::Kill(down)) => {
+                    let _ = child.kill().await;
+                    return Some(down);
+                }
+                Some(Order::Stop) => {
+                    stop(soak, node, child).await;
+                    return Some(RESTARTED_AFTER);
+                }
+            },
+            status = child.wait() => {
+                let text = format!("ENDED node {node} by itself: {status:?}");
+                soak.judge().violate(soak.now(), &text);
+                return Some(RESTARTED_AFTER);
+            }
+            _ = looks.tick() => look(soak, node, child).await,
+        }
+    }
+}
+
+async fn stop(soak: &Arc<Soak>, node: usize, child: &mut Child) {
+    let begin = soak.now();
+    soak.judge()
+        .planned_stop(node, begin, begin + GRACE + Duration::from_secs(1));
+    signal(child, Signal::SIGTERM);
+    // Callers learn within two looks that the node is not ready.
+    let machine = &soak.machines[node];
+    let unready = async {
+        sleep(LOOK).await;
+        machine.is_ready.store(false, Ordering::Relaxed);
+        std::future::pending::<()>().await;
+    };
+    let ended = tokio::select! {
+        ended = timeout(GRACE + GRACE_MARGIN, child.wait()) => ended.is_ok(),
+        () = unready => false,
+    };
+    if !ended {
+        let text = format!("GRACE node {node} was still there at the end of its grace");
+        soak.judge().violate(soak.now(), &text);
+        let _ = child.kill().await;
+    }
+}
+
+/// Sends a signal to a process that this soak has started.
+fn signal(child: &Child, signal: Signal) {
+    let id = child.id().and_then(|id| i32::try_from(id).ok());
+    if let Some(id) = id {
+        // The process may just have ended, which is noticed elsewhere.
+        let _ = kill(Pid::from_raw(id), signal);
+    }
+}
+
+async fn look(soak: &Arc<Soak>, node: usize, child: &Child) {
+    let is_ready = timeout(Duration::from_millis(500), ask_readiness(soak, node)).await;
+    let is_ready = matches!(is_ready, Ok(Ok(200)));
+    soak.machines[node]
+        .is_ready
+        .store(is_ready, Ordering::Relaxed);
+    let used = child.id().and_then(memory_kb).unwrap_or(0);
+    if used > MOST_MEMORY_KB {
+        let text = format!("MEMORY node {node} uses {used} kB");
+        soak.judge().violate(soak.now(), &text);
+    }
+}
+
+async fn ask_readiness(soak: &Arc<Soak>, node: usize) -> io::Result<u16> {
+    let address = soak.layout.readiness(node);
+    let stream = tokio::net::TcpStream::connect(address).await?;
+    let mut connection = Connection::new(stream);
+    let fields = [("Host", address.to_string())];
+    let bytes = encode_request("GET", "/-/ready", &fields, b"");
+    connection.write(&bytes).await?;
+    Ok(connection.read_response().await?.status)
+}
+
+/// Returns the resident memory of a process at its peak, in kilobytes.
+fn memory_kb(process: u32) -> Option<u64> {
+    let status = std::fs::read_to_string(format!("/proc/{process}/status")).ok()?;
+    let line = status.lines().find(|line| line.starts_with("VmHWM:"))?;
+    line.split_whitespace().nth(1)?.parse().ok()
+}
--- /dev/null
+++ b/tests/soak/src/operator.rs
@@ -0,0 +1,66 @@
+//! The operator: writes configurations to the store.
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+
+use serde_json::{Value, json};
+
+use crate::caller::{STANDING_VERSIONS, VERSION_SERVICE};
+use crate::deployment::{HOST, SERVICES};
+use crate::soak::Soak;
+
+/// Writes the next version; it is accepted when this returns.
+pub fn configure(soak: &Arc<Soak>) {
+    let version = soak.version.load(Ordering::SeqCst) + 1;
+    let mut resources = vec![
+        route(soak, "/front/", "front", "safe", 2),
+        route(soak, "/middle/", "middle", "safe", 1),
+        route(soak, "/once/", "middle", "non_idempotent", 0),
+        route(soak, "/deep/", "deep", "safe", 1),
+    ];
+    let first = (version + 1).saturating_sub(STANDING_VERSIONS).max(1);
+    for standing in first..=version {
+        let prefix = format!("/v{standing}/");
+        resources.push(route(soak, &prefix, VERSION_SERVICE, "safe", 2));
+    }
+    for service in SERVICES {
+        resources.push(json!({
+            "type": "services",
+            "metadata": {"name": service},
+            "spec": {"health-path": "/health", "max-connections": 400},
+        }));
+    }
+    resources.push(json!({
+        "type": "limits",
+        "metadata": {"name": "limits"},
+        "spec": {
+            "max-header-bytes": 16_384,
+            "max-body-bytes": 1_048_576,
+            "header-timeout-s": 5,
+            "idle-timeout-s": 20,
+        },
+    }));
+    let spec = json!({"version": version, "resources": resources});
+    soak.store.put("config", "main", spec);
+    soak.judge().accepted(soak.now(), version);
+    // Callers use the new route only after this.
+    soak.version.store(version, Ordering::SeqCst);
+}
+
+fn route(soak: &Arc<Soak>, prefix: &str, service: &'static str, kind: &str, priority: u8) -> Value {
+    soak.judge().allow(prefix, service);
+    json!({
+        "type": "routes",
+        "metadata": {"name": prefix.trim_matches('/')},
+        "spec": {
+            "host": HOST,
+            "path-prefix": prefix,
+            "service": service,
+            "kind": kind,
+            "timeout-s": 1.2,
+            "target-latency-s": 0.6,
+            "priority": priority,
+            "max-attempts": 2,
+        },
+    })
+}
--- /dev/null
+++ b/tests/soak/src/soak.rs
@@ -0,0 +1,95 @@
+//! What all parts of a soak share.
+
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use rand_chacha::ChaCha8Rng;
+use rand_chacha::rand_core::{Rng, SeedableRng};
+use tokio::time::Instant;
+
+use crate::deployment::{Layout, NODES};
+use crate::judge::{Judge, Moment};
+use crate::store::Store;
+
+/// What a node's run and its back end's behaviour are at the moment.
+#[derive(Debug, Default)]
+pub struct Machine {
+    /// Run of the node's process.
+    pub run: AtomicU32,
+    /// Whether the node has said that it is ready.
+    pub is_ready: AtomicBool,
+    /// Answers of the back end that are lost, in percent.
+    pub lost_percent: AtomicU32,
+    /// Answers of the back end that are spoiled, in percent.
+    pub spoiled_percent: AtomicU32,
+    /// Requests that the back end fails, in percent.
+    pub failed_percent: AtomicU32,
+    /// How many times as long the back end works; 0 counts as 1.
+    pub slowness: AtomicU32,
+}
+
+/// What all parts of a soak share.
+#[derive(Debug)]
+pub struct Soak {
+    /// Addresses.
+    pub layout: Layout,
+    /// The store.
+    pub store: Arc<Store>,
+    /// Machines.
+    pub machines: Vec<Machine>,
+    /// Newest version of the configuration.
+    pub version: AtomicU64,
+    start: Instant,
+    judge: Mutex<Judge>,
+    random: Mutex<ChaCha8Rng>,
+    next_request: AtomicU64,
+}
+
+impl Soak {
+    /// Creates a soak whose draws follow from `seed`.
+    pub fn new(layout: Layout, seed: u64) -> Arc<Self> {
+        Arc::new(Self {
+            layout,
+            store: Store::new(NODES),
+            machines: (0..NODES).map(|_| Machine::default()).collect(),
+            version: AtomicU64::new(0),
+            start: Instant::now(),
+            judge: Mutex::default(),
+            random: Mutex::new(ChaCha8Rng::seed_from_u64(seed)),
+            next_request: AtomicU64::new(0),
+        })
+    }
+
+    /// Returns the time since the start.
+    pub fn now(&self) -> Moment {
+        self.start.elapsed()
+    }
+
+    /// Returns the judge.
+    pub fn judge(&self) -> MutexGuard<'_, Judge> {
+        self.judge.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns a number below `bound`, for what need not repeat.
+    pub fn draw(&self, bound: u64) -> u64 {
+        let mut random = self.random.lock().unwrap_or_else(PoisonError::into_inner);
+        (u64::from(random.next_u32()) * bound) >> 32
+    }
+
+    /// Returns whether a draw hits, in percent.
+    pub fn hits(&self, percent: &AtomicU32) -> bool {
+        let percent = percent.load(Ordering::Relaxed);
+        percent > 0 && self.draw(100) < u64::from(percent)
+    }
+
+    /// Returns a new identifier of a request.
+    pub fn next_id(&self) -> String {
+        let number = self.next_request.fetch_add(1, Ordering::Relaxed);
+        format!("r{number}")
+    }
+
+    /// Returns the run of a node's process.
+    pub fn run_of(&self, node: usize) -> u32 {
+        self.machines[node].run.load(Ordering::Relaxed)
+    }
+}
--- /dev/null
+++ b/tests/soak/src/store.rs
@@ -0,0 +1,311 @@
+//! Stand-in of the platform's store: objects with revisions, lists, watches; one door a node, each
+//! of which can misbehave for itself.
+
+use std::collections::BTreeMap;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use serde_json::{Value, json};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+
+use crate::wire::{Connection, Request, encode_response};
+
+/// Time that an answer takes.
+const ANSWER_TIME: Duration = Duration::from_millis(4);
+/// Longest time for which a watch waits.
+const LONGEST_WAIT: Duration = Duration::from_secs(30);
+
+/// How a door of the store treats its node.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Treatment {
+    /// Well.
+    #[default]
+    Serve,
+    /// Refuses everything with 503.
+    Busy,
+    /// Refuses everything with 429.
+    Throttle,
+    /// Does what is asked and says nothing.
+    LoseAnswers,
+    /// Takes this much longer.
+    Slow(Duration),
+}
+
+#[derive(Clone, Debug)]
+struct Object {
+    name: String,
+    spec: Value,
+    revision: u64,
+}
+
+impl Object {
+    fn to_json(&self) -> Value {
+        json!({
+            "metadata": {"name": self.name, "revision": self.revision},
+            "spec": self.spec,
+        })
+    }
+}
+
+#[derive(Clone, Debug)]
+struct Change {
+    revision: u64,
+    kind: String,
+    object: Object,
+    gone: bool,
+}
+
+#[derive(Debug, Default)]
+struct Contents {
+    revision: u64,
+    forgotten: u64,
+    kinds: BTreeMap<String, BTreeMap<String, Object>>,
+    history: Vec<Change>,
+}
+
+/// The store.
+#[derive(Debug)]
+pub struct Store {
+    contents: Mutex<Contents>,
+    revision: watch::Sender<u64>,
+    treatments: Vec<watch::Sender<Treatment>>,
+}
+
+impl Store {
+    /// Creates an empty store with so many doors.
+    pub fn new(doors: usize) -> Arc<Self> {
+        let treatments = (0..doors).map(|_| watch::Sender::new(Treatment::Serve));
+        Arc::new(Self {
+            contents: Mutex::default(),
+            revision: watch::Sender::new(0),
+            treatments: treatments.collect(),
+        })
+    }
+
+    /// Opens a door.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the address cannot be bound.
+    pub async fn listen(self: &Arc<Self>, door: usize, address: SocketAddr) -> io::Result<()> {
+        let listener = TcpListener::bind(address).await?;
+        let store = self.clone();
+        tokio::spawn(async move {
+            loop {
+                if let Ok((stream, _)) = listener.accept().await {
+                    tokio::spawn(store.clone().serve(door, stream));
+                }
+            }
+        });
+        Ok(())
+    }
+
+    /// Changes how a door treats its node from now on.
+    pub fn treat(&self, door: usize, treatment: Treatment) {
+        self.treatments[door].send_replace(treatment);
+    }
+
+    /// Writes an object, as the operator does.
+    pub fn put(&self, kind: &str, name: &str, spec: Value) {
+        let mut contents = self.lock();
+        contents.write(kind, name, spec);
+        self.revision.send_replace(contents.revision);
+    }
+
+    /// Forgets all history, and lets waiting watches know.
+    pub fn compact(&self) {
+        let mut contents = self.lock();
+        contents.revision += 1;
+        contents.forgotten = contents.revision;
+        contents.history.clear();
+        self.revision.send_replace(contents.revision);
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, Contents> {
+        self.contents.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    async fn serve(self: Arc<Self>, door: usize, stream: TcpStream) {
+        let mut connection = Connection::new(stream);
+        while let Ok(Some(request)) = connection.read_request().await {
+            let treatment = *self.treatments[door].borrow();
+            tokio::time::sleep(ANSWER_TIME).await;
+            let (status, body) = match treatment {
+                Treatment::Busy => (503, json!({"error": "busy"})),
+                Treatment::Throttle => (429, json!({"error": "too many calls"})),
+                _ => self.answer(&request).await,
+            };
+            if let Treatment::Slow(delay) = treatment {
+                tokio::time::sleep(delay).await;
+            }
+            if *self.treatments[door].borrow() == Treatment::LoseAnswers {
+                // Says nothing further on this connection.
+                return connection.closed().await;
+            }
+            let fields = [("Content-Type", "application/json".to_owned())];
+            let bytes = encode_response(status, &fields, body.to_string().as_bytes());
+            if connection.write(&bytes).await.is_err() {
+                return;
+            }
+        }
+    }
+
+    async fn answer(&self, request: &Request) -> (u16, Value) {
+        let (path, query) = request
+            .target
+            .split_once('?')
+            .unwrap_or((&request.target, ""));
+        let Some(path) = path.strip_prefix("/-/objects/") else {
+            return (404, json!({"error": "no such call"}));
+        };
+        let (kind, name) = match path.split_once('/') {
+            Some((kind, name)) => (kind, Some(name)),
+            None => (path, None),
+        };
+        let parameter = |wanted: &str| {
+            let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+            pairs
+                .clone()
+                .find(|(name, _)| *name == wanted)
+                .map(|(_, value)| value)
+        };
+        let number = |wanted| parameter(wanted).and_then(|text| text.parse::<u64>().ok());
+        match (request.method.as_str(), name) {
+            ("GET", None) => match number("watch") {
+                Some(after) => {
+                    let wait = Duration::from_millis(number("wait-ms").unwrap_or(0));
+                    self.watch(kind, after, wait.min(LONGEST_WAIT)).await
+                }
+                None => self.lock().list(kind),
+            },
+            ("GET", Some(name)) => self.lock().read(kind, name),
+            ("POST", None) | ("PUT" | "DELETE", Some(_)) => self.change(request, kind, name),
+            _ => (405, json!({"error": "no such call"})),
+        }
+    }
+
+    fn change(&self, request: &Request, kind: &str, name: Option<&str>) -> (u16, Value) {
+        let mut contents = self.lock();
+        let result = match (request.method.as_str(), name) {
+            ("DELETE", Some(name)) => contents.remove(kind, name),
+            (method, name) => {
+                let Ok(body) = serde_json::from_slice::<Value>(&request.body) else {
+                    return (400, json!({"error": "not JSON"}));
+                };
+                let own_name = body["metadata"]["name"].as_str().unwrap_or_default();
+                let name = name.unwrap_or(own_name).to_owned();
+                contents.put(kind, &name, &body, method == "POST")
+            }
+        };
+        self.revision.send_replace(contents.revision);
+        result
+    }
+
+    async fn watch(&self, kind: &str, after: u64, wait: Duration) -> (u16, Value) {
+        let mut revision = self.revision.subscribe();
+        let deadline = tokio::time::Instant::now() + wait;
+        loop {
+            let answer = self.lock().events(kind, after);
+            match answer {
+                Ok((events, at)) if !events.is_empty() => {
+                    return (200, json!({"events": events, "at": at}));
+                }
+                Ok(_) => {}
+                Err(()) => return (410, json!({"error": "history is gone"})),
+            }
+            let changed = tokio::time::timeout_at(deadline, revision.changed()).await;
+            if changed.is_err() {
+                let at = self.lock().revision;
+                return (200, json!({"events": [], "at": at}));
+            }
+        }
+    }
+}
+
+impl Contents {
+    fn write(&mut self, kind: &str, name: &str, spec: Value) -> Object {
+        self.revision += 1;
+        let object = Object {
+            name: name.to_owned(),
+            spec,
+            revision: self.revision,
+        };
+        let objects = self.kinds.entry(kind.to_owned()).or_default();
+        objects.insert(name.to_owned(), object.clone());
+        self.record(kind, object.clone(), false);
+        object
+    }
+
+    fn record(&mut self, kind: &str, object: Object, gone: bool) {
+        self.history.push(Change {
+            revision: self.revision,
+            kind: kind.to_owned(),
+            object,
+            gone,
+        });
+    }
+
+    fn put(&mut self, kind: &str, name: &str, body: &Value, is_new: bool) -> (u16, Value) {
+        let present = self.kinds.get(kind).and_then(|objects| objects.get(name));
+        if let Some(present) = present {
+            let expected = body["metadata"]["revision"].as_u64();
+            let differs = expected.is_some_and(|revision| revision != present.revision);
+            if is_new || differs {
+                return (409, present.to_json());
+            }
+            if present.spec == body["spec"] {
+                return (200, present.to_json());
+            }
+        } else if !is_new {
+            return (404, json!({"error": "no such object"}));
+        }
+        let object = self.write(kind, name, body["spec"].clone());
+        (if is_new { 201 } else { 200 }, object.to_json())
+    }
+
+    fn remove(&mut self, kind: &str, name: &str) -> (u16, Value) {
+        let objects = self.kinds.entry(kind.to_owned()).or_default();
+        let Some(object) = objects.remove(name) else {
+            return (404, json!({"error": "no such object"}));
+        };
+        self.revision += 1;
+        self.record(kind, object, true);
+        (200, json!({}))
+    }
+
+    fn read(&self, kind: &str, name: &str) -> (u16, Value) {
+        let object = self.kinds.get(kind).and_then(|objects| objects.get(name));
+        match object {
+            Some(object) => (200, object.to_json()),
+            None => (404, json!({"error": "no such object"})),
+        }
+    }
+
+    fn list(&self, kind: &str) -> (u16, Value) {
+        let objects = self.kinds.get(kind);
+        let items: Vec<Value> = objects
+            .into_iter()
+            .flat_map(|objects| objects.values())
+            .map(Object::to_json)
+            .collect();
+        let body = json!({"items": items, "more": false, "at": self.revision});
+        (200, body)
+    }
+
+    /// Returns the changes after a revision, and the revision now; fails if they are forgotten.
+    fn events(&self, kind: &str, after: u64) -> Result<(Vec<Value>, u64), ()> {
+        if after < self.forgotten {
+            return Err(());
+        }
+        let events = self
+            .history
+            .iter()
+            .filter(|change| change.revision > after && change.kind == kind)
+            .map(|change| json!({"object": change.object.to_json(), "gone": change.gone}))
+            .collect();
+        Ok((events, self.revision))
+    }
+}
