Heartbeats are events with a reply; responses tell where the time went; store failures carry a code

Hub::heartbeat and Hub::leave ran the node beside the event queue; failures of the store were logged without a number; the two chains of store calls ended failures alike in two places, and an answer to another kind of call was retried without a word; an engineer could not tell from an answered line whether a late request waited, worked or travelled.

Change: Event::Heartbeat and Event::BackEndLeaves with Action::Acknowledge. ForwardResponse and the line "outbound: answered" carry queued_micros and back_end_micros, and rillgap_forwarding_latency_seconds is what nodes and links add.

--- a/crates/rillgap-forward/src/action.rs
+++ b/crates/rillgap-forward/src/action.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use crate::id::{ConnectionId, ExchangeId, LinkId, ProbeId, Turn};
+use crate::id::{AnnouncementId, ConnectionId, ExchangeId, LinkId, ProbeId, Turn};
 use crate::message::{ForwardedRequest, LinkMessage};
 use crate::note::Note;
 use crate::store_sync::{StoreRequest, StoreRequestId};
@@ -67,6 +67,13 @@
     StartExchange(Exchange),
     /// Close the connection on which a request runs at the back end.
     CancelExchange(ExchangeId),
+    /// Answer what the back end has announced.
+    Acknowledge {
+        /// What waits.
+        announcement: AnnouncementId,
+        /// Whether it is acknowledged.
+        is_accepted: bool,
+    },
     /// Ask the back end's health endpoint.
     Probe {
         /// Identifier.
--- a/crates/rillgap-forward/src/event.rs
+++ b/crates/rillgap-forward/src/event.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use crate::id::{ConnectionId, ExchangeId, LinkId, ProbeId, Turn};
+use crate::id::{AnnouncementId, ConnectionId, ExchangeId, LinkId, ProbeId, Turn};
 use crate::message::{ForwardedAnswer, Hello, LinkMessage};
 use crate::store_sync::{StoreReply, StoreRequestId};
 
@@ -65,8 +65,6 @@
     pub slots: u32,
     /// Announced state.
     pub state: AnnouncedState,
-    /// How much longer it stays slow.
-    pub cold: Duration,
     /// Number that grows with every heartbeat of the incarnation.
     pub sequence: u64,
 }
@@ -129,6 +127,20 @@
         /// How.
         result: ExchangeResult,
     },
+    /// The back end has sent a heartbeat.
+    Heartbeat {
+        /// What waits for the acknowledgement.
+        announcement: AnnouncementId,
+        /// The heartbeat.
+        heartbeat: Heartbeat,
+    },
+    /// The back end leaves.
+    BackEndLeaves {
+        /// What waits for the acknowledgement.
+        announcement: AnnouncementId,
+        /// Incarnation.
+        instance: String,
+    },
     /// The health endpoint has answered.
     ProbeEnded {
         /// Probe.
--- a/crates/rillgap-forward/src/id.rs
+++ b/crates/rillgap-forward/src/id.rs
@@ -27,6 +27,10 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct ProbeId(pub u64);
 
+/// A heartbeat, or a word that a back end leaves, that waits for its acknowledgement.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct AnnouncementId(pub u64);
+
 /// Place of a request on its connection: the first is 0.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Turn(pub u64);
--- a/crates/rillgap-forward/src/inbound/ending.rs
+++ b/crates/rillgap-forward/src/inbound/ending.rs
@@ -9,7 +9,7 @@
 use crate::action::{Action, Actions};
 use crate::event::ExchangeResult;
 use crate::id::{ExchangeId, LinkId, Sequence};
-use crate::message::{ForwardResponse, ForwardResult, ForwardedRequest, LinkMessage};
+use crate::message::{ForwardResponse, ForwardResult, ForwardedRequest, LinkMessage, Timing};
 use crate::note::Note;
 
 /// Status of a back end's own failure.
@@ -35,7 +35,8 @@
                     code: ResultCode::AnswerTimeout,
                 };
                 self.note_failure(now, &running, &result, out);
-                self.respond(running.link, running.sequence, result, out);
+                let timing = running.timing(now);
+                self.respond((running.link, running.sequence), timing, result, out);
             }
             self.failures.record(now, running.is_own_fault());
             let effect = self.back_end.on_silence();
@@ -117,13 +118,17 @@
             arrived: false,
             retry_after_millis: self.retry_after_millis(),
         };
-        self.respond(arrival.link, arrival.sequence, result, out);
+        let timing = Timing {
+            queued_micros: elapsed_micros(now, arrival.arrived),
+            back_end_micros: 0,
+        };
+        self.respond((arrival.link, arrival.sequence), timing, result, out);
     }
 
     pub(super) fn respond(
         &self,
-        link: LinkId,
-        sequence: Sequence,
+        (link, sequence): (LinkId, Sequence),
+        timing: Timing,
         result: ForwardResult,
         out: &mut Actions,
     ) {
@@ -132,6 +137,7 @@
             message: LinkMessage::Response(ForwardResponse {
                 sequence,
                 load: self.load(),
+                timing,
                 result,
             }),
         });
--- a/crates/rillgap-forward/src/inbound/mod.rs
+++ b/crates/rillgap-forward/src/inbound/mod.rs
@@ -22,7 +22,7 @@
 use crate::configuration::RouteTable;
 use crate::event::{ExchangeResult, Heartbeat, ProbeResult};
 use crate::id::{ExchangeId, LinkId, ProbeId, Sequence};
-use crate::message::{ForwardedRequest, Load, Status};
+use crate::message::{ForwardedRequest, Load, Status, Timing};
 use crate::note::Note;
 use crate::settings::ForwardSettings;
 
@@ -77,6 +77,13 @@
     fn is_own_fault(&self) -> bool {
         self.open_calls == 0 && !self.has_failed_call
     }
+
+    fn timing(&self, now: Instant) -> Timing {
+        Timing {
+            queued_micros: elapsed_micros(self.started, self.arrived),
+            back_end_micros: elapsed_micros(now, self.started),
+        }
+    }
 }
 
 /// What became of a call that the back end makes while it works on a request.
@@ -325,7 +332,8 @@
         let result = self.forward_result(result);
         if running.is_awaited {
             self.note_failure(now, &running, &result, out);
-            self.respond(running.link, running.sequence, result, out);
+            let timing = running.timing(now);
+            self.respond((running.link, running.sequence), timing, result, out);
         }
         self.carry_out(now, effect, table, out);
         self.start_queued(now, out);
--- a/crates/rillgap-forward/src/message.rs
+++ b/crates/rillgap-forward/src/message.rs
@@ -122,6 +122,15 @@
     pub body: Vec<u8>,
 }
 
+/// Where the time of an attempt went at the node beside the back end.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Encode, Decode)]
+pub struct Timing {
+    /// Time in the queue, in microseconds.
+    pub queued_micros: u64,
+    /// Time at the back end, in microseconds; 0 if the request did not get there.
+    pub back_end_micros: u64,
+}
+
 /// What became of a request at the node beside the back end.
 #[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
 pub enum ForwardResult {
@@ -150,6 +159,8 @@
     pub sequence: Sequence,
     /// Load of the back end.
     pub load: Load,
+    /// Where the time went.
+    pub timing: Timing,
     /// What became of the request.
     pub result: ForwardResult,
 }
--- a/crates/rillgap-forward/src/node/mod.rs
+++ b/crates/rillgap-forward/src/node/mod.rs
@@ -14,7 +14,7 @@
 use crate::configuration::{CallerLimits, RouteTable};
 use crate::directory::Directory;
 use crate::event::{CallerRequest, Event, Heartbeat};
-use crate::id::{ConnectionId, LinkId, Turn};
+use crate::id::{AnnouncementId, ConnectionId, LinkId, Turn};
 use crate::inbound::Inbound;
 use crate::message::{Hello, LinkMessage};
 use crate::note::Note;
@@ -137,22 +137,6 @@
         &self.directory
     }
 
-    /// Takes in a heartbeat of the back end; returns whether it may be acknowledged.
-    pub fn on_heartbeat(&mut self, now: Instant, heartbeat: &Heartbeat, out: &mut Actions) -> bool {
-        let table = self.table.clone();
-        let acknowledged = self
-            .inbound
-            .on_heartbeat(now, heartbeat, table.as_deref(), out);
-        self.settle(now, out);
-        acknowledged
-    }
-
-    /// Takes in that a back end leaves.
-    pub fn on_leave(&mut self, now: Instant, instance: &str, out: &mut Actions) {
-        self.inbound.on_leave(now, instance, out);
-        self.settle(now, out);
-    }
-
     /// Handles an event; actions are appended to `out`.
     pub fn handle(&mut self, now: Instant, event: Event, out: &mut Actions) {
         self.note_time(now);
@@ -175,6 +159,17 @@
                 self.inbound
                     .on_exchange(now, exchange, result, table.as_deref(), out);
             }
+            Event::Heartbeat {
+                announcement,
+                heartbeat,
+            } => self.on_heartbeat(now, announcement, &heartbeat, out),
+            Event::BackEndLeaves {
+                announcement,
+                instance,
+            } => {
+                self.inbound.on_leave(now, &instance, out);
+                acknowledge(announcement, true, out);
+            }
             Event::ProbeEnded { probe, result } => {
                 self.inbound.on_probe(now, probe, &result, out);
             }
@@ -234,6 +229,20 @@
         outbound.on_request(now, connection, turn, request, origin, &mut context);
     }
 
+    fn on_heartbeat(
+        &mut self,
+        now: Instant,
+        announcement: AnnouncementId,
+        heartbeat: &Heartbeat,
+        out: &mut Actions,
+    ) {
+        let table = self.table.clone();
+        let is_accepted = self
+            .inbound
+            .on_heartbeat(now, heartbeat, table.as_deref(), out);
+        acknowledge(announcement, is_accepted, out);
+    }
+
     /// Tells a call of the back end from a caller's request: its identifier must lead to a request
     /// that the back end works on.
     fn origin(&self, request: &CallerRequest) -> Origin {
@@ -291,19 +300,7 @@
         out: &mut Actions,
     ) {
         let news = self.store.on_reply(now, request, reply);
-        let failure = match &news {
-            Some(StoreNews::Failed { call, detail }) => Some((*call, detail.clone())),
-            _ => None,
-        };
-        if failure.is_some() == self.store_is_up {
-            self.store_is_up = failure.is_none();
-            let (call, detail) = failure.unwrap_or(("", String::new()));
-            out.push(Action::Note(Note::Store {
-                is_up: self.store_is_up,
-                call,
-                detail,
-            }));
-        }
+        self.note_store(&news, out);
         match news {
             Some(StoreNews::Configuration(configuration)) => {
                 self.adopt(now, configuration, "store", out);
@@ -317,6 +314,18 @@
         }
     }
 
+    /// Notes that the store is lost or back.
+    fn note_store(&mut self, news: &Option<StoreNews>, out: &mut Actions) {
+        let failure = match news {
+            Some(StoreNews::Failed { call, failure }) => Some((*call, failure.clone())),
+            _ => None,
+        };
+        if failure.is_some() == self.store_is_up {
+            self.store_is_up = failure.is_none();
+            out.push(Action::Note(Note::Store { failure }));
+        }
+    }
+
     /// Does what is due and passes on what one part has for another.
     fn settle(&mut self, now: Instant, out: &mut Actions) {
         let table = self.table.clone();
@@ -352,3 +361,10 @@
         }
     }
 }
+
+fn acknowledge(announcement: AnnouncementId, is_accepted: bool, out: &mut Actions) {
+    out.push(Action::Acknowledge {
+        announcement,
+        is_accepted,
+    });
+}
--- a/crates/rillgap-forward/src/note.rs
+++ b/crates/rillgap-forward/src/note.rs
@@ -2,6 +2,9 @@
 
 use rillgap_core::code::ResultCode;
 
+use crate::message::Timing;
+use crate::store_sync::StoreFailure;
+
 /// A record for the log.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Note {
@@ -23,6 +26,8 @@
         elapsed_micros: u64,
         /// Version of the configuration that chose the route.
         configuration: u64,
+        /// Where the time of the last attempt went, as far as the node that was asked has told.
+        timing: Timing,
     },
     /// A request was sent to another node after a first one.
     Moved {
@@ -86,12 +91,8 @@
     },
     /// The store answers, or not any more.
     Store {
-        /// Whether it answers.
-        is_up: bool,
-        /// Kind of the call.
-        call: &'static str,
-        /// What it said.
-        detail: String,
+        /// The call that failed and why; `None` if the store answers again.
+        failure: Option<(&'static str, StoreFailure)>,
     },
     /// The node's own state.
     Lifecycle {
--- a/crates/rillgap-forward/src/outbound/ending.rs
+++ b/crates/rillgap-forward/src/outbound/ending.rs
@@ -9,7 +9,7 @@
 use crate::configuration::RouteTable;
 use crate::event::CallerRequest;
 use crate::inbound::CallProgress;
-use crate::message::ForwardedAnswer;
+use crate::message::{ForwardedAnswer, Timing};
 use crate::note::Note;
 use crate::throttle::Outcome;
 
@@ -113,6 +113,7 @@
             attempts: request.attempts(),
             elapsed_micros: u64::try_from(elapsed).unwrap_or(u64::MAX),
             configuration: request.configuration,
+            timing: request.timing,
         }));
         context.out.push(Action::Answer {
             connection: key.connection,
@@ -157,6 +158,7 @@
             attempts: 0,
             elapsed_micros: 0,
             configuration: context.table.map_or(0, RouteTable::version),
+            timing: Timing::default(),
         }));
         context.out.push(Action::Answer {
             connection: key.connection,
--- a/crates/rillgap-forward/src/outbound/mod.rs
+++ b/crates/rillgap-forward/src/outbound/mod.rs
@@ -191,6 +191,9 @@
             return;
         };
         self.end_attempt(key, context);
+        if let Some(request) = self.requests.get_mut(&key) {
+            request.timing = response.timing;
+        }
         self.on_result(now, key, response.result, context);
     }
 
--- a/crates/rillgap-forward/src/outbound/request.rs
+++ b/crates/rillgap-forward/src/outbound/request.rs
@@ -7,7 +7,7 @@
 use super::queue_limit;
 use crate::configuration::Route;
 use crate::id::{ConnectionId, LinkId, Sequence, Turn};
-use crate::message::{ForwardedAnswer, ForwardedRequest};
+use crate::message::{ForwardedAnswer, ForwardedRequest, Timing};
 
 /// A request by its place on a connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -62,6 +62,8 @@
     pub may_have_run: bool,
     /// Longest time after which a node that refused asked to come back.
     pub retry_after_millis: Option<u32>,
+    /// Where the time of the last attempt went.
+    pub timing: Timing,
     /// Failure that a back end has answered, while another one is tried.
     pub failed_answer: Option<ForwardedAnswer>,
     current: Option<Attempt>,
@@ -89,6 +91,7 @@
             moves: 0,
             may_have_run: false,
             retry_after_millis: None,
+            timing: Timing::default(),
             failed_answer: None,
             current: None,
         }
--- a/crates/rillgap-forward/src/store_sync.rs
+++ b/crates/rillgap-forward/src/store_sync.rs
@@ -6,6 +6,7 @@
 
 use std::time::Duration;
 
+use rillgap_core::code::ResultCode;
 use rillgap_core::time::Instant;
 
 use crate::configuration::Configuration;
@@ -71,7 +72,16 @@
     /// The record is removed.
     Unregistered,
     /// No or an unusable answer.
-    Failed(String),
+    Failed(StoreFailure),
+}
+
+/// Why a call to the store has failed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct StoreFailure {
+    /// [`ResultCode::StoreUnavailable`] or [`ResultCode::StoreProtocol`].
+    pub code: ResultCode,
+    /// What was said or missing.
+    pub detail: String,
 }
 
 /// What to do after an answer.
@@ -85,8 +95,8 @@
     Failed {
         /// Name of the call.
         call: &'static str,
-        /// What it said.
-        detail: String,
+        /// Why.
+        failure: StoreFailure,
     },
 }
 
@@ -140,6 +150,27 @@
         self.next = Some(next);
     }
 
+    /// Makes a call again after a pause: it has failed.
+    fn on_failure(
+        &mut self,
+        now: Instant,
+        request: StoreRequest,
+        failure: StoreFailure,
+    ) -> Option<StoreNews> {
+        let call = request.name();
+        self.retry(now, request);
+        Some(StoreNews::Failed { call, failure })
+    }
+
+    /// Makes a call again after a pause: its answer belongs to another kind of call.
+    fn on_mismatch(&mut self, now: Instant, request: StoreRequest) -> Option<StoreNews> {
+        let failure = StoreFailure {
+            code: ResultCode::StoreProtocol,
+            detail: "answer to another kind of call".to_owned(),
+        };
+        self.on_failure(now, request, failure)
+    }
+
     fn next_wake(&self) -> Option<Instant> {
         self.next.as_ref().map(|_| self.due)
     }
@@ -221,17 +252,12 @@
                 self.configuration.proceed(now, Some(next));
                 None
             }
-            StoreReply::Failed(detail) => {
-                let call = request.name();
-                // A watch that broke off goes on from its position: nothing is missed, or the
-                // store says that it has forgotten.
-                self.configuration.retry(now, request);
-                Some(StoreNews::Failed { call, detail })
-            }
+            // A watch that broke off goes on from its position: nothing is missed, or the store says
+            // that it has forgotten.
+            StoreReply::Failed(failure) => self.configuration.on_failure(now, request, failure),
             _ => {
-                self.configuration
-                    .retry(now, StoreRequest::ReadConfiguration);
-                None
+                let next = StoreRequest::ReadConfiguration;
+                self.configuration.on_mismatch(now, next)
             }
         }
     }
@@ -255,15 +281,8 @@
                 self.membership.proceed(now, None);
                 None
             }
-            StoreReply::Failed(detail) => {
-                let call = request.name();
-                self.membership.retry(now, request);
-                Some(StoreNews::Failed { call, detail })
-            }
-            _ => {
-                self.membership.retry(now, request);
-                None
-            }
+            StoreReply::Failed(failure) => self.membership.on_failure(now, request, failure),
+            _ => self.membership.on_mismatch(now, request),
         }
     }
 }
--- a/crates/rillgap-sidecar/src/control.rs
+++ b/crates/rillgap-sidecar/src/control.rs
@@ -9,6 +9,8 @@
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
+use rillgap_core::code::ResultCode;
+use rillgap_forward::event::Event;
 use tokio::net::TcpListener;
 
 use crate::dialect::{ControlCall, ControlError};
@@ -58,6 +60,8 @@
     }
     let (parts, body) = request.into_parts();
     let Ok(body) = Limited::new(body, BODY_LIMIT).collect().await else {
+        let code = ResultCode::BodyTooLong.number();
+        log::warn!(code, path = parts.uri.path(); "control: call refused: body cut short or too long");
         return Ok(empty(StatusCode::PAYLOAD_TOO_LARGE));
     };
     let body = body.to_bytes();
@@ -65,25 +69,32 @@
         .dialect()
         .control_call(parts.method.as_str(), parts.uri.path(), &body);
     Ok(match call {
-        Ok(call) => empty(carry_out(&hub, call)),
+        Ok(call) => empty(carry_out(&hub, call).await),
         Err(ControlError::UnknownCall) => empty(StatusCode::NOT_FOUND),
         Err(error @ ControlError::Malformed(_)) => {
-            log::warn!(path = parts.uri.path(); "control: call refused: {error}");
+            let code = ResultCode::MalformedRequest.number();
+            log::warn!(code, path = parts.uri.path(); "control: call refused: {error}");
             empty(StatusCode::BAD_REQUEST)
         }
     })
 }
 
-fn carry_out(hub: &Rc<Hub>, call: ControlCall) -> StatusCode {
-    match call {
-        ControlCall::Readiness if hub.with_node(|node| node.is_ready()) => StatusCode::OK,
-        ControlCall::Readiness => StatusCode::SERVICE_UNAVAILABLE,
-        ControlCall::Heartbeat(heartbeat) if hub.heartbeat(&heartbeat) => StatusCode::OK,
-        ControlCall::Heartbeat(_) => StatusCode::NOT_FOUND,
-        ControlCall::Leave { instance } => {
-            hub.leave(&instance);
-            StatusCode::OK
-        }
+async fn carry_out(hub: &Rc<Hub>, call: ControlCall) -> StatusCode {
+    let acknowledged = match call {
+        ControlCall::Readiness if hub.with_node(|node| node.is_ready()) => return StatusCode::OK,
+        ControlCall::Readiness => return StatusCode::SERVICE_UNAVAILABLE,
+        ControlCall::Heartbeat(heartbeat) => hub.announce(|announcement| Event::Heartbeat {
+            announcement,
+            heartbeat,
+        }),
+        ControlCall::Leave { instance } => hub.announce(|announcement| Event::BackEndLeaves {
+            announcement,
+            instance,
+        }),
+    };
+    match acknowledged.await {
+        Ok(true) => StatusCode::OK,
+        Ok(false) | Err(_) => StatusCode::NOT_FOUND,
     }
 }
 
--- a/crates/rillgap-sidecar/src/hub.rs
+++ b/crates/rillgap-sidecar/src/hub.rs
@@ -9,13 +9,14 @@
 
 use rillgap_core::time::Instant;
 use rillgap_forward::action::{Action, CallerAnswer};
-use rillgap_forward::event::{Event, Heartbeat};
-use rillgap_forward::id::{ConnectionId, LinkId, Turn};
+use rillgap_forward::event::Event;
+use rillgap_forward::id::{AnnouncementId, ConnectionId, LinkId, Turn};
 use rillgap_forward::message::LinkMessage;
 use rillgap_forward::node::Node;
 use rillgap_forward::settings::ForwardSettings;
 use tokio::sync::Notify;
 use tokio::sync::mpsc::UnboundedSender;
+use tokio::sync::oneshot;
 
 use crate::back_end::BackEndClient;
 use crate::dialect::Dialect;
@@ -37,6 +38,8 @@
     wake_changed: Notify,
     exit: Notify,
     next_connection: Cell<u64>,
+    next_announcement: Cell<u64>,
+    announcements: RefCell<BTreeMap<AnnouncementId, oneshot::Sender<bool>>>,
     callers: RefCell<BTreeMap<ConnectionId, UnboundedSender<TurnAnswer>>>,
     links: RefCell<BTreeMap<LinkId, UnboundedSender<LinkMessage>>>,
     back_end: BackEndClient,
@@ -66,6 +69,8 @@
             wake_changed: Notify::new(),
             exit: Notify::new(),
             next_connection: Cell::new(0),
+            next_announcement: Cell::new(0),
+            announcements: RefCell::default(),
             callers: RefCell::default(),
             links: RefCell::default(),
             back_end,
@@ -137,26 +142,17 @@
         self.dispatch(Event::LinkClosed(link));
     }
 
-    /// Takes in a heartbeat; returns whether it may be acknowledged.
-    pub fn heartbeat(self: &Rc<Self>, heartbeat: &Heartbeat) -> bool {
-        let mut actions = Vec::new();
-        let now = self.now();
-        let acknowledged = self
-            .node
-            .borrow_mut()
-            .on_heartbeat(now, heartbeat, &mut actions);
-        self.carry_out_all(actions);
-        self.dispatch(Event::Wake);
-        acknowledged
-    }
-
-    /// Takes in that a back end leaves.
-    pub fn leave(self: &Rc<Self>, instance: &str) {
-        let mut actions = Vec::new();
-        let now = self.now();
-        self.node.borrow_mut().on_leave(now, instance, &mut actions);
-        self.carry_out_all(actions);
-        self.dispatch(Event::Wake);
+    /// Hands the node what the back end announces; the receiver gets whether it is acknowledged.
+    pub fn announce(
+        self: &Rc<Self>,
+        event: impl FnOnce(AnnouncementId) -> Event,
+    ) -> oneshot::Receiver<bool> {
+        let (sender, receiver) = oneshot::channel();
+        let id = AnnouncementId(self.next_announcement.get() + 1);
+        self.next_announcement.set(id.0);
+        self.announcements.borrow_mut().insert(id, sender);
+        self.dispatch(event(id));
+        receiver
     }
 
     /// Hands an event to the node and carries out what follows.
@@ -235,6 +231,15 @@
             }
             Action::StartExchange(exchange) => self.back_end.start(self, exchange),
             Action::CancelExchange(exchange) => self.back_end.cancel(exchange),
+            Action::Acknowledge {
+                announcement,
+                is_accepted,
+            } => {
+                if let Some(waiting) = self.announcements.borrow_mut().remove(&announcement) {
+                    // Whoever has announced it may have gone.
+                    let _ = waiting.send(is_accepted);
+                }
+            }
             Action::Probe { probe, path } => self.back_end.probe(self, probe, path),
             Action::CallStore { id, request } => {
                 let hub = self.clone();
--- a/crates/rillgap-sidecar/src/logging/notes.rs
+++ b/crates/rillgap-sidecar/src/logging/notes.rs
@@ -97,10 +97,12 @@
             attempts,
             elapsed_micros,
             configuration,
+            timing,
         } => log::info!(
             uptime, request = request_id.as_str(), route = route.as_str(), status,
             code = code.map_or(0, |code| code.number()), peer = peer.as_str(), attempts,
-            elapsed_micros, configuration; "outbound: answered"
+            elapsed_micros, queued_micros = timing.queued_micros,
+            back_end_micros = timing.back_end_micros, configuration; "outbound: answered"
         ),
         Note::Moved {
             request_id,
@@ -144,12 +146,12 @@
         } => log::info!(
             uptime, version, routes = *routes as u64, source = *source; "configuration: in force"
         ),
+        Note::Store { failure: None } => log::info!(uptime, is_up = true; "store: dependency"),
         Note::Store {
-            is_up,
-            call,
-            detail,
+            failure: Some((call, failure)),
         } => log::warn!(
-            uptime, is_up, call = *call, detail = detail.as_str(); "store: dependency"
+            uptime, is_up = false, call = *call, code = failure.code.number(),
+            detail = failure.detail.as_str(); "store: dependency"
         ),
         Note::Lifecycle { state, in_flight } => log::info!(
             uptime, state = *state, in_flight = *in_flight as u64; "node: lifecycle"
--- a/crates/rillgap-sidecar/src/metrics.rs
+++ b/crates/rillgap-sidecar/src/metrics.rs
@@ -17,6 +17,11 @@
 /// Number of latency buckets, each twice as wide as the one before.
 const LATENCY_BUCKETS: u16 = 14;
 
+/// Lower end of the buckets of the time that nodes add, in seconds.
+const FIRST_FORWARDING_BUCKET: f64 = 0.000_25;
+/// Number of those buckets, each twice as wide as the one before.
+const FORWARDING_BUCKETS: u16 = 12;
+
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct AnswerLabels {
     status: u16,
@@ -45,6 +50,7 @@
     registry: Arc<Registry>,
     answers: Family<AnswerLabels, Counter>,
     latency: Histogram,
+    forwarding: Histogram,
     failures: Family<CodeLabels, Counter>,
     moves: Family<MoveLabels, Counter>,
     store_calls: Family<StoreLabels, Counter>,
@@ -76,10 +82,13 @@
     /// Creates and registers the metrics.
     pub fn new() -> Self {
         let buckets = exponential_buckets(FIRST_LATENCY_BUCKET, 2.0, LATENCY_BUCKETS);
+        let forwarding_buckets =
+            exponential_buckets(FIRST_FORWARDING_BUCKET, 2.0, FORWARDING_BUCKETS);
         let mut metrics = Self {
             registry: Arc::default(),
             answers: Family::default(),
             latency: Histogram::new(buckets),
+            forwarding: Histogram::new(forwarding_buckets),
             failures: Family::default(),
             moves: Family::default(),
             store_calls: Family::default(),
@@ -111,6 +120,8 @@
                 status,
                 code,
                 elapsed_micros,
+                attempts,
+                timing,
                 ..
             } => {
                 let code = code.map_or(0, |code| code.number());
@@ -119,6 +130,11 @@
                     .get_or_create(&AnswerLabels { status, code })
                     .inc();
                 self.latency.observe(*elapsed_micros as f64 / 1e6);
+                if *attempts == 1 && timing.back_end_micros > 0 {
+                    let elsewhere = timing.queued_micros + timing.back_end_micros;
+                    let added = elapsed_micros.saturating_sub(elsewhere);
+                    self.forwarding.observe(added as f64 / 1e6);
+                }
             }
             Note::Moved { paid, .. } => {
                 let paid = if *paid { "yes" } else { "no" };
@@ -156,6 +172,12 @@
             Unit::Seconds,
             self.latency.clone(),
         );
+        registry.register_with_unit(
+            "forwarding_latency",
+            "Time that nodes and links add to a request of one attempt, without queue and back end",
+            Unit::Seconds,
+            self.forwarding.clone(),
+        );
         registry.register(
             "back_end_failures",
             "Requests that the inbound side did not get answered, by result code",
