rillgapctl explain: from a request's identifier to its cause, by logs alone

Going from an identifier to a cause meant grep over the logs of all nodes and knowing which message of which node comes next.

Tests: seven, on lines of three nodes.

--- a/crates/rillgap-cli/src/arguments.rs
+++ b/crates/rillgap-cli/src/arguments.rs
@@ -87,6 +87,20 @@
     Status(StatusArguments),
     /// One node.
     Node(NodeArguments),
+    /// Logs.
+    Explain(ExplainArguments),
+}
+
+/// tell from logs of nodes what became of a request and why; asks no node
+#[derive(Clone, Debug, PartialEq, Eq, FromArgs)]
+#[argh(subcommand, name = "explain")]
+pub struct ExplainArguments {
+    /// identifier of the request
+    #[argh(positional)]
+    pub request: String,
+    /// logs of nodes, each named after its node (default: standard input)
+    #[argh(positional)]
+    pub files: Vec<PathBuf>,
 }
 
 /// show, check, compare or replace the policy
--- a/crates/rillgap-cli/src/command.rs
+++ b/crates/rillgap-cli/src/command.rs
@@ -1,6 +1,7 @@
 //! The commands.
 
-use std::io::Write;
+use std::fs::File;
+use std::io::{BufReader, Write};
 use std::path::Path;
 use std::time::Duration;
 
@@ -12,10 +13,12 @@
 use uuid::Uuid;
 
 use crate::arguments::{
-    ApplyPolicyArguments, Arguments, BackEndCommand, Command, NodeCommand, PolicyCommand, Seconds,
+    ApplyPolicyArguments, Arguments, BackEndCommand, Command, ExplainArguments, NodeCommand,
+    PolicyCommand, Seconds,
 };
 use crate::difference;
 use crate::error::CommandError;
+use crate::explain::Explainer;
 use crate::output::Printer;
 use crate::policy_file;
 use crate::session::{Alteration, Session};
@@ -25,6 +28,13 @@
     arguments: Arguments,
     output: &mut impl Write,
 ) -> Result<ResultCode, CommandError> {
+    if let Command::Explain(explain) = &arguments.command {
+        let mut printer = Printer {
+            form: arguments.output,
+            target: output,
+        };
+        return explain_to(explain, &mut printer);
+    }
     let session = Session::new(&arguments)?;
     let printer = Printer {
         form: arguments.output,
@@ -50,6 +60,7 @@
             Command::Node(node) => match node.command {
                 NodeCommand::Stop(_) => self.stop().await,
             },
+            Command::Explain(explain) => explain_to(&explain, &mut self.printer),
         }
     }
 
@@ -140,6 +151,33 @@
     }
 }
 
+/// Explains a request; needs no node.
+fn explain_to<W: Write>(
+    arguments: &ExplainArguments,
+    printer: &mut Printer<'_, W>,
+) -> Result<ResultCode, CommandError> {
+    let mut explainer = Explainer::new(&arguments.request);
+    for file in &arguments.files {
+        let unreadable = |source| CommandError::Unreadable {
+            file: file.clone(),
+            source,
+        };
+        let node = file.file_stem().unwrap_or_default().to_string_lossy();
+        let log = File::open(file).map_err(unreadable)?;
+        let read = explainer.read(&node, BufReader::new(log));
+        read.map_err(unreadable)?;
+    }
+    if arguments.files.is_empty() {
+        explainer.read("", std::io::stdin().lock())?;
+    }
+    let explanation = explainer.explain();
+    printer.explanation(&explanation)?;
+    Ok(match explanation.path.is_empty() {
+        true => ResultCode::TargetUnknown,
+        false => ResultCode::Ok,
+    })
+}
+
 fn draw_change() -> ChangeId {
     ChangeId(Uuid::now_v7().as_u128())
 }
--- /dev/null
+++ b/crates/rillgap-cli/src/explain/mod.rs
@@ -0,0 +1,118 @@
+//! From a request's identifier to its cause, by the logs of nodes alone.
+
+mod record;
+mod verdict;
+
+use std::collections::BTreeSet;
+use std::io::{self, BufRead};
+
+use serde::Serialize;
+
+pub use record::Record;
+pub use verdict::Verdict;
+
+/// Time before a request's first line from which changes of what its nodes believe are shown, in
+/// seconds.
+const CONTEXT_SECONDS: f64 = 5.0;
+/// Most lines about beliefs that are kept while logs are read.
+const MOST_BELIEFS: usize = 200_000;
+
+/// What logs tell of a request.
+#[derive(Clone, Debug, Serialize)]
+pub struct Explanation {
+    /// Identifier that was asked for.
+    pub request: String,
+    /// How the request ended and why.
+    pub verdict: Verdict,
+    /// Lines about the request, its calls and the requests that it was made for, in their order.
+    pub path: Vec<Record>,
+    /// What the nodes on that path began to believe shortly before.
+    pub beliefs: Vec<Record>,
+}
+
+/// Reads logs and keeps what a request needs.
+#[derive(Debug)]
+pub struct Explainer {
+    request: String,
+    path: Vec<Record>,
+    beliefs: Vec<Record>,
+}
+
+impl Explainer {
+    /// Creates an explainer of a request.
+    pub fn new(request: &str) -> Self {
+        Self {
+            request: request.to_owned(),
+            path: Vec::new(),
+            beliefs: Vec::new(),
+        }
+    }
+
+    /// Reads a log; `node` names the node of lines that do not.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the log cannot be read.
+    pub fn read(&mut self, node: &str, log: impl BufRead) -> io::Result<()> {
+        for line in log.split(b'\n') {
+            let line = line?;
+            let text = String::from_utf8_lossy(&line);
+            if let Some(record) = Record::parse(&text, node) {
+                self.take(record);
+            }
+        }
+        Ok(())
+    }
+
+    /// Returns what the logs tell.
+    pub fn explain(mut self) -> Explanation {
+        let by_time = |left: &Record, right: &Record| left.time.total_cmp(&right.time);
+        self.path.sort_by(by_time);
+        let beliefs = self.relevant_beliefs();
+        Explanation {
+            verdict: Verdict::of(&self.request, &self.path),
+            request: self.request,
+            path: self.path,
+            beliefs,
+        }
+    }
+
+    fn take(&mut self, record: Record) {
+        match &record.request {
+            Some(id) if extends(id, &self.request) || extends(&self.request, id) => {
+                self.path.push(record);
+            }
+            Some(_) => {}
+            None if self.beliefs.len() < MOST_BELIEFS => self.beliefs.push(record),
+            None => {}
+        }
+    }
+
+    fn relevant_beliefs(&mut self) -> Vec<Record> {
+        let (Some(first), Some(last)) = (self.path.first(), self.path.last()) else {
+            return Vec::new();
+        };
+        let span = first.time - CONTEXT_SECONDS..=last.time;
+        let nodes: BTreeSet<&str> = self
+            .path
+            .iter()
+            .flat_map(|record| [Some(record.node.as_str()), record.text("peer")])
+            .flatten()
+            .collect();
+        let mut beliefs: Vec<Record> = self
+            .beliefs
+            .iter()
+            .filter(|record| span.contains(&record.time) && nodes.contains(record.node.as_str()))
+            .cloned()
+            .collect();
+        beliefs.sort_by(|left, right| left.time.total_cmp(&right.time));
+        beliefs
+    }
+}
+
+/// Returns whether an identifier is another one or extends it behind a separator, as that of a call
+/// extends that of the request which it is made for.
+fn extends(id: &str, shorter: &str) -> bool {
+    let rest = id.strip_prefix(shorter);
+    rest.is_some_and(|rest| !rest.starts_with(|next: char| next.is_alphanumeric()))
+}
--- /dev/null
+++ b/crates/rillgap-cli/src/explain/verdict.rs
@@ -0,0 +1,125 @@
+//! How a request ended, and what the lines about it say of the cause.
+
+use rillgap_core::code::ResultCode;
+use serde::Serialize;
+
+use super::{Record, extends};
+
+/// Message of the line that tells a request's end.
+const ANSWERED: &str = "outbound: answered";
+/// Message of the line with which the node beside a back end gives a request up.
+const NO_ANSWER: &str = "inbound: no answer";
+/// Message of the line that tells that the caller left.
+const CALLER_GONE: &str = "outbound: caller gone";
+/// Status from which an answer is a failure.
+const FAILURE: u64 = 500;
+
+/// How a request ended, and why.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct Verdict {
+    /// Status that the caller got; `None` if no line tells.
+    pub status: Option<u64>,
+    /// Number of the result code; 0 for an answer of the back end's own.
+    pub code: Option<u64>,
+    /// One sentence for each step from the end to the cause.
+    pub because: Vec<String>,
+}
+
+impl Verdict {
+    /// Judges by the lines about a request and its calls, in their order.
+    pub fn of(request: &str, path: &[Record]) -> Self {
+        let Some(answer) = last(path, request, ANSWERED) else {
+            return Self::without_end(request, path);
+        };
+        let (status, code) = (answer.number("status"), answer.number("code"));
+        let mut because = vec![describe_answer(answer)];
+        if let Some(refusal) = last(path, request, NO_ANSWER) {
+            because.push(describe_no_answer(refusal));
+        }
+        // A failure of the back end's own may come from a call that it made.
+        if code == Some(0)
+            && status >= Some(FAILURE)
+            && let Some(call) = failed_call(path, request)
+        {
+            because.extend(Self::of(call, path).because);
+        }
+        Self {
+            status,
+            code,
+            because,
+        }
+    }
+
+    fn without_end(request: &str, path: &[Record]) -> Self {
+        let sentence = if path.is_empty() {
+            "no line tells of it: it succeeded and was not sampled, or the logs are not those of \
+             its node and time"
+                .to_owned()
+        } else if last(path, request, CALLER_GONE).is_some() {
+            "the caller left before an answer".to_owned()
+        } else {
+            "no line tells its end: the node that took it ended first, or the line was left out"
+                .to_owned()
+        };
+        let mut because = vec![sentence];
+        let refusal = last(path, request, NO_ANSWER).map(describe_no_answer);
+        because.extend(refusal);
+        Self {
+            status: None,
+            code: None,
+            because,
+        }
+    }
+}
+
+fn last<'a>(path: &'a [Record], request: &str, message: &str) -> Option<&'a Record> {
+    path.iter()
+        .rev()
+        .find(|record| record.request.as_deref() == Some(request) && record.message == message)
+}
+
+/// Returns the first call of a request that ended in a failure.
+fn failed_call<'a>(path: &'a [Record], request: &str) -> Option<&'a str> {
+    path.iter()
+        .filter(|record| record.message == ANSWERED && record.number("status") >= Some(FAILURE))
+        .filter_map(|record| record.request.as_deref())
+        .find(|id| *id != request && extends(id, request))
+}
+
+fn title(code: u64) -> &'static str {
+    let known = |known: &&ResultCode| u64::from(known.number()) == code;
+    let code = ResultCode::ALL.iter().find(known);
+    code.map_or("unknown code", |code| code.title())
+}
+
+fn describe_answer(answer: &Record) -> String {
+    let node = &answer.node;
+    let status = answer.number("status").unwrap_or(0);
+    let code = answer.number("code").unwrap_or(0);
+    let attempts = answer.number("attempts").unwrap_or(0);
+    let millis = answer.number("elapsed_micros").unwrap_or(0) as f64 / 1_000.0;
+    let reason = match code {
+        0 => "the answer of a back end".to_owned(),
+        code => format!("code {code}, {}", title(code)),
+    };
+    let peer = answer.text("peer").filter(|peer| !peer.is_empty());
+    let peer = peer.map_or(String::new(), |peer| format!(", last at {peer}"));
+    let request = answer.request.as_deref().unwrap_or_default();
+    format!(
+        "{request}: {node} answered {status} ({reason}) after {millis:.1} ms and {attempts} \
+         attempts{peer}"
+    )
+}
+
+fn describe_no_answer(refusal: &Record) -> String {
+    let node = &refusal.node;
+    let code = refusal.number("code").unwrap_or(0);
+    let reason = title(code);
+    let count = |name| refusal.number(name).unwrap_or(0);
+    format!(
+        "{node} gave it up (code {code}, {reason}) with {} running and {} waiting of {} allowed",
+        count("running"),
+        count("queued"),
+        count("limit")
+    )
+}
--- a/crates/rillgap-cli/src/output.rs
+++ b/crates/rillgap-cli/src/output.rs
@@ -11,6 +11,7 @@
 use crate::arguments::OutputForm;
 use crate::difference::Difference;
 use crate::error::CommandError;
+use crate::explain::{Explanation, Record};
 use crate::policy_file;
 
 /// Writes the results of commands.
@@ -65,6 +66,36 @@
         self.line(&format!("{count} differences against version {version}"))
     }
 
+    /// Writes what became of a request.
+    pub fn explanation(&mut self, explanation: &Explanation) -> Result<(), CommandError> {
+        if self.form == OutputForm::Json {
+            return self.json(&json!(explanation));
+        }
+        for sentence in &explanation.verdict.because {
+            self.line(sentence)?;
+        }
+        self.records("\nPath", &explanation.path)?;
+        self.records("\nWhat its nodes began to believe", &explanation.beliefs)
+    }
+
+    fn records(&mut self, title: &str, records: &[Record]) -> Result<(), CommandError> {
+        let Some(first) = records.first() else {
+            return Ok(());
+        };
+        self.line(title)?;
+        let width = records.iter().map(|record| record.node.len()).max();
+        let width = width.unwrap_or(0);
+        for record in records {
+            let after = (record.time - first.time) * 1_000.0;
+            let (node, message, detail) = (&record.node, &record.message, record.detail());
+            let request = record.request.as_deref().unwrap_or_default();
+            self.line(&format!(
+                "{after:9.1} ms  {node:width$}  {message}  {request} {detail}"
+            ))?;
+        }
+        Ok(())
+    }
+
     /// Writes how far a change has come.
     pub fn change(&mut self, id: ChangeId, change: &Change) -> Result<(), CommandError> {
         let id = change_text(id);
--- /dev/null
+++ b/crates/rillgap-cli/tests/explain.rs
@@ -0,0 +1,132 @@
+//! From a request's identifier to its cause, by logs alone.
+
+use googletest::prelude::*;
+use rillgap_cli::explain::{Explainer, Explanation};
+
+/// Lines of three nodes, as a collector gathers them.
+const LOG: &str = r#"
+  31.1000 entry-1 {"level":"INFO","message":"mesh: peer","peer":"fares-2","is_up":false,"cause":"link closed","time":100.0,"uptime":9.0}
+  20.0000 entry-1 {"level":"INFO","message":"store: dependency","is_up":true,"time":80.0,"uptime":1.0}
+  31.2000 fares-1 {"code":41,"elapsed_micros":0,"level":"INFO","limit":36,"message":"inbound: no answer","queued":89,"reason":"shed","request":"a1.b2","running":36,"time":100.3,"uptime":9.3}
+  31.2001 books-1 {"code":41,"level":"INFO","message":"outbound: answered","request":"a1.b2","status":503,"peer":"fares-1","attempts":1,"elapsed_micros":2100,"configuration":7,"time":100.301,"uptime":9.3}
+  31.2010 entry-1 {"code":0,"level":"INFO","message":"outbound: answered","request":"a1","status":500,"peer":"books-1","attempts":1,"elapsed_micros":52000,"configuration":7,"time":100.31,"uptime":9.3}
+not a record
+  31.3000 entry-1 {"code":40,"level":"INFO","message":"outbound: answered","request":"c3","status":503,"peer":"","attempts":0,"elapsed_micros":0,"configuration":7,"time":100.4,"uptime":9.4}
+  31.4000 entry-1 {"level":"INFO","message":"outbound: caller gone","request":"d4","time":100.5,"uptime":9.5}
+  31.4000 fares-1 {"code":71,"elapsed_micros":480,"level":"INFO","limit":36,"message":"inbound: no answer","queued":0,"request":"e5","running":3,"time":100.5,"uptime":9.5}
+"#;
+
+fn explain(request: &str) -> Explanation {
+    let mut explainer = Explainer::new(request);
+    explainer.read("", LOG.as_bytes()).expect("a log");
+    explainer.explain()
+}
+
+fn sentences(request: &str) -> Vec<String> {
+    explain(request).verdict.because
+}
+
+#[gtest]
+fn failed_request_leads_to_the_call_that_failed_and_to_its_queue() {
+    let because = sentences("a1");
+    expect_that!(because.len(), eq(3));
+    expect_that!(
+        because[0],
+        contains_substring("entry-1 answered 500 (the answer of a back end)")
+    );
+    expect_that!(
+        because[1],
+        contains_substring("a1.b2: books-1 answered 503 (code 41")
+    );
+    expect_that!(
+        because[2],
+        contains_substring("36 running and 89 waiting of 36 allowed")
+    );
+}
+
+#[gtest]
+fn path_is_in_order_and_beliefs_are_those_of_its_nodes_shortly_before() {
+    let explanation = explain("a1");
+    let nodes: Vec<&str> = explanation
+        .path
+        .iter()
+        .map(|record| record.node.as_str())
+        .collect();
+    expect_that!(
+        nodes,
+        elements_are![eq(&"fares-1"), eq(&"books-1"), eq(&"entry-1")]
+    );
+    let beliefs: Vec<&str> = explanation
+        .beliefs
+        .iter()
+        .map(|record| record.message.as_str())
+        .collect();
+    expect_that!(beliefs, elements_are![eq(&"mesh: peer")]);
+}
+
+#[gtest]
+fn refusal_at_the_entry_needs_no_other_node() {
+    let verdict = explain("c3").verdict;
+    expect_that!(verdict.status, some(eq(503)));
+    expect_that!(
+        verdict.because,
+        elements_are![contains_substring("code 40, overloaded")]
+    );
+}
+
+#[gtest]
+fn request_without_an_end_says_why_it_may_have_none() {
+    expect_that!(
+        sentences("d4"),
+        elements_are![contains_substring("caller left")]
+    );
+    let unfinished = sentences("e5");
+    expect_that!(unfinished[0], contains_substring("no line tells its end"));
+    expect_that!(
+        unfinished[1],
+        contains_substring("fares-1 gave it up (code 71")
+    );
+    expect_that!(
+        sentences("none"),
+        elements_are![contains_substring("not sampled")]
+    );
+}
+
+#[gtest]
+fn call_shows_the_request_that_it_was_made_for() {
+    let requests: Vec<_> = explain("a1.b2")
+        .path
+        .into_iter()
+        .filter_map(|record| record.request)
+        .collect();
+    expect_that!(requests, contains(eq("a1")));
+    // No call of `a`: nothing separates the rest.
+    expect_that!(explain("a").path, is_empty());
+}
+
+#[gtest]
+fn node_is_named_by_the_line_its_prefix_or_the_file() {
+    let mut explainer = Explainer::new("x");
+    let line = r#"{"message":"outbound: caller gone","request":"x","time":1.0}"#;
+    explainer.read("from-file", line.as_bytes()).expect("a log");
+    let prefixed = format!("2026-12-02 from-prefix {line}");
+    explainer
+        .read("from-file", prefixed.as_bytes())
+        .expect("a log");
+    let nodes: Vec<String> = explainer
+        .explain()
+        .path
+        .into_iter()
+        .map(|record| record.node)
+        .collect();
+    expect_that!(nodes, elements_are![eq("from-file"), eq("from-prefix")]);
+}
+
+#[gtest]
+fn broken_lines_are_passed_over() {
+    let mut explainer = Explainer::new("x");
+    let log: &[u8] =
+        b"{\n{}\n{\"message\":7}\n\xff\xfe{\"message\":\"m\"}\n{\"message\":\"m\",\"time\":\"x\"}";
+    explainer.read("n", log).expect("a log");
+    expect_that!(explainer.explain().path, is_empty());
+}
