Log: moves of the admitted share; explain follows a call whose last line was left out

For five refused with code 40 the log did not tell which service was under pressure nor which share was let in; one 500 stopped at a call whose last line was left out though the node that refused the call below had told it; one 504 of a back end that did not answer in time was told as such.

Tests: reports of moved shares; a call without its last line.

--- a/crates/rillgap-cli/src/explain/verdict.rs
+++ b/crates/rillgap-cli/src/explain/verdict.rs
@@ -28,47 +28,46 @@
 impl Verdict {
     /// Judges by the lines about a request and its calls, in their order.
     pub fn of(request: &str, path: &[Record]) -> Self {
-        let Some(answer) = last(path, request, ANSWERED) else {
-            return Self::without_end(request, path);
-        };
-        let (status, code) = (answer.number("status"), answer.number("code"));
-        let mut because = vec![describe_answer(answer)];
-        if let Some(refusal) = last(path, request, NO_ANSWER) {
-            because.push(describe_no_answer(refusal));
-        }
-        // A failure of the back end's own may come from a call that it made.
-        if code == Some(0)
-            && status >= Some(FAILURE)
-            && let Some(call) = failed_call(path, request)
-        {
-            because.extend(Self::of(call, path).because);
-        }
+        let answer = last(path, request, ANSWERED);
         Self {
-            status,
-            code,
-            because,
+            status: answer.and_then(|answer| answer.number("status")),
+            code: answer.and_then(|answer| answer.number("code")),
+            because: steps(request, path),
         }
     }
+}
 
-    fn without_end(request: &str, path: &[Record]) -> Self {
-        let sentence = if path.is_empty() {
-            "no line tells of it: it succeeded and was not sampled, or the logs are not those of \
-             its node and time"
-                .to_owned()
-        } else if last(path, request, CALLER_GONE).is_some() {
-            "the caller left before an answer".to_owned()
-        } else {
-            "no line tells its end: the node that took it ended first, or the line was left out"
-                .to_owned()
-        };
-        let mut because = vec![sentence];
-        let refusal = last(path, request, NO_ANSWER).map(describe_no_answer);
-        because.extend(refusal);
-        Self {
-            status: None,
-            code: None,
-            because,
-        }
+/// Returns a sentence for each step from a request's end to its cause.
+fn steps(request: &str, path: &[Record]) -> Vec<String> {
+    let answer = last(path, request, ANSWERED);
+    let refusal = last(path, request, NO_ANSWER);
+    let mut sentences = Vec::new();
+    sentences.push(match answer {
+        Some(answer) => describe_answer(answer),
+        None => describe_missing_end(request, path).to_owned(),
+    });
+    sentences.extend(refusal.map(describe_no_answer));
+    // A failure of the back end's own may come from a call that it made.
+    let is_own_failure = answer.is_none_or(|answer| {
+        answer.number("code") == Some(0) && answer.number("status") >= Some(FAILURE)
+    });
+    if is_own_failure
+        && refusal.is_none()
+        && let Some(call) = failed_call(path, request)
+    {
+        sentences.extend(steps(call, path));
+    }
+    sentences
+}
+
+fn describe_missing_end(request: &str, path: &[Record]) -> &'static str {
+    if path.is_empty() {
+        "no line tells of it: it succeeded and was not sampled, or the logs are not those of its \
+         node and time"
+    } else if last(path, request, CALLER_GONE).is_some() {
+        "the caller left before an answer"
+    } else {
+        "no line tells its end: the node that took it ended first, or the line was left out"
     }
 }
 
@@ -78,12 +77,18 @@
         .find(|record| record.request.as_deref() == Some(request) && record.message == message)
 }
 
-/// Returns the first call of a request that ended in a failure.
+/// Returns the first call of a request that came to nothing.
 fn failed_call<'a>(path: &'a [Record], request: &str) -> Option<&'a str> {
+    let is_failure = |record: &&Record| {
+        let answered = record.message == ANSWERED && record.number("status") >= Some(FAILURE);
+        answered || record.message == NO_ANSWER
+    };
     path.iter()
-        .filter(|record| record.message == ANSWERED && record.number("status") >= Some(FAILURE))
+        .filter(is_failure)
         .filter_map(|record| record.request.as_deref())
-        .find(|id| *id != request && extends(id, request))
+        .filter(|id| *id != request && extends(id, request))
+        // Of several calls one below the other, the nearest.
+        .min_by_key(|id| id.len())
 }
 
 fn title(code: u64) -> &'static str {
@@ -113,11 +118,12 @@
 
 fn describe_no_answer(refusal: &Record) -> String {
     let node = &refusal.node;
+    let request = refusal.request.as_deref().unwrap_or_default();
     let code = refusal.number("code").unwrap_or(0);
     let reason = title(code);
     let count = |name| refusal.number(name).unwrap_or(0);
     format!(
-        "{node} gave it up (code {code}, {reason}) with {} running and {} waiting of {} allowed",
+        "{request}: {node} gave it up (code {code}, {reason}) with {} running and {} waiting of {} allowed",
         count("running"),
         count("queued"),
         count("limit")
--- a/crates/rillgap-cli/tests/explain.rs
+++ b/crates/rillgap-cli/tests/explain.rs
@@ -44,6 +44,23 @@
     );
 }
 
+#[gtest]
+fn call_is_followed_also_if_its_last_line_was_left_out() {
+    let log: String = LOG
+        .lines()
+        .filter(|line| !line.contains("books-1 {"))
+        .map(|line| format!("{line}\n"))
+        .collect();
+    let mut explainer = Explainer::new("a1");
+    explainer.read("", log.as_bytes()).expect("a log");
+    let because = explainer.explain().verdict.because;
+    expect_that!(because[0], contains_substring("entry-1 answered 500"));
+    expect_that!(
+        because[2],
+        contains_substring("a1.b2: fares-1 gave it up (code 41")
+    );
+}
+
 #[gtest]
 fn path_is_in_order_and_beliefs_are_those_of_its_nodes_shortly_before() {
     let explanation = explain("a1");
--- a/crates/rillgap-forward/src/note.rs
+++ b/crates/rillgap-forward/src/note.rs
@@ -71,6 +71,17 @@
         /// Number of the last heartbeat.
         sequence: u64,
     },
+    /// The admitted share of a route has moved.
+    Admission {
+        /// Route.
+        route: String,
+        /// Admitted share, rounded up to a tenth.
+        admitted_percent: u32,
+        /// Service whose requests wait longest.
+        service: String,
+        /// Their mean wait, as a share of the one from which requests are refused at the entry.
+        pressure_percent: u32,
+    },
     /// A peer can be reached, or not any more.
     Peer {
         /// Name of the peer.
--- a/crates/rillgap-forward/src/outbound/mod.rs
+++ b/crates/rillgap-forward/src/outbound/mod.rs
@@ -216,7 +216,7 @@
     /// Answers requests whose time is over, and moves the admitted shares.
     pub fn poll(&mut self, now: Instant, context: &mut OutboundContext<'_>) {
         if self.throttle.is_due(now) {
-            self.throttle.step(now, pressure::pressure(context));
+            self.step_throttle(now, context);
         }
         while let Some((deadline, key)) = self.deadlines.first().copied() {
             if deadline > now {
@@ -226,6 +226,19 @@
         }
     }
 
+    fn step_throttle(&mut self, now: Instant, context: &mut OutboundContext<'_>) {
+        let pressure = pressure::pressure(context);
+        self.throttle.step(now, pressure.ratio);
+        for (route, tenths) in self.throttle.take_reports() {
+            context.out.push(Action::Note(Note::Admission {
+                route,
+                admitted_percent: u32::from(tenths) * 10,
+                service: pressure.service.clone(),
+                pressure_percent: (pressure.ratio * 100.0) as u32,
+            }));
+        }
+    }
+
     /// Returns what became of the back end's calls since the last look, by the request that each is
     /// made for.
     pub fn take_call_progress(&mut self) -> Vec<(String, CallProgress)> {
--- a/crates/rillgap-forward/src/outbound/pressure.rs
+++ b/crates/rillgap-forward/src/outbound/pressure.rs
@@ -5,9 +5,17 @@
 use super::OutboundContext;
 use crate::inbound::PRESSURE_MICROS;
 
-/// Returns the longest mean wait at any service, relative to the one from which a service counts
-/// as under pressure.
-pub(super) fn pressure(context: &OutboundContext<'_>) -> f64 {
+/// Longest mean wait at any service.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub(super) struct Pressure {
+    /// The service; empty if none is known.
+    pub service: String,
+    /// Mean wait relative to the one from which a service counts as under pressure.
+    pub ratio: f64,
+}
+
+/// Returns the pressure at the service where it is highest.
+pub(super) fn pressure(context: &OutboundContext<'_>) -> Pressure {
     let mut waits = BTreeMap::new();
     context.directory.collect_waits(&mut waits);
     let own = &context.own_status;
@@ -16,8 +24,13 @@
         *sum += u64::from(own.load.wait_micros);
         *count += 1;
     }
+    let at_service = |(service, (sum, count)): (String, (u64, u64))| Pressure {
+        service,
+        ratio: sum as f64 / (count as f64 * f64::from(PRESSURE_MICROS)),
+    };
     waits
-        .values()
-        .map(|(sum, count)| *sum as f64 / (*count as f64 * f64::from(PRESSURE_MICROS)))
-        .fold(0.0, f64::max)
+        .into_iter()
+        .map(at_service)
+        .max_by(|left, right| left.ratio.total_cmp(&right.ratio))
+        .unwrap_or_default()
 }
--- a/crates/rillgap-forward/src/throttle.rs
+++ b/crates/rillgap-forward/src/throttle.rs
@@ -51,6 +51,8 @@
     succeeded: f64,
     failed: f64,
     dependent_until: Instant,
+    /// Share that was reported last, in tenths.
+    reported_tenths: u8,
 }
 
 impl RouteState {
@@ -61,9 +63,17 @@
             succeeded: 0.0,
             failed: 0.0,
             dependent_until: Instant::from_micros(0),
+            reported_tenths: 10,
         }
     }
 
+    /// Returns the admitted share in tenths, if it differs from what was reported last.
+    fn take_report(&mut self) -> Option<u8> {
+        let tenths = (self.share * 10.0).ceil() as u8;
+        let before = std::mem::replace(&mut self.reported_tenths, tenths);
+        (before != tenths).then_some(tenths)
+    }
+
     /// Returns the failing share of recent outcomes; zero if there are too few.
     fn failing(&self) -> f64 {
         let outcomes = self.succeeded + self.failed;
@@ -149,6 +159,15 @@
         }
     }
 
+    /// Returns the routes whose admitted share has moved by a tenth or more since the last look, with
+    /// their shares in tenths.
+    pub fn take_reports(&mut self) -> Vec<(String, u8)> {
+        self.routes
+            .iter_mut()
+            .filter_map(|(route, state)| Some((route.clone(), state.take_report()?)))
+            .collect()
+    }
+
     fn find_dependent(&mut self, now: Instant, pressure: f64) {
         if pressure <= 1.0 {
             return;
--- a/crates/rillgap-forward/tests/policies.rs
+++ b/crates/rillgap-forward/tests/policies.rs
@@ -226,6 +226,24 @@
     expect_that!(throttle.share("chained"), eq(1.0));
 }
 
+#[gtest]
+fn moves_of_an_admitted_share_are_reported_once() {
+    let mut throttle = Throttle::new(1);
+    let mut reports = Vec::new();
+    for step in 0..100 {
+        for _ in 0..20 {
+            throttle.ended("/a/", 1, Outcome::Failed);
+        }
+        let pressure = if step < 50 { 4.0 } else { 0.0 };
+        throttle.step(at(step * 200), pressure);
+        reports.extend(throttle.take_reports());
+    }
+    let tenths: Vec<u8> = reports.iter().map(|(_, tenths)| *tenths).collect();
+    expect_that!(tenths.iter().min(), some(eq(&1)));
+    expect_that!(tenths.last(), some(eq(&10)));
+    expect_that!(tenths.windows(2).all(|pair| pair[0] != pair[1]), eq(true));
+}
+
 /// Nodes of a small deployment.
 const NODES: usize = 12;
 
--- a/crates/rillgap-sidecar/src/logging/notes.rs
+++ b/crates/rillgap-sidecar/src/logging/notes.rs
@@ -136,6 +136,15 @@
             uptime, instance = instance.as_str(), standing = *standing, cause = *cause, sequence;
             "inbound: back end"
         ),
+        Note::Admission {
+            route,
+            admitted_percent,
+            service,
+            pressure_percent,
+        } => log::info!(
+            uptime, route = route.as_str(), admitted_percent, service = service.as_str(),
+            pressure_percent; "outbound: admission"
+        ),
         Note::Peer { peer, is_up, cause } => log::info!(
             uptime, peer = peer.as_str(), is_up, cause = *cause; "mesh: peer"
         ),
