Belief: a bad health answer is outweighed only by an answer since the probe began

From the log: three flapping back ends of the deepest service lost answers after a millisecond from 6.3 s on, their health endpoint said no, but stayed in service until 7.6 s, since a request had been answered within the last second; 5,081 requests were turned away there instead of 52.

Ruled out: the smaller floor of the retry budget (the turned away requests are first sends); the cost of failures (the share was reported; each of 73 nodes has to learn it, and the back end should have been out).

Change: only an answer that came after the probe began outweighs a bad health answer.

Test fails first: back_end_that_stops_answering_is_taken_out_at_the_first_bad_health_answer.

--- a/crates/rillgap-forward/src/inbound/back_end.rs
+++ b/crates/rillgap-forward/src/inbound/back_end.rs
@@ -17,8 +17,6 @@
 const SILENT_INTERVALS: f64 = 3.2;
 /// Lost answers in a row after which the back end is probed.
 const LOST_IN_A_ROW: u32 = 3;
-/// Time for which an answer to a request outweighs a health endpoint that says no.
-const ANSWER_COUNTS: Duration = Duration::from_secs(1);
 /// Incarnations that are remembered as having left.
 const MOST_LEFT: usize = 64;
 
@@ -71,7 +69,8 @@
     announced: Option<Announcement>,
     left: BTreeSet<String>,
     heard_at: Instant,
-    answered_at: Option<Instant>,
+    /// Whether a request was answered since the last probe began.
+    answered_since_probe: bool,
     lost_in_a_row: u32,
     wants_probe: bool,
     probing: Option<ProbeId>,
@@ -89,7 +88,7 @@
             announced: None,
             left: BTreeSet::new(),
             heard_at: Instant::default(),
-            answered_at: None,
+            answered_since_probe: false,
             lost_in_a_row: 0,
             wants_probe: false,
             probing: None,
@@ -178,18 +177,18 @@
         self.probing = None;
         match result {
             ProbeResult::Healthy { instance } => self.confirm(now, instance),
-            // Health endpoints may be wrong; what the back end does counts more.
-            ProbeResult::Unhealthy if self.has_answered_lately(now) => Effect::NONE,
+            // Health endpoints may be wrong; what the back end does meanwhile counts more.
+            ProbeResult::Unhealthy if self.answered_since_probe => Effect::NONE,
             ProbeResult::Unhealthy => self.down("health endpoint says no"),
             ProbeResult::Unreachable => self.down("health endpoint unreachable"),
         }
     }
 
     /// Takes in how a request ended.
-    pub fn on_exchange(&mut self, now: Instant, result: &ExchangeResult) -> Effect {
+    pub fn on_exchange(&mut self, result: &ExchangeResult) -> Effect {
         match result {
             ExchangeResult::Answered(_) => {
-                self.answered_at = Some(now);
+                self.answered_since_probe = true;
                 self.lost_in_a_row = 0;
                 Effect::NONE
             }
@@ -206,11 +205,6 @@
         }
     }
 
-    fn has_answered_lately(&self, now: Instant) -> bool {
-        self.answered_at
-            .is_some_and(|at| now.saturating_since(at) < ANSWER_COUNTS)
-    }
-
     /// Takes in that a request got no answer.
     pub fn on_silence(&mut self) -> Effect {
         self.lost_in_a_row += 1;
@@ -247,6 +241,7 @@
         self.next_probe += 1;
         let probe = ProbeId(self.next_probe);
         self.probing = Some(probe);
+        self.answered_since_probe = false;
         probe
     }
 
--- a/crates/rillgap-forward/src/inbound/mod.rs
+++ b/crates/rillgap-forward/src/inbound/mod.rs
@@ -328,7 +328,7 @@
             self.times.record(&running.request.route, elapsed);
         }
         self.record_outcome(now, &running, &result);
-        let effect = self.back_end.on_exchange(now, &result);
+        let effect = self.back_end.on_exchange(&result);
         let result = self.forward_result(result);
         if running.is_awaited {
             self.note_failure(now, &running, &result, out);
--- a/crates/rillgap-forward/tests/inbound.rs
+++ b/crates/rillgap-forward/tests/inbound.rs
@@ -397,6 +397,18 @@
     expect_that!(test.node.inbound().status().is_serving, eq(true));
 }
 
+#[gtest]
+fn back_end_that_stops_answering_is_taken_out_at_the_first_bad_health_answer() {
+    let mut test = TestNode::serving();
+    // It has answered just before; nothing has been answered since the probe began.
+    run_and_end(&mut test, 1, 1, &ExchangeResult::Answered(answer(200)));
+    run_and_end(&mut test, 2, 3, &ExchangeResult::Lost);
+    let probe = test.probe().expect("a probe");
+    run_and_end(&mut test, 5, 2, &ExchangeResult::Lost);
+    test.end_probe(probe, ProbeResult::Unhealthy);
+    expect_that!(test.node.inbound().status().is_serving, eq(false));
+}
+
 #[gtest]
 fn response_tells_where_the_time_went() {
     let mut test = TestNode::serving();
