Soak: a request that is lost on a kept connection after it was passed on is judged

Change: the judge is told of every unanswered request, and leaves out only those that crossed the close of a kept connection and reached no back end. Test fails first.

--- a/tests/soak/src/caller.rs
+++ b/tests/soak/src/caller.rs
@@ -69,11 +69,9 @@
     let limit = outgoing.deadline + PATIENCE;
     let talk = tokio::time::timeout(limit, talk(&mut connection, outgoing));
     let Ok(Ok(response)) = talk.await else {
-        // A request that crosses the close of a kept connection was not taken.
-        if !was_kept {
-            let now = soak.now();
-            soak.judge().unanswered(now, &outgoing.id, outgoing.is_call);
-        }
+        let now = soak.now();
+        soak.judge()
+            .unanswered(now, &outgoing.id, outgoing.is_call, was_kept);
         return None;
     };
     report(soak, outgoing, &response, (node, run), sent_at);
--- a/tests/soak/src/judge.rs
+++ b/tests/soak/src/judge.rs
@@ -250,14 +250,22 @@
         }
     }
 
-    /// Takes in that a connection ended without an answer to a request.
-    pub fn unanswered(&mut self, at: Moment, id: &str, is_call: bool) {
+    /// Takes in that a connection ended without an answer to a request; `was_kept` if the connection
+    /// had carried another one before.
+    pub fn unanswered(&mut self, at: Moment, id: &str, is_call: bool, was_kept: bool) {
         if !is_call {
             self.totals.failed += 1;
         }
-        let Some(sent) = self.fates.get(id).and_then(|fate| fate.sent.clone()) else {
+        let Some(fate) = self.fates.get(id) else {
             return;
         };
+        let Some(sent) = fate.sent.clone() else {
+            return;
+        };
+        // A request that crosses the close of a kept connection was not taken, unless it was passed on.
+        if was_kept && fate.arrivals == 0 {
+            return;
+        }
         let is_disturbed = self.is_disturbed(sent.at, at);
         let was_planned = self
             .planned
--- a/tests/soak/tests/judge.rs
+++ b/tests/soak/tests/judge.rs
@@ -193,14 +193,27 @@
     judge.planned_stop(1, at(0), at(7_000));
     judge.sent("r1", sent(1_000, true), "front", false);
     judge.sent("r2", sent(20_000, true), "front", false);
-    judge.unanswered(at(1_200), "r1", false);
-    judge.unanswered(at(20_100), "r2", false);
+    judge.unanswered(at(1_200), "r1", false, false);
+    judge.unanswered(at(20_100), "r2", false, false);
     expect_that!(kinds(&judge), eq(&vec!["LOST".to_owned()]));
     judge.disturbed(at(500), at(900));
-    judge.unanswered(at(1_200), "r1", false);
+    judge.unanswered(at(1_200), "r1", false, false);
     expect_that!(judge.violation_count(), eq(1));
 }
 
+#[gtest]
+fn request_that_crosses_the_close_of_a_kept_connection_counts_only_if_it_was_passed_on() {
+    let mut judge = judge();
+    judge.planned_stop(1, at(0), at(7_000));
+    judge.sent("r1", sent(1_000, true), "front", false);
+    judge.unanswered(at(1_200), "r1", false, true);
+    expect_that!(kinds(&judge), is_empty());
+    judge.sent("r2", sent(1_000, true), "front", false);
+    judge.arrived(at(1_100), &arrived("r2"));
+    judge.unanswered(at(1_200), "r2", false, true);
+    expect_that!(kinds(&judge), eq(&vec!["LOST".to_owned()]));
+}
+
 #[gtest]
 fn repeats_beyond_the_budget_are_caught() {
     let mut judge = judge();
