Reading again: one place that explains, one refusal of the simulated store, wrapped comments

rillgapctl explain was carried out in two places, of which one could not be reached: preparing a session asks no node, so it goes the way of `policy check`. Beliefs are sorted by the same order as the path. The simulated store decided twice, in the same lines, whether it serves a host.

--- a/crates/rillgap-cli/src/command.rs
+++ b/crates/rillgap-cli/src/command.rs
@@ -28,13 +28,6 @@
     arguments: Arguments,
     output: &mut impl Write,
 ) -> Result<ResultCode, CommandError> {
-    if let Command::Explain(explain) = &arguments.command {
-        let mut printer = Printer {
-            form: arguments.output,
-            target: output,
-        };
-        return explain_to(explain, &mut printer);
-    }
     let session = Session::new(&arguments)?;
     let printer = Printer {
         form: arguments.output,
@@ -60,7 +53,7 @@
             Command::Node(node) => match node.command {
                 NodeCommand::Stop(_) => self.stop().await,
             },
-            Command::Explain(explain) => explain_to(&explain, &mut self.printer),
+            Command::Explain(explain) => self.explain(&explain),
         }
     }
 
@@ -144,6 +137,29 @@
         Ok(ResultCode::Ok)
     }
 
+    fn explain(&mut self, arguments: &ExplainArguments) -> Result<ResultCode, CommandError> {
+        let mut explainer = Explainer::new(&arguments.request);
+        for file in &arguments.files {
+            let unreadable = |source| CommandError::Unreadable {
+                file: file.clone(),
+                source,
+            };
+            let node = file.file_stem().unwrap_or_default().to_string_lossy();
+            let log = File::open(file).map_err(unreadable)?;
+            let read = explainer.read(&node, BufReader::new(log));
+            read.map_err(unreadable)?;
+        }
+        if arguments.files.is_empty() {
+            explainer.read("", std::io::stdin().lock())?;
+        }
+        let explanation = explainer.explain();
+        self.printer.explanation(&explanation)?;
+        Ok(match explanation.path.is_empty() {
+            true => ResultCode::TargetUnknown,
+            false => ResultCode::Ok,
+        })
+    }
+
     async fn stop(&mut self) -> Result<ResultCode, CommandError> {
         self.session.client().stop_node().await?;
         self.printer.stopping()?;
@@ -151,33 +167,6 @@
     }
 }
 
-/// Explains a request; needs no node.
-fn explain_to<W: Write>(
-    arguments: &ExplainArguments,
-    printer: &mut Printer<'_, W>,
-) -> Result<ResultCode, CommandError> {
-    let mut explainer = Explainer::new(&arguments.request);
-    for file in &arguments.files {
-        let unreadable = |source| CommandError::Unreadable {
-            file: file.clone(),
-            source,
-        };
-        let node = file.file_stem().unwrap_or_default().to_string_lossy();
-        let log = File::open(file).map_err(unreadable)?;
-        let read = explainer.read(&node, BufReader::new(log));
-        read.map_err(unreadable)?;
-    }
-    if arguments.files.is_empty() {
-        explainer.read("", std::io::stdin().lock())?;
-    }
-    let explanation = explainer.explain();
-    printer.explanation(&explanation)?;
-    Ok(match explanation.path.is_empty() {
-        true => ResultCode::TargetUnknown,
-        false => ResultCode::Ok,
-    })
-}
-
 fn draw_change() -> ChangeId {
     ChangeId(Uuid::now_v7().as_u128())
 }
--- a/crates/rillgap-cli/src/explain/mod.rs
+++ b/crates/rillgap-cli/src/explain/mod.rs
@@ -68,7 +68,8 @@
     pub fn explain(mut self) -> Explanation {
         let by_time = |left: &Record, right: &Record| left.time.total_cmp(&right.time);
         self.path.sort_by(by_time);
-        let beliefs = self.relevant_beliefs();
+        let mut beliefs = self.relevant_beliefs();
+        beliefs.sort_by(by_time);
         Explanation {
             verdict: Verdict::of(&self.request, &self.path),
             request: self.request,
@@ -88,7 +89,7 @@
         }
     }
 
-    fn relevant_beliefs(&mut self) -> Vec<Record> {
+    fn relevant_beliefs(&self) -> Vec<Record> {
         let (Some(first), Some(last)) = (self.path.first(), self.path.last()) else {
             return Vec::new();
         };
@@ -99,14 +100,11 @@
             .flat_map(|record| [Some(record.node.as_str()), record.text("peer")])
             .flatten()
             .collect();
-        let mut beliefs: Vec<Record> = self
-            .beliefs
+        self.beliefs
             .iter()
             .filter(|record| span.contains(&record.time) && nodes.contains(record.node.as_str()))
             .cloned()
-            .collect();
-        beliefs.sort_by(|left, right| left.time.total_cmp(&right.time));
-        beliefs
+            .collect()
     }
 }
 
--- a/crates/rillgap-forward/src/balancer.rs
+++ b/crates/rillgap-forward/src/balancer.rs
@@ -2,11 +2,11 @@
 //!
 //! Of two nodes of the own zone and two of other zones, drawn at random, the one of the lowest
 //! cost is taken. Back ends that fail many requests stand apart: they are drawn as a third kind, and
-//! what they fail is added to their cost, so they get requests when the others are full. The cost is the load as a share of the limit, plus a little for back ends that
-//! are slower than the fastest of the service, plus a penalty for leaving the zone. Slowness is
-//! added, not multiplied: a slow back end is spared while there is room elsewhere, but when the
-//! fast ones fill up its slots are needed. For the same reason the penalty vanishes as the own
-//! zone fills up.
+//! what they fail is added to their cost, so they get requests when the others are full. The cost is
+//! the load as a share of the limit, plus a little for back ends that are slower than the fastest of
+//! the service, plus a penalty for leaving the zone. Slowness is added, not multiplied: a slow back
+//! end is spared while there is room elsewhere, but when the fast ones fill up its slots are needed.
+//! For the same reason the penalty vanishes as the own zone fills up.
 
 use rand_chacha::ChaCha8Rng;
 use rand_chacha::rand_core::{Rng, SeedableRng};
--- a/crates/rillgap-forward/src/retry_budget.rs
+++ b/crates/rillgap-forward/src/retry_budget.rs
@@ -2,8 +2,9 @@
 //!
 //! The bound of a deployment is a sum over all nodes. Nodes do not coordinate: each allows itself
 //! a share of its *own* requests, and a small number that shrinks with the number of nodes, so that
-//! the sum holds whoever comes or goes. A repeat makes its back end repeat the calls below it, so the share is a fraction of
-//! the deployment's ratio: with `depth` hops that each add it, the sum stays below the ratio.
+//! the sum holds whoever comes or goes. A repeat makes its back end repeat the calls below it, so the
+//! share is a fraction of the deployment's ratio: with `depth` hops that each add it, the sum stays
+//! below the ratio.
 
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
--- a/crates/rillgap-forward/tests/simulation/world/store.rs
+++ b/crates/rillgap-forward/tests/simulation/world/store.rs
@@ -16,13 +16,8 @@
         id: StoreRequestId,
         request: StoreRequest,
     ) {
-        if self.store_down || self.cut.contains(&host) {
-            let reply = failed("no answer");
-            self.reply(host, run, id, reply, 2_000);
-            return;
-        }
-        if self.refused.contains(&host) {
-            self.reply(host, run, id, failed("busy"), 4);
+        if let Some((reply, delay)) = self.store_failure(host) {
+            self.reply(host, run, id, reply, delay);
             return;
         }
         let reply = match request {
@@ -75,6 +70,15 @@
         }
     }
 
+    /// Returns how a call of a host to the store fails, and after how many milliseconds.
+    fn store_failure(&self, host: usize) -> Option<(StoreReply, u64)> {
+        if self.store_down || self.cut.contains(&host) {
+            return Some((failed("no answer"), 2_000));
+        }
+        let is_refused = self.refused.contains(&host);
+        is_refused.then(|| (failed("busy"), 4))
+    }
+
     pub(super) fn configuration_reply(&self, after: u64) -> StoreReply {
         let version = self.visible_version();
         StoreReply::Configuration {
@@ -84,13 +88,8 @@
     }
 
     pub(super) fn answer_watch(&mut self, host: usize, run: u32, id: StoreRequestId, after: u64) {
-        if self.store_down || self.cut.contains(&host) {
-            let reply = failed("no answer");
-            self.reply(host, run, id, reply, 2_000);
-            return;
-        }
-        if self.refused.contains(&host) {
-            self.reply(host, run, id, failed("busy"), 4);
+        if let Some((reply, delay)) = self.store_failure(host) {
+            self.reply(host, run, id, reply, delay);
             return;
         }
         let reply = self.configuration_reply(after);
