--- a/crates/rillgap-forward/src/directory.rs
+++ b/crates/rillgap-forward/src/directory.rs
@@ -1,245 +1,285 @@
-//! Who is where: peers, their links and their back ends.
+//! Who is where: peers, the links to them and the services that they run.
+//!
+//! A link serves both ends, whichever of them has opened it. Of two links that both ends open at the
+//! same time, the one of the node with the lower name is used; a link that is not used for the own
+//! requests still carries those of the peer, and takes over when the other one ends.
 
 use std::collections::BTreeMap;
-use std::time::Duration;
 
 use rillgap_core::time::Instant;
 
 use crate::id::LinkId;
-use crate::message::{Hello, Load, NodeRecord, Status};
-
-/// First and longest pause before a link is opened again.
-const RECONNECT_PAUSE: (Duration, Duration) = (Duration::from_millis(100), Duration::from_secs(1));
-
-/// Time after which a peer that has not answered a ping is suspected.
-const PING_PATIENCE: Duration = Duration::from_millis(150);
-
-/// Where the link to a peer stands.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum LinkState {
-    /// To be opened at this time.
-    Closed {
-        /// When.
-        retry_at: Instant,
-    },
-    /// Being opened.
-    Opening(LinkId),
-    /// Open.
-    Open(LinkId),
-}
+use crate::message::{Hello, NodeRecord, Status};
+use crate::peer::{LinkState, Peer};
+use crate::subset;
+
+/// Place of a peer in the directory.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct PeerIndex(usize);
 
-/// A peer.
+/// All peers that are known.
 #[derive(Clone, Debug)]
-pub struct Peer {
-    /// How it is reached.
-    pub record: NodeRecord,
-    /// Run of the peer, once it has introduced itself.
-    pub incarnation: u64,
-    /// Link to the peer.
-    pub link: LinkState,
-    /// When anything was heard on that link.
-    pub heard_at: Instant,
-    /// When the last ping was sent.
-    pub pinged_at: Instant,
-    /// When the first ping since the peer was heard was sent.
-    pinged_since: Option<Instant>,
-    /// Whether the peer has not answered a ping for a while.
-    is_suspected: bool,
-    /// What the peer says about its back end.
-    pub status: Status,
-    /// Requests sent to the peer since its last report, less those that have ended since.
-    pub unreported: i64,
-    /// Requests of this node that are under way there.
-    pub in_flight: u32,
-    pause: Duration,
+pub struct Directory {
+    own_name: String,
+    own_zone: String,
+    peers: Vec<Peer>,
+    by_name: BTreeMap<String, PeerIndex>,
+    /// Links that are open or being opened, those that are not in use included.
+    by_link: BTreeMap<LinkId, PeerIndex>,
+    /// Peers with a link in use, by the service that they run.
+    linked: BTreeMap<String, Vec<PeerIndex>>,
+    /// Whether the subset must be chosen again.
+    is_subset_due: bool,
 }
 
-impl Peer {
-    fn new(record: NodeRecord, now: Instant) -> Self {
+impl Directory {
+    /// Creates the directory of a fresh node.
+    pub fn new(own: &NodeRecord) -> Self {
         Self {
-            record,
-            incarnation: 0,
-            link: LinkState::Closed { retry_at: now },
-            heard_at: now,
-            pinged_at: now,
-            pinged_since: None,
-            is_suspected: false,
-            status: Status::default(),
-            unreported: 0,
-            in_flight: 0,
-            pause: RECONNECT_PAUSE.0,
+            own_name: own.name.clone(),
+            own_zone: own.zone.clone(),
+            peers: Vec::new(),
+            by_name: BTreeMap::new(),
+            by_link: BTreeMap::new(),
+            linked: BTreeMap::new(),
+            is_subset_due: false,
         }
     }
 
-    /// Returns the open link, if there is one.
-    pub const fn open_link(&self) -> Option<LinkId> {
-        match self.link {
-            LinkState::Open(link) => Some(link),
-            _ => None,
+    /// Adds a peer, or takes over a new address or service of one.
+    pub fn learn(&mut self, now: Instant, record: &NodeRecord) {
+        if record.name == self.own_name {
+            return;
+        }
+        match self.by_name.get(&record.name) {
+            Some(index) => {
+                let index = *index;
+                if self.peers[index.0].record != *record {
+                    self.peers[index.0].renew(now, record);
+                    self.relist(index);
+                }
+            }
+            None => self.add(now, record),
         }
     }
 
-    /// Returns the open link if the peer's back end takes new requests and the peer is not
-    /// suspected.
-    pub fn serving_link(&self) -> Option<LinkId> {
-        let takes_requests = self.status.is_serving && !self.status.is_stopping;
-        self.open_link()
-            .filter(|_| takes_requests && !self.is_suspected)
-    }
-
-    /// Takes in that something was heard on the link.
-    pub fn heard(&mut self, now: Instant) {
-        self.heard_at = now;
-        self.is_suspected = false;
+    fn add(&mut self, now: Instant, record: &NodeRecord) {
+        let preference = subset::preference(&self.own_name, &record.name);
+        let index = PeerIndex(self.peers.len());
+        self.peers.push(Peer::new(record.clone(), preference, now));
+        self.by_name.insert(record.name.clone(), index);
+        self.is_subset_due = true;
     }
 
-    /// Suspects the peer if it has not answered a ping for a while: it gets no new requests until
-    /// it is heard again.
-    pub fn suspect_if_silent(&mut self, now: Instant) {
-        self.is_suspected = self.has_unanswered_ping(now);
+    /// Returns the peers.
+    pub fn peers(&self) -> impl Iterator<Item = &Peer> {
+        self.peers.iter()
     }
 
-    fn has_unanswered_ping(&self, now: Instant) -> bool {
-        self.pinged_since.is_some_and(|pinged_at| {
-            let is_old = now.saturating_since(pinged_at) >= PING_PATIENCE;
-            pinged_at > self.heard_at && is_old
-        })
+    /// Returns the number of known peers.
+    pub const fn len(&self) -> usize {
+        self.peers.len()
     }
 
-    /// Takes in that a ping is sent.
-    pub fn pinged(&mut self, now: Instant) {
-        let is_first = self.pinged_since.is_none_or(|since| since <= self.heard_at);
-        if is_first {
-            self.pinged_since = Some(now);
-        }
-        self.pinged_at = now;
+    /// Returns whether no peer is known.
+    pub const fn is_empty(&self) -> bool {
+        self.peers.is_empty()
     }
 
-    /// Takes in a report of the peer's load.
-    pub fn observe_load(&mut self, load: Load) {
-        self.status.load = load;
-        self.unreported = 0;
+    /// Returns a peer.
+    pub fn peer(&self, index: PeerIndex) -> &Peer {
+        &self.peers[index.0]
     }
 
-    /// Returns the requests at the back end, as far as known, as a share of its limit.
-    pub fn utilization(&self) -> f64 {
-        let load = self.status.load;
-        let reported = i64::from(load.running) + i64::from(load.queued);
-        let estimate = (reported + self.unreported).max(i64::from(self.in_flight));
-        estimate as f64 / f64::from(load.limit.max(1))
+    /// Returns the peers with a link in use whose back end runs a service, with their places.
+    pub fn linked(&self, service: &str) -> impl Iterator<Item = (PeerIndex, &Peer)> {
+        let indices = self.linked.get(service).into_iter().flatten();
+        indices.map(|index| (*index, &self.peers[index.0]))
     }
-}
-
-/// All peers, by name.
-#[derive(Clone, Debug, Default)]
-pub struct Directory {
-    peers: BTreeMap<String, Peer>,
-    by_link: BTreeMap<LinkId, String>,
-}
 
-impl Directory {
-    /// Adds a peer, or takes over a new address or service of one.
-    pub fn learn(&mut self, now: Instant, record: &NodeRecord) {
-        match self.peers.get_mut(&record.name) {
-            Some(peer) if peer.record == *record => {}
-            Some(peer) => {
-                peer.record = record.clone();
-                if let LinkState::Closed { retry_at } = &mut peer.link {
-                    *retry_at = now;
-                }
-            }
-            None => {
-                let peer = Peer::new(record.clone(), now);
-                self.peers.insert(record.name.clone(), peer);
-            }
+    /// Returns the peers with a link in use, for changes.
+    pub fn linked_mut(&mut self, mut visit: impl FnMut(&mut Peer)) {
+        for index in self.linked.values().flatten() {
+            visit(&mut self.peers[index.0]);
         }
     }
 
-    /// Makes sure that a link to a peer that shows itself is tried soon.
-    pub fn hurry(&mut self, now: Instant, name: &str) {
-        if let Some(peer) = self.peers.get_mut(name) {
-            peer.pause = RECONNECT_PAUSE.0;
-            if let LinkState::Closed { retry_at } = &mut peer.link {
-                *retry_at = (*retry_at).min(now);
-            }
-        }
+    /// Returns all open links, those that are not in use for the own requests included.
+    pub fn open_links(&self) -> impl Iterator<Item = LinkId> {
+        self.by_link
+            .iter()
+            .filter(|(link, index)| self.peers[index.0].link != LinkState::Opening(**link))
+            .map(|(link, _)| *link)
     }
 
-    /// Returns the peers.
-    pub fn peers(&self) -> impl Iterator<Item = &Peer> {
-        self.peers.values()
+    /// Returns the peer at the other end of a link.
+    pub fn by_link(&mut self, link: LinkId) -> Option<&mut Peer> {
+        let index = self.by_link.get(&link)?;
+        self.peers.get_mut(index.0)
     }
 
-    /// Returns the peers for changes.
-    pub fn peers_mut(&mut self) -> impl Iterator<Item = &mut Peer> {
-        self.peers.values_mut()
+    /// Takes in that something has arrived on a link.
+    pub fn heard(&mut self, now: Instant, link: LinkId) {
+        if let Some(peer) = self.by_link(link)
+            && peer.link == LinkState::Open(link)
+        {
+            peer.heard(now);
+        }
     }
 
-    /// Returns the peer at the other end of a link that this node opened.
-    pub fn by_link(&mut self, link: LinkId) -> Option<&mut Peer> {
-        let name = self.by_link.get(&link)?;
-        self.peers.get_mut(name)
+    /// Takes in what a peer says about its back end.
+    pub fn on_status(&mut self, link: LinkId, status: Status) {
+        let Some(index) = self.by_link.get(&link).copied() else {
+            return;
+        };
+        let peer = &mut self.peers[index.0];
+        let may_serve = peer.may_serve();
+        let is_same_service = peer.status.service == status.service;
+        peer.status = status;
+        peer.unreported = 0;
+        self.is_subset_due |= peer.may_serve() != may_serve;
+        if !is_same_service {
+            self.relist(index);
+        }
     }
 
     /// Adds each service's mean wait over its serving peers to `waits`, as sum and count.
     pub fn collect_waits(&self, waits: &mut BTreeMap<String, (u64, u64)>) {
-        for peer in self.peers.values() {
-            if peer.serving_link().is_none() {
-                continue;
+        for (service, indices) in &self.linked {
+            for index in indices {
+                let peer = &self.peers[index.0];
+                if peer.serving_link().is_none() {
+                    continue;
+                }
+                if !waits.contains_key(service) {
+                    waits.insert(service.clone(), (0, 0));
+                }
+                if let Some((sum, count)) = waits.get_mut(service) {
+                    *sum += u64::from(peer.status.load.wait_micros);
+                    *count += 1;
+                }
             }
-            let (sum, count) = waits.entry(peer.status.service.clone()).or_default();
-            *sum += u64::from(peer.status.load.wait_micros);
-            *count += 1;
         }
     }
 
-    /// Marks a link as being opened.
-    pub fn opening(&mut self, name: &str, link: LinkId) {
-        if let Some(peer) = self.peers.get_mut(name) {
-            peer.link = LinkState::Opening(link);
-            self.by_link.insert(link, name.to_owned());
+    /// Chooses the peers that links are kept to, if anything has changed since the last choice.
+    pub fn update_subset(&mut self) {
+        if std::mem::take(&mut self.is_subset_due) {
+            subset::choose(&self.own_zone, self.peers.iter_mut());
         }
     }
 
-    /// Marks a link as open; returns `false` if the link is not expected or its other end is not
-    /// the expected node.
+    /// Returns the wanted peers whose link is due to be opened.
+    pub fn due(&self, now: Instant) -> Vec<PeerIndex> {
+        let is_due = |peer: &Peer| matches!(peer.link, LinkState::Closed { retry_at } if peer.is_wanted && retry_at <= now);
+        (0..self.peers.len())
+            .filter(|index| is_due(&self.peers[*index]))
+            .map(PeerIndex)
+            .collect()
+    }
+
+    /// Marks a link as being opened.
+    pub fn opening(&mut self, index: PeerIndex, link: LinkId) {
+        self.peers[index.0].link = LinkState::Opening(link);
+        self.by_link.insert(link, index);
+    }
+
+    /// Takes in that a link which this node has opened is up; returns `false` if it is not expected,
+    /// not needed any more, or its other end is not the expected node.
     pub fn opened(&mut self, now: Instant, link: LinkId, hello: &Hello) -> bool {
-        let Some(peer) = self.by_link(link) else {
+        let Some(index) = self.by_link.get(&link).copied() else {
             return false;
         };
+        let peer = &self.peers[index.0];
         if peer.link != LinkState::Opening(link) || peer.record.name != hello.node.name {
             return false;
         }
-        peer.link = LinkState::Open(link);
+        self.introduce(index, hello);
+        self.attach(now, index, link);
+        true
+    }
+
+    /// Takes in that a peer has opened a link; returns the link that it replaces, if there is one: that
+    /// of an earlier run of the peer.
+    pub fn accepted(&mut self, now: Instant, link: LinkId, hello: &Hello) -> Option<LinkId> {
+        self.learn(now, &hello.node);
+        let index = self.by_name.get(&hello.node.name).copied()?;
+        self.by_link.insert(link, index);
+        let peer = &self.peers[index.0];
+        let is_same_run = peer.incarnation == hello.incarnation;
+        let state = peer.link;
+        match state {
+            LinkState::Open(_) if is_same_run => None,
+            // Both ends go by names, so that they keep the same one of two links.
+            LinkState::Opening(_) if self.own_name < hello.node.name => {
+                self.introduce(index, hello);
+                None
+            }
+            LinkState::Opening(given_up) => {
+                self.by_link.remove(&given_up);
+                self.introduce(index, hello);
+                self.attach(now, index, link);
+                None
+            }
+            LinkState::Open(replaced) => {
+                self.by_link.remove(&replaced);
+                self.introduce(index, hello);
+                self.attach(now, index, link);
+                Some(replaced)
+            }
+            LinkState::Closed { .. } => {
+                self.introduce(index, hello);
+                self.attach(now, index, link);
+                None
+            }
+        }
+    }
+
+    /// Takes in that a link has ended; returns the peer's name and whether the link was in use, if it
+    /// was known.
+    pub fn closed(&mut self, now: Instant, link: LinkId) -> Option<(String, bool)> {
+        let index = self.by_link.remove(&link)?;
+        let state = self.peers[index.0].link;
+        let was_open = state == LinkState::Open(link);
+        if was_open || state == LinkState::Opening(link) {
+            self.peers[index.0].detach(now);
+            self.relist(index);
+            self.use_spare_link(now, index);
+        }
+        Some((self.peers[index.0].record.name.clone(), was_open))
+    }
+
+    fn introduce(&mut self, index: PeerIndex, hello: &Hello) {
+        let peer = &mut self.peers[index.0];
         peer.incarnation = hello.incarnation;
         peer.record = hello.node.clone();
         peer.status = hello.status.clone();
-        peer.heard_at = now;
-        peer.pinged_at = now;
-        peer.pinged_since = None;
-        peer.is_suspected = false;
-        peer.unreported = 0;
-        peer.in_flight = 0;
-        peer.pause = RECONNECT_PAUSE.0;
-        true
     }
 
-    /// Marks a link as closed; returns the peer's name if the link was one of this node's, and
-    /// whether it had been open.
-    pub fn closed(&mut self, now: Instant, link: LinkId) -> Option<(String, bool)> {
-        let name = self.by_link.remove(&link)?;
-        let peer = self.peers.get_mut(&name)?;
-        let was_open = match peer.link {
-            LinkState::Open(current) if current == link => true,
-            LinkState::Opening(current) if current == link => false,
-            _ => return None,
-        };
-        peer.link = LinkState::Closed {
-            retry_at: now + peer.pause,
-        };
-        peer.pause = (peer.pause * 2).min(RECONNECT_PAUSE.1);
-        peer.in_flight = 0;
-        peer.unreported = 0;
-        Some((name, was_open))
+    fn attach(&mut self, now: Instant, index: PeerIndex, link: LinkId) {
+        self.peers[index.0].attach(now, link);
+        self.relist(index);
+    }
+
+    /// Takes another link of the peer into use.
+    fn use_spare_link(&mut self, now: Instant, index: PeerIndex) {
+        let mut links = self.by_link.iter();
+        let spare = links.find(|(_, other)| **other == index);
+        if let Some(link) = spare.map(|(link, _)| *link) {
+            self.attach(now, index, link);
+        }
+    }
+
+    /// Puts a peer whose link or service has changed where it now belongs.
+    fn relist(&mut self, index: PeerIndex) {
+        self.is_subset_due = true;
+        for indices in self.linked.values_mut() {
+            indices.retain(|other| *other != index);
+        }
+        let peer = &self.peers[index.0];
+        if peer.open_link().is_some() {
+            let service = peer.service().to_owned();
+            self.linked.entry(service).or_default().push(index);
+        }
     }
 }
--- a/crates/rillgap-forward/src/inbound/mod.rs
+++ b/crates/rillgap-forward/src/inbound/mod.rs
@@ -162,6 +162,16 @@
         }
     }
 
+    /// Returns the service of the back end; empty if it is not known.
+    pub fn service(&self) -> &str {
+        self.back_end.service()
+    }
+
+    /// Returns whether the back end takes new requests.
+    pub fn is_serving(&self) -> bool {
+        self.back_end.is_serving()
+    }
+
     /// Returns the load of the back end.
     pub fn load(&self) -> Load {
         Load {
@@ -297,18 +307,24 @@
 
     /// Takes in that a link has ended: nobody waits for its requests.
     pub fn on_link_closed(&mut self, now: Instant, link: LinkId, out: &mut Actions) {
-        let first = (link, Sequence(0));
-        let last = (link, Sequence(u64::MAX));
-        let lost: Vec<Sequence> = self
-            .places
-            .range(first..=last)
-            .map(|((_, sequence), _)| *sequence)
-            .collect();
+        let lost: Vec<Sequence> = self.requests_of(link).collect();
         for sequence in lost {
             self.on_cancel(now, link, sequence, out);
         }
     }
 
+    /// Returns whether requests that came on a link run or wait.
+    pub fn has_requests_of(&self, link: LinkId) -> bool {
+        self.requests_of(link).next().is_some()
+    }
+
+    fn requests_of(&self, link: LinkId) -> impl Iterator<Item = Sequence> {
+        let first = (link, Sequence(0));
+        let last = (link, Sequence(u64::MAX));
+        let places = self.places.range(first..=last);
+        places.map(|((_, sequence), _)| *sequence)
+    }
+
     /// Takes in that a request at the back end has ended.
     pub fn on_exchange(
         &mut self,
--- a/crates/rillgap-forward/src/node/links.rs
+++ b/crates/rillgap-forward/src/node/links.rs
@@ -6,9 +6,8 @@
 
 use super::{Node, PROTOCOL_VERSION};
 use crate::action::{Action, Actions};
-use crate::directory::LinkState;
 use crate::id::LinkId;
-use crate::message::{Hello, LinkMessage, NodeRecord, Status};
+use crate::message::{Hello, LinkMessage, Status};
 use crate::note::Note;
 
 /// Time between two reports of a node's back end on a link, which are also signs of life.
@@ -34,7 +33,7 @@
             return;
         }
         note_peer(&hello.node.name, true, "link opened", out);
-        self.on_offer(now, link, hello.configuration_version, out);
+        self.greet(now, link, hello, out);
     }
 
     pub(super) fn on_link_accepted(
@@ -48,36 +47,38 @@
             out.push(Action::CloseLink(link));
             return;
         }
-        self.accepted.insert(link);
-        // The introduction may have been written before the back end was confirmed.
+        if let Some(replaced) = self.directory.accepted(now, link, hello) {
+            out.push(Action::CloseLink(replaced));
+            self.end_link(now, replaced, out);
+        }
+        note_peer(&hello.node.name, true, "link accepted", out);
+        self.greet(now, link, hello, out);
+    }
+
+    /// Sends what may have changed since the own introduction was written.
+    fn greet(&mut self, now: Instant, link: LinkId, hello: &Hello, out: &mut Actions) {
         out.push(Action::SendOnLink {
             link,
             message: LinkMessage::Status(self.inbound.status()),
         });
-        self.directory.learn(now, &hello.node);
-        self.directory.hurry(now, &hello.node.name);
         self.on_offer(now, link, hello.configuration_version, out);
     }
 
-    pub(super) fn learn(&mut self, now: Instant, record: &NodeRecord) {
-        if record.name != self.settings.record.name {
-            self.directory.learn(now, record);
-        }
-    }
-
     pub(super) fn on_link_closed(&mut self, now: Instant, link: LinkId, out: &mut Actions) {
-        if self.accepted.remove(&link) {
-            self.inbound.on_link_closed(now, link, out);
-            return;
-        }
-        let Some((name, was_open)) = self.directory.closed(now, link) else {
+        let Some((name, was_in_use)) = self.directory.closed(now, link) else {
             return;
         };
-        if was_open {
+        if was_in_use {
             note_peer(&name, false, "link closed", out);
-            let (outbound, mut context) = self.split(out);
-            outbound.on_link_closed(now, link, &mut context);
         }
+        self.end_link(now, link, out);
+    }
+
+    /// Ends what was under way on a link, in both directions.
+    fn end_link(&mut self, now: Instant, link: LinkId, out: &mut Actions) {
+        self.inbound.on_link_closed(now, link, out);
+        let (outbound, mut context) = self.split(out);
+        outbound.on_link_closed(now, link, &mut context);
     }
 
     pub(super) fn keep_links(&mut self, now: Instant, out: &mut Actions) {
@@ -91,32 +92,33 @@
 
     pub(super) fn close_silent_links(&mut self, now: Instant, out: &mut Actions) {
         let mut silent = Vec::new();
-        for peer in self.directory.peers_mut() {
-            let LinkState::Open(link) = peer.link else {
-                continue;
+        let may_judge = now >= self.judge_after;
+        let inbound = &self.inbound;
+        self.directory.linked_mut(|peer| {
+            let Some(link) = peer.open_link() else {
+                return;
             };
             let silence = now.saturating_since(peer.heard_at);
-            let limit = if peer.in_flight > 0 {
-                SILENT_BUSY
-            } else {
-                SILENT_IDLE
-            };
-            if now >= self.judge_after {
+            let is_busy = peer.in_flight > 0;
+            let limit = if is_busy { SILENT_BUSY } else { SILENT_IDLE };
+            if may_judge {
                 peer.suspect_if_silent(now);
             }
-            if silence >= limit && now >= self.judge_after {
+            // A peer that stood still may come back for the answers that it waits for.
+            let is_owed = !is_busy && inbound.has_requests_of(link);
+            if silence >= limit && may_judge && !is_owed {
                 silent.push(link);
-            } else if peer.in_flight > 0
-                && silence >= PING_AFTER
-                && now.saturating_since(peer.pinged_at) >= PING_AFTER
-            {
+                return;
+            }
+            let is_ping_due = now.saturating_since(peer.pinged_at) >= PING_AFTER;
+            if is_busy && silence >= PING_AFTER && is_ping_due {
                 peer.pinged(now);
                 out.push(Action::SendOnLink {
                     link,
                     message: LinkMessage::Ping,
                 });
             }
-        }
+        });
         for link in silent {
             out.push(Action::CloseLink(link));
             self.on_link_closed(now, link, out);
@@ -124,40 +126,26 @@
     }
 
     pub(super) fn open_links(&mut self, now: Instant, out: &mut Actions) {
-        let due: Vec<NodeRecord> = self
-            .directory
-            .peers()
-            .filter(|peer| matches!(peer.link, LinkState::Closed { retry_at } if retry_at <= now))
-            .map(|peer| peer.record.clone())
-            .collect();
-        for record in due {
+        self.directory.update_subset();
+        for index in self.directory.due(now) {
+            let address = self.directory.peer(index).record.address;
             let link = self.new_link();
-            self.directory.opening(&record.name, link);
-            out.push(Action::OpenLink {
-                link,
-                address: record.address,
-            });
+            self.directory.opening(index, link);
+            out.push(Action::OpenLink { link, address });
         }
     }
 
     pub(super) fn broadcast_status(&mut self, out: &mut Actions) {
         let status: Status = self.inbound.status();
-        for link in &self.accepted {
-            out.push(Action::SendOnLink {
-                link: *link,
-                message: LinkMessage::Status(status.clone()),
-            });
-        }
+        self.broadcast(&LinkMessage::Status(status), out);
     }
 
     pub(super) fn broadcast(&self, message: &LinkMessage, out: &mut Actions) {
-        for peer in self.directory.peers() {
-            if let Some(link) = peer.open_link() {
-                out.push(Action::SendOnLink {
-                    link,
-                    message: message.clone(),
-                });
-            }
+        for link in self.directory.open_links() {
+            out.push(Action::SendOnLink {
+                link,
+                message: message.clone(),
+            });
         }
     }
 }
--- a/crates/rillgap-forward/src/node/mod.rs
+++ b/crates/rillgap-forward/src/node/mod.rs
@@ -4,7 +4,6 @@
 mod spread;
 mod stop;
 
-use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -50,7 +49,6 @@
     outbound: Outbound,
     store: StoreSync,
     store_is_up: bool,
-    accepted: BTreeSet<LinkId>,
     offer: Option<Offer>,
     next_link: u64,
     next_housekeeping: Instant,
@@ -67,12 +65,11 @@
     pub fn new(now: Instant, settings: ForwardSettings) -> Self {
         Self {
             table: None,
-            directory: Directory::default(),
+            directory: Directory::new(&settings.record),
             inbound: Inbound::new(&settings),
             outbound: Outbound::new(&settings),
             store: StoreSync::new(settings.record.clone()),
             store_is_up: true,
-            accepted: BTreeSet::new(),
             offer: None,
             next_link: 0,
             next_housekeeping: now,
@@ -198,7 +195,7 @@
     fn split<'a>(&'a mut self, out: &'a mut Actions) -> (&'a mut Outbound, OutboundContext<'a>) {
         let context = OutboundContext {
             table: self.table.as_deref(),
-            own_status: self.inbound.status(),
+            own: &self.inbound,
             directory: &mut self.directory,
             is_stopping: self.stopping_since.is_some(),
             is_exiting: self.exited,
@@ -261,9 +258,7 @@
         message: LinkMessage,
         out: &mut Actions,
     ) {
-        if let Some(peer) = self.directory.by_link(link) {
-            peer.heard(now);
-        }
+        self.directory.heard(now, link);
         match message {
             LinkMessage::Request { sequence, request } => {
                 self.inbound.on_request(now, link, sequence, request, out);
@@ -273,12 +268,7 @@
                 let (outbound, mut context) = self.split(out);
                 outbound.on_response(now, link, response, &mut context);
             }
-            LinkMessage::Status(status) => {
-                if let Some(peer) = self.directory.by_link(link) {
-                    peer.status = status;
-                    peer.unreported = 0;
-                }
-            }
+            LinkMessage::Status(status) => self.directory.on_status(link, status),
             LinkMessage::Ping => out.push(Action::SendOnLink {
                 link,
                 message: LinkMessage::Pong,
@@ -307,7 +297,7 @@
             }
             Some(StoreNews::Nodes(records)) => {
                 for record in records {
-                    self.learn(now, &record);
+                    self.directory.learn(now, &record);
                 }
             }
             _ => {}
--- a/crates/rillgap-forward/src/outbound/attempts.rs
+++ b/crates/rillgap-forward/src/outbound/attempts.rs
@@ -7,7 +7,7 @@
 use crate::action::Action;
 use crate::balancer::Candidate;
 use crate::id::{LinkId, Sequence};
-use crate::message::LinkMessage;
+use crate::message::{LinkMessage, Load};
 
 impl Outbound {
     /// Sends a request to a node that it has not been sent to, or answers it.
@@ -30,14 +30,18 @@
         let Some(request) = self.requests.get_mut(&key) else {
             return;
         };
-        let forwarded = request.begin_attempt(now, target.link, &target.name, sequence);
+        let (link, name) = match target {
+            Target::Own => (LinkId::LOCAL, self.own_name.as_str()),
+            Target::Peer(index, link) => (link, context.directory.peer(index).record.name.as_str()),
+        };
+        let forwarded = request.begin_attempt(now, link, name, sequence);
         self.by_sequence.insert(sequence, key);
-        if let Some(peer) = context.directory.by_link(target.link) {
+        if let Some(peer) = context.directory.by_link(link) {
             peer.in_flight += 1;
             peer.unreported += 1;
         }
         context.out.push(Action::SendOnLink {
-            link: target.link,
+            link,
             message: LinkMessage::Request {
                 sequence,
                 request: forwarded,
@@ -52,41 +56,25 @@
     ) -> Vec<Candidate<Target>> {
         let service = &request.forwarded.service;
         let mut candidates = Vec::new();
-        let own = &context.own_status;
-        let serves = own.is_serving && own.service == *service && !context.is_stopping;
+        let own = context.own;
+        let serves = own.is_serving() && own.service() == service && !context.is_stopping;
         if serves && !request.was_tried(&self.own_name) {
-            let load = own.load;
+            let load = own.load();
             let in_use = load.running + load.queued;
-            candidates.push(Candidate {
-                target: Target {
-                    link: LinkId::LOCAL,
-                    name: self.own_name.clone(),
-                },
-                is_local: true,
-                utilization: f64::from(in_use) / f64::from(load.limit.max(1)),
-                limit: load.limit,
-                mean_micros: load.mean_micros,
-                failing_permille: load.failing_permille,
-            });
+            let utilization = f64::from(in_use) / f64::from(load.limit.max(1));
+            candidates.push(candidate(Target::Own, true, utilization, load));
         }
-        for peer in context.directory.peers() {
+        for (index, peer) in context.directory.linked(service) {
             let Some(link) = peer.serving_link() else {
                 continue;
             };
-            if peer.status.service != *service || request.was_tried(&peer.record.name) {
+            if request.was_tried(&peer.record.name) {
                 continue;
             }
-            candidates.push(Candidate {
-                target: Target {
-                    link,
-                    name: peer.record.name.clone(),
-                },
-                is_local: peer.record.zone == self.own_zone,
-                utilization: peer.utilization(),
-                limit: peer.status.load.limit,
-                mean_micros: peer.status.load.mean_micros,
-                failing_permille: peer.status.load.failing_permille,
-            });
+            let target = Target::Peer(index, link);
+            let is_local = peer.record.zone == self.own_zone;
+            let load = peer.status().load;
+            candidates.push(candidate(target, is_local, peer.utilization(), load));
         }
         candidates
     }
@@ -145,3 +133,14 @@
         }
     }
 }
+
+fn candidate(target: Target, is_local: bool, utilization: f64, load: Load) -> Candidate<Target> {
+    Candidate {
+        target,
+        is_local,
+        utilization,
+        limit: load.limit,
+        mean_micros: load.mean_micros,
+        failing_permille: load.failing_permille,
+    }
+}
--- a/crates/rillgap-forward/src/outbound/mod.rs
+++ b/crates/rillgap-forward/src/outbound/mod.rs
@@ -23,11 +23,11 @@
 use crate::action::{Action, Actions};
 use crate::balancer::Balancer;
 use crate::configuration::{Route, RouteTable};
-use crate::directory::Directory;
+use crate::directory::{Directory, PeerIndex};
 use crate::event::CallerRequest;
 use crate::id::{ConnectionId, LinkId, Sequence, Turn};
-use crate::inbound::CallProgress;
-use crate::message::{ForwardResponse, ForwardResult, ForwardedRequest, Status};
+use crate::inbound::{CallProgress, Inbound};
+use crate::message::{ForwardResponse, ForwardResult, ForwardedRequest};
 use crate::note::Note;
 use crate::retry_budget::RetryBudget;
 use crate::settings::ForwardSettings;
@@ -49,11 +49,13 @@
 /// Time after which to come back when requests are throttled, in milliseconds.
 const THROTTLED_MILLIS: u32 = 300;
 
-/// Node that runs an attempt.
-#[derive(Clone, Debug)]
-struct Target {
-    link: LinkId,
-    name: String,
+/// Node that may run an attempt.
+#[derive(Clone, Copy, Debug)]
+enum Target {
+    /// This node.
+    Own,
+    /// A peer, over the link in use.
+    Peer(PeerIndex, LinkId),
 }
 
 /// Where a request comes from.
@@ -78,7 +80,7 @@
     /// Peers.
     pub directory: &'a mut Directory,
     /// The back end beside the node.
-    pub own_status: Status,
+    pub own: &'a Inbound,
     /// Whether the node is in a planned stop.
     pub is_stopping: bool,
     /// Whether the process is about to end: nothing new can be finished.
--- a/crates/rillgap-forward/src/outbound/pressure.rs
+++ b/crates/rillgap-forward/src/outbound/pressure.rs
@@ -18,10 +18,10 @@
 pub(super) fn pressure(context: &OutboundContext<'_>) -> Pressure {
     let mut waits = BTreeMap::new();
     context.directory.collect_waits(&mut waits);
-    let own = &context.own_status;
-    if own.is_serving {
-        let (sum, count) = waits.entry(own.service.clone()).or_default();
-        *sum += u64::from(own.load.wait_micros);
+    let own = context.own;
+    if own.is_serving() {
+        let (sum, count) = waits.entry(own.service().to_owned()).or_default();
+        *sum += u64::from(own.load().wait_micros);
         *count += 1;
     }
     let at_service = |(service, (sum, count)): (String, (u64, u64))| Pressure {
--- a/crates/rillgap-forward/src/outbound/results.rs
+++ b/crates/rillgap-forward/src/outbound/results.rs
@@ -125,7 +125,7 @@
             return false;
         }
         let service = request.forwarded.service.clone();
-        let nodes = context.directory.peers().count() + 1;
+        let nodes = context.directory.len() + 1;
         self.budget.try_spend(now, &service, nodes)
     }
 
--- /dev/null
+++ b/crates/rillgap-forward/src/peer.rs
@@ -0,0 +1,202 @@
+//! One peer: how it is reached, what it says of its back end, how its link stands.
+
+use std::time::Duration;
+
+use rillgap_core::time::Instant;
+
+use crate::id::LinkId;
+use crate::message::{Load, NodeRecord, Status};
+
+/// First and longest pause before a link is opened again.
+const RECONNECT_PAUSE: (Duration, Duration) = (Duration::from_millis(100), Duration::from_secs(1));
+
+/// Time after which a peer that has not answered a ping is suspected.
+const PING_PATIENCE: Duration = Duration::from_millis(150);
+
+/// Where the link to a peer stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LinkState {
+    /// Not open; if the peer is wanted, it is opened at this time.
+    Closed {
+        /// When.
+        retry_at: Instant,
+    },
+    /// Being opened.
+    Opening(LinkId),
+    /// Open, by whichever end.
+    Open(LinkId),
+}
+
+/// A peer.
+#[derive(Clone, Debug)]
+pub struct Peer {
+    /// How it is reached.
+    pub record: NodeRecord,
+    /// Run of the peer, once it has introduced itself.
+    pub incarnation: u64,
+    /// Link to the peer.
+    pub link: LinkState,
+    /// When anything was heard on that link.
+    pub heard_at: Instant,
+    /// When the last ping was sent.
+    pub pinged_at: Instant,
+    /// When the first ping since the peer was heard was sent.
+    pinged_since: Option<Instant>,
+    /// Whether the peer has not answered a ping for a while.
+    is_suspected: bool,
+    /// What the peer says about its back end.
+    pub(crate) status: Status,
+    /// Requests sent to the peer since its last report, less those that have ended since.
+    pub unreported: i64,
+    /// Requests of this node that are under way there.
+    pub in_flight: u32,
+    /// Whether the peer belongs to the subset that the node keeps links to.
+    pub(crate) is_wanted: bool,
+    /// Place of the peer in this node's order of preference; the lowest is preferred.
+    pub(crate) preference: u64,
+    /// Whether the last link was lost, or the last attempt to open one has failed.
+    has_failed: bool,
+    pause: Duration,
+}
+
+impl Peer {
+    pub(crate) fn new(record: NodeRecord, preference: u64, now: Instant) -> Self {
+        Self {
+            record,
+            incarnation: 0,
+            link: LinkState::Closed { retry_at: now },
+            heard_at: now,
+            pinged_at: now,
+            pinged_since: None,
+            is_suspected: false,
+            status: Status::default(),
+            unreported: 0,
+            in_flight: 0,
+            is_wanted: false,
+            preference,
+            has_failed: false,
+            pause: RECONNECT_PAUSE.0,
+        }
+    }
+
+    /// Returns what the peer says about its back end.
+    pub const fn status(&self) -> &Status {
+        &self.status
+    }
+
+    /// Returns the service of the peer's back end: what it says itself, or what its record says.
+    pub fn service(&self) -> &str {
+        if self.open_link().is_some() && !self.status.service.is_empty() {
+            return &self.status.service;
+        }
+        &self.record.service
+    }
+
+    /// Returns the open link, if there is one.
+    pub const fn open_link(&self) -> Option<LinkId> {
+        match self.link {
+            LinkState::Open(link) => Some(link),
+            _ => None,
+        }
+    }
+
+    /// Returns the open link if the peer's back end takes new requests and the peer is not
+    /// suspected.
+    pub fn serving_link(&self) -> Option<LinkId> {
+        self.open_link()
+            .filter(|_| self.takes_requests() && !self.is_suspected)
+    }
+
+    /// Returns whether the peer may be counted on: it serves, or nothing speaks against it yet.
+    pub(crate) fn may_serve(&self) -> bool {
+        match self.link {
+            LinkState::Open(_) => self.takes_requests(),
+            LinkState::Opening(_) | LinkState::Closed { .. } => !self.has_failed,
+        }
+    }
+
+    const fn takes_requests(&self) -> bool {
+        self.status.is_serving && !self.status.is_stopping
+    }
+
+    /// Takes in that something was heard on the link.
+    pub fn heard(&mut self, now: Instant) {
+        self.heard_at = now;
+        self.is_suspected = false;
+    }
+
+    /// Suspects the peer if it has not answered a ping for a while: it gets no new requests until
+    /// it is heard again.
+    pub fn suspect_if_silent(&mut self, now: Instant) {
+        self.is_suspected = self.has_unanswered_ping(now);
+    }
+
+    fn has_unanswered_ping(&self, now: Instant) -> bool {
+        self.pinged_since.is_some_and(|pinged_at| {
+            let is_old = now.saturating_since(pinged_at) >= PING_PATIENCE;
+            pinged_at > self.heard_at && is_old
+        })
+    }
+
+    /// Takes in that a ping is sent.
+    pub fn pinged(&mut self, now: Instant) {
+        let is_first = self.pinged_since.is_none_or(|since| since <= self.heard_at);
+        if is_first {
+            self.pinged_since = Some(now);
+        }
+        self.pinged_at = now;
+    }
+
+    /// Takes in a report of the peer's load.
+    pub fn observe_load(&mut self, load: Load) {
+        self.status.load = load;
+        self.unreported = 0;
+    }
+
+    /// Returns the requests at the back end, as far as known, as a share of its limit.
+    pub fn utilization(&self) -> f64 {
+        let load = self.status.load;
+        let reported = i64::from(load.running) + i64::from(load.queued);
+        let estimate = (reported + self.unreported).max(i64::from(self.in_flight));
+        estimate as f64 / f64::from(load.limit.max(1))
+    }
+
+    /// Takes over a new address or service of the peer.
+    pub(crate) fn renew(&mut self, now: Instant, record: &NodeRecord) {
+        self.record = record.clone();
+        self.has_failed = false;
+        self.hurry(now);
+    }
+
+    /// Makes sure that a link that is to be opened is tried soon.
+    pub(crate) fn hurry(&mut self, now: Instant) {
+        self.pause = RECONNECT_PAUSE.0;
+        if let LinkState::Closed { retry_at } = &mut self.link {
+            *retry_at = (*retry_at).min(now);
+        }
+    }
+
+    /// Takes in that a link is open and is to be used.
+    pub(crate) fn attach(&mut self, now: Instant, link: LinkId) {
+        self.link = LinkState::Open(link);
+        self.heard_at = now;
+        self.pinged_at = now;
+        self.pinged_since = None;
+        self.is_suspected = false;
+        self.has_failed = false;
+        self.unreported = 0;
+        self.in_flight = 0;
+        self.pause = RECONNECT_PAUSE.0;
+    }
+
+    /// Takes in that the link in use has ended, or could not be opened.
+    pub(crate) fn detach(&mut self, now: Instant) {
+        self.link = LinkState::Closed {
+            retry_at: now + self.pause,
+        };
+        self.pause = (self.pause * 2).min(RECONNECT_PAUSE.1);
+        self.has_failed = true;
+        self.in_flight = 0;
+        self.unreported = 0;
+    }
+}
--- a/crates/rillgap-forward/src/store_sync.rs
+++ b/crates/rillgap-forward/src/store_sync.rs
@@ -15,6 +15,11 @@
 /// First and longest pause after a failed call.
 const RETRY_PAUSE: (Duration, Duration) = (Duration::from_millis(100), Duration::from_secs(1));
 
+/// Pause between the first registration of a node and its list of the others. When a whole deployment
+/// starts, each node then sees nearly all others, and its links are spread evenly. A node that comes
+/// back lists at once: the store knows the others already.
+const FIRST_LIST_PAUSE: Duration = Duration::from_millis(500);
+
 /// Number of a call, used once.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct StoreRequestId(pub u64);
@@ -66,7 +71,10 @@
     /// The position of a watch is no longer known.
     HistoryGone,
     /// The record is stored.
-    Registered,
+    Registered {
+        /// Whether the store knew no record of the node before.
+        is_new: bool,
+    },
     /// Records of all nodes.
     Nodes(Vec<NodeRecord>),
     /// The record is removed.
@@ -138,9 +146,9 @@
         self.under_way.take().map(|(_, request)| request)
     }
 
-    fn proceed(&mut self, now: Instant, next: Option<StoreRequest>) {
+    fn proceed(&mut self, due: Instant, next: Option<StoreRequest>) {
         self.pause = RETRY_PAUSE.0;
-        self.due = now;
+        self.due = due;
         self.next = next;
     }
 
@@ -269,8 +277,14 @@
         reply: StoreReply,
     ) -> Option<StoreNews> {
         match reply {
-            StoreReply::Registered => {
-                self.membership.proceed(now, Some(StoreRequest::ListNodes));
+            StoreReply::Registered { is_new } => {
+                let pause = if is_new {
+                    FIRST_LIST_PAUSE
+                } else {
+                    Duration::ZERO
+                };
+                self.membership
+                    .proceed(now + pause, Some(StoreRequest::ListNodes));
                 None
             }
             StoreReply::Nodes(records) => {
--- a/crates/rillgap-forward/tests/control.rs
+++ b/crates/rillgap-forward/tests/control.rs
@@ -29,7 +29,8 @@
         matches_pattern!(StoreRequest::Register(_))
     );
     expect_that!(store.poll(at(1)), is_empty());
-    store.on_reply(at(2), first[1].0, StoreReply::Registered);
+    let reply = StoreReply::Registered { is_new: false };
+    store.on_reply(at(2), first[1].0, reply);
     let second = store.poll(at(2));
     expect_that!(
         requests(&second),
@@ -189,7 +190,7 @@
         // The registration of the start is answered.
         test.event(Event::Store {
             request: StoreRequestId(2),
-            reply: StoreReply::Registered,
+            reply: StoreReply::Registered { is_new: false },
         });
         test.event(Event::Store {
             request: StoreRequestId(4),
--- /dev/null
+++ b/crates/rillgap-forward/tests/links.rs
@@ -0,0 +1,287 @@
+//! Links between nodes: which are opened, which of two is used, how they end.
+
+mod support;
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+
+use googletest::prelude::*;
+use rillgap_forward::action::Action;
+use rillgap_forward::event::{AnnouncedState, Event};
+use rillgap_forward::id::LinkId;
+use rillgap_forward::message::{LinkMessage, NodeRecord, Status};
+use rillgap_forward::store_sync::{StoreReply, StoreRequest};
+use rillgap_forward::subset::preference;
+use support::{
+    INSTANCE, SERVICE, TestNode, caller_request, configuration, forwarded, hello, serving,
+};
+
+const SERVICES: [&str; 4] = ["logbok", "bestilling", "oppgjor", SERVICE];
+const ZONES: usize = 5;
+/// Peers of a large deployment.
+const PEERS: usize = 294;
+/// Peers of that deployment that run each service in each zone, at least.
+const AT_LEAST_LOCAL: usize = 6;
+
+fn record(number: usize) -> NodeRecord {
+    let [high, low] = (number as u16).to_be_bytes();
+    NodeRecord {
+        name: format!("node-{number:03}"),
+        address: SocketAddr::from(([10, 0, high, low], 7_000)),
+        zone: format!("zone-{}", number % ZONES),
+        service: SERVICES[number / ZONES % SERVICES.len()].to_owned(),
+    }
+}
+
+/// A node of zone `hall-a` that has listed these peers.
+fn node_that_lists(records: Vec<NodeRecord>) -> TestNode {
+    let mut test = TestNode::fresh("logbok");
+    list(&mut test, records);
+    test.configure(configuration(1));
+    test.pass(200);
+    test
+}
+
+/// Lets a fresh node list these peers.
+fn list(test: &mut TestNode, records: Vec<NodeRecord>) {
+    test.answer_store(
+        |request| matches!(request, StoreRequest::Register(_)),
+        StoreReply::Registered { is_new: false },
+    );
+    test.answer_store(
+        |request| matches!(request, StoreRequest::ListNodes),
+        StoreReply::Nodes(records),
+    );
+}
+
+/// Peers of `zone-0`, renamed to the zone of the node itself.
+fn deployment() -> Vec<NodeRecord> {
+    let rename = |mut record: NodeRecord| {
+        if record.zone == "zone-0" {
+            record.zone = "hall-a".to_owned();
+        }
+        record
+    };
+    (0..PEERS).map(record).map(rename).collect()
+}
+
+/// Returns the links that the node opens, by address.
+fn opened(test: &TestNode) -> Vec<(LinkId, SocketAddr)> {
+    let open = |action: &Action| match action {
+        Action::OpenLink { link, address } => Some((*link, *address)),
+        _ => None,
+    };
+    test.actions.iter().filter_map(open).collect()
+}
+
+#[gtest]
+fn links_are_opened_to_a_part_of_a_large_deployment_only() {
+    let test = node_that_lists(deployment());
+    let links = opened(&test).len();
+    expect_that!(links, le(PEERS / 4));
+    expect_that!(links, ge(SERVICES.len() * AT_LEAST_LOCAL));
+}
+
+#[gtest]
+fn links_are_opened_to_everybody_in_a_small_deployment() {
+    const SMALL_ZONES: [&str; 3] = ["hall-a", "hall-b", "hall-c"];
+    let peer = |number: usize| NodeRecord {
+        zone: SMALL_ZONES[number % SMALL_ZONES.len()].to_owned(),
+        service: SERVICES[number / SMALL_ZONES.len()].to_owned(),
+        ..record(number)
+    };
+    // The first would be the node itself.
+    let test = node_that_lists((1..12).map(peer).collect());
+    expect_that!(opened(&test).len(), eq(11));
+}
+
+#[gtest]
+fn subset_holds_peers_of_every_service_and_more_of_the_own_zone() {
+    let records = deployment();
+    let by_address: BTreeMap<SocketAddr, NodeRecord> = records
+        .iter()
+        .map(|record| (record.address, record.clone()))
+        .collect();
+    let test = node_that_lists(records);
+    let mut counts: BTreeMap<String, (usize, usize)> = BTreeMap::new();
+    for (_, address) in opened(&test) {
+        let record = &by_address[&address];
+        let (local, remote) = counts.entry(record.service.clone()).or_default();
+        if record.zone == "hall-a" {
+            *local += 1;
+        } else {
+            *remote += 1;
+        }
+    }
+    expect_that!(counts.len(), eq(SERVICES.len()));
+    for (service, (local, remote)) in counts {
+        expect_that!(local, gt(remote), "{service}");
+        expect_that!(remote, ge(2), "{service}");
+    }
+}
+
+/// Every back end must have about as many callers as any other.
+#[gtest]
+fn preferences_spread_evenly_over_the_peers() {
+    let names: Vec<String> = (0..PEERS).map(|number| record(number).name).collect();
+    let mut chosen: BTreeMap<&str, usize> = BTreeMap::new();
+    const WANTED: usize = 30;
+    for own in &names {
+        let mut others: Vec<&String> = names.iter().filter(|name| *name != own).collect();
+        others.sort_by_key(|name| preference(own, name));
+        for name in others.into_iter().take(WANTED) {
+            *chosen.entry(name).or_default() += 1;
+        }
+    }
+    expect_that!(chosen.len(), eq(PEERS));
+    let least = chosen.values().min().copied().unwrap_or(0);
+    let most = chosen.values().max().copied().unwrap_or(0);
+    expect_that!(least, ge(WANTED / 3));
+    expect_that!(most, le(WANTED * 2));
+}
+
+#[gtest]
+fn peers_that_cannot_be_reached_are_replaced_and_tried_on() {
+    let mut test = node_that_lists(deployment());
+    let first = opened(&test);
+    for (link, _) in &first {
+        test.event(Event::LinkClosed(*link));
+    }
+    test.actions.clear();
+    test.pass(1_200);
+    let before: BTreeSet<SocketAddr> = first.iter().map(|(_, address)| *address).collect();
+    let after: BTreeSet<SocketAddr> = opened(&test).into_iter().map(|link| link.1).collect();
+    expect_that!(after.difference(&before).count(), ge(first.len() / 2));
+    expect_that!(before.difference(&after).count(), eq(0));
+}
+
+#[gtest]
+fn peers_that_do_not_serve_are_replaced() {
+    let records = deployment();
+    let by_address: BTreeMap<SocketAddr, NodeRecord> = records
+        .iter()
+        .map(|record| (record.address, record.clone()))
+        .collect();
+    let mut test = node_that_lists(records);
+    let first = opened(&test);
+    test.actions.clear();
+    for (link, address) in &first {
+        let record = by_address[address].clone();
+        let status = Status {
+            is_serving: false,
+            ..serving(&record.service)
+        };
+        let mut hello = hello(&record.name, 0, status, 0);
+        hello.node = record;
+        test.event(Event::LinkOpened { link: *link, hello });
+    }
+    test.pass(200);
+    expect_that!(opened(&test).len(), ge(first.len() / 2));
+}
+
+#[gtest]
+fn link_that_a_peer_has_opened_carries_requests_to_it() {
+    let mut test = TestNode::configured("logbok");
+    let link = test.connect("peer-a", 2, SERVICE);
+    expect_that!(opened(&test), is_empty());
+    test.request(0, caller_request("a", "/safe/1"));
+    expect_that!(test.sent()[0].0, eq(link));
+}
+
+#[gtest]
+fn link_that_the_node_has_opened_carries_requests_of_the_peer() {
+    let mut test = TestNode::fresh(SERVICE);
+    list(
+        &mut test,
+        vec![hello("peer-a", 2, serving("logbok"), 0).node],
+    );
+    test.configure(configuration(1));
+    test.pass(200);
+    let (link, _) = opened(&test)[0];
+    test.heartbeat(1, AnnouncedState::Ready);
+    test.confirm(INSTANCE);
+    let hello = hello("peer-a", 2, serving("logbok"), 0);
+    test.event(Event::LinkOpened { link, hello });
+    test.forward(link, 1, forwarded("a", true));
+    expect_that!(test.exchanges().len(), eq(1));
+}
+
+/// Opens a link to `name`, which opens one to the node before the first is up; returns both and
+/// whether the node gives up its own.
+fn open_both(name: &str) -> (TestNode, LinkId, LinkId, bool) {
+    let mut test = node_that_lists(vec![hello(name, 2, serving(SERVICE), 0).node]);
+    let (own, _) = opened(&test)[0];
+    let theirs = LinkId(900);
+    let greeting = hello(name, 2, serving(SERVICE), 0);
+    test.event(Event::LinkAccepted {
+        link: theirs,
+        hello: greeting.clone(),
+    });
+    test.event(Event::LinkOpened {
+        link: own,
+        hello: greeting,
+    });
+    let closes = |action: &Action| matches!(action, Action::CloseLink(link) if *link == own);
+    let is_given_up = test.actions.iter().any(closes);
+    (test, own, theirs, is_given_up)
+}
+
+#[gtest]
+fn of_two_links_opened_at_once_both_ends_use_that_of_the_lower_name() {
+    // The node's own name is `own`.
+    let (mut test, _, theirs, is_given_up) = open_both("alpha");
+    expect_that!(is_given_up, eq(true));
+    test.request(0, caller_request("a", "/safe/1"));
+    expect_that!(test.sent()[0].0, eq(theirs));
+
+    let (mut test, own, _, is_given_up) = open_both("zeta");
+    expect_that!(is_given_up, eq(false));
+    test.request(0, caller_request("a", "/safe/1"));
+    expect_that!(test.sent()[0].0, eq(own));
+}
+
+#[gtest]
+fn spare_link_takes_over_when_the_one_in_use_ends() {
+    let (mut test, own, theirs, _) = open_both("zeta");
+    test.event(Event::LinkClosed(own));
+    test.request(0, caller_request("a", "/safe/1"));
+    expect_that!(test.sent()[0].0, eq(theirs));
+}
+
+#[gtest]
+fn link_of_a_new_run_of_a_peer_replaces_that_of_the_earlier_one() {
+    let mut test = TestNode::configured("logbok");
+    let first = test.connect("peer-a", 2, SERVICE);
+    let mut greeting = hello("peer-a", 2, serving(SERVICE), 0);
+    greeting.incarnation += 1;
+    let second = LinkId(901);
+    test.event(Event::LinkAccepted {
+        link: second,
+        hello: greeting,
+    });
+    let closes = |action: &Action| matches!(action, Action::CloseLink(link) if *link == first);
+    expect_that!(test.actions.iter().any(closes), eq(true));
+    test.request(0, caller_request("a", "/safe/1"));
+    expect_that!(test.sent()[0].0, eq(second));
+}
+
+#[gtest]
+fn status_goes_to_every_open_link() {
+    let mut test = TestNode::configured("logbok");
+    let first = test.connect("peer-a", 2, SERVICE);
+    let second = test.connect("peer-b", 3, SERVICE);
+    test.actions.clear();
+    test.pass(1_100);
+    let told: BTreeSet<LinkId> = test
+        .actions
+        .iter()
+        .filter_map(|action| match action {
+            Action::SendOnLink {
+                link,
+                message: LinkMessage::Status(_),
+            } => Some(*link),
+            _ => None,
+        })
+        .collect();
+    expect_that!(told, eq(&BTreeSet::from([first, second])));
+}
--- a/crates/rillgap-forward/tests/simulation/world/store.rs
+++ b/crates/rillgap-forward/tests/simulation/world/store.rs
@@ -34,8 +34,10 @@
                 }
             }
             StoreRequest::Register(record) => {
-                self.records.insert(record.name.clone(), record);
-                StoreReply::Registered
+                let before = self.records.insert(record.name.clone(), record);
+                StoreReply::Registered {
+                    is_new: before.is_none(),
+                }
             }
             StoreRequest::ListNodes => StoreReply::Nodes(self.records.values().cloned().collect()),
             StoreRequest::Unregister { name } => {
--- a/crates/rillgap-forward/tests/support/mod.rs
+++ b/crates/rillgap-forward/tests/support/mod.rs
@@ -255,6 +255,20 @@
         });
     }
 
+    /// Answers the call to the store that fits and was made last.
+    pub fn answer_store(&mut self, fits: impl Fn(&StoreRequest) -> bool, reply: StoreReply) {
+        let request = self
+            .actions
+            .iter()
+            .rev()
+            .find_map(|action| match action {
+                Action::CallStore { id, request } if fits(request) => Some(*id),
+                _ => None,
+            })
+            .expect("a call to the store");
+        self.event(Event::Store { request, reply });
+    }
+
     pub fn heartbeat(&mut self, sequence: u64, state: AnnouncedState) -> bool {
         self.heartbeat_of(INSTANCE, sequence, state)
     }
@@ -314,27 +328,12 @@
         link
     }
 
-    /// Opens a link to a peer whose back end serves `service`.
+    /// Lets a peer whose back end serves `service` open a link to the node, which serves both ends.
     pub fn connect(&mut self, name: &str, last: u8, service: &str) -> LinkId {
-        let greeting = hello(name, last, serving(service), 0);
-        self.event(Event::LinkAccepted {
-            link: LinkId(1_000 + u64::from(last)),
-            hello: greeting.clone(),
-        });
+        let link = LinkId(1_000 + u64::from(last));
+        let hello = hello(name, last, serving(service), 0);
         self.pass(250);
-        let link = self
-            .actions
-            .iter()
-            .rev()
-            .find_map(|action| match action {
-                Action::OpenLink { link, address: to } if *to == address(last) => Some(*link),
-                _ => None,
-            })
-            .expect("a link that is opened");
-        self.event(Event::LinkOpened {
-            link,
-            hello: greeting,
-        });
+        self.event(Event::LinkAccepted { link, hello });
         link
     }
 
--- a/crates/rillgap-sidecar/src/back_end/connection.rs
+++ b/crates/rillgap-sidecar/src/back_end/connection.rs
@@ -16,6 +16,7 @@
 use super::response::{ResponseReader, Step};
 use crate::dialect::HeaderNames;
 use crate::hub::Hub;
+use crate::read::try_read;
 
 /// Longest time to open a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
@@ -23,8 +24,6 @@
 const DEFAULT_KEEP: Duration = Duration::from_secs(4);
 /// Share of the time that the back end names for which a connection is kept.
 const KEEP_SHARE: f64 = 0.7;
-/// Bytes read at a time.
-const READ_SIZE: usize = 16 * 1024;
 
 /// How a request on a connection ended.
 enum Outcome {
@@ -167,8 +166,7 @@
     }
 
     fn read(&mut self, reader: &mut ResponseReader, names: &HeaderNames) -> Step {
-        self.input.reserve(READ_SIZE);
-        match self.stream.try_read_buf(&mut self.input) {
+        match try_read(&self.stream, &mut self.input) {
             Ok(0) => reader.at_end(),
             Ok(_) => reader.read(&mut self.input, names),
             Err(error) if error.kind() == io::ErrorKind::WouldBlock => Step::Partial,
--- a/crates/rillgap-sidecar/src/caller/connection.rs
+++ b/crates/rillgap-sidecar/src/caller/connection.rs
@@ -17,13 +17,12 @@
 
 use super::reader::{Progress, ReadRequest, RequestReader};
 use crate::hub::{Hub, TurnAnswer};
+use crate::read::{release_if_empty, try_read};
 
 /// Most requests of one connection under way.
 const MOST_PIPELINED: usize = 32;
 /// Bytes of further requests that are read ahead.
 const MOST_READ_AHEAD: usize = 256 * 1024;
-/// Bytes read at a time.
-const READ_SIZE: usize = 16 * 1024;
 /// Longest time for which an answer may lie unread.
 const UNREAD_LIMIT: Duration = Duration::from_secs(10);
 /// Longest time for which the peer's close is waited for after the last answer.
@@ -156,8 +155,7 @@
     }
 
     fn read(&mut self) -> Result<(), End> {
-        self.input.reserve(READ_SIZE);
-        match self.stream.try_read_buf(&mut self.input) {
+        match try_read(&self.stream, &mut self.input) {
             Ok(0) => return Err(End::Gone),
             Ok(_) => {}
             Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Ok(()),
@@ -188,6 +186,7 @@
         if !self.takes_requests {
             self.input.clear();
         }
+        release_if_empty(&mut self.input);
         Ok(())
     }
 
@@ -295,6 +294,7 @@
                 Err(error) => return Err(error.into()),
             }
         }
+        release_if_empty(&mut self.output);
         Ok(())
     }
 
@@ -312,8 +312,7 @@
                 return;
             }
             self.input.clear();
-            self.input.reserve(READ_SIZE);
-            match self.stream.try_read_buf(&mut self.input) {
+            match try_read(&self.stream, &mut self.input) {
                 Ok(0) => return,
                 Ok(_) => {}
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
--- a/crates/rillgap-sidecar/src/hub.rs
+++ b/crates/rillgap-sidecar/src/hub.rs
@@ -7,6 +7,7 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::rc::Rc;
 
+use bytes::BytesMut;
 use rillgap_core::time::Instant;
 use rillgap_forward::action::{Action, CallerAnswer};
 use rillgap_forward::event::Event;
@@ -20,7 +21,7 @@
 
 use crate::back_end::BackEndClient;
 use crate::dialect::Dialect;
-use crate::link;
+use crate::link::{self, FrameDecoder, FrameEncoder, FrameError};
 use crate::logging::RequestLog;
 use crate::metrics::Metrics;
 use crate::store::Store;
@@ -42,6 +43,9 @@
     announcements: RefCell<BTreeMap<AnnouncementId, oneshot::Sender<bool>>>,
     callers: RefCell<BTreeMap<ConnectionId, UnboundedSender<TurnAnswer>>>,
     links: RefCell<BTreeMap<LinkId, UnboundedSender<LinkMessage>>>,
+    /// Working memory of the links' codec, which all links share: a node has many of them.
+    encoder: RefCell<FrameEncoder>,
+    decoder: RefCell<FrameDecoder>,
     back_end: BackEndClient,
     dialect: Rc<dyn Dialect>,
     store: Rc<dyn Store>,
@@ -73,6 +77,8 @@
             announcements: RefCell::default(),
             callers: RefCell::default(),
             links: RefCell::default(),
+            encoder: RefCell::default(),
+            decoder: RefCell::default(),
             back_end,
             dialect,
             store,
@@ -142,6 +148,23 @@
         self.dispatch(Event::LinkClosed(link));
     }
 
+    /// Appends a message for a link as a frame.
+    pub(crate) fn encode_frame(
+        &self,
+        message: &LinkMessage,
+        out: &mut BytesMut,
+    ) -> Result<(), FrameError> {
+        self.encoder.borrow_mut().encode(message, out)
+    }
+
+    /// Takes the next message of a link out of `input`.
+    pub(crate) fn decode_frame(
+        &self,
+        input: &mut BytesMut,
+    ) -> Result<Option<LinkMessage>, FrameError> {
+        self.decoder.borrow_mut().decode(input)
+    }
+
     /// Hands the node what the back end announces; the receiver gets whether it is acknowledged.
     pub fn announce(
         self: &Rc<Self>,
--- a/crates/rillgap-sidecar/src/lib.rs
+++ b/crates/rillgap-sidecar/src/lib.rs
@@ -17,5 +17,6 @@
 pub mod link;
 pub mod logging;
 pub mod metrics;
+mod read;
 pub mod settings;
 pub mod store;
--- a/crates/rillgap-sidecar/src/link/mod.rs
+++ b/crates/rillgap-sidecar/src/link/mod.rs
@@ -1,4 +1,4 @@
-//! Links between nodes: one TCP connection for each ordered pair.
+//! Links between nodes: TCP connections that carry requests of both ends.
 
 mod codec;
 
@@ -18,13 +18,13 @@
 pub use codec::{FrameDecoder, FrameEncoder, FrameError};
 
 use crate::hub::Hub;
+use crate::read::{release_if_empty, try_read};
 
 /// Longest time to open a link and to exchange introductions.
 const OPEN_TIMEOUT: Duration = Duration::from_millis(900);
-/// Bytes that a peer may leave unread before its link is given up.
-const MOST_UNSENT: usize = 64 * 1024 * 1024;
-/// Bytes read at a time.
-const READ_SIZE: usize = 32 * 1024;
+/// Bytes that a peer may leave unread before its link is given up. A configuration, the longest
+/// message, has at most 1 MiB in the store.
+const MOST_UNSENT: usize = 8 * 1024 * 1024;
 
 /// Why a link ended.
 #[derive(Debug, thiserror::Error)]
@@ -77,7 +77,7 @@
 
 async fn run(hub: &Rc<Hub>, link: LinkId, stream: TcpStream, direction: Direction) {
     let (sender, receiver) = unbounded_channel();
-    let mut connection = LinkConnection::new(stream);
+    let mut connection = LinkConnection::new(hub.clone(), stream);
     let hello = hub.with_node(|node| node.hello());
     let introduced = timeout(OPEN_TIMEOUT, connection.introduce(hello)).await;
     let Ok(Ok(hello)) = introduced else {
@@ -88,40 +88,38 @@
         Direction::Opened => Event::LinkOpened { link, hello },
         Direction::Accepted => Event::LinkAccepted { link, hello },
     });
-    if let Err(error) = connection.exchange(hub, link, receiver).await {
+    if let Err(error) = connection.exchange(link, receiver).await {
         log::debug!(link = link.0; "link: ended: {error}");
     }
 }
 
 /// One end of a link.
 struct LinkConnection {
+    hub: Rc<Hub>,
     stream: TcpStream,
-    encoder: FrameEncoder,
-    decoder: FrameDecoder,
     input: BytesMut,
     output: BytesMut,
 }
 
 impl LinkConnection {
-    fn new(stream: TcpStream) -> Self {
+    fn new(hub: Rc<Hub>, stream: TcpStream) -> Self {
         // Without it small frames wait for acknowledgements; a link works without it, too.
         let _ = stream.set_nodelay(true);
         Self {
+            hub,
             stream,
-            encoder: FrameEncoder::default(),
-            decoder: FrameDecoder::default(),
-            input: BytesMut::with_capacity(READ_SIZE),
+            input: BytesMut::new(),
             output: BytesMut::new(),
         }
     }
 
     /// Sends the node's introduction and returns the peer's.
     async fn introduce(&mut self, hello: Hello) -> Result<Hello, LinkError> {
-        self.encoder
-            .encode(&LinkMessage::Hello(hello), &mut self.output)?;
+        let hello = LinkMessage::Hello(hello);
+        self.hub.encode_frame(&hello, &mut self.output)?;
         self.flush()?;
         loop {
-            if let Some(message) = self.decoder.decode(&mut self.input)? {
+            if let Some(message) = self.hub.decode_frame(&mut self.input)? {
                 return match message {
                     LinkMessage::Hello(hello) => Ok(hello),
                     _ => Err(LinkError::NoHello),
@@ -144,18 +142,17 @@
     /// Carries messages both ways until the link ends or its queue is closed.
     async fn exchange(
         &mut self,
-        hub: &Rc<Hub>,
         link: LinkId,
         mut messages: UnboundedReceiver<LinkMessage>,
     ) -> Result<(), LinkError> {
-        self.deliver(hub, link)?;
+        self.deliver(link)?;
         loop {
             tokio::select! {
                 biased;
                 ready = self.stream.readable() => {
                     ready?;
                     self.read()?;
-                    self.deliver(hub, link)?;
+                    self.deliver(link)?;
                 }
                 message = messages.recv() => {
                     let Some(message) = message else {
@@ -178,9 +175,9 @@
         first: LinkMessage,
         messages: &mut UnboundedReceiver<LinkMessage>,
     ) -> Result<(), LinkError> {
-        self.encoder.encode(&first, &mut self.output)?;
+        self.hub.encode_frame(&first, &mut self.output)?;
         while let Ok(message) = messages.try_recv() {
-            self.encoder.encode(&message, &mut self.output)?;
+            self.hub.encode_frame(&message, &mut self.output)?;
         }
         if self.output.len() > MOST_UNSENT {
             return Err(LinkError::TooMuchUnsent);
@@ -188,16 +185,16 @@
         Ok(())
     }
 
-    fn deliver(&mut self, hub: &Rc<Hub>, link: LinkId) -> Result<(), LinkError> {
-        while let Some(message) = self.decoder.decode(&mut self.input)? {
-            hub.dispatch(Event::Link { link, message });
+    fn deliver(&mut self, link: LinkId) -> Result<(), LinkError> {
+        while let Some(message) = self.hub.decode_frame(&mut self.input)? {
+            self.hub.dispatch(Event::Link { link, message });
         }
+        release_if_empty(&mut self.input);
         Ok(())
     }
 
     fn read(&mut self) -> Result<(), LinkError> {
-        self.input.reserve(READ_SIZE);
-        match self.stream.try_read_buf(&mut self.input) {
+        match try_read(&self.stream, &mut self.input) {
             Ok(0) => Err(LinkError::Closed),
             Ok(_) => Ok(()),
             Err(error) if error.kind() == io::ErrorKind::WouldBlock => Ok(()),
@@ -213,6 +210,7 @@
                 Err(error) => return Err(error.into()),
             }
         }
+        release_if_empty(&mut self.output);
         Ok(())
     }
 }
--- a/crates/rillgap-sidecar/tests/path/support.rs
+++ b/crates/rillgap-sidecar/tests/path/support.rs
@@ -75,7 +75,7 @@
                 StoreRequest::WatchConfiguration { .. } => std::future::pending().await,
                 StoreRequest::Register(record) => {
                     store.nodes.borrow_mut().push(record);
-                    StoreReply::Registered
+                    StoreReply::Registered { is_new: false }
                 }
                 StoreRequest::ListNodes => StoreReply::Nodes(store.nodes.borrow().clone()),
                 StoreRequest::Unregister { .. } => StoreReply::Unregistered,
