--- a/crates/rillgap-forward/src/node/links.rs
+++ b/crates/rillgap-forward/src/node/links.rs
@@ -11,13 +11,13 @@
 use crate::note::Note;
 
 /// Time between two reports of a node's back end on a link, which are also signs of life.
-const STATUS_INTERVAL: Duration = Duration::from_secs(1);
+const STATUS_INTERVAL: Duration = Duration::from_secs(2);
 /// Silence of a link with requests under way after which the peer is pinged.
 const PING_AFTER: Duration = Duration::from_millis(200);
 /// Silence of a link with requests under way after which it is given up.
 const SILENT_BUSY: Duration = Duration::from_millis(1_100);
 /// Silence of a link without requests after which it is given up: three reports are missing.
-const SILENT_IDLE: Duration = Duration::from_millis(3_200);
+const SILENT_IDLE: Duration = Duration::from_millis(6_400);
 
 impl Node {
     pub(super) fn on_link_opened(
--- a/crates/rillgap-sidecar/src/back_end/connection.rs
+++ b/crates/rillgap-sidecar/src/back_end/connection.rs
@@ -16,7 +16,7 @@
 use super::response::{ResponseReader, Step};
 use crate::dialect::HeaderNames;
 use crate::hub::Hub;
-use crate::read::try_read;
+use crate::read::{read_some, release_if_empty};
 
 /// Longest time to open a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
@@ -143,16 +143,17 @@
             if self.flush(&mut output).is_err() {
                 return lost();
             }
+            let (mut receiving, sending) = self.stream.split();
             tokio::select! {
                 biased;
                 _ = &mut job.cancelled => return Outcome::Cancelled,
-                _ = self.stream.readable() => {
-                    let step = self.read(&mut reader, &names);
+                received = read_some(&mut receiving, &mut self.input) => {
+                    let step = self.take_in(received, &mut reader, &names);
                     if let Some(outcome) = self.conclude(step, output.is_empty()) {
                         return outcome;
                     }
                 }
-                _ = self.stream.writable(), if !output.is_empty() => {}
+                _ = sending.writable(), if !output.is_empty() => {}
             }
         }
     }
@@ -165,13 +166,19 @@
             && matches!(nothing, Err(error) if error.kind() == io::ErrorKind::WouldBlock)
     }
 
-    fn read(&mut self, reader: &mut ResponseReader, names: &HeaderNames) -> Step {
-        match try_read(&self.stream, &mut self.input) {
+    fn take_in(
+        &mut self,
+        received: io::Result<usize>,
+        reader: &mut ResponseReader,
+        names: &HeaderNames,
+    ) -> Step {
+        let step = match received {
             Ok(0) => reader.at_end(),
             Ok(_) => reader.read(&mut self.input, names),
-            Err(error) if error.kind() == io::ErrorKind::WouldBlock => Step::Partial,
             Err(_) => Step::Broken,
-        }
+        };
+        release_if_empty(&mut self.input);
+        step
     }
 
     fn conclude(&mut self, step: Step, is_sent: bool) -> Option<Outcome> {
--- a/crates/rillgap-sidecar/src/caller/connection.rs
+++ b/crates/rillgap-sidecar/src/caller/connection.rs
@@ -17,7 +17,7 @@
 
 use super::reader::{Progress, ReadRequest, RequestReader};
 use crate::hub::{Hub, TurnAnswer};
-use crate::read::{release_if_empty, try_read};
+use crate::read::{read_some, release_if_empty};
 
 /// Most requests of one connection under way.
 const MOST_PIPELINED: usize = 32;
@@ -100,6 +100,7 @@
                 return Err(End::Finished);
             }
             let may_read = self.input.len() < MOST_READ_AHEAD;
+            let (mut receiving, sending) = self.stream.split();
             tokio::select! {
                 biased;
                 answer = answers.recv() => {
@@ -108,11 +109,10 @@
                     };
                     self.take_answers(turn, answer, answers)?;
                 }
-                ready = self.stream.readable(), if may_read => {
-                    ready?;
-                    self.read()?;
+                received = read_some(&mut receiving, &mut self.input), if may_read => {
+                    self.take_in(received?)?;
                 }
-                ready = self.stream.writable(), if !self.output.is_empty() => {
+                ready = sending.writable(), if !self.output.is_empty() => {
                     ready?;
                     self.flush()?;
                 }
@@ -154,12 +154,9 @@
         Err(End::Gone)
     }
 
-    fn read(&mut self) -> Result<(), End> {
-        match try_read(&self.stream, &mut self.input) {
-            Ok(0) => return Err(End::Gone),
-            Ok(_) => {}
-            Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Ok(()),
-            Err(error) => return Err(error.into()),
+    fn take_in(&mut self, received: usize) -> Result<(), End> {
+        if received == 0 {
+            return Err(End::Gone);
         }
         if !self.reader.is_within_request(&self.input) || self.pending.is_empty() {
             self.active_at = Instant::now();
@@ -307,16 +304,12 @@
         }
         let until = Instant::now() + LINGER;
         loop {
-            let ready = tokio::time::timeout_at(until, self.stream.readable()).await;
-            if !matches!(ready, Ok(Ok(()))) {
-                return;
-            }
             self.input.clear();
-            match try_read(&self.stream, &mut self.input) {
-                Ok(0) => return,
-                Ok(_) => {}
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
-                Err(_) => return,
+            let (mut receiving, _) = self.stream.split();
+            let read = read_some(&mut receiving, &mut self.input);
+            let received = tokio::time::timeout_at(until, read).await;
+            if !matches!(received, Ok(Ok(1..))) {
+                return;
             }
         }
     }
--- a/crates/rillgap-sidecar/src/link/mod.rs
+++ b/crates/rillgap-sidecar/src/link/mod.rs
@@ -18,7 +18,7 @@
 pub use codec::{FrameDecoder, FrameEncoder, FrameError};
 
 use crate::hub::Hub;
-use crate::read::{release_if_empty, try_read};
+use crate::read::{read_some, release_if_empty};
 
 /// Longest time to open a link and to exchange introductions.
 const OPEN_TIMEOUT: Duration = Duration::from_millis(900);
@@ -125,13 +125,13 @@
                     _ => Err(LinkError::NoHello),
                 };
             }
+            let (mut receiving, sending) = self.stream.split();
             tokio::select! {
                 biased;
-                ready = self.stream.readable() => {
-                    ready?;
-                    self.read()?;
+                received = read_some(&mut receiving, &mut self.input) => {
+                    check_received(received?)?;
                 }
-                ready = self.stream.writable(), if !self.output.is_empty() => {
+                ready = sending.writable(), if !self.output.is_empty() => {
                     ready?;
                     self.flush()?;
                 }
@@ -147,11 +147,11 @@
     ) -> Result<(), LinkError> {
         self.deliver(link)?;
         loop {
+            let (mut receiving, sending) = self.stream.split();
             tokio::select! {
                 biased;
-                ready = self.stream.readable() => {
-                    ready?;
-                    self.read()?;
+                received = read_some(&mut receiving, &mut self.input) => {
+                    check_received(received?)?;
                     self.deliver(link)?;
                 }
                 message = messages.recv() => {
@@ -161,7 +161,7 @@
                     self.encode_batch(message, &mut messages)?;
                     self.flush()?;
                 }
-                ready = self.stream.writable(), if !self.output.is_empty() => {
+                ready = sending.writable(), if !self.output.is_empty() => {
                     ready?;
                     self.flush()?;
                 }
@@ -193,15 +193,6 @@
         Ok(())
     }
 
-    fn read(&mut self) -> Result<(), LinkError> {
-        match try_read(&self.stream, &mut self.input) {
-            Ok(0) => Err(LinkError::Closed),
-            Ok(_) => Ok(()),
-            Err(error) if error.kind() == io::ErrorKind::WouldBlock => Ok(()),
-            Err(error) => Err(error.into()),
-        }
-    }
-
     fn flush(&mut self) -> Result<(), LinkError> {
         while !self.output.is_empty() {
             match self.stream.try_write(&self.output) {
@@ -214,3 +205,10 @@
         Ok(())
     }
 }
+
+const fn check_received(length: usize) -> Result<(), LinkError> {
+    match length {
+        0 => Err(LinkError::Closed),
+        _ => Ok(()),
+    }
+}
--- a/crates/rillgap-sidecar/src/read.rs
+++ b/crates/rillgap-sidecar/src/read.rs
@@ -3,27 +3,39 @@
 //! A node keeps many connections that are idle most of the time. A buffer set aside for each of them
 //! would make up most of the memory of the process.
 
+use std::future::poll_fn;
 use std::io;
+use std::mem::MaybeUninit;
+use std::pin::Pin;
+use std::task::ready;
 
 use bytes::BytesMut;
-use tokio::net::TcpStream;
+use tokio::io::{AsyncRead, ReadBuf};
+use tokio::net::tcp::ReadHalf;
 
 /// Most bytes that are read at a time.
 const READ_SIZE: usize = 16 * 1024;
 /// Capacity that an empty buffer may keep, in bytes.
 const KEPT_CAPACITY: usize = 1024;
 
-/// Appends what has arrived on a socket to `input`; returns the number of bytes, 0 at the end of the
-/// stream.
+/// Waits until something arrives on a socket and appends it to `input`; returns the number of bytes, 0
+/// at the end of the stream. Nothing is lost if the future is dropped before it is ready.
+///
+/// A read that does not fill its buffer has emptied the socket; the runtime remembers that, so no
+/// second system call is needed to learn it.
 ///
 /// # Errors
 ///
-/// Fails as [`TcpStream::try_read`] does, with [`io::ErrorKind::WouldBlock`] if nothing has arrived.
-pub fn try_read(stream: &TcpStream, input: &mut BytesMut) -> io::Result<usize> {
-    let mut chunk = [0; READ_SIZE];
-    let length = stream.try_read(&mut chunk)?;
-    input.extend_from_slice(&chunk[..length]);
-    Ok(length)
+/// Fails if the connection is lost.
+pub async fn read_some(stream: &mut ReadHalf<'_>, input: &mut BytesMut) -> io::Result<usize> {
+    poll_fn(|context| {
+        let mut chunk = [MaybeUninit::uninit(); READ_SIZE];
+        let mut buffer = ReadBuf::uninit(&mut chunk);
+        ready!(Pin::new(&mut *stream).poll_read(context, &mut buffer))?;
+        input.extend_from_slice(buffer.filled());
+        Ok(buffer.filled().len()).into()
+    })
+    .await
 }
 
 /// Frees the memory of a buffer that is empty.
