--- a/crates/rillgap-forward/src/node/links.rs
+++ b/crates/rillgap-forward/src/node/links.rs
@@ -10,10 +10,12 @@
 use crate::message::{Hello, LinkMessage, Status};
 use crate::note::Note;
 
-/// Time between two reports of a node's back end on a link, which are also signs of life.
+/// Time between two reports of a node's back end on a link, which are also signs of life. Answers
+/// report the load as well, so links in use need no more.
 const STATUS_INTERVAL: Duration = Duration::from_secs(2);
-/// Silence of a link with requests under way after which the peer is pinged.
-const PING_AFTER: Duration = Duration::from_millis(200);
+/// Silence of a link with requests under way after which the peer is pinged. Most calls deep in a
+/// chain are answered by then.
+const PING_AFTER: Duration = Duration::from_millis(250);
 /// Silence of a link with requests under way after which it is given up.
 const SILENT_BUSY: Duration = Duration::from_millis(1_100);
 /// Silence of a link without requests after which it is given up: three reports are missing.
@@ -98,20 +100,19 @@
             let Some(link) = peer.open_link() else {
                 return;
             };
-            let silence = now.saturating_since(peer.heard_at);
-            let is_busy = peer.in_flight > 0;
-            let limit = if is_busy { SILENT_BUSY } else { SILENT_IDLE };
+            let unanswered = peer.unanswered_for(now);
+            let is_idle = peer.in_flight == 0 && !inbound.has_requests_of(link);
+            // A peer that stood still may come back for the answers that it waits for.
+            let is_gone = is_idle && now.saturating_since(peer.heard_at) >= SILENT_IDLE;
             if may_judge {
                 peer.suspect_if_silent(now);
             }
-            // A peer that stood still may come back for the answers that it waits for.
-            let is_owed = !is_busy && inbound.has_requests_of(link);
-            if silence >= limit && may_judge && !is_owed {
+            if may_judge && (is_gone || unanswered >= SILENT_BUSY) {
                 silent.push(link);
                 return;
             }
             let is_ping_due = now.saturating_since(peer.pinged_at) >= PING_AFTER;
-            if is_busy && silence >= PING_AFTER && is_ping_due {
+            if unanswered >= PING_AFTER && is_ping_due {
                 peer.pinged(now);
                 out.push(Action::SendOnLink {
                     link,
--- a/crates/rillgap-forward/src/outbound/attempts.rs
+++ b/crates/rillgap-forward/src/outbound/attempts.rs
@@ -37,8 +37,7 @@
         let forwarded = request.begin_attempt(now, link, name, sequence);
         self.by_sequence.insert(sequence, key);
         if let Some(peer) = context.directory.by_link(link) {
-            peer.in_flight += 1;
-            peer.unreported += 1;
+            peer.request_sent(now);
         }
         context.out.push(Action::SendOnLink {
             link,
@@ -128,8 +127,7 @@
 
     pub(super) fn release(&mut self, link: LinkId, context: &mut OutboundContext<'_>) {
         if let Some(peer) = context.directory.by_link(link) {
-            peer.in_flight = peer.in_flight.saturating_sub(1);
-            peer.unreported -= 1;
+            peer.request_ended();
         }
     }
 }
--- a/crates/rillgap-forward/src/peer.rs
+++ b/crates/rillgap-forward/src/peer.rs
@@ -50,6 +50,8 @@
     pub unreported: i64,
     /// Requests of this node that are under way there.
     pub in_flight: u32,
+    /// When the first of them was sent.
+    busy_since: Instant,
     /// Whether the peer belongs to the subset that the node keeps links to.
     pub(crate) is_wanted: bool,
     /// Place of the peer in this node's order of preference; the lowest is preferred.
@@ -72,6 +74,7 @@
             status: Status::default(),
             unreported: 0,
             in_flight: 0,
+            busy_since: now,
             is_wanted: false,
             preference,
             has_failed: false,
@@ -147,6 +150,29 @@
         self.pinged_at = now;
     }
 
+    /// Returns for how long nothing was heard of the peer although requests are under way there.
+    pub(crate) fn unanswered_for(&self, now: Instant) -> Duration {
+        if self.in_flight == 0 {
+            return Duration::ZERO;
+        }
+        now.saturating_since(self.heard_at.max(self.busy_since))
+    }
+
+    /// Takes in that a request is sent.
+    pub(crate) fn request_sent(&mut self, now: Instant) {
+        if self.in_flight == 0 {
+            self.busy_since = now;
+        }
+        self.in_flight += 1;
+        self.unreported += 1;
+    }
+
+    /// Takes in that a request has ended.
+    pub(crate) fn request_ended(&mut self) {
+        self.in_flight = self.in_flight.saturating_sub(1);
+        self.unreported -= 1;
+    }
+
     /// Takes in a report of the peer's load.
     pub fn observe_load(&mut self, load: Load) {
         self.status.load = load;
--- a/crates/rillgap-forward/tests/links.rs
+++ b/crates/rillgap-forward/tests/links.rs
@@ -285,3 +285,28 @@
         .collect();
     expect_that!(told, eq(&BTreeSet::from([first, second])));
 }
+
+/// Reports are rare: a link may have been silent for longer than one with requests under way may be.
+#[gtest]
+fn silence_before_a_request_does_not_count_against_the_peer() {
+    let mut test = TestNode::configured("logbok");
+    let link = test.connect("peer-a", 2, SERVICE);
+    test.pass(1_900);
+    let mut patient = caller_request("a", "/once/1");
+    patient.deadline = None;
+    test.request(0, patient);
+    test.actions.clear();
+    test.pass(200);
+    let closes = |action: &Action| matches!(action, Action::CloseLink(closed) if *closed == link);
+    expect_that!(test.actions.iter().any(closes), eq(false));
+    let pings = |action: &Action| {
+        matches!(
+            action,
+            Action::SendOnLink {
+                message: LinkMessage::Ping,
+                ..
+            }
+        )
+    };
+    expect_that!(test.actions.iter().any(pings), eq(false));
+}
