--- a/crates/rillgap-forward/src/directory.rs
+++ b/crates/rillgap-forward/src/directory.rs
@@ -12,6 +12,7 @@
 use crate::message::{Hello, NodeRecord, Status};
 use crate::peer::{LinkState, Peer};
 use crate::subset;
+use crate::watch_duty::Watchers;
 
 /// Place of a peer in the directory.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -162,6 +163,20 @@
         }
     }
 
+    /// Returns the linked peers that watch the store, as a node with this place in their order sees
+    /// them.
+    pub fn watchers(&self, now: Instant, place: u64) -> Watchers {
+        let mut watchers = Watchers::default();
+        for index in self.linked.values().flatten() {
+            let peer = &self.peers[index.0];
+            if peer.watches(now) {
+                watchers.all += 1;
+                watchers.preceding += usize::from(peer.precedes(place));
+            }
+        }
+        watchers
+    }
+
     /// Chooses the peers that links are kept to, if anything has changed since the last choice.
     pub fn update_subset(&mut self) {
         if std::mem::take(&mut self.is_subset_due) {
--- a/crates/rillgap-forward/src/inbound/mod.rs
+++ b/crates/rillgap-forward/src/inbound/mod.rs
@@ -152,13 +152,14 @@
         }
     }
 
-    /// Returns what other nodes are told.
+    /// Returns what other nodes are told of the back end.
     pub fn status(&self) -> Status {
         Status {
             service: self.back_end.service().to_owned(),
             is_serving: self.back_end.is_serving(),
             is_stopping: self.is_stopping,
             load: self.load(),
+            is_watching: false,
         }
     }
 
--- a/crates/rillgap-forward/src/lib.rs
+++ b/crates/rillgap-forward/src/lib.rs
@@ -24,3 +24,4 @@
 pub mod store_sync;
 pub mod subset;
 pub mod throttle;
+pub mod watch_duty;
--- a/crates/rillgap-forward/src/message.rs
+++ b/crates/rillgap-forward/src/message.rs
@@ -50,6 +50,8 @@
     pub is_stopping: bool,
     /// Load of the back end.
     pub load: Load,
+    /// Whether the node watches the store and has lately heard of it.
+    pub is_watching: bool,
 }
 
 /// First message in both directions of a link.
--- a/crates/rillgap-forward/src/node/links.rs
+++ b/crates/rillgap-forward/src/node/links.rs
@@ -13,6 +13,9 @@
 /// Time between two reports of a node's back end on a link, which are also signs of life. Answers
 /// report the load as well, so links in use need no more.
 const STATUS_INTERVAL: Duration = Duration::from_secs(2);
+/// Time between two reports of a node that watches the store: the others take over when they hear
+/// nothing of it.
+const WATCHER_STATUS_INTERVAL: Duration = Duration::from_millis(700);
 /// Silence of a link with requests under way after which the peer is pinged. Most calls deep in a
 /// chain are answered by then.
 const PING_AFTER: Duration = Duration::from_millis(250);
@@ -61,7 +64,7 @@
     fn greet(&mut self, now: Instant, link: LinkId, hello: &Hello, out: &mut Actions) {
         out.push(Action::SendOnLink {
             link,
-            message: LinkMessage::Status(self.inbound.status()),
+            message: LinkMessage::Status(self.status(now)),
         });
         self.on_offer(now, link, hello.configuration_version, out);
     }
@@ -86,9 +89,17 @@
     pub(super) fn keep_links(&mut self, now: Instant, out: &mut Actions) {
         self.close_silent_links(now, out);
         self.open_links(now, out);
-        if now >= self.next_status {
-            self.next_status = now + STATUS_INTERVAL;
-            self.broadcast_status(out);
+        self.update_watch(now);
+        let is_watching = self.store.is_watching(now);
+        if now >= self.next_status || is_watching != self.told_watching {
+            self.told_watching = is_watching;
+            let interval = if is_watching {
+                WATCHER_STATUS_INTERVAL
+            } else {
+                STATUS_INTERVAL
+            };
+            self.next_status = now + interval;
+            self.broadcast_status(now, out);
         }
     }
 
@@ -136,8 +147,24 @@
         }
     }
 
-    pub(super) fn broadcast_status(&mut self, out: &mut Actions) {
-        let status: Status = self.inbound.status();
+    /// Begins or ends the watch of the store, by what the peers do.
+    fn update_watch(&mut self, now: Instant) {
+        let watchers = self.directory.watchers(now, self.watch_duty.place());
+        let wait = self.watch_duty.update(now, watchers);
+        let may_watch = self.stopping_since.is_none();
+        self.store.set_watch(now, wait.filter(|_| may_watch));
+    }
+
+    /// Returns what the peers are told.
+    pub(super) fn status(&self, now: Instant) -> Status {
+        Status {
+            is_watching: self.store.is_watching(now),
+            ..self.inbound.status()
+        }
+    }
+
+    pub(super) fn broadcast_status(&mut self, now: Instant, out: &mut Actions) {
+        let status = self.status(now);
         self.broadcast(&LinkMessage::Status(status), out);
     }
 
--- a/crates/rillgap-forward/src/node/mod.rs
+++ b/crates/rillgap-forward/src/node/mod.rs
@@ -20,9 +20,10 @@
 use crate::outbound::{Origin, Outbound, OutboundContext};
 use crate::settings::ForwardSettings;
 use crate::store_sync::{StoreNews, StoreReply, StoreRequestId, StoreSync};
+use crate::watch_duty::WatchDuty;
 
 /// Version of the protocol between nodes.
-pub const PROTOCOL_VERSION: u32 = 1;
+pub const PROTOCOL_VERSION: u32 = 2;
 
 /// Time between two looks at links.
 const HOUSEKEEPING: Duration = Duration::from_millis(100);
@@ -49,7 +50,12 @@
     outbound: Outbound,
     store: StoreSync,
     store_is_up: bool,
+    watch_duty: WatchDuty,
+    /// Whether the last report said that the node watches the store.
+    told_watching: bool,
     offer: Option<Offer>,
+    /// Version and time of the last query for a configuration.
+    queried: Option<(u64, Instant)>,
     next_link: u64,
     next_housekeeping: Instant,
     next_status: Instant,
@@ -69,8 +75,11 @@
             inbound: Inbound::new(&settings),
             outbound: Outbound::new(&settings),
             store: StoreSync::new(settings.record.clone()),
+            watch_duty: WatchDuty::new(&settings.record.name),
+            told_watching: false,
             store_is_up: true,
             offer: None,
+            queried: None,
             next_link: 0,
             next_housekeeping: now,
             next_status: now,
@@ -332,7 +341,7 @@
         self.ask_for_offer(now, out);
         self.stop_inbound_when_due(now);
         if self.inbound.take_status_change() {
-            self.broadcast_status(out);
+            self.broadcast_status(now, out);
         }
         if now >= self.next_housekeeping {
             self.next_housekeeping = now + HOUSEKEEPING;
--- a/crates/rillgap-forward/src/node/spread.rs
+++ b/crates/rillgap-forward/src/node/spread.rs
@@ -14,6 +14,8 @@
 
 /// Time after a newer version was heard of in which the node waits for the store to bring it.
 const OFFER_PATIENCE: Duration = Duration::from_millis(200);
+/// Time after which a second peer is asked for a configuration that the first has not sent.
+const QUERY_PATIENCE: Duration = Duration::from_millis(300);
 
 impl Node {
     /// Puts a configuration in force unless it is not newer.
@@ -52,14 +54,28 @@
             });
         }
         if version > own && self.offer.is_none_or(|offer| offer.version < version) {
+            let ask_at = self.when_to_query(now, version);
             self.offer = Some(Offer {
                 link,
                 version,
-                ask_at: now + OFFER_PATIENCE,
+                ask_at,
             });
         }
     }
 
+    /// Returns when to ask a peer for a version: after the store had time to bring it, or another peer
+    /// to answer.
+    fn when_to_query(&self, now: Instant, version: u64) -> Instant {
+        let is_asked = self.queried.filter(|(queried, _)| *queried >= version);
+        if let Some((_, since)) = is_asked {
+            return now.max(since + QUERY_PATIENCE);
+        }
+        if self.store.expects_configuration() {
+            return now + OFFER_PATIENCE;
+        }
+        now
+    }
+
     pub(super) fn on_query(&mut self, link: LinkId, version: u64, out: &mut Actions) {
         let Some(table) = self
             .table
@@ -77,6 +93,7 @@
     pub(super) fn ask_for_offer(&mut self, now: Instant, out: &mut Actions) {
         if let Some(offer) = self.offer.filter(|offer| offer.ask_at <= now) {
             self.offer = None;
+            self.queried = Some((offer.version, now));
             out.push(Action::SendOnLink {
                 link: offer.link,
                 message: LinkMessage::ConfigurationQuery(self.configuration_version()),
--- a/crates/rillgap-forward/src/peer.rs
+++ b/crates/rillgap-forward/src/peer.rs
@@ -6,6 +6,7 @@
 
 use crate::id::LinkId;
 use crate::message::{Load, NodeRecord, Status};
+use crate::watch_duty;
 
 /// First and longest pause before a link is opened again.
 const RECONNECT_PAUSE: (Duration, Duration) = (Duration::from_millis(100), Duration::from_secs(1));
@@ -13,6 +14,10 @@
 /// Time after which a peer that has not answered a ping is suspected.
 const PING_PATIENCE: Duration = Duration::from_millis(150);
 
+/// Silence after which a peer that watches the store does not count any more: two of its reports are
+/// missing.
+const WATCHER_SILENCE: Duration = Duration::from_millis(1_600);
+
 /// Where the link to a peer stands.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum LinkState {
@@ -56,6 +61,8 @@
     pub(crate) is_wanted: bool,
     /// Place of the peer in this node's order of preference; the lowest is preferred.
     pub(crate) preference: u64,
+    /// Place of the peer in the order in which nodes watch the store.
+    watch_place: u64,
     /// Whether the last link was lost, or the last attempt to open one has failed.
     has_failed: bool,
     pause: Duration,
@@ -63,6 +70,7 @@
 
 impl Peer {
     pub(crate) fn new(record: NodeRecord, preference: u64, now: Instant) -> Self {
+        let watch_place = watch_duty::place(&record.name);
         Self {
             record,
             incarnation: 0,
@@ -77,6 +85,7 @@
             busy_since: now,
             is_wanted: false,
             preference,
+            watch_place,
             has_failed: false,
             pause: RECONNECT_PAUSE.0,
         }
@@ -118,6 +127,17 @@
         }
     }
 
+    /// Returns whether the peer watches the store, as far as it has lately said.
+    pub(crate) fn watches(&self, now: Instant) -> bool {
+        let is_fresh = now.saturating_since(self.heard_at) < WATCHER_SILENCE;
+        self.status.is_watching && self.open_link().is_some() && is_fresh
+    }
+
+    /// Returns whether the peer watches the store before a node with this place does.
+    pub(crate) const fn precedes(&self, place: u64) -> bool {
+        self.watch_place < place
+    }
+
     const fn takes_requests(&self) -> bool {
         self.status.is_serving && !self.status.is_stopping
     }
--- a/crates/rillgap-forward/src/store_sync.rs
+++ b/crates/rillgap-forward/src/store_sync.rs
@@ -2,7 +2,8 @@
 //!
 //! The store is the only address that all nodes know. A node registers itself and then lists the
 //! others; of two nodes that start at the same time, the one that lists later sees the other, and
-//! links spread the rest. The configuration is read once and then watched by a call that waits.
+//! links spread the rest. The configuration is read once; nodes that have to (see
+//! [`watch_duty`](crate::watch_duty)) then watch it by calls that wait.
 
 use std::time::Duration;
 
@@ -20,6 +21,9 @@
 /// back lists at once: the store knows the others already.
 const FIRST_LIST_PAUSE: Duration = Duration::from_millis(500);
 
+/// Time beyond the wait of a watch after which a node does not say any more that it watches.
+const LATE_ANSWER: Duration = Duration::from_millis(600);
+
 /// Number of a call, used once.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct StoreRequestId(pub u64);
@@ -33,6 +37,8 @@
     WatchConfiguration {
         /// Position of the last read or watch.
         after: u64,
+        /// Time after which it answers although nothing has changed.
+        wait: Duration,
     },
     /// Make sure that the store holds this record.
     Register(NodeRecord),
@@ -182,6 +188,39 @@
     fn next_wake(&self) -> Option<Instant> {
         self.next.as_ref().map(|_| self.due)
     }
+
+    const fn is_idle(&self) -> bool {
+        self.next.is_none() && self.under_way.is_none()
+    }
+}
+
+/// What a node knows of the configuration's place in the store.
+#[derive(Clone, Copy, Debug, Default)]
+struct Watch {
+    /// Position to go on from; `None` before the first read and after the history was forgotten.
+    position: Option<u64>,
+    /// Time for which the watch waits; `None` if the node need not watch.
+    wait: Option<Duration>,
+    /// When the node began to watch, or heard of the store last.
+    fresh_since: Option<Instant>,
+}
+
+impl Watch {
+    /// Returns the next call, if one is needed.
+    fn next(&self) -> Option<StoreRequest> {
+        let Some(after) = self.position else {
+            return Some(StoreRequest::ReadConfiguration);
+        };
+        let wait = self.wait?;
+        Some(StoreRequest::WatchConfiguration { after, wait })
+    }
+
+    fn is_fresh(&self, now: Instant) -> bool {
+        let (Some(wait), Some(since)) = (self.wait, self.fresh_since) else {
+            return false;
+        };
+        now.saturating_since(since) < wait + LATE_ANSWER
+    }
 }
 
 /// Calls of one node to the store.
@@ -190,6 +229,7 @@
     record: NodeRecord,
     ids: u64,
     configuration: Chain,
+    watch: Watch,
     membership: Chain,
 }
 
@@ -199,6 +239,7 @@
         Self {
             ids: 0,
             configuration: Chain::new(StoreRequest::ReadConfiguration),
+            watch: Watch::default(),
             membership: Chain::new(StoreRequest::Register(record.clone())),
             record,
         }
@@ -219,6 +260,29 @@
         configuration.into_iter().chain(membership).min()
     }
 
+    /// Begins or ends the watch: `wait` is how long each call waits, `None` if the node need not
+    /// watch. A call that is under way goes on.
+    pub fn set_watch(&mut self, now: Instant, wait: Option<Duration>) {
+        let begins = wait.is_some() && self.watch.wait.is_none();
+        self.watch.wait = wait;
+        if begins {
+            self.watch.fresh_since = Some(now);
+        }
+        if begins && self.configuration.is_idle() {
+            self.configuration.proceed(now, self.watch.next());
+        }
+    }
+
+    /// Returns whether the node watches the configuration and has lately heard of the store.
+    pub fn is_watching(&self, now: Instant) -> bool {
+        self.watch.position.is_some() && self.watch.is_fresh(now)
+    }
+
+    /// Returns whether a call is under way that would bring a newer configuration.
+    pub const fn expects_configuration(&self) -> bool {
+        self.configuration.under_way.is_some()
+    }
+
     /// Removes the node's record: its back end is gone for good.
     pub fn unregister(&mut self, now: Instant) {
         let name = self.record.name.clone();
@@ -251,18 +315,26 @@
                 position,
                 configuration,
             } => {
-                let next = StoreRequest::WatchConfiguration { after: position };
-                self.configuration.proceed(now, Some(next));
+                self.watch.position = Some(position);
+                self.watch.fresh_since = Some(now);
+                self.configuration.proceed(now, self.watch.next());
                 configuration.map(StoreNews::Configuration)
             }
             StoreReply::HistoryGone => {
-                let next = StoreRequest::ReadConfiguration;
-                self.configuration.proceed(now, Some(next));
+                self.watch.position = None;
+                self.configuration.proceed(now, self.watch.next());
                 None
             }
             // A watch that broke off goes on from its position: nothing is missed, or the store says
             // that it has forgotten.
-            StoreReply::Failed(failure) => self.configuration.on_failure(now, request, failure),
+            StoreReply::Failed(failure) => {
+                self.watch.fresh_since = None;
+                let news = self.configuration.on_failure(now, request, failure);
+                if self.watch.next().is_none() {
+                    self.configuration.next = None;
+                }
+                news
+            }
             _ => {
                 let next = StoreRequest::ReadConfiguration;
                 self.configuration.on_mismatch(now, next)
--- a/crates/rillgap-forward/tests/control.rs
+++ b/crates/rillgap-forward/tests/control.rs
@@ -2,6 +2,8 @@
 
 mod support;
 
+use std::time::Duration;
+
 use googletest::prelude::*;
 use rillgap_forward::action::Action;
 use rillgap_forward::event::{AnnouncedState, Event, ExchangeResult};
@@ -11,6 +13,8 @@
     INSTANCE, SERVICE, TestNode, address, answer, at, configuration, failed, forwarded, settings,
 };
 
+const WAIT: Duration = Duration::from_secs(1);
+
 fn store() -> StoreSync {
     StoreSync::new(settings("own", SERVICE).record)
 }
@@ -41,6 +45,7 @@
 #[gtest]
 fn watch_goes_on_from_its_position_and_reads_anew_when_history_is_gone() {
     let mut store = store();
+    store.set_watch(at(0), Some(WAIT));
     let read = store.poll(at(0))[0].0;
     let reply = StoreReply::Configuration {
         position: 40,
@@ -48,7 +53,10 @@
     };
     expect_that!(store.on_reply(at(1), read, reply), some(anything()));
     let watch = store.poll(at(1));
-    let expected = StoreRequest::WatchConfiguration { after: 40 };
+    let expected = StoreRequest::WatchConfiguration {
+        after: 40,
+        wait: WAIT,
+    };
     expect_that!(requests(&watch), elements_are![eq(&expected)]);
     store.on_reply(at(2), watch[0].0, failed("cut"));
     expect_that!(store.poll(at(2)), is_empty());
--- a/crates/rillgap-forward/tests/simulation/world/mod.rs
+++ b/crates/rillgap-forward/tests/simulation/world/mod.rs
@@ -42,8 +42,6 @@
 const HEARTBEAT: u64 = 1_500;
 /// Milliseconds for which a drained back end keeps serving.
 const DRAIN_SERVES: u64 = 3_500;
-/// Milliseconds for which a watch waits.
-const WATCH_WAIT: u64 = 8_000;
 
 /// Something that happens at a time.
 #[derive(Debug)]
--- a/crates/rillgap-forward/tests/simulation/world/store.rs
+++ b/crates/rillgap-forward/tests/simulation/world/store.rs
@@ -22,14 +22,17 @@
         }
         let reply = match request {
             StoreRequest::ReadConfiguration => self.configuration_reply(0),
-            StoreRequest::WatchConfiguration { after } => {
+            StoreRequest::WatchConfiguration { after, wait } => {
                 if self.visible_version() > after {
                     self.configuration_reply(after)
                 } else {
                     self.next_connection += 1;
                     let watch = self.next_connection;
                     self.watches.insert(watch, (host, run, id, after));
-                    self.at(self.now + WATCH_WAIT, Happening::WatchOver(watch));
+                    self.at(
+                        self.now + wait.as_millis() as u64,
+                        Happening::WatchOver(watch),
+                    );
                     return;
                 }
             }
--- a/crates/rillgap-forward/tests/support/mod.rs
+++ b/crates/rillgap-forward/tests/support/mod.rs
@@ -160,6 +160,7 @@
         service: service.to_owned(),
         is_serving: true,
         is_stopping: false,
+        is_watching: false,
         load: Load {
             limit: 10,
             ..Load::default()
