--- a/crates/rillgap-forward/src/node/links.rs
+++ b/crates/rillgap-forward/src/node/links.rs
@@ -89,7 +89,7 @@
     pub(super) fn keep_links(&mut self, now: Instant, out: &mut Actions) {
         self.close_silent_links(now, out);
         self.open_links(now, out);
-        self.update_watch(now);
+        self.update_watch(now, out);
         let is_watching = self.store.is_watching(now);
         if now >= self.next_status || is_watching != self.told_watching {
             self.told_watching = is_watching;
@@ -148,11 +148,17 @@
     }
 
     /// Begins or ends the watch of the store, by what the peers do.
-    fn update_watch(&mut self, now: Instant) {
+    fn update_watch(&mut self, now: Instant, out: &mut Actions) {
         let watchers = self.directory.watchers(now, self.watch_duty.place());
-        let wait = self.watch_duty.update(now, watchers);
         let may_watch = self.stopping_since.is_none();
-        self.store.set_watch(now, wait.filter(|_| may_watch));
+        let wait = self.watch_duty.update(now, watchers).filter(|_| may_watch);
+        if self.store.set_watch(now, wait) {
+            out.push(Action::Note(Note::Watch {
+                is_watching: wait.is_some(),
+                preceding: watchers.preceding,
+                watchers: watchers.all,
+            }));
+        }
     }
 
     /// Returns what the peers are told.
--- a/crates/rillgap-forward/src/note.rs
+++ b/crates/rillgap-forward/src/note.rs
@@ -105,6 +105,15 @@
         /// The call that failed and why; `None` if the store answers again.
         failure: Option<(&'static str, StoreFailure)>,
     },
+    /// The node begins to watch the store for itself and others, or ends it.
+    Watch {
+        /// Whether it watches.
+        is_watching: bool,
+        /// Linked peers that watch and precede the node.
+        preceding: usize,
+        /// Linked peers that watch.
+        watchers: usize,
+    },
     /// The node's own state.
     Lifecycle {
         /// `started`, `stopping`, `exiting`.
--- a/crates/rillgap-forward/src/store_sync.rs
+++ b/crates/rillgap-forward/src/store_sync.rs
@@ -261,16 +261,17 @@
     }
 
     /// Begins or ends the watch: `wait` is how long each call waits, `None` if the node need not
-    /// watch. A call that is under way goes on.
-    pub fn set_watch(&mut self, now: Instant, wait: Option<Duration>) {
-        let begins = wait.is_some() && self.watch.wait.is_none();
-        self.watch.wait = wait;
+    /// watch. A call that is under way goes on. Returns whether the watch has begun or ended.
+    pub fn set_watch(&mut self, now: Instant, wait: Option<Duration>) -> bool {
+        let before = std::mem::replace(&mut self.watch.wait, wait);
+        let begins = wait.is_some() && before.is_none();
         if begins {
             self.watch.fresh_since = Some(now);
         }
         if begins && self.configuration.is_idle() {
             self.configuration.proceed(now, self.watch.next());
         }
+        before.is_some() != wait.is_some()
     }
 
     /// Returns whether the node watches the configuration and has lately heard of the store.
--- a/crates/rillgap-sidecar/src/logging/notes.rs
+++ b/crates/rillgap-sidecar/src/logging/notes.rs
@@ -162,6 +162,14 @@
             uptime, is_up = false, call = *call, code = failure.code.number(),
             detail = failure.detail.as_str(); "store: dependency"
         ),
+        Note::Watch {
+            is_watching,
+            preceding,
+            watchers,
+        } => log::info!(
+            uptime, is_watching, preceding = *preceding as u64, watchers = *watchers as u64;
+            "store: watch"
+        ),
         Note::Lifecycle { state, in_flight } => log::info!(
             uptime, state = *state, in_flight = *in_flight as u64; "node: lifecycle"
         ),
