--- a/crates/rillgap-forward/tests/simulation/main.rs
+++ b/crates/rillgap-forward/tests/simulation/main.rs
@@ -8,6 +8,7 @@
 
 use day::{Planted, play};
 use googletest::prelude::*;
+use world::{Fault, Happening, World};
 
 /// Days that every run of the tests plays.
 const DAYS: u64 = 150;
@@ -31,6 +32,33 @@
     expect_that!(served * 10, gt(asked * 6));
 }
 
+/// Milliseconds within which an accepted configuration must be in force everywhere.
+const APPLY_BOUND: u64 = 2_000;
+
+#[gtest]
+fn few_nodes_watch_the_store_for_all() {
+    for seed in 0..20 {
+        let mut world = World::new(seed, Planted::Nothing, 5_000);
+        world.run_until(5_000);
+        expect_that!(world.watching(), all!(ge(1), le(3)), "seed {seed}");
+    }
+}
+
+#[gtest]
+fn configuration_is_in_force_in_time_although_the_store_ignores_all_watchers() {
+    for seed in 0..20 {
+        let mut world = World::new(seed, Planted::Nothing, 5_000);
+        let ignored_at = 5_000 + seed * 37;
+        let changed_at = ignored_at + 10;
+        world.at(ignored_at, Happening::Fault(Fault::StoreIgnoresWatchers));
+        world.at(changed_at, Happening::Fault(Fault::Configure));
+        world.run_until(changed_at + APPLY_BOUND);
+        let (in_force, stored) = world.versions();
+        expect_that!(stored, gt(1));
+        expect_that!(in_force, each(eq(&stored)), "seed {seed}");
+    }
+}
+
 #[gtest]
 fn same_seed_gives_the_same_day() {
     for seed in [3, 77] {
--- a/crates/rillgap-forward/tests/simulation/world/faults.rs
+++ b/crates/rillgap-forward/tests/simulation/world/faults.rs
@@ -63,6 +63,10 @@
                     }
                 }
             }
+            Fault::StoreIgnoresWatchers => {
+                let watching = self.watches.values().map(|(host, ..)| *host);
+                self.ignored = watching.collect();
+            }
             Fault::LoseAnswers(host, percent) => {
                 self.hosts[host].back_end.lose_percent = percent;
             }
--- a/crates/rillgap-forward/tests/simulation/world/mod.rs
+++ b/crates/rillgap-forward/tests/simulation/world/mod.rs
@@ -93,6 +93,8 @@
     StoreDown(bool),
     /// The store refuses a host and serves the others, or serves it again.
     StoreRefuses(usize, bool),
+    /// The store says nothing any more to the hosts that watch it at this moment.
+    StoreIgnoresWatchers,
     /// The answers of the store are lost, or not any more.
     StoreLossy(bool),
     /// The store forgets its history and cuts the watches.
@@ -183,6 +185,7 @@
     records: BTreeMap<String, NodeRecord>,
     store_down: bool,
     refused: BTreeSet<usize>,
+    ignored: BTreeSet<usize>,
     store_lossy: bool,
     watches: BTreeMap<u64, (usize, u32, StoreRequestId, u64)>,
     callers_until: u64,
@@ -211,6 +214,7 @@
             records: BTreeMap::new(),
             store_down: false,
             refused: BTreeSet::new(),
+            ignored: BTreeSet::new(),
             store_lossy: false,
             watches: BTreeMap::new(),
             callers_until,
@@ -256,6 +260,19 @@
     }
 
     /// Judges whether every running node has the stored configuration.
+    /// Returns the versions of the configuration in force, and that of the store.
+    pub fn versions(&self) -> (Vec<u64>, u64) {
+        let nodes = self.hosts.iter().filter_map(|host| host.node.as_ref());
+        let in_force = nodes.map(Node::configuration_version).collect();
+        (in_force, self.stored_version)
+    }
+
+    /// Returns how many hosts wait for an answer of the store at this moment.
+    pub fn watching(&self) -> usize {
+        let hosts = self.watches.values().map(|(host, ..)| *host);
+        hosts.collect::<BTreeSet<usize>>().len()
+    }
+
     pub fn judge_configurations(&mut self) {
         let since = self.now - self.stored_at;
         for host in &self.hosts {
--- a/crates/rillgap-forward/tests/simulation/world/store.rs
+++ b/crates/rillgap-forward/tests/simulation/world/store.rs
@@ -8,6 +8,9 @@
 
 use super::*;
 
+/// Milliseconds after which a call that the store ignores is given up.
+const UNANSWERED: u64 = 2_000;
+
 impl World {
     pub(super) fn store(
         &mut self,
@@ -80,6 +83,9 @@
         if self.store_down || self.cut.contains(&host) {
             return Some((failed("no answer"), 2_000));
         }
+        if self.ignored.contains(&host) {
+            return Some((failed("no answer"), UNANSWERED));
+        }
         let is_refused = self.refused.contains(&host);
         is_refused.then(|| (failed("busy"), 4))
     }
@@ -101,8 +107,16 @@
         self.reply(host, run, id, reply, 4);
     }
 
+    /// Answers the watches; those of hosts that the store ignores wait on.
     pub(super) fn answer_all_watches(&mut self) {
-        for (_, (host, run, id, after)) in std::mem::take(&mut self.watches) {
+        let ignored = self.ignored.clone();
+        let watches = std::mem::take(&mut self.watches);
+        let (unheard, heard) = watches
+            .into_iter()
+            .partition(|(_, (host, ..))| ignored.contains(host));
+        self.watches = unheard;
+        let heard: BTreeMap<u64, (usize, u32, StoreRequestId, u64)> = heard;
+        for (host, run, id, after) in heard.into_values() {
             self.answer_watch(host, run, id, after);
         }
     }
