--- a/crates/rillgap-forward/src/inbound/admission.rs
+++ b/crates/rillgap-forward/src/inbound/admission.rs
@@ -23,7 +23,7 @@
         count(self.running.len()) < self.limit()
     }
 
-    /// Tells peers at once when pressure begins or ends.
+    /// Tells peers soon when pressure begins or ends.
     pub(super) fn update_pressure(&mut self) {
         let wait = self.times.wait_micros();
         let limit = if self.is_pressed {
@@ -33,7 +33,7 @@
         };
         if (wait > limit) != self.is_pressed {
             self.is_pressed = !self.is_pressed;
-            self.status_changed = true;
+            self.load_changed = true;
         }
     }
 
--- a/crates/rillgap-forward/src/inbound/ending.rs
+++ b/crates/rillgap-forward/src/inbound/ending.rs
@@ -82,13 +82,13 @@
         self.failures.record(now, is_failure);
     }
 
-    /// Brings the reported share of failures up to date; peers are told at once when the back end
+    /// Brings the reported share of failures up to date; peers are told soon when the back end
     /// begins or ceases to stand out.
     pub(super) fn update_failing(&mut self, now: Instant) {
         let stood_out = self.failing_permille >= FAILING_PERMILLE;
         self.failing_permille = self.failures.permille(now);
         let stands_out = self.failing_permille >= FAILING_PERMILLE;
-        self.status_changed |= stood_out != stands_out;
+        self.load_changed |= stood_out != stands_out;
     }
 
     /// Refuses everything that waits.
--- a/crates/rillgap-forward/src/inbound/mod.rs
+++ b/crates/rillgap-forward/src/inbound/mod.rs
@@ -47,7 +47,7 @@
 const OVERTIME: Duration = Duration::from_millis(250);
 /// Shortest and longest time after which a refused caller is asked back, in milliseconds.
 const RETRY_AFTER_MILLIS: (u64, u64) = (50, 2_000);
-/// Mean wait at which peers are told at once that it has ended, in microseconds.
+/// Mean wait at which peers are told that it has ended, in microseconds.
 const PRESSURE_ENDS_MICROS: u32 = PRESSURE_MICROS / 4;
 /// Time before the end of a request's time from which a cancellation means that no answer came.
 const CLOSE_TO_DEADLINE: Duration = Duration::from_millis(20);
@@ -129,6 +129,7 @@
     next_exchange: u64,
     is_stopping: bool,
     status_changed: bool,
+    load_changed: bool,
     is_pressed: bool,
 }
 
@@ -148,6 +149,7 @@
             next_exchange: 0,
             is_stopping: false,
             status_changed: false,
+            load_changed: false,
             is_pressed: false,
         }
     }
@@ -185,7 +187,12 @@
         }
     }
 
-    /// Returns whether peers must be told of a change, and forgets it.
+    /// Returns whether the load has changed so much that peers are to be told soon, and forgets it.
+    pub fn take_load_change(&mut self) -> bool {
+        std::mem::take(&mut self.load_changed)
+    }
+
+    /// Returns whether peers must be told of a change at once, and forgets it.
     pub fn take_status_change(&mut self) -> bool {
         std::mem::take(&mut self.status_changed)
     }
@@ -457,15 +464,13 @@
                 self.refuse_queued(now, ResultCode::BackEndLeaving, out);
             }
         }
-        let path = table
-            .and_then(|table| table.service(self.back_end.service()))
-            .map(|service| service.health_path.clone());
-        if let Some(path) = path.as_ref().filter(|_| self.back_end.wants_probe()) {
+        if !self.back_end.wants_probe() {
+            return;
+        }
+        let service = table.and_then(|table| table.service(self.back_end.service()));
+        if let Some(path) = service.map(|service| service.health_path.clone()) {
             let probe = self.back_end.begin_probe();
-            out.push(Action::Probe {
-                probe,
-                path: path.clone(),
-            });
+            out.push(Action::Probe { probe, path });
         }
     }
 }
--- a/crates/rillgap-forward/src/node/links.rs
+++ b/crates/rillgap-forward/src/node/links.rs
@@ -9,20 +9,24 @@
 use crate::id::LinkId;
 use crate::message::{Hello, LinkMessage, Status};
 use crate::note::Note;
+use crate::peer::Peer;
 
 /// Time between two reports of a node's back end on a link, which are also signs of life. Answers
 /// report the load as well, so links in use need no more.
-const STATUS_INTERVAL: Duration = Duration::from_secs(2);
+const STATUS_INTERVAL: Duration = Duration::from_secs(3);
+/// Shortest time between two reports of a load that has changed much; answers tell it as well.
+const LOAD_REPORT_PAUSE: Duration = Duration::from_millis(400);
 /// Time between two reports of a node that watches the store: the others take over when they hear
 /// nothing of it.
 const WATCHER_STATUS_INTERVAL: Duration = Duration::from_millis(700);
-/// Silence of a link with requests under way after which the peer is pinged. Most calls deep in a
-/// chain are answered by then.
-const PING_AFTER: Duration = Duration::from_millis(250);
+/// Shortest and longest silence of a link with requests under way after which the peer is pinged, and
+/// the share of the time that a request takes there on the mean. Most requests are answered by then.
+const PING_AFTER: (Duration, Duration) = (Duration::from_millis(250), Duration::from_millis(600));
+const PING_AFTER_SHARE: f64 = 1.5;
 /// Silence of a link with requests under way after which it is given up.
 const SILENT_BUSY: Duration = Duration::from_millis(1_100);
-/// Silence of a link without requests after which it is given up: three reports are missing.
-const SILENT_IDLE: Duration = Duration::from_millis(6_400);
+/// Silence of a link without requests after which it is given up: two reports are missing.
+const SILENT_IDLE: Duration = Duration::from_millis(7_500);
 
 impl Node {
     pub(super) fn on_link_opened(
@@ -122,8 +126,9 @@
                 silent.push(link);
                 return;
             }
-            let is_ping_due = now.saturating_since(peer.pinged_at) >= PING_AFTER;
-            if unanswered >= PING_AFTER && is_ping_due {
+            let patience = ping_patience(peer);
+            let is_ping_due = now.saturating_since(peer.pinged_at) >= patience;
+            if unanswered >= patience && is_ping_due {
                 peer.pinged(now);
                 out.push(Action::SendOnLink {
                     link,
@@ -169,7 +174,18 @@
         }
     }
 
+    /// Tells the peers of a change: at once if it decides whether they may send requests here.
+    pub(super) fn report_changes(&mut self, now: Instant, out: &mut Actions) {
+        let may_report_load = now >= self.status_told_at + LOAD_REPORT_PAUSE;
+        let is_due =
+            self.inbound.take_status_change() || may_report_load && self.inbound.take_load_change();
+        if is_due {
+            self.broadcast_status(now, out);
+        }
+    }
+
     pub(super) fn broadcast_status(&mut self, now: Instant, out: &mut Actions) {
+        self.status_told_at = now;
         let status = self.status(now);
         self.broadcast(&LinkMessage::Status(status), out);
     }
@@ -184,6 +200,13 @@
     }
 }
 
+/// Returns the silence of a busy link after which the peer is pinged.
+fn ping_patience(peer: &Peer) -> Duration {
+    let mean = Duration::from_micros(u64::from(peer.status().load.mean_micros));
+    let (shortest, longest) = PING_AFTER;
+    mean.mul_f64(PING_AFTER_SHARE).clamp(shortest, longest)
+}
+
 fn note_peer(peer: &str, is_up: bool, cause: &'static str, out: &mut Actions) {
     out.push(Action::Note(Note::Peer {
         peer: peer.to_owned(),
--- a/crates/rillgap-forward/src/node/mod.rs
+++ b/crates/rillgap-forward/src/node/mod.rs
@@ -53,6 +53,8 @@
     watch_duty: WatchDuty,
     /// Whether the last report said that the node watches the store.
     told_watching: bool,
+    /// When the last report was sent.
+    status_told_at: Instant,
     offer: Option<Offer>,
     /// Version and time of the last query for a configuration.
     queried: Option<(u64, Instant)>,
@@ -77,6 +79,7 @@
             store: StoreSync::new(settings.record.clone()),
             watch_duty: WatchDuty::new(&settings.record.name),
             told_watching: false,
+            status_told_at: now,
             store_is_up: true,
             offer: None,
             queried: None,
@@ -340,9 +343,7 @@
         }
         self.ask_for_offer(now, out);
         self.stop_inbound_when_due(now);
-        if self.inbound.take_status_change() {
-            self.broadcast_status(now, out);
-        }
+        self.report_changes(now, out);
         if now >= self.next_housekeeping {
             self.next_housekeeping = now + HOUSEKEEPING;
             self.keep_links(now, out);
--- a/crates/rillgap-sidecar/src/daemon.rs
+++ b/crates/rillgap-sidecar/src/daemon.rs
@@ -2,7 +2,7 @@
 
 use std::io;
 use std::net::SocketAddr;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -78,11 +78,15 @@
         .enable_all()
         .build()?;
     let tasks = LocalSet::new();
-    tasks.block_on(&runtime, supervise(path, settings, platform))
+    // A task of its own, so that it is polled for signals and not at every turn of the others.
+    let supervisor = tasks.spawn_local(supervise(path.to_owned(), settings, platform));
+    tasks
+        .block_on(&runtime, supervisor)
+        .unwrap_or_else(|error| Err(DaemonError::Start(error.into())))
 }
 
 async fn supervise(
-    path: &Path,
+    path: PathBuf,
     settings: SidecarSettings,
     platform: Platform,
 ) -> Result<(), DaemonError> {
@@ -101,7 +105,7 @@
             () = hub.exited() => break,
             _ = terminate.recv() => hub.dispatch(Event::Stop),
             _ = interrupt.recv() => hub.dispatch(Event::Stop),
-            _ = hangup.recv() => current = reload(path, current),
+            _ = hangup.recv() => current = reload(&path, current),
         }
     }
     tokio::time::sleep(LAST_WRITES).await;
--- a/crates/rillgap-sidecar/src/hub.rs
+++ b/crates/rillgap-sidecar/src/hub.rs
@@ -9,7 +9,7 @@
 
 use bytes::BytesMut;
 use rillgap_core::time::Instant;
-use rillgap_forward::action::{Action, CallerAnswer};
+use rillgap_forward::action::{Action, Actions, CallerAnswer};
 use rillgap_forward::event::Event;
 use rillgap_forward::id::{AnnouncementId, ConnectionId, LinkId, Turn};
 use rillgap_forward::message::LinkMessage;
@@ -35,6 +35,8 @@
     node: RefCell<Node>,
     events: RefCell<VecDeque<Event>>,
     is_running: Cell<bool>,
+    /// Memory for the actions of one step, kept between steps.
+    spare_actions: Cell<Actions>,
     wake_at: Cell<Instant>,
     wake_changed: Notify,
     exit: Notify,
@@ -69,6 +71,7 @@
             node: RefCell::new(Node::new(now, settings)),
             events: RefCell::default(),
             is_running: Cell::new(false),
+            spare_actions: Cell::default(),
             wake_at: Cell::new(now),
             wake_changed: Notify::new(),
             exit: Notify::new(),
@@ -184,12 +187,15 @@
         if self.is_running.replace(true) {
             return;
         }
+        let mut actions = self.spare_actions.take();
         while let Some(event) = self.take_event() {
-            let mut actions = Vec::new();
             let now = self.now();
             self.node.borrow_mut().handle(now, event, &mut actions);
-            self.carry_out_all(actions);
+            for action in actions.drain(..) {
+                self.carry_out(action);
+            }
         }
+        self.spare_actions.set(actions);
         self.is_running.set(false);
         self.update_wake();
     }
@@ -224,12 +230,6 @@
         }
     }
 
-    fn carry_out_all(self: &Rc<Self>, actions: Vec<Action>) {
-        for action in actions {
-            self.carry_out(action);
-        }
-    }
-
     fn carry_out(self: &Rc<Self>, action: Action) {
         match action {
             Action::Answer {
