--- a/crates/rillgap-forward/src/directory.rs
+++ b/crates/rillgap-forward/src/directory.rs
@@ -5,6 +5,7 @@
 //! requests still carries those of the peer, and takes over when the other one ends.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use rillgap_core::time::Instant;
 
@@ -14,6 +15,9 @@
 use crate::subset;
 use crate::watch_duty::Watchers;
 
+/// Longest time between two choices of the subset: peers that are waited for may never serve.
+const CHOICE_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Place of a peer in the directory.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct PeerIndex(usize);
@@ -31,6 +35,8 @@
     linked: BTreeMap<String, Vec<PeerIndex>>,
     /// Whether the subset must be chosen again.
     is_subset_due: bool,
+    /// When it is chosen again in any case.
+    next_choice: Instant,
 }
 
 impl Directory {
@@ -44,6 +50,7 @@
             by_link: BTreeMap::new(),
             linked: BTreeMap::new(),
             is_subset_due: false,
+            next_choice: Instant::default(),
         }
     }
 
@@ -134,11 +141,11 @@
             return;
         };
         let peer = &mut self.peers[index.0];
-        let may_serve = peer.may_serve();
         let is_same_service = peer.status.service == status.service;
-        peer.status = status;
-        peer.unreported = 0;
-        self.is_subset_due |= peer.may_serve() != may_serve;
+        let is_same_standing = peer.status.is_serving == status.is_serving
+            && peer.status.is_stopping == status.is_stopping;
+        peer.observe_status(status);
+        self.is_subset_due |= !is_same_standing;
         if !is_same_service {
             self.relist(index);
         }
@@ -177,10 +184,12 @@
         watchers
     }
 
-    /// Chooses the peers that links are kept to, if anything has changed since the last choice.
-    pub fn update_subset(&mut self) {
-        if std::mem::take(&mut self.is_subset_due) {
-            subset::choose(&self.own_zone, self.peers.iter_mut());
+    /// Chooses the peers that links are kept to, if anything has changed since the last choice or some
+    /// time has passed.
+    pub fn update_subset(&mut self, now: Instant) {
+        if std::mem::take(&mut self.is_subset_due) || now >= self.next_choice {
+            self.next_choice = now + CHOICE_INTERVAL;
+            subset::choose(now, &self.own_zone, self.peers.iter_mut());
         }
     }
 
--- a/crates/rillgap-forward/src/node/links.rs
+++ b/crates/rillgap-forward/src/node/links.rs
@@ -143,7 +143,7 @@
     }
 
     pub(super) fn open_links(&mut self, now: Instant, out: &mut Actions) {
-        self.directory.update_subset();
+        self.directory.update_subset(now);
         for index in self.directory.due(now) {
             let address = self.directory.peer(index).record.address;
             let link = self.new_link();
--- a/crates/rillgap-forward/src/peer.rs
+++ b/crates/rillgap-forward/src/peer.rs
@@ -14,6 +14,10 @@
 /// Time after which a peer that has not answered a ping is suspected.
 const PING_PATIENCE: Duration = Duration::from_millis(150);
 
+/// Time after the opening of a link for which a peer that has not served yet is counted on: when a
+/// whole deployment starts, no back end is confirmed before the first configuration.
+const START_PATIENCE: Duration = Duration::from_secs(15);
+
 /// Silence after which a peer that watches the store does not count any more: two of its reports are
 /// missing.
 const WATCHER_SILENCE: Duration = Duration::from_millis(1_600);
@@ -63,6 +67,10 @@
     pub(crate) preference: u64,
     /// Place of the peer in the order in which nodes watch the store.
     watch_place: u64,
+    /// When the link in use was taken into use.
+    attached_at: Instant,
+    /// Whether the peer's back end has taken requests since then.
+    has_served: bool,
     /// Whether the last link was lost, or the last attempt to open one has failed.
     has_failed: bool,
     pause: Duration,
@@ -86,6 +94,8 @@
             is_wanted: false,
             preference,
             watch_place,
+            attached_at: now,
+            has_served: false,
             has_failed: false,
             pause: RECONNECT_PAUSE.0,
         }
@@ -120,9 +130,9 @@
     }
 
     /// Returns whether the peer may be counted on: it serves, or nothing speaks against it yet.
-    pub(crate) fn may_serve(&self) -> bool {
+    pub(crate) fn may_serve(&self, now: Instant) -> bool {
         match self.link {
-            LinkState::Open(_) => self.takes_requests(),
+            LinkState::Open(_) => self.takes_requests() || self.is_starting(now),
             LinkState::Opening(_) | LinkState::Closed { .. } => !self.has_failed,
         }
     }
@@ -138,6 +148,19 @@
         self.watch_place < place
     }
 
+    /// Returns whether the peer's back end may not have been confirmed yet.
+    fn is_starting(&self, now: Instant) -> bool {
+        let is_new = now.saturating_since(self.attached_at) < START_PATIENCE;
+        is_new && !self.has_served && !self.status.is_stopping
+    }
+
+    /// Takes in what the peer says about its back end.
+    pub(crate) fn observe_status(&mut self, status: Status) {
+        self.status = status;
+        self.unreported = 0;
+        self.has_served |= self.takes_requests();
+    }
+
     const fn takes_requests(&self) -> bool {
         self.status.is_serving && !self.status.is_stopping
     }
@@ -230,6 +253,8 @@
         self.pinged_since = None;
         self.is_suspected = false;
         self.has_failed = false;
+        self.attached_at = now;
+        self.has_served = self.takes_requests();
         self.unreported = 0;
         self.in_flight = 0;
         self.pause = RECONNECT_PAUSE.0;
--- a/crates/rillgap-forward/src/subset.rs
+++ b/crates/rillgap-forward/src/subset.rs
@@ -12,6 +12,7 @@
 
 use std::collections::BTreeMap;
 
+use rillgap_core::time::Instant;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::peer::Peer;
@@ -28,7 +29,7 @@
 }
 
 /// Marks the peers that the node wants links to.
-pub fn choose<'a>(own_zone: &str, peers: impl Iterator<Item = &'a mut Peer>) {
+pub fn choose<'a>(now: Instant, own_zone: &str, peers: impl Iterator<Item = &'a mut Peer>) {
     let mut groups: BTreeMap<(String, bool), Vec<&mut Peer>> = BTreeMap::new();
     for peer in peers {
         peer.is_wanted = false;
@@ -38,12 +39,12 @@
     }
     for ((_, is_local), group) in groups {
         let wanted = if is_local { LOCAL_PEERS } else { REMOTE_PEERS };
-        choose_within(wanted, group);
+        choose_within(now, wanted, group);
     }
 }
 
 /// Marks the most preferred peers until enough of them may serve.
-fn choose_within(wanted: usize, mut group: Vec<&mut Peer>) {
+fn choose_within(now: Instant, wanted: usize, mut group: Vec<&mut Peer>) {
     group.sort_unstable_by_key(|peer| peer.preference);
     let mut serving = 0;
     for peer in group {
@@ -51,6 +52,6 @@
             return;
         }
         peer.is_wanted = true;
-        serving += usize::from(peer.may_serve());
+        serving += usize::from(peer.may_serve(now));
     }
 }
