Watch duty: a node begins to watch only when its links are up

All nodes begin to watch within 1.2 s of their start, when no link is up and nobody hears of those that precede it. Ruled out: too many lasting watchers (few_nodes_watch_the_store_for_all). Change: the first watch begins 1.5 to 3 s after the start, by the node's place.

--- a/crates/rillgap-forward/src/watch_duty.rs
+++ b/crates/rillgap-forward/src/watch_duty.rs
@@ -20,10 +20,12 @@
 const SHORT_WAIT: Duration = Duration::from_secs(1);
 /// Time for which a watch waits while many watch.
 const LONG_WAIT: Duration = Duration::from_secs(3);
-/// Time over which the nodes of a deployment begin to watch after their start, in their order.
-const START_STAGGER: Duration = Duration::from_millis(1_200);
-/// Time over which they take over from watchers that fell silent, in their order.
-const TAKE_OVER_STAGGER: Duration = Duration::from_millis(300);
+/// Least and longest time after its start at which a node begins to watch, by its place: links are up
+/// by then, so it hears of those that precede it.
+const START_STAGGER: (Duration, Duration) =
+    (Duration::from_millis(1_500), Duration::from_millis(3_000));
+/// Least and longest time after which it takes over from watchers that fell silent.
+const TAKE_OVER_STAGGER: (Duration, Duration) = (Duration::ZERO, Duration::from_millis(300));
 
 /// Returns the place of a node in the order; the lowest watches first.
 pub fn place(name: &str) -> u64 {
@@ -43,7 +45,7 @@
 #[derive(Clone, Debug)]
 pub struct WatchDuty {
     place: u64,
-    stagger: Duration,
+    stagger: (Duration, Duration),
     needed_since: Option<Instant>,
 }
 
@@ -71,7 +73,8 @@
         }
         let since = *self.needed_since.get_or_insert(now);
         let share = self.place as f64 / u64::MAX as f64;
-        if now < since + self.stagger.mul_f64(share) {
+        let (least, longest) = self.stagger;
+        if now < since + least + (longest - least).mul_f64(share) {
             return None;
         }
         Some(if watchers.all >= MANY_WATCHERS {
