--- a/crates/rillgap-forward/src/directory.rs
+++ b/crates/rillgap-forward/src/directory.rs
@@ -105,8 +105,8 @@
         indices.map(|index| (*index, &self.peers[index.0]))
     }
 
-    /// Returns the peers with a link in use, for changes.
-    pub fn linked_mut(&mut self, mut visit: impl FnMut(&mut Peer)) {
+    /// Shows every peer with a link in use to `visit`, which may change it.
+    pub fn for_each_linked(&mut self, mut visit: impl FnMut(&mut Peer)) {
         for index in self.linked.values().flatten() {
             visit(&mut self.peers[index.0]);
         }
--- a/crates/rillgap-forward/src/node/links.rs
+++ b/crates/rillgap-forward/src/node/links.rs
@@ -94,24 +94,30 @@
         self.close_silent_links(now, out);
         self.open_links(now, out);
         self.update_watch(now, out);
+        self.report_when_due(now, out);
+    }
+
+    /// Sends the sign of life, at once if the node begins or ceases to watch the store.
+    fn report_when_due(&mut self, now: Instant, out: &mut Actions) {
         let is_watching = self.store.is_watching(now);
-        if now >= self.next_status || is_watching != self.told_watching {
-            self.told_watching = is_watching;
-            let interval = if is_watching {
-                WATCHER_STATUS_INTERVAL
-            } else {
-                STATUS_INTERVAL
-            };
-            self.next_status = now + interval;
-            self.broadcast_status(now, out);
+        if now < self.next_status && is_watching == self.told_watching {
+            return;
         }
+        self.told_watching = is_watching;
+        let interval = if is_watching {
+            WATCHER_STATUS_INTERVAL
+        } else {
+            STATUS_INTERVAL
+        };
+        self.next_status = now + interval;
+        self.broadcast_status(now, out);
     }
 
     pub(super) fn close_silent_links(&mut self, now: Instant, out: &mut Actions) {
         let mut silent = Vec::new();
         let may_judge = now >= self.judge_after;
         let inbound = &self.inbound;
-        self.directory.linked_mut(|peer| {
+        self.directory.for_each_linked(|peer| {
             let Some(link) = peer.open_link() else {
                 return;
             };
