--- a/crates/rillgap-core/src/admission/back_end.rs
+++ b/crates/rillgap-core/src/admission/back_end.rs
@@ -201,7 +201,8 @@
     }
 
     fn offer_full(&mut self, now: Instant, ticket: Ticket) -> Verdict {
-        self.threshold.arrived(ticket.class, ticket.level());
+        let work_micros = self.times.class_occupancy_micros(ticket.class);
+        self.threshold.arrived(ticket.level(), work_micros);
         let expected = self.times.expected(ticket.class);
         let remaining = ticket.deadline.saturating_since(now);
         if remaining < expected && !self.may_probe() {
@@ -304,9 +305,10 @@
         }
         let pressure = Pressure {
             limit: f64::from(self.current_limit().max(1)),
-            service_micros: Class::ALL.map(|class| self.times.class_occupancy_micros(class)),
             mean_service_micros: self.times.mean_occupancy_micros(),
-            queued: Class::ALL.map(|class| self.queue.class_len(class)),
+            queued: Class::ALL
+                .map(|class| (class.index() as u8, self.queue.class_len(class)))
+                .into(),
         };
         self.threshold.update(now, &pressure);
     }
--- a/crates/rillgap-core/src/admission/demand.rs
+++ b/crates/rillgap-core/src/admission/demand.rs
@@ -1,36 +1,38 @@
-//! Demand on a back end per admission level, learned per class from what arrives.
+//! Demand on a back end per admission level, learned for each tier from what arrives.
 //!
 //! Entries let only roots above a threshold through, so arrivals alone understate the demand.
-//! Shares are spread evenly over the levels of a class. The lowest level that arrived lately
-//! therefore tells where the filter stands, and arrivals divided by the open levels above it
-//! tell the demand per level, whatever the filter.
+//! Shares are spread evenly over the levels of a tier. The lowest level that arrived lately
+//! therefore tells where the filter stands, and the work that arrived divided by the open levels
+//! above it tells the demand per level, whatever the filter. Arrivals below the own recent
+//! levels belong to roots that were let in before the filter moved and are not counted.
 
 use super::level::Level;
-use crate::policy::Class;
 
 /// Windows over which the lowest arriving level is taken.
 const HISTORY: usize = 4;
 /// Weight of one window in the moving density.
-const DENSITY_WEIGHT: f64 = 0.25;
+const DENSITY_WEIGHT: f64 = 0.15;
 /// Least open levels that a density is computed from, against division by next to nothing.
-const LEAST_OPEN: f64 = Level::PER_CLASS as f64 / 256.0;
+const LEAST_OPEN: f64 = Level::PER_TIER as f64 / 256.0;
 
 /// Arrivals of one window.
 #[derive(Clone, Copy, Debug)]
 struct Window {
     count: u32,
+    work_micros: f64,
     lowest: Level,
 }
 
 const NOTHING: Window = Window {
     count: 0,
-    lowest: Level(Level::COUNT),
+    work_micros: 0.0,
+    lowest: Level(u32::MAX),
 };
 
-/// Demand of one class.
+/// Demand of one tier.
 #[derive(Clone, Copy, Debug)]
-pub(super) struct ClassDemand {
-    class: Class,
+pub(super) struct TierDemand {
+    tier: u8,
     current: Window,
     history: [Window; HISTORY],
     next: usize,
@@ -39,46 +41,46 @@
     gap: f64,
 }
 
-impl ClassDemand {
-    /// Creates the demand of a class that was never seen.
-    pub fn new(class: Class) -> Self {
+impl TierDemand {
+    /// Creates the demand of a tier that was never seen.
+    pub fn new(tier: u8) -> Self {
         Self {
-            class,
+            tier,
             current: NOTHING,
             history: [NOTHING; HISTORY],
             next: 0,
             density: 0.0,
-            filter: floor(class),
-            gap: f64::from(Level::PER_CLASS),
+            filter: floor(tier),
+            gap: f64::from(Level::PER_TIER),
         }
     }
 
-    /// Counts a request.
-    pub fn arrived(&mut self, level: Level) {
+    /// Counts a request that is expected to take this much slot time.
+    pub fn arrived(&mut self, level: Level, work_micros: f64) {
         self.current.count += 1;
+        self.current.work_micros += work_micros;
         self.current.lowest = self.current.lowest.min(level);
     }
 
-    /// Ends a window. `work` is the slot time of one request as a share of what the limit
-    /// offers in the window, `windows` the length of the window in ordinary ones, `level` the
-    /// level that this back end publishes.
-    pub fn end_window(&mut self, work: f64, windows: f64, level: f64) {
-        let count = self.current.count;
+    /// Ends a window in which the limit offered `offered_micros` of slot time. `windows` is its length
+    /// in ordinary ones, `cut` the level below which arrivals were not counted.
+    pub fn end_window(&mut self, offered_micros: f64, windows: f64, cut: f64) {
+        let work = self.current.work_micros / offered_micros;
         self.history[self.next] = self.current;
         self.next = (self.next + 1) % HISTORY;
         self.current = NOTHING;
         let recent: u32 = self.history.iter().map(|window| window.count).sum();
-        if recent == 0 && level >= top(self.class) {
+        if recent == 0 && cut >= top(self.tier) {
             // Shut out, so nothing can be learned.
             return;
         }
         if recent > 0 {
             self.observe_filter(recent);
         } else {
-            self.filter = level.max(floor(self.class));
+            self.filter = cut.max(floor(self.tier));
         }
-        let open = (top(self.class) - self.filter).max(LEAST_OPEN);
-        let sample = f64::from(count) * work / open;
+        let open = (top(self.tier) - self.filter).max(LEAST_OPEN);
+        let sample = work / open;
         let weight = 1.0 - 1.0 / (1.0 + DENSITY_WEIGHT / (1.0 - DENSITY_WEIGHT) * windows);
         self.density += weight * (sample - self.density);
     }
@@ -88,7 +90,7 @@
         self.density
     }
 
-    /// Returns the level below which nothing of the class arrives, for whatever reason.
+    /// Returns the level below which nothing of the tier arrives, for whatever reason.
     pub fn filter(&self) -> f64 {
         self.filter
     }
@@ -102,18 +104,18 @@
     /// between arrivals.
     fn observe_filter(&mut self, recent: u32) {
         let lowest = self.history.iter().map(|window| window.lowest).min();
-        let lowest = f64::from(lowest.unwrap_or(Level(Level::COUNT)).0).min(top(self.class));
-        self.gap = (top(self.class) - lowest) / f64::from(recent.max(1));
-        self.filter = (lowest - self.gap).max(floor(self.class));
+        let lowest = f64::from(lowest.unwrap_or(Level(u32::MAX)).0).min(top(self.tier));
+        self.gap = (top(self.tier) - lowest) / f64::from(recent.max(1));
+        self.filter = (lowest - self.gap).max(floor(self.tier));
     }
 }
 
-/// Returns the lowest level of a class.
-pub(super) fn floor(class: Class) -> f64 {
-    f64::from(Level::floor(class).0)
+/// Returns the lowest level of a tier.
+pub(super) fn floor(tier: u8) -> f64 {
+    f64::from(Level::tier_floor(tier).0)
 }
 
-/// Returns the level above the highest of a class.
-pub(super) fn top(class: Class) -> f64 {
-    floor(class) + f64::from(Level::PER_CLASS)
+/// Returns the level above the highest of a tier.
+pub(super) fn top(tier: u8) -> f64 {
+    floor(tier) + f64::from(Level::PER_TIER)
 }
--- a/crates/rillgap-core/src/admission/mod.rs
+++ b/crates/rillgap-core/src/admission/mod.rs
@@ -14,6 +14,7 @@
 mod mode;
 mod queue;
 mod report;
+mod reported;
 mod retry;
 mod service_time;
 mod threshold;
@@ -23,7 +24,9 @@
 pub use level::Level;
 pub use mode::{AdmissionSettings, ControlMode};
 pub use report::{LoadReport, MAX_SERVICE_LOADS, ServiceLoad};
+pub use reported::{Involvement, ServiceLevels};
 pub use retry::RetryBudget;
+pub use threshold::{Pressure, Threshold};
 
 use crate::id::{AttemptId, RootId};
 use crate::policy::Class;
--- a/crates/rillgap-core/src/admission/threshold.rs
+++ b/crates/rillgap-core/src/admission/threshold.rs
@@ -6,17 +6,17 @@
 //! arrives late. The queue corrects what the estimate gets wrong: its distance from a short
 //! target changes the capacity that is reckoned with, at once and, by a slow trim, for good.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
-use super::demand::{ClassDemand, floor, top};
+use super::demand::{TierDemand, floor, top};
 use super::level::Level;
-use crate::policy::Class;
 use crate::time::{Instant, micros};
 
 /// Length of a control window.
 const WINDOW: Duration = Duration::from_millis(50);
 /// Queued requests, as a share of the limit, at which the queue rests.
-const QUEUE_TARGET: f64 = 0.2;
+const QUEUE_TARGET: f64 = 0.8;
 /// Time within which a queue off its target shall come back to it, in microseconds.
 const HORIZON_MICROS: f64 = 150_000.0;
 /// Bounds of the queue's immediate correction of the capacity.
@@ -33,36 +33,34 @@
 const FILTER_MARGIN_GAPS: f64 = 3.0;
 /// Bounds of that margin, in levels.
 const FILTER_MARGIN: (f64, f64) = (
-    Level::PER_CLASS as f64 / 512.0,
-    Level::PER_CLASS as f64 / 10.0,
+    Level::PER_TIER as f64 / 512.0,
+    Level::PER_TIER as f64 / 10.0,
 );
-/// Demand per level below which a class takes nothing.
+/// Distance from the lowest tier's floor, in levels, at which nothing counts as shed any more.
+const NOTHING_SHED: f64 = Level::PER_TIER as f64 / 128.0;
+/// Demand per level below which a tier takes nothing.
 const NO_DENSITY: f64 = 1e-9;
 
-const CLASSES: usize = Class::ALL.len();
-
 /// What the controller needs to know at the end of a window.
-#[derive(Clone, Copy, Debug)]
-pub(super) struct Pressure {
+#[derive(Clone, Debug)]
+pub struct Pressure {
     /// Concurrency limit.
     pub limit: f64,
-    /// Mean service time of each class in microseconds.
-    pub service_micros: [f64; CLASSES],
-    /// Mean service time over all classes in microseconds.
+    /// Mean slot time over all requests in microseconds.
     pub mean_service_micros: f64,
-    /// Requests queued of each class.
-    pub queued: [usize; CLASSES],
+    /// Requests queued of each tier.
+    pub queued: BTreeMap<u8, usize>,
 }
 
 /// Controller of the published level.
 #[derive(Clone, Debug)]
-pub(super) struct Threshold {
+pub struct Threshold {
     level: f64,
     trim: f64,
     window_started: Instant,
     recent_levels: [f64; LEVEL_HISTORY],
     next_recent: usize,
-    demand: [ClassDemand; CLASSES],
+    demand: BTreeMap<u8, TierDemand>,
 }
 
 impl Default for Threshold {
@@ -73,20 +71,30 @@
             window_started: Instant::default(),
             recent_levels: [0.0; LEVEL_HISTORY],
             next_recent: 0,
-            demand: Class::ALL.map(ClassDemand::new),
+            demand: BTreeMap::new(),
         }
     }
 }
 
 impl Threshold {
-    /// Returns the level below which requests would be shed.
+    /// Returns the level below which requests would be shed; zero while none would be.
     pub fn level(&self) -> Level {
-        Level(self.level as u16)
+        if self.level < self.lowest() + NOTHING_SHED {
+            return Level(0);
+        }
+        Level(self.level as u32)
     }
 
-    /// Counts a request that asks to be run.
-    pub fn arrived(&mut self, class: Class, level: Level) {
-        self.demand[class.index()].arrived(level);
+    /// Counts a request that asks to be run and is expected to take this much slot time.
+    pub fn arrived(&mut self, level: Level, work_micros: f64) {
+        if f64::from(level.0) < self.cut() {
+            return;
+        }
+        let tier = level.tier();
+        self.demand
+            .entry(tier)
+            .or_insert_with(|| TierDemand::new(tier))
+            .arrived(level, work_micros);
     }
 
     /// Returns whether a window is over, so that [`Self::update`] has something to do.
@@ -98,17 +106,17 @@
     pub fn update(&mut self, now: Instant, pressure: &Pressure) {
         let elapsed = micros(now.saturating_since(self.window_started)) as f64;
         let windows = elapsed / micros(WINDOW) as f64;
+        let cut = self.cut();
         self.window_started = now;
+        for demand in self.demand.values_mut() {
+            demand.end_window(pressure.limit * elapsed, windows, cut);
+        }
         self.recent_levels[self.next_recent] = self.level;
         self.next_recent = (self.next_recent + 1) % LEVEL_HISTORY;
-        for class in Class::ALL {
-            let work = pressure.service_micros[class.index()] / (pressure.limit * elapsed);
-            self.demand[class.index()].end_window(work, windows, self.level);
-        }
-        let queued: usize = pressure.queued.iter().sum();
+        let queued: usize = pressure.queued.values().sum();
         let queue = queued as f64 / pressure.limit;
-        if self.level < 1.0 && queue < QUEUE_TARGET {
-            self.level = 0.0;
+        if self.level() == Level(0) && queue < QUEUE_TARGET {
+            self.level = self.lowest();
             self.trim = 1.0;
             return;
         }
@@ -117,6 +125,20 @@
         self.approach(self.needed_level(pressure), windows);
     }
 
+    /// Returns the level below which arrivals are not counted: they may be of roots that were let in
+    /// before the level rose.
+    fn cut(&self) -> f64 {
+        self.recent_levels
+            .iter()
+            .copied()
+            .fold(self.level, f64::max)
+    }
+
+    /// Returns the level at which nothing that was ever seen is shed.
+    fn lowest(&self) -> f64 {
+        self.demand.keys().next().map_or(0.0, |tier| floor(*tier))
+    }
+
     fn approach(&mut self, needed: f64, windows: f64) {
         let (up, down) = APPROACH;
         let share = if needed > self.level { up } else { down };
@@ -128,13 +150,12 @@
     fn needed_level(&self, pressure: &Pressure) -> f64 {
         let mut carried = 0.0;
         let mut queued = 0;
-        for class in Class::ALL.into_iter().rev() {
-            queued += pressure.queued[class.index()];
+        for (tier, demand) in self.demand.iter().rev() {
+            queued += pressure.queued.get(tier).copied().unwrap_or(0);
             let left = self.capacity(queued, pressure) - carried;
-            let demand = &self.demand[class.index()];
-            let others = self.filter_of_others(class);
-            let filter = others.unwrap_or(floor(class));
-            let whole = demand.density() * (top(class) - filter);
+            let others = self.filter_of_others(*tier, demand);
+            let filter = others.unwrap_or(floor(*tier));
+            let whole = demand.density() * (top(*tier) - filter);
             if whole > left {
                 let open = left.max(0.0) / demand.density().max(NO_DENSITY);
                 // A little lower, so that another service's filter nearby shows.
@@ -143,27 +164,22 @@
                 } else {
                     0.0
                 };
-                return (top(class) - open - probe).max(filter);
+                return (top(*tier) - open - probe).max(filter);
             }
             carried += whole;
         }
-        0.0
+        self.lowest()
     }
 
-    /// Returns the level below which a class is kept away by other services' levels, which
+    /// Returns the level below which a tier is kept away by other services' levels, which
     /// go on whatever this back end publishes; `None` if the own level explains the filter.
-    fn filter_of_others(&self, class: Class) -> Option<f64> {
-        let own = self
-            .recent_levels
-            .iter()
-            .copied()
-            .fold(self.level, f64::max);
-        let demand = &self.demand[class.index()];
-        let explained = own > floor(class) && demand.filter() < own + margin(demand);
+    fn filter_of_others(&self, tier: u8, demand: &TierDemand) -> Option<f64> {
+        let own = self.cut();
+        let explained = own > floor(tier) && demand.filter() < own + margin(demand);
         (!explained).then(|| demand.filter())
     }
 
-    /// Returns the demand to admit, given the requests queued of the classes that matter.
+    /// Returns the demand to admit, given the requests queued of the tiers that matter.
     fn capacity(&self, queued: usize, pressure: &Pressure) -> f64 {
         let off_target = QUEUE_TARGET - queued as f64 / pressure.limit;
         let correction = off_target * pressure.mean_service_micros / HORIZON_MICROS;
@@ -172,7 +188,7 @@
 }
 
 /// Returns the distance from which a filter can be told from the own level.
-fn margin(demand: &ClassDemand) -> f64 {
+fn margin(demand: &TierDemand) -> f64 {
     let (least, most) = FILTER_MARGIN;
     (FILTER_MARGIN_GAPS * demand.gap()).clamp(least, most)
 }
--- a/crates/rillgap-forward/src/directory.rs
+++ b/crates/rillgap-forward/src/directory.rs
@@ -151,25 +151,6 @@
         }
     }
 
-    /// Adds each service's mean wait over its serving peers to `waits`, as sum and count.
-    pub fn collect_waits(&self, waits: &mut BTreeMap<String, (u64, u64)>) {
-        for (service, indices) in &self.linked {
-            for index in indices {
-                let peer = &self.peers[index.0];
-                if peer.serving_link().is_none() {
-                    continue;
-                }
-                if !waits.contains_key(service) {
-                    waits.insert(service.clone(), (0, 0));
-                }
-                if let Some((sum, count)) = waits.get_mut(service) {
-                    *sum += u64::from(peer.status.load.wait_micros);
-                    *count += 1;
-                }
-            }
-        }
-    }
-
     /// Returns the linked peers that watch the store, as a node with this place in their order sees
     /// them.
     pub fn watchers(&self, now: Instant, place: u64) -> Watchers {
--- a/crates/rillgap-forward/src/inbound/admission.rs
+++ b/crates/rillgap-forward/src/inbound/admission.rs
@@ -2,13 +2,14 @@
 
 use std::time::Duration;
 
+use rillgap_core::admission::Pressure;
 use rillgap_core::code::ResultCode;
 use rillgap_core::time::Instant;
 
 use super::queue::Queued;
 use super::{
-    Arrival, Inbound, NEEDED_SHARE, PRESSURE_ENDS_MICROS, PRESSURE_MICROS, PROBE_SHARE, Place,
-    QUEUE_LENGTH, RESERVED_SHARE, RETRY_AFTER_MILLIS, SLOT_SHARE, count,
+    Arrival, Inbound, LEVEL_MOVE, NEEDED_SHARE, PROBE_SHARE, Place, QUEUE_LENGTH, RESERVED_SHARE,
+    RETRY_AFTER_MILLIS, SLOT_SHARE, count,
 };
 use crate::action::Actions;
 use crate::message::ForwardedRequest;
@@ -23,16 +24,34 @@
         count(self.running.len()) < self.limit()
     }
 
-    /// Tells peers soon when pressure begins or ends.
-    pub(super) fn update_pressure(&mut self) {
-        let wait = self.times.wait_micros();
-        let limit = if self.is_pressed {
-            PRESSURE_ENDS_MICROS
-        } else {
-            PRESSURE_MICROS
+    /// Counts a request as demand, unless another node has counted it already.
+    pub(super) fn count_demand(&mut self, request: &ForwardedRequest) {
+        if request.demand == 0.0 {
+            return;
+        }
+        let expected = self.times.expected(&request.route);
+        let work_micros = expected.as_micros() as f64 * f64::from(request.demand);
+        self.threshold.arrived(request.level, work_micros);
+    }
+
+    /// Moves the published level at the end of each control window.
+    pub(super) fn update_level(&mut self, now: Instant) {
+        if !self.threshold.is_due(now) {
+            return;
+        }
+        let queued = (0_u8..)
+            .zip(self.queued_by_tier())
+            .map(|(tier, queued)| (tier, usize::from(queued)))
+            .collect();
+        let pressure = Pressure {
+            limit: f64::from(self.limit()),
+            mean_service_micros: f64::from(self.times.mean_micros()),
+            queued,
         };
-        if (wait > limit) != self.is_pressed {
-            self.is_pressed = !self.is_pressed;
+        self.threshold.update(now, &pressure);
+        let level = self.threshold.level();
+        if level.0.abs_diff(self.told_level.0) >= LEVEL_MOVE {
+            self.told_level = level;
             self.load_changed = true;
         }
     }
@@ -72,8 +91,6 @@
         let ahead = self.queue.ahead_of(arrival.request.rank());
         let wait = self.drain_time(ahead + 1);
         if wait > bound || self.queue.len() >= QUEUE_LENGTH {
-            self.times.record_wait(wait);
-            self.update_pressure();
             self.refuse(now, &arrival, ResultCode::QueueFull, out);
             return;
         }
--- a/crates/rillgap-forward/src/inbound/ending.rs
+++ b/crates/rillgap-forward/src/inbound/ending.rs
@@ -9,7 +9,9 @@
 use crate::action::{Action, Actions};
 use crate::event::ExchangeResult;
 use crate::id::{ExchangeId, LinkId, Sequence};
-use crate::message::{ForwardResponse, ForwardResult, ForwardedRequest, LinkMessage, Timing};
+use crate::message::{
+    ForwardResponse, ForwardResult, ForwardedRequest, LinkMessage, ServiceLevel, Timing,
+};
 use crate::note::Note;
 
 /// Status of a back end's own failure.
@@ -35,10 +37,12 @@
                     code: ResultCode::AnswerTimeout,
                 };
                 self.note_failure(now, &running, &result, out);
-                let timing = running.timing(now);
-                self.respond((running.link, running.sequence), timing, result, out);
+                let is_own_fault = running.is_own_fault();
+                self.respond_running(now, running, result, out);
+                self.failures.record(now, is_own_fault);
+            } else {
+                self.failures.record(now, running.is_own_fault());
             }
-            self.failures.record(now, running.is_own_fault());
             let effect = self.back_end.on_silence();
             self.carry_out(now, effect, None, out);
         }
@@ -122,12 +126,45 @@
             queued_micros: elapsed_micros(now, arrival.arrived),
             back_end_micros: 0,
         };
-        self.respond((arrival.link, arrival.sequence), timing, result, out);
+        self.respond(
+            arrival.link,
+            arrival.sequence,
+            Vec::new(),
+            timing,
+            result,
+            out,
+        );
+    }
+
+    /// Answers a request that was at the back end.
+    pub(super) fn respond_running(
+        &self,
+        now: Instant,
+        running: Running,
+        result: ForwardResult,
+        out: &mut Actions,
+    ) {
+        let timing = running.timing(now);
+        let involved = running
+            .involved
+            .into_iter()
+            .map(|(service, level)| ServiceLevel { service, level })
+            .collect();
+        self.respond(
+            running.link,
+            running.sequence,
+            involved,
+            timing,
+            result,
+            out,
+        );
     }
 
-    pub(super) fn respond(
+    fn respond(
         &self,
-        (link, sequence): (LinkId, Sequence),
+        link: LinkId,
+        sequence: Sequence,
+        involved: Vec<ServiceLevel>,
         timing: Timing,
         result: ForwardResult,
         out: &mut Actions,
@@ -137,6 +174,7 @@
             message: LinkMessage::Response(ForwardResponse {
                 sequence,
                 load: self.load(),
+                involved,
                 timing,
                 result,
             }),
--- a/crates/rillgap-forward/src/inbound/mod.rs
+++ b/crates/rillgap-forward/src/inbound/mod.rs
@@ -6,6 +6,7 @@
 
 mod admission;
 mod back_end;
+mod call_counts;
 mod ending;
 mod failure_share;
 mod queue;
@@ -15,6 +16,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use rillgap_core::admission::{Level, Threshold};
 use rillgap_core::code::ResultCode;
 use rillgap_core::time::Instant;
 
@@ -22,18 +24,16 @@
 use crate::configuration::RouteTable;
 use crate::event::{ExchangeResult, Heartbeat, ProbeResult};
 use crate::id::{ExchangeId, LinkId, ProbeId, Sequence};
-use crate::message::{ForwardedRequest, Load, Status, Timing};
+use crate::message::{ForwardedRequest, Load, ServiceLevel, Status, TIERS, Timing, tier_of};
 use crate::note::Note;
 use crate::settings::ForwardSettings;
 
 use back_end::{BackEnd, Effect};
+use call_counts::CallCounts;
 use failure_share::FailureShare;
 use queue::RankQueue;
 use service_time::ServiceTimes;
 
-/// Mean wait from which a back end counts as under pressure, in microseconds.
-pub const PRESSURE_MICROS: u32 = 20_000;
-
 /// Share of the slots that are used: back ends get slower when they are almost full.
 const SLOT_SHARE: f64 = 0.95;
 /// Share of the limit up to which a request of a low rank runs although others wait.
@@ -47,8 +47,8 @@
 const OVERTIME: Duration = Duration::from_millis(250);
 /// Shortest and longest time after which a refused caller is asked back, in milliseconds.
 const RETRY_AFTER_MILLIS: (u64, u64) = (50, 2_000);
-/// Mean wait at which peers are told that it has ended, in microseconds.
-const PRESSURE_ENDS_MICROS: u32 = PRESSURE_MICROS / 4;
+/// Move of the published level at which peers are told soon: a tenth of a tier.
+const LEVEL_MOVE: u32 = Level::PER_TIER / 10;
 /// Time before the end of a request's time from which a cancellation means that no answer came.
 const CLOSE_TO_DEADLINE: Duration = Duration::from_millis(20);
 /// Share of failures of its own from which a back end stands out, in thousandths.
@@ -70,6 +70,10 @@
     open_calls: u32,
     /// Whether one of those calls has failed.
     has_failed_call: bool,
+    /// Calls made for it, by service.
+    calls: BTreeMap<String, u32>,
+    /// Services that its calls went to, with their levels as last heard.
+    involved: BTreeMap<String, Level>,
 }
 
 impl Running {
@@ -97,6 +101,19 @@
     Failed,
 }
 
+/// What became of a call, with the levels of the services that it went to.
+#[derive(Clone, Debug)]
+pub struct CallNews {
+    /// Identifier of the request that the call is made for.
+    pub parent_id: String,
+    /// Service that it goes to.
+    pub service: String,
+    /// What became of it.
+    pub progress: CallProgress,
+    /// Levels of the services that it involved.
+    pub involved: Vec<ServiceLevel>,
+}
+
 /// A request that has arrived.
 #[derive(Clone, Debug)]
 struct Arrival {
@@ -124,13 +141,16 @@
     places: BTreeMap<(LinkId, Sequence), Place>,
     by_request_id: BTreeMap<String, ExchangeId>,
     times: ServiceTimes,
+    call_counts: CallCounts,
     failures: FailureShare,
     failing_permille: u32,
     next_exchange: u64,
     is_stopping: bool,
     status_changed: bool,
     load_changed: bool,
-    is_pressed: bool,
+    threshold: Threshold,
+    /// Level that peers were told last.
+    told_level: Level,
 }
 
 impl Inbound {
@@ -144,13 +164,15 @@
             places: BTreeMap::new(),
             by_request_id: BTreeMap::new(),
             times: ServiceTimes::default(),
+            call_counts: CallCounts::default(),
             failures: FailureShare::default(),
             failing_permille: 0,
             next_exchange: 0,
             is_stopping: false,
             status_changed: false,
             load_changed: false,
-            is_pressed: false,
+            threshold: Threshold::default(),
+            told_level: Level(0),
         }
     }
 
@@ -180,13 +202,23 @@
         Load {
             limit: self.limit(),
             running: count(self.running.len()),
-            queued: count(self.queue.len()),
+            queued: self.queued_by_tier(),
             mean_micros: self.times.mean_micros(),
-            wait_micros: self.times.wait_micros(),
+            level: self.threshold.level(),
             failing_permille: self.failing_permille,
         }
     }
 
+    fn queued_by_tier(&self) -> [u16; TIERS] {
+        let mut queued = [0_u16; TIERS];
+        for (rank, length) in self.queue.lengths() {
+            let length = u16::try_from(length).unwrap_or(u16::MAX);
+            let of_tier = &mut queued[usize::from(tier_of(rank))];
+            *of_tier = of_tier.saturating_add(length);
+        }
+        queued
+    }
+
     /// Returns whether the load has changed so much that peers are to be told soon, and forgets it.
     pub fn take_load_change(&mut self) -> bool {
         std::mem::take(&mut self.load_changed)
@@ -210,13 +242,19 @@
     }
 
     /// Takes in what became of a call that the back end makes while it works on a request.
-    pub fn on_call(&mut self, parent_id: &str, progress: CallProgress) {
-        let exchange = self.by_request_id.get(parent_id);
+    pub fn on_call(&mut self, call: CallNews) {
+        let exchange = self.by_request_id.get(&call.parent_id);
         let Some(running) = exchange.and_then(|exchange| self.running.get_mut(exchange)) else {
             return;
         };
-        match progress {
-            CallProgress::Begun => running.open_calls += 1,
+        for involved in call.involved {
+            running.involved.insert(involved.service, involved.level);
+        }
+        match call.progress {
+            CallProgress::Begun => {
+                running.open_calls += 1;
+                *running.calls.entry(call.service).or_default() += 1;
+            }
             CallProgress::Succeeded => running.open_calls = running.open_calls.saturating_sub(1),
             CallProgress::Failed => {
                 running.open_calls = running.open_calls.saturating_sub(1);
@@ -225,6 +263,19 @@
         }
     }
 
+    /// Returns for how many calls one to `service` is counted as demand that is made for a request: the
+    /// first for all that the request is expected to make, the others for none.
+    pub fn demand_of_call(&self, parent_id: &str, service: &str) -> f32 {
+        let exchange = self.by_request_id.get(parent_id);
+        let Some(running) = exchange.and_then(|exchange| self.running.get(exchange)) else {
+            return 1.0;
+        };
+        if running.calls.contains_key(service) {
+            return 0.0;
+        }
+        self.call_counts.expected(&running.request.route, service)
+    }
+
     /// Returns whether the back end has left service for good.
     pub fn has_left(&self) -> bool {
         self.back_end.has_left()
@@ -292,6 +343,7 @@
             self.refuse(now, &arrival, ResultCode::DeadlineUnmet, out);
             return;
         }
+        self.count_demand(&arrival.request);
         let rank = arrival.request.rank();
         let nobody_ahead = self.queue.ahead_of(rank) == 0;
         if self.has_room() && (nobody_ahead || self.is_within_reserve(rank)) {
@@ -348,16 +400,19 @@
         self.deadlines.remove(&(running.deadline, exchange));
         self.places.remove(&(running.link, running.sequence));
         let elapsed = now.saturating_since(running.started);
-        if matches!(result, ExchangeResult::Answered(_)) {
+        if let ExchangeResult::Answered(answer) = &result {
             self.times.record(&running.request.route, elapsed);
+            if answer.is_success() {
+                self.call_counts
+                    .record(&running.request.route, &running.calls);
+            }
         }
         self.record_outcome(now, &running, &result);
         let effect = self.back_end.on_exchange(&result);
         let result = self.forward_result(result);
         if running.is_awaited {
             self.note_failure(now, &running, &result, out);
-            let timing = running.timing(now);
-            self.respond((running.link, running.sequence), timing, result, out);
+            self.respond_running(now, running, result, out);
         }
         self.carry_out(now, effect, table, out);
         self.start_queued(now, out);
@@ -366,8 +421,7 @@
     /// Does what is due.
     pub fn poll(&mut self, now: Instant, table: Option<&RouteTable>, out: &mut Actions) {
         self.back_end.poll(now);
-        self.times.fade_wait(now);
-        self.update_pressure();
+        self.update_level(now);
         self.update_failing(now);
         self.carry_out(now, Effect::default(), table, out);
         self.refuse_expired(now, out);
@@ -384,9 +438,6 @@
     }
 
     fn start(&mut self, now: Instant, arrival: Arrival, out: &mut Actions) {
-        self.times
-            .record_wait(now.saturating_since(arrival.arrived));
-        self.update_pressure();
         self.next_exchange += 1;
         let id = ExchangeId(self.next_exchange);
         self.places
@@ -410,6 +461,8 @@
             is_awaited: true,
             open_calls: 0,
             has_failed_call: false,
+            calls: BTreeMap::new(),
+            involved: BTreeMap::new(),
         };
         self.running.insert(id, running);
     }
--- a/crates/rillgap-forward/src/inbound/queue.rs
+++ b/crates/rillgap-forward/src/inbound/queue.rs
@@ -54,6 +54,11 @@
         self.ranks.keys().copied()
     }
 
+    /// Returns how many of each rank wait.
+    pub fn lengths(&self) -> impl Iterator<Item = (u8, usize)> {
+        self.ranks.iter().map(|(rank, queue)| (*rank, queue.len()))
+    }
+
     /// Appends; returns a ticket.
     pub fn push(&mut self, queued: Queued<T>) -> u64 {
         let ticket = self.next_ticket;
--- a/crates/rillgap-forward/src/lib.rs
+++ b/crates/rillgap-forward/src/lib.rs
@@ -23,5 +23,4 @@
 pub mod settings;
 pub mod store_sync;
 pub mod subset;
-pub mod throttle;
 pub mod watch_duty;
--- a/crates/rillgap-forward/src/message.rs
+++ b/crates/rillgap-forward/src/message.rs
@@ -4,11 +4,34 @@
 use std::sync::Arc;
 
 use bitcode::{Decode, Encode};
+use rillgap_core::admission::Level;
 use rillgap_core::code::ResultCode;
 
 use crate::configuration::Configuration;
 use crate::id::Sequence;
 
+/// Tier of admission levels that the highest priority, 0, belongs to. All priorities from this number
+/// on share the lowest tier.
+const HIGHEST_TIER: u8 = 7;
+/// Number of tiers.
+pub const TIERS: usize = HIGHEST_TIER as usize + 1;
+
+/// Returns the admission level of a caller's request.
+pub fn level_of(priority: u8, request_id: &str) -> Level {
+    let tier = HIGHEST_TIER.saturating_sub(priority);
+    Level::in_tier(tier, request_id.as_bytes())
+}
+
+/// Returns the priority that the requests of a level have.
+pub const fn priority_of(level: Level) -> u8 {
+    HIGHEST_TIER.saturating_sub(level.tier())
+}
+
+/// Returns the tier of the requests that have a rank in a queue.
+pub const fn tier_of(rank: u8) -> u8 {
+    HIGHEST_TIER.saturating_sub(rank / 2)
+}
+
 /// A node as others know it.
 #[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
 pub struct NodeRecord {
@@ -29,16 +52,30 @@
     pub limit: u32,
     /// Requests that run.
     pub running: u32,
-    /// Requests that wait.
-    pub queued: u32,
+    /// Requests that wait, by tier; [`u16::MAX`] stands for that many or more.
+    pub queued: [u16; TIERS],
     /// Mean time that a request takes, in microseconds.
     pub mean_micros: u32,
-    /// Mean time that recent requests have waited, in microseconds.
-    pub wait_micros: u32,
+    /// Level below which the node would shed requests; zero while it would shed none.
+    pub level: Level,
     /// Share of recent requests that the back end itself has failed, in thousandths.
     pub failing_permille: u32,
 }
 
+impl Load {
+    /// Returns the number of requests that wait.
+    pub fn queued_in_all(&self) -> u32 {
+        self.queued.iter().map(|queued| u32::from(*queued)).sum()
+    }
+
+    /// Returns the requests that run, or are started before a new one of this level.
+    pub fn ahead_of(&self, level: Level) -> u32 {
+        let tier = usize::from(level.tier().min(HIGHEST_TIER));
+        let queued: u32 = self.queued[tier..].iter().copied().map(u32::from).sum();
+        self.running + queued
+    }
+}
+
 /// What a node says about the back end beside it.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Encode, Decode)]
 pub struct Status {
@@ -70,7 +107,7 @@
 }
 
 /// A request as it goes to the back end.
-#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+#[derive(Clone, Debug, PartialEq, Encode, Decode)]
 pub struct ForwardedRequest {
     /// The caller's identifier of the request.
     pub request_id: String,
@@ -90,12 +127,15 @@
     pub route: String,
     /// Whether the request may run more than once.
     pub is_idempotent: bool,
-    /// Priority of the caller's request at the root of the chain; 0 is the highest.
-    pub root_priority: u8,
+    /// Admission level of the caller's request at the root of the chain.
+    pub level: Level,
     /// Whether a back end made the request while it works on another.
     pub is_call: bool,
     /// Whether the request, or one further up its chain, was sent to a back end before.
     pub is_repeat: bool,
+    /// Requests of which this one is counted as demand: a call stands for all calls that its parent is
+    /// expected to make to the service, the later ones count for none.
+    pub demand: f32,
     /// Time that is left for the request, in microseconds.
     pub remaining_micros: u64,
     /// Longest time for which the request may wait in a queue, in microseconds.
@@ -109,7 +149,8 @@
     /// requests: they decide whether work that is already done was for nothing.
     pub fn rank(&self) -> u8 {
         let last = if self.is_call { 0 } else { 1 };
-        self.root_priority.saturating_mul(2).saturating_add(last)
+        let below = HIGHEST_TIER - self.level.tier().min(HIGHEST_TIER);
+        below * 2 + last
     }
 }
 
@@ -124,6 +165,13 @@
     pub body: Vec<u8>,
 }
 
+impl ForwardedAnswer {
+    /// Returns whether the request was served.
+    pub const fn is_success(&self) -> bool {
+        self.status >= 200 && self.status < 300
+    }
+}
+
 /// Where the time of an attempt went at the node beside the back end.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Encode, Decode)]
 pub struct Timing {
@@ -154,6 +202,15 @@
     },
 }
 
+/// Level below which the back ends of a service would shed requests.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct ServiceLevel {
+    /// The service.
+    pub service: String,
+    /// The level.
+    pub level: Level,
+}
+
 /// Answer to a forwarded request.
 #[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
 pub struct ForwardResponse {
@@ -161,6 +218,8 @@
     pub sequence: Sequence,
     /// Load of the back end.
     pub load: Load,
+    /// Levels of the services that calls made for the request went to.
+    pub involved: Vec<ServiceLevel>,
     /// Where the time went.
     pub timing: Timing,
     /// What became of the request.
@@ -168,7 +227,7 @@
 }
 
 /// A message on a link.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub enum LinkMessage {
     /// Introduction.
     Hello(Hello),
--- a/crates/rillgap-forward/src/node/mod.rs
+++ b/crates/rillgap-forward/src/node/mod.rs
@@ -15,7 +15,7 @@
 use crate::event::{CallerRequest, Event, Heartbeat};
 use crate::id::{AnnouncementId, ConnectionId, LinkId, Turn};
 use crate::inbound::Inbound;
-use crate::message::{Hello, LinkMessage};
+use crate::message::{Hello, LinkMessage, Status};
 use crate::note::Note;
 use crate::outbound::{Origin, Outbound, OutboundContext};
 use crate::settings::ForwardSettings;
@@ -23,7 +23,7 @@
 use crate::watch_duty::WatchDuty;
 
 /// Version of the protocol between nodes.
-pub const PROTOCOL_VERSION: u32 = 2;
+pub const PROTOCOL_VERSION: u32 = 3;
 
 /// Time between two looks at links.
 const HOUSEKEEPING: Duration = Duration::from_millis(100);
@@ -258,7 +258,7 @@
         let parent_id = request.parent_id.as_deref();
         let parent = parent_id.and_then(|parent_id| self.inbound.running_request(parent_id));
         parent.map_or(Origin::Caller, |parent| Origin::BackEnd {
-            root_priority: parent.root_priority,
+            level: parent.level,
             is_repeat: parent.is_repeat,
         })
     }
@@ -280,7 +280,7 @@
                 let (outbound, mut context) = self.split(out);
                 outbound.on_response(now, link, response, &mut context);
             }
-            LinkMessage::Status(status) => self.directory.on_status(link, status),
+            LinkMessage::Status(status) => self.on_status(now, link, status),
             LinkMessage::Ping => out.push(Action::SendOnLink {
                 link,
                 message: LinkMessage::Pong,
@@ -294,6 +294,13 @@
         }
     }
 
+    fn on_status(&mut self, now: Instant, link: LinkId, status: Status) {
+        if let Some(peer) = self.directory.by_link(link) {
+            self.outbound.on_status(now, &peer.record.name, &status);
+        }
+        self.directory.on_status(link, status);
+    }
+
     fn on_store(
         &mut self,
         now: Instant,
@@ -335,8 +342,8 @@
         let (outbound, mut context) = self.split(out);
         outbound.poll(now, &mut context);
         self.deliver_local(now, out);
-        for (parent_id, progress) in self.outbound.take_call_progress() {
-            self.inbound.on_call(&parent_id, progress);
+        for call in self.outbound.take_call_news() {
+            self.inbound.on_call(call);
         }
         for (id, request) in self.store.poll(now) {
             out.push(Action::CallStore { id, request });
--- a/crates/rillgap-forward/src/note.rs
+++ b/crates/rillgap-forward/src/note.rs
@@ -71,16 +71,14 @@
         /// Number of the last heartbeat.
         sequence: u64,
     },
-    /// The admitted share of a route has moved.
+    /// What is let in for the sake of a service has moved.
     Admission {
-        /// Route.
-        route: String,
-        /// Admitted share, rounded up to a tenth.
-        admitted_percent: u32,
-        /// Service whose requests wait longest.
+        /// Service that requests lead to, themselves or by the calls made for them.
         service: String,
-        /// Their mean wait, as a share of the one from which requests are refused at the entry.
-        pressure_percent: u32,
+        /// Lowest priority of which anything is let in; 0 is the highest.
+        priority: u8,
+        /// Share of that priority that is let in, in percent.
+        admitted_percent: u32,
     },
     /// A peer can be reached, or not any more.
     Peer {
--- a/crates/rillgap-forward/src/outbound/attempts.rs
+++ b/crates/rillgap-forward/src/outbound/attempts.rs
@@ -54,13 +54,14 @@
         context: &OutboundContext<'_>,
     ) -> Vec<Candidate<Target>> {
         let service = &request.forwarded.service;
+        let level = request.forwarded.level;
         let mut candidates = Vec::new();
         let own = context.own;
         let serves = own.is_serving() && own.service() == service && !context.is_stopping;
         if serves && !request.was_tried(&self.own_name) {
             let load = own.load();
-            let in_use = load.running + load.queued;
-            let utilization = f64::from(in_use) / f64::from(load.limit.max(1));
+            let ahead = load.ahead_of(level);
+            let utilization = f64::from(ahead) / f64::from(load.limit.max(1));
             candidates.push(candidate(Target::Own, true, utilization, load));
         }
         for (index, peer) in context.directory.linked(service) {
@@ -73,7 +74,7 @@
             let target = Target::Peer(index, link);
             let is_local = peer.record.zone == self.own_zone;
             let load = peer.status().load;
-            candidates.push(candidate(target, is_local, peer.utilization(), load));
+            candidates.push(candidate(target, is_local, peer.utilization(level), load));
         }
         candidates
     }
--- a/crates/rillgap-forward/src/outbound/ending.rs
+++ b/crates/rillgap-forward/src/outbound/ending.rs
@@ -8,10 +8,9 @@
 use crate::action::{Action, CallerAnswer};
 use crate::configuration::RouteTable;
 use crate::event::CallerRequest;
-use crate::inbound::CallProgress;
+use crate::inbound::{CallNews, CallProgress};
 use crate::message::{ForwardedAnswer, Timing};
 use crate::note::Note;
-use crate::throttle::Outcome;
 
 impl Outbound {
     /// Answers with what a back end has answered.
@@ -102,7 +101,6 @@
         let Some(request) = self.take(key) else {
             return;
         };
-        self.count_outcome(&request, answer.status);
         let elapsed = now.saturating_since(request.arrived).as_micros();
         context.out.push(Action::Note(Note::Answered {
             request_id: request.forwarded.request_id.clone(),
@@ -115,6 +113,7 @@
             configuration: request.configuration,
             timing: request.timing,
         }));
+        self.count_outcome(request, answer.status);
         context.out.push(Action::Answer {
             connection: key.connection,
             turn: key.turn,
@@ -122,23 +121,21 @@
         });
     }
 
-    /// Counts how a request has ended: a caller's for the throttle, a call for its parent.
-    pub(super) fn count_outcome(&mut self, request: &Request, status: u16) {
-        if let Some(parent_id) = &request.parent_id {
-            let progress = match status {
-                500.. => CallProgress::Failed,
-                _ => CallProgress::Succeeded,
-            };
-            self.call_progress.push((parent_id.clone(), progress));
+    /// Tells the inbound side how a call of the back end has ended.
+    fn count_outcome(&mut self, request: Request, status: u16) {
+        let Some(parent_id) = request.parent_id else {
             return;
-        }
-        let outcome = if status >= 500 {
-            Outcome::Failed
-        } else {
-            Outcome::Succeeded
         };
-        let route = &request.route;
-        self.throttle.ended(&route.name, route.priority, outcome);
+        let progress = match status {
+            500.. => CallProgress::Failed,
+            _ => CallProgress::Succeeded,
+        };
+        self.call_news.push(CallNews {
+            parent_id,
+            service: request.forwarded.service.clone(),
+            progress,
+            involved: request.involved,
+        });
     }
 
     pub(super) fn answer_rejected(
--- a/crates/rillgap-forward/src/outbound/mod.rs
+++ b/crates/rillgap-forward/src/outbound/mod.rs
@@ -5,10 +5,10 @@
 //! request that may run only once to a second node only with the first one's word that it did not
 //! run and never will.
 
+mod admission;
 mod answer;
 mod attempts;
 mod ending;
-mod pressure;
 mod request;
 mod results;
 mod weights;
@@ -17,6 +17,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use rillgap_core::admission::Level;
 use rillgap_core::code::ResultCode;
 use rillgap_core::time::Instant;
 
@@ -26,13 +27,15 @@
 use crate::directory::{Directory, PeerIndex};
 use crate::event::CallerRequest;
 use crate::id::{ConnectionId, LinkId, Sequence, Turn};
-use crate::inbound::{CallProgress, Inbound};
-use crate::message::{ForwardResponse, ForwardResult, ForwardedRequest};
+use crate::inbound::{CallNews, CallProgress, Inbound};
+use crate::message::{
+    ForwardResponse, ForwardResult, ForwardedRequest, ServiceLevel, Status, level_of,
+};
 use crate::note::Note;
 use crate::retry_budget::RetryBudget;
 use crate::settings::ForwardSettings;
-use crate::throttle::Throttle;
 
+use admission::EntryAdmission;
 use request::{Request, RequestKey};
 use weights::WeightedChoice;
 
@@ -46,6 +49,8 @@
 const MOST_MOVES: u32 = 3;
 /// Time after which to come back when no back end takes requests, in milliseconds.
 const NO_BACK_END_MILLIS: u32 = 250;
+/// Time between two looks at what the log tells of admission.
+const ADMISSION_REPORT_INTERVAL: Duration = Duration::from_millis(200);
 /// Time after which to come back when requests are throttled, in milliseconds.
 const THROTTLED_MILLIS: u32 = 300;
 
@@ -65,8 +70,8 @@
     Caller,
     /// The back end beside the node, for a request that it works on.
     BackEnd {
-        /// Priority of the root of the chain.
-        root_priority: u8,
+        /// Admission level of the root of the chain.
+        level: Level,
         /// Whether a request further up the chain was sent to a back end before.
         is_repeat: bool,
     },
@@ -101,9 +106,10 @@
     next_sequence: u64,
     balancer: Balancer,
     budget: RetryBudget,
-    throttle: Throttle,
+    admission: EntryAdmission,
+    next_admission_report: Instant,
     weights: WeightedChoice,
-    call_progress: Vec<(String, CallProgress)>,
+    call_news: Vec<CallNews>,
 }
 
 impl Outbound {
@@ -119,9 +125,10 @@
             next_sequence: 0,
             balancer: Balancer::new(settings.random_seed),
             budget: RetryBudget::new(settings.retry_bound),
-            throttle: Throttle::new(settings.random_seed),
+            admission: EntryAdmission::default(),
+            next_admission_report: Instant::default(),
             weights: WeightedChoice::new(settings.random_seed),
-            call_progress: Vec::new(),
+            call_news: Vec::new(),
         }
     }
 
@@ -150,8 +157,12 @@
             }
         };
         if let Some(parent_id) = &request.parent_id {
-            let begun = (parent_id.clone(), CallProgress::Begun);
-            self.call_progress.push(begun);
+            self.call_news.push(CallNews {
+                parent_id: parent_id.clone(),
+                service: request.forwarded.service.clone(),
+                progress: CallProgress::Begun,
+                involved: Vec::new(),
+            });
         }
         self.deadlines.insert((request.deadline, key));
         self.requests.insert(key, request);
@@ -186,13 +197,18 @@
         response: ForwardResponse,
         context: &mut OutboundContext<'_>,
     ) {
+        let key = self.by_sequence.remove(&response.sequence);
+        if let Some(key) = key {
+            self.end_attempt(key, context);
+        }
+        // The load that is told does not hold the answered request any more.
         if let Some(peer) = context.directory.by_link(link) {
             peer.observe_load(response.load);
         }
-        let Some(key) = self.by_sequence.remove(&response.sequence) else {
+        let Some(key) = key else {
             return;
         };
-        self.end_attempt(key, context);
+        self.observe_levels(now, key, link, &response, context);
         if let Some(request) = self.requests.get_mut(&key) {
             request.timing = response.timing;
         }
@@ -217,8 +233,9 @@
 
     /// Answers requests whose time is over, and moves the admitted shares.
     pub fn poll(&mut self, now: Instant, context: &mut OutboundContext<'_>) {
-        if self.throttle.is_due(now) {
-            self.step_throttle(now, context);
+        if now >= self.next_admission_report {
+            self.next_admission_report = now + ADMISSION_REPORT_INTERVAL;
+            self.report_admission(now, context);
         }
         while let Some((deadline, key)) = self.deadlines.first().copied() {
             if deadline > now {
@@ -228,23 +245,65 @@
         }
     }
 
-    fn step_throttle(&mut self, now: Instant, context: &mut OutboundContext<'_>) {
-        let pressure = pressure::pressure(context);
-        self.throttle.step(now, pressure.ratio);
-        for (route, tenths) in self.throttle.take_reports() {
+    /// Takes in the level of a peer's back end.
+    pub fn on_status(&mut self, now: Instant, peer: &str, status: &Status) {
+        if status.is_serving {
+            let level = status.load.level;
+            self.admission.observe(now, &status.service, peer, level);
+        }
+    }
+
+    /// Takes in the levels of the services that an answer involved.
+    fn observe_levels(
+        &mut self,
+        now: Instant,
+        key: RequestKey,
+        link: LinkId,
+        response: &ForwardResponse,
+        context: &mut OutboundContext<'_>,
+    ) {
+        let Some(request) = self.requests.get_mut(&key) else {
+            return;
+        };
+        let reporter = context
+            .directory
+            .by_link(link)
+            .map_or(self.own_name.as_str(), |peer| &peer.record.name);
+        let service = &request.forwarded.service;
+        self.admission
+            .observe(now, service, reporter, response.load.level);
+        for involved in &response.involved {
+            self.admission.observe_relayed(now, involved, reporter);
+        }
+        if request.is_call {
+            let mut involved = vec![ServiceLevel {
+                service: service.clone(),
+                level: self.admission.published_level(now, service),
+            }];
+            involved.extend(response.involved.iter().cloned());
+            request.involved = involved;
+        } else if matches!(&response.result, ForwardResult::Answered(answer) if answer.is_success())
+        {
+            self.admission
+                .learn(&request.route.name, service, &response.involved);
+        }
+    }
+
+    /// Tells the log what has changed in what is let in.
+    fn report_admission(&mut self, now: Instant, context: &mut OutboundContext<'_>) {
+        for change in self.admission.take_changes(now) {
             context.out.push(Action::Note(Note::Admission {
-                route,
-                admitted_percent: u32::from(tenths) * 10,
-                service: pressure.service.clone(),
-                pressure_percent: (pressure.ratio * 100.0) as u32,
+                service: change.service,
+                priority: change.priority,
+                admitted_percent: change.admitted_percent,
             }));
         }
     }
 
     /// Returns what became of the back end's calls since the last look, by the request that each is
     /// made for.
-    pub fn take_call_progress(&mut self) -> Vec<(String, CallProgress)> {
-        std::mem::take(&mut self.call_progress)
+    pub fn take_call_news(&mut self) -> Vec<CallNews> {
+        std::mem::take(&mut self.call_news)
     }
 
     /// Returns when [`Self::poll`] must be called next.
@@ -273,18 +332,15 @@
             return Err((Box::new(caller), ResultCode::MalformedRequest, 0));
         }
         let is_call = origin != Origin::Caller;
-        if !is_call && !self.throttle.admit(&route.name, route.priority) {
-            return Err((Box::new(caller), ResultCode::Overloaded, THROTTLED_MILLIS));
-        }
         let service = self.weights.choose(&route).to_owned();
         self.budget.count_request(now, &service);
-        let (root_priority, is_repeat) = match origin {
-            Origin::Caller => (route.priority, false),
-            Origin::BackEnd {
-                root_priority,
-                is_repeat,
-            } => (root_priority, is_repeat),
+        let (level, is_repeat) = match origin {
+            Origin::Caller => (level_of(route.priority, &caller.request_id), false),
+            Origin::BackEnd { level, is_repeat } => (level, is_repeat),
         };
+        if !is_call && !self.admission.admits(now, &route.name, &service, level) {
+            return Err((Box::new(caller), ResultCode::Overloaded, THROTTLED_MILLIS));
+        }
         if is_repeat {
             self.budget.spend(now, &service);
         }
@@ -292,6 +348,9 @@
             .deadline
             .map_or(route.timeout(), |deadline| deadline.min(route.timeout()));
         let parent_id = caller.parent_id.filter(|_| is_call);
+        let demand = parent_id.as_deref().map_or(1.0, |parent_id| {
+            context.own.demand_of_call(parent_id, &service)
+        });
         let forwarded = ForwardedRequest {
             request_id: caller.request_id,
             method: caller.method,
@@ -302,9 +361,10 @@
             service,
             route: route.name.clone(),
             is_idempotent: route.is_idempotent(),
-            root_priority,
+            level,
             is_call,
             is_repeat,
+            demand,
             remaining_micros: 0,
             queue_limit_micros: 0,
         };
--- a/crates/rillgap-forward/src/outbound/request.rs
+++ b/crates/rillgap-forward/src/outbound/request.rs
@@ -7,7 +7,7 @@
 use super::queue_limit;
 use crate::configuration::Route;
 use crate::id::{ConnectionId, LinkId, Sequence, Turn};
-use crate::message::{ForwardedAnswer, ForwardedRequest, Timing};
+use crate::message::{ForwardedAnswer, ForwardedRequest, ServiceLevel, Timing};
 
 /// A request by its place on a connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -64,6 +64,8 @@
     pub retry_after_millis: Option<u32>,
     /// Where the time of the last attempt went.
     pub timing: Timing,
+    /// Levels of the services that the last answer to a call involved.
+    pub involved: Vec<ServiceLevel>,
     /// Failure that a back end has answered, while another one is tried.
     pub failed_answer: Option<ForwardedAnswer>,
     current: Option<Attempt>,
@@ -92,6 +94,7 @@
             may_have_run: false,
             retry_after_millis: None,
             timing: Timing::default(),
+            involved: Vec::new(),
             failed_answer: None,
             current: None,
         }
--- a/crates/rillgap-forward/src/peer.rs
+++ b/crates/rillgap-forward/src/peer.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use rillgap_core::admission::Level;
 use rillgap_core::time::Instant;
 
 use crate::id::LinkId;
@@ -222,11 +223,11 @@
         self.unreported = 0;
     }
 
-    /// Returns the requests at the back end, as far as known, as a share of its limit.
-    pub fn utilization(&self) -> f64 {
+    /// Returns the requests that a new one of this level would find before it at the back end, as far
+    /// as known, as a share of its limit.
+    pub fn utilization(&self, level: Level) -> f64 {
         let load = self.status.load;
-        let reported = i64::from(load.running) + i64::from(load.queued);
-        let estimate = (reported + self.unreported).max(i64::from(self.in_flight));
+        let estimate = (i64::from(load.ahead_of(level)) + self.unreported).max(0);
         estimate as f64 / f64::from(load.limit.max(1))
     }
 
--- a/crates/rillgap-sidecar/src/hub.rs
+++ b/crates/rillgap-sidecar/src/hub.rs
@@ -291,7 +291,7 @@
         let peers = node.directory().peers();
         let reachable = peers.filter(|peer| peer.open_link().is_some()).count();
         self.metrics.running.set(u64::from(load.running));
-        self.metrics.queued.set(u64::from(load.queued));
+        self.metrics.queued.set(u64::from(load.queued_in_all()));
         self.metrics.limit.set(u64::from(load.limit));
         self.metrics.peers.set(reachable as u64);
         self.metrics.ready.set(u64::from(node.is_ready()));
--- a/crates/rillgap-sidecar/src/logging/notes.rs
+++ b/crates/rillgap-sidecar/src/logging/notes.rs
@@ -137,13 +137,11 @@
             "inbound: back end"
         ),
         Note::Admission {
-            route,
-            admitted_percent,
             service,
-            pressure_percent,
+            priority,
+            admitted_percent,
         } => log::info!(
-            uptime, route = route.as_str(), admitted_percent, service = service.as_str(),
-            pressure_percent; "outbound: admission"
+            uptime, service = service.as_str(), priority, admitted_percent; "outbound: admission"
         ),
         Note::Peer { peer, is_up, cause } => log::info!(
             uptime, peer = peer.as_str(), is_up, cause = *cause; "mesh: peer"
