Outbound: a request whose call has failed is not repeated

Cause: when the deepest service fails requests, each hop above it repeats its whole part of the chain. Change: the answer says whether a call made for the request has failed; such a failure is passed on. Failures of the back end's own, lost and refused requests are repeated as before.

--- a/crates/rillgap-forward/src/inbound/ending.rs
+++ b/crates/rillgap-forward/src/inbound/ending.rs
@@ -8,7 +8,7 @@
 };
 use crate::action::{Action, Actions};
 use crate::event::ExchangeResult;
-use crate::id::{ExchangeId, LinkId, Sequence};
+use crate::id::{ExchangeId, LinkId};
 use crate::message::{
     ForwardResponse, ForwardResult, ForwardedRequest, LinkMessage, ServiceLevel, Timing,
 };
@@ -126,14 +126,15 @@
             queued_micros: elapsed_micros(now, arrival.arrived),
             back_end_micros: 0,
         };
-        self.respond(
-            arrival.link,
-            arrival.sequence,
-            Vec::new(),
+        let response = ForwardResponse {
+            sequence: arrival.sequence,
+            load: self.load(),
+            involved: Vec::new(),
+            has_failed_call: false,
             timing,
             result,
-            out,
-        );
+        };
+        respond(arrival.link, response, out);
     }
 
     /// Answers a request that was at the back end.
@@ -150,35 +151,15 @@
             .into_iter()
             .map(|(service, level)| ServiceLevel { service, level })
             .collect();
-        self.respond(
-            running.link,
-            running.sequence,
+        let response = ForwardResponse {
+            sequence: running.sequence,
+            load: self.load(),
             involved,
+            has_failed_call: running.has_failed_call,
             timing,
             result,
-            out,
-        );
-    }
-
-    fn respond(
-        &self,
-        link: LinkId,
-        sequence: Sequence,
-        involved: Vec<ServiceLevel>,
-        timing: Timing,
-        result: ForwardResult,
-        out: &mut Actions,
-    ) {
-        out.push(Action::SendOnLink {
-            link,
-            message: LinkMessage::Response(ForwardResponse {
-                sequence,
-                load: self.load(),
-                involved,
-                timing,
-                result,
-            }),
-        });
+        };
+        respond(running.link, response, out);
     }
 
     pub(super) fn forward_result(&self, result: ExchangeResult) -> ForwardResult {
@@ -231,3 +212,10 @@
         }));
     }
 }
+
+fn respond(link: LinkId, response: ForwardResponse, out: &mut Actions) {
+    out.push(Action::SendOnLink {
+        link,
+        message: LinkMessage::Response(response),
+    });
+}
--- a/crates/rillgap-forward/src/message.rs
+++ b/crates/rillgap-forward/src/message.rs
@@ -220,6 +220,8 @@
     pub load: Load,
     /// Levels of the services that calls made for the request went to.
     pub involved: Vec<ServiceLevel>,
+    /// Whether a call made for the request has failed.
+    pub has_failed_call: bool,
     /// Where the time went.
     pub timing: Timing,
     /// What became of the request.
--- a/crates/rillgap-forward/src/outbound/mod.rs
+++ b/crates/rillgap-forward/src/outbound/mod.rs
@@ -211,6 +211,7 @@
         self.observe_levels(now, key, link, &response, context);
         if let Some(request) = self.requests.get_mut(&key) {
             request.timing = response.timing;
+            request.has_failed_call = response.has_failed_call;
         }
         self.on_result(now, key, response.result, context);
     }
--- a/crates/rillgap-forward/src/outbound/request.rs
+++ b/crates/rillgap-forward/src/outbound/request.rs
@@ -64,6 +64,8 @@
     pub retry_after_millis: Option<u32>,
     /// Where the time of the last attempt went.
     pub timing: Timing,
+    /// Whether the last attempt came to nothing because a call made for it has failed.
+    pub has_failed_call: bool,
     /// Levels of the services that the last answer to a call involved.
     pub involved: Vec<ServiceLevel>,
     /// Failure that a back end has answered, while another one is tried.
@@ -94,6 +96,7 @@
             may_have_run: false,
             retry_after_millis: None,
             timing: Timing::default(),
+            has_failed_call: false,
             involved: Vec::new(),
             failed_answer: None,
             current: None,
--- a/crates/rillgap-forward/src/outbound/results.rs
+++ b/crates/rillgap-forward/src/outbound/results.rs
@@ -39,7 +39,9 @@
             return;
         };
         request.may_have_run = true;
-        let is_failure = forwarded.status >= 500;
+        // A call that failed was repeated where it was made, as far as the budget reached. Repeating the
+        // whole chain above it would cost a repeat at every service of the chain.
+        let is_failure = forwarded.status >= 500 && !request.has_failed_call;
         if is_failure && self.has_other_target(key, context) && self.may_repeat(now, key, context) {
             if let Some(request) = self.requests.get_mut(&key) {
                 request.failed_answer = Some(forwarded);
--- a/crates/rillgap-forward/tests/outbound.rs
+++ b/crates/rillgap-forward/tests/outbound.rs
@@ -7,7 +7,9 @@
 use rillgap_forward::action::Action;
 use rillgap_forward::event::{Event, ExchangeResult};
 use rillgap_forward::id::ConnectionId;
-use rillgap_forward::message::{ForwardResult, LinkMessage, Status, level_of, priority_of};
+use rillgap_forward::message::{
+    ForwardResponse, ForwardResult, LinkMessage, Status, Timing, level_of, priority_of,
+};
 use support::{SERVICE, TestNode, answer, caller_request, serving};
 
 fn not_run(arrived: bool) -> ForwardResult {
@@ -233,6 +235,36 @@
     expect_that!(priority_of(stranger.level), eq(1));
 }
 
+/// Lets a peer answer the request that was sent last with 500.
+fn fail(test: &mut TestNode, has_failed_call: bool) {
+    let (link, sequence, _) = test.sent().pop().expect("a request that was sent");
+    let response = ForwardResponse {
+        sequence,
+        load: serving(SERVICE).load,
+        involved: Vec::new(),
+        has_failed_call,
+        timing: Timing::default(),
+        result: ForwardResult::Answered(answer(500)),
+    };
+    let message = LinkMessage::Response(response);
+    test.event(Event::Link { link, message });
+}
+
+#[gtest]
+fn failure_of_the_back_end_itself_is_tried_elsewhere_that_of_its_call_is_not() {
+    let mut test = entry();
+    test.request(0, caller_request("a", "/safe/1"));
+    fail(&mut test, false);
+    expect_that!(test.sent().len(), eq(2));
+    test.respond(ForwardResult::Answered(answer(200)));
+    expect_that!(test.statuses(), elements_are![eq(&200)]);
+    let mut test = entry();
+    test.request(0, caller_request("a", "/safe/1"));
+    fail(&mut test, true);
+    expect_that!(test.sent().len(), eq(1));
+    expect_that!(test.statuses(), elements_are![eq(&500)]);
+}
+
 #[gtest]
 fn own_back_end_is_reached_without_a_link() {
     let mut test = TestNode::serving();
--- a/crates/rillgap-forward/tests/support/mod.rs
+++ b/crates/rillgap-forward/tests/support/mod.rs
@@ -440,6 +440,7 @@
                 sequence,
                 load,
                 involved,
+                has_failed_call: false,
                 timing: Timing::default(),
                 result,
             }),
--- a/crates/rillgap-sidecar/tests/frames.rs
+++ b/crates/rillgap-sidecar/tests/frames.rs
@@ -56,6 +56,7 @@
                 service: "s".to_owned(),
                 level: level_of(1, "id"),
             }],
+            has_failed_call: true,
             timing: Timing::default(),
             result: ForwardResult::Answered(ForwardedAnswer {
                 status: 200,
@@ -70,6 +71,7 @@
                 service: "s".to_owned(),
                 level: level_of(1, "id"),
             }],
+            has_failed_call: true,
             timing: Timing::default(),
             result: ForwardResult::Unknown {
                 code: ResultCode::AnswerLost,
