Balancer: a slow back end costs as much of the request's time as it takes

Slowness counted relative to the fastest back end, the same for a request with 800 ms as for one with 5 s. Change: the cost is the mean time there as a share of the time that the request has left.

--- a/crates/rillgap-forward/src/balancer.rs
+++ b/crates/rillgap-forward/src/balancer.rs
@@ -3,11 +3,13 @@
 //! Of two nodes of the own zone and two of other zones, drawn at random, the one of the lowest
 //! cost is taken. Back ends that fail many requests stand apart: they are drawn as a third kind, and
 //! what they fail is added to their cost, so they get requests when the others are full. The cost is
-//! the load as a share of the limit, plus a little for back ends that are slower than the fastest of
-//! the service, plus a penalty for leaving the zone. Slowness is added, not multiplied: a slow back
+//! the load as a share of the limit, plus the time that the back end takes as a share of the time that
+//! the request has, plus a penalty for leaving the zone. Slowness is added, not multiplied: a slow back
 //! end is spared while there is room elsewhere, but when the fast ones fill up its slots are needed.
 //! For the same reason the penalty vanishes as the own zone fills up.
 
+use std::time::Duration;
+
 use rand_chacha::ChaCha8Rng;
 use rand_chacha::rand_core::{Rng, SeedableRng};
 
@@ -19,10 +21,12 @@
 /// with tens of slots begins to queue near 0.9; (0.4, 0.8) sent a third more bytes to other zones on
 /// the users' calm day and served no more.
 const PENALTY_FADES: (f64, f64) = (0.7, 0.95);
-/// Cost of being twice as slow as the fastest.
-const SLOWNESS_COST: f64 = 0.15;
-/// Largest factor of slowness that counts.
-const MOST_SLOWNESS: f64 = 4.0;
+/// Cost of a mean time as long as the time that the request has. A few requests in a hundred take five
+/// times the mean or more, so those at a back end whose mean is a fifth of that time come too late; its
+/// cost outweighs the penalty for leaving the zone. Half of it, or its square, was no better.
+const SLOWNESS_COST: f64 = 2.0;
+/// Largest share of the time that a request has which counts.
+const MOST_SLOWNESS: f64 = 1.0;
 /// Cost of failing every request. A back end that fails half of them gets requests when the others
 /// are full.
 const FAILURE_COST: f64 = 2.0;
@@ -47,15 +51,12 @@
 }
 
 impl<T> Candidate<T> {
-    fn cost(&self, fastest: f64, penalty: f64) -> f64 {
-        let slowness = match self.mean_micros {
-            0 => 1.0,
-            mean => (f64::from(mean) / fastest).clamp(1.0, MOST_SLOWNESS),
-        };
+    fn cost(&self, remaining_micros: f64, penalty: f64) -> f64 {
+        let slowness = (f64::from(self.mean_micros) / remaining_micros).min(MOST_SLOWNESS);
         let next = 1.0 / f64::from(self.limit.max(1));
         let distance = if self.is_local { 0.0 } else { penalty };
         let failing = f64::from(self.failing_permille) / 1_000.0;
-        let quality = (slowness - 1.0) * SLOWNESS_COST + failing * FAILURE_COST;
+        let quality = slowness * SLOWNESS_COST + failing * FAILURE_COST;
         self.utilization + next + quality + distance
     }
 }
@@ -74,13 +75,9 @@
         }
     }
 
-    /// Chooses a candidate; `None` if there is none.
-    pub fn choose<T>(&mut self, candidates: Vec<Candidate<T>>) -> Option<T> {
-        let fastest = candidates
-            .iter()
-            .filter(|candidate| candidate.mean_micros > 0)
-            .map(|candidate| f64::from(candidate.mean_micros))
-            .fold(f64::INFINITY, f64::min);
+    /// Chooses a candidate for a request that has so much time left; `None` if there is none.
+    pub fn choose<T>(&mut self, candidates: Vec<Candidate<T>>, remaining: Duration) -> Option<T> {
+        let remaining_micros = remaining.as_micros().max(1) as f64;
         let (failing, sound): (Vec<_>, Vec<_>) = candidates
             .into_iter()
             .partition(|candidate| candidate.failing_permille >= FAILING_PERMILLE);
@@ -93,8 +90,8 @@
         drawn
             .into_iter()
             .min_by(|left, right| {
-                let left = left.cost(fastest, penalty);
-                left.total_cmp(&right.cost(fastest, penalty))
+                let left = left.cost(remaining_micros, penalty);
+                left.total_cmp(&right.cost(remaining_micros, penalty))
             })
             .map(|candidate| candidate.target)
     }
--- a/crates/rillgap-forward/src/outbound/attempts.rs
+++ b/crates/rillgap-forward/src/outbound/attempts.rs
@@ -21,7 +21,8 @@
             return;
         };
         let candidates = self.candidates(request, context);
-        let Some(target) = self.balancer.choose(candidates) else {
+        let remaining = request.deadline.saturating_since(now);
+        let Some(target) = self.balancer.choose(candidates, remaining) else {
             self.answer_without_target(now, key, context);
             return;
         };
--- a/crates/rillgap-forward/tests/policies.rs
+++ b/crates/rillgap-forward/tests/policies.rs
@@ -94,8 +94,11 @@
     }
 }
 
+/// Time that a request has.
+const REMAINING: Duration = Duration::from_millis(10);
+
 fn choose(candidates: &[Candidate<&'static str>]) -> Option<&'static str> {
-    Balancer::new(1).choose(candidates.to_vec())
+    Balancer::new(1).choose(candidates.to_vec(), REMAINING)
 }
 
 #[gtest]
@@ -124,6 +127,17 @@
     );
 }
 
+#[gtest]
+fn request_leaves_the_zone_when_the_local_back_end_takes_much_of_its_time() {
+    let near = candidate("near", true, 0.2, 3_000);
+    let far = candidate("far", false, 0.2, 1_000);
+    let candidates = [near, far];
+    expect_that!(choose(&candidates), some(eq("far")));
+    let patient = Duration::from_millis(50);
+    let chosen = Balancer::new(1).choose(candidates.to_vec(), patient);
+    expect_that!(chosen, some(eq("near")));
+}
+
 fn failing(name: &'static str, utilization: f64, permille: u32) -> Candidate<&'static str> {
     Candidate {
         failing_permille: permille,
@@ -147,7 +161,10 @@
     candidates.push(candidate("sound", false, 0.3, 1_000));
     let mut balancer = Balancer::new(1);
     for _ in 0..50 {
-        expect_that!(balancer.choose(candidates.clone()), some(eq("sound")));
+        expect_that!(
+            balancer.choose(candidates.clone(), REMAINING),
+            some(eq("sound"))
+        );
     }
 }
 
