--- a/crates/rillgap-core/src/admission/demand.rs
+++ b/crates/rillgap-core/src/admission/demand.rs
@@ -10,8 +10,6 @@
 
 /// Windows over which the lowest arriving level is taken.
 const HISTORY: usize = 4;
-/// Weight of one window in the moving density.
-const DENSITY_WEIGHT: f64 = 0.15;
 /// Least open levels that a density is computed from, against division by next to nothing.
 const LEAST_OPEN: f64 = Level::PER_TIER as f64 / 256.0;
 
@@ -33,6 +31,8 @@
 #[derive(Clone, Copy, Debug)]
 pub(super) struct TierDemand {
     tier: u8,
+    /// Weight of one window in the moving density.
+    weight: f64,
     current: Window,
     history: [Window; HISTORY],
     next: usize,
@@ -42,10 +42,12 @@
 }
 
 impl TierDemand {
-    /// Creates the demand of a tier that was never seen.
-    pub fn new(tier: u8) -> Self {
+    /// Creates the demand of a tier that was never seen. `weight` is that of one window in the moving
+    /// density.
+    pub fn new(tier: u8, weight: f64) -> Self {
         Self {
             tier,
+            weight,
             current: NOTHING,
             history: [NOTHING; HISTORY],
             next: 0,
@@ -81,7 +83,7 @@
         }
         let open = (top(self.tier) - self.filter).max(LEAST_OPEN);
         let sample = work / open;
-        let weight = 1.0 - 1.0 / (1.0 + DENSITY_WEIGHT / (1.0 - DENSITY_WEIGHT) * windows);
+        let weight = 1.0 - 1.0 / (1.0 + self.weight / (1.0 - self.weight) * windows);
         self.density += weight * (sample - self.density);
     }
 
--- a/crates/rillgap-core/src/admission/threshold.rs
+++ b/crates/rillgap-core/src/admission/threshold.rs
@@ -15,8 +15,6 @@
 
 /// Length of a control window.
 const WINDOW: Duration = Duration::from_millis(50);
-/// Queued requests, as a share of the limit, at which the queue rests.
-const QUEUE_TARGET: f64 = 0.8;
 /// Time within which a queue off its target shall come back to it, in microseconds.
 const HORIZON_MICROS: f64 = 150_000.0;
 /// Bounds of the queue's immediate correction of the capacity.
@@ -41,6 +39,26 @@
 /// Demand per level below which a tier takes nothing.
 const NO_DENSITY: f64 = 1e-9;
 
+/// How the controller is tuned.
+#[derive(Clone, Copy, Debug)]
+pub struct Tuning {
+    /// Queued requests, as a share of the limit, at which the queue rests.
+    pub queue_target: f64,
+    /// Weight of one window in the moving demand for a level, above 0 and below 1.
+    pub demand_weight: f64,
+}
+
+impl Default for Tuning {
+    /// Returns the tuning that `rillgap-lab compare` showed to be best where a request may queue for
+    /// little longer than it runs (`docs/design/admission.md`, rounds 2 and 5).
+    fn default() -> Self {
+        Self {
+            queue_target: 0.2,
+            demand_weight: 0.25,
+        }
+    }
+}
+
 /// What the controller needs to know at the end of a window.
 #[derive(Clone, Debug)]
 pub struct Pressure {
@@ -55,6 +73,7 @@
 /// Controller of the published level.
 #[derive(Clone, Debug)]
 pub struct Threshold {
+    tuning: Tuning,
     level: f64,
     trim: f64,
     window_started: Instant,
@@ -65,7 +84,15 @@
 
 impl Default for Threshold {
     fn default() -> Self {
+        Self::new(Tuning::default())
+    }
+}
+
+impl Threshold {
+    /// Creates a controller that sheds nothing yet.
+    pub fn new(tuning: Tuning) -> Self {
         Self {
+            tuning,
             level: 0.0,
             trim: 1.0,
             window_started: Instant::default(),
@@ -74,9 +101,7 @@
             demand: BTreeMap::new(),
         }
     }
-}
 
-impl Threshold {
     /// Returns the level below which requests would be shed; zero while none would be.
     pub fn level(&self) -> Level {
         if self.level < self.lowest() + NOTHING_SHED {
@@ -93,7 +118,7 @@
         let tier = level.tier();
         self.demand
             .entry(tier)
-            .or_insert_with(|| TierDemand::new(tier))
+            .or_insert_with(|| TierDemand::new(tier, self.tuning.demand_weight))
             .arrived(level, work_micros);
     }
 
@@ -115,12 +140,13 @@
         self.next_recent = (self.next_recent + 1) % LEVEL_HISTORY;
         let queued: usize = pressure.queued.values().sum();
         let queue = queued as f64 / pressure.limit;
-        if self.level() == Level(0) && queue < QUEUE_TARGET {
+        if self.level() == Level(0) && queue < self.tuning.queue_target {
             self.level = self.lowest();
             self.trim = 1.0;
             return;
         }
-        let step = TRIM_STEP * windows.min(1.0) * (1.0 - queue / QUEUE_TARGET).max(-1.0);
+        let off_target = (1.0 - queue / self.tuning.queue_target).max(-1.0);
+        let step = TRIM_STEP * windows.min(1.0) * off_target;
         self.trim = (self.trim + step).clamp(TRIM.0, TRIM.1);
         self.approach(self.needed_level(pressure), windows);
     }
@@ -181,7 +207,7 @@
 
     /// Returns the demand to admit, given the requests queued of the tiers that matter.
     fn capacity(&self, queued: usize, pressure: &Pressure) -> f64 {
-        let off_target = QUEUE_TARGET - queued as f64 / pressure.limit;
+        let off_target = self.tuning.queue_target - queued as f64 / pressure.limit;
         let correction = off_target * pressure.mean_service_micros / HORIZON_MICROS;
         self.trim + correction.clamp(CORRECTION.0, CORRECTION.1)
     }
--- a/crates/rillgap-forward/src/inbound/mod.rs
+++ b/crates/rillgap-forward/src/inbound/mod.rs
@@ -16,7 +16,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use rillgap_core::admission::{Level, Threshold};
+use rillgap_core::admission::{Level, Threshold, Tuning};
 use rillgap_core::code::ResultCode;
 use rillgap_core::time::Instant;
 
@@ -47,6 +47,12 @@
 const OVERTIME: Duration = Duration::from_millis(250);
 /// Shortest and longest time after which a refused caller is asked back, in milliseconds.
 const RETRY_AFTER_MILLIS: (u64, u64) = (50, 2_000);
+/// Tuning of the published level. Calls may wait for several times as long as they run, so the queue may
+/// rest at nearly the limit; anything from 0.6 to 1.2 did as well on the users' sites, 0.2 worse.
+const LEVEL_TUNING: Tuning = Tuning {
+    queue_target: 0.8,
+    demand_weight: 0.15,
+};
 /// Move of the published level at which peers are told soon: a tenth of a tier.
 const LEVEL_MOVE: u32 = Level::PER_TIER / 10;
 /// Time before the end of a request's time from which a cancellation means that no answer came.
@@ -171,7 +177,7 @@
             is_stopping: false,
             status_changed: false,
             load_changed: false,
-            threshold: Threshold::default(),
+            threshold: Threshold::new(LEVEL_TUNING),
             told_level: Level(0),
         }
     }
