Admission: calls count one by one as demand again

That the first call of a request stands for all that it will make was brought in against chains that break at their first call; since refused requests count where they go next and levels are no more passed in circles, few chains break. Removed: inbound/call_counts.rs, the field of the request and the count of calls by service. Its test goes with it; a new one shows that requests count as demand although they are refused.

--- a/crates/rillgap-forward/src/inbound/admission.rs
+++ b/crates/rillgap-forward/src/inbound/admission.rs
@@ -24,13 +24,10 @@
         count(self.running.len()) < self.limit()
     }
 
-    /// Counts a request as demand, unless another node has counted it already.
+    /// Counts a request as demand; one that is refused here counts where it goes next as well.
     pub(super) fn count_demand(&mut self, request: &ForwardedRequest) {
-        if request.demand == 0.0 {
-            return;
-        }
         let expected = self.times.expected(&request.route);
-        let work_micros = expected.as_micros() as f64 * f64::from(request.demand);
+        let work_micros = expected.as_micros() as f64;
         self.threshold.arrived(request.level, work_micros);
     }
 
--- a/crates/rillgap-forward/src/inbound/mod.rs
+++ b/crates/rillgap-forward/src/inbound/mod.rs
@@ -6,7 +6,6 @@
 
 mod admission;
 mod back_end;
-mod call_counts;
 mod ending;
 mod failure_share;
 mod queue;
@@ -29,7 +28,6 @@
 use crate::settings::ForwardSettings;
 
 use back_end::{BackEnd, Effect};
-use call_counts::CallCounts;
 use failure_share::FailureShare;
 use queue::RankQueue;
 use service_time::ServiceTimes;
@@ -76,8 +74,6 @@
     open_calls: u32,
     /// Whether one of those calls has failed.
     has_failed_call: bool,
-    /// Calls made for it, by service.
-    calls: BTreeMap<String, u32>,
     /// Services that its calls went to, with their levels as last heard.
     involved: BTreeMap<String, Level>,
 }
@@ -112,8 +108,6 @@
 pub struct CallNews {
     /// Identifier of the request that the call is made for.
     pub parent_id: String,
-    /// Service that it goes to.
-    pub service: String,
     /// What became of it.
     pub progress: CallProgress,
     /// Levels of the services that it involved.
@@ -147,7 +141,6 @@
     places: BTreeMap<(LinkId, Sequence), Place>,
     by_request_id: BTreeMap<String, ExchangeId>,
     times: ServiceTimes,
-    call_counts: CallCounts,
     failures: FailureShare,
     failing_permille: u32,
     next_exchange: u64,
@@ -170,7 +163,6 @@
             places: BTreeMap::new(),
             by_request_id: BTreeMap::new(),
             times: ServiceTimes::default(),
-            call_counts: CallCounts::default(),
             failures: FailureShare::default(),
             failing_permille: 0,
             next_exchange: 0,
@@ -257,10 +249,7 @@
             running.involved.insert(involved.service, involved.level);
         }
         match call.progress {
-            CallProgress::Begun => {
-                running.open_calls += 1;
-                *running.calls.entry(call.service).or_default() += 1;
-            }
+            CallProgress::Begun => running.open_calls += 1,
             CallProgress::Succeeded => running.open_calls = running.open_calls.saturating_sub(1),
             CallProgress::Failed => {
                 running.open_calls = running.open_calls.saturating_sub(1);
@@ -269,19 +258,6 @@
         }
     }
 
-    /// Returns for how many calls one to `service` is counted as demand that is made for a request: the
-    /// first for all that the request is expected to make, the others for none.
-    pub fn demand_of_call(&self, parent_id: &str, service: &str) -> f32 {
-        let exchange = self.by_request_id.get(parent_id);
-        let Some(running) = exchange.and_then(|exchange| self.running.get(exchange)) else {
-            return 1.0;
-        };
-        if running.calls.contains_key(service) {
-            return 0.0;
-        }
-        self.call_counts.expected(&running.request.route, service)
-    }
-
     /// Returns whether the back end has left service for good.
     pub fn has_left(&self) -> bool {
         self.back_end.has_left()
@@ -406,12 +382,8 @@
         self.deadlines.remove(&(running.deadline, exchange));
         self.places.remove(&(running.link, running.sequence));
         let elapsed = now.saturating_since(running.started);
-        if let ExchangeResult::Answered(answer) = &result {
+        if matches!(result, ExchangeResult::Answered(_)) {
             self.times.record(&running.request.route, elapsed);
-            if answer.is_success() {
-                self.call_counts
-                    .record(&running.request.route, &running.calls);
-            }
         }
         self.record_outcome(now, &running, &result);
         let effect = self.back_end.on_exchange(&result);
@@ -467,7 +439,6 @@
             is_awaited: true,
             open_calls: 0,
             has_failed_call: false,
-            calls: BTreeMap::new(),
             involved: BTreeMap::new(),
         };
         self.running.insert(id, running);
--- a/crates/rillgap-forward/src/message.rs
+++ b/crates/rillgap-forward/src/message.rs
@@ -107,7 +107,7 @@
 }
 
 /// A request as it goes to the back end.
-#[derive(Clone, Debug, PartialEq, Encode, Decode)]
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
 pub struct ForwardedRequest {
     /// The caller's identifier of the request.
     pub request_id: String,
@@ -133,9 +133,6 @@
     pub is_call: bool,
     /// Whether the request, or one further up its chain, was sent to a back end before.
     pub is_repeat: bool,
-    /// Requests of which this one is counted as demand: a call stands for all calls that its parent is
-    /// expected to make to the service, the later ones count for none.
-    pub demand: f32,
     /// Time that is left for the request, in microseconds.
     pub remaining_micros: u64,
     /// Longest time for which the request may wait in a queue, in microseconds.
@@ -229,7 +226,7 @@
 }
 
 /// A message on a link.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub enum LinkMessage {
     /// Introduction.
     Hello(Hello),
--- a/crates/rillgap-forward/src/outbound/ending.rs
+++ b/crates/rillgap-forward/src/outbound/ending.rs
@@ -132,7 +132,6 @@
         };
         self.call_news.push(CallNews {
             parent_id,
-            service: request.forwarded.service.clone(),
             progress,
             involved: request.involved,
         });
--- a/crates/rillgap-forward/src/outbound/mod.rs
+++ b/crates/rillgap-forward/src/outbound/mod.rs
@@ -159,7 +159,6 @@
         if let Some(parent_id) = &request.parent_id {
             self.call_news.push(CallNews {
                 parent_id: parent_id.clone(),
-                service: request.forwarded.service.clone(),
                 progress: CallProgress::Begun,
                 involved: Vec::new(),
             });
@@ -349,9 +348,6 @@
             .deadline
             .map_or(route.timeout(), |deadline| deadline.min(route.timeout()));
         let parent_id = caller.parent_id.filter(|_| is_call);
-        let demand = parent_id.as_deref().map_or(1.0, |parent_id| {
-            context.own.demand_of_call(parent_id, &service)
-        });
         let forwarded = ForwardedRequest {
             request_id: caller.request_id,
             method: caller.method,
@@ -365,7 +361,6 @@
             level,
             is_call,
             is_repeat,
-            demand,
             remaining_micros: 0,
             queue_limit_micros: 0,
         };
--- a/crates/rillgap-forward/tests/inbound.rs
+++ b/crates/rillgap-forward/tests/inbound.rs
@@ -329,33 +329,24 @@
     expect_that!(test.node.inbound().load().level, eq(Level(0)));
 }
 
-/// Runs a request for which the back end makes four calls, one after the other; returns for how many
-/// requests each counts as demand.
-fn demands_of_calls(test: &mut TestNode, link: LinkId, parent: &str, sequence: u64) -> Vec<f32> {
-    test.forward(link, sequence, forwarded(parent, true));
-    let parent_exchange = test.exchanges().last().expect("the parent").id;
-    let mut demands = Vec::new();
-    for call in 0..4 {
-        let id = format!("{parent}.{call}");
-        test.request(sequence * 10 + call, caller_request(&id, "/safe/1"));
-        let exchange = test.exchanges().pop().expect("the call");
-        demands.push(exchange.request.demand);
-        test.end_exchange(exchange.id, ExchangeResult::Answered(answer(200)));
-    }
-    let answered = ExchangeResult::Answered(answer(200));
-    test.end_exchange(parent_exchange, answered);
-    demands
-}
-
 #[gtest]
-fn first_call_of_a_request_announces_all_that_it_is_expected_to_make() {
+fn requests_that_are_refused_count_as_demand() {
     let mut test = TestNode::serving();
     let link = test.accept(50);
-    // Nothing is known yet: the first one stands for itself.
-    let unknown = demands_of_calls(&mut test, link, "a", 1);
-    expect_that!(unknown, eq(&vec![1.0, 0.0, 0.0, 0.0]));
-    let known = demands_of_calls(&mut test, link, "b", 2);
-    expect_that!(known, eq(&vec![4.0, 0.0, 0.0, 0.0]));
+    // Three requests take 50 ms each, so that the time that one takes is known.
+    overload(&mut test, link, 400);
+    for sequence in 10_000..10_400 {
+        let mut request = forwarded(&format!("r{sequence}"), true);
+        request.level = level_of(2, &request.request_id);
+        request.queue_limit_micros = 0;
+        test.forward(link, sequence, request);
+        test.pass(5);
+    }
+    expect_that!(test.node.inbound().load().running, eq(3));
+    expect_that!(
+        test.node.inbound().load().level,
+        gt(Level::tier_floor(level_of(2, "any").tier()))
+    );
 }
 
 /// Hands so many requests to the back end, one after the other, which all end in this way.
--- a/crates/rillgap-forward/tests/support/mod.rs
+++ b/crates/rillgap-forward/tests/support/mod.rs
@@ -141,7 +141,6 @@
         route: "/safe/".to_owned(),
         is_idempotent,
         level: level_of(1, id),
-        demand: 1.0,
         is_call: false,
         is_repeat: false,
         remaining_micros: 800_000,
--- a/crates/rillgap-sidecar/tests/frames.rs
+++ b/crates/rillgap-sidecar/tests/frames.rs
@@ -41,7 +41,6 @@
                 route: "r".to_owned(),
                 is_idempotent: true,
                 level: level_of(2, "id"),
-                demand: 1.0,
                 is_call: false,
                 is_repeat: false,
                 remaining_micros: 1,
