Planned stop: callers are refused once they have had time to notice it

Where too few nodes of a zone are ready, callers keep coming to a stopping one, which took their requests until it exited, 0.4 s before the end of its grace; what it had taken 0.8 s before the end was cut. Ruled out: the end of the process by itself, the request's own deadline. Change: 2.5 s after the begin of a planned stop a caller's request is refused with the promise that it has not run. Calls of chains that run here are still served.

--- a/crates/rillgap-forward/src/node/mod.rs
+++ b/crates/rillgap-forward/src/node/mod.rs
@@ -205,11 +205,13 @@
     }
 
     fn split<'a>(&'a mut self, out: &'a mut Actions) -> (&'a mut Outbound, OutboundContext<'a>) {
+        let refuses_callers = self.notice_is_over(self.last_step);
         let context = OutboundContext {
             table: self.table.as_deref(),
             own: &self.inbound,
             directory: &mut self.directory,
             is_stopping: self.stopping_since.is_some(),
+            refuses_callers,
             is_exiting: self.exited,
             out,
         };
--- a/crates/rillgap-forward/src/node/stop.rs
+++ b/crates/rillgap-forward/src/node/stop.rs
@@ -8,8 +8,9 @@
 use crate::action::{Action, Actions};
 use crate::note::Note;
 
-/// Time after the begin of a planned stop before which the node does not exit: callers learn by
-/// then that it is not ready.
+/// Time after the begin of a planned stop before which the node does not exit and takes callers'
+/// requests: they learn by then that it is not ready. Where too few nodes are ready they keep coming, and
+/// what is taken later could be cut by the end of the grace.
 const STOP_NOTICE: Duration = Duration::from_millis(2_500);
 /// Share of the grace for which the back end beside a stopping node still gets requests: nobody
 /// else can reach it, so every moment it gets none is capacity lost.
@@ -43,7 +44,7 @@
         };
         let elapsed = now.saturating_since(since);
         let in_flight = self.inbound.in_flight() + self.outbound.in_flight();
-        let is_done = elapsed >= STOP_NOTICE && in_flight == 0;
+        let is_done = self.notice_is_over(now) && in_flight == 0;
         let is_late = elapsed + STOP_MARGIN >= self.settings.grace;
         if self.exited || !(is_done || is_late) {
             return;
@@ -53,6 +54,12 @@
         out.push(Action::Exit);
     }
 
+    /// Returns whether a planned stop has begun long enough ago for callers to have noticed.
+    pub(super) fn notice_is_over(&self, now: Instant) -> bool {
+        self.stopping_since
+            .is_some_and(|since| now.saturating_since(since) >= STOP_NOTICE)
+    }
+
     pub(super) fn note_lifecycle(&self, state: &'static str, out: &mut Actions) {
         out.push(Action::Note(Note::Lifecycle {
             state,
--- a/crates/rillgap-forward/src/outbound/mod.rs
+++ b/crates/rillgap-forward/src/outbound/mod.rs
@@ -88,6 +88,8 @@
     pub own: &'a Inbound,
     /// Whether the node is in a planned stop.
     pub is_stopping: bool,
+    /// Whether callers' requests are refused: they may still be under way when a planned stop ends.
+    pub refuses_callers: bool,
     /// Whether the process is about to end: nothing new can be finished.
     pub is_exiting: bool,
     /// Actions for the driver.
@@ -319,7 +321,8 @@
         origin: Origin,
         context: &OutboundContext<'_>,
     ) -> Result<Request, (Box<CallerRequest>, ResultCode, u32)> {
-        if context.is_exiting {
+        let is_refused = context.refuses_callers && origin == Origin::Caller;
+        if context.is_exiting || is_refused {
             return Err((Box::new(caller), ResultCode::NodeStopping, 0));
         }
         let Some(table) = context.table else {
--- a/crates/rillgap-forward/tests/control.rs
+++ b/crates/rillgap-forward/tests/control.rs
@@ -7,7 +7,7 @@
 use googletest::prelude::*;
 use rillgap_forward::action::Action;
 use rillgap_forward::event::{AnnouncedState, Event, ExchangeResult};
-use rillgap_forward::message::{LinkMessage, NodeRecord};
+use rillgap_forward::message::{ForwardResult, LinkMessage, NodeRecord};
 use rillgap_forward::store_sync::{StoreReply, StoreRequest, StoreRequestId, StoreSync};
 use support::{
     INSTANCE, SERVICE, TestNode, address, answer, at, configuration, failed, forwarded, settings,
@@ -191,6 +191,31 @@
     expect_that!(exits, eq(true));
 }
 
+#[gtest]
+fn stopping_node_takes_no_callers_after_its_notice_but_finishes_the_chains_that_run() {
+    let mut test = TestNode::serving();
+    let link = test.accept(50);
+    let peer = test.connect("peer-a", 2, SERVICE);
+    let mut running = forwarded("parent", false);
+    running.remaining_micros = 5_000_000;
+    test.forward(link, 1, running);
+    test.event(Event::Stop);
+    test.pass(2_000);
+    test.request(0, support::caller_request("early", "/safe/1"));
+    test.respond(ForwardResult::Answered(answer(200)));
+    expect_that!(test.statuses(), elements_are![eq(&200)]);
+    test.pass(600);
+    test.actions.clear();
+    // A request taken now might still be under way when the grace ends.
+    test.request(1, support::caller_request("late", "/safe/1"));
+    expect_that!(test.statuses(), elements_are![eq(&503)]);
+    expect_that!(test.answers()[0].close, eq(true));
+    test.actions.clear();
+    test.request(2, support::caller_request("parent.call", "/safe/1"));
+    expect_that!(test.statuses(), is_empty());
+    expect_that!(test.sent()[0].0, eq(peer));
+}
+
 #[gtest]
 fn record_is_removed_only_if_the_back_end_has_left() {
     for has_left in [false, true] {
