--- a/crates/rillgap-core/src/code.rs
+++ b/crates/rillgap-core/src/code.rs
@@ -91,6 +91,10 @@
     CallBoundExceeded = 21, 429, NotRun, "too many calls for one request";
     /// The chain's budget of extra attempts is spent.
     RetryBudgetSpent = 22, 429, NotRun, "retry budget of the chain spent";
+    /// The route needs a key, and none that is known was shown.
+    Unauthenticated = 23, 401, NotRun, "key missing or unknown";
+    /// The tenant's requests have reached their limit.
+    LimitReached = 24, 429, NotRun, "tenant at its limit";
     /// Shed at the entry because of load further down.
     Overloaded = 40, 503, NotRun, "overloaded, shed at the entry";
     /// The queue beside the back end was full or too slow for this class.
@@ -115,6 +119,12 @@
     BackEndUnreachable = 50, 503, NotRun, "back end unreachable";
     /// The caller cancelled while the request was still queued.
     Cancelled = 51, 499, NotRun, "cancelled before it was started";
+    /// The configuration is not known to be fresh enough to trust a key.
+    ConfigurationUnproven = 52, 503, NotRun, "configuration not known to be the newest";
+    /// The node that keeps the tenant's limit did not answer.
+    LimitUnknown = 53, 503, NotRun, "tenant's limit cannot be asked for";
+    /// The request for which a back end makes this one is not running here any more.
+    ParentEnded = 54, 503, NotRun, "the request that the call is made for has ended";
     /// The request was started and its answer did not come in time.
     AnswerTimeout = 70, 504, Unknown, "no answer in time";
     /// The connection to the node or back end was lost after the request was sent.
--- a/crates/rillgap-forward/src/configuration.rs
+++ b/crates/rillgap-forward/src/configuration.rs
@@ -1,4 +1,4 @@
-//! The configuration in force: routes, services and limits.
+//! The configuration in force: routes, services, tenants and limits.
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -6,6 +6,8 @@
 
 use bitcode::{Decode, Encode};
 
+use crate::credential::KeyDigest;
+
 /// Whether a request may run more than once.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Encode, Decode)]
 pub enum Repeatability {
@@ -45,6 +47,8 @@
     pub services: Vec<WeightedService>,
     /// Most back ends that one request may be sent to.
     pub max_attempts: u32,
+    /// Whether callers need no key although the deployment has tenants.
+    pub is_public: bool,
 }
 
 impl Route {
@@ -75,6 +79,28 @@
     pub max_connections: u32,
 }
 
+/// Most requests of a tenant, summed over all nodes: a token bucket.
+#[derive(Clone, Copy, Debug, PartialEq, Encode, Decode)]
+pub struct RateLimit {
+    /// Tokens that come in each second; above zero.
+    pub per_second: f64,
+    /// Most tokens that the bucket holds; one at least, so that a request can ever pass.
+    pub burst: f64,
+}
+
+/// An organization whose callers are told by their keys.
+#[derive(Clone, Debug, PartialEq, Encode, Decode)]
+pub struct Tenant {
+    /// Name.
+    pub name: String,
+    /// Digests of its keys.
+    pub keys: Vec<KeyDigest>,
+    /// Priority that goes before that of the route, if it has one of its own.
+    pub priority: Option<u8>,
+    /// Most requests; `None` for any number.
+    pub limit: Option<RateLimit>,
+}
+
 /// Bounds on what callers send.
 #[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
 pub struct CallerLimits {
@@ -100,7 +126,7 @@
 }
 
 /// A whole configuration.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Encode, Decode)]
+#[derive(Clone, Debug, Default, PartialEq, Encode, Decode)]
 pub struct Configuration {
     /// Version; grows with every change.
     pub version: u64,
@@ -108,6 +134,8 @@
     pub routes: Vec<Route>,
     /// Services.
     pub services: Vec<Service>,
+    /// Tenants; while there are none, callers need no key.
+    pub tenants: Vec<Tenant>,
     /// Bounds on what callers send.
     pub limits: CallerLimits,
 }
@@ -118,6 +146,8 @@
     configuration: Configuration,
     /// Routes by host, the longest prefix first.
     by_host: BTreeMap<String, Vec<Arc<Route>>>,
+    tenants: BTreeMap<String, Arc<Tenant>>,
+    by_key: BTreeMap<KeyDigest, Arc<Tenant>>,
 }
 
 impl RouteTable {
@@ -131,9 +161,18 @@
         for routes in by_host.values_mut() {
             routes.sort_by_key(|route| std::cmp::Reverse(route.path_prefix.len()));
         }
+        let mut tenants = BTreeMap::new();
+        let mut by_key = BTreeMap::new();
+        for tenant in &configuration.tenants {
+            let shared = Arc::new(tenant.clone());
+            by_key.extend(tenant.keys.iter().map(|key| (*key, shared.clone())));
+            tenants.insert(tenant.name.clone(), shared);
+        }
         Self {
             configuration,
             by_host,
+            tenants,
+            by_key,
         }
     }
 
@@ -159,6 +198,21 @@
             .find(|route| path.starts_with(route.path_prefix.as_str()))
     }
 
+    /// Returns whether callers have to show a key, on routes that are not public.
+    pub fn has_tenants(&self) -> bool {
+        !self.tenants.is_empty()
+    }
+
+    /// Returns the tenant that holds a key.
+    pub fn tenant_of_key(&self, key: &KeyDigest) -> Option<&Arc<Tenant>> {
+        self.by_key.get(key)
+    }
+
+    /// Returns a tenant by its name.
+    pub fn tenant(&self, name: &str) -> Option<&Arc<Tenant>> {
+        self.tenants.get(name)
+    }
+
     /// Returns a service by its name.
     pub fn service(&self, name: &str) -> Option<&Service> {
         self.configuration
--- a/crates/rillgap-forward/src/event.rs
+++ b/crates/rillgap-forward/src/event.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use crate::credential::Credential;
 use crate::id::{AnnouncementId, ConnectionId, ExchangeId, LinkId, ProbeId, Turn};
 use crate::message::{ForwardedAnswer, Hello, LinkMessage};
 use crate::store_sync::{StoreReply, StoreRequestId};
@@ -21,6 +22,8 @@
     pub fields: Vec<u8>,
     /// Whole body.
     pub body: Vec<u8>,
+    /// What the request shows of its caller.
+    pub credential: Credential,
     /// How long the caller waits, if it says so.
     pub deadline: Option<Duration>,
     /// Identifier of the request for which the back end beside the node would have made this one,
--- a/crates/rillgap-forward/src/inbound/mod.rs
+++ b/crates/rillgap-forward/src/inbound/mod.rs
@@ -132,6 +132,7 @@
             is_stopping: self.is_stopping,
             load: self.load(),
             is_watching: false,
+            owns_buckets: false,
         }
     }
 
--- a/crates/rillgap-forward/src/lib.rs
+++ b/crates/rillgap-forward/src/lib.rs
@@ -10,8 +10,10 @@
 pub mod action;
 pub mod balancer;
 pub mod configuration;
+pub mod credential;
 pub mod directory;
 pub mod event;
+pub mod freshness;
 pub mod id;
 pub mod inbound;
 pub mod message;
@@ -19,6 +21,7 @@
 pub mod note;
 pub mod outbound;
 pub mod peer;
+pub mod rate_limit;
 pub mod retry_budget;
 pub mod settings;
 pub mod store_sync;
--- a/crates/rillgap-forward/src/message.rs
+++ b/crates/rillgap-forward/src/message.rs
@@ -8,6 +8,7 @@
 use rillgap_core::code::ResultCode;
 
 use crate::configuration::Configuration;
+use crate::freshness::QueryNumber;
 use crate::id::Sequence;
 
 /// Tier of admission levels that the highest priority, 0, belongs to. All priorities from this number
@@ -89,6 +90,8 @@
     pub load: Load,
     /// Whether the node watches the store and has lately heard of it.
     pub is_watching: bool,
+    /// Whether the node would own buckets of tenants' tokens.
+    pub owns_buckets: bool,
 }
 
 /// First message in both directions of a link.
@@ -127,6 +130,8 @@
     pub route: String,
     /// Whether the request may run more than once.
     pub is_idempotent: bool,
+    /// Tenant whose key the caller has shown.
+    pub tenant: Option<String>,
     /// Admission level of the caller's request at the root of the chain.
     pub level: Level,
     /// Whether a back end made the request while it works on another.
@@ -225,8 +230,55 @@
     pub result: ForwardResult,
 }
 
+/// A peer's word on how fresh its configuration is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct FreshnessAnswer {
+    /// Number of the query.
+    pub number: QueryNumber,
+    /// Version of the configuration that the peer has.
+    pub version: u64,
+    /// Age of the peer's proof that it is the newest one, when it answers, in microseconds.
+    pub age_micros: u64,
+}
+
+/// A query for tokens of a tenant's bucket.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct TokenQuery {
+    /// Number of the query.
+    pub number: u64,
+    /// Tenant.
+    pub tenant: String,
+    /// Tokens that are wanted.
+    pub wanted: u32,
+}
+
+/// Answer to a query for tokens.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct TokenAnswer {
+    /// Number of the query.
+    pub number: u64,
+    /// Tenant.
+    pub tenant: String,
+    /// What became of the query.
+    pub result: TokenResult,
+}
+
+/// What became of a query for tokens.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub enum TokenResult {
+    /// Tokens.
+    Granted {
+        /// Tokens.
+        tokens: u32,
+        /// Time before which there are no more, in milliseconds; 0 if all were given that were wanted.
+        wait_millis: u32,
+    },
+    /// This node owns the bucket.
+    OwnedBy(NodeRecord),
+}
+
 /// A message on a link.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub enum LinkMessage {
     /// Introduction.
     Hello(Hello),
@@ -253,4 +305,12 @@
     ConfigurationQuery(u64),
     /// A configuration.
     Configuration(Arc<Configuration>),
+    /// How fresh is your configuration?
+    FreshnessQuery(QueryNumber),
+    /// Answer to that.
+    FreshnessAnswer(FreshnessAnswer),
+    /// Give tokens of a tenant's bucket.
+    TokenQuery(TokenQuery),
+    /// Answer to that.
+    TokenAnswer(TokenAnswer),
 }
--- /dev/null
+++ b/crates/rillgap-forward/src/node/freshness.rs
@@ -0,0 +1,81 @@
+//! Proofs that the configuration is fresh: asked from peers, given to them.
+
+use std::time::Duration;
+
+use rillgap_core::time::Instant;
+
+use super::Node;
+use crate::action::{Action, Actions};
+use crate::freshness::{Freshness, QueryNumber};
+use crate::id::LinkId;
+use crate::message::{FreshnessAnswer, LinkMessage};
+use crate::note::Note;
+
+/// Returns the age of the proof, if there is one.
+pub(super) fn age_millis(freshness: &Freshness, now: Instant) -> Option<u64> {
+    let age = freshness.age(now)?.as_millis();
+    Some(u64::try_from(age).unwrap_or(u64::MAX))
+}
+
+impl Node {
+    /// Asks peers for a proof when the own one is getting old: those that watch the store first.
+    pub(super) fn ask_for_proof(&mut self, now: Instant, out: &mut Actions) {
+        self.note_freshness(now, out);
+        let is_needed = self.table.as_ref().is_some_and(|table| table.has_tenants());
+        let width = self.freshness.queries_due(now).filter(|_| is_needed);
+        let Some(width) = width else {
+            return;
+        };
+        let links = self.directory.proof_links(now, width);
+        if links.is_empty() {
+            return;
+        }
+        let number = self.freshness.begin_query(now);
+        for link in links {
+            out.push(Action::SendOnLink {
+                link,
+                message: LinkMessage::FreshnessQuery(number),
+            });
+        }
+    }
+
+    pub(super) fn on_freshness_query(
+        &self,
+        now: Instant,
+        link: LinkId,
+        number: QueryNumber,
+        out: &mut Actions,
+    ) {
+        let Some(age) = self.freshness.age(now) else {
+            return;
+        };
+        let answer = FreshnessAnswer {
+            number,
+            version: self.configuration_version(),
+            age_micros: u64::try_from(age.as_micros()).unwrap_or(u64::MAX),
+        };
+        out.push(Action::SendOnLink {
+            link,
+            message: LinkMessage::FreshnessAnswer(answer),
+        });
+    }
+
+    pub(super) fn on_freshness_answer(&mut self, answer: FreshnessAnswer) {
+        let own = self.configuration_version();
+        let age = Duration::from_micros(answer.age_micros);
+        self.freshness
+            .on_answer(answer.number, answer.version, age, own);
+    }
+
+    /// Notes that requests with keys are served again, or not any more.
+    fn note_freshness(&mut self, now: Instant, out: &mut Actions) {
+        let is_proven = self.freshness.is_proven(now);
+        if is_proven != self.told_proven {
+            self.told_proven = is_proven;
+            out.push(Action::Note(Note::Freshness {
+                is_proven,
+                proof_age_millis: age_millis(&self.freshness, now),
+            }));
+        }
+    }
+}
--- a/crates/rillgap-forward/src/node/links.rs
+++ b/crates/rillgap-forward/src/node/links.rs
@@ -94,6 +94,8 @@
         self.close_silent_links(now, out);
         self.open_links(now, out);
         self.update_watch(now, out);
+        self.ask_for_proof(now, out);
+        self.offer_buckets(now, out);
         self.report_when_due(now, out);
     }
 
@@ -162,7 +164,9 @@
     fn update_watch(&mut self, now: Instant, out: &mut Actions) {
         let watchers = self.directory.watchers(now, self.watch_duty.place());
         let may_watch = self.stopping_since.is_none();
+        let longest = self.freshness.longest_watch();
         let wait = self.watch_duty.update(now, watchers).filter(|_| may_watch);
+        let wait = wait.map(|wait| longest.map_or(wait, |longest| wait.min(longest)));
         if self.store.set_watch(now, wait) {
             out.push(Action::Note(Note::Watch {
                 is_watching: wait.is_some(),
@@ -176,6 +180,7 @@
     pub(super) fn status(&self, now: Instant) -> Status {
         Status {
             is_watching: self.store.is_watching(now),
+            owns_buckets: self.owns_buckets_since.is_some(),
             ..self.inbound.status()
         }
     }
--- a/crates/rillgap-forward/src/node/mod.rs
+++ b/crates/rillgap-forward/src/node/mod.rs
@@ -1,8 +1,10 @@
 //! One node: its two sides, the directory of peers, the configuration and the store.
 
+mod freshness;
 mod links;
 mod spread;
 mod stop;
+mod tokens;
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -13,17 +15,19 @@
 use crate::configuration::{CallerLimits, RouteTable};
 use crate::directory::Directory;
 use crate::event::{CallerRequest, Event, Heartbeat};
+use crate::freshness::Freshness;
 use crate::id::{AnnouncementId, ConnectionId, LinkId, Turn};
 use crate::inbound::Inbound;
 use crate::message::{Hello, LinkMessage, Status};
 use crate::note::Note;
 use crate::outbound::{Origin, Outbound, OutboundContext};
+use crate::rate_limit::bucket::Buckets;
 use crate::settings::ForwardSettings;
 use crate::store_sync::{StoreNews, StoreReply, StoreRequestId, StoreSync};
 use crate::watch_duty::WatchDuty;
 
 /// Version of the protocol between nodes.
-pub const PROTOCOL_VERSION: u32 = 3;
+pub const PROTOCOL_VERSION: u32 = 4;
 
 /// Time between two looks at links.
 const HOUSEKEEPING: Duration = Duration::from_millis(100);
@@ -51,6 +55,14 @@
     store: StoreSync,
     store_is_up: bool,
     watch_duty: WatchDuty,
+    freshness: Freshness,
+    /// Whether the last record of the log said that requests with keys are served.
+    told_proven: bool,
+    buckets: Buckets,
+    /// Whether the records of all nodes have been read.
+    knows_members: bool,
+    /// Since when the node offers to own buckets of tenants' tokens.
+    owns_buckets_since: Option<Instant>,
     /// Whether the last report said that the node watches the store.
     told_watching: bool,
     /// When the last report was sent.
@@ -78,6 +90,11 @@
             outbound: Outbound::new(&settings),
             store: StoreSync::new(settings.record.clone()),
             watch_duty: WatchDuty::new(&settings.record.name),
+            freshness: Freshness::new(settings.revocation),
+            told_proven: true,
+            buckets: Buckets::default(),
+            knows_members: false,
+            owns_buckets_since: None,
             told_watching: false,
             status_told_at: now,
             store_is_up: true,
@@ -115,6 +132,12 @@
             })
     }
 
+    /// Returns whether credentials of callers are the node's own matter, and are kept from back ends: a
+    /// configuration has tenants, or none is known.
+    pub fn withholds_credentials(&self) -> bool {
+        self.table.as_ref().is_none_or(|table| table.has_tenants())
+    }
+
     /// Returns the version of the configuration in force; 0 for none.
     pub fn configuration_version(&self) -> u64 {
         self.table.as_ref().map_or(0, |table| table.version())
@@ -126,7 +149,10 @@
             protocol: PROTOCOL_VERSION,
             node: self.settings.record.clone(),
             incarnation: self.settings.incarnation,
-            status: self.inbound.status(),
+            status: Status {
+                owns_buckets: self.owns_buckets_since.is_some(),
+                ..self.inbound.status()
+            },
             configuration_version: self.configuration_version(),
         }
     }
@@ -206,10 +232,13 @@
 
     fn split<'a>(&'a mut self, out: &'a mut Actions) -> (&'a mut Outbound, OutboundContext<'a>) {
         let refuses_callers = self.notice_is_over(self.last_step);
+        let now = self.last_step;
         let context = OutboundContext {
             table: self.table.as_deref(),
             own: &self.inbound,
             directory: &mut self.directory,
+            is_proven: self.freshness.is_proven(now),
+            proof_age_millis: freshness::age_millis(&self.freshness, now),
             is_stopping: self.stopping_since.is_some(),
             refuses_callers,
             is_exiting: self.exited,
@@ -290,6 +319,10 @@
             LinkMessage::Hello(_) | LinkMessage::Pong => {}
             LinkMessage::ConfigurationOffer(version) => self.on_offer(now, link, version, out),
             LinkMessage::ConfigurationQuery(version) => self.on_query(link, version, out),
+            LinkMessage::FreshnessQuery(number) => self.on_freshness_query(now, link, number, out),
+            LinkMessage::FreshnessAnswer(answer) => self.on_freshness_answer(answer),
+            LinkMessage::TokenQuery(query) => self.on_token_query(now, link, query, out),
+            LinkMessage::TokenAnswer(answer) => self.on_token_answer(now, answer, out),
             LinkMessage::Configuration(configuration) => {
                 self.adopt(now, Arc::unwrap_or_clone(configuration), "peer", out);
             }
@@ -300,7 +333,7 @@
         if let Some(peer) = self.directory.by_link(link) {
             self.outbound.on_status(now, &peer.record.name, &status);
         }
-        self.directory.on_status(link, status);
+        self.directory.on_status(now, link, status);
     }
 
     fn on_store(
@@ -317,12 +350,17 @@
                 self.adopt(now, configuration, "store", out);
             }
             Some(StoreNews::Nodes(records)) => {
+                self.knows_members = true;
                 for record in records {
                     self.directory.learn(now, &record);
                 }
             }
             _ => {}
         }
+        if let Some(at) = self.store.take_proof() {
+            let own = self.configuration_version();
+            self.freshness.prove(at, own, own);
+        }
     }
 
     /// Notes that the store is lost or back.
@@ -344,6 +382,8 @@
         let (outbound, mut context) = self.split(out);
         outbound.poll(now, &mut context);
         self.deliver_local(now, out);
+        self.ask_for_tokens(now, out);
+        self.deliver_local(now, out);
         for call in self.outbound.take_call_news() {
             self.inbound.on_call(call);
         }
--- a/crates/rillgap-forward/src/node/spread.rs
+++ b/crates/rillgap-forward/src/node/spread.rs
@@ -32,10 +32,14 @@
         out.push(Action::Note(Note::Configuration {
             version: configuration.version,
             routes: configuration.routes.len(),
+            tenants: configuration.tenants.len(),
             source,
         }));
         let version = configuration.version;
-        self.table = Some(Arc::new(RouteTable::new(configuration)));
+        let table = RouteTable::new(configuration);
+        self.freshness.adopted(version);
+        self.limit_tenants(&table);
+        self.table = Some(Arc::new(table));
         if self.offer.is_some_and(|offer| offer.version <= version) {
             self.offer = None;
         }
--- /dev/null
+++ b/crates/rillgap-forward/src/node/tokens.rs
@@ -0,0 +1,165 @@
+//! Tokens of tenants' buckets: asked from their owners, given out of the own buckets.
+
+use rillgap_core::time::Instant;
+
+use super::Node;
+use crate::action::{Action, Actions};
+use crate::configuration::RouteTable;
+use crate::id::LinkId;
+use crate::message::{LinkMessage, TokenAnswer, TokenQuery, TokenResult};
+use crate::note::Note;
+use crate::rate_limit::bucket::Grant;
+use crate::rate_limit::entry::Wanted;
+use crate::rate_limit::ownership::{Owner, TenantHash};
+
+impl Node {
+    /// Takes in which tenants have a limit.
+    pub(super) fn limit_tenants(&mut self, table: &RouteTable) {
+        let tenants = &table.configuration().tenants;
+        let limited = tenants.iter().filter(|tenant| tenant.limit.is_some());
+        let hashes = limited.map(|tenant| TenantHash::of(&tenant.name)).collect();
+        self.directory.set_limited(hashes);
+        self.buckets.retain(|tenant| table.tenant(tenant).is_some());
+    }
+
+    /// Offers to own buckets once all nodes are known, while most of them are heard.
+    pub(super) fn offer_buckets(&mut self, now: Instant, out: &mut Actions) {
+        let offers = self.table.is_some()
+            && self.knows_members
+            && self.stopping_since.is_none()
+            && self.directory.hears_most(now);
+        if offers == self.owns_buckets_since.is_some() {
+            return;
+        }
+        self.owns_buckets_since = offers.then_some(now);
+        out.push(Action::Note(Note::BucketOffer {
+            offers,
+            peers: self.directory.len(),
+        }));
+        self.broadcast_status(now, out);
+    }
+
+    /// Asks the owners of buckets for the tokens that are needed.
+    pub(super) fn ask_for_tokens(&mut self, now: Instant, out: &mut Actions) {
+        for wanted in self.outbound.token_queries_due(now) {
+            let hash = TenantHash::of(&wanted.tenant);
+            self.directory.use_tenant(hash);
+            match self.directory.bucket_owner(hash, self.owns_buckets_since) {
+                Owner::Own { since } => self.grant_here(now, wanted, since, out),
+                Owner::Peer(index, link) => {
+                    self.directory.query_sent(now, index);
+                    out.push(Action::SendOnLink {
+                        link,
+                        message: LinkMessage::TokenQuery(TokenQuery {
+                            number: wanted.number,
+                            tenant: wanted.tenant,
+                            wanted: wanted.tokens,
+                        }),
+                    });
+                }
+                // The link is opened soon; until then the requests wait.
+                Owner::Unlinked(_) => {}
+                Owner::Nobody => {
+                    let (outbound, mut context) = self.split(out);
+                    outbound.on_no_owner(now, &wanted.tenant, &mut context);
+                }
+            }
+        }
+    }
+
+    pub(super) fn on_token_query(
+        &mut self,
+        now: Instant,
+        link: LinkId,
+        query: TokenQuery,
+        out: &mut Actions,
+    ) {
+        let hash = TenantHash::of(&query.tenant);
+        let result = match self.directory.bucket_owner(hash, self.owns_buckets_since) {
+            Owner::Own { since } => {
+                let grant = self.grant(now, &query.tenant, since, query.wanted);
+                grant.map(|grant| TokenResult::Granted {
+                    tokens: grant.tokens,
+                    wait_millis: grant.wait_millis,
+                })
+            }
+            Owner::Peer(index, _) | Owner::Unlinked(index) => {
+                let record = self.directory.peer(index).record.clone();
+                Some(TokenResult::OwnedBy(record))
+            }
+            Owner::Nobody => None,
+        };
+        if let Some(result) = result {
+            out.push(Action::SendOnLink {
+                link,
+                message: LinkMessage::TokenAnswer(TokenAnswer {
+                    number: query.number,
+                    tenant: query.tenant,
+                    result,
+                }),
+            });
+        }
+    }
+
+    pub(super) fn on_token_answer(&mut self, now: Instant, answer: TokenAnswer, out: &mut Actions) {
+        match answer.result {
+            TokenResult::Granted {
+                tokens,
+                wait_millis,
+            } => {
+                let grant = Grant {
+                    tokens,
+                    wait_millis,
+                };
+                self.take_tokens(now, &answer.tenant, answer.number, grant, out);
+            }
+            // The query is made again soon, then to the owner.
+            TokenResult::OwnedBy(record) => self.directory.learn(now, &record),
+        }
+    }
+
+    fn grant_here(&mut self, now: Instant, wanted: Wanted, since: Instant, out: &mut Actions) {
+        if let Some(grant) = self.grant(now, &wanted.tenant, since, wanted.tokens) {
+            self.take_tokens(now, &wanted.tenant, wanted.number, grant, out);
+        }
+    }
+
+    fn take_tokens(
+        &mut self,
+        now: Instant,
+        tenant: &str,
+        number: u64,
+        grant: Grant,
+        out: &mut Actions,
+    ) {
+        if grant.wait_millis > 0 {
+            out.push(Action::Note(Note::TenantLimit {
+                tenant: tenant.to_owned(),
+                granted: grant.tokens,
+                wait_millis: grant.wait_millis,
+            }));
+        }
+        let (outbound, mut context) = self.split(out);
+        outbound.on_tokens(
+            now,
+            tenant,
+            number,
+            grant.tokens,
+            grant.wait_millis,
+            &mut context,
+        );
+    }
+
+    /// Takes tokens out of an own bucket; `None` if this node's configuration does not know the tenant
+    /// yet. A tenant whose limit has been lifted here gets what it wants.
+    fn grant(&mut self, now: Instant, tenant: &str, since: Instant, wanted: u32) -> Option<Grant> {
+        let tenant = self.table.as_ref()?.tenant(tenant)?.clone();
+        Some(match tenant.limit {
+            Some(limit) => self.buckets.grant(now, &tenant.name, limit, since, wanted),
+            None => Grant {
+                tokens: wanted,
+                wait_millis: 0,
+            },
+        })
+    }
+}
--- a/crates/rillgap-forward/src/note.rs
+++ b/crates/rillgap-forward/src/note.rs
@@ -28,6 +28,10 @@
         configuration: u64,
         /// Where the time of the last attempt went, as far as the node that was asked has told.
         timing: Timing,
+        /// Tenant, empty if the request has shown no known key.
+        tenant: String,
+        /// Age of the proof that the configuration was the newest one, in milliseconds, if there is one.
+        proof_age_millis: Option<u64>,
     },
     /// A request was sent to another node after a first one.
     Moved {
@@ -95,6 +99,8 @@
         version: u64,
         /// Routes.
         routes: usize,
+        /// Tenants.
+        tenants: usize,
         /// `store` or `peer`.
         source: &'static str,
     },
@@ -112,6 +118,30 @@
         /// Linked peers that watch.
         watchers: usize,
     },
+    /// Requests with keys are served, or refused because the configuration is not known to be the
+    /// newest one.
+    Freshness {
+        /// Whether they are served.
+        is_proven: bool,
+        /// Age of the proof in milliseconds, if there is one.
+        proof_age_millis: Option<u64>,
+    },
+    /// The node offers to own buckets of tenants' tokens, or does not any more.
+    BucketOffer {
+        /// Whether it offers.
+        offers: bool,
+        /// Known peers.
+        peers: usize,
+    },
+    /// A tenant's bucket does not hold all tokens that were wanted.
+    TenantLimit {
+        /// Tenant.
+        tenant: String,
+        /// Tokens that were given.
+        granted: u32,
+        /// Time before which there are no more, in milliseconds.
+        wait_millis: u32,
+    },
     /// The node's own state.
     Lifecycle {
         /// `started`, `stopping`, `exiting`.
--- a/crates/rillgap-forward/src/outbound/answer.rs
+++ b/crates/rillgap-forward/src/outbound/answer.rs
@@ -10,6 +10,8 @@
 const TIMEOUT_STATUS: u16 = 504;
 /// Status of an answer to a request that did not run and may be sent again.
 const NOT_RUN_STATUS: u16 = 503;
+/// Status of an answer to a request of a tenant that is at its limit.
+const LIMIT_STATUS: u16 = 429;
 /// Time after which to come back if nothing better is known, in milliseconds.
 const RETRY_AFTER_MILLIS: u32 = 100;
 
@@ -26,7 +28,7 @@
     let status = status(code, may_have_run);
     let mut fields = Vec::new();
     fields.extend_from_slice(b"Content-Type: application/problem+json\r\n");
-    if status == NOT_RUN_STATUS {
+    if matches!(status, NOT_RUN_STATUS | LIMIT_STATUS) {
         let millis = retry_after_millis.max(RETRY_AFTER_MILLIS);
         let seconds = f64::from(millis) / 1_000.0;
         fields.extend_from_slice(format!("Retry-After: {seconds:.3}\r\n").as_bytes());
--- a/crates/rillgap-forward/src/outbound/ending.rs
+++ b/crates/rillgap-forward/src/outbound/ending.rs
@@ -101,6 +101,10 @@
         let Some(request) = self.take(key) else {
             return;
         };
+        let has_not_run = request.arrivals == 0 && !request.may_have_run;
+        if let Some(tenant) = request.limited_tenant.as_ref().filter(|_| has_not_run) {
+            self.tokens.give_back(now, tenant);
+        }
         let elapsed = now.saturating_since(request.arrived).as_micros();
         context.out.push(Action::Note(Note::Answered {
             request_id: request.forwarded.request_id.clone(),
@@ -112,6 +116,8 @@
             elapsed_micros: u64::try_from(elapsed).unwrap_or(u64::MAX),
             configuration: request.configuration,
             timing: request.timing,
+            tenant: request.forwarded.tenant.clone().unwrap_or_default(),
+            proof_age_millis: context.proof_age_millis,
         }));
         self.count_outcome(request, answer.status);
         context.out.push(Action::Answer {
@@ -155,6 +161,8 @@
             elapsed_micros: 0,
             configuration: context.table.map_or(0, RouteTable::version),
             timing: Timing::default(),
+            tenant: String::new(),
+            proof_age_millis: context.proof_age_millis,
         }));
         context.out.push(Action::Answer {
             connection: key.connection,
--- a/crates/rillgap-forward/src/outbound/mod.rs
+++ b/crates/rillgap-forward/src/outbound/mod.rs
@@ -11,6 +11,7 @@
 mod ending;
 mod request;
 mod results;
+mod tenancy;
 mod weights;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -32,11 +33,13 @@
     ForwardResponse, ForwardResult, ForwardedRequest, ServiceLevel, Status, level_of,
 };
 use crate::note::Note;
+use crate::rate_limit::entry::EntryTokens;
 use crate::retry_budget::RetryBudget;
 use crate::settings::ForwardSettings;
 
 use admission::EntryAdmission;
 use request::{Request, RequestKey};
+use tenancy::Refusal;
 use weights::WeightedChoice;
 
 /// Share of the target latency for which a caller's request may wait in a queue: a refusal within
@@ -86,6 +89,10 @@
     pub directory: &'a mut Directory,
     /// The back end beside the node.
     pub own: &'a Inbound,
+    /// Whether the configuration is known to be fresh enough to trust keys.
+    pub is_proven: bool,
+    /// Age of the proof of that, in milliseconds.
+    pub proof_age_millis: Option<u64>,
     /// Whether the node is in a planned stop.
     pub is_stopping: bool,
     /// Whether callers' requests are refused: they may still be under way when a planned stop ends.
@@ -109,6 +116,7 @@
     balancer: Balancer,
     budget: RetryBudget,
     admission: EntryAdmission,
+    tokens: EntryTokens<RequestKey>,
     next_admission_report: Instant,
     weights: WeightedChoice,
     call_news: Vec<CallNews>,
@@ -128,6 +136,7 @@
             balancer: Balancer::new(settings.random_seed),
             budget: RetryBudget::new(settings.retry_bound),
             admission: EntryAdmission::default(),
+            tokens: EntryTokens::default(),
             next_admission_report: Instant::default(),
             weights: WeightedChoice::new(settings.random_seed),
             call_news: Vec::new(),
@@ -152,8 +161,12 @@
         let key = RequestKey { connection, turn };
         let request = match self.prepare(now, caller, origin, context) {
             Ok(request) => request,
-            Err((rejected, code, retry_after)) => {
-                let answer = answer::own(code, retry_after, false, context.is_stopping);
+            Err((rejected, refusal)) => {
+                let Refusal {
+                    code,
+                    retry_after_millis,
+                } = refusal;
+                let answer = answer::own(code, retry_after_millis, false, context.is_stopping);
                 self.answer_rejected(key, *rejected, code, answer, context);
                 return;
             }
@@ -167,7 +180,7 @@
         }
         self.deadlines.insert((request.deadline, key));
         self.requests.insert(key, request);
-        self.dispatch(now, key, context);
+        self.dispatch_within_limit(now, key, context);
     }
 
     /// Takes in that a caller has gone.
@@ -239,6 +252,7 @@
             self.next_admission_report = now + ADMISSION_REPORT_INTERVAL;
             self.report_admission(now, context);
         }
+        self.refuse_overdue(now, context);
         while let Some((deadline, key)) = self.deadlines.first().copied() {
             if deadline > now {
                 return;
@@ -310,7 +324,8 @@
 
     /// Returns when [`Self::poll`] must be called next.
     pub fn next_wake(&self) -> Option<Instant> {
-        self.deadlines.first().map(|(deadline, _)| *deadline)
+        let deadline = self.deadlines.first().map(|(deadline, _)| *deadline);
+        deadline.into_iter().chain(self.tokens.next_wake()).min()
     }
 
     /// Checks a request and finds its route and service.
@@ -320,29 +335,39 @@
         caller: CallerRequest,
         origin: Origin,
         context: &OutboundContext<'_>,
-    ) -> Result<Request, (Box<CallerRequest>, ResultCode, u32)> {
+    ) -> Result<Request, (Box<CallerRequest>, Refusal)> {
+        let refuse = |caller, refusal| Err((Box::new(caller), refusal));
         let is_refused = context.refuses_callers && origin == Origin::Caller;
         if context.is_exiting || is_refused {
-            return Err((Box::new(caller), ResultCode::NodeStopping, 0));
+            return refuse(caller, Refusal::new(ResultCode::NodeStopping));
         }
         let Some(table) = context.table else {
-            return Err((Box::new(caller), ResultCode::NotReady, NO_BACK_END_MILLIS));
+            let refusal = Refusal::after(ResultCode::NotReady, NO_BACK_END_MILLIS);
+            return refuse(caller, refusal);
         };
         let Some(route) = table.lookup(&caller.host, &caller.target).cloned() else {
-            return Err((Box::new(caller), ResultCode::UnknownRoute, 0));
+            return refuse(caller, Refusal::new(ResultCode::UnknownRoute));
         };
         if caller.request_id.is_empty() {
-            return Err((Box::new(caller), ResultCode::MalformedRequest, 0));
+            return refuse(caller, Refusal::new(ResultCode::MalformedRequest));
         }
+        let tenant = match tenancy::authenticate(table, &route, &caller, origin, context.is_proven)
+        {
+            Ok(tenant) => tenant.cloned(),
+            Err(refusal) => return refuse(caller, refusal),
+        };
+        let tenant_priority = tenant.as_ref().and_then(|tenant| tenant.priority);
+        let priority = tenant_priority.unwrap_or(route.priority);
         let is_call = origin != Origin::Caller;
         let service = self.weights.choose(&route).to_owned();
         self.budget.count_request(now, &service);
         let (level, is_repeat) = match origin {
-            Origin::Caller => (level_of(route.priority, &caller.request_id), false),
+            Origin::Caller => (level_of(priority, &caller.request_id), false),
             Origin::BackEnd { level, is_repeat } => (level, is_repeat),
         };
         if !is_call && !self.admission.admits(now, &route.name, &service, level) {
-            return Err((Box::new(caller), ResultCode::Overloaded, THROTTLED_MILLIS));
+            let refusal = Refusal::after(ResultCode::Overloaded, THROTTLED_MILLIS);
+            return refuse(caller, refusal);
         }
         if is_repeat {
             self.budget.spend(now, &service);
@@ -361,20 +386,24 @@
             service,
             route: route.name.clone(),
             is_idempotent: route.is_idempotent(),
+            tenant: tenant.as_ref().map(|tenant| tenant.name.clone()),
             level,
             is_call,
             is_repeat,
             remaining_micros: 0,
             queue_limit_micros: 0,
         };
-        Ok(Request::new(
+        let mut request = Request::new(
             now,
             now + timeout,
             route,
             parent_id,
             table.version(),
             Arc::new(forwarded),
-        ))
+        );
+        let limited = tenant.filter(|tenant| tenant.limit.is_some());
+        request.limited_tenant = limited.map(|tenant| tenant.name.clone());
+        Ok(request)
     }
 }
 
--- a/crates/rillgap-forward/src/outbound/request.rs
+++ b/crates/rillgap-forward/src/outbound/request.rs
@@ -52,6 +52,8 @@
     pub parent_id: Option<String>,
     pub configuration: u64,
     pub forwarded: Arc<ForwardedRequest>,
+    /// Tenant whose limit the request counts for.
+    pub limited_tenant: Option<String>,
     /// Nodes that the request was sent to.
     tried: Vec<String>,
     /// Back ends that the request may have reached.
@@ -90,6 +92,7 @@
             parent_id,
             configuration,
             forwarded,
+            limited_tenant: None,
             tried: Vec::new(),
             arrivals: 0,
             moves: 0,
--- /dev/null
+++ b/crates/rillgap-forward/src/outbound/tenancy.rs
@@ -0,0 +1,186 @@
+//! Who a request belongs to, and the tokens that a tenant's limit demands.
+
+use std::sync::Arc;
+
+use rillgap_core::code::ResultCode;
+use rillgap_core::time::Instant;
+
+use super::request::RequestKey;
+use super::{Origin, Outbound, OutboundContext};
+use crate::configuration::{Route, RouteTable, Tenant};
+use crate::credential::Credential;
+use crate::event::CallerRequest;
+use crate::rate_limit::entry::{Admission, Wanted};
+
+/// Time after which to come back while the configuration is not known to be fresh, in milliseconds: a
+/// few tries to prove it fit in.
+const UNPROVEN_MILLIS: u32 = 500;
+/// Time after which to come back while the owner of a tenant's bucket does not answer, in milliseconds:
+/// its successor takes over within that.
+const NO_OWNER_MILLIS: u32 = 500;
+
+/// Why a request is refused before it is sent anywhere.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct Refusal {
+    pub code: ResultCode,
+    /// Time after which to come back, in milliseconds.
+    pub retry_after_millis: u32,
+}
+
+impl Refusal {
+    /// A refusal that names no time to come back.
+    pub const fn new(code: ResultCode) -> Self {
+        Self {
+            code,
+            retry_after_millis: 0,
+        }
+    }
+
+    pub const fn after(code: ResultCode, retry_after_millis: u32) -> Self {
+        Self {
+            code,
+            retry_after_millis,
+        }
+    }
+}
+
+/// Finds the tenant of a request; `None` if it needs none.
+pub(super) fn authenticate<'a>(
+    table: &'a RouteTable,
+    route: &Route,
+    caller: &CallerRequest,
+    origin: Origin,
+    is_proven: bool,
+) -> Result<Option<&'a Arc<Tenant>>, Refusal> {
+    // A back end's call belongs to the request that it is made for, which has shown its key.
+    if !table.has_tenants() || origin != Origin::Caller {
+        return Ok(None);
+    }
+    let tenant = match caller.credential {
+        Credential::Key(key) => table.tenant_of_key(&key),
+        Credential::Absent | Credential::Malformed => None,
+    };
+    if route.is_public {
+        return Ok(tenant.filter(|_| is_proven));
+    }
+    match (caller.credential, tenant) {
+        // Its identifier says that it is a call: the request that it is made for has just ended.
+        (Credential::Absent, _) if caller.parent_id.is_some() => {
+            Err(Refusal::new(ResultCode::ParentEnded))
+        }
+        (Credential::Absent | Credential::Malformed, _) => {
+            Err(Refusal::new(ResultCode::Unauthenticated))
+        }
+        // Neither a known nor an unknown key is judged by a configuration that may be out of date.
+        (Credential::Key(_), _) if !is_proven => Err(Refusal::after(
+            ResultCode::ConfigurationUnproven,
+            UNPROVEN_MILLIS,
+        )),
+        (Credential::Key(_), Some(tenant)) => Ok(Some(tenant)),
+        (Credential::Key(_), None) => Err(Refusal::new(ResultCode::Unauthenticated)),
+    }
+}
+
+impl Outbound {
+    /// Returns the tokens to ask the owners of buckets for.
+    pub fn token_queries_due(&mut self, now: Instant) -> Vec<Wanted> {
+        self.tokens.queries_due(now)
+    }
+
+    /// Returns the tenants with a limit that requests have come of lately.
+    pub fn limited_tenants(&self) -> impl Iterator<Item = &str> {
+        self.tokens.tenants()
+    }
+
+    /// Sends a request once its tenant's limit lets it pass.
+    pub(super) fn dispatch_within_limit(
+        &mut self,
+        now: Instant,
+        key: RequestKey,
+        context: &mut OutboundContext<'_>,
+    ) {
+        let Some(request) = self.requests.get(&key) else {
+            return;
+        };
+        let tenant = request.limited_tenant.clone();
+        let admission = tenant.map_or(Admission::Granted, |tenant| {
+            self.tokens.admit(now, &tenant, key)
+        });
+        match admission {
+            Admission::Granted => self.dispatch(now, key, context),
+            Admission::Waiting => {}
+            Admission::Refused { retry_after_millis } => {
+                self.refuse_at_limit(now, key, retry_after_millis, context);
+            }
+        }
+    }
+
+    /// Takes in tokens of a tenant's bucket, or that there are none.
+    pub fn on_tokens(
+        &mut self,
+        now: Instant,
+        tenant: &str,
+        number: u64,
+        tokens: u32,
+        wait_millis: u32,
+        context: &mut OutboundContext<'_>,
+    ) {
+        let released = self
+            .tokens
+            .on_grant(now, tenant, number, tokens, wait_millis);
+        let Some(released) = released else {
+            return;
+        };
+        for key in released.granted {
+            if self.requests.contains_key(&key) {
+                self.dispatch(now, key, context);
+            } else {
+                self.tokens.give_back(now, tenant);
+            }
+        }
+        for key in released.refused {
+            self.refuse_at_limit(now, key, released.retry_after_millis, context);
+        }
+    }
+
+    /// Takes in that nobody owns a tenant's bucket.
+    pub fn on_no_owner(&mut self, now: Instant, tenant: &str, context: &mut OutboundContext<'_>) {
+        for key in self.tokens.release_all(tenant) {
+            self.refuse_without_owner(now, key, context);
+        }
+    }
+
+    pub(super) fn refuse_overdue(&mut self, now: Instant, context: &mut OutboundContext<'_>) {
+        for key in self.tokens.take_overdue(now) {
+            self.refuse_without_owner(now, key, context);
+        }
+    }
+
+    fn refuse_without_owner(
+        &mut self,
+        now: Instant,
+        key: RequestKey,
+        context: &mut OutboundContext<'_>,
+    ) {
+        if let Some(request) = self.requests.get_mut(&key) {
+            request.limited_tenant = None;
+        }
+        let code = ResultCode::LimitUnknown;
+        self.answer_own(now, key, code, NO_OWNER_MILLIS, context);
+    }
+
+    fn refuse_at_limit(
+        &mut self,
+        now: Instant,
+        key: RequestKey,
+        retry_after_millis: u32,
+        context: &mut OutboundContext<'_>,
+    ) {
+        // It has no token that could be given back.
+        if let Some(request) = self.requests.get_mut(&key) {
+            request.limited_tenant = None;
+        }
+        let code = ResultCode::LimitReached;
+        self.answer_own(now, key, code, retry_after_millis, context);
+    }
+}
--- a/crates/rillgap-forward/src/peer.rs
+++ b/crates/rillgap-forward/src/peer.rs
@@ -74,6 +74,10 @@
     has_served: bool,
     /// Whether the last link was lost, or the last attempt to open one has failed.
     has_failed: bool,
+    /// Since when the peer cannot own buckets: its link was lost, or it has said so.
+    away_since: Instant,
+    /// Since when an answer to a query for tokens is awaited.
+    asked_since: Option<Instant>,
     pause: Duration,
 }
 
@@ -98,6 +102,8 @@
             attached_at: now,
             has_served: false,
             has_failed: false,
+            away_since: now,
+            asked_since: None,
             pause: RECONNECT_PAUSE.0,
         }
     }
@@ -156,7 +162,10 @@
     }
 
     /// Takes in what the peer says about its back end.
-    pub(crate) fn observe_status(&mut self, status: Status) {
+    pub(crate) fn observe_status(&mut self, now: Instant, status: Status) {
+        if self.status.owns_buckets && !status.owns_buckets {
+            self.away_since = now;
+        }
         self.status = status;
         self.unreported = 0;
         self.has_served |= self.takes_requests();
@@ -169,6 +178,7 @@
     /// Takes in that something was heard on the link.
     pub fn heard(&mut self, now: Instant) {
         self.heard_at = now;
+        self.asked_since = None;
         self.is_suspected = false;
     }
 
@@ -196,10 +206,35 @@
 
     /// Returns for how long nothing was heard of the peer although requests are under way there.
     pub(crate) fn unanswered_for(&self, now: Instant) -> Duration {
-        if self.in_flight == 0 {
-            return Duration::ZERO;
+        let busy_since = (self.in_flight > 0).then_some(self.busy_since);
+        let since = busy_since.into_iter().chain(self.asked_since).min();
+        since.map_or(Duration::ZERO, |since| {
+            now.saturating_since(self.heard_at.max(since))
+        })
+    }
+
+    /// Takes in that a query is sent whose answer is awaited.
+    pub(crate) fn query_sent(&mut self, now: Instant) {
+        self.asked_since.get_or_insert(now);
+    }
+
+    /// Returns the hash of the peer's name.
+    pub(crate) const fn name_hash(&self) -> u64 {
+        self.watch_place
+    }
+
+    /// Returns whether the peer may own buckets, as far as this node can tell: one that no link was
+    /// tried to counts.
+    pub(crate) const fn may_own_buckets(&self) -> bool {
+        match self.link {
+            LinkState::Open(_) => self.status.owns_buckets,
+            LinkState::Opening(_) | LinkState::Closed { .. } => !self.has_failed,
         }
-        now.saturating_since(self.heard_at.max(self.busy_since))
+    }
+
+    /// Returns since when the peer cannot own buckets; meaningless while it can.
+    pub(crate) const fn away_since(&self) -> Instant {
+        self.away_since
     }
 
     /// Takes in that a request is sent.
@@ -256,6 +291,7 @@
         self.has_failed = false;
         self.attached_at = now;
         self.has_served = self.takes_requests();
+        self.asked_since = None;
         self.unreported = 0;
         self.in_flight = 0;
         self.pause = RECONNECT_PAUSE.0;
@@ -267,7 +303,11 @@
             retry_at: now + self.pause,
         };
         self.pause = (self.pause * 2).min(RECONNECT_PAUSE.1);
+        if !self.has_failed {
+            self.away_since = now;
+        }
         self.has_failed = true;
+        self.asked_since = None;
         self.in_flight = 0;
         self.unreported = 0;
     }
--- a/crates/rillgap-forward/src/settings.rs
+++ b/crates/rillgap-forward/src/settings.rs
@@ -33,4 +33,7 @@
     pub grace: Duration,
     /// Bound on repeated sends.
     pub retry_bound: RetryBound,
+    /// Time within which a key that was taken away must have stopped working, also at a node that is
+    /// cut off; `None` if that is not demanded.
+    pub revocation: Option<Duration>,
 }
--- a/crates/rillgap-forward/src/store_sync.rs
+++ b/crates/rillgap-forward/src/store_sync.rs
@@ -65,7 +65,7 @@
 }
 
 /// Answer of the store.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub enum StoreReply {
     /// The configuration, if it was asked for and there is a (newer) one.
     Configuration {
@@ -99,7 +99,7 @@
 }
 
 /// What to do after an answer.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub enum StoreNews {
     /// A configuration.
     Configuration(Configuration),
@@ -120,6 +120,8 @@
     next: Option<StoreRequest>,
     due: Instant,
     under_way: Option<(StoreRequestId, StoreRequest)>,
+    /// When the call under way, or the last one, was made.
+    made_at: Instant,
     pause: Duration,
 }
 
@@ -129,6 +131,7 @@
             next: Some(first),
             due: Instant::default(),
             under_way: None,
+            made_at: Instant::default(),
             pause: RETRY_PAUSE.0,
         }
     }
@@ -141,6 +144,7 @@
         *ids += 1;
         let id = StoreRequestId(*ids);
         self.under_way = Some((id, request.clone()));
+        self.made_at = now;
         Some((id, request))
     }
 
@@ -203,6 +207,8 @@
     wait: Option<Duration>,
     /// When the node began to watch, or heard of the store last.
     fresh_since: Option<Instant>,
+    /// When the last call was made whose answer tells the newest configuration.
+    proven_at: Option<Instant>,
 }
 
 impl Watch {
@@ -279,6 +285,12 @@
         self.watch.position.is_some() && self.watch.is_fresh(now)
     }
 
+    /// Returns when the last call was made whose answer proves what the newest configuration was, and
+    /// forgets it.
+    pub const fn take_proof(&mut self) -> Option<Instant> {
+        self.watch.proven_at.take()
+    }
+
     /// Returns whether a call is under way that would bring a newer configuration.
     pub const fn expects_configuration(&self) -> bool {
         self.configuration.under_way.is_some()
@@ -318,6 +330,7 @@
             } => {
                 self.watch.position = Some(position);
                 self.watch.fresh_since = Some(now);
+                self.watch.proven_at = Some(self.configuration.made_at);
                 self.configuration.proceed(now, self.watch.next());
                 configuration.map(StoreNews::Configuration)
             }
--- /dev/null
+++ b/crates/rillgap-forward/tests/rate_limit.rs
@@ -0,0 +1,253 @@
+//! Limits of tenants: buckets at their owners, tokens at the entries.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use googletest::prelude::*;
+use rillgap_core::time::Instant;
+use rillgap_forward::configuration::RateLimit;
+use rillgap_forward::rate_limit::TOKEN_LIFE;
+use rillgap_forward::rate_limit::bucket::{Buckets, Grant};
+use rillgap_forward::rate_limit::entry::{Admission, EntryTokens};
+use rillgap_forward::rate_limit::ownership::TenantHash;
+
+const TENANT: &str = "north";
+const LIMIT: RateLimit = RateLimit {
+    per_second: 10.0,
+    burst: 20.0,
+};
+
+fn at(millis: u64) -> Instant {
+    Instant::from_micros(millis * 1_000)
+}
+
+fn granted(buckets: &mut Buckets, now: u64, wanted: u32) -> Grant {
+    buckets.grant(at(now), TENANT, LIMIT, at(0), wanted)
+}
+
+#[gtest]
+fn fresh_owner_starts_with_an_empty_bucket() {
+    let mut buckets = Buckets::default();
+    expect_that!(granted(&mut buckets, 0, 5).tokens, eq(0));
+    expect_that!(granted(&mut buckets, 500, 5).tokens, eq(5));
+}
+
+#[gtest]
+fn bucket_holds_no_more_than_its_burst() {
+    let mut buckets = Buckets::default();
+    expect_that!(granted(&mut buckets, 60_000, 100).tokens, eq(20));
+}
+
+#[gtest]
+fn owner_that_has_lost_the_bucket_meanwhile_starts_empty_again() {
+    let mut buckets = Buckets::default();
+    granted(&mut buckets, 60_000, 1);
+    let grant = buckets.grant(at(70_000), TENANT, LIMIT, at(69_900), 20);
+    expect_that!(grant.tokens, eq(1));
+}
+
+#[gtest]
+fn lower_limit_binds_at_once() {
+    let mut buckets = Buckets::default();
+    granted(&mut buckets, 60_000, 0);
+    let lower = RateLimit {
+        per_second: 1.0,
+        burst: 2.0,
+    };
+    let grant = buckets.grant(at(60_001), TENANT, lower, at(0), 20);
+    expect_that!(grant.tokens, eq(2));
+}
+
+#[gtest]
+fn node_that_gets_too_little_is_told_when_to_ask_again() {
+    let mut buckets = Buckets::default();
+    expect_that!(granted(&mut buckets, 60_000, 5).wait_millis, eq(0));
+    expect_that!(granted(&mut buckets, 60_000, 40).wait_millis, gt(0));
+}
+
+/// Asks for what an entry wants and hands in what the bucket gives; returns the requests let go.
+fn exchange(entry: &mut EntryTokens<u32>, buckets: &mut Buckets, now: u64) -> Vec<u32> {
+    let mut let_go = Vec::new();
+    for wanted in entry.queries_due(at(now)) {
+        let grant = buckets.grant(at(now), &wanted.tenant, LIMIT, at(0), wanted.tokens);
+        let released = entry.on_grant(
+            at(now),
+            TENANT,
+            wanted.number,
+            grant.tokens,
+            grant.wait_millis,
+        );
+        let_go.extend(
+            released
+                .map(|released| released.granted)
+                .unwrap_or_default(),
+        );
+    }
+    let_go
+}
+
+#[gtest]
+fn request_waits_for_its_token_and_goes_on() {
+    let mut entry = EntryTokens::default();
+    let mut buckets = Buckets::default();
+    expect_that!(entry.admit(at(5_000), TENANT, 1), eq(Admission::Waiting));
+    expect_that!(
+        exchange(&mut entry, &mut buckets, 5_002),
+        elements_are![eq(&1)]
+    );
+}
+
+#[gtest]
+fn busy_entry_asks_ahead_so_that_requests_need_not_wait() {
+    let mut entry = EntryTokens::default();
+    let mut buckets = Buckets::default();
+    let mut waited = 0;
+    for number in 0..60 {
+        let now = 10_000 + u64::from(number) * 125;
+        let admission = entry.admit(at(now), TENANT, number);
+        waited += usize::from(admission == Admission::Waiting);
+        exchange(&mut entry, &mut buckets, now + 2);
+    }
+    expect_that!(waited, lt(40));
+}
+
+#[gtest]
+fn requests_beyond_the_limit_are_refused_with_a_time_to_come_back() {
+    let mut entry = EntryTokens::default();
+    let mut buckets = Buckets::default();
+    let mut refused = 0;
+    for number in 0..100 {
+        let now = 10_000 + u64::from(number);
+        match entry.admit(at(now), TENANT, number) {
+            Admission::Refused { retry_after_millis } => {
+                expect_that!(retry_after_millis, gt(0));
+                refused += 1;
+            }
+            Admission::Granted | Admission::Waiting => {}
+        }
+        exchange(&mut entry, &mut buckets, now);
+    }
+    expect_that!(refused, ge(70));
+}
+
+#[gtest]
+fn token_is_void_after_its_life_counted_from_the_question() {
+    let mut entry = EntryTokens::default();
+    entry.admit(at(1_000), TENANT, 1);
+    let wanted = entry.queries_due(at(1_000)).remove(0);
+    let late = at(1_000) + TOKEN_LIFE;
+    let released = entry.on_grant(late, TENANT, wanted.number, 3, 0);
+    expect_that!(released.map(|released| released.granted), some(is_empty()));
+}
+
+#[gtest]
+fn second_answer_to_a_question_gives_nothing() {
+    let mut entry = EntryTokens::default();
+    entry.admit(at(1_000), TENANT, 1);
+    let wanted = entry.queries_due(at(1_000)).remove(0);
+    entry.on_grant(at(1_002), TENANT, wanted.number, 1, 0);
+    let again = entry.on_grant(at(1_003), TENANT, wanted.number, 1, 0);
+    expect_that!(again, none());
+}
+
+#[gtest]
+fn request_without_an_answer_is_let_go_soon() {
+    let mut entry = EntryTokens::default();
+    entry.admit(at(1_000), TENANT, 1);
+    expect_that!(entry.take_overdue(at(1_050)), is_empty());
+    expect_that!(entry.take_overdue(at(1_300)), elements_are![eq(&1)]);
+}
+
+#[gtest]
+fn unanswered_question_is_asked_again() {
+    let mut entry = EntryTokens::default();
+    entry.admit(at(1_000), TENANT, 1);
+    expect_that!(entry.queries_due(at(1_000)).len(), eq(1));
+    expect_that!(entry.queries_due(at(1_010)).len(), eq(0));
+    expect_that!(entry.queries_due(at(1_090)).len(), eq(1));
+}
+
+#[gtest]
+fn tenants_are_spread_over_the_nodes() {
+    let nodes: Vec<u64> = (0..10)
+        .map(|node| rillgap_forward::watch_duty::place(&format!("node-{node}")))
+        .collect();
+    let mut owned: BTreeMap<u64, u32> = BTreeMap::new();
+    for tenant in 0..1_000 {
+        let hash = TenantHash::of(&format!("tenant-{tenant}"));
+        let owner = nodes.iter().max_by_key(|node| hash.rank(**node));
+        *owned.entry(*owner.expect("a node")).or_default() += 1;
+    }
+    expect_that!(owned.values().min(), some(ge(&60)));
+    expect_that!(owned.len(), eq(10));
+}
+
+/// Draws numbers that follow from a seed.
+struct Draw(u64);
+
+impl Draw {
+    fn below(&mut self, bound: u64) -> u64 {
+        self.0 = self
+            .0
+            .wrapping_mul(6_364_136_223_846_793_005)
+            .wrapping_add(1);
+        (self.0 >> 33) % bound
+    }
+}
+
+/// The bound of `docs/design/tenants.md`: in each window no more requests pass than came into the bucket
+/// in the window, its burst, and what came in while a token lives.
+#[gtest]
+fn sum_over_all_entries_stays_within_the_bound_whatever_owners_are_lost() {
+    const WINDOW: u64 = 5_000;
+    for seed in 0..200 {
+        let mut draw = Draw(seed);
+        let mut entries: Vec<EntryTokens<u32>> = (0..8).map(|_| EntryTokens::default()).collect();
+        let mut buckets = Buckets::default();
+        let mut owned_since = 0;
+        let mut passed: Vec<u64> = Vec::new();
+        let mut in_flight: Vec<(u64, usize, u64, Grant)> = Vec::new();
+        for now in 0..20_000 {
+            if draw.below(2_000) == 0 {
+                // The owner is lost and its successor, which knows nothing, takes over.
+                buckets = Buckets::default();
+                owned_since = now;
+            }
+            let count = entries.len() as u64;
+            let entry = draw.below(count) as usize;
+            if draw.below(20) == 0 && entries[entry].admit(at(now), TENANT, 0) == Admission::Granted
+            {
+                passed.push(now);
+            }
+            for wanted in entries[entry].queries_due(at(now)) {
+                let since = at(owned_since);
+                let grant = buckets.grant(at(now), TENANT, LIMIT, since, wanted.tokens);
+                // Answers take any time, and some are lost.
+                if draw.below(10) > 0 {
+                    let arrives = now + draw.below(400);
+                    in_flight.push((arrives, entry, wanted.number, grant));
+                }
+            }
+            let arrived: Vec<_> = in_flight.extract_if(.., |answer| answer.0 <= now).collect();
+            for (_, entry, number, grant) in arrived {
+                let tokens = grant.tokens;
+                let wait = grant.wait_millis;
+                let released = entries[entry].on_grant(at(now), TENANT, number, tokens, wait);
+                let granted = released.map_or(0, |released| released.granted.len());
+                passed.extend(std::iter::repeat_n(now, granted));
+            }
+            for entry in &mut entries {
+                entry.take_overdue(at(now));
+            }
+        }
+        let life = TOKEN_LIFE.as_secs_f64();
+        let seconds = Duration::from_millis(WINDOW).as_secs_f64();
+        let bound = LIMIT.per_second * (seconds + life) + LIMIT.burst;
+        for start in &passed {
+            let within = passed
+                .iter()
+                .filter(|at| (*start..start + WINDOW).contains(at));
+            expect_that!(within.count() as f64, le(bound), "seed {seed}");
+        }
+    }
+}
--- a/crates/rillgap-forward/tests/simulation/world/callers.rs
+++ b/crates/rillgap-forward/tests/simulation/world/callers.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use rillgap_forward::action::CallerAnswer;
+use rillgap_forward::credential::Credential;
 use rillgap_forward::event::{CallerRequest, Event};
 use rillgap_forward::id::{ConnectionId, Turn};
 
@@ -52,6 +53,7 @@
             host: "h".to_owned(),
             fields: Vec::new(),
             body: Vec::new(),
+            credential: Credential::Absent,
             deadline: Some(Duration::from_millis(900)),
             parent_id: id.rsplit_once('.').map(|(parent, _)| parent.to_owned()),
         };
--- a/crates/rillgap-forward/tests/simulation/world/setup.rs
+++ b/crates/rillgap-forward/tests/simulation/world/setup.rs
@@ -67,6 +67,7 @@
         heartbeat_interval: Duration::from_millis(HEARTBEAT),
         grace: Duration::from_secs(6),
         retry_bound: RETRY_BOUND,
+        revocation: None,
     }
 }
 
@@ -84,6 +85,7 @@
             weight: 1,
         }],
         max_attempts: 2,
+        is_public: false,
     };
     let services = SERVICES.map(|name| Service {
         name: name.to_owned(),
@@ -99,6 +101,7 @@
             route("/deep/", "deep", Repeatability::Idempotent, 1),
         ],
         services: services.to_vec(),
+        tenants: Vec::new(),
         limits: CallerLimits::default(),
     }
 }
--- a/crates/rillgap-forward/tests/support/mod.rs
+++ b/crates/rillgap-forward/tests/support/mod.rs
@@ -11,6 +11,7 @@
 use rillgap_forward::configuration::{
     CallerLimits, Configuration, Repeatability, Route, Service, WeightedService,
 };
+use rillgap_forward::credential::Credential;
 use rillgap_forward::event::{
     AnnouncedState, CallerRequest, Event, ExchangeResult, Heartbeat, ProbeResult,
 };
@@ -60,6 +61,7 @@
             slack: 50,
             window: Duration::from_secs(10),
         },
+        revocation: None,
     }
 }
 
@@ -77,6 +79,7 @@
             weight: 1,
         }],
         max_attempts: 3,
+        is_public: false,
     }
 }
 
@@ -101,6 +104,7 @@
             health_path: "/health".to_owned(),
             max_connections: 100,
         }],
+        tenants: Vec::new(),
         limits: CallerLimits::default(),
     }
 }
@@ -124,6 +128,7 @@
         host: HOST.to_owned(),
         fields: Vec::new(),
         body: Vec::new(),
+        credential: Credential::Absent,
         deadline: Some(Duration::from_millis(800)),
         parent_id: id.rsplit_once('.').map(|(parent, _)| parent.to_owned()),
     }
@@ -140,6 +145,7 @@
         service: SERVICE.to_owned(),
         route: "/safe/".to_owned(),
         is_idempotent,
+        tenant: None,
         level: level_of(1, id),
         is_call: false,
         is_repeat: false,
@@ -170,6 +176,7 @@
         is_serving: true,
         is_stopping: false,
         is_watching: false,
+        owns_buckets: false,
         load: Load {
             limit: 10,
             ..Load::default()
--- /dev/null
+++ b/crates/rillgap-forward/tests/tenants.rs
@@ -0,0 +1,385 @@
+//! Keys of callers, and the node's part in limits and proofs.
+
+mod support;
+
+use std::time::Duration;
+
+use googletest::prelude::*;
+use rillgap_core::code::ResultCode;
+use rillgap_forward::action::Action;
+use rillgap_forward::configuration::{Configuration, RateLimit, Tenant};
+use rillgap_forward::credential::{Credential, KeyDigest};
+use rillgap_forward::event::{AnnouncedState, CallerRequest, Event};
+use rillgap_forward::freshness::QueryNumber;
+use rillgap_forward::id::LinkId;
+use rillgap_forward::message::{
+    FreshnessAnswer, LinkMessage, TokenAnswer, TokenQuery, TokenResult, priority_of,
+};
+use rillgap_forward::node::Node;
+use rillgap_forward::note::Note;
+use rillgap_forward::settings::ForwardSettings;
+use rillgap_forward::store_sync::{StoreReply, StoreRequest};
+use support::{INSTANCE, SERVICE, TestNode, at, caller_request, configuration, settings};
+
+const TENANT: &str = "north";
+const KEY: &[u8] = b"secret";
+const REVOCATION: Duration = Duration::from_secs(5);
+
+fn tenant(limit: Option<RateLimit>) -> Tenant {
+    Tenant {
+        name: TENANT.to_owned(),
+        keys: vec![KeyDigest::of(KEY)],
+        priority: None,
+        limit,
+    }
+}
+
+fn with_tenant(version: u64, tenant: Tenant) -> Configuration {
+    Configuration {
+        tenants: vec![tenant],
+        ..configuration(version)
+    }
+}
+
+fn strict(name: &str) -> ForwardSettings {
+    ForwardSettings {
+        revocation: Some(REVOCATION),
+        ..settings(name, SERVICE)
+    }
+}
+
+/// A node with a back end in service and a tenant.
+fn node(tenant: Tenant) -> TestNode {
+    let mut test = TestNode {
+        node: Node::new(at(0), strict("own")),
+        now: 0,
+        actions: Vec::new(),
+    };
+    test.event(Event::Wake);
+    test.configure(with_tenant(1, tenant));
+    test.heartbeat(1, AnnouncedState::Ready);
+    test.confirm(INSTANCE);
+    test.actions.clear();
+    test
+}
+
+fn keyed(id: &str, key: &[u8]) -> CallerRequest {
+    CallerRequest {
+        credential: Credential::Key(KeyDigest::of(key)),
+        ..caller_request(id, "/safe/1")
+    }
+}
+
+fn codes(test: &TestNode) -> Vec<Option<ResultCode>> {
+    let code = |note: Note| match note {
+        Note::Answered { code, .. } => Some(code),
+        _ => None,
+    };
+    test.notes().into_iter().filter_map(code).collect()
+}
+
+#[gtest]
+fn request_with_a_known_key_runs_for_its_tenant() {
+    let mut test = node(tenant(None));
+    test.request(0, keyed("a", KEY));
+    let exchanges = test.exchanges();
+    let tenants: Vec<Option<&str>> = exchanges
+        .iter()
+        .map(|exchange| exchange.request.tenant.as_deref())
+        .collect();
+    expect_that!(tenants, elements_are![some(eq(&TENANT))]);
+}
+
+#[gtest]
+fn request_without_a_known_key_is_refused() {
+    for credential in [
+        Credential::Absent,
+        Credential::Malformed,
+        Credential::Key(KeyDigest::of(b"other")),
+    ] {
+        let mut test = node(tenant(None));
+        let request = CallerRequest {
+            credential,
+            ..caller_request("a", "/safe/1")
+        };
+        test.request(0, request);
+        expect_that!(test.statuses(), elements_are![eq(&401)], "{credential:?}");
+        expect_that!(test.exchanges().len(), eq(0));
+    }
+}
+
+#[gtest]
+fn public_route_needs_no_key() {
+    let mut test = node(tenant(None));
+    let mut public = with_tenant(2, tenant(None));
+    for route in &mut public.routes {
+        route.is_public = true;
+    }
+    test.pass(3_500);
+    test.configure(public);
+    test.request(0, caller_request("a", "/safe/1"));
+    expect_that!(test.exchanges().len(), eq(1));
+}
+
+#[gtest]
+fn call_of_the_back_end_needs_no_key() {
+    let mut test = node(tenant(None));
+    test.request(0, keyed("a", KEY));
+    test.request(1, caller_request("a.1", "/safe/1"));
+    expect_that!(test.exchanges().len(), eq(2));
+}
+
+#[gtest]
+fn call_for_a_request_that_has_ended_is_refused_with_the_word_that_it_did_not_run() {
+    let mut test = node(tenant(None));
+    test.request(0, caller_request("a.1", "/safe/1"));
+    expect_that!(test.statuses(), elements_are![eq(&503)]);
+    expect_that!(
+        codes(&test),
+        elements_are![some(eq(&ResultCode::ParentEnded))]
+    );
+}
+
+#[gtest]
+fn priority_of_the_tenant_goes_before_that_of_the_route() {
+    let mut test = node(Tenant {
+        priority: Some(4),
+        ..tenant(None)
+    });
+    test.request(0, keyed("a", KEY));
+    let level = test.exchanges()[0].request.level;
+    expect_that!(priority_of(level), eq(4));
+}
+
+#[gtest]
+fn node_without_a_proof_refuses_known_and_unknown_keys_alike() {
+    for key in [KEY, b"other"] {
+        let mut test = node(tenant(None));
+        // The store does not answer any more; there is no peer.
+        test.pass(6_000);
+        test.actions.clear();
+        test.request(0, keyed("a", key));
+        expect_that!(test.statuses(), elements_are![eq(&503)]);
+        let expected = ResultCode::ConfigurationUnproven;
+        expect_that!(codes(&test), elements_are![some(eq(&expected))]);
+    }
+}
+
+#[gtest]
+fn proof_counts_after_a_standstill_by_the_time_that_has_passed() {
+    let mut test = node(tenant(None));
+    // No step of the node in between: the process stood still.
+    test.now += 6_000;
+    test.request(0, keyed("a", KEY));
+    expect_that!(test.exchanges().len(), eq(0));
+}
+
+#[gtest]
+fn peer_proves_the_configuration_of_a_node_that_the_store_refuses() {
+    let mut test = node(tenant(None));
+    let link = test.connect("peer", 5, SERVICE);
+    test.pass(4_500);
+    let numbers: Vec<QueryNumber> = test
+        .actions
+        .iter()
+        .filter_map(|action| match action {
+            Action::SendOnLink {
+                message: LinkMessage::FreshnessQuery(number),
+                ..
+            } => Some(*number),
+            _ => None,
+        })
+        .collect();
+    let answer = FreshnessAnswer {
+        number: *numbers.last().expect("a query"),
+        version: 1,
+        age_micros: 200_000,
+    };
+    let message = LinkMessage::FreshnessAnswer(answer);
+    test.event(Event::Link { link, message });
+    test.pass(3_000);
+    test.request(0, keyed("a", KEY));
+    expect_that!(test.exchanges().len() + test.sent().len(), eq(1));
+}
+
+#[gtest]
+fn query_for_a_proof_is_answered_with_the_age_of_the_own_one() {
+    let mut test = node(tenant(None));
+    let link = test.connect("peer", 5, SERVICE);
+    test.now += 700;
+    test.actions.clear();
+    let message = LinkMessage::FreshnessQuery(QueryNumber(9));
+    test.event(Event::Link { link, message });
+    let age = test.actions.iter().find_map(|action| match action {
+        Action::SendOnLink {
+            message: LinkMessage::FreshnessAnswer(answer),
+            ..
+        } => Some(answer.age_micros),
+        _ => None,
+    });
+    expect_that!(age, some(ge(700_000)));
+}
+
+const LIMIT: RateLimit = RateLimit {
+    per_second: 2.0,
+    burst: 3.0,
+};
+
+/// A node that knows that it is alone, and so owns all buckets, full by now.
+fn lonely_owner() -> TestNode {
+    let mut test = node(tenant(Some(LIMIT)));
+    let is_registration = |request: &StoreRequest| matches!(request, StoreRequest::Register(_));
+    test.actions.clear();
+    let mut test = TestNode {
+        node: Node::new(
+            at(0),
+            ForwardSettings {
+                revocation: None,
+                ..strict("own")
+            },
+        ),
+        ..test
+    };
+    test.event(Event::Wake);
+    test.answer_store(is_registration, StoreReply::Registered { is_new: false });
+    test.answer_store(
+        |request| matches!(request, StoreRequest::ListNodes),
+        StoreReply::Nodes(Vec::new()),
+    );
+    test.configure(with_tenant(1, tenant(Some(LIMIT))));
+    test.heartbeat(1, AnnouncedState::Ready);
+    test.confirm(INSTANCE);
+    test.pass(10_000);
+    test.actions.clear();
+    test
+}
+
+#[gtest]
+fn tenant_at_its_limit_is_refused_with_a_time_to_come_back() {
+    let mut test = lonely_owner();
+    for turn in 0..4 {
+        test.request(turn, keyed(&format!("r{turn}"), KEY));
+    }
+    expect_that!(test.exchanges().len(), eq(3));
+    expect_that!(test.statuses(), elements_are![eq(&429)]);
+    let fields = String::from_utf8_lossy(&test.answers()[0].fields).into_owned();
+    expect_that!(fields, contains_substring("Retry-After: "));
+}
+
+#[gtest]
+fn request_that_did_not_run_gives_its_token_back() {
+    let mut test = lonely_owner();
+    // No back end of this route's service: refused, so it does not count.
+    for turn in 0..6 {
+        let request = CallerRequest {
+            target: "/deep/1".to_owned(),
+            ..keyed(&format!("d{turn}"), KEY)
+        };
+        test.request(turn, request);
+    }
+    test.actions.clear();
+    test.request(9, keyed("r", KEY));
+    expect_that!(test.exchanges().len(), eq(1));
+}
+
+#[gtest]
+fn node_that_does_not_know_the_others_owns_no_bucket() {
+    let mut test = node(tenant(Some(LIMIT)));
+    test.request(0, keyed("a", KEY));
+    expect_that!(test.statuses(), elements_are![eq(&503)]);
+    expect_that!(
+        codes(&test),
+        elements_are![some(eq(&ResultCode::LimitUnknown))]
+    );
+}
+
+fn ask(test: &mut TestNode, link: LinkId) -> Option<TokenResult> {
+    test.actions.clear();
+    let query = TokenQuery {
+        number: 1,
+        tenant: TENANT.to_owned(),
+        wanted: 1,
+    };
+    let message = LinkMessage::TokenQuery(query);
+    test.event(Event::Link { link, message });
+    test.actions.iter().find_map(|action| match action {
+        Action::SendOnLink {
+            message: LinkMessage::TokenAnswer(TokenAnswer { result, .. }),
+            ..
+        } => Some(result.clone()),
+        _ => None,
+    })
+}
+
+/// Connects a peer that offers to own buckets.
+fn connect_owner(test: &mut TestNode, name: &str, last: u8) -> LinkId {
+    let link = test.connect(name, last, SERVICE);
+    let status = rillgap_forward::message::Status {
+        owns_buckets: true,
+        ..support::serving(SERVICE)
+    };
+    test.event(Event::Link {
+        link,
+        message: LinkMessage::Status(status),
+    });
+    link
+}
+
+/// Names of peers that are asked for the tenant's tokens before, and after, the node itself.
+fn names_around_own() -> (String, String) {
+    use rillgap_forward::rate_limit::ownership::TenantHash;
+    use rillgap_forward::watch_duty::place;
+    let hash = TenantHash::of(TENANT);
+    let own = hash.rank(place("own"));
+    let names: Vec<String> = (0..50).map(|number| format!("peer-{number}")).collect();
+    let before = names.iter().find(|name| hash.rank(place(name)) > own);
+    let after = names.iter().find(|name| hash.rank(place(name)) < own);
+    (
+        before.expect("a name").clone(),
+        after.expect("a name").clone(),
+    )
+}
+
+#[gtest]
+fn only_the_first_of_the_order_gives_tokens() {
+    let (before, after) = names_around_own();
+    let mut test = lonely_owner();
+    let link = connect_owner(&mut test, &after, 6);
+    expect_that!(
+        ask(&mut test, link),
+        some(matches_pattern!(TokenResult::Granted { .. }))
+    );
+    connect_owner(&mut test, &before, 5);
+    expect_that!(
+        ask(&mut test, link),
+        some(matches_pattern!(TokenResult::OwnedBy(_)))
+    );
+}
+
+#[gtest]
+fn successor_takes_over_with_an_empty_bucket_when_the_owner_is_lost() {
+    let (before, after) = names_around_own();
+    let mut test = lonely_owner();
+    let link = connect_owner(&mut test, &after, 6);
+    let owner = connect_owner(&mut test, &before, 5);
+    test.pass(1_000);
+    test.event(Event::LinkClosed(owner));
+    let first = ask(&mut test, link);
+    let Some(TokenResult::Granted { tokens, .. }) = first else {
+        panic!("no grant: {first:?}");
+    };
+    expect_that!(tokens, eq(0));
+}
+
+#[gtest]
+fn node_that_hears_of_nobody_any_more_gives_no_tokens() {
+    let (_, after) = names_around_own();
+    let mut test = lonely_owner();
+    connect_owner(&mut test, &after, 6);
+    // Silence, without an end of the link.
+    test.pass(4_500);
+    test.actions.clear();
+    test.request(0, keyed("a", KEY));
+    test.pass(500);
+    expect_that!(test.exchanges().len(), eq(0));
+}
--- a/crates/rillgap-sidecar/src/back_end/connection.rs
+++ b/crates/rillgap-sidecar/src/back_end/connection.rs
@@ -231,6 +231,9 @@
     push_field(&mut bytes, names.deadline_millis, &millis.to_string());
     push_field(&mut bytes, names.expected_instance, &exchange.instance);
     push_field(&mut bytes, names.caller_service, &request.caller_service);
+    if let Some(tenant) = &request.tenant {
+        push_field(&mut bytes, names.tenant, tenant);
+    }
     let has_body = !request.body.is_empty() || !matches!(request.method.as_str(), "GET" | "HEAD");
     if has_body {
         push_field(
--- a/crates/rillgap-sidecar/src/caller/connection.rs
+++ b/crates/rillgap-sidecar/src/caller/connection.rs
@@ -166,9 +166,13 @@
 
     fn take_requests(&mut self) -> Result<(), End> {
         while self.takes_requests && self.pending.len() < MOST_PIPELINED && !self.input.is_empty() {
-            let limits = self.hub.with_node(|node| node.limits());
+            let (limits, withholds_credentials) = self
+                .hub
+                .with_node(|node| (node.limits(), node.withholds_credentials()));
             let dialect = self.hub.dialect().clone();
-            let progress = self.reader.read(&mut self.input, &*dialect, &limits);
+            let progress =
+                self.reader
+                    .read(&mut self.input, &*dialect, &limits, withholds_credentials);
             match progress {
                 Progress::Request(read) => self.begin(*read),
                 Progress::Partial => return Ok(()),
--- a/crates/rillgap-sidecar/src/caller/reader.rs
+++ b/crates/rillgap-sidecar/src/caller/reader.rs
@@ -5,6 +5,7 @@
 use bytes::BytesMut;
 use rillgap_core::code::ResultCode;
 use rillgap_forward::configuration::CallerLimits;
+use rillgap_forward::credential::{Credential, KeyDigest};
 use rillgap_forward::event::CallerRequest;
 use rillgap_http::h1::{
     BodyDecoder, BodyProgress, Connection, Framing, HeadLimits, MessageError, RequestHead,
@@ -40,6 +41,7 @@
     head: RequestHead,
     request_id: String,
     deadline: Option<Duration>,
+    credential: Credential,
     decoder: BodyDecoder,
     body: Vec<u8>,
 }
@@ -61,16 +63,18 @@
         self.unfinished.is_some()
     }
 
-    /// Takes the next request out of `input`.
+    /// Takes the next request out of `input`. Credentials are left out of what is passed on if the node
+    /// withholds them.
     pub fn read(
         &mut self,
         input: &mut BytesMut,
         dialect: &dyn Dialect,
         limits: &CallerLimits,
+        withholds_credentials: bool,
     ) -> Progress {
         let mut wants_continue = false;
         if self.unfinished.is_none() {
-            match read_head(input, dialect.headers(), limits) {
+            match read_head(input, dialect, limits, withholds_credentials) {
                 Ok(Some(unfinished)) => {
                     wants_continue = unfinished.head.expects_continue;
                     self.unfinished = Some(unfinished);
@@ -111,6 +115,7 @@
                 host: self.head.host,
                 fields: self.head.fields.into_bytes(),
                 body: self.body,
+                credential: self.credential,
                 deadline: self.deadline,
                 parent_id,
             },
@@ -120,9 +125,12 @@
 
 fn read_head(
     input: &mut BytesMut,
-    names: &HeaderNames,
+    dialect: &dyn Dialect,
     limits: &CallerLimits,
+    withholds_credentials: bool,
 ) -> Result<Option<Unfinished>, ResultCode> {
+    let names = dialect.headers();
+    let mut credential = Credential::Absent;
     let mut request_id = String::new();
     let mut deadline = None;
     let head_limits = HeadLimits {
@@ -137,6 +145,10 @@
             deadline = parse_millis(value);
             return false;
         }
+        if name.eq_ignore_ascii_case(names.credential) {
+            credential = read_credential(credential, value, dialect);
+            return !withholds_credentials;
+        }
         !is_set_by_nodes(name, names)
     });
     let head = match head {
@@ -155,10 +167,20 @@
         head,
         request_id,
         deadline,
+        credential,
         body: Vec::new(),
     }))
 }
 
+/// Returns what a request shows of its caller, with one more field that holds a credential. Two of them
+/// leave open which one counts, so neither does.
+fn read_credential(before: Credential, value: &[u8], dialect: &dyn Dialect) -> Credential {
+    match (before, dialect.key(value)) {
+        (Credential::Absent, Some(key)) => Credential::Key(KeyDigest::of(key)),
+        _ => Credential::Malformed,
+    }
+}
+
 /// Returns whether only nodes and back ends may set a field; a caller's is dropped.
 fn is_set_by_nodes(name: &str, names: &HeaderNames) -> bool {
     [
@@ -167,6 +189,7 @@
         names.not_executed,
         names.signature,
         names.instance,
+        names.tenant,
     ]
     .iter()
     .any(|reserved| name.eq_ignore_ascii_case(reserved))
--- a/crates/rillgap-sidecar/src/dialect.rs
+++ b/crates/rillgap-sidecar/src/dialect.rs
@@ -19,6 +19,10 @@
     pub caller_service: &'static str,
     /// Incarnation of the back end that answers.
     pub instance: &'static str,
+    /// What a caller shows to be known by; never passed on where tenants are configured.
+    pub credential: &'static str,
+    /// Tenant that a request belongs to, as the back end is told.
+    pub tenant: &'static str,
 }
 
 /// A call of the platform or of the back end to the node.
@@ -56,6 +60,9 @@
     /// works on that request.
     fn parent_id<'a>(&self, request_id: &'a str) -> Option<&'a str>;
 
+    /// Returns the key that the value of a credential field holds, if it has the expected form.
+    fn key<'a>(&self, credential: &'a [u8]) -> Option<&'a [u8]>;
+
     /// Reads a call to the node.
     ///
     /// # Errors
--- a/crates/rillgap-sidecar/src/link/codec.rs
+++ b/crates/rillgap-sidecar/src/link/codec.rs
@@ -8,8 +8,12 @@
 
 use bytes::{Buf, BufMut, BytesMut};
 use rillgap_forward::configuration::Configuration;
+use rillgap_forward::freshness::QueryNumber;
 use rillgap_forward::id::Sequence;
-use rillgap_forward::message::{ForwardResponse, ForwardedRequest, Hello, LinkMessage, Status};
+use rillgap_forward::message::{
+    ForwardResponse, ForwardedRequest, FreshnessAnswer, Hello, LinkMessage, Status, TokenAnswer,
+    TokenQuery,
+};
 
 /// Longest frame in bytes, without its length.
 const MAX_FRAME: usize = 96 * 1024 * 1024;
@@ -28,6 +32,10 @@
 const CONFIGURATION_OFFER: u8 = 7;
 const CONFIGURATION_QUERY: u8 = 8;
 const CONFIGURATION: u8 = 9;
+const FRESHNESS_QUERY: u8 = 10;
+const FRESHNESS_ANSWER: u8 = 11;
+const TOKEN_QUERY: u8 = 12;
+const TOKEN_ANSWER: u8 = 13;
 
 /// Why bytes are not frames.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
@@ -48,6 +56,8 @@
     response: bitcode::Buffer,
     status: bitcode::Buffer,
     configuration: bitcode::Buffer,
+    token_query: bitcode::Buffer,
+    token_answer: bitcode::Buffer,
 }
 
 /// Encodes messages and reuses its working memory.
@@ -87,6 +97,20 @@
                 let payload = buffers.configuration.encode(&**configuration);
                 put(out, CONFIGURATION, &[], payload)
             }
+            LinkMessage::FreshnessQuery(number) => {
+                put(out, FRESHNESS_QUERY, &number.0.to_be_bytes(), &[])
+            }
+            LinkMessage::FreshnessAnswer(answer) => {
+                let numbers = [answer.number.0, answer.version, answer.age_micros];
+                let bytes = numbers.map(u64::to_be_bytes);
+                put(out, FRESHNESS_ANSWER, bytes.as_flattened(), &[])
+            }
+            LinkMessage::TokenQuery(query) => {
+                put(out, TOKEN_QUERY, &[], buffers.token_query.encode(query))
+            }
+            LinkMessage::TokenAnswer(answer) => {
+                put(out, TOKEN_ANSWER, &[], buffers.token_answer.encode(answer))
+            }
         }
     }
 }
@@ -163,6 +187,14 @@
             }
             CONFIGURATION => decode::<Configuration>(&mut buffers.configuration, payload)
                 .map(|configuration| LinkMessage::Configuration(Arc::new(configuration))),
+            FRESHNESS_QUERY => split_number(payload)
+                .map(|(number, _)| LinkMessage::FreshnessQuery(QueryNumber(number))),
+            FRESHNESS_ANSWER => freshness_answer(payload).map(LinkMessage::FreshnessAnswer),
+            TOKEN_QUERY => {
+                decode::<TokenQuery>(&mut buffers.token_query, payload).map(LinkMessage::TokenQuery)
+            }
+            TOKEN_ANSWER => decode::<TokenAnswer>(&mut buffers.token_answer, payload)
+                .map(LinkMessage::TokenAnswer),
             _ => Err(FrameError::Malformed),
         }
     }
@@ -175,6 +207,17 @@
     buffer.decode(payload).map_err(|_| FrameError::Malformed)
 }
 
+fn freshness_answer(payload: &[u8]) -> Result<FreshnessAnswer, FrameError> {
+    let (number, rest) = split_number(payload)?;
+    let (version, rest) = split_number(rest)?;
+    let (age_micros, _) = split_number(rest)?;
+    Ok(FreshnessAnswer {
+        number: QueryNumber(number),
+        version,
+        age_micros,
+    })
+}
+
 fn split_number(payload: &[u8]) -> Result<(u64, &[u8]), FrameError> {
     let (number, rest) = payload
         .split_first_chunk::<NUMBER>()
--- a/crates/rillgap-sidecar/src/logging/notes.rs
+++ b/crates/rillgap-sidecar/src/logging/notes.rs
@@ -72,6 +72,7 @@
                 | Note::Moved { .. }
                 | Note::NotAnswered { .. }
                 | Note::Cancelled { .. }
+                | Note::TenantLimit { .. }
         );
         if is_about_request && self.written >= self.settings.lines_per_second {
             self.left_out += 1;
@@ -98,8 +99,10 @@
             elapsed_micros,
             configuration,
             timing,
+            tenant,
+            proof_age_millis,
         } => log::info!(
-            uptime, request = request_id.as_str(), route = route.as_str(), status,
+            uptime, tenant = tenant.as_str(), proof_age_millis = *proof_age_millis, request = request_id.as_str(), route = route.as_str(), status,
             code = code.map_or(0, |code| code.number()), peer = peer.as_str(), attempts,
             elapsed_micros, queued_micros = timing.queued_micros,
             back_end_micros = timing.back_end_micros, configuration; "outbound: answered"
@@ -149,9 +152,10 @@
         Note::Configuration {
             version,
             routes,
+            tenants,
             source,
         } => log::info!(
-            uptime, version, routes = *routes as u64, source = *source; "configuration: in force"
+            uptime, version, routes = *routes as u64, tenants = *tenants as u64, source = *source; "configuration: in force"
         ),
         Note::Store { failure: None } => log::info!(uptime, is_up = true; "store: dependency"),
         Note::Store {
@@ -168,6 +172,22 @@
             uptime, is_watching, preceding = *preceding as u64, watchers = *watchers as u64;
             "store: watch"
         ),
+        Note::Freshness {
+            is_proven,
+            proof_age_millis,
+        } => log::info!(
+            uptime, is_proven, proof_age_millis = *proof_age_millis; "configuration: freshness"
+        ),
+        Note::BucketOffer { offers, peers } => log::info!(
+            uptime, offers, peers = *peers as u64; "limits: offer to own buckets"
+        ),
+        Note::TenantLimit {
+            tenant,
+            granted,
+            wait_millis,
+        } => log::info!(
+            uptime, tenant = tenant.as_str(), granted, wait_millis; "limits: tenant at its limit"
+        ),
         Note::Lifecycle { state, in_flight } => log::info!(
             uptime, state = *state, in_flight = *in_flight as u64; "node: lifecycle"
         ),
--- a/crates/rillgap-sidecar/src/settings.rs
+++ b/crates/rillgap-sidecar/src/settings.rs
@@ -135,6 +135,9 @@
     pub retry_slack: f64,
     /// Window of the two, in seconds.
     pub retry_window_seconds: Seconds,
+    /// Seconds within which a key that was taken away must have stopped working, also at a node that is
+    /// cut off; not demanded if left out.
+    pub revocation_seconds: Option<Seconds>,
 }
 
 impl Default for BoundsSection {
@@ -144,6 +147,7 @@
             retry_ratio: 0.2,
             retry_slack: 50.0,
             retry_window_seconds: Seconds(10_000),
+            revocation_seconds: None,
         }
     }
 }
@@ -237,6 +241,7 @@
                 slack: self.bounds.retry_slack as u32,
                 window: self.bounds.retry_window_seconds.duration(),
             },
+            revocation: self.bounds.revocation_seconds.map(Seconds::duration),
         }
     }
 
@@ -263,6 +268,12 @@
                 "between 0 and 10",
             ));
         }
+        let revocation = self.bounds.revocation_seconds.map(Seconds::duration);
+        if revocation.is_some_and(|revocation| revocation < Duration::from_secs(1)) {
+            let value = format!("{revocation:?}");
+            let expected = "at least 1 second";
+            return Err(out_of_range("bounds.revocation-seconds", value, expected));
+        }
         if self.bounds.retry_window_seconds.duration() < Duration::from_secs(1) {
             let value = format!("{:?}", self.bounds.retry_window_seconds.duration());
             let expected = "at least 1 second";
--- a/crates/rillgap-sidecar/tests/frames.rs
+++ b/crates/rillgap-sidecar/tests/frames.rs
@@ -40,6 +40,7 @@
                 service: "s".to_owned(),
                 route: "r".to_owned(),
                 is_idempotent: true,
+                tenant: Some("t".to_owned()),
                 level: level_of(2, "id"),
                 is_call: false,
                 is_repeat: false,
--- a/crates/rillgap-sidecar/tests/path/support.rs
+++ b/crates/rillgap-sidecar/tests/path/support.rs
@@ -37,6 +37,8 @@
     not_executed: "X-Not-Run",
     caller_service: "X-Caller",
     instance: "X-Instance",
+    credential: "X-Credential",
+    tenant: "X-Tenant",
 };
 
 struct TestDialect;
@@ -50,6 +52,10 @@
         None
     }
 
+    fn key<'a>(&self, credential: &'a [u8]) -> Option<&'a [u8]> {
+        credential.strip_prefix(b"key ")
+    }
+
     fn control_call(&self, _: &str, _: &str, _: &[u8]) -> Result<ControlCall, ControlError> {
         Err(ControlError::UnknownCall)
     }
@@ -98,6 +104,7 @@
             weight: 1,
         }],
         max_attempts: 1,
+        is_public: false,
     };
     Configuration {
         version: 1,
@@ -110,6 +117,7 @@
             health_path: "/health".to_owned(),
             max_connections: 100,
         }],
+        tenants: Vec::new(),
         limits: CallerLimits {
             head_bytes: 2_000,
             body_bytes: 100_000,
