--- a/crates/rillgap-forward/src/node/mod.rs
+++ b/crates/rillgap-forward/src/node/mod.rs
@@ -138,6 +138,11 @@
         self.table.as_ref().is_none_or(|table| table.has_tenants())
     }
 
+    /// Returns the age of the proof that the configuration is the newest one, if there is one.
+    pub fn proof_age(&self, now: Instant) -> Option<Duration> {
+        self.freshness.age(now)
+    }
+
     /// Returns the version of the configuration in force; 0 for none.
     pub fn configuration_version(&self) -> u64 {
         self.table.as_ref().map_or(0, |table| table.version())
--- a/crates/rillgap-sidecar/src/hub.rs
+++ b/crates/rillgap-sidecar/src/hub.rs
@@ -295,6 +295,10 @@
         self.metrics.limit.set(u64::from(load.limit));
         self.metrics.peers.set(reachable as u64);
         self.metrics.ready.set(u64::from(node.is_ready()));
+        let age = node.proof_age(self.now());
+        self.metrics
+            .proof_age
+            .set(age.map_or(-1.0, |age| age.as_secs_f64()));
         self.metrics
             .configuration_version
             .set(node.configuration_version());
--- a/crates/rillgap-sidecar/src/logging/notes.rs
+++ b/crates/rillgap-sidecar/src/logging/notes.rs
@@ -83,6 +83,11 @@
     }
 }
 
+/// Writes an age; -1 stands for none.
+fn age_or_none(millis: Option<u64>) -> i64 {
+    millis.map_or(-1, |millis| i64::try_from(millis).unwrap_or(i64::MAX))
+}
+
 fn sample_hash(id: &str) -> u64 {
     BuildHasherDefault::<DefaultHasher>::default().hash_one(id)
 }
@@ -102,7 +107,7 @@
             tenant,
             proof_age_millis,
         } => log::info!(
-            uptime, tenant = tenant.as_str(), proof_age_millis = *proof_age_millis, request = request_id.as_str(), route = route.as_str(), status,
+            uptime, tenant = tenant.as_str(), proof_age_millis = age_or_none(*proof_age_millis), request = request_id.as_str(), route = route.as_str(), status,
             code = code.map_or(0, |code| code.number()), peer = peer.as_str(), attempts,
             elapsed_micros, queued_micros = timing.queued_micros,
             back_end_micros = timing.back_end_micros, configuration; "outbound: answered"
@@ -176,7 +181,7 @@
             is_proven,
             proof_age_millis,
         } => log::info!(
-            uptime, is_proven, proof_age_millis = *proof_age_millis; "configuration: freshness"
+            uptime, is_proven, proof_age_millis = age_or_none(*proof_age_millis); "configuration: freshness"
         ),
         Note::BucketOffer { offers, peers } => log::info!(
             uptime, offers, peers = *peers as u64; "limits: offer to own buckets"
--- a/crates/rillgap-sidecar/src/metrics.rs
+++ b/crates/rillgap-sidecar/src/metrics.rs
@@ -1,7 +1,8 @@
 //! Metrics of a sidecar node in the OpenMetrics text format.
 
-use std::sync::Arc;
+use std::collections::BTreeSet;
 use std::sync::atomic::AtomicU64;
+use std::sync::{Arc, Mutex, PoisonError};
 
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::metrics::counter::Counter;
@@ -44,6 +45,17 @@
     paid: &'static str,
 }
 
+/// Tenants that are counted by name; all others are counted together.
+const MOST_TENANTS: usize = 200;
+/// Name under which the others are counted.
+const OTHER_TENANTS: &str = "other";
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct TenantLabels {
+    tenant: String,
+    outcome: &'static str,
+}
+
 /// Metrics of a sidecar node; clones share them.
 #[derive(Clone, Debug)]
 pub struct Metrics {
@@ -53,6 +65,8 @@
     forwarding: Histogram,
     failures: Family<CodeLabels, Counter>,
     moves: Family<MoveLabels, Counter>,
+    tenants: Family<TenantLabels, Counter>,
+    tenant_names: Arc<Mutex<BTreeSet<String>>>,
     store_calls: Family<StoreLabels, Counter>,
     /// Connections that were opened to the back end.
     pub back_end_connections: Counter,
@@ -60,6 +74,8 @@
     pub log_lines_dropped: Counter,
     /// Version of the configuration in force.
     pub configuration_version: Gauge<u64, AtomicU64>,
+    /// Age of the proof that the configuration is the newest, in seconds; -1 without one.
+    pub proof_age: Gauge<f64, AtomicU64>,
     /// Requests that run at the back end.
     pub running: Gauge<u64, AtomicU64>,
     /// Requests that wait for the back end.
@@ -91,10 +107,13 @@
             forwarding: Histogram::new(forwarding_buckets),
             failures: Family::default(),
             moves: Family::default(),
+            tenants: Family::default(),
+            tenant_names: Arc::default(),
             store_calls: Family::default(),
             back_end_connections: Counter::default(),
             log_lines_dropped: Counter::default(),
             configuration_version: Gauge::default(),
+            proof_age: Gauge::default(),
             running: Gauge::default(),
             queued: Gauge::default(),
             limit: Gauge::default(),
@@ -122,8 +141,10 @@
                 elapsed_micros,
                 attempts,
                 timing,
+                tenant,
                 ..
             } => {
+                self.count_tenant(tenant, *status);
                 let code = code.map_or(0, |code| code.number());
                 let status = *status;
                 self.answers
@@ -148,6 +169,38 @@
         }
     }
 
+    fn count_tenant(&self, tenant: &str, status: u16) {
+        if tenant.is_empty() {
+            return;
+        }
+        let outcome = match status {
+            200..=299 => "served",
+            429 => "limited",
+            503 => "refused",
+            _ => "failed",
+        };
+        let tenant = self.tenant_label(tenant);
+        self.tenants
+            .get_or_create(&TenantLabels { tenant, outcome })
+            .inc();
+    }
+
+    /// Returns the name under which a tenant is counted; the number of names is bounded.
+    fn tenant_label(&self, tenant: &str) -> String {
+        let mut names = self
+            .tenant_names
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        if names.contains(tenant) {
+            return tenant.to_owned();
+        }
+        if names.len() >= MOST_TENANTS {
+            return OTHER_TENANTS.to_owned();
+        }
+        names.insert(tenant.to_owned());
+        tenant.to_owned()
+    }
+
     /// Counts a call to the store.
     pub fn count_store_call(&self, call: &'static str, reply: &StoreReply) {
         let outcome = match reply {
@@ -188,6 +241,17 @@
             "Requests sent to another node, by whether the retry budget paid",
             self.moves.clone(),
         );
+        registry.register(
+            "tenant_answers",
+            "Requests of tenants, by outcome",
+            self.tenants.clone(),
+        );
+        registry.register_with_unit(
+            "configuration_proof_age",
+            "Age of the proof that the configuration is the newest; -1 without one",
+            Unit::Seconds,
+            self.proof_age.clone(),
+        );
         registry.register(
             "store_calls",
             "Calls to the store, by call and outcome",
--- a/crates/rillgap-sidecar/tests/settings.rs
+++ b/crates/rillgap-sidecar/tests/settings.rs
@@ -46,6 +46,14 @@
     expect_that!(forward.heartbeat_interval, eq(Duration::from_millis(1_500)));
     expect_that!(forward.grace, eq(Duration::from_secs(6)));
     expect_that!(forward.retry_bound.slack, eq(55));
+    expect_that!(forward.revocation, none());
+}
+
+#[gtest]
+fn bound_on_revocation_is_taken_over() {
+    let text = format!("{VALID}revocation-seconds = 5\n");
+    let forward = parse(&text).expect("valid settings").forward(1, 2);
+    expect_that!(forward.revocation, some(eq(Duration::from_secs(5))));
 }
 
 #[gtest]
@@ -83,6 +91,11 @@
             "callers = \"nowhere\"",
             "callers",
         ),
+        (
+            "retry-window-seconds = 10",
+            "retry-window-seconds = 10\nrevocation-seconds = 0.5",
+            "bounds.revocation-seconds",
+        ),
         ("[store]", "[store]\nunknown = 1", "unknown"),
     ];
     for (found, put, named) in cases {
