Repeats go to the chains of the highest levels, and refusals are no attempts

Change: while more repeats are wanted than the budget can pay for half a window, they go to the chains whose roots have the highest levels (priority, then the draw that all nodes share). A back end that has refused to run a request does not count for the route's most attempts; six moves in all.

--- a/crates/rillgap-forward/src/lib.rs
+++ b/crates/rillgap-forward/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod peer;
 pub mod rate_limit;
 pub mod retry_budget;
+pub mod retry_demand;
 pub mod settings;
 pub mod store_sync;
 pub mod subset;
--- a/crates/rillgap-forward/src/outbound/mod.rs
+++ b/crates/rillgap-forward/src/outbound/mod.rs
@@ -48,8 +48,11 @@
 /// Share of the target latency for which a back end's own request may wait in a queue: it is one
 /// of several that follow each other within the time of one caller's request.
 const CALL_QUEUE_SHARE: f64 = 0.33;
-/// Moves to another node that has not let the request reach its back end.
-const MOST_MOVES: u32 = 3;
+/// Most moves of a request to another node while no back end was reached: they cost no budget.
+const MOST_FREE_MOVES: u32 = 3;
+/// Most moves in all. With back ends that refuse half of what they get, seven sends leave one call in a
+/// hundred without an answer.
+const MOST_MOVES: u32 = 6;
 /// Time after which to come back when no back end takes requests, in milliseconds.
 const NO_BACK_END_MILLIS: u32 = 250;
 /// Time between two looks at what the log tells of admission.
--- a/crates/rillgap-forward/src/outbound/request.rs
+++ b/crates/rillgap-forward/src/outbound/request.rs
@@ -58,6 +58,8 @@
     tried: Vec<String>,
     /// Back ends that the request may have reached.
     pub arrivals: u32,
+    /// Back ends among them that have refused to run the request.
+    pub refusals: u32,
     /// Sends after the first.
     pub moves: u32,
     /// Whether a back end may have worked on the request.
@@ -95,6 +97,7 @@
             limited_tenant: None,
             tried: Vec::new(),
             arrivals: 0,
+            refusals: 0,
             moves: 0,
             may_have_run: false,
             retry_after_millis: None,
@@ -134,13 +137,20 @@
 
     /// Takes in that the last attempt did not run.
     pub fn not_run(&mut self, arrived: bool, retry_after_millis: u32) {
-        if !arrived {
+        if arrived {
+            self.refusals += 1;
+        } else {
             self.arrivals = self.arrivals.saturating_sub(1);
         }
         let longest = self.retry_after_millis.unwrap_or(0).max(retry_after_millis);
         self.retry_after_millis = Some(longest);
     }
 
+    /// Returns the back ends that may have run the request.
+    pub const fn runs(&self) -> u32 {
+        self.arrivals - self.refusals
+    }
+
     pub fn current(&self) -> Option<(LinkId, Sequence)> {
         self.current.map(|attempt| (attempt.link, attempt.sequence))
     }
--- a/crates/rillgap-forward/src/outbound/results.rs
+++ b/crates/rillgap-forward/src/outbound/results.rs
@@ -4,7 +4,7 @@
 use rillgap_core::time::Instant;
 
 use super::request::RequestKey;
-use super::{MOST_MOVES, Outbound, OutboundContext};
+use super::{MOST_FREE_MOVES, MOST_MOVES, Outbound, OutboundContext};
 use crate::action::Action;
 use crate::message::{ForwardResult, ForwardedAnswer};
 use crate::note::Note;
@@ -74,7 +74,8 @@
             return;
         };
         request.not_run(arrived, retry_after_millis);
-        let moves_left = request.moves < MOST_MOVES;
+        let most_moves = if arrived { MOST_MOVES } else { MOST_FREE_MOVES };
+        let moves_left = request.moves < most_moves;
         // A queue that is full here is likely to be short elsewhere; a deadline that cannot be
         // met is not.
         let worth_moving = code != ResultCode::DeadlineUnmet || request.is_call;
@@ -122,13 +123,15 @@
         // An attempt that is under way may be running: only the other node's word ends that.
         let has_not_run = !request.may_have_run && request.current().is_none();
         let may_run_again = request.route.is_idempotent() || has_not_run;
-        let attempts_left = request.arrivals < request.route.max_attempts;
+        // A back end that has refused to run the request does not count.
+        let attempts_left = request.runs() < request.route.max_attempts;
         if !has_time || !may_run_again || !attempts_left {
             return false;
         }
         let service = request.forwarded.service.clone();
+        let level = request.forwarded.level;
         let nodes = context.directory.len() + 1;
-        self.budget.try_spend(now, &service, nodes)
+        self.budget.try_spend(now, &service, nodes, level)
     }
 
     pub(super) fn has_other_target(&self, key: RequestKey, context: &OutboundContext<'_>) -> bool {
--- a/crates/rillgap-forward/src/retry_budget.rs
+++ b/crates/rillgap-forward/src/retry_budget.rs
@@ -9,8 +9,10 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
+use rillgap_core::admission::Level;
 use rillgap_core::time::Instant;
 
+use crate::retry_demand::RetryDemand;
 use crate::settings::RetryBound;
 
 /// Slices of the window.
@@ -30,13 +32,53 @@
     repeats: u32,
 }
 
+/// Time for which the budget that is left is to last while more repeats are wanted than it pays for:
+/// half of the window.
+const HORIZON_SHARE: f64 = 0.5;
+
+/// Requests and repeats of one service within the window.
+#[derive(Clone, Debug, Default)]
+struct ServiceBudget {
+    slices: VecDeque<Slice>,
+    demand: RetryDemand,
+}
+
+impl ServiceBudget {
+    /// Returns the slice of this number, after those that left the window were dropped.
+    fn current(&mut self, number: u64) -> &mut Slice {
+        let slices = &mut self.slices;
+        while slices
+            .front()
+            .is_some_and(|slice| slice.number + u64::from(SLICES) < number)
+        {
+            slices.pop_front();
+        }
+        if slices.back().is_none_or(|slice| slice.number != number) {
+            slices.push_back(Slice {
+                number,
+                ..Slice::default()
+            });
+        }
+        let last = slices.len() - 1;
+        &mut slices[last]
+    }
+
+    /// Returns the repeats that are left, by the ratio of repeats to requests.
+    fn left(&self, ratio: f64) -> f64 {
+        let requests: u32 = self.slices.iter().map(|slice| slice.requests).sum();
+        let repeats: u32 = self.slices.iter().map(|slice| slice.repeats).sum();
+        f64::from(requests) * ratio - f64::from(repeats)
+    }
+}
+
 /// Repeats of one node, by service.
 #[derive(Clone, Debug)]
 pub struct RetryBudget {
     ratio: f64,
     slack: f64,
     slice: Duration,
-    services: BTreeMap<String, VecDeque<Slice>>,
+    horizon: Duration,
+    services: BTreeMap<String, ServiceBudget>,
 }
 
 impl RetryBudget {
@@ -46,6 +88,7 @@
             ratio: bound.ratio * SHARE,
             slack: f64::from(bound.slack),
             slice: bound.window / SLICES,
+            horizon: bound.window.mul_f64(HORIZON_SHARE),
             services: BTreeMap::new(),
         }
     }
@@ -60,46 +103,40 @@
         self.current(now, service).repeats += 1;
     }
 
-    /// Takes one repeat out of the budget of a node among so many; returns whether there was one.
-    pub fn try_spend(&mut self, now: Instant, service: &str, nodes: usize) -> bool {
-        self.current(now, service);
+    /// Takes one repeat, for a chain whose root has this level, out of the budget of a node among so
+    /// many; returns whether there was one for it.
+    pub fn try_spend(&mut self, now: Instant, service: &str, nodes: usize, level: Level) -> bool {
         let ratio = self.ratio;
+        let horizon = self.horizon.as_secs_f64();
         let floor = (self.slack * FLOOR_SHARE / nodes.max(1) as f64).min(MOST_FLOOR);
-        let Some(slices) = self.services.get_mut(service) else {
+        let number = self.slice_number(now);
+        let budget = self.service(service);
+        budget.current(number);
+        let left = budget.left(ratio) + floor;
+        budget.demand.count(level);
+        let is_preferred = level >= budget.demand.floor(now, left.max(0.0) / horizon);
+        if left < 1.0 || !is_preferred {
             return false;
-        };
-        let requests: u32 = slices.iter().map(|slice| slice.requests).sum();
-        let repeats: u32 = slices.iter().map(|slice| slice.repeats).sum();
-        if f64::from(repeats) + 1.0 > f64::from(requests) * ratio + floor {
-            return false;
-        }
-        if let Some(slice) = slices.back_mut() {
-            slice.repeats += 1;
         }
+        budget.current(number).repeats += 1;
         true
     }
 
-    /// Returns the slice of `now`, after those that left the window were dropped.
     fn current(&mut self, now: Instant, service: &str) -> &mut Slice {
-        let length = u64::try_from(self.slice.as_micros()).unwrap_or(u64::MAX);
-        let number = now.as_micros() / length.max(1);
+        let number = self.slice_number(now);
+        self.service(service).current(number)
+    }
+
+    fn service(&mut self, service: &str) -> &mut ServiceBudget {
         if !self.services.contains_key(service) {
-            self.services.insert(service.to_owned(), VecDeque::new());
-        }
-        let slices = self.services.entry(service.to_owned()).or_default();
-        while slices
-            .front()
-            .is_some_and(|slice| slice.number + u64::from(SLICES) < number)
-        {
-            slices.pop_front();
+            self.services
+                .insert(service.to_owned(), ServiceBudget::default());
         }
-        if slices.back().is_none_or(|slice| slice.number != number) {
-            slices.push_back(Slice {
-                number,
-                ..Slice::default()
-            });
-        }
-        let last = slices.len() - 1;
-        &mut slices[last]
+        self.services.entry(service.to_owned()).or_default()
+    }
+
+    fn slice_number(&self, now: Instant) -> u64 {
+        let length = u64::try_from(self.slice.as_micros()).unwrap_or(u64::MAX);
+        now.as_micros() / length.max(1)
     }
 }
--- a/crates/rillgap-forward/tests/outbound.rs
+++ b/crates/rillgap-forward/tests/outbound.rs
@@ -35,6 +35,16 @@
     test
 }
 
+/// The same with so many peers.
+fn entry_with_peers(count: u8) -> TestNode {
+    let mut test = TestNode::configured("logbok");
+    for number in 0..count {
+        test.connect(&format!("peer-{number}"), 10 + number, SERVICE);
+    }
+    test.actions.clear();
+    test
+}
+
 fn has_retry_after(fields: &[u8]) -> bool {
     String::from_utf8_lossy(fields).contains("Retry-After: ")
 }
@@ -102,6 +112,23 @@
     expect_that!(has_retry_after(&test.answers()[0].fields), eq(true));
 }
 
+#[gtest]
+fn back_end_that_refuses_to_run_a_request_does_not_count_as_an_attempt() {
+    let mut test = entry_with_peers(6);
+    for number in 0..40 {
+        let id = format!("earlier-{number}");
+        test.request(100 + number, caller_request(&id, "/safe/1"));
+        test.respond(ForwardResult::Answered(answer(200)));
+    }
+    test.actions.clear();
+    // The route allows three attempts.
+    test.request(0, caller_request("a", "/safe/1"));
+    for _ in 0..3 {
+        test.respond(not_run(true));
+    }
+    expect_that!(test.sent().len(), eq(4));
+}
+
 #[gtest]
 fn refusal_after_a_try_of_unknown_fate_promises_nothing() {
     let mut test = entry();
--- a/crates/rillgap-forward/tests/policies.rs
+++ b/crates/rillgap-forward/tests/policies.rs
@@ -6,10 +6,12 @@
 use std::time::Duration;
 
 use googletest::prelude::*;
+use rillgap_core::admission::Level;
 use rillgap_forward::balancer::{Balancer, Candidate};
 use rillgap_forward::configuration::{
     Configuration, Repeatability, Route, RouteTable, WeightedService,
 };
+use rillgap_forward::message::{TIERS, level_of};
 use rillgap_forward::retry_budget::RetryBudget;
 use rillgap_forward::settings::RetryBound;
 use support::{HOST, TestNode, at, caller_request, configuration, route, settings};
@@ -168,6 +170,9 @@
     }
 }
 
+/// Level of a root that is shed last.
+const HIGHEST: Level = Level(Level::PER_TIER * TIERS as u32 - 1);
+
 /// Nodes of a small deployment.
 const NODES: usize = 12;
 
@@ -184,7 +189,7 @@
         .map(|_| {
             let mut budget = RetryBudget::new(bound);
             (0..10)
-                .filter(|_| budget.try_spend(at(0), "takst", 73))
+                .filter(|_| budget.try_spend(at(0), "takst", 73, HIGHEST))
                 .count()
         })
         .sum();
@@ -194,14 +199,14 @@
     for _ in 0..20 {
         budget.count_request(at(0), "takst");
     }
-    expect_that!(budget.try_spend(at(1), "takst", 73), eq(true));
+    expect_that!(budget.try_spend(at(1), "takst", 73, HIGHEST), eq(true));
 }
 
 #[gtest]
 fn retry_budget_follows_the_requests_of_the_window() {
     let mut budget = RetryBudget::new(settings("own", "logbok").retry_bound);
     let spend = |budget: &mut RetryBudget, now| {
-        let spent = (0..100).filter(|_| budget.try_spend(now, "takst", NODES));
+        let spent = (0..100).filter(|_| budget.try_spend(now, "takst", NODES, HIGHEST));
         spent.count()
     };
     expect_that!(spend(&mut budget, at(0)), eq(1));
@@ -220,5 +225,38 @@
         budget.count_request(at(0), "takst");
         budget.spend(at(0), "takst");
     }
-    expect_that!(budget.try_spend(at(1), "takst", NODES), eq(false));
+    expect_that!(budget.try_spend(at(1), "takst", NODES, HIGHEST), eq(false));
+}
+
+#[gtest]
+fn repeats_go_to_the_same_chains_while_too_few_can_be_paid() {
+    let mut budget = RetryBudget::new(settings("own", "logbok").retry_bound);
+    for _ in 0..2_000 {
+        budget.count_request(at(0), "takst");
+    }
+    // 100 repeats are left for 5 s; 200 a second are wanted, by roots of all levels of a tier.
+    let tier = Level::tier_floor(5).0;
+    let mut paid: Vec<u32> = Vec::new();
+    for step in 0..800_u32 {
+        let level = level_of(2, &format!("root-{step}"));
+        let now = at(u64::from(step) * 5);
+        if step >= 100 && budget.try_spend(now, "takst", NODES, level) {
+            paid.push(level.0 - tier);
+        }
+    }
+    expect_that!(paid.len(), ge(60));
+    // The first ones show how much is wanted.
+    let late = &paid[30..];
+    expect_that!(late.iter().min(), some(ge(&(Level::PER_TIER * 3 / 4))));
+}
+
+#[gtest]
+fn repeats_are_paid_whatever_the_level_while_there_are_enough() {
+    let mut budget = RetryBudget::new(settings("own", "logbok").retry_bound);
+    for _ in 0..2_000 {
+        budget.count_request(at(0), "takst");
+    }
+    let paid =
+        (0..20_u64).filter(|step| budget.try_spend(at(step * 100), "takst", NODES, Level(0)));
+    expect_that!(paid.count(), eq(20));
 }
