Tenants: the priority of the route decides between requests of tenants of one priority

Cause: on the shifted deployment 78 of 84 tenants have priority 1, which goes before that of the route. So bookings (route 0) and fare tables (route 2) of nearly all callers stood in one tier, and were shed alike.

Change: three tiers for each priority: requests on routes more urgent than the tenant, as urgent, less urgent. Where no tenant has a priority of its own nothing changes but the numbers of the tiers.

Ruled out: bands within a tier (the controller takes the demand of a tier as evenly spread).

--- a/crates/rillgap-forward/src/message.rs
+++ b/crates/rillgap-forward/src/message.rs
@@ -1,5 +1,6 @@
 //! Messages between nodes.
 
+use std::cmp::Ordering;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -11,21 +12,37 @@
 use crate::freshness::QueryNumber;
 use crate::id::Sequence;
 
-/// Tier of admission levels that the highest priority, 0, belongs to. All priorities from this number
-/// on share the lowest tier.
-const HIGHEST_TIER: u8 = 7;
+/// Lowest priority that is told apart; all beyond it are treated like it. 0 is the highest.
+const LOWEST_PRIORITY: u8 = 7;
+/// Tiers of admission levels for each priority: where the priority is the tenant's, requests on
+/// routes of a higher priority than that come first, and those on routes of a lower one last.
+const TIERS_PER_PRIORITY: u8 = 3;
+/// Tier of the requests that are shed last.
+const HIGHEST_TIER: u8 = (LOWEST_PRIORITY + 1) * TIERS_PER_PRIORITY - 1;
 /// Number of tiers.
 pub const TIERS: usize = HIGHEST_TIER as usize + 1;
 
-/// Returns the admission level of a caller's request.
+/// Returns the admission level of a caller's request on a route of this priority.
 pub fn level_of(priority: u8, request_id: &str) -> Level {
-    let tier = HIGHEST_TIER.saturating_sub(priority);
+    level_for_tenant(priority, priority, request_id)
+}
+
+/// Returns the admission level of a request of a tenant that has a priority of its own, which goes
+/// before that of the route.
+pub fn level_for_tenant(tenant_priority: u8, route_priority: u8, request_id: &str) -> Level {
+    let priority = tenant_priority.min(LOWEST_PRIORITY);
+    let behind = match route_priority.cmp(&tenant_priority) {
+        Ordering::Less => 0,
+        Ordering::Equal => 1,
+        Ordering::Greater => 2,
+    };
+    let tier = HIGHEST_TIER - priority * TIERS_PER_PRIORITY - behind;
     Level::in_tier(tier, request_id.as_bytes())
 }
 
 /// Returns the priority that the requests of a level have.
 pub const fn priority_of(level: Level) -> u8 {
-    HIGHEST_TIER.saturating_sub(level.tier())
+    HIGHEST_TIER.saturating_sub(level.tier()) / TIERS_PER_PRIORITY
 }
 
 /// Returns the tier of the requests that have a rank in a queue.
--- a/crates/rillgap-forward/src/outbound/mod.rs
+++ b/crates/rillgap-forward/src/outbound/mod.rs
@@ -30,7 +30,7 @@
 use crate::id::{ConnectionId, LinkId, Sequence, Turn};
 use crate::inbound::{CallNews, CallProgress, Inbound};
 use crate::message::{
-    ForwardResponse, ForwardResult, ForwardedRequest, ServiceLevel, Status, level_of,
+    ForwardResponse, ForwardResult, ForwardedRequest, ServiceLevel, Status, level_for_tenant,
 };
 use crate::note::Note;
 use crate::rate_limit::entry::EntryTokens;
@@ -361,11 +361,12 @@
         };
         let tenant_priority = tenant.as_ref().and_then(|tenant| tenant.priority);
         let priority = tenant_priority.unwrap_or(route.priority);
+        let own_level = level_for_tenant(priority, route.priority, &caller.request_id);
         let is_call = origin != Origin::Caller;
         let service = self.weights.choose(&route).to_owned();
         self.budget.count_request(now, &service);
         let (level, is_repeat) = match origin {
-            Origin::Caller => (level_of(priority, &caller.request_id), false),
+            Origin::Caller => (own_level, false),
             Origin::BackEnd { level, is_repeat } => (level, is_repeat),
         };
         if !is_call && !self.admission.admits(now, &route.name, &service, level) {
--- a/crates/rillgap-forward/tests/tenants.rs
+++ b/crates/rillgap-forward/tests/tenants.rs
@@ -13,7 +13,8 @@
 use rillgap_forward::freshness::QueryNumber;
 use rillgap_forward::id::LinkId;
 use rillgap_forward::message::{
-    FreshnessAnswer, LinkMessage, TokenAnswer, TokenQuery, TokenResult, priority_of,
+    FreshnessAnswer, LinkMessage, TokenAnswer, TokenQuery, TokenResult, level_for_tenant,
+    priority_of,
 };
 use rillgap_forward::node::Node;
 use rillgap_forward::note::Note;
@@ -151,6 +152,17 @@
     expect_that!(priority_of(level), eq(4));
 }
 
+#[gtest]
+fn priority_of_the_route_decides_between_requests_of_tenants_of_one_priority() {
+    let level = |tenant, route| level_for_tenant(tenant, route, "id");
+    expect_that!(level(1, 0), gt(level(1, 1)));
+    expect_that!(level(1, 1), gt(level(1, 2)));
+    // The tenant's goes first all the same.
+    expect_that!(level(0, 9), gt(level(1, 0)));
+    expect_that!(level(1, 9), gt(level(2, 0)));
+    expect_that!(level(200, 200), eq(level(7, 7)));
+}
+
 #[gtest]
 fn node_without_a_proof_refuses_known_and_unknown_keys_alike() {
     for key in [KEY, b"other"] {
