--- a/crates/rillgap-forward/tests/simulation/day.rs
+++ b/crates/rillgap-forward/tests/simulation/day.rs
@@ -26,6 +26,8 @@
     ForgottenDraining,
     /// The store shows its first configuration for ever.
     StaleConfiguration,
+    /// Nodes that own buckets give three times the tokens.
+    ManyTokens,
 }
 
 /// What a day came to.
@@ -51,6 +53,7 @@
     world.judge_configurations();
     let slack = f64::from(RETRY_BOUND.slack);
     world.judge.check_budget(RETRY_BOUND.ratio, slack);
+    world.judge.check_limit();
     let statuses = std::mem::take(&mut world.statuses);
     world
         .judge
--- a/crates/rillgap-forward/tests/simulation/judge.rs
+++ b/crates/rillgap-forward/tests/simulation/judge.rs
@@ -2,6 +2,8 @@
 
 use std::collections::BTreeMap;
 
+use crate::world::{Key, LIMIT, REVOCATION};
+
 /// Milliseconds after the acknowledgement of draining in which requests may still arrive.
 const DRAIN_MILLIS: u64 = 2_000;
 /// Milliseconds after a stored configuration by which every node in touch uses it.
@@ -9,12 +11,18 @@
 /// Milliseconds of a day after which the share served again is judged.
 const WINDOW_MILLIS: u64 = 10_000;
 
+/// Milliseconds over which a tenant's requests are summed.
+const LIMIT_WINDOW_MILLIS: u64 = 5_000;
+/// What a tenant may have beyond its limit, as a share and on top of that.
+const LIMIT_TOLERANCE: (f64, f64) = (0.1, 20.0);
+
 /// One request, as its caller and the back ends saw it.
 #[derive(Clone, Debug, Default)]
 struct Record {
     is_idempotent: bool,
     is_call: bool,
     sent_at: u64,
+    key: Option<Key>,
     runs: u32,
     promised: bool,
 }
@@ -25,6 +33,10 @@
     requests: BTreeMap<String, Record>,
     acknowledged: BTreeMap<String, u64>,
     arrivals: Vec<(u64, String, bool)>,
+    /// When each version of the configuration was stored.
+    stored: BTreeMap<u64, u64>,
+    /// When each request of the tenant with a limit that ran was sent, and when it ran.
+    limited: Vec<(u64, u64)>,
     /// What was broken.
     pub broken: Vec<String>,
     /// Requests of callers.
@@ -46,6 +58,18 @@
         self.asked += u64::from(!is_call);
     }
 
+    /// The caller of a request shows a key.
+    pub fn keyed(&mut self, id: &str, key: Key) {
+        if let Some(record) = self.requests.get_mut(id) {
+            record.key = Some(key);
+        }
+    }
+
+    /// The operator's configuration is accepted.
+    pub fn stored(&mut self, now: u64, version: u64) {
+        self.stored.insert(version, now);
+    }
+
     /// A back end begins to work on a request.
     pub fn ran(&mut self, now: u64, id: &str, instance: &str, service: &str) {
         let Some(record) = self.requests.get_mut(id) else {
@@ -54,6 +78,19 @@
         };
         record.runs += 1;
         let is_again = record.runs > 1;
+        match record.key {
+            Some(Key::OfVersion(version)) => {
+                let removed = self.stored.get(&(version + 1)).copied();
+                let bound = REVOCATION.as_millis() as u64;
+                if removed.is_some_and(|at| record.sent_at > at + bound) {
+                    self.broken.push(format!(
+                        "REVOKED {id} ran with the key of version {version}"
+                    ));
+                }
+            }
+            Some(Key::Limited) if !is_again => self.limited.push((record.sent_at, now)),
+            _ => {}
+        }
         self.arrivals.push((now, service.to_owned(), is_again));
         if record.runs > 1 && !record.is_idempotent {
             self.broken.push(format!("TWICE {id}"));
@@ -138,6 +175,25 @@
         }
     }
 
+    /// Judges the limit of the tenant that has one: requests that are sent and run within any window.
+    pub fn check_limit(&mut self) {
+        let (share, more) = LIMIT_TOLERANCE;
+        let seconds = LIMIT_WINDOW_MILLIS as f64 / 1_000.0;
+        let bound = (LIMIT.per_second * seconds + LIMIT.burst) * (1.0 + share) + more;
+        for (from, _) in &self.limited {
+            let to = from + LIMIT_WINDOW_MILLIS;
+            let within = self
+                .limited
+                .iter()
+                .filter(|(sent, ran)| sent >= from && *ran < to);
+            let count = within.count();
+            if count as f64 > bound {
+                self.broken.push(format!("LIMIT {count} from {from} on"));
+                return;
+            }
+        }
+    }
+
     /// Judges the recovery: the share served of what was sent from a moment on.
     pub fn check_recovery(&mut self, answered: &BTreeMap<String, u16>, from: u64, to: u64) {
         let late = self
--- a/crates/rillgap-forward/tests/simulation/main.rs
+++ b/crates/rillgap-forward/tests/simulation/main.rs
@@ -99,6 +99,18 @@
     expect_that!(broken, contains(starts_with("DRAIN")));
 }
 
+#[gtest]
+fn judge_catches_a_key_that_works_long_after_it_was_taken_away() {
+    let broken = broken_with(Planted::StaleConfiguration);
+    expect_that!(broken, contains(starts_with("REVOKED")));
+}
+
+#[gtest]
+fn judge_catches_a_tenant_beyond_its_limit() {
+    let broken = broken_with(Planted::ManyTokens);
+    expect_that!(broken, contains(starts_with("LIMIT")));
+}
+
 #[gtest]
 fn judge_catches_an_older_configuration() {
     let broken = broken_with(Planted::StaleConfiguration);
--- a/crates/rillgap-forward/tests/simulation/world/callers.rs
+++ b/crates/rillgap-forward/tests/simulation/world/callers.rs
@@ -44,6 +44,11 @@
         is_call: bool,
     ) -> ConnectionId {
         self.judge.sent(self.now, id, is_idempotent, is_call);
+        let key = (!is_call).then(|| self.draw_key());
+        if let Some(key) = key {
+            self.judge.keyed(id, key);
+        }
+        let credential = key.map_or(Credential::Absent, |key| Credential::Key(key.digest()));
         self.next_connection += 1;
         let connection = ConnectionId(self.next_connection);
         let request = CallerRequest {
@@ -53,7 +58,7 @@
             host: "h".to_owned(),
             fields: Vec::new(),
             body: Vec::new(),
-            credential: Credential::Absent,
+            credential,
             deadline: Some(Duration::from_millis(900)),
             parent_id: id.rsplit_once('.').map(|(parent, _)| parent.to_owned()),
         };
@@ -67,6 +72,15 @@
         connection
     }
 
+    /// Draws the key of a caller: mostly one that stays, sometimes one of this or an earlier version.
+    fn draw_key(&mut self) -> Key {
+        match self.draw(20) {
+            0 => Key::OfVersion(self.stored_version.saturating_sub(self.draw(3))),
+            1..=4 => Key::Limited,
+            _ => Key::Kept,
+        }
+    }
+
     pub(super) fn answer(&mut self, host: usize, connection: ConnectionId, answer: &CallerAnswer) {
         let entry = &mut self.hosts[host];
         if let Some(key) = entry.calls.remove(&connection) {
--- a/crates/rillgap-forward/tests/simulation/world/faults.rs
+++ b/crates/rillgap-forward/tests/simulation/world/faults.rs
@@ -58,6 +58,7 @@
                 if !self.store_down {
                     self.stored_version += 1;
                     self.stored_at = self.now;
+                    self.judge.stored(self.now, self.stored_version);
                     if self.planted != Planted::StaleConfiguration {
                         self.answer_all_watches();
                     }
--- a/crates/rillgap-forward/tests/simulation/world/links.rs
+++ b/crates/rillgap-forward/tests/simulation/world/links.rs
@@ -2,7 +2,9 @@
 
 use rillgap_forward::event::Event;
 use rillgap_forward::id::LinkId;
-use rillgap_forward::message::LinkMessage;
+use rillgap_forward::message::{LinkMessage, TokenResult};
+
+use crate::day::Planted;
 
 use super::*;
 
@@ -61,7 +63,10 @@
         self.at(self.now + 1, Happening::Node(host, run, event));
     }
 
-    pub(super) fn send(&mut self, host: usize, run: u32, link: LinkId, message: LinkMessage) {
+    pub(super) fn send(&mut self, host: usize, run: u32, link: LinkId, mut message: LinkMessage) {
+        if self.planted == Planted::ManyTokens {
+            multiply_tokens(&mut message);
+        }
         let Some(id) = self.by_link.get(&(host, run, link)).copied() else {
             return;
         };
@@ -127,3 +132,11 @@
         self.cut.contains(&one) || self.cut.contains(&other)
     }
 }
+
+fn multiply_tokens(message: &mut LinkMessage) {
+    if let LinkMessage::TokenAnswer(answer) = message
+        && let TokenResult::Granted { tokens, .. } = &mut answer.result
+    {
+        *tokens *= 3;
+    }
+}
--- a/crates/rillgap-forward/tests/simulation/world/mod.rs
+++ b/crates/rillgap-forward/tests/simulation/world/mod.rs
@@ -14,6 +14,7 @@
 use rand_chacha::rand_core::{Rng, SeedableRng};
 use rillgap_core::time::Instant;
 use rillgap_forward::action::Action;
+use rillgap_forward::configuration::RateLimit;
 use rillgap_forward::event::{Event, Heartbeat};
 use rillgap_forward::id::{ConnectionId, ExchangeId, LinkId};
 use rillgap_forward::message::{LinkMessage, NodeRecord};
@@ -38,11 +39,29 @@
     slack: 40,
     window: Duration::from_secs(10),
 };
+/// Time within which a key that was taken away must have stopped working.
+pub const REVOCATION: Duration = Duration::from_secs(5);
+/// Limit of one of the two tenants, which asks for more.
+pub const LIMIT: RateLimit = RateLimit {
+    per_second: 20.0,
+    burst: 20.0,
+};
 /// Milliseconds between two heartbeats.
 const HEARTBEAT: u64 = 1_500;
 /// Milliseconds for which a drained back end keeps serving.
 const DRAIN_SERVES: u64 = 3_500;
 
+/// Key that a caller shows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Key {
+    /// Of a tenant without a limit, in all versions.
+    Kept,
+    /// Of the same tenant, in one version only.
+    OfVersion(u64),
+    /// Of a tenant with a limit.
+    Limited,
+}
+
 /// Something that happens at a time.
 #[derive(Debug)]
 pub enum Happening {
--- a/crates/rillgap-forward/tests/simulation/world/setup.rs
+++ b/crates/rillgap-forward/tests/simulation/world/setup.rs
@@ -4,8 +4,9 @@
 use std::time::Duration;
 
 use rillgap_forward::configuration::{
-    CallerLimits, Configuration, Repeatability, Route, Service, WeightedService,
+    CallerLimits, Configuration, RateLimit, Repeatability, Route, Service, Tenant, WeightedService,
 };
+use rillgap_forward::credential::KeyDigest;
 use rillgap_forward::message::NodeRecord;
 use rillgap_forward::settings::ForwardSettings;
 
@@ -67,7 +68,23 @@
         heartbeat_interval: Duration::from_millis(HEARTBEAT),
         grace: Duration::from_secs(6),
         retry_bound: RETRY_BOUND,
-        revocation: None,
+        revocation: Some(REVOCATION),
+    }
+}
+
+fn tenant(name: &str, keys: &[Key], limit: Option<RateLimit>) -> Tenant {
+    Tenant {
+        name: name.to_owned(),
+        keys: keys.iter().map(Key::digest).collect(),
+        priority: None,
+        limit,
+    }
+}
+
+impl Key {
+    /// Returns the digest by which nodes know the key.
+    pub(super) fn digest(&self) -> KeyDigest {
+        KeyDigest::of(format!("{self:?}").as_bytes())
     }
 }
 
@@ -101,7 +118,10 @@
             route("/deep/", "deep", Repeatability::Idempotent, 1),
         ],
         services: services.to_vec(),
-        tenants: Vec::new(),
+        tenants: vec![
+            tenant("steady", &[Key::Kept, Key::OfVersion(version)], None),
+            tenant("limited", &[Key::Limited], Some(LIMIT)),
+        ],
         limits: CallerLimits::default(),
     }
 }
