Soak: callers show keys that change with each version

The nodes run with a bound on revocation; the judge knows the tenant that a request belongs to, that no credential reaches a back end, and that a key stops working 5 s after it was taken away. Each of the three is shown to catch a planted break in tests/judge.rs. The soak itself was not run on this commit.

--- a/tests/soak/src/back_end.rs
+++ b/tests/soak/src/back_end.rs
@@ -155,6 +155,8 @@
             target: &request.target,
             body: &request.body,
             caller_service: request.fields.get("Caller-Service").unwrap_or_default(),
+            tenant: request.fields.get("Tenant"),
+            shows_credential: request.fields.get("Authorization").is_some(),
             service: Layout::service(self.node),
             instance: &self.instance,
         };
--- a/tests/soak/src/caller.rs
+++ b/tests/soak/src/caller.rs
@@ -21,6 +21,9 @@
 /// Versions whose routes stand at the same time.
 pub const STANDING_VERSIONS: u64 = 3;
 
+/// One of so many requests shows a key that was taken away.
+const OLD_KEY_ODDS: u64 = 20;
+
 /// A request to be sent.
 #[derive(Clone, Debug)]
 pub struct Outgoing {
@@ -53,6 +56,7 @@
         None => connect(soak, node).await.ok()?,
     };
     let run = soak.run_of(node);
+    let key_version = (!outgoing.is_call).then(|| draw_key_version(soak));
     let sent = Sent {
         at: soak.now(),
         node,
@@ -61,13 +65,14 @@
         body: outgoing.body.clone(),
         is_idempotent: outgoing.is_idempotent,
         caller_service: Layout::service(node),
+        key_version,
     };
     let sent_at = sent.at;
     let service = service_of(&outgoing.target);
     soak.judge()
         .sent(&outgoing.id, sent, service, outgoing.is_call);
     let limit = outgoing.deadline + PATIENCE;
-    let talk = tokio::time::timeout(limit, talk(&mut connection, outgoing));
+    let talk = tokio::time::timeout(limit, talk(&mut connection, outgoing, key_version));
     let Ok(Ok(response)) = talk.await else {
         let now = soak.now();
         soak.judge()
@@ -88,14 +93,36 @@
     Ok(Connection::new(stream))
 }
 
-async fn talk(connection: &mut Connection, outgoing: &Outgoing) -> io::Result<Response> {
-    let fields = [
+/// Returns the key that the tenant goes over to with a version of the configuration.
+pub fn key_of(version: u64) -> String {
+    format!("key-of-version-{version}")
+}
+
+/// Draws whose key a caller shows: mostly that of the version in force, sometimes of one before.
+fn draw_key_version(soak: &Arc<Soak>) -> u64 {
+    let newest = soak.version.load(Ordering::SeqCst);
+    match soak.draw(OLD_KEY_ODDS) {
+        0 => newest.saturating_sub(1 + soak.draw(2)),
+        _ => newest,
+    }
+}
+
+async fn talk(
+    connection: &mut Connection,
+    outgoing: &Outgoing,
+    key_version: Option<u64>,
+) -> io::Result<Response> {
+    let mut fields = vec![
         ("Host", HOST.to_owned()),
         ("Attempt-Id", outgoing.id.clone()),
         ("Deadline-Ms", outgoing.deadline.as_millis().to_string()),
         // Whatever is claimed here must not be believed.
         ("Caller-Service", "forged".to_owned()),
+        ("Tenant", "forged".to_owned()),
     ];
+    if let Some(version) = key_version {
+        fields.push(("Authorization", format!("Token {}", key_of(version))));
+    }
     let bytes = encode_request(outgoing.method, &outgoing.target, &fields, &outgoing.body);
     connection.write(&bytes).await?;
     connection.read_response().await
--- a/tests/soak/src/deployment.rs
+++ b/tests/soak/src/deployment.rs
@@ -25,6 +25,10 @@
 pub const RETRY_RATIO: f64 = 0.2;
 /// Repeats on top of that share.
 pub const RETRY_SLACK: f64 = 55.0;
+/// Tenant that all callers belong to.
+pub const TENANT: &str = "north";
+/// Time within which a key that was taken away must have stopped working.
+pub const REVOCATION: Duration = Duration::from_secs(5);
 /// Window of the two.
 pub const RETRY_WINDOW: Duration = Duration::from_secs(10);
 /// Most memory of a node, in kilobytes.
@@ -134,6 +138,7 @@
 retry-ratio = {RETRY_RATIO}
 retry-slack = {RETRY_SLACK:?}
 retry-window-seconds = {window}
+revocation-seconds = {revocation}
 
 [log]
 success-sample = 1
@@ -150,6 +155,7 @@
             store = self.store(node).1,
             grace = GRACE.as_secs(),
             window = RETRY_WINDOW.as_secs(),
+            revocation = REVOCATION.as_secs(),
         )
     }
 }
--- a/tests/soak/src/judge.rs
+++ b/tests/soak/src/judge.rs
@@ -5,7 +5,9 @@
 
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::deployment::{APPLY_TIME, DRAIN_TIME, RETRY_RATIO, RETRY_SLACK, RETRY_WINDOW};
+use crate::deployment::{
+    APPLY_TIME, DRAIN_TIME, RETRY_RATIO, RETRY_SLACK, RETRY_WINDOW, REVOCATION, TENANT,
+};
 
 /// Violations that are kept; more are only counted.
 const MOST_VIOLATIONS: usize = 40;
@@ -34,6 +36,8 @@
     pub is_idempotent: bool,
     /// Service of the machine on which it began.
     pub caller_service: &'static str,
+    /// Version of the configuration that holds its key; `None` for a call, which shows none.
+    pub key_version: Option<u64>,
 }
 
 /// A run of a request at a back end.
@@ -67,6 +71,10 @@
     pub body: &'a [u8],
     /// Service that the request is said to come from.
     pub caller_service: &'a str,
+    /// Tenant that the request is said to belong to.
+    pub tenant: Option<&'a str>,
+    /// Whether the caller's credential has been passed on.
+    pub shows_credential: bool,
     /// Service of the back end.
     pub service: &'static str,
     /// Incarnation of the back end.
@@ -196,6 +204,7 @@
         self.judge_content(at, arrived);
         self.judge_route(at, arrived);
         self.judge_drain(at, arrived);
+        self.judge_key(at, arrived);
         let fate = self.fates.entry(arrived.id.to_owned()).or_default();
         let is_idempotent = fate.sent.as_ref().is_none_or(|sent| sent.is_idempotent);
         fate.runs.push(Run {
@@ -371,6 +380,10 @@
             Some(sent) if sent.target != arrived.target => Some("target changed"),
             Some(sent) if sent.body != arrived.body => Some("body changed"),
             Some(sent) if sent.caller_service != arrived.caller_service => Some("other caller"),
+            Some(_) if arrived.shows_credential => Some("credential passed on"),
+            Some(sent) if arrived.tenant != sent.key_version.map(|_| TENANT) => {
+                Some("other tenant")
+            }
             Some(_) => None,
         };
         if let Some(fault) = fault {
@@ -391,6 +404,22 @@
         }
     }
 
+    /// A key stands in one version and must have stopped working some time after the next one.
+    fn judge_key(&mut self, at: Moment, arrived: &Arrived<'_>) {
+        let fate = self.fates.get(arrived.id);
+        let Some(sent) = fate.and_then(|fate| fate.sent.as_ref()) else {
+            return;
+        };
+        let Some(version) = sent.key_version else {
+            return;
+        };
+        let removed = self.accepted.get(&(version + 1)).copied();
+        if removed.is_some_and(|moment| moment + REVOCATION < sent.at) {
+            let text = format!("REVOKED {} ran with a key of version {version}", arrived.id);
+            self.violate(at, &text);
+        }
+    }
+
     fn judge_drain(&mut self, at: Moment, arrived: &Arrived<'_>) {
         let acknowledged = self.drained.get(arrived.instance).copied();
         if acknowledged.is_some_and(|moment| moment + DRAIN_TIME < at) {
--- a/tests/soak/src/operator.rs
+++ b/tests/soak/src/operator.rs
@@ -5,8 +5,8 @@
 
 use serde_json::{Value, json};
 
-use crate::caller::{STANDING_VERSIONS, VERSION_SERVICE};
-use crate::deployment::{HOST, SERVICES};
+use crate::caller::{STANDING_VERSIONS, VERSION_SERVICE, key_of};
+use crate::deployment::{HOST, SERVICES, TENANT};
 use crate::soak::Soak;
 
 /// Writes the next version; it is accepted when this returns.
@@ -30,6 +30,14 @@
             "spec": {"health-path": "/health", "max-connections": 400},
         }));
     }
+    // Callers go over to the key of a version once that is accepted. It already stands in the version
+    // before, since not all nodes know the newest one yet.
+    let keys = [key_of(version), key_of(version + 1)];
+    resources.push(json!({
+        "type": "tenants",
+        "metadata": {"name": TENANT},
+        "spec": {"api-keys": keys},
+    }));
     resources.push(json!({
         "type": "limits",
         "metadata": {"name": "limits"},
--- a/tests/soak/tests/judge.rs
+++ b/tests/soak/tests/judge.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use googletest::prelude::*;
+use rillgap_soak::deployment::TENANT;
 use rillgap_soak::judge::{Answer, Arrived, Judge, Sent, body_of, prefix_of, signature_of};
 
 const INSTANCE: &str = "b1-1";
@@ -20,6 +21,7 @@
         body: Vec::new(),
         is_idempotent,
         caller_service: "middle",
+        key_version: None,
     }
 }
 
@@ -30,6 +32,8 @@
         target: "/front/calls",
         body: b"",
         caller_service: "middle",
+        tenant: None,
+        shows_credential: false,
         service: "front",
         instance: INSTANCE,
     }
@@ -275,3 +279,45 @@
     expect_that!(prefix_of("/v12/plain?n=1"), eq("/v12/"));
     expect_that!(prefix_of("/none"), eq("/none"));
 }
+
+/// Lets a request with the key of a version run `millis` after the next version was accepted.
+fn run_with_old_key(millis: u64) -> Judge {
+    let mut judge = judge();
+    judge.accepted(at(1_000), 8);
+    let keyed = Sent {
+        key_version: Some(7),
+        ..sent(1_000 + millis, true)
+    };
+    judge.sent("r1", keyed, "front", false);
+    let arrived = Arrived {
+        tenant: Some(TENANT),
+        ..arrived("r1")
+    };
+    judge.runs(at(1_010 + millis), &arrived);
+    judge
+}
+
+#[gtest]
+fn key_that_works_long_after_it_was_taken_away_is_caught() {
+    expect_that!(kinds(&run_with_old_key(4_900)), is_empty());
+    let expected = vec!["REVOKED".to_owned()];
+    expect_that!(kinds(&run_with_old_key(5_100)), eq(&expected));
+}
+
+#[gtest]
+fn other_tenant_and_passed_on_credential_are_caught() {
+    let forged = Arrived {
+        tenant: Some("forged"),
+        ..arrived("r1")
+    };
+    let leaking = Arrived {
+        shows_credential: true,
+        ..arrived("r1")
+    };
+    for arrived in [forged, leaking] {
+        let mut judge = judge();
+        judge.sent("r1", sent(0, true), "front", false);
+        judge.runs(at(1), &arrived);
+        expect_that!(kinds(&judge), eq(&vec!["UNASKED".to_owned()]));
+    }
+}
