--- /dev/null
+++ b/crates/rillgap-forward/src/directory/owners.rs
@@ -0,0 +1,97 @@
+//! Who owns the buckets of tenants' tokens, as this node sees its peers.
+
+use std::time::Duration;
+
+use rillgap_core::time::Instant;
+
+use super::{Directory, PeerIndex};
+use crate::peer::Peer;
+use crate::rate_limit::ownership::{Owner, TenantHash};
+use crate::watch_duty;
+
+/// Silence after which a linked peer does not count as heard: longer than the time between two of its
+/// reports.
+const HEARD_LATELY: Duration = Duration::from_millis(3_500);
+
+impl Directory {
+    /// Takes in which tenants have a limit.
+    pub fn set_limited(&mut self, tenants: Vec<TenantHash>) {
+        self.limited = tenants;
+        self.is_subset_due = true;
+    }
+
+    /// Takes in that requests come of a tenant with a limit: its owner is needed.
+    pub fn use_tenant(&mut self, tenant: TenantHash) {
+        self.is_subset_due |= self.in_use.insert(tenant);
+    }
+
+    /// Returns the owner of a tenant's bucket. `offers_since` is since when this node offers to own
+    /// buckets.
+    pub fn bucket_owner(&self, tenant: TenantHash, offers_since: Option<Instant>) -> Owner {
+        let own_rank = tenant.rank(watch_duty::place(&self.own_name));
+        let mut best: Option<(u64, PeerIndex)> = None;
+        let mut since = offers_since;
+        for (index, peer) in self.peers.iter().enumerate() {
+            let rank = tenant.rank(peer.name_hash());
+            if peer.may_own_buckets() {
+                if best.is_none_or(|(best, _)| best < rank) {
+                    best = Some((rank, PeerIndex(index)));
+                }
+            } else if rank > own_rank {
+                since = since.map(|since| since.max(peer.away_since()));
+            }
+        }
+        match (best, since) {
+            (Some((rank, index)), _) if rank > own_rank || since.is_none() => {
+                match self.peer(index).open_link() {
+                    Some(link) => Owner::Peer(index, link),
+                    None => Owner::Unlinked(index),
+                }
+            }
+            (_, Some(since)) => Owner::Own { since },
+            _ => Owner::Nobody,
+        }
+    }
+
+    /// Takes in that a query is sent to a peer whose answer is awaited.
+    pub fn query_sent(&mut self, now: Instant, index: PeerIndex) {
+        self.peers[index.0].query_sent(now);
+    }
+
+    /// Returns whether the node hears of most of the peers that it wants links to: one that is cut off
+    /// from the others does not.
+    pub fn hears_most(&self, now: Instant) -> bool {
+        let mut wanted = 0;
+        let mut heard = 0;
+        for peer in self.peers.iter().filter(|peer| peer.is_wanted) {
+            wanted += 1;
+            let is_heard = now.saturating_since(peer.heard_at) < HEARD_LATELY;
+            heard += usize::from(peer.open_link().is_some() && is_heard);
+        }
+        heard * 2 >= wanted
+    }
+
+    /// Marks the peers that tenants' buckets need links to: owners of those whose requests come in here,
+    /// those that would own a bucket before this node does, and the one that follows it.
+    pub(super) fn want_owners(&mut self) {
+        let own = watch_duty::place(&self.own_name);
+        for tenant in self.limited.iter().copied() {
+            let is_used = self.in_use.contains(&tenant);
+            let own_rank = tenant.rank(own);
+            let rank = |peer: &Peer| tenant.rank(peer.name_hash());
+            let candidates = self.peers.iter().filter(|peer| peer.may_own_buckets());
+            let owner = candidates.map(rank).max().unwrap_or(0);
+            let may_follow = own_rank > owner;
+            // Nobody between: this node owns the bucket next.
+            let mut others = self.peers.iter().filter(|peer| peer.may_own_buckets());
+            let is_next = !others.any(|peer| rank(peer) < owner && rank(peer) > own_rank);
+            if !(is_used || may_follow || is_next) {
+                continue;
+            }
+            for peer in &mut self.peers {
+                let rank = tenant.rank(peer.name_hash());
+                peer.is_wanted |= rank >= owner && rank > 0;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/rillgap-forward/src/outbound/intake.rs
@@ -0,0 +1,123 @@
+//! What is checked before a request is sent anywhere.
+
+use std::sync::Arc;
+
+use rillgap_core::admission::Level;
+use rillgap_core::code::ResultCode;
+use rillgap_core::time::Instant;
+
+use super::request::Request;
+use super::tenancy::{self, Refusal};
+use super::{NO_BACK_END_MILLIS, Origin, Outbound, OutboundContext, THROTTLED_MILLIS};
+use crate::configuration::{Route, RouteTable, Tenant};
+use crate::event::CallerRequest;
+use crate::message::{ForwardedRequest, level_for_tenant};
+
+/// What the configuration says of a request.
+struct Known<'a> {
+    table: &'a RouteTable,
+    route: Arc<Route>,
+    tenant: Option<Arc<Tenant>>,
+}
+
+impl Outbound {
+    /// Checks a request and finds its tenant, route and service.
+    pub(super) fn prepare(
+        &mut self,
+        now: Instant,
+        caller: CallerRequest,
+        origin: Origin,
+        context: &OutboundContext<'_>,
+    ) -> Result<Request, (Box<CallerRequest>, Refusal)> {
+        let known = match look_up(&caller, origin, context) {
+            Ok(known) => known,
+            Err(refusal) => return Err((Box::new(caller), refusal)),
+        };
+        let Known {
+            table,
+            route,
+            tenant,
+        } = known;
+        let service = self.weights.choose(&route).to_owned();
+        self.budget.count_request(now, &service);
+        let (level, is_repeat) = match origin {
+            Origin::Caller => (level_of_caller(&caller, &route, tenant.as_deref()), false),
+            Origin::BackEnd { level, is_repeat } => (level, is_repeat),
+        };
+        let is_call = origin != Origin::Caller;
+        if !is_call && !self.admission.admits(now, &route.name, &service, level) {
+            let refusal = Refusal::after(ResultCode::Overloaded, THROTTLED_MILLIS);
+            return Err((Box::new(caller), refusal));
+        }
+        if is_repeat {
+            self.budget.spend(now, &service);
+        }
+        let timeout = caller
+            .deadline
+            .map_or(route.timeout(), |deadline| deadline.min(route.timeout()));
+        let parent_id = caller.parent_id.filter(|_| is_call);
+        let forwarded = ForwardedRequest {
+            request_id: caller.request_id,
+            method: caller.method,
+            target: caller.target,
+            fields: caller.fields,
+            body: caller.body,
+            caller_service: self.own_service.clone(),
+            service,
+            route: route.name.clone(),
+            is_idempotent: route.is_idempotent(),
+            tenant: tenant.as_ref().map(|tenant| tenant.name.clone()),
+            level,
+            is_call,
+            is_repeat,
+            remaining_micros: 0,
+            queue_limit_micros: 0,
+        };
+        let mut request = Request::new(
+            now,
+            now + timeout,
+            route,
+            parent_id,
+            table.version(),
+            Arc::new(forwarded),
+        );
+        let limited = tenant.filter(|tenant| tenant.limit.is_some());
+        request.limited_tenant = limited.map(|tenant| tenant.name.clone());
+        Ok(request)
+    }
+}
+
+/// Finds what the configuration says of a request.
+fn look_up<'a>(
+    caller: &CallerRequest,
+    origin: Origin,
+    context: &OutboundContext<'a>,
+) -> Result<Known<'a>, Refusal> {
+    let is_refused = context.refuses_callers && origin == Origin::Caller;
+    if context.is_exiting || is_refused {
+        return Err(Refusal::new(ResultCode::NodeStopping));
+    }
+    let Some(table) = context.table else {
+        return Err(Refusal::after(ResultCode::NotReady, NO_BACK_END_MILLIS));
+    };
+    let Some(route) = table.lookup(&caller.host, &caller.target) else {
+        return Err(Refusal::new(ResultCode::UnknownRoute));
+    };
+    if caller.request_id.is_empty() {
+        return Err(Refusal::new(ResultCode::MalformedRequest));
+    }
+    let tenant = tenancy::authenticate(table, route, caller, origin, context.is_proven)?;
+    Ok(Known {
+        table,
+        route: route.clone(),
+        tenant: tenant.cloned(),
+    })
+}
+
+/// Returns the admission level of a caller's request.
+fn level_of_caller(caller: &CallerRequest, route: &Route, tenant: Option<&Tenant>) -> Level {
+    let priority = tenant
+        .and_then(|tenant| tenant.priority)
+        .unwrap_or(route.priority);
+    level_for_tenant(priority, route.priority, &caller.request_id)
+}
--- a/crates/rillgap-forward/src/outbound/mod.rs
+++ b/crates/rillgap-forward/src/outbound/mod.rs
@@ -9,13 +9,13 @@
 mod answer;
 mod attempts;
 mod ending;
+mod intake;
 mod request;
 mod results;
 mod tenancy;
 mod weights;
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::sync::Arc;
 use std::time::Duration;
 
 use rillgap_core::admission::Level;
@@ -29,9 +29,7 @@
 use crate::event::CallerRequest;
 use crate::id::{ConnectionId, LinkId, Sequence, Turn};
 use crate::inbound::{CallNews, CallProgress, Inbound};
-use crate::message::{
-    ForwardResponse, ForwardResult, ForwardedRequest, ServiceLevel, Status, level_for_tenant,
-};
+use crate::message::{ForwardResponse, ForwardResult, ServiceLevel, Status};
 use crate::note::Note;
 use crate::rate_limit::entry::EntryTokens;
 use crate::retry_budget::RetryBudget;
@@ -330,85 +328,6 @@
         let deadline = self.deadlines.first().map(|(deadline, _)| *deadline);
         deadline.into_iter().chain(self.tokens.next_wake()).min()
     }
-
-    /// Checks a request and finds its route and service.
-    fn prepare(
-        &mut self,
-        now: Instant,
-        caller: CallerRequest,
-        origin: Origin,
-        context: &OutboundContext<'_>,
-    ) -> Result<Request, (Box<CallerRequest>, Refusal)> {
-        let refuse = |caller, refusal| Err((Box::new(caller), refusal));
-        let is_refused = context.refuses_callers && origin == Origin::Caller;
-        if context.is_exiting || is_refused {
-            return refuse(caller, Refusal::new(ResultCode::NodeStopping));
-        }
-        let Some(table) = context.table else {
-            let refusal = Refusal::after(ResultCode::NotReady, NO_BACK_END_MILLIS);
-            return refuse(caller, refusal);
-        };
-        let Some(route) = table.lookup(&caller.host, &caller.target).cloned() else {
-            return refuse(caller, Refusal::new(ResultCode::UnknownRoute));
-        };
-        if caller.request_id.is_empty() {
-            return refuse(caller, Refusal::new(ResultCode::MalformedRequest));
-        }
-        let tenant = match tenancy::authenticate(table, &route, &caller, origin, context.is_proven)
-        {
-            Ok(tenant) => tenant.cloned(),
-            Err(refusal) => return refuse(caller, refusal),
-        };
-        let tenant_priority = tenant.as_ref().and_then(|tenant| tenant.priority);
-        let priority = tenant_priority.unwrap_or(route.priority);
-        let own_level = level_for_tenant(priority, route.priority, &caller.request_id);
-        let is_call = origin != Origin::Caller;
-        let service = self.weights.choose(&route).to_owned();
-        self.budget.count_request(now, &service);
-        let (level, is_repeat) = match origin {
-            Origin::Caller => (own_level, false),
-            Origin::BackEnd { level, is_repeat } => (level, is_repeat),
-        };
-        if !is_call && !self.admission.admits(now, &route.name, &service, level) {
-            let refusal = Refusal::after(ResultCode::Overloaded, THROTTLED_MILLIS);
-            return refuse(caller, refusal);
-        }
-        if is_repeat {
-            self.budget.spend(now, &service);
-        }
-        let timeout = caller
-            .deadline
-            .map_or(route.timeout(), |deadline| deadline.min(route.timeout()));
-        let parent_id = caller.parent_id.filter(|_| is_call);
-        let forwarded = ForwardedRequest {
-            request_id: caller.request_id,
-            method: caller.method,
-            target: caller.target,
-            fields: caller.fields,
-            body: caller.body,
-            caller_service: self.own_service.clone(),
-            service,
-            route: route.name.clone(),
-            is_idempotent: route.is_idempotent(),
-            tenant: tenant.as_ref().map(|tenant| tenant.name.clone()),
-            level,
-            is_call,
-            is_repeat,
-            remaining_micros: 0,
-            queue_limit_micros: 0,
-        };
-        let mut request = Request::new(
-            now,
-            now + timeout,
-            route,
-            parent_id,
-            table.version(),
-            Arc::new(forwarded),
-        );
-        let limited = tenant.filter(|tenant| tenant.limit.is_some());
-        request.limited_tenant = limited.map(|tenant| tenant.name.clone());
-        Ok(request)
-    }
 }
 
 /// Returns the longest time for which a request may still wait in queues, `elapsed` after its
