Limits: the loss of a silent owner is noticed by its successor, and waited for less

A third of the machines of one service had lost power in silence. An entry gives a silent owner up after 1.1 s and asks its successor, which may have nothing under way there and believe in it for 7.5 s.

Change: a query that has to be repeated goes to the successor as well; a successor that is asked for another's bucket pings the owner and gives its link up after 1.1 s of silence. Once an owner has been silent for 250 ms, further requests wait 80 ms only. Entries keep a link to the successor, too.

Ruled out: to take a peer that has not answered a ping for 150 ms as lost; on lossy links both would give out tokens again and again.

--- a/crates/rillgap-forward/src/directory/owners.rs
+++ b/crates/rillgap-forward/src/directory/owners.rs
@@ -5,6 +5,7 @@
 use rillgap_core::time::Instant;
 
 use super::{Directory, PeerIndex};
+use crate::id::LinkId;
 use crate::peer::Peer;
 use crate::rate_limit::ownership::{Owner, TenantHash};
 use crate::watch_duty;
@@ -53,6 +54,17 @@
         }
     }
 
+    /// Returns the link to the peer that would own a tenant's bucket after this one, if there is one.
+    pub fn next_owner_link(&self, tenant: TenantHash, owner: PeerIndex) -> Option<LinkId> {
+        let rank = |peer: &Peer| tenant.rank(peer.name_hash());
+        let owner = rank(self.peer(owner));
+        let others = self.peers.iter().filter(|peer| rank(peer) < owner);
+        let next = others
+            .filter(|peer| peer.may_own_buckets())
+            .max_by_key(|peer| rank(peer))?;
+        next.open_link()
+    }
+
     /// Takes in that a query is sent to a peer whose answer is awaited.
     pub fn query_sent(&mut self, now: Instant, index: PeerIndex) {
         self.peers[index.0].query_sent(now);
@@ -71,27 +83,40 @@
         heard * 2 >= wanted
     }
 
-    /// Marks the peers that tenants' buckets need links to: owners of those whose requests come in here,
-    /// those that would own a bucket before this node does, and the one that follows it.
+    /// Marks the peers that tenants' buckets need links to: owners of those whose requests come in here
+    /// and the ones that follow them, those that would own a bucket before this node does, and the owner
+    /// that this node follows.
     pub(super) fn want_owners(&mut self) {
         let own = watch_duty::place(&self.own_name);
         for tenant in self.limited.iter().copied() {
-            let is_used = self.in_use.contains(&tenant);
+            let (owner, next) = self.two_highest(tenant);
             let own_rank = tenant.rank(own);
-            let rank = |peer: &Peer| tenant.rank(peer.name_hash());
-            let candidates = self.peers.iter().filter(|peer| peer.may_own_buckets());
-            let owner = candidates.map(rank).max().unwrap_or(0);
-            let may_follow = own_rank > owner;
-            // Nobody between: this node owns the bucket next.
-            let mut others = self.peers.iter().filter(|peer| peer.may_own_buckets());
-            let is_next = !others.any(|peer| rank(peer) < owner && rank(peer) > own_rank);
-            if !(is_used || may_follow || is_next) {
+            let wanted_from = if self.in_use.contains(&tenant) {
+                next
+            } else if own_rank > next {
+                // This node owns the bucket, or does next.
+                owner
+            } else {
                 continue;
-            }
+            };
             for peer in &mut self.peers {
                 let rank = tenant.rank(peer.name_hash());
-                peer.is_wanted |= rank >= owner && rank > 0;
+                peer.is_wanted |= rank >= wanted_from && rank > 0;
+            }
+        }
+    }
+
+    /// Returns the ranks of the two peers that would own a tenant's bucket first; 0 where there is none.
+    fn two_highest(&self, tenant: TenantHash) -> (u64, u64) {
+        let mut highest = (0, 0);
+        for peer in self.peers.iter().filter(|peer| peer.may_own_buckets()) {
+            let rank = tenant.rank(peer.name_hash());
+            if rank > highest.0 {
+                highest = (rank, highest.0);
+            } else if rank > highest.1 {
+                highest.1 = rank;
             }
         }
+        highest
     }
 }
--- a/crates/rillgap-forward/src/node/tokens.rs
+++ b/crates/rillgap-forward/src/node/tokens.rs
@@ -5,8 +5,9 @@
 use super::Node;
 use crate::action::{Action, Actions};
 use crate::configuration::RouteTable;
+use crate::directory::PeerIndex;
 use crate::id::LinkId;
-use crate::message::{LinkMessage, TokenAnswer, TokenQuery, TokenResult};
+use crate::message::{LinkMessage, NodeRecord, TokenAnswer, TokenQuery, TokenResult};
 use crate::note::Note;
 use crate::rate_limit::bucket::Grant;
 use crate::rate_limit::entry::Wanted;
@@ -48,14 +49,20 @@
                 Owner::Own { since } => self.grant_here(now, wanted, since, out),
                 Owner::Peer(index, link) => {
                     self.directory.query_sent(now, index);
-                    out.push(Action::SendOnLink {
-                        link,
-                        message: LinkMessage::TokenQuery(TokenQuery {
-                            number: wanted.number,
-                            tenant: wanted.tenant,
-                            wanted: wanted.tokens,
-                        }),
-                    });
+                    // An owner that is silent may be lost: its successor looks after it, too.
+                    let next = self.directory.next_owner_link(hash, index);
+                    let next = next.filter(|_| wanted.is_repeated);
+                    let query = TokenQuery {
+                        number: wanted.number,
+                        tenant: wanted.tenant,
+                        wanted: wanted.tokens,
+                    };
+                    for link in next.into_iter().chain([link]) {
+                        out.push(Action::SendOnLink {
+                            link,
+                            message: LinkMessage::TokenQuery(query.clone()),
+                        });
+                    }
                 }
                 // The link is opened soon; until then the requests wait.
                 Owner::Unlinked(_) => {}
@@ -83,10 +90,11 @@
                     wait_millis: grant.wait_millis,
                 })
             }
-            Owner::Peer(index, _) | Owner::Unlinked(index) => {
-                let record = self.directory.peer(index).record.clone();
-                Some(TokenResult::OwnedBy(record))
+            Owner::Peer(index, link) => {
+                self.look_after(now, index, link, out);
+                Some(TokenResult::OwnedBy(self.record_of(index)))
             }
+            Owner::Unlinked(index) => Some(TokenResult::OwnedBy(self.record_of(index))),
             Owner::Nobody => None,
         };
         if let Some(result) = result {
@@ -101,6 +109,19 @@
         }
     }
 
+    /// Makes sure that the loss of an owner is noticed: whoever asks this node has no word of it.
+    fn look_after(&mut self, now: Instant, owner: PeerIndex, link: LinkId, out: &mut Actions) {
+        self.directory.query_sent(now, owner);
+        out.push(Action::SendOnLink {
+            link,
+            message: LinkMessage::Ping,
+        });
+    }
+
+    fn record_of(&self, peer: PeerIndex) -> NodeRecord {
+        self.directory.peer(peer).record.clone()
+    }
+
     pub(super) fn on_token_answer(&mut self, now: Instant, answer: TokenAnswer, out: &mut Actions) {
         match answer.result {
             TokenResult::Granted {
--- a/crates/rillgap-forward/src/rate_limit/entry.rs
+++ b/crates/rillgap-forward/src/rate_limit/entry.rs
@@ -39,6 +39,8 @@
     waiting: VecDeque<(K, Instant)>,
     /// Queries without an answer, by their numbers; those older than the life of a token are dropped.
     queries: BTreeMap<u64, Instant>,
+    /// Since when queries have to be repeated.
+    silent_since: Option<Instant>,
     /// The owner has nothing before this time.
     empty_until: Instant,
     rate: f64,
@@ -51,6 +53,7 @@
             tokens: VecDeque::new(),
             waiting: VecDeque::new(),
             queries: BTreeMap::new(),
+            silent_since: None,
             empty_until: now,
             rate: 0.0,
             requested_at: now,
@@ -84,10 +87,26 @@
         true
     }
 
-    fn ask(&mut self, now: Instant, number: u64) {
+    /// Notes that the owner is asked; returns whether an earlier query has no answer yet.
+    fn ask(&mut self, now: Instant, number: u64) -> bool {
+        let is_repeated = !self.queries.is_empty();
+        if is_repeated {
+            self.silent_since.get_or_insert(now);
+        }
         self.queries
             .retain(|_, at| now.saturating_since(*at) < TOKEN_LIFE);
         self.queries.insert(number, now);
+        is_repeated
+    }
+
+    /// Returns how long a request may wait for tokens: once the owner has been silent for a while,
+    /// only as long as it takes to hear of another one.
+    fn longest_hold(&self, now: Instant) -> Duration {
+        let silence = self.silent_since.map(|since| now.saturating_since(since));
+        match silence {
+            Some(silence) if silence >= LONGEST_HOLD => QUERY_PATIENCE,
+            _ => LONGEST_HOLD,
+        }
     }
 
     fn left(&self) -> u32 {
@@ -133,6 +152,8 @@
     pub tenant: String,
     /// Tokens.
     pub tokens: u32,
+    /// Whether an earlier query has no answer yet.
+    pub is_repeated: bool,
 }
 
 /// Requests that have waited and may go on, or are refused.
@@ -187,7 +208,8 @@
             };
         }
         if !is_granted {
-            account.waiting.push_back((key, now + LONGEST_HOLD));
+            let until = now + account.longest_hold(now);
+            account.waiting.push_back((key, until));
             insert(&mut self.waiting, tenant);
         }
         insert(&mut self.touched, tenant);
@@ -224,11 +246,12 @@
             if let Some(tokens) = account.wanted(now) {
                 self.next_query += 1;
                 let number = self.next_query;
-                account.ask(now, number);
+                let is_repeated = account.ask(now, number);
                 wanted.push(Wanted {
                     number,
                     tenant,
                     tokens,
+                    is_repeated,
                 });
             }
         }
@@ -247,6 +270,7 @@
         let account = self.accounts.get_mut(tenant)?;
         // Of an answer that took longer than a token lives, the query is forgotten.
         let asked_at = account.queries.remove(&number)?;
+        account.silent_since = None;
         if tokens > 0 {
             account.tokens.push_back(Tokens {
                 void_at: asked_at + TOKEN_LIFE,
--- a/crates/rillgap-forward/tests/rate_limit.rs
+++ b/crates/rillgap-forward/tests/rate_limit.rs
@@ -167,6 +167,19 @@
     expect_that!(entry.queries_due(at(1_090)).len(), eq(1));
 }
 
+#[gtest]
+fn requests_do_not_wait_long_for_an_owner_that_has_been_silent() {
+    let mut entry = EntryTokens::default();
+    for number in 0..20_u32 {
+        let now = 1_000 + u64::from(number) * 40;
+        entry.admit(at(now), TENANT, number);
+        entry.queries_due(at(now));
+        entry.take_overdue(at(now));
+    }
+    entry.admit(at(1_800), TENANT, 99);
+    expect_that!(entry.take_overdue(at(1_900)), contains(eq(&99)));
+}
+
 #[gtest]
 fn tenants_are_spread_over_the_nodes() {
     let nodes: Vec<u64> = (0..10)
--- a/crates/rillgap-forward/tests/tenants.rs
+++ b/crates/rillgap-forward/tests/tenants.rs
@@ -395,3 +395,56 @@
     test.pass(500);
     expect_that!(test.exchanges().len(), eq(0));
 }
+
+/// Returns the links on which a kind of message was sent.
+fn links_of(test: &TestNode, is_meant: impl Fn(&LinkMessage) -> bool) -> Vec<LinkId> {
+    let link = |action: &Action| match action {
+        Action::SendOnLink { link, message } if is_meant(message) => Some(*link),
+        _ => None,
+    };
+    test.actions.iter().filter_map(link).collect()
+}
+
+#[gtest]
+fn successor_that_is_asked_notices_that_the_owner_is_silent() {
+    let (before, after) = names_around_own();
+    let mut test = lonely_owner();
+    let link = connect_owner(&mut test, &after, 6);
+    let owner = connect_owner(&mut test, &before, 5);
+    ask(&mut test, link);
+    let pinged = links_of(&test, |message| matches!(message, LinkMessage::Ping));
+    expect_that!(pinged, contains(eq(&owner)));
+    // The owner says nothing; the one who asks is heard.
+    for _ in 0..6 {
+        test.pass(300);
+        ask(&mut test, link);
+    }
+    expect_that!(
+        ask(&mut test, link),
+        some(matches_pattern!(TokenResult::Granted { .. }))
+    );
+}
+
+#[gtest]
+fn successor_is_asked_as_well_when_the_owner_does_not_answer() {
+    use rillgap_forward::rate_limit::ownership::TenantHash;
+    use rillgap_forward::watch_duty::place;
+    let hash = TenantHash::of(TENANT);
+    let own = hash.rank(place("own"));
+    let mut names: Vec<String> = (0..50).map(|number| format!("peer-{number}")).collect();
+    names.retain(|name| hash.rank(place(name)) > own);
+    names.sort_by_key(|name| std::cmp::Reverse(hash.rank(place(name))));
+    let mut test = lonely_owner();
+    let owner = connect_owner(&mut test, &names[0], 5);
+    let next = connect_owner(&mut test, &names[1], 6);
+    test.actions.clear();
+    test.request(0, keyed("a", KEY));
+    let asked = |test: &TestNode| {
+        links_of(test, |message| {
+            matches!(message, LinkMessage::TokenQuery(_))
+        })
+    };
+    expect_that!(asked(&test), elements_are![eq(&owner)]);
+    test.pass(100);
+    expect_that!(asked(&test), contains(eq(&next)));
+}
