--- a/crates/rillgap-sidecar/tests/path/main.rs
+++ b/crates/rillgap-sidecar/tests/path/main.rs
@@ -3,8 +3,10 @@
 mod support;
 
 use googletest::prelude::*;
+use rillgap_forward::configuration::Tenant;
+use rillgap_forward::credential::KeyDigest;
 use rillgap_forward::event::Event;
-use support::{Answer, INSTANCE, Reply, Seen, echo, signed, until, with_pair};
+use support::{Answer, INSTANCE, Reply, Seen, echo, signed, until, with_pair, with_tenants};
 
 fn ok_answer(body: &str) -> Answer {
     Answer {
@@ -231,3 +233,74 @@
         expect_that!(caller.is_closed().await, eq(true));
     });
 }
+
+/// A tenant with the key `abc`.
+fn north() -> Vec<Tenant> {
+    vec![Tenant {
+        name: "north".to_owned(),
+        keys: vec![KeyDigest::of(b"abc")],
+        priority: None,
+        limit: None,
+    }]
+}
+
+#[gtest]
+fn back_end_is_told_the_tenant_and_never_the_credential() {
+    with_tenants(north(), echo, |pair| async move {
+        let mut caller = pair.connect().await;
+        caller
+            .send(
+                "GET /safe/1 HTTP/1.1\r\nHost: h\r\nX-Request: a\r\nX-Credential: key abc\r\n\
+                 X-Tenant: forged\r\n\r\n",
+            )
+            .await;
+        expect_that!(caller.answer().await, some(eq(&ok_answer("a"))));
+        let seen: Seen = pair.back_end.seen.borrow()[0].clone();
+        expect_that!(seen.field("X-Tenant"), some(eq("north")));
+        expect_that!(seen.field("X-Credential"), none());
+    });
+}
+
+#[gtest]
+fn requests_without_one_known_key_are_refused_and_the_connection_goes_on() {
+    let refused = [
+        "",
+        "X-Credential: \r\n",
+        "X-Credential: key other\r\n",
+        "X-Credential: abc\r\n",
+        "X-Credential: key abc\r\nX-Credential: key abc\r\n",
+        "X-Credential: key ab\u{e9}\r\n",
+    ];
+    with_tenants(north(), echo, move |pair| async move {
+        let mut caller = pair.connect().await;
+        for credential in refused {
+            let text =
+                format!("GET /safe/1 HTTP/1.1\r\nHost: h\r\nX-Request: a\r\n{credential}\r\n");
+            caller.send(&text).await;
+            let answer = caller.answer().await;
+            expect_that!(status(answer), some(eq(401)), "{credential:?}");
+        }
+        caller
+            .send(
+                "GET /safe/1 HTTP/1.1\r\nHost: h\r\nX-Request: b\r\nX-Credential: key abc\r\n\r\n",
+            )
+            .await;
+        expect_that!(caller.answer().await, some(eq(&ok_answer("b"))));
+        expect_that!(pair.back_end.seen.borrow().len(), eq(1));
+    });
+}
+
+#[gtest]
+fn credential_is_passed_on_where_no_tenants_are_configured() {
+    with_pair(echo, |pair| async move {
+        let mut caller = pair.connect().await;
+        caller
+            .send(
+                "GET /safe/1 HTTP/1.1\r\nHost: h\r\nX-Request: a\r\nX-Credential: key abc\r\n\r\n",
+            )
+            .await;
+        expect_that!(caller.answer().await, some(eq(&ok_answer("a"))));
+        let seen: Seen = pair.back_end.seen.borrow()[0].clone();
+        expect_that!(seen.field("X-Credential"), some(eq("key abc")));
+    });
+}
--- a/crates/rillgap-sidecar/tests/path/support.rs
+++ b/crates/rillgap-sidecar/tests/path/support.rs
@@ -10,7 +10,7 @@
 
 use bytes::BytesMut;
 use rillgap_forward::configuration::{
-    CallerLimits, Configuration, Repeatability, Route, Service, WeightedService,
+    CallerLimits, Configuration, Repeatability, Route, Service, Tenant, WeightedService,
 };
 use rillgap_forward::event::{AnnouncedState, Event, Heartbeat};
 use rillgap_forward::message::NodeRecord;
@@ -65,6 +65,7 @@
 #[derive(Default)]
 pub struct MemoryStore {
     nodes: RefCell<Vec<NodeRecord>>,
+    tenants: Vec<Tenant>,
 }
 
 struct StoreHandle(Rc<MemoryStore>);
@@ -76,7 +77,7 @@
             match request {
                 StoreRequest::ReadConfiguration => StoreReply::Configuration {
                     position: 1,
-                    configuration: Some(configuration()),
+                    configuration: Some(configuration(store.tenants.clone())),
                 },
                 StoreRequest::WatchConfiguration { .. } => std::future::pending().await,
                 StoreRequest::Register(record) => {
@@ -90,7 +91,7 @@
     }
 }
 
-fn configuration() -> Configuration {
+fn configuration(tenants: Vec<Tenant>) -> Configuration {
     let route = |path: &str, repeatability| Route {
         name: path.to_owned(),
         host: "h".to_owned(),
@@ -117,7 +118,7 @@
             health_path: "/health".to_owned(),
             max_connections: 100,
         }],
-        tenants: Vec::new(),
+        tenants,
         limits: CallerLimits {
             head_bytes: 2_000,
             body_bytes: 100_000,
@@ -326,8 +327,11 @@
 }
 
 impl Pair {
-    async fn start(script: impl Fn(&Seen) -> Reply + 'static) -> Self {
-        let store = Rc::new(MemoryStore::default());
+    async fn start(script: impl Fn(&Seen) -> Reply + 'static, tenants: Vec<Tenant>) -> Self {
+        let store = Rc::new(MemoryStore {
+            tenants,
+            ..MemoryStore::default()
+        });
         let (back_end, address) = BackEnd::start(script).await;
         let (beside, _) = start_node(&store, "beside", "work", address).await;
         let nowhere = own_address();
@@ -439,6 +443,15 @@
 pub fn with_pair<F: Future<Output = ()>>(
     script: impl Fn(&Seen) -> Reply + 'static,
     test: impl FnOnce(Pair) -> F,
+) {
+    with_tenants(Vec::new(), script, test);
+}
+
+/// Runs a test against a pair of nodes whose configuration has tenants.
+pub fn with_tenants<F: Future<Output = ()>>(
+    tenants: Vec<Tenant>,
+    script: impl Fn(&Seen) -> Reply + 'static,
+    test: impl FnOnce(Pair) -> F,
 ) {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
@@ -446,7 +459,7 @@
         .expect("a runtime");
     let tasks = tokio::task::LocalSet::new();
     tasks.block_on(&runtime, async {
-        let pair = Pair::start(script).await;
+        let pair = Pair::start(script, tenants).await;
         test(pair).await;
     });
 }
