Soak: a key that was taken away is denied, which is no failure

One request in twenty shows an old key since the last change of the soak, and its 401 counted as not served. A fault of the judge's, not of the nodes: denials of a key that the next accepted version took away are counted by themselves; a denial of one that stands still counts as a failure. The test fails without the change.

--- a/tests/soak/src/faults.rs
+++ b/tests/soak/src/faults.rs
@@ -241,8 +241,9 @@
         let now = self.soak.now();
         let mut judge = self.soak.judge();
         let after = judge.totals();
-        let left = after.left - before.left;
-        let asked = (after.asked - before.asked).saturating_sub(left);
+        // Neither those whose callers left nor those that had to be denied are owed an answer.
+        let not_owed = after.left - before.left + after.denied - before.denied;
+        let asked = (after.asked - before.asked).saturating_sub(not_owed);
         let served = after.served - before.served;
         if served * 100 < asked * SERVED_PERCENT {
             let text = format!("RECOVER {served} of {asked} served, configuration {newest}");
--- a/tests/soak/src/judge.rs
+++ b/tests/soak/src/judge.rs
@@ -107,6 +107,8 @@
     pub failed: u64,
     /// Those whose callers left before an answer.
     pub left: u64,
+    /// Those with a key that was taken away, which were denied.
+    pub denied: u64,
 }
 
 /// Arrivals at a service: when, and whether it was a repeat.
@@ -247,6 +249,7 @@
             match answer.status {
                 200..300 => self.totals.served += 1,
                 408 | 421 | 429 | 503 => self.totals.refused += 1,
+                401 if self.shows_old_key(id) => self.totals.denied += 1,
                 _ => self.totals.failed += 1,
             }
         }
@@ -259,6 +262,13 @@
         }
     }
 
+    /// Returns whether a request shows a key that was taken away by a version accepted meanwhile.
+    fn shows_old_key(&self, id: &str) -> bool {
+        let sent = self.fates.get(id).and_then(|fate| fate.sent.as_ref());
+        let version = sent.and_then(|sent| sent.key_version);
+        version.is_some_and(|version| self.accepted.contains_key(&(version + 1)))
+    }
+
     /// Takes in that a connection ended without an answer to a request; `was_kept` if the connection
     /// had carried another one before.
     pub fn unanswered(&mut self, at: Moment, id: &str, is_call: bool, was_kept: bool) {
--- a/tests/soak/src/main.rs
+++ b/tests/soak/src/main.rs
@@ -132,12 +132,13 @@
     judge.conclude(now);
     let totals = judge.totals();
     println!(
-        "seed {seed}: {} asked, {} served, {} refused, {} failed, {} left; {} broken promises",
+        "seed {seed}: {} asked, {} served, {} refused, {} failed, {} left, {} denied; {} broken promises",
         totals.asked,
         totals.served,
         totals.refused,
         totals.failed,
         totals.left,
+        totals.denied,
         judge.violation_count()
     );
     for violation in judge.violations() {
--- a/tests/soak/tests/judge.rs
+++ b/tests/soak/tests/judge.rs
@@ -321,3 +321,25 @@
         expect_that!(kinds(&judge), eq(&vec!["UNASKED".to_owned()]));
     }
 }
+
+#[gtest]
+fn denial_of_a_key_is_no_failure_only_if_it_was_taken_away() {
+    for (key_version, expected) in [(7, (1, 0)), (8, (0, 1))] {
+        let mut judge = judge();
+        judge.accepted(at(1_000), 8);
+        let keyed = Sent {
+            key_version: Some(key_version),
+            ..sent(2_000, true)
+        };
+        judge.sent("r1", keyed, "front", false);
+        let answer = Answer {
+            status: 401,
+            id: None,
+            signature: None,
+            body: b"",
+        };
+        judge.answered(at(2_005), "r1", &answer, false);
+        let totals = judge.totals();
+        expect_that!((totals.denied, totals.failed), eq(expected));
+    }
+}
