Limits: a node that is asked for a bucket tries the owners that it has never tried

Nine machines had gone for good; their records stay in the store. A node that had no reason to link to them took the first one for a possible owner (no link had failed), and sent whoever asked it there for ever.

Change: whoever is asked for a bucket whose owner it has no link to links to that owner and the next one; a failed link tells. Ruled out: to treat peers without a link as lost, since then two nodes would own a bucket after each start. The test failed before (no link was opened).

--- a/crates/rillgap-forward/src/node/tokens.rs
+++ b/crates/rillgap-forward/src/node/tokens.rs
@@ -94,7 +94,11 @@
                 self.look_after(now, index, link, out);
                 Some(TokenResult::OwnedBy(self.record_of(index)))
             }
-            Owner::Unlinked(index) => Some(TokenResult::OwnedBy(self.record_of(index))),
+            Owner::Unlinked(index) => {
+                // Whoever asks may know that this owner is lost: a link to it shows.
+                self.directory.use_tenant(hash);
+                Some(TokenResult::OwnedBy(self.record_of(index)))
+            }
             Owner::Nobody => None,
         };
         if let Some(result) = result {
--- a/crates/rillgap-forward/tests/tenants.rs
+++ b/crates/rillgap-forward/tests/tenants.rs
@@ -448,3 +448,72 @@
     test.pass(100);
     expect_that!(asked(&test), contains(eq(&next)));
 }
+
+#[gtest]
+fn node_that_is_asked_tries_the_owners_that_it_has_never_tried() {
+    use rillgap_forward::message::NodeRecord;
+    use rillgap_forward::rate_limit::ownership::TenantHash;
+    use rillgap_forward::watch_duty::place;
+    let records: Vec<NodeRecord> = (0..40)
+        .map(|number: u8| NodeRecord {
+            name: format!("peer-{number}"),
+            address: support::address(100 + number),
+            zone: "hall-a".to_owned(),
+            service: SERVICE.to_owned(),
+        })
+        .collect();
+    let tenants = (0..40).map(|number| Tenant {
+        name: format!("tenant-{number}"),
+        keys: Vec::new(),
+        ..tenant(Some(LIMIT))
+    });
+    let mut test = TestNode {
+        node: Node::new(at(0), settings("own", SERVICE)),
+        now: 0,
+        actions: Vec::new(),
+    };
+    test.event(Event::Wake);
+    let is_registration = |request: &StoreRequest| matches!(request, StoreRequest::Register(_));
+    test.answer_store(is_registration, StoreReply::Registered { is_new: false });
+    test.answer_store(
+        |request| matches!(request, StoreRequest::ListNodes),
+        StoreReply::Nodes(records.clone()),
+    );
+    let with_tenants = Configuration {
+        tenants: tenants.clone().collect(),
+        ..configuration(1)
+    };
+    let opened = |test: &TestNode| -> Vec<std::net::SocketAddr> {
+        let address = |action: &Action| match action {
+            Action::OpenLink { address, .. } => Some(*address),
+            _ => None,
+        };
+        test.actions.iter().filter_map(address).collect()
+    };
+    test.pass(50);
+    let mut tried = opened(&test);
+    test.configure(with_tenants);
+    test.pass(150);
+    tried.extend(opened(&test));
+    let owner_of = |tenant: &Tenant| {
+        let hash = TenantHash::of(&tenant.name);
+        let owner = records
+            .iter()
+            .max_by_key(|record| hash.rank(place(&record.name)));
+        owner.expect("a record").address
+    };
+    let untried = tenants
+        .clone()
+        .find(|tenant| !tried.contains(&owner_of(tenant)));
+    let tenant = untried.expect("a tenant whose owner was not tried");
+    let link = test.accept(50);
+    test.actions.clear();
+    let message = LinkMessage::TokenQuery(TokenQuery {
+        number: 1,
+        tenant: tenant.name.clone(),
+        wanted: 1,
+    });
+    test.event(Event::Link { link, message });
+    test.pass(150);
+    expect_that!(opened(&test), contains(eq(&owner_of(&tenant))));
+}
