Limits: void tokens are not spent when grants arrive out of order

Cause: read in the diff. Void grants were dropped from the front of the list only, as if they lay in the order in which they were asked for. A question that is asked again may be answered by two owners, the second one first; then a token could be spent after its life, which the bound of the limit rules out. Change: every void grant is dropped. The test failed before (granted, not waiting).

--- a/crates/rillgap-forward/src/rate_limit/entry.rs
+++ b/crates/rillgap-forward/src/rate_limit/entry.rs
@@ -67,14 +67,9 @@
         self.requested_at = now;
     }
 
+    /// Grants may come out of the order in which they were asked for.
     fn drop_void(&mut self, now: Instant) {
-        while self
-            .tokens
-            .front()
-            .is_some_and(|tokens| tokens.void_at <= now)
-        {
-            self.tokens.pop_front();
-        }
+        self.tokens.retain(|tokens| tokens.void_at > now);
     }
 
     fn take(&mut self, now: Instant) -> bool {
--- a/crates/rillgap-forward/tests/rate_limit.rs
+++ b/crates/rillgap-forward/tests/rate_limit.rs
@@ -140,6 +140,20 @@
     expect_that!(released.map(|released| released.granted), some(is_empty()));
 }
 
+#[gtest]
+fn void_token_is_not_taken_when_a_younger_grant_is_used_up_first() {
+    let mut entry = EntryTokens::default();
+    entry.admit(at(1_000), TENANT, 1);
+    let first = entry.queries_due(at(1_000)).remove(0);
+    let second = entry.queries_due(at(1_100)).remove(0);
+    // The second question is answered first, by another owner.
+    entry.on_grant(at(1_110), TENANT, second.number, 2, 0);
+    entry.on_grant(at(1_120), TENANT, first.number, 5, 0);
+    let late = at(1_350);
+    expect_that!(entry.admit(late, TENANT, 2), eq(Admission::Granted));
+    expect_that!(entry.admit(late, TENANT, 3), eq(Admission::Waiting));
+}
+
 #[gtest]
 fn second_answer_to_a_question_gives_nothing() {
     let mut entry = EntryTokens::default();
