Limits: an entry without a link to the owner asks the next one meanwhile

Change: while there is no link to the first in the order, the next one with a link is asked. It gives tokens only if it is the first in its own view, as always. Ruled out: a shorter time to open a link; it would only move the same loss.

--- a/crates/rillgap-forward/src/directory/owners.rs
+++ b/crates/rillgap-forward/src/directory/owners.rs
@@ -54,13 +54,14 @@
         }
     }
 
-    /// Returns the link to the peer that would own a tenant's bucket after this one, if there is one.
+    /// Returns the link to the peer that would own a tenant's bucket after this one, of those with a
+    /// link.
     pub fn next_owner_link(&self, tenant: TenantHash, owner: PeerIndex) -> Option<LinkId> {
         let rank = |peer: &Peer| tenant.rank(peer.name_hash());
         let owner = rank(self.peer(owner));
         let others = self.peers.iter().filter(|peer| rank(peer) < owner);
         let next = others
-            .filter(|peer| peer.may_own_buckets())
+            .filter(|peer| peer.open_link().is_some() && peer.may_own_buckets())
             .max_by_key(|peer| rank(peer))?;
         next.open_link()
     }
--- a/crates/rillgap-forward/src/node/tokens.rs
+++ b/crates/rillgap-forward/src/node/tokens.rs
@@ -52,20 +52,13 @@
                     // An owner that is silent may be lost: its successor looks after it, too.
                     let next = self.directory.next_owner_link(hash, index);
                     let next = next.filter(|_| wanted.is_repeated);
-                    let query = TokenQuery {
-                        number: wanted.number,
-                        tenant: wanted.tenant,
-                        wanted: wanted.tokens,
-                    };
-                    for link in next.into_iter().chain([link]) {
-                        out.push(Action::SendOnLink {
-                            link,
-                            message: LinkMessage::TokenQuery(query.clone()),
-                        });
-                    }
+                    send_query(wanted, next.into_iter().chain([link]), out);
+                }
+                // A link is opened soon, if the owner lives. If it does not, its successor may know.
+                Owner::Unlinked(index) => {
+                    let next = self.directory.next_owner_link(hash, index);
+                    send_query(wanted, next, out);
                 }
-                // The link is opened soon; until then the requests wait.
-                Owner::Unlinked(_) => {}
                 Owner::Nobody => {
                     let (outbound, mut context) = self.split(out);
                     outbound.on_no_owner(now, &wanted.tenant, &mut context);
@@ -188,3 +181,17 @@
         })
     }
 }
+
+fn send_query(wanted: Wanted, links: impl IntoIterator<Item = LinkId>, out: &mut Actions) {
+    let query = TokenQuery {
+        number: wanted.number,
+        tenant: wanted.tenant,
+        wanted: wanted.tokens,
+    };
+    for link in links {
+        out.push(Action::SendOnLink {
+            link,
+            message: LinkMessage::TokenQuery(query.clone()),
+        });
+    }
+}
--- a/crates/rillgap-forward/tests/tenants.rs
+++ b/crates/rillgap-forward/tests/tenants.rs
@@ -517,3 +517,41 @@
     test.pass(150);
     expect_that!(opened(&test), contains(eq(&owner_of(&tenant))));
 }
+
+#[gtest]
+fn next_owner_is_asked_while_there_is_no_link_to_the_first() {
+    use rillgap_forward::message::NodeRecord;
+    use rillgap_forward::rate_limit::ownership::TenantHash;
+    use rillgap_forward::watch_duty::place;
+    let hash = TenantHash::of(TENANT);
+    let own = hash.rank(place("own"));
+    let mut names: Vec<String> = (0..50).map(|number| format!("peer-{number}")).collect();
+    names.retain(|name| hash.rank(place(name)) > own);
+    names.sort_by_key(|name| std::cmp::Reverse(hash.rank(place(name))));
+    let mut test = lonely_owner();
+    let next = connect_owner(&mut test, &names[2], 6);
+    // Two that come before it are known, and no link to them is open yet.
+    for (number, name) in (30..).zip(&names[..2]) {
+        let record = NodeRecord {
+            name: name.clone(),
+            address: support::address(number),
+            zone: "hall-a".to_owned(),
+            service: SERVICE.to_owned(),
+        };
+        let message = LinkMessage::TokenAnswer(TokenAnswer {
+            number: 0,
+            tenant: TENANT.to_owned(),
+            result: TokenResult::OwnedBy(record),
+        });
+        test.event(Event::Link {
+            link: next,
+            message,
+        });
+    }
+    test.actions.clear();
+    test.request(0, keyed("a", KEY));
+    let asked = links_of(&test, |message| {
+        matches!(message, LinkMessage::TokenQuery(_))
+    });
+    expect_that!(asked, elements_are![eq(&next)]);
+}
