--- a/crates/rillgap-forward/tests/tenants.rs
+++ b/crates/rillgap-forward/tests/tenants.rs
@@ -13,13 +13,15 @@
 use rillgap_forward::freshness::QueryNumber;
 use rillgap_forward::id::LinkId;
 use rillgap_forward::message::{
-    FreshnessAnswer, LinkMessage, TokenAnswer, TokenQuery, TokenResult, level_for_tenant,
-    priority_of,
+    FreshnessAnswer, LinkMessage, NodeRecord, TokenAnswer, TokenQuery, TokenResult,
+    level_for_tenant, priority_of,
 };
 use rillgap_forward::node::Node;
 use rillgap_forward::note::Note;
+use rillgap_forward::rate_limit::ownership::TenantHash;
 use rillgap_forward::settings::ForwardSettings;
 use rillgap_forward::store_sync::{StoreReply, StoreRequest};
+use rillgap_forward::watch_duty::place;
 use support::{INSTANCE, SERVICE, TestNode, at, caller_request, configuration, settings};
 
 const TENANT: &str = "north";
@@ -337,10 +339,18 @@
     link
 }
 
+/// Names of peers that own the tenant's bucket before the node itself does, in their order.
+fn names_before_own() -> Vec<String> {
+    let hash = TenantHash::of(TENANT);
+    let own = hash.rank(place("own"));
+    let mut names: Vec<String> = (0..50).map(|number| format!("peer-{number}")).collect();
+    names.retain(|name| hash.rank(place(name)) > own);
+    names.sort_by_key(|name| std::cmp::Reverse(hash.rank(place(name))));
+    names
+}
+
 /// Names of peers that are asked for the tenant's tokens before, and after, the node itself.
 fn names_around_own() -> (String, String) {
-    use rillgap_forward::rate_limit::ownership::TenantHash;
-    use rillgap_forward::watch_duty::place;
     let hash = TenantHash::of(TENANT);
     let own = hash.rank(place("own"));
     let names: Vec<String> = (0..50).map(|number| format!("peer-{number}")).collect();
@@ -427,13 +437,7 @@
 
 #[gtest]
 fn successor_is_asked_as_well_when_the_owner_does_not_answer() {
-    use rillgap_forward::rate_limit::ownership::TenantHash;
-    use rillgap_forward::watch_duty::place;
-    let hash = TenantHash::of(TENANT);
-    let own = hash.rank(place("own"));
-    let mut names: Vec<String> = (0..50).map(|number| format!("peer-{number}")).collect();
-    names.retain(|name| hash.rank(place(name)) > own);
-    names.sort_by_key(|name| std::cmp::Reverse(hash.rank(place(name))));
+    let names = names_before_own();
     let mut test = lonely_owner();
     let owner = connect_owner(&mut test, &names[0], 5);
     let next = connect_owner(&mut test, &names[1], 6);
@@ -451,9 +455,6 @@
 
 #[gtest]
 fn node_that_is_asked_tries_the_owners_that_it_has_never_tried() {
-    use rillgap_forward::message::NodeRecord;
-    use rillgap_forward::rate_limit::ownership::TenantHash;
-    use rillgap_forward::watch_duty::place;
     let records: Vec<NodeRecord> = (0..40)
         .map(|number: u8| NodeRecord {
             name: format!("peer-{number}"),
@@ -520,14 +521,7 @@
 
 #[gtest]
 fn next_owner_is_asked_while_there_is_no_link_to_the_first() {
-    use rillgap_forward::message::NodeRecord;
-    use rillgap_forward::rate_limit::ownership::TenantHash;
-    use rillgap_forward::watch_duty::place;
-    let hash = TenantHash::of(TENANT);
-    let own = hash.rank(place("own"));
-    let mut names: Vec<String> = (0..50).map(|number| format!("peer-{number}")).collect();
-    names.retain(|name| hash.rank(place(name)) > own);
-    names.sort_by_key(|name| std::cmp::Reverse(hash.rank(place(name))));
+    let names = names_before_own();
     let mut test = lonely_owner();
     let next = connect_owner(&mut test, &names[2], 6);
     // Two that come before it are known, and no link to them is open yet.
