--- a/crates/rillgap-forward/src/outbound/tenancy.rs
+++ b/crates/rillgap-forward/src/outbound/tenancy.rs
@@ -157,11 +157,8 @@
         key: RequestKey,
         context: &mut OutboundContext<'_>,
     ) {
-        if let Some(request) = self.requests.get_mut(&key) {
-            request.limited_tenant = None;
-        }
-        let code = ResultCode::LimitUnknown;
-        self.answer_own(now, key, code, NO_OWNER_MILLIS, context);
+        let refusal = Refusal::after(ResultCode::LimitUnknown, NO_OWNER_MILLIS);
+        self.refuse_without_token(now, key, refusal, context);
     }
 
     fn refuse_at_limit(
@@ -171,11 +168,21 @@
         retry_after_millis: u32,
         context: &mut OutboundContext<'_>,
     ) {
-        // It has no token that could be given back.
+        let refusal = Refusal::after(ResultCode::LimitReached, retry_after_millis);
+        self.refuse_without_token(now, key, refusal, context);
+    }
+
+    /// Refuses a request that has no token, so that none is given back for it.
+    fn refuse_without_token(
+        &mut self,
+        now: Instant,
+        key: RequestKey,
+        refusal: Refusal,
+        context: &mut OutboundContext<'_>,
+    ) {
         if let Some(request) = self.requests.get_mut(&key) {
             request.limited_tenant = None;
         }
-        let code = ResultCode::LimitReached;
-        self.answer_own(now, key, code, retry_after_millis, context);
+        self.answer_own(now, key, refusal.code, refusal.retry_after_millis, context);
     }
 }
--- a/crates/rillgap-forward/src/rate_limit/bucket.rs
+++ b/crates/rillgap-forward/src/rate_limit/bucket.rs
@@ -96,10 +96,6 @@
     }
 
     fn bucket(&mut self, tenant: &str, owned_since: Instant) -> &mut Bucket {
-        if !self.buckets.contains_key(tenant) {
-            self.buckets
-                .insert(tenant.to_owned(), Bucket::new(owned_since));
-        }
         let bucket = self
             .buckets
             .entry(tenant.to_owned())
