Log: a newer version that is heard of, and each query for it

Two records tell it now, one at the first word of a version and one a query, so their number is bounded by versions and queries. No logic is changed.

--- a/crates/rillgap-forward/src/node/spread.rs
+++ b/crates/rillgap-forward/src/node/spread.rs
@@ -59,6 +59,8 @@
         }
         if version > own && self.offer.is_none_or(|offer| offer.version < version) {
             let ask_at = self.when_to_query(now, version);
+            let peer = self.peer_name(link);
+            out.push(Action::Note(Note::NewerConfiguration { version, own, peer }));
             self.offer = Some(Offer {
                 link,
                 version,
@@ -98,10 +100,20 @@
         if let Some(offer) = self.offer.filter(|offer| offer.ask_at <= now) {
             self.offer = None;
             self.queried = Some((offer.version, now));
+            out.push(Action::Note(Note::ConfigurationQuery {
+                version: offer.version,
+                own: self.configuration_version(),
+                peer: self.peer_name(offer.link),
+            }));
             out.push(Action::SendOnLink {
                 link: offer.link,
                 message: LinkMessage::ConfigurationQuery(self.configuration_version()),
             });
         }
     }
+    /// Returns the name of the peer at the other end of a link, empty if the link has ended.
+    fn peer_name(&mut self, link: LinkId) -> String {
+        let peer = self.directory.by_link(link);
+        peer.map_or_else(String::new, |peer| peer.record.name.clone())
+    }
 }
--- a/crates/rillgap-forward/src/note.rs
+++ b/crates/rillgap-forward/src/note.rs
@@ -104,6 +104,24 @@
         /// `store` or `peer`.
         source: &'static str,
     },
+    /// A newer configuration is known to exist at a peer.
+    NewerConfiguration {
+        /// Its version.
+        version: u64,
+        /// Version in force.
+        own: u64,
+        /// The peer that was first to tell; empty if its link is not known any more.
+        peer: String,
+    },
+    /// A peer is asked for a newer configuration.
+    ConfigurationQuery {
+        /// Version that is expected.
+        version: u64,
+        /// Version in force.
+        own: u64,
+        /// The peer; empty if its link is not known any more.
+        peer: String,
+    },
     /// The store answers, or not any more.
     Store {
         /// The call that failed and why; `None` if the store answers again.
--- a/crates/rillgap-sidecar/src/logging/notes.rs
+++ b/crates/rillgap-sidecar/src/logging/notes.rs
@@ -162,6 +162,12 @@
         } => log::info!(
             uptime, version, routes = *routes as u64, tenants = *tenants as u64, source = *source; "configuration: in force"
         ),
+        Note::NewerConfiguration { version, own, peer } => log::info!(
+            uptime, version, own, peer = peer.as_str(); "configuration: newer version known"
+        ),
+        Note::ConfigurationQuery { version, own, peer } => log::info!(
+            uptime, version, own, peer = peer.as_str(); "configuration: asked of a peer"
+        ),
         Note::Store { failure: None } => log::info!(uptime, is_up = true; "store: dependency"),
         Note::Store {
             failure: Some((call, failure)),
