--- a/crates/rillgap-forward/src/node/spread.rs
+++ b/crates/rillgap-forward/src/node/spread.rs
@@ -60,7 +60,11 @@
         if version > own && self.offer.is_none_or(|offer| offer.version < version) {
             let ask_at = self.when_to_query(now, version);
             let peer = self.peer_name(link);
-            out.push(Action::Note(Note::NewerConfiguration { version, own, peer }));
+            out.push(Action::Note(Note::NewerConfiguration {
+                version,
+                own,
+                peer,
+            }));
             self.offer = Some(Offer {
                 link,
                 version,
--- a/crates/rillgap-forward/tests/simulation/main.rs
+++ b/crates/rillgap-forward/tests/simulation/main.rs
@@ -59,6 +59,26 @@
     }
 }
 
+/// Time for which a node stands still while the configuration changes.
+const STAND_STILL: u64 = 5_000;
+
+#[gtest]
+fn configuration_is_in_force_in_time_at_a_node_that_stood_still() {
+    for seed in 0..45 {
+        let mut world = World::new(seed, Planted::Nothing, 12_000);
+        let host = seed as usize % world.size();
+        let frozen_at = 4_000 + seed * 37;
+        let thawed_at = frozen_at + STAND_STILL;
+        let stand_still = Fault::Freeze(host, thawed_at);
+        world.at(frozen_at, Happening::Fault(stand_still));
+        world.at(frozen_at + 1_300, Happening::Fault(Fault::Configure));
+        world.run_until(thawed_at + APPLY_BOUND);
+        let (in_force, stored) = world.versions();
+        expect_that!(stored, gt(1));
+        expect_that!(in_force, each(eq(&stored)), "seed {seed}");
+    }
+}
+
 #[gtest]
 fn same_seed_gives_the_same_day() {
     for seed in [3, 77] {
--- a/crates/rillgap-forward/tests/simulation/world/links.rs
+++ b/crates/rillgap-forward/tests/simulation/world/links.rs
@@ -2,12 +2,15 @@
 
 use rillgap_forward::event::Event;
 use rillgap_forward::id::LinkId;
-use rillgap_forward::message::{LinkMessage, TokenResult};
+use rillgap_forward::message::{Hello, LinkMessage, TokenResult};
 
 use crate::day::Planted;
 
 use super::*;
 
+/// Milliseconds after which an opener gives a connection up.
+const OPEN_TIMEOUT: u64 = 900;
+
 impl World {
     pub(super) fn connect(
         &mut self,
@@ -18,8 +21,19 @@
     ) {
         let peer = usize::from(address.port()) - 7_000;
         let refused = self.hosts[peer].node.is_none();
-        if refused || self.is_cut(host, peer) || self.hosts[peer].frozen_until > self.now {
-            let delay = if refused { 1 } else { 900 };
+        let is_cut = self.is_cut(host, peer);
+        let thaw = self.hosts[peer].frozen_until;
+        let is_frozen = !refused && !is_cut && thaw > self.now;
+        if is_frozen && thaw < self.now + OPEN_TIMEOUT {
+            let connect = Happening::Connect(host, run, link, address);
+            self.at(thaw, connect);
+            return;
+        }
+        if is_frozen {
+            self.leave_connection(host, peer);
+        }
+        if refused || is_cut || is_frozen {
+            let delay = if refused { 1 } else { OPEN_TIMEOUT };
             let event = Event::LinkClosed(link);
             self.at(self.now + delay, Happening::Node(host, run, event));
             return;
@@ -63,6 +77,27 @@
         self.at(self.now + 1, Happening::Node(host, run, event));
     }
 
+    /// A host that stands still accepts a connection once it goes on; its opener has given it up by then.
+    fn leave_connection(&mut self, opener: usize, acceptor: usize) {
+        let Some(node) = self.hosts[opener].node.as_ref() else {
+            return;
+        };
+        let hello = Box::new(node.hello());
+        let run = self.hosts[acceptor].run;
+        self.at(self.now, Happening::Abandoned(acceptor, run, hello));
+    }
+
+    /// A host accepts a connection that its opener has given up.
+    pub(super) fn accept_abandoned(&mut self, host: usize, run: u32, hello: Hello) {
+        let Some(node) = &mut self.hosts[host].node else {
+            return;
+        };
+        let link = node.new_link();
+        self.node_event(host, run, Event::LinkAccepted { link, hello });
+        let ended = Event::LinkClosed(link);
+        self.at(self.now, Happening::Node(host, run, ended));
+    }
+
     pub(super) fn send(&mut self, host: usize, run: u32, link: LinkId, mut message: LinkMessage) {
         if self.planted == Planted::ManyTokens {
             multiply_tokens(&mut message);
--- a/crates/rillgap-forward/tests/simulation/world/mod.rs
+++ b/crates/rillgap-forward/tests/simulation/world/mod.rs
@@ -17,7 +17,7 @@
 use rillgap_forward::configuration::RateLimit;
 use rillgap_forward::event::{Event, Heartbeat};
 use rillgap_forward::id::{ConnectionId, ExchangeId, LinkId};
-use rillgap_forward::message::{LinkMessage, NodeRecord};
+use rillgap_forward::message::{Hello, LinkMessage, NodeRecord};
 use rillgap_forward::node::Node;
 use rillgap_forward::settings::RetryBound;
 use rillgap_forward::store_sync::{StoreRequest, StoreRequestId};
@@ -73,6 +73,8 @@
     Message(u64, bool, LinkMessage),
     /// A connection is opened.
     Connect(usize, u32, LinkId, std::net::SocketAddr),
+    /// A host accepts a connection whose opener has given it up.
+    Abandoned(usize, u32, Box<Hello>),
     /// A back end has done its own work on a request.
     Worked(usize, WorkKey),
     /// A back end sends a heartbeat.
@@ -321,6 +323,7 @@
                 self.deliver(connection, to_opener, message);
             }
             Happening::Connect(host, run, link, address) => self.connect(host, run, link, address),
+            Happening::Abandoned(host, run, hello) => self.accept_abandoned(host, run, *hello),
             Happening::Worked(host, key) => self.worked(host, &key),
             Happening::Heartbeat(host, instance) => self.send_heartbeat(host, &instance),
             Happening::HeartbeatArrives(host, heartbeat) => self.heartbeat(host, &heartbeat),
@@ -414,6 +417,7 @@
         Happening::Node(host, ..)
         | Happening::Wake(host, _)
         | Happening::Connect(host, ..)
+        | Happening::Abandoned(host, ..)
         | Happening::HeartbeatArrives(host, _) => Some(*host),
         _ => None,
     }
