Configuration: what peers have told of newer versions is kept until one is in force

Change: configuration_offers.rs remembers what each link has told, for as long as the link lives; a query whose link ends is made again at once, one without an answer after 300 ms, then 600 ms, then each second, on the link that was asked least often and heard last, until the version is in force. The version in a peer's proof of freshness counts as an offer, too. No message between nodes is changed.

--- a/crates/rillgap-forward/src/lib.rs
+++ b/crates/rillgap-forward/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod action;
 pub mod balancer;
 pub mod configuration;
+pub mod configuration_offers;
 pub mod credential;
 pub mod directory;
 pub mod event;
--- a/crates/rillgap-forward/src/node/links.rs
+++ b/crates/rillgap-forward/src/node/links.rs
@@ -58,6 +58,7 @@
         }
         if let Some(replaced) = self.directory.accepted(now, link, hello) {
             out.push(Action::CloseLink(replaced));
+            self.offers.link_ended(now, replaced);
             self.end_link(now, replaced, out);
         }
         note_peer(&hello.node.name, true, "link accepted", out);
@@ -74,6 +75,7 @@
     }
 
     pub(super) fn on_link_closed(&mut self, now: Instant, link: LinkId, out: &mut Actions) {
+        self.offers.link_ended(now, link);
         let Some((name, was_in_use)) = self.directory.closed(now, link) else {
             return;
         };
--- a/crates/rillgap-forward/src/node/mod.rs
+++ b/crates/rillgap-forward/src/node/mod.rs
@@ -13,6 +13,7 @@
 
 use crate::action::{Action, Actions};
 use crate::configuration::{CallerLimits, RouteTable};
+use crate::configuration_offers::ConfigurationOffers;
 use crate::directory::Directory;
 use crate::event::{CallerRequest, Event, Heartbeat};
 use crate::freshness::Freshness;
@@ -36,14 +37,6 @@
 /// Time after a stand-still in which no peer is given up: what has arrived is read first.
 const READ_FIRST: Duration = Duration::from_millis(400);
 
-/// A newer configuration that a peer has.
-#[derive(Clone, Copy, Debug)]
-struct Offer {
-    link: LinkId,
-    version: u64,
-    ask_at: Instant,
-}
-
 /// One node.
 #[derive(Debug)]
 pub struct Node {
@@ -67,9 +60,7 @@
     told_watching: bool,
     /// When the last report was sent.
     status_told_at: Instant,
-    offer: Option<Offer>,
-    /// Version and time of the last query for a configuration.
-    queried: Option<(u64, Instant)>,
+    offers: ConfigurationOffers,
     next_link: u64,
     next_housekeeping: Instant,
     next_status: Instant,
@@ -98,8 +89,7 @@
             told_watching: false,
             status_told_at: now,
             store_is_up: true,
-            offer: None,
-            queried: None,
+            offers: ConfigurationOffers::default(),
             next_link: 0,
             next_housekeeping: now,
             next_status: now,
@@ -227,7 +217,7 @@
             self.inbound.next_wake(),
             self.outbound.next_wake(),
             self.store.next_wake(),
-            self.offer.map(|offer| offer.ask_at),
+            self.offers.next_wake(),
             self.inbound_stops_at,
         ]
         .into_iter()
@@ -307,6 +297,7 @@
         out: &mut Actions,
     ) {
         self.directory.heard(now, link);
+        self.offers.heard(now, link);
         match message {
             LinkMessage::Request { sequence, request } => {
                 self.inbound.on_request(now, link, sequence, request, out);
@@ -325,7 +316,10 @@
             LinkMessage::ConfigurationOffer(version) => self.on_offer(now, link, version, out),
             LinkMessage::ConfigurationQuery(version) => self.on_query(link, version, out),
             LinkMessage::FreshnessQuery(number) => self.on_freshness_query(now, link, number, out),
-            LinkMessage::FreshnessAnswer(answer) => self.on_freshness_answer(answer),
+            LinkMessage::FreshnessAnswer(answer) => {
+                self.on_freshness_answer(answer);
+                self.learn_version(now, link, answer.version, out);
+            }
             LinkMessage::TokenQuery(query) => self.on_token_query(now, link, query, out),
             LinkMessage::TokenAnswer(answer) => self.on_token_answer(now, answer, out),
             LinkMessage::Configuration(configuration) => {
@@ -395,7 +389,7 @@
         for (id, request) in self.store.poll(now) {
             out.push(Action::CallStore { id, request });
         }
-        self.ask_for_offer(now, out);
+        self.ask_for_configuration(now, out);
         self.stop_inbound_when_due(now);
         self.report_changes(now, out);
         if now >= self.next_housekeeping {
--- a/crates/rillgap-forward/src/node/spread.rs
+++ b/crates/rillgap-forward/src/node/spread.rs
@@ -5,7 +5,7 @@
 
 use rillgap_core::time::Instant;
 
-use super::{Node, Offer};
+use super::Node;
 use crate::action::{Action, Actions};
 use crate::configuration::{Configuration, RouteTable};
 use crate::id::LinkId;
@@ -14,8 +14,6 @@
 
 /// Time after a newer version was heard of in which the node waits for the store to bring it.
 const OFFER_PATIENCE: Duration = Duration::from_millis(200);
-/// Time after which a second peer is asked for a configuration that the first has not sent.
-const QUERY_PATIENCE: Duration = Duration::from_millis(300);
 
 impl Node {
     /// Puts a configuration in force unless it is not newer.
@@ -40,9 +38,7 @@
         self.freshness.adopted(version);
         self.limit_tenants(&table);
         self.table = Some(Arc::new(table));
-        if self.offer.is_some_and(|offer| offer.version <= version) {
-            self.offer = None;
-        }
+        self.offers.in_force(version);
         self.broadcast(&LinkMessage::ConfigurationOffer(version), out);
         // The health endpoint's path may be known now.
         let table = self.table.clone();
@@ -57,35 +53,36 @@
                 message: LinkMessage::ConfigurationOffer(own),
             });
         }
-        if version > own && self.offer.is_none_or(|offer| offer.version < version) {
-            let ask_at = self.when_to_query(now, version);
+        self.learn_version(now, link, version, out);
+    }
+
+    /// Takes in which version the peer on a link has.
+    pub(super) fn learn_version(
+        &mut self,
+        now: Instant,
+        link: LinkId,
+        version: u64,
+        out: &mut Actions,
+    ) {
+        let own = self.configuration_version();
+        if version <= own {
+            return;
+        }
+        let patience = if self.store.expects_configuration() {
+            OFFER_PATIENCE
+        } else {
+            Duration::ZERO
+        };
+        if self.offers.offered(now, link, version, now + patience) {
             let peer = self.peer_name(link);
             out.push(Action::Note(Note::NewerConfiguration {
                 version,
                 own,
                 peer,
             }));
-            self.offer = Some(Offer {
-                link,
-                version,
-                ask_at,
-            });
         }
     }
 
-    /// Returns when to ask a peer for a version: after the store had time to bring it, or another peer
-    /// to answer.
-    fn when_to_query(&self, now: Instant, version: u64) -> Instant {
-        let is_asked = self.queried.filter(|(queried, _)| *queried >= version);
-        if let Some((_, since)) = is_asked {
-            return now.max(since + QUERY_PATIENCE);
-        }
-        if self.store.expects_configuration() {
-            return now + OFFER_PATIENCE;
-        }
-        now
-    }
-
     pub(super) fn on_query(&mut self, link: LinkId, version: u64, out: &mut Actions) {
         let Some(table) = self
             .table
@@ -100,21 +97,23 @@
         });
     }
 
-    pub(super) fn ask_for_offer(&mut self, now: Instant, out: &mut Actions) {
-        if let Some(offer) = self.offer.filter(|offer| offer.ask_at <= now) {
-            self.offer = None;
-            self.queried = Some((offer.version, now));
-            out.push(Action::Note(Note::ConfigurationQuery {
-                version: offer.version,
-                own: self.configuration_version(),
-                peer: self.peer_name(offer.link),
-            }));
-            out.push(Action::SendOnLink {
-                link: offer.link,
-                message: LinkMessage::ConfigurationQuery(self.configuration_version()),
-            });
-        }
+    /// Asks a peer for the newer configuration that it has told of.
+    pub(super) fn ask_for_configuration(&mut self, now: Instant, out: &mut Actions) {
+        let Some(query) = self.offers.take_due(now) else {
+            return;
+        };
+        let own = self.configuration_version();
+        out.push(Action::Note(Note::ConfigurationQuery {
+            version: query.version,
+            own,
+            peer: self.peer_name(query.link),
+        }));
+        out.push(Action::SendOnLink {
+            link: query.link,
+            message: LinkMessage::ConfigurationQuery(own),
+        });
     }
+
     /// Returns the name of the peer at the other end of a link, empty if the link has ended.
     fn peer_name(&mut self, link: LinkId) -> String {
         let peer = self.directory.by_link(link);
--- a/crates/rillgap-forward/tests/spread.rs
+++ b/crates/rillgap-forward/tests/spread.rs
@@ -5,9 +5,10 @@
 use googletest::prelude::*;
 use rillgap_forward::action::Action;
 use rillgap_forward::event::Event;
+use rillgap_forward::freshness::QueryNumber;
 use rillgap_forward::id::LinkId;
-use rillgap_forward::message::LinkMessage;
-use support::{SERVICE, TestNode, hello, serving};
+use rillgap_forward::message::{FreshnessAnswer, LinkMessage};
+use support::{SERVICE, TestNode, configuration, hello, serving};
 
 /// Version that the peers have; the node under test has version 1.
 const NEWER: u64 = 7;
@@ -47,3 +48,69 @@
     test.pass(1_000);
     expect_that!(asked(&test), contains(eq(&sound)));
 }
+
+/// Lets time pass while nobody answers, and returns the links that were asked on.
+fn asked_within(test: &mut TestNode, millis: u64) -> Vec<LinkId> {
+    test.actions.clear();
+    test.pass(millis);
+    asked(test)
+}
+
+#[gtest]
+fn query_goes_to_another_peer_at_once_when_its_link_ends() {
+    let mut test = TestNode::configured("logbok");
+    let first = accept(&mut test, "peer-a", 50);
+    let second = accept(&mut test, "peer-b", 51);
+    test.actions.clear();
+    test.event(Event::LinkClosed(first));
+    expect_that!(asked(&test), elements_are![eq(&second)]);
+}
+
+#[gtest]
+fn unanswered_queries_go_round_the_peers_until_the_version_is_in_force() {
+    let mut test = TestNode::configured("logbok");
+    let links = [50, 51, 52].map(|link| accept(&mut test, &format!("peer-{link}"), link));
+    test.pass(3_000);
+    let all = asked(&test);
+    expect_that!(all.len(), le(6));
+    for link in links {
+        expect_that!(all, contains(eq(&link)));
+    }
+    let configuration = configuration(NEWER).into();
+    let message = LinkMessage::Configuration(configuration);
+    test.event(Event::Link {
+        link: links[2],
+        message,
+    });
+    expect_that!(asked_within(&mut test, 3_000), is_empty());
+}
+
+#[gtest]
+fn peer_that_was_heard_last_is_asked_before_silent_ones() {
+    let mut test = TestNode::configured("logbok");
+    let links = [50, 51, 52].map(|link| accept(&mut test, &format!("peer-{link}"), link));
+    test.pass(100);
+    let message = LinkMessage::Pong;
+    let link = links[1];
+    test.event(Event::Link { link, message });
+    expect_that!(asked_within(&mut test, 300), elements_are![eq(&link)]);
+}
+
+#[gtest]
+fn proof_of_a_newer_version_tells_that_the_peer_has_it() {
+    let mut test = TestNode::configured("logbok");
+    let link = LinkId(50);
+    let hello = hello("peer-a", 50, serving(SERVICE), 1);
+    test.event(Event::LinkAccepted { link, hello });
+    test.actions.clear();
+    let answer = FreshnessAnswer {
+        number: QueryNumber(1),
+        version: NEWER,
+        age_micros: 0,
+    };
+    test.event(Event::Link {
+        link,
+        message: LinkMessage::FreshnessAnswer(answer),
+    });
+    expect_that!(asked(&test), elements_are![eq(&link)]);
+}
