Inbound: times that the node itself has held up are not the back end's

Change: an answer or a silence that is noticed more than 500 ms after the end of the request's time is no sample. A back end ends its work with that time, so it says nothing about the back end.

Ruled out: a back end that does not serve (no change of its standing in the log), refusals by its node (none in the log).

--- a/crates/rillgap-forward/src/inbound/ending.rs
+++ b/crates/rillgap-forward/src/inbound/ending.rs
@@ -4,7 +4,8 @@
 use rillgap_core::time::Instant;
 
 use super::{
-    Arrival, CLOSE_TO_DEADLINE, FAILING_PERMILLE, Inbound, OVERTIME, Running, count, elapsed_micros,
+    Arrival, CLOSE_TO_DEADLINE, FAILING_PERMILLE, Inbound, NOTICED_LATE, OVERTIME, Running, count,
+    elapsed_micros,
 };
 use crate::action::{Action, Actions};
 use crate::event::ExchangeResult;
@@ -30,8 +31,7 @@
             };
             self.places.remove(&(running.link, running.sequence));
             out.push(Action::CancelExchange(exchange));
-            let elapsed = now.saturating_since(running.started);
-            self.times.record(&running.request.route, elapsed);
+            self.record_time(now, &running);
             if running.is_awaited {
                 let result = ForwardResult::Unknown {
                     code: ResultCode::AnswerTimeout,
@@ -68,6 +68,16 @@
         out.push(Action::CancelExchange(exchange));
     }
 
+    /// Counts how long a request was at the back end. A back end ends its work with the request's time:
+    /// what is noticed long after that says nothing about the back end.
+    pub(super) fn record_time(&mut self, now: Instant, running: &Running) {
+        if now > running.deadline + NOTICED_LATE {
+            return;
+        }
+        let elapsed = now.saturating_since(running.started);
+        self.times.record(&running.request.route, elapsed);
+    }
+
     /// Counts whether the back end itself has failed a request.
     pub(super) fn record_outcome(
         &mut self,
--- a/crates/rillgap-forward/src/inbound/mod.rs
+++ b/crates/rillgap-forward/src/inbound/mod.rs
@@ -47,6 +47,9 @@
 const PROBE_SHARE: f64 = 0.1;
 /// Time after the end of a request's time at which its connection is given up.
 const OVERTIME: Duration = Duration::from_millis(250);
+/// Time after the end of a request's time beyond which its end was not noticed when it came: the node
+/// itself stood still or had no processor. Twice the time at which an overdue request is given up.
+const NOTICED_LATE: Duration = Duration::from_millis(500);
 /// Shortest and longest time after which a refused caller is asked back, in milliseconds.
 const RETRY_AFTER_MILLIS: (u64, u64) = (50, 2_000);
 /// Tuning of the published level. Calls may wait for several times as long as they run, so the queue may
@@ -322,9 +325,8 @@
         };
         self.deadlines.remove(&(running.deadline, exchange));
         self.places.remove(&(running.link, running.sequence));
-        let elapsed = now.saturating_since(running.started);
         if matches!(result, ExchangeResult::Answered(_)) {
-            self.times.record(&running.request.route, elapsed);
+            self.record_time(now, &running);
         }
         self.record_outcome(now, &running, &result);
         let effect = self.back_end.on_exchange(&result);
