--- a/tests/soak/src/caller.rs
+++ b/tests/soak/src/caller.rs
@@ -177,12 +177,14 @@
     let mut kept = None;
     loop {
         tokio::time::sleep(Duration::from_millis(10 + soak.draw(80))).await;
-        if !soak.machines[node].is_ready.load(Ordering::Relaxed) {
-            kept = None;
+        // An open connection is used until the process is gone, ready or not; a new one is opened only
+        // to a node that is ready.
+        if kept.is_none() && !soak.machines[node].is_ready.load(Ordering::Relaxed) {
             continue;
         }
         let outgoing = draw_request(&soak);
-        if soak.draw(25) == 0 {
+        let is_ready = soak.machines[node].is_ready.load(Ordering::Relaxed);
+        if is_ready && soak.draw(25) == 0 {
             leave_early(&soak, node, &outgoing).await;
             continue;
         }
--- a/tests/soak/src/deployment.rs
+++ b/tests/soak/src/deployment.rs
@@ -1,12 +1,14 @@
-//! The deployment that is soaked: nine machines in three zones, three services.
+//! The deployment that is soaked: machines in groups of three, one of each service; a group is a zone.
 
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::time::Duration;
 
 /// Services; a request to one may call the next.
 pub const SERVICES: [&str; 3] = ["front", "middle", "deep"];
-/// Machines.
-pub const NODES: usize = 9;
+/// Machines, unless the command line names another number.
+pub const DEFAULT_NODES: usize = 9;
+/// Most machines: each has a last byte of a loopback address of its own.
+pub const MOST_NODES: usize = 250;
 /// Host of all routes.
 pub const HOST: &str = "soak.example";
 /// Requests that a back end works on at the same time.
@@ -47,6 +49,8 @@
 pub struct Layout {
     /// Second byte of all addresses, so that soaks side by side do not meet.
     pub network: u8,
+    /// Number of machines.
+    pub nodes: usize,
 }
 
 impl Layout {
--- a/tests/soak/src/faults.rs
+++ b/tests/soak/src/faults.rs
@@ -9,7 +9,6 @@
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::time::sleep;
 
-use crate::deployment::NODES;
 use crate::proxy::{Disturbance, Proxy};
 use crate::soak::Soak;
 use crate::store::Treatment;
@@ -27,6 +26,13 @@
 const SERVED_PERCENT: u64 = 95;
 /// One cycle of so many has planned work only.
 const PLANNED_CYCLES: u64 = 3;
+/// Shortest and longest stand-still in which the configuration changes, in milliseconds: peers give
+/// links up within some seconds.
+const LONG_PAUSE_MILLIS: (u64, u64) = (2_500, 6_000);
+/// Changes of the configuration in a series.
+const SERIES: u64 = 4;
+/// Time between two changes of a series, in milliseconds.
+const SERIES_GAP_MILLIS: u64 = 150;
 
 /// The proxies in front of a machine.
 #[derive(Clone, Debug)]
@@ -93,8 +99,10 @@
     /// Begins planned work.
     fn plan(&mut self, left: u64) {
         let node = self.draw_node();
-        match self.draw(5) {
+        match self.draw(7) {
             0 | 1 => self.configure(),
+            5 => self.configure_in_series(SERIES, Duration::ZERO),
+            6 if left > LAST_SLOW_MILLIS => self.order(node, node::Order::StopWithSignals),
             2 if left > LAST_SLOW_MILLIS => self.stop(node),
             3 if left > LAST_SLOW_MILLIS => self.drain(node),
             _ => self.order(node, node::Order::Reload),
@@ -107,7 +115,7 @@
         let length = millis((300 + self.draw(3_500)).min(left));
         let now = self.soak.now();
         self.soak.judge().disturbed(now, now + length);
-        match self.draw(13) {
+        match self.draw(15) {
             0 => self.order(node, node::Order::Kill(length)),
             1 => self.order(node, node::Order::Pause(length)),
             2 => self.kill_many(length),
@@ -120,6 +128,8 @@
             9 => self.crash(node, length),
             10 => self.go_wrong(node, length, |machine| &machine.lost_percent, 30),
             11 => self.go_wrong(node, length, |machine| &machine.spoiled_percent, 20),
+            12 => self.change_while_paused(node, left),
+            13 => self.signal_in_series(node, length),
             _ => self.misbehave(node, length),
         }
     }
@@ -129,6 +139,39 @@
         operator::configure(&self.soak);
     }
 
+    /// Changes the configuration several times in quick succession, after a while.
+    fn configure_in_series(&self, count: u64, after: Duration) {
+        self.say(&format!("configuration changes {count} times"));
+        let soak = self.soak.clone();
+        tokio::spawn(async move {
+            sleep(after).await;
+            for _ in 0..count {
+                operator::configure(&soak);
+                sleep(millis(SERIES_GAP_MILLIS)).await;
+            }
+        });
+    }
+
+    /// Lets a node stand still for long while the configuration changes.
+    fn change_while_paused(&mut self, node: usize, left: u64) {
+        let (shortest, longest) = LONG_PAUSE_MILLIS;
+        let length = millis((shortest + self.draw(longest - shortest)).min(left));
+        let now = self.soak.now();
+        self.soak.judge().disturbed(now, now + length);
+        self.order(node, node::Order::Pause(length));
+        let count = 1 + self.draw(2);
+        self.configure_in_series(count, length / 4);
+    }
+
+    /// Sends a node several signals, each while it still carries out the one before.
+    fn signal_in_series(&mut self, node: usize, length: Duration) {
+        self.order(node, node::Order::Reload);
+        self.order(node, node::Order::Pause(length / 3));
+        self.order(node, node::Order::Reload);
+        self.order(node, node::Order::Pause(length / 3));
+        self.order(node, node::Order::Kill(length / 3));
+    }
+
     fn stop(&self, node: usize) {
         self.order(node, node::Order::Stop);
     }
@@ -145,7 +188,7 @@
 
     fn kill_many(&mut self, length: Duration) {
         let all = self.draw(3) == 0;
-        for node in 0..NODES {
+        for node in 0..self.soak.layout.nodes {
             if all || self.draw(2) == 0 {
                 self.order(node, node::Order::Kill(length));
             }
@@ -192,7 +235,9 @@
             _ => Treatment::Slow(millis(100 + self.draw(600))),
         };
         let share = 1 + self.draw(3);
-        let doors: Vec<usize> = (0..NODES).filter(|_| self.draw(3) < share).collect();
+        let doors: Vec<usize> = (0..self.soak.layout.nodes)
+            .filter(|_| self.draw(3) < share)
+            .collect();
         self.say(&format!("store: {treatment:?} for {doors:?}, {length:?}"));
         let store = self.soak.store.clone();
         for door in &doors {
@@ -262,7 +307,7 @@
     }
 
     fn draw_node(&mut self) -> usize {
-        usize::try_from(self.draw(NODES as u64)).unwrap_or(0)
+        usize::try_from(self.draw(self.soak.layout.nodes as u64)).unwrap_or(0)
     }
 
     fn draw(&mut self, bound: u64) -> u64 {
--- a/tests/soak/src/judge.rs
+++ b/tests/soak/src/judge.rs
@@ -331,11 +331,12 @@
             self.violate(sent, &text);
         }
         let accepted = self.accepted.get(&version).copied().unwrap_or(sent);
+        // A disturbance excuses a node only until it has been in touch for the time that it then has.
+        let since = sent.saturating_sub(APPLY_TIME);
         let was_planned = self.planned.iter().any(|(other, from, until)| {
-            *other == node && *from <= sent && *until + DISTURBED >= accepted
+            *other == node && *from <= sent && *until + DISTURBED >= since
         });
-        let is_late = accepted + APPLY_TIME < sent;
-        if is_late && !was_planned && !self.is_disturbed(accepted, sent) {
+        if accepted < since && !was_planned && !self.is_disturbed(since, sent) {
             let text = format!("CONFIG node {node} denies version {version} for too long");
             self.violate(sent, &text);
         }
--- a/tests/soak/src/main.rs
+++ b/tests/soak/src/main.rs
@@ -10,19 +10,17 @@
 use tokio::sync::mpsc;
 use tokio::time::sleep;
 
-use rillgap_soak::deployment::{Layout, NODES};
+use rillgap_soak::deployment::{DEFAULT_NODES, Layout, MOST_NODES};
 use rillgap_soak::faults::{Proxies, Schedule, Targets};
 use rillgap_soak::node::Files;
 use rillgap_soak::proxy::Proxy;
 use rillgap_soak::soak::Soak;
 use rillgap_soak::{back_end, caller, node, operator};
 
-/// Callers beside each node.
-const CALLERS: usize = 3;
 /// Time for the first start before the schedule begins.
 const START_TIME: Duration = Duration::from_secs(4);
 
-/// Soaks rillgap-fleet: nine processes, disturbed by proxies and signals.
+/// Soaks rillgap-fleet: real processes, disturbed by proxies and signals.
 #[derive(Debug, FromArgs)]
 struct Arguments {
     /// seed of the schedule
@@ -40,6 +38,12 @@
     /// second byte of the loopback addresses, to run several side by side
     #[argh(option, default = "77")]
     network: u8,
+    /// machines, each with a process, a back end and callers
+    #[argh(option, default = "DEFAULT_NODES")]
+    nodes: usize,
+    /// callers beside each node
+    #[argh(option, default = "3")]
+    callers: usize,
 }
 
 #[tokio::main]
@@ -57,8 +61,13 @@
 
 /// Runs a soak; returns whether all promises were kept.
 async fn run(arguments: &Arguments) -> io::Result<bool> {
+    if arguments.nodes == 0 || arguments.nodes > MOST_NODES {
+        let text = format!("--nodes must be from 1 to {MOST_NODES}");
+        return Err(io::Error::new(io::ErrorKind::InvalidInput, text));
+    }
     let layout = Layout {
         network: arguments.network,
+        nodes: arguments.nodes,
     };
     let folder = arguments.folder.join(format!("seed-{}", arguments.seed));
     if folder.exists() {
@@ -73,8 +82,8 @@
     operator::configure(&soak);
     let (targets, supervisors) = start(&soak, &files).await?;
     sleep(START_TIME).await;
-    for node in 0..NODES {
-        for _ in 0..CALLERS {
+    for node in 0..layout.nodes {
+        for _ in 0..arguments.callers {
             tokio::spawn(caller::run(soak.clone(), node));
         }
     }
@@ -101,7 +110,7 @@
         back_ends: Vec::new(),
     };
     let mut supervisors = Vec::new();
-    for node in 0..NODES {
+    for node in 0..soak.layout.nodes {
         targets.proxies.push(start_proxies(soak, node).await?);
         let (orders, received) = mpsc::unbounded_channel();
         targets.back_ends.push(orders);
--- a/tests/soak/src/node.rs
+++ b/tests/soak/src/node.rs
@@ -22,6 +22,8 @@
 const GRACE_MARGIN: Duration = Duration::from_millis(500);
 /// Pause before a stopped process is started again.
 const RESTARTED_AFTER: Duration = Duration::from_millis(600);
+/// Time between two signals of a series.
+const SIGNAL_GAP: Duration = Duration::from_millis(300);
 /// Time between two looks at readiness and memory.
 const LOOK: Duration = Duration::from_secs(1);
 
@@ -30,6 +32,8 @@
 pub enum Order {
     /// SIGTERM, then a start.
     Stop,
+    /// SIGTERM with SIGHUP and a second SIGTERM while it is carried out, then a start.
+    StopWithSignals,
     /// SIGKILL, then a start after a while.
     Kill(Duration),
     /// SIGSTOP, then SIGCONT after a while.
@@ -117,7 +121,11 @@
                     return Some(down);
                 }
                 Some(Order::Stop) => {
-                    stop(soak, node, child).await;
+                    stop(soak, node, child, &[]).await;
+                    return Some(RESTARTED_AFTER);
+                }
+                Some(Order::StopWithSignals) => {
+                    stop(soak, node, child, &[Signal::SIGHUP, Signal::SIGTERM]).await;
                     return Some(RESTARTED_AFTER);
                 }
             },
@@ -131,11 +139,16 @@
     }
 }
 
-async fn stop(soak: &Arc<Soak>, node: usize, child: &mut Child) {
+/// Stops a process; `more` are sent to it while it stops.
+async fn stop(soak: &Arc<Soak>, node: usize, child: &mut Child, more: &[Signal]) {
     let begin = soak.now();
     soak.judge()
         .planned_stop(node, begin, begin + GRACE + Duration::from_secs(1));
     signal(child, Signal::SIGTERM);
+    for later in more {
+        sleep(SIGNAL_GAP).await;
+        signal(child, *later);
+    }
     // Callers learn within two looks that the node is not ready.
     let machine = &soak.machines[node];
     let unready = async {
--- a/tests/soak/src/soak.rs
+++ b/tests/soak/src/soak.rs
@@ -7,7 +7,7 @@
 use rand_chacha::rand_core::{Rng, SeedableRng};
 use tokio::time::Instant;
 
-use crate::deployment::{Layout, NODES};
+use crate::deployment::Layout;
 use crate::judge::{Judge, Moment};
 use crate::store::Store;
 
@@ -50,8 +50,8 @@
     pub fn new(layout: Layout, seed: u64) -> Arc<Self> {
         Arc::new(Self {
             layout,
-            store: Store::new(NODES),
-            machines: (0..NODES).map(|_| Machine::default()).collect(),
+            store: Store::new(layout.nodes),
+            machines: (0..layout.nodes).map(|_| Machine::default()).collect(),
             version: AtomicU64::new(0),
             start: Instant::now(),
             judge: Mutex::default(),
--- a/tests/soak/tests/judge.rs
+++ b/tests/soak/tests/judge.rs
@@ -178,6 +178,28 @@
     expect_that!(kinds(&judge), eq(&vec!["CONFIG".to_owned()]));
 }
 
+#[gtest]
+fn disturbance_excuses_a_late_configuration_only_until_the_node_had_its_time_in_touch() {
+    let mut judge = judge();
+    judge.accepted(at(1_000), 3);
+    judge.disturbed(at(500), at(5_000));
+    judge.denied_version(at(9_900), 1, 1, 3);
+    expect_that!(kinds(&judge), is_empty());
+    judge.denied_version(at(10_100), 1, 1, 3);
+    expect_that!(kinds(&judge), eq(&vec!["CONFIG".to_owned()]));
+}
+
+#[gtest]
+fn planned_stop_excuses_a_late_configuration_only_for_a_while() {
+    let mut judge = judge();
+    judge.accepted(at(1_000), 3);
+    judge.planned_stop(1, at(500), at(5_000));
+    judge.denied_version(at(9_900), 1, 1, 3);
+    expect_that!(kinds(&judge), is_empty());
+    judge.denied_version(at(10_100), 1, 1, 3);
+    expect_that!(kinds(&judge), eq(&vec!["CONFIG".to_owned()]));
+}
+
 #[gtest]
 fn configuration_that_comes_too_late_is_caught_unless_something_is_disturbed() {
     let mut judge = judge();
