--- a/crates/rillgap-forward/tests/simulation/main.rs
+++ b/crates/rillgap-forward/tests/simulation/main.rs
@@ -59,23 +59,54 @@
     }
 }
 
-/// Time for which a node stands still while the configuration changes.
-const STAND_STILL: u64 = 5_000;
+/// Time for which a node is out of touch while the configuration changes.
+const OUT_OF_TOUCH: u64 = 5_000;
+/// Days on which a node is out of touch.
+const DAYS_OUT_OF_TOUCH: u64 = 45;
+
+/// Plays a day on which one node is out of touch from a first to a second moment, as `schedule` says, while
+/// the configuration changes; expects the new version to be in force everywhere in time after that.
+fn expect_in_force_after(seed: u64, schedule: impl Fn(&mut World, usize, u64, u64)) {
+    let mut world = World::new(seed, Planted::Nothing, 12_000);
+    let host = seed as usize % world.size();
+    let from = 4_000 + seed * 37;
+    let until = from + OUT_OF_TOUCH;
+    schedule(&mut world, host, from, until);
+    world.at(from + 1_300, Happening::Fault(Fault::Configure));
+    world.run_until(until + APPLY_BOUND);
+    let (in_force, stored) = world.versions();
+    expect_that!(stored, gt(1));
+    expect_that!(in_force, each(eq(&stored)), "seed {seed}");
+}
+
+fn stand_still(world: &mut World, host: usize, from: u64, until: u64) {
+    world.at(from, Happening::Fault(Fault::Freeze(host, until)));
+}
 
 #[gtest]
 fn configuration_is_in_force_in_time_at_a_node_that_stood_still() {
-    for seed in 0..45 {
-        let mut world = World::new(seed, Planted::Nothing, 12_000);
-        let host = seed as usize % world.size();
-        let frozen_at = 4_000 + seed * 37;
-        let thawed_at = frozen_at + STAND_STILL;
-        let stand_still = Fault::Freeze(host, thawed_at);
-        world.at(frozen_at, Happening::Fault(stand_still));
-        world.at(frozen_at + 1_300, Happening::Fault(Fault::Configure));
-        world.run_until(thawed_at + APPLY_BOUND);
-        let (in_force, stored) = world.versions();
-        expect_that!(stored, gt(1));
-        expect_that!(in_force, each(eq(&stored)), "seed {seed}");
+    for seed in 0..DAYS_OUT_OF_TOUCH {
+        expect_in_force_after(seed, stand_still);
+    }
+}
+
+#[gtest]
+fn configuration_is_in_force_in_time_at_a_node_that_stood_still_and_that_the_store_refuses() {
+    for seed in 0..DAYS_OUT_OF_TOUCH {
+        expect_in_force_after(seed, |world, host, from, until| {
+            stand_still(world, host, from, until);
+            world.at(from, Happening::Fault(Fault::StoreRefuses(host, true)));
+        });
+    }
+}
+
+#[gtest]
+fn configuration_is_in_force_in_time_at_a_node_that_was_cut_off() {
+    for seed in 0..DAYS_OUT_OF_TOUCH {
+        expect_in_force_after(seed, |world, host, from, until| {
+            world.at(from, Happening::Fault(Fault::Cut(host, true)));
+            world.at(until, Happening::Fault(Fault::Cut(host, false)));
+        });
     }
 }
 
