--- a/crates/rillgap-lab/tests/compare_figures.rs
+++ b/crates/rillgap-lab/tests/compare_figures.rs
@@ -110,27 +110,20 @@
     expect_that!(count, ge(18));
 }
 
-/// Most executions beyond a single run that one request may cause with two of three back ends down.
-const MOST_RETRIES: u32 = 5;
-/// The same in the median over the seeds, and at any seed with one back end down.
-const USUAL_RETRIES: u32 = 2;
+/// Most executions beyond a single run that one request may cause.
+const MOST_RETRIES: u32 = 2;
 
 #[gtest]
 fn crashed_back_ends_do_not_draw_the_calls_of_their_service() {
-    for (name, most_retries) in [
-        ("trondheim-back-end-down.toml", USUAL_RETRIES),
-        ("trondheim-two-back-ends-down.toml", MOST_RETRIES),
+    for name in [
+        "trondheim-back-end-down.toml",
+        "trondheim-two-back-ends-down.toml",
     ] {
         let scenario = Arc::new(overload(name));
         let figures = plan::run(&scenario, &[Variant::Rillgap], 1..=9).expect("runs");
-        let mut retries = Vec::new();
         for run in figures {
             expect_that!(run.goodput_of_offered(), gt(0.99), "{name}");
-            retries.push(run.highest_retries);
+            expect_that!(run.highest_retries, le(MOST_RETRIES), "{name}");
         }
-        retries.sort_unstable();
-        let median = retries[retries.len() / 2];
-        expect_that!(median, le(USUAL_RETRIES), "{name}");
-        expect_that!(retries, each(le(&most_retries)), "{name}");
     }
 }
