--- a/crates/rillgap-forward/src/action.rs
+++ b/crates/rillgap-forward/src/action.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use crate::id::{AnnouncementId, ConnectionId, ExchangeId, LinkId, ProbeId, Turn};
+use crate::incarnation::Incarnation;
 use crate::message::{ForwardedRequest, LinkMessage};
 use crate::note::Note;
 use crate::store_sync::{StoreRequest, StoreRequestId};
@@ -30,7 +31,7 @@
     /// The request.
     pub request: Arc<ForwardedRequest>,
     /// Incarnation of the back end that is meant.
-    pub instance: String,
+    pub incarnation: Incarnation,
     /// Time that is left for the request.
     pub remaining: Duration,
 }
--- a/crates/rillgap-forward/src/crash/mod.rs
+++ b/crates/rillgap-forward/src/crash/mod.rs
@@ -23,7 +23,9 @@
 
 use bitcode::{Decode, Encode};
 use rillgap_core::id::Fingerprint;
-use xxhash_rust::xxh3::xxh3_64;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::incarnation::Incarnation;
 
 pub use evidence::Standing;
 pub use register::{CrashRegister, EvidenceNews, StandingChange};
@@ -42,8 +44,9 @@
 
 impl CrashId {
     /// Returns the identifier of the end of an incarnation.
-    pub fn of(instance: &str) -> Self {
-        Self(xxh3_64(instance.as_bytes()))
+    pub fn of(incarnation: &Incarnation) -> Self {
+        let started_at = incarnation.started_at_millis.unwrap_or_default();
+        Self(xxh3_64_with_seed(incarnation.id.as_bytes(), started_at))
     }
 }
 
--- a/crates/rillgap-forward/src/crash/register.rs
+++ b/crates/rillgap-forward/src/crash/register.rs
@@ -10,6 +10,7 @@
 use super::answered::RecentAnswers;
 use super::evidence::{Evidence, Standing};
 use super::{ContentEvidence, CrashId, CrashRecord, Proof, Suspect};
+use crate::incarnation::Incarnation;
 
 /// Contents that evidence is kept of: a megabyte at most.
 const MOST_CONTENTS: usize = 4_096;
@@ -84,8 +85,8 @@
     }
 
     /// Takes in that a back end has ended while these requests were under way.
-    pub fn on_crash(&mut self, now: Instant, instance: &str, suspects: &[Suspect]) {
-        let crash = CrashId::of(instance);
+    pub fn on_crash(&mut self, now: Instant, incarnation: &Incarnation, suspects: &[Suspect]) {
+        let crash = CrashId::of(incarnation);
         for suspect in suspects {
             let record = CrashRecord {
                 crash,
--- a/crates/rillgap-forward/src/event.rs
+++ b/crates/rillgap-forward/src/event.rs
@@ -4,6 +4,7 @@
 
 use crate::credential::Credential;
 use crate::id::{AnnouncementId, ConnectionId, ExchangeId, LinkId, ProbeId, Turn};
+use crate::incarnation::Incarnation;
 use crate::message::{ForwardedAnswer, Hello, LinkMessage};
 use crate::store_sync::{StoreReply, StoreRequestId};
 
@@ -59,7 +60,7 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Heartbeat {
     /// Incarnation of the back end.
-    pub instance: String,
+    pub incarnation: Incarnation,
     /// Service.
     pub service: String,
     /// Address, as text.
@@ -77,7 +78,7 @@
 pub enum ProbeResult {
     /// Healthy and not leaving.
     Healthy {
-        /// Incarnation that answered.
+        /// Identifier of the incarnation that answered, which runs of a back end may share.
         instance: String,
     },
     /// Failing or leaving.
@@ -143,8 +144,8 @@
     BackEndLeaves {
         /// What waits for the acknowledgement.
         announcement: AnnouncementId,
-        /// Incarnation.
-        instance: String,
+        /// Incarnation; the latest one of its identifier is meant if it does not tell when it has started.
+        incarnation: Incarnation,
     },
     /// The health endpoint has answered.
     ProbeEnded {
--- a/crates/rillgap-forward/src/freshness.rs
+++ b/crates/rillgap-forward/src/freshness.rs
@@ -120,6 +120,15 @@
         }
     }
 
+    /// Takes in that the store has come back from a copy: what it has said before, itself or through peers, may
+    /// not hold any more, so a new proof is needed.
+    pub fn store_has_returned(&mut self) {
+        self.proven_at = None;
+        self.ahead = None;
+        self.queries.clear();
+        self.queried_at = None;
+    }
+
     /// Returns how many peers are to be asked now, if any.
     pub fn queries_due(&self, now: Instant) -> Option<usize> {
         let bound = self.bound?;
--- a/crates/rillgap-forward/src/inbound/back_end.rs
+++ b/crates/rillgap-forward/src/inbound/back_end.rs
@@ -12,6 +12,7 @@
 
 use crate::event::{AnnouncedState, ExchangeResult, Heartbeat, ProbeResult};
 use crate::id::ProbeId;
+use crate::incarnation::Incarnation;
 
 /// Heartbeat intervals without a heartbeat after which the back end is probed.
 const SILENT_INTERVALS: f64 = 3.2;
@@ -53,7 +54,7 @@
 /// What is announced by an incarnation.
 #[derive(Clone, Debug)]
 struct Announcement {
-    instance: String,
+    incarnation: Incarnation,
     service: String,
     slots: u32,
     sequence: u64,
@@ -67,7 +68,7 @@
     standing: Standing,
     current: Option<Announcement>,
     announced: Option<Announcement>,
-    left: BTreeSet<String>,
+    left: BTreeSet<Incarnation>,
     heard_at: Instant,
     /// Whether a request was answered since the last probe began.
     answered_since_probe: bool,
@@ -113,8 +114,28 @@
         }
     }
 
-    pub fn instance(&self) -> &str {
-        self.current.as_ref().map_or("", |known| &known.instance)
+    /// Returns the incarnation that is believed in, if there is one.
+    pub fn incarnation(&self) -> Option<&Incarnation> {
+        self.current.as_ref().map(|known| &known.incarnation)
+    }
+
+    /// Returns the name for logs of the incarnation that is believed in, or else of the one that has announced
+    /// itself.
+    pub fn name(&self) -> String {
+        let announced = self.announced.as_ref().map(|known| &known.incarnation);
+        let known = self.incarnation().or(announced);
+        known.map_or_else(String::new, Incarnation::to_string)
+    }
+
+    /// Returns whether an incarnation has ended, since another one has its address.
+    pub fn has_ended(&self, incarnation: &Incarnation) -> bool {
+        let is_replaced = self.is_serving() && self.incarnation() != Some(incarnation);
+        is_replaced || self.is_superseded(incarnation)
+    }
+
+    /// Returns whether an incarnation has announced that it leaves.
+    pub fn has_left_service(&self, incarnation: &Incarnation) -> bool {
+        self.left.contains(incarnation)
     }
 
     pub fn service(&self) -> &str {
@@ -142,16 +163,17 @@
 
     /// Takes in a heartbeat.
     pub fn on_heartbeat(&mut self, now: Instant, heartbeat: &Heartbeat) -> Effect {
-        if !self.is_own(heartbeat) {
+        let incarnation = &heartbeat.incarnation;
+        if !self.is_own(heartbeat) || self.is_superseded(incarnation) {
             return Effect::NONE;
         }
         if heartbeat.state == AnnouncedState::Draining {
-            return self.leave(&heartbeat.instance, "announced draining");
+            return self.leave(incarnation.clone(), "announced draining");
         }
-        if self.left.contains(&heartbeat.instance) {
+        if self.left.contains(incarnation) {
             return Effect::NONE;
         }
-        let is_current = self.instance() == heartbeat.instance;
+        let is_current = self.incarnation() == Some(incarnation);
         if is_current && heartbeat.sequence <= self.sequence() {
             return Effect::NONE;
         }
@@ -161,12 +183,55 @@
         }
         self.announced = Some(announcement(heartbeat));
         self.wants_probe = true;
+        self.end_predecessor(incarnation)
+    }
+
+    /// Ends the belief in an earlier run under the identifier of a new one: the health endpoint, which names
+    /// identifiers alone, would be taken for the word of the earlier run.
+    fn end_predecessor(&mut self, successor: &Incarnation) -> Effect {
+        if !self
+            .incarnation()
+            .is_some_and(|known| known.precedes(successor))
+        {
+            return Effect::NONE;
+        }
+        self.current = None;
+        let was_serving = self.standing == Standing::Serving;
+        self.standing = Standing::Unknown;
+        if was_serving {
+            return Effect::changed("started again under its identifier");
+        }
         Effect::NONE
     }
 
+    /// Returns whether a later run under the same identifier is known: then what an earlier one says is late.
+    fn is_superseded(&self, incarnation: &Incarnation) -> bool {
+        let announced = self.announced.iter().map(|known| &known.incarnation);
+        let mut known = announced.chain(self.incarnation()).chain(&self.left);
+        known.any(|known| incarnation.precedes(known))
+    }
+
+    /// Returns the latest run under an identifier that is known.
+    fn latest(&self, id: &str) -> Option<&Incarnation> {
+        let announced = self.announced.iter().map(|known| &known.incarnation);
+        let known = announced.chain(self.incarnation()).chain(&self.left);
+        known.filter(|known| known.id == id).max()
+    }
+
     /// Takes in that an incarnation leaves.
-    pub fn on_leave(&mut self, instance: &str) -> Effect {
-        self.leave(instance, "left")
+    pub fn on_leave(&mut self, incarnation: &Incarnation) -> Effect {
+        let leaving = self.meant(incarnation);
+        if self.is_superseded(&leaving) {
+            return Effect::NONE;
+        }
+        self.leave(leaving, "left")
+    }
+
+    /// Returns the incarnation that is meant by one that may not tell its start: the latest of its identifier.
+    pub fn meant(&self, incarnation: &Incarnation) -> Incarnation {
+        let latest = self.latest(&incarnation.id);
+        let known = latest.filter(|_| incarnation.started_at_millis.is_none());
+        known.unwrap_or(incarnation).clone()
     }
 
     /// Takes in an answer of the health endpoint.
@@ -266,16 +331,17 @@
     }
 
     fn confirm(&mut self, now: Instant, instance: &str) -> Effect {
-        if self.left.contains(instance) {
+        let latest = self.latest(instance);
+        if latest.is_some_and(|latest| self.left.contains(latest)) {
             return Effect::NONE;
         }
         if let Some(announced) = self
             .announced
-            .take_if(|announced| announced.instance == instance)
+            .take_if(|announced| announced.incarnation.id == instance)
         {
             self.current = Some(announced);
         }
-        if self.instance() != instance {
+        if self.incarnation().is_none_or(|known| known.id != instance) {
             // Neither the current nor the announced one: wait for its heartbeat.
             return self.down("health endpoint names another incarnation");
         }
@@ -305,13 +371,14 @@
         Effect::changed("another incarnation answers")
     }
 
-    fn leave(&mut self, instance: &str, cause: &'static str) -> Effect {
+    fn leave(&mut self, leaving: Incarnation, cause: &'static str) -> Effect {
         if self.left.len() >= MOST_LEFT {
             self.left.pop_first();
         }
-        self.left.insert(instance.to_owned());
-        self.announced.take_if(|known| known.instance == instance);
-        if self.instance() != instance || self.standing == Standing::Leaving {
+        self.announced.take_if(|known| known.incarnation == leaving);
+        let is_current = self.incarnation() == Some(&leaving);
+        self.left.insert(leaving);
+        if !is_current || self.standing == Standing::Leaving {
             return Effect::NONE;
         }
         self.standing = Standing::Leaving;
@@ -321,7 +388,7 @@
 
 fn announcement(heartbeat: &Heartbeat) -> Announcement {
     Announcement {
-        instance: heartbeat.instance.clone(),
+        incarnation: heartbeat.incarnation.clone(),
         service: heartbeat.service.clone(),
         slots: heartbeat.slots.max(1),
         sequence: heartbeat.sequence,
--- a/crates/rillgap-forward/src/inbound/isolation.rs
+++ b/crates/rillgap-forward/src/inbound/isolation.rs
@@ -11,6 +11,7 @@
 use crate::action::{Action, Actions};
 use crate::crash::{Standing, Suspect};
 use crate::event::{ExchangeResult, ProbeResult};
+use crate::incarnation::Incarnation;
 use crate::message::{ForwardResult, ForwardedRequest};
 use crate::note::{LostWork, Note};
 
@@ -66,11 +67,12 @@
 
     /// Keeps a request whose answer was lost until it is known whether the back end has ended.
     pub(super) fn hold_lost(&mut self, now: Instant, running: Running) {
+        let incarnation = running.incarnation.clone();
         let lost = LostWork {
-            instance: self.back_end.instance().to_owned(),
+            instance: incarnation.to_string(),
             content: running.request.content(),
         };
-        self.losses.push(now, running, lost);
+        self.losses.push(now, incarnation, running, lost);
     }
 
     /// Answers a request that has ended otherwise.
@@ -82,7 +84,7 @@
         out: &mut Actions,
     ) {
         if let ExchangeResult::Answered(answer) = &result {
-            self.losses.on_answer(now, self.back_end.instance());
+            self.losses.on_answer(now, &running.incarnation);
             if answer.status < SERVER_ERROR {
                 self.exonerate(now, &running.request);
             }
@@ -122,12 +124,15 @@
         let crash = match result {
             ProbeResult::Refused => self.losses.on_ended(None),
             ProbeResult::Healthy { instance } => {
-                let crash = self.losses.on_ended(Some(instance));
-                self.losses.on_alive(instance);
+                let named = self.back_end.meant(&Incarnation::without_start(instance));
+                let crash = self.losses.on_ended(Some(&named));
+                self.losses.on_alive(&named);
                 crash
             }
             ProbeResult::Unhealthy => {
-                self.losses.on_alive(self.back_end.instance());
+                if let Some(incarnation) = self.back_end.incarnation() {
+                    self.losses.on_alive(incarnation);
+                }
                 None
             }
             ProbeResult::Unreachable => None,
@@ -153,9 +158,9 @@
                 ..*suspect
             })
             .collect();
-        self.crashes.on_crash(now, &crash.instance, &suspects);
+        self.crashes.on_crash(now, &crash.incarnation, &suspects);
         out.push(Action::Note(Note::BackEndCrashed {
-            instance: crash.instance.clone(),
+            instance: crash.incarnation.to_string(),
             under_way: suspects.len(),
             known: known.len(),
         }));
--- a/crates/rillgap-forward/src/inbound/losses.rs
+++ b/crates/rillgap-forward/src/inbound/losses.rs
@@ -11,6 +11,7 @@
 
 use super::Running;
 use crate::crash::Suspect;
+use crate::incarnation::Incarnation;
 use crate::note::LostWork;
 
 /// Time in which all connections of a process that has ended are seen to end; measured: 2 ms for 43 requests.
@@ -27,7 +28,7 @@
 #[derive(Clone, Debug)]
 pub(super) struct Crash {
     /// Incarnation.
-    pub instance: String,
+    pub incarnation: Incarnation,
     /// Requests that were under way.
     pub suspects: Vec<Suspect>,
 }
@@ -51,7 +52,7 @@
 /// Losses at one incarnation that are not explained yet.
 #[derive(Clone, Debug)]
 struct Unexplained {
-    instance: String,
+    incarnation: Incarnation,
     began_at: Instant,
     last_at: Instant,
     lost: Vec<Lost>,
@@ -86,13 +87,19 @@
     }
 
     /// Takes in a lost request.
-    pub fn push(&mut self, now: Instant, running: Running, lost: LostWork) {
+    pub fn push(
+        &mut self,
+        now: Instant,
+        incarnation: Incarnation,
+        running: Running,
+        lost: LostWork,
+    ) {
         let suspect = Suspect {
             content: lost.content,
             was_alone: running.is_isolated,
         };
         let unexplained = self.unexplained.get_or_insert_with(|| Unexplained {
-            instance: lost.instance.clone(),
+            incarnation,
             began_at: now,
             last_at: now,
             lost: Vec::new(),
@@ -107,8 +114,8 @@
     }
 
     /// Takes in that an incarnation lives, or has ended as planned: losses are no sign of a crash.
-    pub fn on_alive(&mut self, instance: &str) {
-        if self.is_of(instance) {
+    pub fn on_alive(&mut self, incarnation: &Incarnation) {
+        if self.is_of(incarnation) {
             self.unexplained = None;
             self.is_released = true;
         }
@@ -116,17 +123,17 @@
 
     /// Takes in an answer of an incarnation. One that was under way when the process ended may be read after the
     /// losses.
-    pub fn on_answer(&mut self, now: Instant, instance: &str) {
+    pub fn on_answer(&mut self, now: Instant, incarnation: &Incarnation) {
         let last_loss = self.unexplained.as_ref().map(|losses| losses.last_at);
         if last_loss.is_some_and(|at| now > at + SETTLE) {
-            self.on_alive(instance);
+            self.on_alive(incarnation);
         }
     }
 
     /// Takes in that the back end's address refuses connections, or that another incarnation (`successor`) has
     /// it. Returns the crash, if losses show one.
-    pub fn on_ended(&mut self, successor: Option<&str>) -> Option<Crash> {
-        if successor.is_some_and(|instance| self.is_of(instance)) {
+    pub fn on_ended(&mut self, successor: Option<&Incarnation>) -> Option<Crash> {
+        if successor.is_some_and(|incarnation| self.is_of(incarnation)) {
             return None;
         }
         let unexplained = self.unexplained.take()?;
@@ -137,7 +144,7 @@
         let suspects = unexplained.lost.iter().filter(belongs);
         Some(Crash {
             suspects: suspects.map(|lost| lost.suspect).collect(),
-            instance: unexplained.instance,
+            incarnation: unexplained.incarnation,
         })
     }
 
@@ -186,8 +193,8 @@
         (code, std::mem::take(&mut self.held))
     }
 
-    fn is_of(&self, instance: &str) -> bool {
+    fn is_of(&self, incarnation: &Incarnation) -> bool {
         let unexplained = self.unexplained.as_ref();
-        unexplained.is_some_and(|losses| losses.instance == instance)
+        unexplained.is_some_and(|losses| losses.incarnation == *incarnation)
     }
 }
--- a/crates/rillgap-forward/src/inbound/mod.rs
+++ b/crates/rillgap-forward/src/inbound/mod.rs
@@ -11,6 +11,7 @@
 mod isolation;
 mod losses;
 mod queue;
+mod renewal;
 mod running;
 mod service_time;
 
@@ -27,6 +28,7 @@
 use crate::crash::{CrashRegister, Standing};
 use crate::event::{AnnouncedState, ExchangeResult, Heartbeat, ProbeResult};
 use crate::id::{ExchangeId, LinkId, ProbeId, Sequence};
+use crate::incarnation::Incarnation;
 use crate::message::{ForwardedRequest, Load, Status, TIERS, tier_of};
 use crate::note::Note;
 use crate::settings::ForwardSettings;
@@ -110,6 +112,8 @@
     times: ServiceTimes,
     failures: FailureShare,
     failing_permille: u32,
+    /// Incarnation that the times and failures were measured of.
+    measured: Option<Incarnation>,
     next_exchange: u64,
     is_stopping: bool,
     status_changed: bool,
@@ -136,6 +140,7 @@
             times: ServiceTimes::default(),
             failures: FailureShare::default(),
             failing_permille: 0,
+            measured: None,
             next_exchange: 0,
             is_stopping: false,
             status_changed: false,
@@ -251,17 +256,19 @@
         out: &mut Actions,
     ) -> bool {
         let effect = self.back_end.on_heartbeat(now, heartbeat);
+        self.end_earlier_runs(now, out);
         if heartbeat.state == AnnouncedState::Draining {
-            self.losses.on_alive(&heartbeat.instance);
+            self.losses.on_alive(&heartbeat.incarnation);
         }
         self.carry_out(now, effect, table, out);
         self.back_end.is_own(heartbeat)
     }
 
     /// Takes in that a back end leaves.
-    pub fn on_leave(&mut self, now: Instant, instance: &str, out: &mut Actions) {
-        let effect = self.back_end.on_leave(instance);
-        self.losses.on_alive(instance);
+    pub fn on_leave(&mut self, now: Instant, incarnation: &Incarnation, out: &mut Actions) {
+        let leaving = self.back_end.meant(incarnation);
+        let effect = self.back_end.on_leave(incarnation);
+        self.losses.on_alive(&leaving);
         self.carry_out(now, effect, None, out);
     }
 
@@ -274,6 +281,8 @@
         out: &mut Actions,
     ) {
         let effect = self.back_end.on_probe(now, probe, result);
+        self.end_earlier_runs(now, out);
+        self.begin_measurements();
         self.explain_losses(now, result, out);
         self.carry_out(now, effect, None, out);
     }
@@ -413,6 +422,10 @@
     }
 
     fn start(&mut self, now: Instant, arrival: Arrival, out: &mut Actions) {
+        let Some(incarnation) = self.back_end.incarnation().cloned() else {
+            self.refuse(now, &arrival, ResultCode::BackEndLeaving, out);
+            return;
+        };
         self.next_exchange += 1;
         let id = ExchangeId(self.next_exchange);
         self.places
@@ -426,10 +439,11 @@
         out.push(Action::StartExchange(Exchange {
             id,
             request: arrival.request.clone(),
-            instance: self.back_end.instance().to_owned(),
+            incarnation: incarnation.clone(),
             remaining: arrival.deadline.saturating_since(now),
         }));
-        self.running.insert(id, Running::new(now, arrival));
+        self.running
+            .insert(id, Running::new(now, arrival, incarnation));
     }
 
     fn take_running(&mut self, exchange: ExchangeId) -> Option<Running> {
@@ -471,7 +485,7 @@
         if let Some(change) = effect.change {
             self.status_changed = true;
             out.push(Action::Note(Note::BackEnd {
-                instance: self.back_end.instance().to_owned(),
+                instance: self.back_end.name(),
                 standing: self.back_end.standing_name(),
                 cause: change,
                 sequence: self.back_end.sequence(),
--- /dev/null
+++ b/crates/rillgap-forward/src/inbound/renewal.rs
@@ -0,0 +1,53 @@
+//! What ends when a new run of the back end takes the place of an earlier one.
+
+use rillgap_core::time::Instant;
+
+use super::failure_share::FailureShare;
+use super::service_time::ServiceTimes;
+use super::{Inbound, Running};
+use crate::action::{Action, Actions};
+use crate::event::ExchangeResult;
+use crate::id::ExchangeId;
+
+impl Inbound {
+    /// Ends the requests that an earlier run of the back end worked on: it has ended, and whether they ran to
+    /// their end is unknown. A connection that has died silently would hold them until their time is over.
+    pub(super) fn end_earlier_runs(&mut self, now: Instant, out: &mut Actions) {
+        let back_end = &self.back_end;
+        let has_ended = |running: &Running| back_end.has_ended(&running.incarnation);
+        let ended = self
+            .running
+            .iter()
+            .filter(|(_, running)| has_ended(running));
+        let ended: Vec<ExchangeId> = ended.map(|(exchange, _)| *exchange).collect();
+        for exchange in ended {
+            self.end_with_its_run(now, exchange, out);
+        }
+    }
+
+    fn end_with_its_run(&mut self, now: Instant, exchange: ExchangeId, out: &mut Actions) {
+        let Some(running) = self.take_running(exchange) else {
+            return;
+        };
+        self.deadlines.remove(&(running.deadline, exchange));
+        self.places.remove(&(running.link, running.sequence));
+        out.push(Action::CancelExchange(exchange));
+        // A run that has left as planned has not crashed.
+        if self.back_end.has_left_service(&running.incarnation) {
+            self.answer_ended(now, running, ExchangeResult::Lost, out);
+        } else {
+            self.hold_lost(now, running);
+        }
+    }
+
+    /// Forgets what was measured of an earlier run: the new one may be cold, or sound.
+    pub(super) fn begin_measurements(&mut self) {
+        let serving = self.back_end.incarnation();
+        if !self.back_end.is_serving() || self.measured.as_ref() == serving {
+            return;
+        }
+        self.measured = serving.cloned();
+        self.times = ServiceTimes::default();
+        self.failures = FailureShare::default();
+    }
+}
--- a/crates/rillgap-forward/src/inbound/running.rs
+++ b/crates/rillgap-forward/src/inbound/running.rs
@@ -8,6 +8,7 @@
 
 use super::{Arrival, elapsed_micros};
 use crate::id::{LinkId, Sequence};
+use crate::incarnation::Incarnation;
 use crate::message::{ForwardedRequest, ServiceLevel, Timing};
 
 /// What became of a call that the back end makes while it works on a request.
@@ -39,6 +40,8 @@
     pub link: LinkId,
     /// Its number on that link.
     pub sequence: Sequence,
+    /// Incarnation of the back end that works on it.
+    pub incarnation: Incarnation,
     /// The request.
     pub request: Arc<ForwardedRequest>,
     /// When it arrived at this node.
@@ -61,8 +64,9 @@
 
 impl Running {
     /// Takes over a request that is handed to the back end.
-    pub fn new(now: Instant, arrival: Arrival) -> Self {
+    pub fn new(now: Instant, arrival: Arrival, incarnation: Incarnation) -> Self {
         Self {
+            incarnation,
             link: arrival.link,
             sequence: arrival.sequence,
             request: arrival.request,
--- a/crates/rillgap-forward/src/message.rs
+++ b/crates/rillgap-forward/src/message.rs
@@ -14,6 +14,7 @@
 use crate::crash::ContentEvidence;
 use crate::freshness::QueryNumber;
 use crate::id::Sequence;
+use crate::store_epoch::StoreEpoch;
 
 /// Lowest priority that is told apart; all beyond it are treated like it. 0 is the highest.
 const LOWEST_PRIORITY: u8 = 7;
@@ -129,6 +130,8 @@
     pub status: Status,
     /// Version of the sender's configuration; 0 for none.
     pub configuration_version: u64,
+    /// Epoch of the store, as far as the sender has heard of it.
+    pub store_epoch: Option<StoreEpoch>,
 }
 
 /// A request as it goes to the back end.
@@ -294,6 +297,8 @@
 /// A peer's word on how fresh its configuration is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct FreshnessAnswer {
+    /// Epoch of the store that the proof rests on.
+    pub epoch: StoreEpoch,
     /// Number of the query.
     pub number: QueryNumber,
     /// Version of the configuration that the peer has.
@@ -366,6 +371,8 @@
     ConfigurationQuery(u64),
     /// A configuration.
     Configuration(Arc<Configuration>),
+    /// The store has come back from a copy and has reached this epoch.
+    StoreEpoch(StoreEpoch),
     /// How fresh is your configuration?
     FreshnessQuery(QueryNumber),
     /// Answer to that.
--- a/crates/rillgap-forward/src/node/freshness.rs
+++ b/crates/rillgap-forward/src/node/freshness.rs
@@ -50,6 +50,7 @@
             return;
         };
         let answer = FreshnessAnswer {
+            epoch: self.store.epoch().unwrap_or_default(),
             number,
             version: self.configuration_version(),
             age_micros: u64::try_from(age.as_micros()).unwrap_or(u64::MAX),
@@ -61,6 +62,10 @@
     }
 
     pub(super) fn on_freshness_answer(&mut self, answer: FreshnessAnswer) {
+        // The peer has not heard yet that the store came back from a copy.
+        if Some(answer.epoch) < self.store.epoch() {
+            return;
+        }
         let own = self.configuration_version();
         let age = Duration::from_micros(answer.age_micros);
         self.freshness
--- a/crates/rillgap-forward/src/node/links.rs
+++ b/crates/rillgap-forward/src/node/links.rs
@@ -72,9 +72,25 @@
             message: LinkMessage::Status(self.status(now)),
         });
         self.introduce_evidence(now, link, hello, out);
+        self.exchange_epochs(now, link, hello, out);
         self.on_offer(now, link, hello.configuration_version, out);
     }
 
+    /// Takes in the epoch of the store that the peer knows, and tells it a later one.
+    fn exchange_epochs(&mut self, now: Instant, link: LinkId, hello: &Hello, out: &mut Actions) {
+        if let Some(epoch) = hello.store_epoch {
+            self.learn_epoch(now, epoch, Some(link), out);
+        }
+        let own = self
+            .store
+            .epoch()
+            .filter(|own| Some(*own) > hello.store_epoch);
+        if let Some(epoch) = own {
+            let message = LinkMessage::StoreEpoch(epoch);
+            out.push(Action::SendOnLink { link, message });
+        }
+    }
+
     pub(super) fn on_link_closed(&mut self, now: Instant, link: LinkId, out: &mut Actions) {
         self.offers.link_ended(now, link);
         let Some((name, was_in_use)) = self.directory.closed(now, link) else {
--- a/crates/rillgap-forward/src/node/mod.rs
+++ b/crates/rillgap-forward/src/node/mod.rs
@@ -5,6 +5,7 @@
 mod links;
 mod spread;
 mod stop;
+mod store;
 mod tokens;
 
 use std::sync::Arc;
@@ -21,15 +22,15 @@
 use crate::id::{AnnouncementId, ConnectionId, LinkId, Turn};
 use crate::inbound::Inbound;
 use crate::message::{Hello, LinkMessage, Status};
-use crate::note::Note;
 use crate::outbound::{Origin, Outbound, OutboundContext};
 use crate::rate_limit::bucket::Buckets;
 use crate::settings::ForwardSettings;
-use crate::store_sync::{StoreNews, StoreReply, StoreRequestId, StoreSync};
+use crate::store_epoch::StoreEpoch;
+use crate::store_sync::StoreSync;
 use crate::watch_duty::WatchDuty;
 
 /// Version of the protocol between nodes.
-pub const PROTOCOL_VERSION: u32 = 5;
+pub const PROTOCOL_VERSION: u32 = 6;
 
 /// Time between two looks at links.
 const HOUSEKEEPING: Duration = Duration::from_millis(100);
@@ -153,9 +154,15 @@
                 ..self.inbound.status()
             },
             configuration_version: self.configuration_version(),
+            store_epoch: self.store.epoch(),
         }
     }
 
+    /// Returns the epoch of the store, as far as the node has heard of it.
+    pub const fn store_epoch(&self) -> Option<StoreEpoch> {
+        self.store.epoch()
+    }
+
     /// Returns the inbound side.
     pub const fn inbound(&self) -> &Inbound {
         &self.inbound
@@ -199,9 +206,9 @@
             } => self.on_heartbeat(now, announcement, &heartbeat, out),
             Event::BackEndLeaves {
                 announcement,
-                instance,
+                incarnation,
             } => {
-                self.inbound.on_leave(now, &instance, out);
+                self.inbound.on_leave(now, &incarnation, out);
                 acknowledge(announcement, true, out);
             }
             Event::ProbeEnded { probe, result } => {
@@ -320,7 +327,9 @@
             LinkMessage::ConfigurationOffer(version) => self.on_offer(now, link, version, out),
             LinkMessage::ConfigurationQuery(version) => self.on_query(link, version, out),
             LinkMessage::FreshnessQuery(number) => self.on_freshness_query(now, link, number, out),
+            LinkMessage::StoreEpoch(epoch) => self.learn_epoch(now, epoch, Some(link), out),
             LinkMessage::FreshnessAnswer(answer) => {
+                self.learn_epoch(now, answer.epoch, Some(link), out);
                 self.on_freshness_answer(answer);
                 self.learn_version(now, link, answer.version, out);
             }
@@ -340,45 +349,6 @@
         self.directory.on_status(now, link, status);
     }
 
-    fn on_store(
-        &mut self,
-        now: Instant,
-        request: StoreRequestId,
-        reply: StoreReply,
-        out: &mut Actions,
-    ) {
-        let news = self.store.on_reply(now, request, reply);
-        self.note_store(&news, out);
-        match news {
-            Some(StoreNews::Configuration(configuration)) => {
-                self.adopt(now, configuration, "store", out);
-            }
-            Some(StoreNews::Nodes(records)) => {
-                self.knows_members = true;
-                for record in records {
-                    self.directory.learn(now, &record);
-                }
-            }
-            _ => {}
-        }
-        if let Some(at) = self.store.take_proof() {
-            let own = self.configuration_version();
-            self.freshness.prove(at, own, own);
-        }
-    }
-
-    /// Notes that the store is lost or back.
-    fn note_store(&mut self, news: &Option<StoreNews>, out: &mut Actions) {
-        let failure = match news {
-            Some(StoreNews::Failed { call, failure }) => Some((*call, failure.clone())),
-            _ => None,
-        };
-        if failure.is_some() == self.store_is_up {
-            self.store_is_up = failure.is_none();
-            out.push(Action::Note(Note::Store { failure }));
-        }
-    }
-
     /// Does what is due and passes on what one part has for another.
     fn settle(&mut self, now: Instant, out: &mut Actions) {
         let table = self.table.clone();
--- a/crates/rillgap-forward/src/node/spread.rs
+++ b/crates/rillgap-forward/src/node/spread.rs
@@ -115,7 +115,7 @@
     }
 
     /// Returns the name of the peer at the other end of a link, empty if the link has ended.
-    fn peer_name(&mut self, link: LinkId) -> String {
+    pub(super) fn peer_name(&mut self, link: LinkId) -> String {
         let peer = self.directory.by_link(link);
         peer.map_or_else(String::new, |peer| peer.record.name.clone())
     }
--- /dev/null
+++ b/crates/rillgap-forward/src/node/store.rs
@@ -0,0 +1,95 @@
+//! What the store answers, and its return from a copy.
+
+use rillgap_core::time::Instant;
+
+use super::Node;
+use crate::action::{Action, Actions};
+use crate::id::LinkId;
+use crate::message::LinkMessage;
+use crate::note::Note;
+use crate::store_epoch::StoreEpoch;
+use crate::store_sync::{StoreNews, StoreReply, StoreRequestId};
+
+impl Node {
+    pub(super) fn on_store(
+        &mut self,
+        now: Instant,
+        request: StoreRequestId,
+        reply: StoreReply,
+        out: &mut Actions,
+    ) {
+        if let Some(epoch) = reply.epoch() {
+            self.learn_epoch(now, epoch, None, out);
+        }
+        let news = self.store.on_reply(now, request, reply);
+        self.note_store(&news, out);
+        match news {
+            Some(StoreNews::Configuration(configuration)) => {
+                self.adopt(now, configuration, "store", out);
+            }
+            Some(StoreNews::Nodes {
+                records,
+                unreadable,
+            }) => {
+                self.knows_members = true;
+                if unreadable > 0 {
+                    out.push(Action::Note(Note::UnreadableRecords { unreadable }));
+                }
+                for record in records {
+                    self.directory.learn(now, &record);
+                }
+            }
+            _ => {}
+        }
+        self.take_proof();
+    }
+
+    /// Takes the proof of freshness that an answer has brought. A store that holds an older version than the
+    /// one in force has lost what was written since, perhaps also a version that no node has seen: it proves
+    /// nothing until it has caught up.
+    fn take_proof(&mut self) {
+        let Some(proof) = self.store.take_proof() else {
+            return;
+        };
+        let own = self.configuration_version();
+        if proof.version >= own {
+            self.freshness.prove(proof.at, proof.version, own);
+        }
+    }
+
+    /// Takes in that the store has reached an epoch, as itself or the peer on a link has told. If it has come
+    /// back from a copy, the peers are told: the store may refuse some of them.
+    pub(super) fn learn_epoch(
+        &mut self,
+        now: Instant,
+        epoch: StoreEpoch,
+        from: Option<LinkId>,
+        out: &mut Actions,
+    ) {
+        let before = self.store.epoch();
+        if !self.store.learn_epoch(now, epoch) {
+            return;
+        }
+        self.freshness.store_has_returned();
+        let peer = from.map(|link| self.peer_name(link));
+        out.push(Action::Note(Note::StoreReturned {
+            before: before.unwrap_or_default(),
+            epoch,
+            configuration: self.configuration_version(),
+            peer,
+        }));
+        self.broadcast(&LinkMessage::StoreEpoch(epoch), out);
+    }
+
+    /// Notes that the store is lost or back.
+    fn note_store(&mut self, news: &Option<StoreNews>, out: &mut Actions) {
+        let failure = match news {
+            Some(StoreNews::Failed { call, failure }) => Some((*call, failure.clone())),
+            _ => None,
+        };
+        if failure.is_some() == self.store_is_up {
+            self.store_is_up = failure.is_none();
+            out.push(Action::Note(Note::Store { failure }));
+        }
+    }
+}
--- a/crates/rillgap-forward/src/note.rs
+++ b/crates/rillgap-forward/src/note.rs
@@ -5,6 +5,7 @@
 
 use crate::crash::StandingChange;
 use crate::message::Timing;
+use crate::store_epoch::StoreEpoch;
 use crate::store_sync::StoreFailure;
 
 /// Work that has ended without an answer.
@@ -158,6 +159,22 @@
         /// The call that failed and why; `None` if the store answers again.
         failure: Option<(&'static str, StoreFailure)>,
     },
+    /// The store holds entries in place of nodes' records that are none.
+    UnreadableRecords {
+        /// How many.
+        unreadable: usize,
+    },
+    /// The store has come back from a copy.
+    StoreReturned {
+        /// Epoch that was known before.
+        before: StoreEpoch,
+        /// Epoch that it has reached.
+        epoch: StoreEpoch,
+        /// Version of the configuration in force here, which the store may have lost.
+        configuration: u64,
+        /// Peer that has told of it; `None` if the store itself has.
+        peer: Option<String>,
+    },
     /// The node begins to watch the store for itself and others, or ends it.
     Watch {
         /// Whether it watches.
--- a/crates/rillgap-forward/src/store_sync.rs
+++ b/crates/rillgap-forward/src/store_sync.rs
@@ -4,6 +4,9 @@
 //! others; of two nodes that start at the same time, the one that lists later sees the other, and
 //! links spread the rest. The configuration is read once; nodes that have to (see
 //! [`watch_duty`](crate::watch_duty)) then watch it by calls that wait.
+//!
+//! When the store has come back from a copy (see [`store_epoch`](crate::store_epoch)), the node reads anew what
+//! it watches and writes its record again.
 
 use std::time::Duration;
 
@@ -12,6 +15,8 @@
 
 use crate::configuration::Configuration;
 use crate::message::NodeRecord;
+use crate::store_epoch::{StoreEpoch, StorePosition};
+use crate::watch_duty;
 
 /// First and longest pause after a failed call.
 const RETRY_PAUSE: (Duration, Duration) = (Duration::from_millis(100), Duration::from_secs(1));
@@ -24,6 +29,10 @@
 /// Time beyond the wait of a watch after which a node does not say any more that it watches.
 const LATE_ANSWER: Duration = Duration::from_millis(600);
 
+/// Time over which the nodes of a deployment spread the calls by which they write their records again: all hear
+/// of the store's return at nearly the same moment, and it takes a limited number of calls a second.
+const REGISTRATION_SPREAD: Duration = Duration::from_millis(800);
+
 /// Number of a call, used once.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct StoreRequestId(pub u64);
@@ -36,7 +45,7 @@
     /// Wait for a configuration after this position.
     WatchConfiguration {
         /// Position of the last read or watch.
-        after: u64,
+        after: StorePosition,
         /// Time after which it answers although nothing has changed.
         wait: Duration,
     },
@@ -70,25 +79,48 @@
     /// The configuration, if it was asked for and there is a (newer) one.
     Configuration {
         /// Position to watch from.
-        position: u64,
+        position: StorePosition,
         /// The configuration.
         configuration: Option<Configuration>,
     },
-    /// The position of a watch is no longer known.
-    HistoryGone,
+    /// The position of a watch is not known (any more).
+    HistoryGone(StoreEpoch),
     /// The record is stored.
     Registered {
+        /// Epoch in which it is.
+        epoch: StoreEpoch,
         /// Whether the store knew no record of the node before.
         is_new: bool,
     },
     /// Records of all nodes.
-    Nodes(Vec<NodeRecord>),
+    Nodes {
+        /// Epoch in which they were read.
+        epoch: StoreEpoch,
+        /// The records.
+        records: Vec<NodeRecord>,
+        /// Entries beside them that are no records: another writer has left them.
+        unreadable: usize,
+    },
     /// The record is removed.
-    Unregistered,
+    Unregistered(StoreEpoch),
     /// No or an unusable answer.
     Failed(StoreFailure),
 }
 
+impl StoreReply {
+    /// Returns the epoch in which the store has answered, if it has.
+    pub const fn epoch(&self) -> Option<StoreEpoch> {
+        match self {
+            Self::Configuration { position, .. } => Some(position.epoch()),
+            Self::Registered { epoch, .. }
+            | Self::Nodes { epoch, .. }
+            | Self::HistoryGone(epoch)
+            | Self::Unregistered(epoch) => Some(*epoch),
+            Self::Failed(_) => None,
+        }
+    }
+}
+
 /// Why a call to the store has failed.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct StoreFailure {
@@ -104,7 +136,12 @@
     /// A configuration.
     Configuration(Configuration),
     /// Peers.
-    Nodes(Vec<NodeRecord>),
+    Nodes {
+        /// Their records.
+        records: Vec<NodeRecord>,
+        /// Entries that are no records.
+        unreadable: usize,
+    },
     /// The store could not be asked.
     Failed {
         /// Name of the call.
@@ -202,13 +239,24 @@
 #[derive(Clone, Copy, Debug, Default)]
 struct Watch {
     /// Position to go on from; `None` before the first read and after the history was forgotten.
-    position: Option<u64>,
+    position: Option<StorePosition>,
+    /// Version of the configuration that the store has held there; 0 for none.
+    version: u64,
     /// Time for which the watch waits; `None` if the node need not watch.
     wait: Option<Duration>,
     /// When the node began to watch, or heard of the store last.
     fresh_since: Option<Instant>,
-    /// When the last call was made whose answer tells the newest configuration.
-    proven_at: Option<Instant>,
+    /// Proof by the last call whose answer tells the newest configuration.
+    proof: Option<StoreProof>,
+}
+
+/// Which configuration was the newest one in the store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct StoreProof {
+    /// When the call was made that has shown it.
+    pub at: Instant,
+    /// Version of the configuration; 0 for none.
+    pub version: u64,
 }
 
 impl Watch {
@@ -233,6 +281,14 @@
 #[derive(Clone, Debug)]
 pub struct StoreSync {
     record: NodeRecord,
+    /// Highest epoch that any answer or peer has told of.
+    epoch: Option<StoreEpoch>,
+    /// Whether the record may have been lost with the last return of the store.
+    is_registration_due: bool,
+    /// Whether the back end is gone for good, and the record with it.
+    is_leaving: bool,
+    /// Whether the records of the other nodes have been read.
+    has_listed: bool,
     ids: u64,
     configuration: Chain,
     watch: Watch,
@@ -243,6 +299,10 @@
     /// Creates the calls of a fresh node.
     pub fn new(record: NodeRecord) -> Self {
         Self {
+            epoch: None,
+            is_registration_due: false,
+            is_leaving: false,
+            has_listed: false,
             ids: 0,
             configuration: Chain::new(StoreRequest::ReadConfiguration),
             watch: Watch::default(),
@@ -285,10 +345,55 @@
         self.watch.position.is_some() && self.watch.is_fresh(now)
     }
 
-    /// Returns when the last call was made whose answer proves what the newest configuration was, and
-    /// forgets it.
-    pub const fn take_proof(&mut self) -> Option<Instant> {
-        self.watch.proven_at.take()
+    /// Returns what the last answer has proved of the newest configuration, and forgets it.
+    pub const fn take_proof(&mut self) -> Option<StoreProof> {
+        self.watch.proof.take()
+    }
+
+    /// Returns the highest epoch of the store that is known, if any answer or peer has told one.
+    pub const fn epoch(&self) -> Option<StoreEpoch> {
+        self.epoch
+    }
+
+    /// Takes in that the store has reached an epoch. Returns whether it has come back from a copy since the
+    /// node heard of it first: then what rested on earlier epochs is void.
+    pub fn learn_epoch(&mut self, now: Instant, epoch: StoreEpoch) -> bool {
+        let before = self.epoch;
+        self.epoch = before.max(Some(epoch));
+        let has_returned = before.is_some_and(|before| before < epoch);
+        if has_returned {
+            self.forget_position();
+            self.is_registration_due = true;
+            self.register_again_when_idle(now);
+        }
+        has_returned
+    }
+
+    /// Drops the position that belongs to an earlier epoch; a watch that is to be made from it becomes a read.
+    fn forget_position(&mut self) {
+        self.watch.position = None;
+        self.watch.proof = None;
+        if self.configuration.next.is_some() {
+            self.configuration.next = self.watch.next();
+        }
+    }
+
+    /// Writes the record again once no other call about it is under way.
+    fn register_again_when_idle(&mut self, now: Instant) {
+        if !self.is_registration_due || !self.membership.is_idle() {
+            return;
+        }
+        let share = watch_duty::place(&self.record.name) as f64 / u64::MAX as f64;
+        let due = now + REGISTRATION_SPREAD.mul_f64(share);
+        self.membership.proceed(due, Some(self.registration()));
+    }
+
+    fn registration(&self) -> StoreRequest {
+        if self.is_leaving {
+            let name = self.record.name.clone();
+            return StoreRequest::Unregister { name };
+        }
+        StoreRequest::Register(self.record.clone())
     }
 
     /// Returns whether a call is under way that would bring a newer configuration.
@@ -298,9 +403,8 @@
 
     /// Removes the node's record: its back end is gone for good.
     pub fn unregister(&mut self, now: Instant) {
-        let name = self.record.name.clone();
-        self.membership
-            .proceed(now, Some(StoreRequest::Unregister { name }));
+        self.is_leaving = true;
+        self.membership.proceed(now, Some(self.registration()));
     }
 
     /// Takes in an answer.
@@ -311,10 +415,25 @@
         reply: StoreReply,
     ) -> Option<StoreNews> {
         if let Some(request) = self.configuration.take_answered(id) {
+            let reply = self.refuse_outdated(reply);
             return self.on_configuration(now, request, reply);
         }
         let request = self.membership.take_answered(id)?;
-        self.on_membership(now, request, reply)
+        let reply = self.refuse_outdated(reply);
+        let news = self.on_membership(now, request, reply);
+        self.register_again_when_idle(now);
+        news
+    }
+
+    /// Turns an answer of an earlier epoch into a failure: the store has come back from a copy since.
+    fn refuse_outdated(&self, reply: StoreReply) -> StoreReply {
+        if reply.epoch().is_none_or(|epoch| Some(epoch) >= self.epoch) {
+            return reply;
+        }
+        StoreReply::Failed(StoreFailure {
+            code: ResultCode::StoreUnavailable,
+            detail: "answer of an earlier epoch".to_owned(),
+        })
     }
 
     fn on_configuration(
@@ -328,13 +447,11 @@
                 position,
                 configuration,
             } => {
-                self.watch.position = Some(position);
-                self.watch.fresh_since = Some(now);
-                self.watch.proven_at = Some(self.configuration.made_at);
+                self.advance(now, &request, position, configuration.as_ref());
                 self.configuration.proceed(now, self.watch.next());
                 configuration.map(StoreNews::Configuration)
             }
-            StoreReply::HistoryGone => {
+            StoreReply::HistoryGone(_) => {
                 self.watch.position = None;
                 self.configuration.proceed(now, self.watch.next());
                 None
@@ -344,9 +461,7 @@
             StoreReply::Failed(failure) => {
                 self.watch.fresh_since = None;
                 let news = self.configuration.on_failure(now, request, failure);
-                if self.watch.next().is_none() {
-                    self.configuration.next = None;
-                }
+                self.configuration.next = self.watch.next();
                 news
             }
             _ => {
@@ -356,6 +471,33 @@
         }
     }
 
+    /// Moves the watch on to the position of an answer. A watch from a position of an earlier epoch has missed
+    /// what was written between: the configuration has to be read.
+    fn advance(
+        &mut self,
+        now: Instant,
+        request: &StoreRequest,
+        position: StorePosition,
+        configuration: Option<&Configuration>,
+    ) {
+        let watch = &mut self.watch;
+        watch.fresh_since = Some(now);
+        let kept = match request {
+            StoreRequest::WatchConfiguration { after, .. } if after.epoch() != position.epoch() => {
+                watch.position = None;
+                return;
+            }
+            StoreRequest::WatchConfiguration { .. } => watch.version,
+            _ => 0,
+        };
+        watch.position = Some(position);
+        watch.version = configuration.map_or(kept, |configuration| configuration.version);
+        watch.proof = Some(StoreProof {
+            at: self.configuration.made_at,
+            version: watch.version,
+        });
+    }
+
     fn on_membership(
         &mut self,
         now: Instant,
@@ -363,21 +505,31 @@
         reply: StoreReply,
     ) -> Option<StoreNews> {
         match reply {
-            StoreReply::Registered { is_new } => {
+            StoreReply::Registered { is_new, .. } => {
+                self.is_registration_due = false;
                 let pause = if is_new {
                     FIRST_LIST_PAUSE
                 } else {
                     Duration::ZERO
                 };
-                self.membership
-                    .proceed(now + pause, Some(StoreRequest::ListNodes));
+                let list = (!self.has_listed).then_some(StoreRequest::ListNodes);
+                self.membership.proceed(now + pause, list);
                 None
             }
-            StoreReply::Nodes(records) => {
+            StoreReply::Nodes {
+                records,
+                unreadable,
+                ..
+            } => {
+                self.has_listed = true;
                 self.membership.proceed(now, None);
-                Some(StoreNews::Nodes(records))
+                Some(StoreNews::Nodes {
+                    records,
+                    unreadable,
+                })
             }
-            StoreReply::Unregistered => {
+            StoreReply::Unregistered(_) => {
+                self.is_registration_due = false;
                 self.membership.proceed(now, None);
                 None
             }
--- a/crates/rillgap-forward/tests/control.rs
+++ b/crates/rillgap-forward/tests/control.rs
@@ -8,6 +8,7 @@
 use rillgap_forward::action::Action;
 use rillgap_forward::event::{AnnouncedState, Event, ExchangeResult};
 use rillgap_forward::message::{ForwardResult, LinkMessage, NodeRecord};
+use rillgap_forward::store_epoch::{StoreEpoch, StorePosition};
 use rillgap_forward::store_sync::{StoreReply, StoreRequest, StoreRequestId, StoreSync};
 use support::{
     INSTANCE, SERVICE, TestNode, address, answer, at, configuration, failed, forwarded, settings,
@@ -33,7 +34,10 @@
         matches_pattern!(StoreRequest::Register(_))
     );
     expect_that!(store.poll(at(1)), is_empty());
-    let reply = StoreReply::Registered { is_new: false };
+    let reply = StoreReply::Registered {
+        epoch: StoreEpoch::default(),
+        is_new: false,
+    };
     store.on_reply(at(2), first[1].0, reply);
     let second = store.poll(at(2));
     expect_that!(
@@ -48,13 +52,13 @@
     store.set_watch(at(0), Some(WAIT));
     let read = store.poll(at(0))[0].0;
     let reply = StoreReply::Configuration {
-        position: 40,
+        position: StorePosition::new(StoreEpoch::default(), 40),
         configuration: Some(configuration(3)),
     };
     expect_that!(store.on_reply(at(1), read, reply), some(anything()));
     let watch = store.poll(at(1));
     let expected = StoreRequest::WatchConfiguration {
-        after: 40,
+        after: StorePosition::new(StoreEpoch::default(), 40),
         wait: WAIT,
     };
     expect_that!(requests(&watch), elements_are![eq(&expected)]);
@@ -62,7 +66,11 @@
     expect_that!(store.poll(at(2)), is_empty());
     let again = store.poll(at(500));
     expect_that!(requests(&again), elements_are![eq(&expected)]);
-    store.on_reply(at(501), again[0].0, StoreReply::HistoryGone);
+    store.on_reply(
+        at(501),
+        again[0].0,
+        StoreReply::HistoryGone(StoreEpoch::default()),
+    );
     let read = store.poll(at(501));
     let expected = StoreRequest::ReadConfiguration;
     expect_that!(requests(&read), elements_are![eq(&expected)]);
@@ -223,11 +231,18 @@
         // The registration of the start is answered.
         test.event(Event::Store {
             request: StoreRequestId(2),
-            reply: StoreReply::Registered { is_new: false },
+            reply: StoreReply::Registered {
+                epoch: StoreEpoch::default(),
+                is_new: false,
+            },
         });
         test.event(Event::Store {
             request: StoreRequestId(4),
-            reply: StoreReply::Nodes(Vec::<NodeRecord>::new()),
+            reply: StoreReply::Nodes {
+                epoch: StoreEpoch::default(),
+                records: Vec::<NodeRecord>::new(),
+                unreadable: 0,
+            },
         });
         if has_left {
             test.heartbeat(9, AnnouncedState::Draining);
--- a/crates/rillgap-forward/tests/crash.rs
+++ b/crates/rillgap-forward/tests/crash.rs
@@ -9,6 +9,7 @@
 use rillgap_forward::crash::{ContentEvidence, CrashId, CrashRecord, Proof, Standing};
 use rillgap_forward::event::{AnnouncedState, Event, ExchangeResult, ProbeResult};
 use rillgap_forward::id::LinkId;
+use rillgap_forward::incarnation::Incarnation;
 use rillgap_forward::message::{ForwardResult, ForwardedRequest, LinkMessage};
 use rillgap_forward::note::Note;
 
@@ -59,7 +60,7 @@
 /// Evidence that a node heard of elsewhere.
 fn evidence(target: &str, crashes: &[(&str, bool)]) -> ContentEvidence {
     let record = |(instance, was_alone): &(&str, bool)| CrashRecord {
-        crash: CrashId::of(instance),
+        crash: CrashId::of(&Incarnation::without_start(instance)),
         proof: if *was_alone {
             Proof::Clear
         } else {
--- a/crates/rillgap-forward/tests/inbound.rs
+++ b/crates/rillgap-forward/tests/inbound.rs
@@ -70,7 +70,7 @@
     expect_that!(test.node.inbound().status().is_serving, eq(true));
     let link = test.accept(50);
     test.forward(link, 1, forwarded("a", true));
-    expect_that!(test.exchanges()[0].instance, eq("i-2"));
+    expect_that!(test.exchanges()[0].incarnation.id, eq("i-2"));
 }
 
 #[gtest]
--- a/crates/rillgap-forward/tests/links.rs
+++ b/crates/rillgap-forward/tests/links.rs
@@ -10,6 +10,7 @@
 use rillgap_forward::event::{AnnouncedState, Event};
 use rillgap_forward::id::LinkId;
 use rillgap_forward::message::{LinkMessage, NodeRecord, Status};
+use rillgap_forward::store_epoch::StoreEpoch;
 use rillgap_forward::store_sync::{StoreReply, StoreRequest};
 use rillgap_forward::subset::preference;
 use support::{
@@ -46,11 +47,18 @@
 fn list(test: &mut TestNode, records: Vec<NodeRecord>) {
     test.answer_store(
         |request| matches!(request, StoreRequest::Register(_)),
-        StoreReply::Registered { is_new: false },
+        StoreReply::Registered {
+            epoch: StoreEpoch::default(),
+            is_new: false,
+        },
     );
     test.answer_store(
         |request| matches!(request, StoreRequest::ListNodes),
-        StoreReply::Nodes(records),
+        StoreReply::Nodes {
+            epoch: StoreEpoch::default(),
+            records,
+            unreadable: 0,
+        },
     );
 }
 
--- /dev/null
+++ b/crates/rillgap-forward/tests/reborn.rs
@@ -0,0 +1,150 @@
+//! Back ends that start again under the identifier that they had.
+
+mod support;
+
+use googletest::prelude::*;
+use rillgap_core::code::ResultCode;
+use rillgap_forward::event::{AnnouncedState, Event, Heartbeat, ProbeResult};
+use rillgap_forward::id::AnnouncementId;
+use rillgap_forward::incarnation::Incarnation;
+use rillgap_forward::message::ForwardResult;
+use support::{INSTANCE, TestNode, code_of, forwarded, heartbeat};
+
+const FIRST: u64 = 1_000;
+const SECOND: u64 = 2_000;
+
+fn beat(started_at: u64, sequence: u64, state: AnnouncedState) -> Heartbeat {
+    Heartbeat {
+        incarnation: Incarnation {
+            id: INSTANCE.to_owned(),
+            started_at_millis: Some(started_at),
+        },
+        ..heartbeat(INSTANCE, sequence, state)
+    }
+}
+
+/// A node whose back end serves since [`FIRST`], at its heartbeat 90.
+fn serving() -> TestNode {
+    let mut test = TestNode::configured(support::SERVICE);
+    test.announce(beat(FIRST, 90, AnnouncedState::Ready));
+    test.confirm(INSTANCE);
+    test.actions.clear();
+    test
+}
+
+fn is_serving(test: &TestNode) -> bool {
+    test.node.inbound().is_serving()
+}
+
+#[gtest]
+fn later_run_is_confirmed_although_its_count_of_heartbeats_begins_anew() {
+    let mut test = serving();
+    test.announce(beat(SECOND, 1, AnnouncedState::Ready));
+    expect_that!(is_serving(&test), eq(false));
+    test.confirm(INSTANCE);
+    expect_that!(is_serving(&test), eq(true));
+}
+
+#[gtest]
+fn departure_of_an_earlier_run_does_not_hold_for_the_later_one() {
+    let mut test = serving();
+    test.announce(beat(FIRST, 91, AnnouncedState::Draining));
+    expect_that!(is_serving(&test), eq(false));
+    test.announce(beat(SECOND, 1, AnnouncedState::Ready));
+    test.confirm(INSTANCE);
+    expect_that!(is_serving(&test), eq(true));
+}
+
+#[gtest]
+fn late_news_of_the_earlier_run_changes_nothing() {
+    let mut test = serving();
+    test.announce(beat(SECOND, 1, AnnouncedState::Ready));
+    test.confirm(INSTANCE);
+    test.announce(beat(FIRST, 95, AnnouncedState::Draining));
+    expect_that!(is_serving(&test), eq(true));
+    test.announce(beat(FIRST, 96, AnnouncedState::Ready));
+    expect_that!(is_serving(&test), eq(true));
+    // A heartbeat that lacks the start is of another writer, or older still.
+    test.announce(heartbeat(INSTANCE, 97, AnnouncedState::Draining));
+    expect_that!(is_serving(&test), eq(true));
+}
+
+#[gtest]
+fn departure_that_does_not_tell_the_start_is_of_the_run_that_is_known() {
+    let mut test = serving();
+    test.leave(INSTANCE);
+    expect_that!(is_serving(&test), eq(false));
+    test.announce(beat(FIRST, 98, AnnouncedState::Ready));
+    expect_that!(test.probe(), none());
+}
+
+#[gtest]
+fn departure_of_the_earlier_run_comes_late() {
+    let mut test = serving();
+    test.announce(beat(SECOND, 1, AnnouncedState::Ready));
+    test.confirm(INSTANCE);
+    test.event(Event::BackEndLeaves {
+        announcement: AnnouncementId(0),
+        incarnation: beat(FIRST, 1, AnnouncedState::Ready).incarnation,
+    });
+    expect_that!(is_serving(&test), eq(true));
+}
+
+#[gtest]
+fn request_at_the_earlier_run_is_unknown_at_once_and_not_called_not_run() {
+    let mut test = serving();
+    let link = test.accept(500);
+    test.forward(link, 1, forwarded("r1", false));
+    let exchange = test.exchanges()[0].id;
+    test.announce(beat(SECOND, 1, AnnouncedState::Ready));
+    expect_that!(test.has_cancelled(exchange), eq(true));
+    test.confirm(INSTANCE);
+    let results = test.results();
+    expect_that!(results.len(), eq(1));
+    expect_that!(
+        results[0].1,
+        matches_pattern!(ForwardResult::Unknown { .. })
+    );
+}
+
+#[gtest]
+fn each_run_that_ends_under_a_request_is_a_crash_of_its_own() {
+    let mut test = serving();
+    let link = test.accept(500);
+    for run in 1..=3 {
+        test.forward(link, run, forwarded(&format!("r{run}"), true));
+        test.pass(300);
+        test.announce(beat(FIRST + run, 1, AnnouncedState::Ready));
+        test.confirm(INSTANCE);
+    }
+    test.forward(link, 4, forwarded("r4", true));
+    let (_, last) = test.results().pop().expect("an answer");
+    expect_that!(code_of(&last), some(eq(ResultCode::Quarantined)));
+}
+
+#[gtest]
+fn what_was_measured_of_the_earlier_run_is_forgotten() {
+    let mut test = serving();
+    let link = test.accept(500);
+    test.forward(link, 1, forwarded("r1", true));
+    let exchange = test.exchanges()[0].id;
+    test.pass(300);
+    let answered = rillgap_forward::event::ExchangeResult::Answered(support::answer(200));
+    test.end_exchange(exchange, answered);
+    expect_that!(test.node.inbound().load().mean_micros, gt(0));
+    test.announce(beat(SECOND, 1, AnnouncedState::Ready));
+    test.confirm(INSTANCE);
+    expect_that!(test.node.inbound().load().mean_micros, eq(0));
+}
+
+#[gtest]
+fn health_endpoint_that_names_the_identifier_of_a_run_that_has_left_confirms_nothing() {
+    let mut test = serving();
+    test.announce(beat(FIRST, 91, AnnouncedState::Draining));
+    let probe = test.probe();
+    if let Some(probe) = probe {
+        let instance = INSTANCE.to_owned();
+        test.end_probe(probe, ProbeResult::Healthy { instance });
+    }
+    expect_that!(is_serving(&test), eq(false));
+}
--- a/crates/rillgap-forward/tests/simulation/main.rs
+++ b/crates/rillgap-forward/tests/simulation/main.rs
@@ -5,6 +5,7 @@
 mod crashing;
 mod day;
 mod judge;
+mod returns;
 mod suspended;
 mod world;
 
--- a/crates/rillgap-forward/tests/simulation/world/back_ends.rs
+++ b/crates/rillgap-forward/tests/simulation/world/back_ends.rs
@@ -25,7 +25,7 @@
         let back_end = &self.hosts[host].back_end;
         let result = if !back_end.is_alive {
             Some(ExchangeResult::NotSent)
-        } else if back_end.instance != exchange.instance {
+        } else if back_end.instance.id != exchange.incarnation.id {
             Some(ExchangeResult::WrongInstance)
         } else {
             None
@@ -43,7 +43,8 @@
             ));
         }
         let instance = back_end.instance.clone();
-        self.judge.ran(self.now, &id, &instance, service(host));
+        let label = instance.to_string();
+        self.judge.ran(self.now, &id, &label, service(host));
         let work = Work {
             id,
             instance,
@@ -126,7 +127,7 @@
         } else if back_end.is_draining {
             (ProbeResult::Unhealthy, 2)
         } else {
-            let instance = back_end.instance.clone();
+            let instance = back_end.instance.id.clone();
             (ProbeResult::Healthy { instance }, 2)
         };
         let event = Event::ProbeEnded { probe, result };
@@ -134,9 +135,15 @@
     }
 
     pub(super) fn start_back_end(&mut self, host: usize) {
+        let keeps_identifier = self.keeps_identifiers;
+        let started_at_millis = keeps_identifier.then_some(self.now);
         let back_end = &mut self.hosts[host].back_end;
-        back_end.incarnation += 1;
-        back_end.instance = format!("i-{host}-{}", back_end.incarnation);
+        back_end.runs += 1;
+        let generation = back_end.runs / if keeps_identifier { 2 } else { 1 };
+        back_end.instance = Incarnation {
+            id: format!("i-{host}-{generation}"),
+            started_at_millis,
+        };
         back_end.is_alive = true;
         back_end.is_draining = false;
         back_end.is_acknowledged = false;
@@ -146,7 +153,7 @@
         self.at(self.now, Happening::Heartbeat(host, instance));
     }
 
-    pub(super) fn send_heartbeat(&mut self, host: usize, instance: &str) {
+    pub(super) fn send_heartbeat(&mut self, host: usize, instance: &Incarnation) {
         // Some arrive seconds late.
         let delay = if self.draw(10) == 0 {
             self.draw(4_000)
@@ -154,7 +161,7 @@
             1
         };
         let back_end = &mut self.hosts[host].back_end;
-        if !back_end.is_alive || back_end.instance != instance {
+        if !back_end.is_alive || back_end.instance != *instance {
             return;
         }
         back_end.sequence += 1;
@@ -164,7 +171,7 @@
             AnnouncedState::Ready
         };
         let heartbeat = Heartbeat {
-            instance: instance.to_owned(),
+            incarnation: instance.clone(),
             service: service(host).to_owned(),
             address: back_end_address(host).to_string(),
             slots: SLOTS,
@@ -180,7 +187,7 @@
             self.now + delay,
             Happening::HeartbeatArrives(host, heartbeat),
         );
-        let instance = instance.to_owned();
+        let instance = instance.clone();
         self.at(self.now + wait, Happening::Heartbeat(host, instance));
     }
 
@@ -202,11 +209,12 @@
         let is_accepted = |action: &Action| matches!(action, Action::Acknowledge { is_accepted, .. } if *is_accepted);
         let acknowledged = forgets || actions.iter().any(is_accepted);
         if acknowledged && is_draining {
-            self.judge.drained(self.now, &heartbeat.instance);
+            let label = heartbeat.incarnation.to_string();
+            self.judge.drained(self.now, &label);
             let back_end = &mut self.hosts[host].back_end;
-            let is_current = back_end.instance == heartbeat.instance;
+            let is_current = back_end.instance == heartbeat.incarnation;
             if is_current && !std::mem::replace(&mut back_end.is_acknowledged, true) {
-                let instance = heartbeat.instance.clone();
+                let instance = heartbeat.incarnation.clone();
                 let end = self.now + DRAIN_SERVES;
                 self.at(end, Happening::BackEndEnds(host, instance));
             }
@@ -214,8 +222,8 @@
         self.after_step(host, actions);
     }
 
-    pub(super) fn end_back_end(&mut self, host: usize, instance: &str) {
-        if self.hosts[host].back_end.instance != instance {
+    pub(super) fn end_back_end(&mut self, host: usize, instance: &Incarnation) {
+        if self.hosts[host].back_end.instance != *instance {
             return;
         }
         self.crash_back_end(host);
--- a/crates/rillgap-forward/tests/simulation/world/faults.rs
+++ b/crates/rillgap-forward/tests/simulation/world/faults.rs
@@ -46,9 +46,15 @@
             Fault::StoreLossy(lossy) => self.store_lossy = lossy,
             Fault::Compact => {
                 for (_, (host, run, id, _)) in std::mem::take(&mut self.watches) {
-                    self.reply(host, run, id, StoreReply::HistoryGone, 4);
+                    let gone = StoreReply::HistoryGone(self.object_store.epoch());
+                    self.reply(host, run, id, gone, 4);
                 }
             }
+            Fault::StoreReturns(copy_age) => self.return_from_copy(copy_age),
+            Fault::WriteAgain => {
+                self.object_store.configure(self.now, self.stored_version);
+                self.answer_all_watches();
+            }
             Fault::Crash(host) => {
                 self.crash_back_end(host);
                 self.at(self.now + 2_000, Happening::BackEndStarts(host));
@@ -65,6 +71,7 @@
                 if !self.store_down {
                     self.stored_version += 1;
                     self.stored_at = self.now;
+                    self.object_store.configure(self.now, self.stored_version);
                     self.judge.stored(self.now, self.stored_version);
                     if self.planted != Planted::StaleConfiguration {
                         self.answer_all_watches();
--- a/crates/rillgap-forward/tests/simulation/world/mod.rs
+++ b/crates/rillgap-forward/tests/simulation/world/mod.rs
@@ -4,6 +4,7 @@
 mod callers;
 mod faults;
 mod links;
+mod object_store;
 mod setup;
 mod store;
 
@@ -18,15 +19,18 @@
 use rillgap_forward::configuration::RateLimit;
 use rillgap_forward::event::{Event, Heartbeat};
 use rillgap_forward::id::{ConnectionId, ExchangeId, LinkId};
-use rillgap_forward::message::{Hello, LinkMessage, NodeRecord};
+use rillgap_forward::incarnation::Incarnation;
+use rillgap_forward::message::{Hello, LinkMessage};
 use rillgap_forward::node::Node;
 use rillgap_forward::note::Note;
 use rillgap_forward::settings::RetryBound;
+use rillgap_forward::store_epoch::StorePosition;
 use rillgap_forward::store_sync::{StoreRequest, StoreRequestId};
 
 use crate::day::Planted;
 use crate::judge::Judge;
 
+use object_store::ObjectStore;
 use setup::*;
 
 /// Services of the chain; each calls the next.
@@ -80,11 +84,11 @@
     /// A back end has done its own work on a request.
     Worked(usize, WorkKey),
     /// A back end sends a heartbeat.
-    Heartbeat(usize, String),
+    Heartbeat(usize, Incarnation),
     /// A heartbeat arrives.
     HeartbeatArrives(usize, Heartbeat),
     /// A drained back end ends.
-    BackEndEnds(usize, String),
+    BackEndEnds(usize, Incarnation),
     /// A back end starts.
     BackEndStarts(usize),
     /// A watch has waited long enough.
@@ -133,6 +137,10 @@
     StoreLossy(bool),
     /// The store forgets its history and cuts the watches.
     Compact,
+    /// The store comes back from a copy that is so many milliseconds old.
+    StoreReturns(u64),
+    /// The operator writes the newest configuration again, which the store had lost.
+    WriteAgain,
     /// A back end crashes.
     Crash(usize),
     /// A back end announces that it leaves; another takes its place.
@@ -159,7 +167,7 @@
 #[derive(Debug)]
 struct Work {
     id: String,
-    instance: String,
+    instance: Incarnation,
     calls: bool,
     /// Whether the back end ends while it works on the request.
     crashes: bool,
@@ -177,8 +185,9 @@
 
 #[derive(Debug)]
 struct BackEnd {
-    instance: String,
-    incarnation: u32,
+    instance: Incarnation,
+    /// Runs so far.
+    runs: u32,
     is_alive: bool,
     is_draining: bool,
     is_acknowledged: bool,
@@ -228,14 +237,17 @@
     planted: Planted,
     pub judge: Judge,
     pub statuses: BTreeMap<String, u16>,
+    /// Newest configuration that the store has acknowledged.
     stored_version: u64,
     stored_at: u64,
-    records: BTreeMap<String, NodeRecord>,
+    object_store: ObjectStore,
     store_down: bool,
     refused: BTreeSet<usize>,
     ignored: BTreeSet<usize>,
     store_lossy: bool,
-    watches: BTreeMap<u64, (usize, u32, StoreRequestId, u64)>,
+    watches: BTreeMap<u64, (usize, u32, StoreRequestId, StorePosition)>,
+    /// Whether each second run of a back end has the identifier of the one before.
+    keeps_identifiers: bool,
     callers_until: u64,
     /// How often callers come with a request in all.
     most_tries: u32,
@@ -265,12 +277,13 @@
             statuses: BTreeMap::new(),
             stored_version: 1,
             stored_at: 0,
-            records: BTreeMap::new(),
+            object_store: ObjectStore::default(),
             store_down: false,
             refused: BTreeSet::new(),
             ignored: BTreeSet::new(),
             store_lossy: false,
             watches: BTreeMap::new(),
+            keeps_identifiers: false,
             callers_until,
             most_tries: 1,
             popular_percent: 0,
@@ -300,6 +313,20 @@
         self.popular_percent = percent;
     }
 
+    /// Lets back ends start again under the identifier that they had, each second time.
+    pub fn let_back_ends_keep_identifiers(&mut self) {
+        self.keeps_identifiers = true;
+    }
+
+    /// Returns the running nodes whose record the store does not hold.
+    pub fn missing_records(&self) -> Vec<&str> {
+        let running = self.hosts.iter().filter(|host| host.node.is_some());
+        let names = running.map(|host| host.name.as_str());
+        names
+            .filter(|name| !self.object_store.holds_record(name))
+            .collect()
+    }
+
     /// Returns the number of hosts.
     pub fn size(&self) -> usize {
         self.hosts.len()
--- /dev/null
+++ b/crates/rillgap-forward/tests/simulation/world/object_store.rs
@@ -0,0 +1,108 @@
+//! What the store holds: configuration and records, its revisions, and copies of them.
+
+use std::collections::BTreeMap;
+
+use rillgap_forward::message::NodeRecord;
+use rillgap_forward::store_epoch::{StoreEpoch, StorePosition};
+
+/// Version of the configuration at the start.
+const FIRST_VERSION: u64 = 1;
+
+/// A state of the store.
+#[derive(Clone, Debug)]
+struct State {
+    revision: u64,
+    /// Version of the configuration, and the revision of its last change.
+    configuration: (u64, u64),
+    records: BTreeMap<String, NodeRecord>,
+}
+
+/// The store's content, with all its earlier states.
+#[derive(Clone, Debug)]
+pub(super) struct ObjectStore {
+    epoch: u64,
+    state: State,
+    /// Earlier states, with the time at which each was written.
+    states: Vec<(u64, State)>,
+}
+
+impl Default for ObjectStore {
+    fn default() -> Self {
+        let state = State {
+            revision: 1,
+            configuration: (FIRST_VERSION, 1),
+            records: BTreeMap::new(),
+        };
+        Self {
+            epoch: 1,
+            states: vec![(0, state.clone())],
+            state,
+        }
+    }
+}
+
+impl ObjectStore {
+    pub fn epoch(&self) -> StoreEpoch {
+        StoreEpoch(self.epoch)
+    }
+
+    pub fn position(&self) -> StorePosition {
+        StorePosition::new(self.epoch(), self.state.revision)
+    }
+
+    /// Returns the version of the configuration that it holds.
+    pub fn version(&self) -> u64 {
+        self.state.configuration.0
+    }
+
+    /// Returns whether the configuration has changed after a revision.
+    pub fn has_changed_after(&self, revision: u64) -> bool {
+        self.state.configuration.1 > revision
+    }
+
+    /// Returns whether it has given out a revision in this epoch, or in the copy that it came from.
+    pub fn knows(&self, revision: u64) -> bool {
+        revision <= self.state.revision
+    }
+
+    pub fn records(&self) -> Vec<NodeRecord> {
+        self.state.records.values().cloned().collect()
+    }
+
+    pub fn holds_record(&self, name: &str) -> bool {
+        self.state.records.contains_key(name)
+    }
+
+    pub fn configure(&mut self, now: u64, version: u64) {
+        self.state.revision += 1;
+        self.state.configuration = (version, self.state.revision);
+        self.keep(now);
+    }
+
+    /// Stores a record; returns whether there was none.
+    pub fn register(&mut self, now: u64, record: NodeRecord) -> bool {
+        self.state.revision += 1;
+        let before = self.state.records.insert(record.name.clone(), record);
+        self.keep(now);
+        before.is_none()
+    }
+
+    pub fn unregister(&mut self, now: u64, name: &str) {
+        self.state.revision += 1;
+        self.state.records.remove(name);
+        self.keep(now);
+    }
+
+    /// Goes back to its state of an earlier time.
+    pub fn return_to(&mut self, time: u64) {
+        self.epoch += 1;
+        self.states.retain(|(at, _)| *at <= time);
+        if let Some((_, state)) = self.states.last() {
+            self.state = state.clone();
+        }
+    }
+
+    fn keep(&mut self, now: u64) {
+        self.states.push((now, self.state.clone()));
+    }
+}
--- a/crates/rillgap-forward/tests/simulation/world/setup.rs
+++ b/crates/rillgap-forward/tests/simulation/world/setup.rs
@@ -37,8 +37,8 @@
         frozen_until: 0,
         version: 0,
         back_end: BackEnd {
-            instance: String::new(),
-            incarnation: 0,
+            instance: Incarnation::without_start(""),
+            runs: 0,
             is_alive: false,
             is_draining: false,
             is_acknowledged: false,
--- a/crates/rillgap-forward/tests/simulation/world/store.rs
+++ b/crates/rillgap-forward/tests/simulation/world/store.rs
@@ -26,8 +26,10 @@
         let reply = match request {
             StoreRequest::ReadConfiguration => self.configuration_reply(0),
             StoreRequest::WatchConfiguration { after, wait } => {
-                if self.visible_version() > after {
-                    self.configuration_reply(after)
+                if !self.object_store.knows(after.revision()) {
+                    StoreReply::HistoryGone(self.object_store.epoch())
+                } else if self.has_news_after(after.revision()) {
+                    self.configuration_reply(after.revision())
                 } else {
                     self.next_connection += 1;
                     let watch = self.next_connection;
@@ -40,15 +42,18 @@
                 }
             }
             StoreRequest::Register(record) => {
-                let before = self.records.insert(record.name.clone(), record);
-                StoreReply::Registered {
-                    is_new: before.is_none(),
-                }
+                let is_new = self.object_store.register(self.now, record);
+                let epoch = self.object_store.epoch();
+                StoreReply::Registered { epoch, is_new }
             }
-            StoreRequest::ListNodes => StoreReply::Nodes(self.records.values().cloned().collect()),
+            StoreRequest::ListNodes => StoreReply::Nodes {
+                epoch: self.object_store.epoch(),
+                records: self.object_store.records(),
+                unreadable: 0,
+            },
             StoreRequest::Unregister { name } => {
-                self.records.remove(&name);
-                StoreReply::Unregistered
+                self.object_store.unregister(self.now, &name);
+                StoreReply::Unregistered(self.object_store.epoch())
             }
         };
         if self.store_lossy && self.draw(2) == 0 {
@@ -71,13 +76,18 @@
         self.at(self.now + delay, Happening::Node(host, run, event));
     }
 
-    pub(super) fn visible_version(&self) -> u64 {
+    fn visible_version(&self) -> u64 {
         match self.planted {
             Planted::StaleConfiguration => 1,
-            _ => self.stored_version,
+            _ => self.object_store.version(),
         }
     }
 
+    fn has_news_after(&self, revision: u64) -> bool {
+        let is_stale = self.planted == Planted::StaleConfiguration;
+        !is_stale && self.object_store.has_changed_after(revision)
+    }
+
     /// Returns how a call of a host to the store fails, and after how many milliseconds.
     fn store_failure(&self, host: usize) -> Option<(StoreReply, u64)> {
         if self.store_down || self.cut.contains(&host) {
@@ -91,19 +101,46 @@
     }
 
     pub(super) fn configuration_reply(&self, after: u64) -> StoreReply {
-        let version = self.visible_version();
+        let is_new = after == 0 || self.has_news_after(after);
         StoreReply::Configuration {
-            position: version,
-            configuration: (version > after).then(|| configuration(version)),
+            position: self.object_store.position(),
+            configuration: is_new.then(|| configuration(self.visible_version())),
+        }
+    }
+
+    /// Lets the store come back from a copy. Some watches get no answer, others a late one of the store that was
+    /// lost; what the operator has written is written again a moment later.
+    pub(super) fn return_from_copy(&mut self, copy_age: u64) {
+        let before = self.object_store.position();
+        self.object_store
+            .return_to(self.now.saturating_sub(copy_age));
+        for (number, (host, run, id, _)) in std::mem::take(&mut self.watches) {
+            let late = StoreReply::Configuration {
+                position: before,
+                configuration: None,
+            };
+            let (reply, delay) = match number % 2 {
+                0 => (failed("no answer"), UNANSWERED),
+                _ => (late, 4),
+            };
+            self.reply(host, run, id, reply, delay);
         }
+        let again = self.now + 200 + self.draw(1_000);
+        self.at(again, Happening::Fault(Fault::WriteAgain));
     }
 
-    pub(super) fn answer_watch(&mut self, host: usize, run: u32, id: StoreRequestId, after: u64) {
+    pub(super) fn answer_watch(
+        &mut self,
+        host: usize,
+        run: u32,
+        id: StoreRequestId,
+        after: StorePosition,
+    ) {
         if let Some((reply, delay)) = self.store_failure(host) {
             self.reply(host, run, id, reply, delay);
             return;
         }
-        let reply = self.configuration_reply(after);
+        let reply = self.configuration_reply(after.revision());
         self.reply(host, run, id, reply, 4);
     }
 
@@ -115,7 +152,7 @@
             .into_iter()
             .partition(|(_, (host, ..))| ignored.contains(host));
         self.watches = unheard;
-        let heard: BTreeMap<u64, (usize, u32, StoreRequestId, u64)> = heard;
+        let heard: BTreeMap<u64, (usize, u32, StoreRequestId, StorePosition)> = heard;
         for (host, run, id, after) in heard.into_values() {
             self.answer_watch(host, run, id, after);
         }
--- a/crates/rillgap-forward/tests/spread.rs
+++ b/crates/rillgap-forward/tests/spread.rs
@@ -8,6 +8,7 @@
 use rillgap_forward::freshness::QueryNumber;
 use rillgap_forward::id::LinkId;
 use rillgap_forward::message::{FreshnessAnswer, LinkMessage};
+use rillgap_forward::store_epoch::StoreEpoch;
 use support::{SERVICE, TestNode, configuration, hello, serving};
 
 /// Version that the peers have; the node under test has version 1.
@@ -104,6 +105,7 @@
     test.event(Event::LinkAccepted { link, hello });
     test.actions.clear();
     let answer = FreshnessAnswer {
+        epoch: StoreEpoch::default(),
         number: QueryNumber(1),
         version: NEWER,
         age_micros: 0,
--- /dev/null
+++ b/crates/rillgap-forward/tests/store_return.rs
@@ -0,0 +1,303 @@
+//! A store that comes back from a copy: what rests on an earlier epoch does not hold any more.
+
+mod support;
+
+use std::time::Duration;
+
+use googletest::prelude::*;
+use rillgap_core::time::Instant;
+use rillgap_forward::action::Action;
+use rillgap_forward::event::Event;
+use rillgap_forward::freshness::{Freshness, QueryNumber};
+use rillgap_forward::id::LinkId;
+use rillgap_forward::message::{FreshnessAnswer, Hello, LinkMessage, Status};
+use rillgap_forward::note::Note;
+use rillgap_forward::store_epoch::{StoreEpoch, StorePosition};
+use rillgap_forward::store_sync::{StoreReply, StoreRequest, StoreRequestId, StoreSync};
+use support::{TestNode, at, configuration, hello, settings};
+
+const BEFORE: StoreEpoch = StoreEpoch(3);
+const AFTER: StoreEpoch = StoreEpoch(4);
+const WAIT: Duration = Duration::from_secs(1);
+/// Time within which the records are to be complete again, in milliseconds.
+const COMPLETE_WITHIN: u64 = 2_000;
+
+fn configured(epoch: StoreEpoch, revision: u64, version: Option<u64>) -> StoreReply {
+    StoreReply::Configuration {
+        position: StorePosition::new(epoch, revision),
+        configuration: version.map(configuration),
+    }
+}
+
+fn registered(epoch: StoreEpoch) -> StoreReply {
+    StoreReply::Registered {
+        epoch,
+        is_new: false,
+    }
+}
+
+/// A node's calls after its start in [`BEFORE`], while it watches from revision 40.
+struct Calls {
+    store: StoreSync,
+    /// Calls without an answer yet.
+    open: Vec<StoreRequestId>,
+}
+
+impl Calls {
+    fn watching() -> Self {
+        let mut store = StoreSync::new(settings("own", "logbok").record);
+        store.set_watch(at(0), Some(WAIT));
+        let mut calls = Self {
+            store,
+            open: Vec::new(),
+        };
+        for _ in 0..4 {
+            calls.step(at(0), |request| match request {
+                StoreRequest::ReadConfiguration => Some(configured(BEFORE, 40, Some(7))),
+                StoreRequest::Register(_) => Some(registered(BEFORE)),
+                StoreRequest::ListNodes => Some(StoreReply::Nodes {
+                    epoch: BEFORE,
+                    records: Vec::new(),
+                    unreadable: 0,
+                }),
+                _ => None,
+            });
+        }
+        calls
+    }
+
+    fn reply(&mut self, now: Instant, id: StoreRequestId, reply: StoreReply) {
+        if let Some(epoch) = reply.epoch() {
+            self.store.learn_epoch(now, epoch);
+        }
+        self.store.on_reply(now, id, reply);
+    }
+
+    /// Answers the watch that is under way.
+    fn answer_watch(&mut self, now: Instant, reply: StoreReply) {
+        let watch = self.open.pop().expect("a watch that waits");
+        self.reply(now, watch, reply);
+    }
+
+    /// Makes the calls that are due and answers those that `answer` knows; returns them all.
+    fn step(
+        &mut self,
+        now: Instant,
+        answer: impl Fn(&StoreRequest) -> Option<StoreReply>,
+    ) -> Vec<StoreRequest> {
+        let calls = self.store.poll(now);
+        for (id, request) in &calls {
+            match answer(request) {
+                Some(reply) => self.reply(now, *id, reply),
+                None => self.open.push(*id),
+            }
+        }
+        calls.into_iter().map(|(_, request)| request).collect()
+    }
+}
+
+/// Lets a store return while a node watches; returns the calls of the next two seconds, each answered in [`AFTER`].
+fn calls_after_return(epoch: StoreEpoch) -> Vec<StoreRequest> {
+    let mut calls = Calls::watching();
+    calls.store.learn_epoch(at(100), epoch);
+    let mut made = Vec::new();
+    for millis in 0..COMPLETE_WITHIN {
+        made.extend(calls.step(at(100 + millis), |request| match request {
+            StoreRequest::ReadConfiguration => Some(configured(AFTER, 20, Some(6))),
+            StoreRequest::Register(_) => Some(registered(AFTER)),
+            _ => None,
+        }));
+    }
+    made
+}
+
+#[gtest]
+fn node_writes_its_record_again_in_time_when_the_store_has_returned() {
+    let is_registration = |request: &StoreRequest| matches!(request, StoreRequest::Register(_));
+    let count = |epoch| {
+        calls_after_return(epoch)
+            .iter()
+            .filter(|request| is_registration(request))
+            .count()
+    };
+    expect_that!(count(AFTER), eq(1));
+    expect_that!(count(BEFORE), eq(0));
+}
+
+#[gtest]
+fn records_of_many_nodes_are_written_again_within_the_rate_of_the_store() {
+    let nodes = 2_000;
+    let mut by_tenth = [0; 20];
+    for number in 0..nodes {
+        let mut record = settings("own", "logbok").record;
+        record.name = format!("node-{number}");
+        let mut store = StoreSync::new(record);
+        store.learn_epoch(at(0), BEFORE);
+        let calls = store.poll(at(0));
+        for (id, request) in calls {
+            let reply = match request {
+                StoreRequest::Register(_) => registered(BEFORE),
+                _ => configured(BEFORE, 40, Some(7)),
+            };
+            store.on_reply(at(0), id, reply);
+        }
+        let lists = store.poll(at(0));
+        let (id, _) = lists[0];
+        let nodes = StoreReply::Nodes {
+            epoch: BEFORE,
+            records: Vec::new(),
+            unreadable: 0,
+        };
+        store.on_reply(at(0), id, nodes);
+        store.learn_epoch(at(0), AFTER);
+        let due = store.next_wake().expect("a call");
+        by_tenth[(due.as_micros() / 100_000) as usize] += 1;
+    }
+    // 3,200 writing calls a second are the rate of a deployment of half this size.
+    expect_that!(by_tenth, each(le(320)));
+}
+
+#[gtest]
+fn watch_that_the_new_epoch_answers_is_read_anew_since_revisions_are_given_out_again() {
+    let mut calls = Calls::watching();
+    calls.store.take_proof();
+    calls.answer_watch(at(100), configured(AFTER, 41, None));
+    expect_that!(calls.store.take_proof(), none());
+    let next = calls.step(at(101), |_| None);
+    expect_that!(next, contains(eq(&StoreRequest::ReadConfiguration)));
+}
+
+#[gtest]
+fn answer_of_an_earlier_epoch_proves_nothing_and_is_asked_for_again() {
+    let mut calls = Calls::watching();
+    calls.store.take_proof();
+    calls.store.learn_epoch(at(100), AFTER);
+    calls.answer_watch(at(100), configured(BEFORE, 44, Some(9)));
+    expect_that!(calls.store.is_watching(at(150)), eq(false));
+    expect_that!(calls.store.take_proof(), none());
+    let again = calls.step(at(1_300), |_| None);
+    expect_that!(again, contains(eq(&StoreRequest::ReadConfiguration)));
+}
+
+/// A node that knows [`BEFORE`] by the store and has version 7 in force, with a link to a peer.
+fn node_with_peer() -> (TestNode, LinkId) {
+    let mut test = TestNode::fresh("logbok");
+    test.answer_store(
+        |request| matches!(request, StoreRequest::ReadConfiguration),
+        configured(BEFORE, 40, Some(7)),
+    );
+    let link = LinkId(500);
+    let hello = Hello {
+        store_epoch: Some(BEFORE),
+        ..hello("peer", 20, Status::default(), 7)
+    };
+    test.event(Event::LinkAccepted { link, hello });
+    test.actions.clear();
+    (test, link)
+}
+
+#[gtest]
+fn node_hears_of_the_return_from_a_peer_and_passes_it_on_once() {
+    let (mut test, link) = node_with_peer();
+    for _ in 0..3 {
+        let message = LinkMessage::StoreEpoch(AFTER);
+        test.event(Event::Link { link, message });
+    }
+    let tells = |action: &&Action| {
+        matches!(
+            action,
+            Action::SendOnLink {
+                message: LinkMessage::StoreEpoch(epoch),
+                ..
+            } if *epoch == AFTER
+        )
+    };
+    expect_that!(test.actions.iter().filter(tells).count(), eq(1));
+    let returned = Note::StoreReturned {
+        before: BEFORE,
+        epoch: AFTER,
+        configuration: 7,
+        peer: Some("peer".to_owned()),
+    };
+    expect_that!(test.notes(), contains(eq(&returned)));
+}
+
+#[gtest]
+fn peer_that_has_not_heard_of_the_return_is_told() {
+    let (mut test, _) = node_with_peer();
+    let hello = Hello {
+        store_epoch: Some(StoreEpoch(2)),
+        ..hello("late", 21, Status::default(), 7)
+    };
+    let link = LinkId(501);
+    test.event(Event::LinkAccepted { link, hello });
+    let told = Action::SendOnLink {
+        link,
+        message: LinkMessage::StoreEpoch(BEFORE),
+    };
+    let is_told = test
+        .actions
+        .iter()
+        .any(|action| format!("{action:?}") == format!("{told:?}"));
+    expect_that!(is_told, eq(true));
+}
+
+#[gtest]
+fn configuration_in_force_is_not_replaced_by_the_older_one_of_the_copy() {
+    let (mut test, link) = node_with_peer();
+    let message = LinkMessage::StoreEpoch(AFTER);
+    test.event(Event::Link { link, message });
+    test.pass(3_500);
+    test.answer_store(
+        |request| matches!(request, StoreRequest::ReadConfiguration),
+        configured(AFTER, 20, Some(6)),
+    );
+    expect_that!(test.node.configuration_version(), eq(7));
+}
+
+#[gtest]
+fn proof_from_before_the_return_ends_with_it_and_with_answers_of_the_earlier_epoch() {
+    let mut freshness = Freshness::new(Some(Duration::from_secs(5)));
+    freshness.prove(at(0), 7, 7);
+    let number = freshness.begin_query(at(10));
+    expect_that!(freshness.is_proven(at(20)), eq(true));
+    freshness.store_has_returned();
+    expect_that!(freshness.is_proven(at(20)), eq(false));
+    freshness.on_answer(number, 7, Duration::ZERO, 7);
+    expect_that!(freshness.is_proven(at(20)), eq(false));
+}
+
+#[gtest]
+fn peer_of_an_earlier_epoch_proves_nothing() {
+    let (mut test, link) = node_with_peer();
+    let answer = FreshnessAnswer {
+        epoch: StoreEpoch(2),
+        number: QueryNumber(1),
+        version: 7,
+        age_micros: 0,
+    };
+    let before = test.node.proof_age(at(test.now));
+    let message = LinkMessage::FreshnessAnswer(answer);
+    test.event(Event::Link { link, message });
+    expect_that!(test.node.proof_age(at(test.now)), eq(before));
+    expect_that!(test.node.store_epoch(), some(eq(BEFORE)));
+}
+
+#[gtest]
+fn store_that_holds_an_older_version_than_the_one_in_force_proves_nothing() {
+    let (mut test, link) = node_with_peer();
+    let message = LinkMessage::StoreEpoch(AFTER);
+    test.event(Event::Link { link, message });
+    test.pass(3_500);
+    test.answer_store(
+        |request| matches!(request, StoreRequest::ReadConfiguration),
+        configured(AFTER, 20, Some(6)),
+    );
+    expect_that!(test.node.proof_age(at(test.now)), none());
+    test.pass(100);
+    test.answer_store(
+        |request| matches!(request, StoreRequest::WatchConfiguration { .. }),
+        configured(AFTER, 22, Some(7)),
+    );
+    expect_that!(test.node.proof_age(at(test.now)), some(anything()));
+}
--- a/crates/rillgap-forward/tests/support/mod.rs
+++ b/crates/rillgap-forward/tests/support/mod.rs
@@ -18,6 +18,7 @@
 use rillgap_forward::id::{
     AnnouncementId, ConnectionId, ExchangeId, LinkId, ProbeId, Sequence, Turn,
 };
+use rillgap_forward::incarnation::Incarnation;
 use rillgap_forward::message::{
     ForwardResponse, ForwardResult, ForwardedAnswer, ForwardedRequest, Hello, LinkMessage, Load,
     NodeRecord, ServiceLevel, Status, Timing, level_of,
@@ -25,6 +26,7 @@
 use rillgap_forward::node::{Node, PROTOCOL_VERSION};
 use rillgap_forward::note::Note;
 use rillgap_forward::settings::{ForwardSettings, RetryBound};
+use rillgap_forward::store_epoch::{StoreEpoch, StorePosition};
 use rillgap_forward::store_sync::{StoreFailure, StoreReply, StoreRequest};
 
 pub const SERVICE: &str = "takst";
@@ -111,7 +113,7 @@
 
 pub fn heartbeat(instance: &str, sequence: u64, state: AnnouncedState) -> Heartbeat {
     Heartbeat {
-        instance: instance.to_owned(),
+        incarnation: Incarnation::without_start(instance),
         service: SERVICE.to_owned(),
         address: back_end_address().to_string(),
         slots: 4,
@@ -204,6 +206,7 @@
         incarnation: 1,
         status,
         configuration_version: version,
+        store_epoch: None,
     }
 }
 
@@ -217,8 +220,13 @@
 impl TestNode {
     /// Creates a node that knows nothing.
     pub fn fresh(service: &str) -> Self {
+        Self::with_settings(settings("own", service))
+    }
+
+    /// Creates a node that knows nothing but its settings.
+    pub fn with_settings(settings: ForwardSettings) -> Self {
         let mut test = Self {
-            node: Node::new(at(0), settings("own", service)),
+            node: Node::new(at(0), settings),
             now: 0,
             actions: Vec::new(),
         };
@@ -257,7 +265,7 @@
 
     /// Answers the read of the configuration that the node has asked for.
     pub fn configure(&mut self, configuration: Configuration) {
-        let position = configuration.version;
+        let position = StorePosition::new(StoreEpoch::default(), configuration.version);
         let request = self
             .actions
             .iter()
@@ -322,7 +330,7 @@
     pub fn leave(&mut self, instance: &str) {
         self.event(Event::BackEndLeaves {
             announcement: AnnouncementId(0),
-            instance: instance.to_owned(),
+            incarnation: Incarnation::without_start(instance),
         });
     }
 
--- a/crates/rillgap-forward/tests/tenants.rs
+++ b/crates/rillgap-forward/tests/tenants.rs
@@ -20,6 +20,7 @@
 use rillgap_forward::note::Note;
 use rillgap_forward::rate_limit::ownership::TenantHash;
 use rillgap_forward::settings::ForwardSettings;
+use rillgap_forward::store_epoch::StoreEpoch;
 use rillgap_forward::store_sync::{StoreReply, StoreRequest};
 use rillgap_forward::watch_duty::place;
 use support::{INSTANCE, SERVICE, TestNode, at, caller_request, configuration, settings};
@@ -205,6 +206,7 @@
         })
         .collect();
     let answer = FreshnessAnswer {
+        epoch: StoreEpoch::default(),
         number: *numbers.last().expect("a query"),
         version: 1,
         age_micros: 200_000,
@@ -255,10 +257,20 @@
         ..test
     };
     test.event(Event::Wake);
-    test.answer_store(is_registration, StoreReply::Registered { is_new: false });
+    test.answer_store(
+        is_registration,
+        StoreReply::Registered {
+            epoch: StoreEpoch::default(),
+            is_new: false,
+        },
+    );
     test.answer_store(
         |request| matches!(request, StoreRequest::ListNodes),
-        StoreReply::Nodes(Vec::new()),
+        StoreReply::Nodes {
+            epoch: StoreEpoch::default(),
+            records: Vec::new(),
+            unreadable: 0,
+        },
     );
     test.configure(with_tenant(1, tenant(Some(LIMIT))));
     test.heartbeat(1, AnnouncedState::Ready);
@@ -475,10 +487,20 @@
     };
     test.event(Event::Wake);
     let is_registration = |request: &StoreRequest| matches!(request, StoreRequest::Register(_));
-    test.answer_store(is_registration, StoreReply::Registered { is_new: false });
+    test.answer_store(
+        is_registration,
+        StoreReply::Registered {
+            epoch: StoreEpoch::default(),
+            is_new: false,
+        },
+    );
     test.answer_store(
         |request| matches!(request, StoreRequest::ListNodes),
-        StoreReply::Nodes(records.clone()),
+        StoreReply::Nodes {
+            epoch: StoreEpoch::default(),
+            records: records.clone(),
+            unreadable: 0,
+        },
     );
     let with_tenants = Configuration {
         tenants: tenants.clone().collect(),
--- a/crates/rillgap-forward/tests/watch.rs
+++ b/crates/rillgap-forward/tests/watch.rs
@@ -9,6 +9,7 @@
 use rillgap_forward::event::Event;
 use rillgap_forward::id::LinkId;
 use rillgap_forward::message::{Hello, LinkMessage, Status};
+use rillgap_forward::store_epoch::{StoreEpoch, StorePosition};
 use rillgap_forward::store_sync::{StoreReply, StoreRequest, StoreRequestId, StoreSync};
 use rillgap_forward::watch_duty::{WatchDuty, Watchers, place};
 use support::{SERVICE, TestNode, at, configuration, failed, hello, serving, settings};
@@ -165,7 +166,7 @@
     store.set_watch(at(0), Some(WAIT));
     let read = store.poll(at(0))[0].0;
     let reply = StoreReply::Configuration {
-        position: 40,
+        position: StorePosition::new(StoreEpoch::default(), 40),
         configuration: Some(configuration(3)),
     };
     store.on_reply(at(1), read, reply);
@@ -187,7 +188,7 @@
     expect_that!(store.is_watching(at(101)), eq(false));
     let again = store.poll(at(300))[0].0;
     let reply = StoreReply::Configuration {
-        position: 41,
+        position: StorePosition::new(StoreEpoch::default(), 41),
         configuration: None,
     };
     store.on_reply(at(310), again, reply);
@@ -200,14 +201,14 @@
     store.set_watch(at(10), None);
     expect_that!(store.is_watching(at(11)), eq(false));
     let nothing_new = StoreReply::Configuration {
-        position: 44,
+        position: StorePosition::new(StoreEpoch::default(), 44),
         configuration: None,
     };
     store.on_reply(at(900), watch, nothing_new);
     expect_that!(store.poll(at(5_000)), is_empty());
     store.set_watch(at(6_000), Some(WAIT));
     let expected = StoreRequest::WatchConfiguration {
-        after: 44,
+        after: StorePosition::new(StoreEpoch::default(), 44),
         wait: WAIT,
     };
     expect_that!(store.poll(at(6_000))[0].1, eq(&expected));
--- a/crates/rillgap-sidecar/src/back_end/connection.rs
+++ b/crates/rillgap-sidecar/src/back_end/connection.rs
@@ -240,7 +240,11 @@
     bytes.extend_from_slice(&request.fields);
     let millis = exchange.remaining.as_millis();
     push_field(&mut bytes, names.deadline_millis, &millis.to_string());
-    push_field(&mut bytes, names.expected_instance, &exchange.instance);
+    push_field(
+        &mut bytes,
+        names.expected_instance,
+        &exchange.incarnation.id,
+    );
     push_field(&mut bytes, names.caller_service, &request.caller_service);
     if let Some(tenant) = &request.tenant {
         push_field(&mut bytes, names.tenant, tenant);
--- a/crates/rillgap-sidecar/src/back_end/mod.rs
+++ b/crates/rillgap-sidecar/src/back_end/mod.rs
@@ -12,6 +12,7 @@
 use rillgap_forward::action::Exchange;
 use rillgap_forward::event::{Event, ExchangeResult};
 use rillgap_forward::id::{ExchangeId, ProbeId};
+use rillgap_forward::incarnation::Incarnation;
 use tokio::sync::{mpsc, oneshot};
 
 use crate::hub::Hub;
@@ -25,6 +26,8 @@
 /// Connections to the back end; the one used last is used first.
 pub struct BackEndClient {
     address: SocketAddr,
+    /// Incarnation that the idle connections lead to.
+    connected: RefCell<Option<Incarnation>>,
     idle: RefCell<Vec<mpsc::UnboundedSender<Job>>>,
     under_way: RefCell<BTreeMap<ExchangeId, oneshot::Sender<()>>>,
 }
@@ -34,6 +37,7 @@
     pub fn new(address: SocketAddr) -> Self {
         Self {
             address,
+            connected: RefCell::default(),
             idle: RefCell::default(),
             under_way: RefCell::default(),
         }
@@ -41,6 +45,7 @@
 
     /// Hands a request to the back end; its end is an event.
     pub fn start(&self, hub: &Rc<Hub>, exchange: Exchange) {
+        self.forget_earlier_runs(&exchange.incarnation);
         let (cancel, cancelled) = oneshot::channel();
         self.under_way.borrow_mut().insert(exchange.id, cancel);
         self.run(
@@ -52,6 +57,14 @@
         );
     }
 
+    /// Closes idle connections to an earlier run of the back end: they may have died silently with it.
+    fn forget_earlier_runs(&self, incarnation: &Incarnation) {
+        let before = self.connected.replace(Some(incarnation.clone()));
+        if before.is_some_and(|before| before != *incarnation) {
+            self.idle.borrow_mut().clear();
+        }
+    }
+
     /// Closes the connection on which a request runs.
     pub fn cancel(&self, exchange: ExchangeId) {
         self.under_way.borrow_mut().remove(&exchange);
--- a/crates/rillgap-sidecar/src/control.rs
+++ b/crates/rillgap-sidecar/src/control.rs
@@ -72,13 +72,23 @@
         Ok(call) => empty(carry_out(&hub, call).await),
         Err(ControlError::UnknownCall) => empty(StatusCode::NOT_FOUND),
         Err(error @ ControlError::Malformed(_)) => {
-            let code = ResultCode::MalformedRequest.number();
-            log::warn!(code, path = parts.uri.path(); "control: call refused: {error}");
+            note_malformed(&hub, parts.uri.path(), &error);
             empty(StatusCode::BAD_REQUEST)
         }
     })
 }
 
+/// Counts a malformed call, and logs the first, second, fourth, eighth and so on: another writer may go on for
+/// ever.
+fn note_malformed(hub: &Hub, path: &str, error: &ControlError) {
+    let calls = &hub.metrics().refused_control_calls;
+    let count = calls.inc() + 1;
+    if count.is_power_of_two() {
+        let code = ResultCode::MalformedRequest.number();
+        log::warn!(code, path, count; "control: call refused: {error}");
+    }
+}
+
 async fn carry_out(hub: &Rc<Hub>, call: ControlCall) -> StatusCode {
     let acknowledged = match call {
         ControlCall::Readiness if hub.with_node(|node| node.is_ready()) => return StatusCode::OK,
@@ -87,9 +97,9 @@
             announcement,
             heartbeat,
         }),
-        ControlCall::Leave { instance } => hub.announce(|announcement| Event::BackEndLeaves {
+        ControlCall::Leave { incarnation } => hub.announce(|announcement| Event::BackEndLeaves {
             announcement,
-            instance,
+            incarnation,
         }),
     };
     match acknowledged.await {
--- a/crates/rillgap-sidecar/src/dialect.rs
+++ b/crates/rillgap-sidecar/src/dialect.rs
@@ -1,6 +1,7 @@
 //! What a platform calls the things that a node says and hears over HTTP.
 
 use rillgap_forward::event::Heartbeat;
+use rillgap_forward::incarnation::Incarnation;
 
 /// Names of header fields.
 #[derive(Clone, Debug)]
@@ -34,8 +35,8 @@
     Heartbeat(Heartbeat),
     /// A back end leaves.
     Leave {
-        /// Incarnation.
-        instance: String,
+        /// Incarnation; without its start if the call does not tell it.
+        incarnation: Incarnation,
     },
 }
 
--- a/crates/rillgap-sidecar/src/hub.rs
+++ b/crates/rillgap-sidecar/src/hub.rs
@@ -302,6 +302,8 @@
         self.metrics.ready.set(u64::from(node.is_ready()));
         let quarantined = node.inbound().crashes().quarantined(self.now());
         self.metrics.quarantined.set(quarantined as u64);
+        let epoch = node.store_epoch().unwrap_or_default();
+        self.metrics.store_epoch.set(epoch.0);
         let age = node.proof_age(self.now());
         self.metrics
             .proof_age
--- a/crates/rillgap-sidecar/src/link/codec.rs
+++ b/crates/rillgap-sidecar/src/link/codec.rs
@@ -15,6 +15,7 @@
     ForwardResponse, ForwardedRequest, FreshnessAnswer, Hello, LinkMessage, Status, TokenAnswer,
     TokenQuery,
 };
+use rillgap_forward::store_epoch::StoreEpoch;
 
 /// Longest frame in bytes, without its length.
 const MAX_FRAME: usize = 96 * 1024 * 1024;
@@ -38,6 +39,7 @@
 const TOKEN_QUERY: u8 = 12;
 const TOKEN_ANSWER: u8 = 13;
 const CRASH_EVIDENCE: u8 = 14;
+const STORE_EPOCH: u8 = 15;
 
 /// Why bytes are not frames.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
@@ -100,11 +102,17 @@
                 let payload = buffers.configuration.encode(&**configuration);
                 put(out, CONFIGURATION, &[], payload)
             }
+            LinkMessage::StoreEpoch(epoch) => put(out, STORE_EPOCH, &epoch.0.to_be_bytes(), &[]),
             LinkMessage::FreshnessQuery(number) => {
                 put(out, FRESHNESS_QUERY, &number.0.to_be_bytes(), &[])
             }
             LinkMessage::FreshnessAnswer(answer) => {
-                let numbers = [answer.number.0, answer.version, answer.age_micros];
+                let numbers = [
+                    answer.epoch.0,
+                    answer.number.0,
+                    answer.version,
+                    answer.age_micros,
+                ];
                 let bytes = numbers.map(u64::to_be_bytes);
                 put(out, FRESHNESS_ANSWER, bytes.as_flattened(), &[])
             }
@@ -194,6 +202,9 @@
             }
             CONFIGURATION => decode::<Configuration>(&mut buffers.configuration, payload)
                 .map(|configuration| LinkMessage::Configuration(Arc::new(configuration))),
+            STORE_EPOCH => {
+                split_number(payload).map(|(epoch, _)| LinkMessage::StoreEpoch(StoreEpoch(epoch)))
+            }
             FRESHNESS_QUERY => split_number(payload)
                 .map(|(number, _)| LinkMessage::FreshnessQuery(QueryNumber(number))),
             FRESHNESS_ANSWER => freshness_answer(payload).map(LinkMessage::FreshnessAnswer),
@@ -217,10 +228,12 @@
 }
 
 fn freshness_answer(payload: &[u8]) -> Result<FreshnessAnswer, FrameError> {
-    let (number, rest) = split_number(payload)?;
+    let (epoch, rest) = split_number(payload)?;
+    let (number, rest) = split_number(rest)?;
     let (version, rest) = split_number(rest)?;
     let (age_micros, _) = split_number(rest)?;
     Ok(FreshnessAnswer {
+        epoch: StoreEpoch(epoch),
         number: QueryNumber(number),
         version,
         age_micros,
--- a/crates/rillgap-sidecar/src/logging/notes.rs
+++ b/crates/rillgap-sidecar/src/logging/notes.rs
@@ -211,6 +211,18 @@
             uptime, is_up = false, call = *call, code = failure.code.number(),
             detail = failure.detail.as_str(); "store: dependency"
         ),
+        Note::UnreadableRecords { unreadable } => log::warn!(
+            uptime, entries = *unreadable as u64; "store: entries that are no records of nodes"
+        ),
+        Note::StoreReturned {
+            before,
+            epoch,
+            configuration,
+            peer,
+        } => log::warn!(
+            uptime, before = before.0, epoch = epoch.0, configuration,
+            peer = peer.as_deref().unwrap_or_default(); "store: back from a copy"
+        ),
         Note::Watch {
             is_watching,
             preceding,
--- a/crates/rillgap-sidecar/src/metrics.rs
+++ b/crates/rillgap-sidecar/src/metrics.rs
@@ -69,12 +69,17 @@
     tenant_names: Arc<Mutex<BTreeSet<String>>>,
     store_calls: Family<StoreLabels, Counter>,
     back_end_crashes: Counter,
+    unreadable_records: Counter,
     /// Connections that were opened to the back end.
     pub back_end_connections: Counter,
+    /// Calls of the platform or of back ends that were refused because they are malformed.
+    pub refused_control_calls: Counter,
     /// Log lines that were left out.
     pub log_lines_dropped: Counter,
     /// Version of the configuration in force.
     pub configuration_version: Gauge<u64, AtomicU64>,
+    /// Epoch of the store, as far as the node has heard of it; 0 if the store tells none.
+    pub store_epoch: Gauge<u64, AtomicU64>,
     /// Age of the proof that the configuration is the newest, in seconds; -1 without one.
     pub proof_age: Gauge<f64, AtomicU64>,
     /// Requests that run at the back end.
@@ -114,9 +119,12 @@
             tenant_names: Arc::default(),
             store_calls: Family::default(),
             back_end_crashes: Counter::default(),
+            unreadable_records: Counter::default(),
+            refused_control_calls: Counter::default(),
             back_end_connections: Counter::default(),
             log_lines_dropped: Counter::default(),
             configuration_version: Gauge::default(),
+            store_epoch: Gauge::default(),
             proof_age: Gauge::default(),
             running: Gauge::default(),
             queued: Gauge::default(),
@@ -173,6 +181,9 @@
             Note::BackEndCrashed { .. } => {
                 self.back_end_crashes.inc();
             }
+            Note::UnreadableRecords { unreadable } => {
+                self.unreadable_records.inc_by(*unreadable as u64);
+            }
             _ => {}
         }
     }
@@ -254,6 +265,21 @@
             "Requests of tenants, by outcome",
             self.tenants.clone(),
         );
+        registry.register(
+            "store_epoch",
+            "Epoch of the store, which rises when it comes back from a copy; 0 if it tells none",
+            self.store_epoch.clone(),
+        );
+        registry.register(
+            "unreadable_records",
+            "Entries of the store in place of nodes' records that are none",
+            self.unreadable_records.clone(),
+        );
+        registry.register(
+            "refused_control_calls",
+            "Calls to the control address that were refused because they are malformed",
+            self.refused_control_calls.clone(),
+        );
         registry.register_with_unit(
             "configuration_proof_age",
             "Age of the proof that the configuration is the newest; -1 without one",
--- a/crates/rillgap-sidecar/tests/frames.rs
+++ b/crates/rillgap-sidecar/tests/frames.rs
@@ -11,6 +11,7 @@
     ForwardResponse, ForwardResult, ForwardedAnswer, ForwardedRequest, Hello, LinkMessage, Load,
     NodeRecord, ServiceLevel, Status, Timing, level_of,
 };
+use rillgap_forward::store_epoch::StoreEpoch;
 use rillgap_sidecar::link::{FrameDecoder, FrameEncoder, FrameError};
 
 fn messages() -> Vec<LinkMessage> {
@@ -27,6 +28,7 @@
             incarnation: 9,
             status: Status::default(),
             configuration_version: 3,
+            store_epoch: Some(StoreEpoch(2)),
         }),
         LinkMessage::Request {
             sequence: Sequence(5),
@@ -79,6 +81,7 @@
         }),
         LinkMessage::Status(Status::default()),
         LinkMessage::Ping,
+        LinkMessage::StoreEpoch(StoreEpoch(4)),
         LinkMessage::Pong,
         LinkMessage::ConfigurationOffer(8),
         LinkMessage::ConfigurationQuery(9),
--- a/crates/rillgap-sidecar/tests/path/support.rs
+++ b/crates/rillgap-sidecar/tests/path/support.rs
@@ -13,7 +13,9 @@
     CallerLimits, Configuration, Repeatability, Route, Service, Tenant, WeightedService,
 };
 use rillgap_forward::event::{AnnouncedState, Event, Heartbeat};
+use rillgap_forward::incarnation::Incarnation;
 use rillgap_forward::message::NodeRecord;
+use rillgap_forward::store_epoch::{StoreEpoch, StorePosition};
 use rillgap_forward::store_sync::{StoreReply, StoreRequest};
 use rillgap_http::h1::{
     BodyDecoder, BodyProgress, HeadLimits, RequestHead, decode_request, decode_response,
@@ -76,16 +78,23 @@
         Box::pin(async move {
             match request {
                 StoreRequest::ReadConfiguration => StoreReply::Configuration {
-                    position: 1,
+                    position: StorePosition::new(StoreEpoch::default(), 1),
                     configuration: Some(configuration(store.tenants.clone())),
                 },
                 StoreRequest::WatchConfiguration { .. } => std::future::pending().await,
                 StoreRequest::Register(record) => {
                     store.nodes.borrow_mut().push(record);
-                    StoreReply::Registered { is_new: false }
+                    StoreReply::Registered {
+                        epoch: StoreEpoch::default(),
+                        is_new: false,
+                    }
                 }
-                StoreRequest::ListNodes => StoreReply::Nodes(store.nodes.borrow().clone()),
-                StoreRequest::Unregister { .. } => StoreReply::Unregistered,
+                StoreRequest::ListNodes => StoreReply::Nodes {
+                    epoch: StoreEpoch::default(),
+                    records: store.nodes.borrow().clone(),
+                    unreadable: 0,
+                },
+                StoreRequest::Unregister { .. } => StoreReply::Unregistered(StoreEpoch::default()),
             }
         })
     }
@@ -337,7 +346,7 @@
         let nowhere = own_address();
         let (entry, callers) = start_node(&store, "entry", "front", nowhere).await;
         let heartbeat = Heartbeat {
-            instance: INSTANCE.to_owned(),
+            incarnation: Incarnation::without_start(INSTANCE),
             service: "work".to_owned(),
             address: address.to_string(),
             slots: 50,
