--- /dev/null
+++ b/crates/rillgap-forward/tests/weights.rs
@@ -0,0 +1,105 @@
+//! Shares of weighted services in the sum over nodes that see few requests each.
+
+mod support;
+
+use googletest::prelude::*;
+use rillgap_forward::configuration::{Configuration, WeightedService};
+use rillgap_forward::event::Event;
+use rillgap_forward::message::{ForwardResult, LinkMessage};
+use rillgap_forward::settings::ForwardSettings;
+use support::{TestNode, answer, caller_request, configuration, settings};
+
+const OLD: &str = "old";
+const NEW: &str = "new";
+
+/// Furthest that the share of a service may lie off its weight.
+const OFF: f64 = 0.1;
+
+fn split(version: u64, old: u32, new: u32) -> Configuration {
+    let part = |service: &str, weight| WeightedService {
+        service: service.to_owned(),
+        weight,
+    };
+    let mut configuration = configuration(version);
+    configuration.routes[0].services = vec![part(OLD, old), part(NEW, new)];
+    configuration
+}
+
+/// A node that has links to a back end of each service.
+fn entry(seed: u64) -> TestNode {
+    let settings = ForwardSettings {
+        random_seed: seed,
+        ..settings("own", "logbok")
+    };
+    let mut test = TestNode::with_settings(settings);
+    test.configure(split(1, 9_000, 1_000));
+    test.connect("peer-a", 2, OLD);
+    test.connect("peer-b", 3, NEW);
+    test.actions.clear();
+    test
+}
+
+/// Lets a node send one request, which is answered; returns whether it went to the new service.
+fn chooses_new(test: &mut TestNode, turn: u64) -> bool {
+    test.request(turn, caller_request(&format!("r{turn}"), "/safe/1"));
+    let (_, _, request) = test.sent().pop().expect("a request that was sent");
+    test.respond(ForwardResult::Answered(answer(200)));
+    request.service == NEW
+}
+
+fn adopt(test: &mut TestNode, configuration: Configuration) {
+    let link = test.connect("peer-c", 4, OLD);
+    let message = LinkMessage::Configuration(configuration.into());
+    test.event(Event::Link { link, message });
+}
+
+/// Returns the share of the new service over `nodes` nodes that send so many requests each.
+fn share_of_new(nodes: u64, requests: u64) -> f64 {
+    let mut chosen = 0;
+    for seed in 0..nodes {
+        let mut node = entry(seed);
+        let news = (0..requests).filter(|turn| chooses_new(&mut node, *turn));
+        chosen += news.count();
+    }
+    chosen as f64 / (nodes * requests) as f64
+}
+
+#[gtest]
+fn shares_hold_however_requests_are_spread_over_nodes() {
+    for (nodes, requests) in [
+        (1, 1_000),
+        (20, 50),
+        (200, 1),
+        (200, 5),
+        (1_000, 1),
+        (2_000, 1),
+    ] {
+        let share = share_of_new(nodes, requests);
+        expect_that!(
+            share,
+            near(0.1, OFF),
+            "{nodes} nodes, {requests} requests each"
+        );
+    }
+}
+
+#[gtest]
+fn shares_hold_over_nodes_that_see_one_request_after_each_change_of_weights() {
+    let mut nodes: Vec<TestNode> = (0..400).map(entry).collect();
+    let weights = [
+        (9_000, 1_000),
+        (5_000, 5_000),
+        (7_500, 2_500),
+        (2_500, 7_500),
+    ];
+    for (version, (old, new)) in (2..).zip(weights) {
+        let mut chosen = 0;
+        for node in &mut nodes {
+            adopt(node, split(version, old, new));
+            chosen += u32::from(chooses_new(node, version));
+        }
+        let share = f64::from(chosen) / nodes.len() as f64;
+        let weight = f64::from(new) / f64::from(old + new);
+        expect_that!(share, near(weight, OFF), "weights {old} and {new}");
+    }
+}
