Tests: what must not grow with the number of nodes, at 12, 120 and 480 of them

The node's real state machine over virtual time: the number of watchers, who begins or ceases to watch while nothing fails, calls to the store of a start and of half of all nodes coming back at once, a configuration in force in time after all watchers lost power. Bounds are the aims: three watchers, no change, one write a start and 2.2 calls at the full price in all, 2 s.

--- a/crates/rillgap-forward/tests/simulation/main.rs
+++ b/crates/rillgap-forward/tests/simulation/main.rs
@@ -6,6 +6,7 @@
 mod day;
 mod judge;
 mod returns;
+mod size;
 mod suspended;
 mod world;
 
--- /dev/null
+++ b/crates/rillgap-forward/tests/simulation/size.rs
@@ -0,0 +1,100 @@
+//! What grows with the number of nodes, and what must not: calls to the store, and who watches it.
+
+use googletest::prelude::*;
+
+use crate::day::Planted;
+use crate::world::{Fault, Happening, World};
+
+/// Back ends of each of three services.
+const SIZES: [usize; 3] = [4, 40, 160];
+/// Time by which a deployment has started, in milliseconds.
+const STARTED: u64 = 8_000;
+/// Nodes that watch the store at most while nothing fails, whatever their number.
+const MOST_WATCHERS: usize = 3;
+/// Calls at the full price that a start may make: 2,200 in a day of a fleet of 985 nodes, its watches among them.
+const MOST_CALLS_A_NODE: f64 = 2.2;
+/// Milliseconds within which a configuration must be in force everywhere.
+const APPLY_BOUND: u64 = 2_000;
+
+/// Starts a deployment without callers.
+fn started(per_service: usize) -> World {
+    let mut world = World::of_size(1, Planted::Nothing, 0, per_service);
+    world.run_until(STARTED);
+    world
+}
+
+fn full_price_calls(world: &World) -> u64 {
+    let calls = world.store_calls.iter();
+    calls
+        .filter(|(name, _)| **name != "old-list")
+        .map(|(_, count)| count)
+        .sum()
+}
+
+#[gtest]
+fn number_of_watchers_does_not_depend_on_the_size_and_nobody_changes() {
+    for per_service in SIZES {
+        let mut world = started(per_service);
+        let before = world.watch_changes;
+        for second in 1..=6 {
+            world.run_until(STARTED + second * 1_000);
+            let watchers = world.watching();
+            expect_that!(
+                watchers,
+                all!(ge(1), le(MOST_WATCHERS)),
+                "{} nodes",
+                world.size()
+            );
+        }
+        expect_that!(world.watch_changes, eq(before), "{} nodes", world.size());
+    }
+}
+
+#[gtest]
+fn start_makes_one_write_a_node_and_few_reads() {
+    for per_service in SIZES {
+        let world = started(per_service);
+        let nodes = world.size() as u64;
+        let writes = world.store_calls.get("register").copied();
+        expect_that!(writes, some(eq(nodes)), "{nodes} nodes");
+        // A handful of watchers make a call a second, whatever the number of nodes.
+        let watches = MOST_WATCHERS as u64 * STARTED / 1_000;
+        let most = (nodes as f64 * MOST_CALLS_A_NODE) as u64 + watches;
+        expect_that!(full_price_calls(&world), le(most), "{nodes} nodes");
+    }
+}
+
+#[gtest]
+fn configuration_is_in_force_in_time_after_the_watchers_were_killed() {
+    for per_service in SIZES {
+        let mut world = started(per_service);
+        for host in world.watching_hosts() {
+            world.at(STARTED, Happening::Fault(Fault::PowerOff(host)));
+        }
+        let changed_at = STARTED + 300;
+        world.at(changed_at, Happening::Fault(Fault::Configure));
+        world.run_until(changed_at + APPLY_BOUND);
+        let (in_force, stored) = world.versions();
+        expect_that!(in_force, each(eq(&stored)), "{} nodes", world.size());
+    }
+}
+
+#[gtest]
+fn half_of_the_nodes_come_back_at_once_within_the_rates_of_the_store() {
+    for per_service in SIZES {
+        let mut world = started(per_service);
+        let before = full_price_calls(&world);
+        let hosts = 0..world.size();
+        for host in hosts.step_by(2) {
+            world.at(STARTED, Happening::Fault(Fault::PowerOff(host)));
+            world.at(STARTED + 1_000, Happening::Fault(Fault::Start(host)));
+        }
+        world.run_until(STARTED + 1_000 + APPLY_BOUND);
+        let (in_force, stored) = world.versions();
+        expect_that!(in_force, each(eq(&stored)), "{} nodes", world.size());
+        let calls = full_price_calls(&world) - before;
+        // Sixteen may take over at first, and twice as many each second.
+        let most = world.size() as f64 * MOST_CALLS_A_NODE / 2.0 + 64.0;
+        expect_that!(calls as f64, le(most), "{} nodes", world.size());
+    }
+}
--- a/crates/rillgap-forward/tests/simulation/world/mod.rs
+++ b/crates/rillgap-forward/tests/simulation/world/mod.rs
@@ -246,6 +246,10 @@
     ignored: BTreeSet<usize>,
     store_lossy: bool,
     watches: BTreeMap<u64, (usize, u32, StoreRequestId, StorePosition)>,
+    /// Calls that the store got, by name; lists that may be old are cheap and apart.
+    pub store_calls: BTreeMap<&'static str, u64>,
+    /// How often a node has begun or ceased to watch.
+    pub watch_changes: u64,
     /// Whether each second run of a back end has the identifier of the one before.
     keeps_identifiers: bool,
     callers_until: u64,
@@ -260,7 +264,12 @@
 impl World {
     /// Creates a deployment whose nodes start at once.
     pub fn new(seed: u64, planted: Planted, callers_until: u64) -> Self {
-        let hosts = (0..SERVICES.len() * PER_SERVICE).map(new_host).collect();
+        Self::of_size(seed, planted, callers_until, PER_SERVICE)
+    }
+
+    /// Creates a deployment with so many back ends of each service.
+    pub fn of_size(seed: u64, planted: Planted, callers_until: u64, per_service: usize) -> Self {
+        let hosts = (0..SERVICES.len() * per_service).map(new_host).collect();
         let mut world = Self {
             now: 0,
             order: 0,
@@ -284,6 +293,8 @@
             store_lossy: false,
             watches: BTreeMap::new(),
             keeps_identifiers: false,
+            store_calls: BTreeMap::new(),
+            watch_changes: 0,
             callers_until,
             most_tries: 1,
             popular_percent: 0,
@@ -363,8 +374,12 @@
 
     /// Returns how many hosts wait for an answer of the store at this moment.
     pub fn watching(&self) -> usize {
-        let hosts = self.watches.values().map(|(host, ..)| *host);
-        hosts.collect::<BTreeSet<usize>>().len()
+        self.watching_hosts().len()
+    }
+
+    /// Returns the hosts that wait for an answer of the store at this moment.
+    pub fn watching_hosts(&self) -> BTreeSet<usize> {
+        self.watches.values().map(|(host, ..)| *host).collect()
     }
 
     pub fn judge_configurations(&mut self) {
@@ -489,7 +504,10 @@
             Action::CallStore { id, request } => {
                 self.at(self.now + 4, Happening::Store(host, run, id, request));
             }
-            Action::Note(note) => self.held_back += u64::from(is_held_back(&note)),
+            Action::Note(note) => {
+                self.held_back += u64::from(is_held_back(&note));
+                self.watch_changes += u64::from(matches!(note, Note::Watch { .. }));
+            }
             Action::Acknowledge { .. } => {}
             Action::Exit => {
                 self.stop_process(host, true);
--- a/crates/rillgap-forward/tests/simulation/world/setup.rs
+++ b/crates/rillgap-forward/tests/simulation/world/setup.rs
@@ -12,6 +12,9 @@
 
 use super::*;
 
+/// Zones of a large deployment.
+const ZONES: usize = 5;
+
 pub(super) fn service(host: usize) -> &'static str {
     SERVICES[host % SERVICES.len()]
 }
@@ -60,7 +63,7 @@
         record: NodeRecord {
             name: format!("n{host}"),
             address: ([127, 0, 0, 1], port).into(),
-            zone: format!("z{}", host / SERVICES.len()),
+            zone: format!("z{}", host / SERVICES.len() % ZONES),
             service: service(host).to_owned(),
         },
         is_first_start: run == 1,
--- a/crates/rillgap-forward/tests/simulation/world/store.rs
+++ b/crates/rillgap-forward/tests/simulation/world/store.rs
@@ -2,9 +2,7 @@
 
 use rillgap_core::code::ResultCode;
 use rillgap_forward::event::Event;
-use rillgap_forward::store_sync::{
-    NodeList, StoreFailure, StoreReply, StoreRequest, StoreRequestId,
-};
+use rillgap_forward::store_sync::{StoreFailure, StoreReply, StoreRequest, StoreRequestId};
 
 use crate::day::Planted;
 
@@ -21,6 +19,13 @@
         id: StoreRequestId,
         request: StoreRequest,
     ) {
+        let name = match &request {
+            StoreRequest::ListNodes {
+                may_be_old: true, ..
+            } => "old-list",
+            request => request.name(),
+        };
+        *self.store_calls.entry(name).or_default() += 1;
         if let Some((reply, delay)) = self.store_failure(host) {
             self.reply(host, run, id, reply, delay);
             return;
@@ -48,12 +53,9 @@
                 let epoch = self.object_store.epoch();
                 StoreReply::Registered { epoch, is_new }
             }
-            StoreRequest::ListNodes { .. } => StoreReply::Nodes {
+            StoreRequest::ListNodes { from, extent, .. } => StoreReply::Nodes {
                 epoch: self.object_store.epoch(),
-                list: NodeList {
-                    lowest: self.object_store.records(),
-                    ..NodeList::default()
-                },
+                list: self.object_store.list(from, extent),
             },
             StoreRequest::Unregister { name } => {
                 self.object_store.unregister(self.now, &name);
