Retry budget: allowances below one repeat are used in the sum over nodes, and twice the share

Cause: 985 entries share 1,200 requests a second. A node's allowance was used in whole repeats, so a route with fewer than some 12 requests in the window at a node had none, and the floor (a quarter of the slack) was below one from 260 nodes on. The shares of the ratio were fixed at 0.4 and 0.2 so that a chain of four adds up to it, although the node that sends the calls of a repeated request counts them anyway.

Now: a node rounds its allowance by a number of its own, even from 0 to 1, so that the sum over nodes is that of the allowances, off by the square root of the nodes; the shares are 0.8 for services that call nobody and 0.4 for others, in which inherited repeats are counted. The sum stands as an inequality in retry_budget.rs.

Ways: a draw for each repeat wanted (a node that fails often wins sooner or later: its sum grows to one whole repeat a node), one number a node (taken); shares 0.4 and 0.2 (stood before), 0.8 and 0.4.

--- a/crates/rillgap-forward/src/outbound/mod.rs
+++ b/crates/rillgap-forward/src/outbound/mod.rs
@@ -135,7 +135,7 @@
             by_sequence: BTreeMap::new(),
             next_sequence: 0,
             balancer: Balancer::new(settings.random_seed),
-            budget: RetryBudget::new(settings.retry_bound),
+            budget: RetryBudget::new(settings.retry_bound, settings.random_seed),
             admission: EntryAdmission::default(),
             tokens: EntryTokens::default(),
             next_admission_report: Instant::default(),
--- a/crates/rillgap-forward/src/retry_budget.rs
+++ b/crates/rillgap-forward/src/retry_budget.rs
@@ -1,18 +1,30 @@
 //! Repeated sends, bounded per service over a sliding window.
 //!
-//! The bound of a deployment is a sum over all nodes. Nodes do not coordinate: each allows itself
-//! a share of its *own* requests, and a small number that shrinks with the number of nodes, so that
-//! the sum holds whoever comes or goes. A repeat makes its back end repeat the calls below it, so
-//! the share is a fraction of the deployment's ratio: a service at the end of a chain of four gets
-//! the repeats of three others, which come to [`SHARE`] each, and its own, [`LEAF_SHARE`]; together they are
-//! the ratio. A service counts as one that calls nobody once an answer has shown so, until one shows
-//! calls.
+//! The bound of a deployment is a sum over all nodes: repeats `R` of a service within a window are at most
+//! `ratio * Q + slack`, where `Q` are the requests for it. Nodes do not coordinate: each allows itself a share `U` of
+//! the ratio of its *own* requests, and on top its part of a share `F` of the slack, less what it has sent again.
+//!
+//! Both come to less than one repeat at a node of few requests. There a number of its own decides, drawn evenly
+//! from 0 to 1: the node may send again as often as its allowance and that number have whole units. Over all nodes this is
+//! the sum of the allowances in the mean, and with `N` nodes off it by the square root of `N` at the most, but for one
+//! case in thousands. So
+//!
+//! ```text
+//! R <= U * ratio * Q + F * slack + sqrt(N) + restarted + inherited
+//! ```
+//!
+//! Nodes that restart have forgotten what they spent, and may spend their part of the slack again. A repeat makes its
+//! back end repeat the calls below it. The node that sends these counts them against its own allowance, so a service
+//! gets `U * ratio * Q` in all, whichever of the services above it was repeated, and `inherited` is only what exceeds
+//! the allowance of single nodes. `U` is [`LEAF_SHARE`] for a service whose back ends call nobody, as far as answers have
+//! shown, and [`SHARE`] for others, where a repeat costs repeats below it as well.
 
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
 use rillgap_core::admission::Level;
 use rillgap_core::time::Instant;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::retry_demand::RetryDemand;
 use crate::settings::RetryBound;
@@ -20,12 +32,13 @@
 /// Slices of the window.
 const SLICES: u32 = 20;
 /// Share of the deployment's ratio that one node uses for one service.
-const SHARE: f64 = 0.2;
-/// The same for a service whose back ends call nobody. Measured: 0.55, with 0.15 for the others, cost
-/// 0.03 of a day's worth where back ends in the middle of a chain fail (docs/design/shifted-work.md).
-const LEAF_SHARE: f64 = 0.4;
+const SHARE: f64 = 0.4;
+/// The same for a service whose back ends call nobody.
+const LEAF_SHARE: f64 = 0.8;
 /// Most repeats of one node for each service whatever the number of requests.
 const MOST_FLOOR: f64 = 1.0;
+/// Windows after which a node draws its number anew, so that no node of few requests is without repeats for ever.
+const DRAW_LASTS: u64 = 6;
 /// Share of the deployment's slack that the floors of all nodes add up to. The rest is for nodes that
 /// restart and have forgotten what they spent.
 const FLOOR_SHARE: f64 = 0.25;
@@ -85,6 +98,7 @@
 /// Repeats of one node, by service.
 #[derive(Clone, Debug)]
 pub struct RetryBudget {
+    seed: u64,
     ratio: f64,
     slack: f64,
     slice: Duration,
@@ -94,8 +108,11 @@
 
 impl RetryBudget {
     /// Creates the budget of a fresh node.
-    pub fn new(bound: RetryBound) -> Self {
+    ///
+    /// `seed` differs from that of all other nodes.
+    pub fn new(bound: RetryBound, seed: u64) -> Self {
         Self {
+            seed,
             ratio: bound.ratio,
             slack: f64::from(bound.slack),
             slice: bound.window / SLICES,
@@ -127,18 +144,26 @@
         let horizon = self.horizon.as_secs_f64();
         let floor = (self.slack * FLOOR_SHARE / nodes.max(1) as f64).min(MOST_FLOOR);
         let number = self.slice_number(now);
+        let rounding = self.rounding(number, service);
         let budget = self.service(service);
         budget.current(number);
         let left = budget.left(ratio) + floor;
         budget.demand.count(level);
         let is_preferred = level >= budget.demand.floor(now, left.max(0.0) / horizon);
-        if left < 1.0 || !is_preferred {
+        if left + rounding < 1.0 || !is_preferred {
             return false;
         }
         budget.current(number).repeats += 1;
         true
     }
 
+    /// Returns the node's number for a service, from 0 to 1, by which its allowance is rounded.
+    fn rounding(&self, slice: u64, service: &str) -> f64 {
+        let draw = slice / (u64::from(SLICES) * DRAW_LASTS);
+        let of_node = xxh3_64_with_seed(&draw.to_le_bytes(), self.seed);
+        xxh3_64_with_seed(service.as_bytes(), of_node) as f64 / u64::MAX as f64
+    }
+
     fn current(&mut self, now: Instant, service: &str) -> &mut Slice {
         let number = self.slice_number(now);
         self.service(service).current(number)
