--- a/tests/soak/src/back_end.rs
+++ b/tests/soak/src/back_end.rs
@@ -30,6 +30,8 @@
 const SERVES_ON: Duration = Duration::from_millis(800);
 /// Pause before a replacement starts.
 const REPLACED_AFTER: Duration = Duration::from_millis(400);
+/// Unix time of the start of each soak in milliseconds; only that it rises with time matters.
+const START_OF_SOAK: u64 = 1_760_000_000_000;
 /// Pause before an extra answer that comes late.
 const LATE: Duration = Duration::from_millis(60);
 
@@ -54,6 +56,8 @@
     soak: Arc<Soak>,
     node: usize,
     instance: String,
+    /// Unix time of the start in milliseconds.
+    started_at: u64,
     state: watch::Sender<State>,
     slots: Semaphore,
     places: Semaphore,
@@ -69,7 +73,8 @@
         let incarnation = Arc::new(Incarnation {
             soak: soak.clone(),
             node,
-            instance: format!("b{node}-{number}"),
+            instance: name_of(&soak, node, number),
+            started_at: unix_millis(&soak),
             state: watch::Sender::new(State::Ready),
             slots: Semaphore::new(SLOTS),
             places: Semaphore::new(SLOTS + QUEUE),
@@ -166,7 +171,7 @@
             tenant: request.fields.get("Tenant"),
             shows_credential: request.fields.get("Authorization").is_some(),
             service: Layout::service(self.node),
-            instance: &self.instance,
+            instance: &self.label(),
         };
         if request
             .fields
@@ -192,7 +197,7 @@
         let _guard = RunGuard {
             soak: self.soak.clone(),
             id: id.clone(),
-            instance: self.instance.clone(),
+            instance: self.label(),
         };
         let deadline = request
             .fields
@@ -251,7 +256,7 @@
             }
             return Ok(false);
         }
-        let body = body_of(id, &self.instance);
+        let body = body_of(id, &self.label());
         let fields = [
             ("Attempt-Id", id.to_owned()),
             ("Response-Signature", signature_of(&body)),
@@ -297,6 +302,11 @@
         Ok(false)
     }
 
+    /// Returns what tells the run apart from all others.
+    fn label(&self) -> String {
+        format!("{}@{}", self.instance, self.started_at)
+    }
+
     /// Sends heartbeats until the incarnation ends.
     async fn announce(self: Arc<Self>) {
         let mut state = self.state.subscribe();
@@ -307,7 +317,7 @@
             let acknowledged = self.heartbeat(announced, sequence).await;
             if announced == State::Draining && acknowledged {
                 let now = self.soak.now();
-                self.soak.judge().drain_acknowledged(now, &self.instance);
+                self.soak.judge().drain_acknowledged(now, &self.label());
                 self.state.send_replace(State::Acknowledged);
             }
             let pause = match *self.state.borrow() {
@@ -325,7 +335,7 @@
         } else {
             "draining"
         };
-        let body = json!({
+        let mut body = json!({
             "service": Layout::service(self.node),
             "address": self.soak.layout.back_end(self.node).1.to_string(),
             "zone": Layout::zone(self.node),
@@ -335,6 +345,9 @@
             "cold-remaining-s": 0,
             "call-seq": sequence,
         });
+        if self.soak.renews {
+            body["born"] = json!(self.started_at);
+        }
         let path = format!("/-/instances/{}/heartbeat", self.instance);
         self.control(&path, &body.to_string()).await
     }
@@ -373,6 +386,17 @@
     }
 }
 
+/// Returns the identifier of a run: where back ends keep theirs, each second one has that of the run before.
+fn name_of(soak: &Soak, node: usize, run: u32) -> String {
+    let number = if soak.renews { run / 2 } else { run };
+    format!("b{node}-{number}")
+}
+
+/// Returns the time of day at this moment of the soak, as back ends tell it.
+fn unix_millis(soak: &Soak) -> u64 {
+    START_OF_SOAK + u64::try_from(soak.now().as_millis()).unwrap_or(0)
+}
+
 /// Returns the target of the call that a service makes for a request.
 fn call_of(service: &str, target: &str) -> Option<String> {
     if !target.contains("/calls") {
--- a/tests/soak/src/faults.rs
+++ b/tests/soak/src/faults.rs
@@ -57,6 +57,9 @@
     pub back_ends: Vec<UnboundedSender<back_end::Order>>,
 }
 
+/// Time for which the store is away before it comes back from a copy.
+const STORE_AWAY: Duration = Duration::from_millis(500);
+
 /// A share of a back end's requests that goes wrong.
 type Percent = fn(&crate::soak::Machine) -> &AtomicU32;
 
@@ -85,6 +88,9 @@
         let is_planned_only = self.draw(PLANNED_CYCLES) == 0;
         let length = DISTURBED_MILLIS + SETTLE_MILLIS + JUDGED_MILLIS;
         self.crashing.begin_cycle(millis(length));
+        if self.soak.renews {
+            self.return_store();
+        }
         let mut elapsed = 0;
         while elapsed < DISTURBED_MILLIS {
             let left = DISTURBED_MILLIS - elapsed;
@@ -101,6 +107,33 @@
         self.judge_calm().await;
     }
 
+    /// Lets the store be away for a moment within the disturbed time and come back from a copy; the operator writes the
+    /// newest configuration again.
+    fn return_store(&mut self) {
+        let away_at = millis(self.draw(DISTURBED_MILLIS / 2));
+        let copy_age = millis(1_000 + self.draw(7_000));
+        let again_after = millis(100 + self.draw(600));
+        let now = self.soak.now();
+        let until = now + away_at + STORE_AWAY + again_after;
+        self.soak.judge().disturbed(now + away_at, until);
+        let soak = self.soak.clone();
+        tokio::spawn(async move {
+            sleep(away_at).await;
+            let doors = 0..soak.layout.nodes;
+            for door in doors.clone() {
+                soak.store.treat(door, Treatment::Busy);
+            }
+            sleep(STORE_AWAY).await;
+            println!("store: back from a copy of {copy_age:?}");
+            soak.store.return_from_copy(copy_age);
+            for door in doors {
+                soak.store.treat(door, Treatment::Serve);
+            }
+            sleep(again_after).await;
+            operator::write_again(&soak);
+        });
+    }
+
     /// Begins planned work.
     fn plan(&mut self, left: u64) {
         let node = self.draw_node();
--- a/tests/soak/src/main.rs
+++ b/tests/soak/src/main.rs
@@ -41,6 +41,9 @@
     /// machines, each with a process, a back end and callers
     #[argh(option, default = "DEFAULT_NODES")]
     nodes: usize,
+    /// let the store come back from copies, and back ends start again under the identifier that they had
+    #[argh(switch)]
+    renewals: bool,
     /// callers beside each node
     #[argh(option, default = "3")]
     callers: usize,
@@ -78,7 +81,10 @@
         program: arguments.program.clone(),
         folder,
     };
-    let soak = Soak::new(layout, arguments.seed);
+    let soak = Soak::new(layout, arguments.seed, arguments.renewals);
+    if arguments.renewals {
+        soak.store.keep_copies();
+    }
     operator::configure(&soak);
     let (targets, supervisors) = start(&soak, &files).await?;
     sleep(START_TIME).await;
--- a/tests/soak/src/operator.rs
+++ b/tests/soak/src/operator.rs
@@ -49,12 +49,19 @@
         },
     }));
     let spec = json!({"version": version, "resources": resources});
+    *soak.configuration() = spec.clone();
     soak.store.put("config", "main", spec);
     soak.judge().accepted(soak.now(), version);
     // Callers use the new route only after this.
     soak.version.store(version, Ordering::SeqCst);
 }
 
+/// Writes the newest version again, which the store may have lost.
+pub fn write_again(soak: &Arc<Soak>) {
+    let spec = soak.configuration().clone();
+    soak.store.put("config", "main", spec);
+}
+
 fn route(soak: &Arc<Soak>, prefix: &str, service: &'static str, kind: &str, priority: u8) -> Value {
     soak.judge().allow(prefix, service);
     json!({
--- a/tests/soak/src/soak.rs
+++ b/tests/soak/src/soak.rs
@@ -5,6 +5,7 @@
 
 use rand_chacha::ChaCha8Rng;
 use rand_chacha::rand_core::{Rng, SeedableRng};
+use serde_json::Value;
 use tokio::time::Instant;
 
 use crate::deployment::Layout;
@@ -39,6 +40,10 @@
     pub machines: Vec<Machine>,
     /// Newest version of the configuration.
     pub version: AtomicU64,
+    /// Whether the store comes back from copies, and back ends keep their identifiers over a start.
+    pub renews: bool,
+    /// Newest configuration, as the operator has written it.
+    configuration: Mutex<Value>,
     start: Instant,
     judge: Mutex<Judge>,
     random: Mutex<ChaCha8Rng>,
@@ -47,12 +52,14 @@
 
 impl Soak {
     /// Creates a soak whose draws follow from `seed`.
-    pub fn new(layout: Layout, seed: u64) -> Arc<Self> {
+    pub fn new(layout: Layout, seed: u64, renews: bool) -> Arc<Self> {
         Arc::new(Self {
             layout,
             store: Store::new(layout.nodes),
             machines: (0..layout.nodes).map(|_| Machine::default()).collect(),
             version: AtomicU64::new(0),
+            renews,
+            configuration: Mutex::default(),
             start: Instant::now(),
             judge: Mutex::default(),
             random: Mutex::new(ChaCha8Rng::seed_from_u64(seed)),
@@ -70,6 +77,13 @@
         self.judge.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Returns the newest configuration, as the operator has written it.
+    pub fn configuration(&self) -> MutexGuard<'_, Value> {
+        self.configuration
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Returns a number below `bound`, for what need not repeat.
     pub fn draw(&self, bound: u64) -> u64 {
         let mut random = self.random.lock().unwrap_or_else(PoisonError::into_inner);
--- a/tests/soak/src/store.rs
+++ b/tests/soak/src/store.rs
@@ -58,8 +58,14 @@
     gone: bool,
 }
 
-#[derive(Debug, Default)]
+/// Copies that are kept, and the time between two.
+const MOST_COPIES: usize = 20;
+const COPY_INTERVAL: Duration = Duration::from_millis(500);
+
+#[derive(Clone, Debug, Default)]
 struct Contents {
+    /// Rises by one each time the store comes back from a copy.
+    epoch: u64,
     revision: u64,
     forgotten: u64,
     kinds: BTreeMap<String, BTreeMap<String, Object>>,
@@ -71,6 +77,8 @@
 pub struct Store {
     contents: Mutex<Contents>,
     revision: watch::Sender<u64>,
+    /// Copies of what it held, the newest last.
+    copies: Mutex<Vec<Contents>>,
     treatments: Vec<watch::Sender<Treatment>>,
 }
 
@@ -81,6 +89,7 @@
         Arc::new(Self {
             contents: Mutex::default(),
             revision: watch::Sender::new(0),
+            copies: Mutex::default(),
             treatments: treatments.collect(),
         })
     }
@@ -124,6 +133,45 @@
         self.revision.send_replace(contents.revision);
     }
 
+    /// Keeps copies for as long as the store is there.
+    pub fn keep_copies(self: &Arc<Self>) {
+        let store = self.clone();
+        tokio::spawn(async move {
+            loop {
+                store.keep_copy();
+                tokio::time::sleep(COPY_INTERVAL).await;
+            }
+        });
+    }
+
+    fn keep_copy(&self) {
+        let copy = self.lock().clone();
+        let mut copies = self.copies();
+        if copies.len() >= MOST_COPIES {
+            copies.remove(0);
+        }
+        copies.push(copy);
+    }
+
+    /// Comes back from a copy of about this age: what was written since is gone, and revisions are given out again.
+    /// Watches that wait are cut, or hear nothing any more.
+    pub fn return_from_copy(&self, age: Duration) {
+        let back = usize::try_from(age.as_millis() / COPY_INTERVAL.as_millis()).unwrap_or(0);
+        let copies = self.copies();
+        let Some(copy) = copies.iter().rev().nth(back).or(copies.first()) else {
+            return;
+        };
+        let mut contents = self.lock();
+        let epoch = contents.epoch + 1;
+        *contents = copy.clone();
+        contents.epoch = epoch;
+        self.revision.send_replace(contents.revision);
+    }
+
+    fn copies(&self) -> std::sync::MutexGuard<'_, Vec<Contents>> {
+        self.copies.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn lock(&self) -> std::sync::MutexGuard<'_, Contents> {
         self.contents.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -145,7 +193,10 @@
                 // Says nothing further on this connection.
                 return connection.closed().await;
             }
-            let fields = [("Content-Type", "application/json".to_owned())];
+            let fields = [
+                ("Content-Type", "application/json".to_owned()),
+                ("Store-Era", self.lock().epoch.to_string()),
+            ];
             let bytes = encode_response(status, &fields, body.to_string().as_bytes());
             if connection.write(&bytes).await.is_err() {
                 return;
@@ -297,7 +348,7 @@
 
     /// Returns the changes after a revision, and the revision now; fails if they are forgotten.
     fn events(&self, kind: &str, after: u64) -> Result<(Vec<Value>, u64), ()> {
-        if after < self.forgotten {
+        if after < self.forgotten || after > self.revision {
             return Err(());
         }
         let events = self
