--- a/crates/rillgap-forward/src/message.rs
+++ b/crates/rillgap-forward/src/message.rs
@@ -388,3 +388,29 @@
     /// What the sender knows of requests under which back ends end.
     CrashEvidence(Vec<ContentEvidence>),
 }
+
+impl LinkMessage {
+    /// Returns the kind of the message, for metrics.
+    pub const fn kind(&self) -> &'static str {
+        match self {
+            Self::Hello(_) => "hello",
+            Self::Request { .. } => "request",
+            Self::Cancel(_) => "cancel",
+            Self::Response(_) => "response",
+            Self::Status(_) => "status",
+            Self::Ping => "ping",
+            Self::Pong => "pong",
+            Self::ConfigurationOffer(_) => "configuration-offer",
+            Self::ConfigurationQuery(_) => "configuration-query",
+            Self::Configuration(_) => "configuration",
+            Self::Follow(_) => "follow",
+            Self::StoreNews(_) => "store-news",
+            Self::StoreEpoch(_) => "store-epoch",
+            Self::FreshnessQuery(_) => "freshness-query",
+            Self::FreshnessAnswer(_) => "freshness-answer",
+            Self::TokenQuery(_) => "token-query",
+            Self::TokenAnswer(_) => "token-answer",
+            Self::CrashEvidence(_) => "crash-evidence",
+        }
+    }
+}
--- a/crates/rillgap-sidecar/src/hub.rs
+++ b/crates/rillgap-sidecar/src/hub.rs
@@ -162,7 +162,11 @@
         message: &LinkMessage,
         out: &mut BytesMut,
     ) -> Result<(), FrameError> {
-        self.encoder.borrow_mut().encode(message, out)
+        let before = out.len();
+        self.encoder.borrow_mut().encode(message, out)?;
+        self.metrics
+            .count_message(message.kind(), out.len() - before);
+        Ok(())
     }
 
     /// Takes the next message of a link out of `input`.
--- a/crates/rillgap-sidecar/src/metrics.rs
+++ b/crates/rillgap-sidecar/src/metrics.rs
@@ -40,6 +40,11 @@
     outcome: &'static str,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct MessageLabels {
+    kind: &'static str,
+}
+
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct MoveLabels {
     paid: &'static str,
@@ -68,6 +73,8 @@
     tenants: Family<TenantLabels, Counter>,
     tenant_names: Arc<Mutex<BTreeSet<String>>>,
     store_calls: Family<StoreLabels, Counter>,
+    link_messages: Family<MessageLabels, Counter>,
+    link_bytes: Family<MessageLabels, Counter>,
     back_end_crashes: Counter,
     unreadable_records: Counter,
     /// Connections that were opened to the back end.
@@ -118,6 +125,8 @@
             tenants: Family::default(),
             tenant_names: Arc::default(),
             store_calls: Family::default(),
+            link_messages: Family::default(),
+            link_bytes: Family::default(),
             back_end_crashes: Counter::default(),
             unreadable_records: Counter::default(),
             refused_control_calls: Counter::default(),
@@ -220,6 +229,13 @@
         tenant.to_owned()
     }
 
+    /// Counts a message that is sent on a link, and its bytes.
+    pub fn count_message(&self, kind: &'static str, bytes: usize) {
+        let labels = MessageLabels { kind };
+        self.link_messages.get_or_create(&labels).inc();
+        self.link_bytes.get_or_create(&labels).inc_by(bytes as u64);
+    }
+
     /// Counts a call to the store.
     pub fn count_store_call(&self, call: &'static str, reply: &StoreReply) {
         let outcome = match reply {
@@ -265,6 +281,16 @@
             "Requests of tenants, by outcome",
             self.tenants.clone(),
         );
+        registry.register(
+            "link_messages",
+            "Messages sent on links, by kind",
+            self.link_messages.clone(),
+        );
+        registry.register(
+            "link_sent_bytes",
+            "Bytes of the messages sent on links, by kind",
+            self.link_bytes.clone(),
+        );
         registry.register(
             "store_epoch",
             "Epoch of the store, which rises when it comes back from a copy; 0 if it tells none",
