--- a/crates/rillgap-forward/tests/control.rs
+++ b/crates/rillgap-forward/tests/control.rs
@@ -7,12 +7,11 @@
 use googletest::prelude::*;
 use rillgap_forward::action::Action;
 use rillgap_forward::event::{AnnouncedState, Event, ExchangeResult};
-use rillgap_forward::message::{ForwardResult, LinkMessage, NodeRecord};
+use rillgap_forward::message::{ForwardResult, LinkMessage};
 use rillgap_forward::store_epoch::{StoreEpoch, StorePosition};
 use rillgap_forward::store_sync::{StoreReply, StoreRequest, StoreRequestId, StoreSync};
 use support::{
-    INSTANCE, SERVICE, TestNode, address, answer, at, configuration, failed, forwarded, nodes,
-    settings,
+    INSTANCE, SERVICE, TestNode, address, answer, at, configuration, failed, forwarded, settings,
 };
 
 const WAIT: Duration = Duration::from_secs(1);
