Readiness and explain: the configuration in force and its age

A store that came back from a copy may hold an older configuration than the one in force, until the operator's is written again. The answer on readiness tells version, age, age of the proof and the epoch of the store; `rillgapctl explain` tells by which configuration a request was decided, for how long it had been in force there, and whether the store came back from a copy since.

--- a/crates/rillgap-cli/src/explain/mod.rs
+++ b/crates/rillgap-cli/src/explain/mod.rs
@@ -1,5 +1,6 @@
 //! From a request's identifier to its cause, by the logs of nodes alone.
 
+mod configuration;
 mod record;
 mod verdict;
 
@@ -24,6 +25,8 @@
     pub request: String,
     /// How the request ended and why.
     pub verdict: Verdict,
+    /// Which configuration decided, and for how long it had been in force there, if the logs tell.
+    pub configuration: Option<String>,
     /// Lines about the request, its calls and the requests that it was made for, in their order.
     pub path: Vec<Record>,
     /// What the nodes on that path began to believe shortly before.
@@ -72,6 +75,7 @@
         beliefs.sort_by(by_time);
         Explanation {
             verdict: Verdict::of(&self.request, &self.path),
+            configuration: configuration::describe(&self.request, &self.path, &self.beliefs),
             request: self.request,
             path: self.path,
             beliefs,
--- a/crates/rillgap-cli/src/explain/verdict.rs
+++ b/crates/rillgap-cli/src/explain/verdict.rs
@@ -6,7 +6,7 @@
 use super::{Record, extends};
 
 /// Message of the line that tells a request's end.
-const ANSWERED: &str = "outbound: answered";
+pub(super) const ANSWERED: &str = "outbound: answered";
 /// Message of the line with which the node beside a back end gives a request up.
 const NO_ANSWER: &str = "inbound: no answer";
 /// Message of the line that tells that the caller left.
@@ -71,7 +71,7 @@
     }
 }
 
-fn last<'a>(path: &'a [Record], request: &str, message: &str) -> Option<&'a Record> {
+pub(super) fn last<'a>(path: &'a [Record], request: &str, message: &str) -> Option<&'a Record> {
     path.iter()
         .rev()
         .find(|record| record.request.as_deref() == Some(request) && record.message == message)
--- a/crates/rillgap-cli/src/output.rs
+++ b/crates/rillgap-cli/src/output.rs
@@ -71,6 +71,9 @@
         if self.form == OutputForm::Json {
             return self.json(&json!(explanation));
         }
+        if let Some(configuration) = &explanation.configuration {
+            self.line(&format!("{}: {configuration}", explanation.request))?;
+        }
         for sentence in &explanation.verdict.because {
             self.line(sentence)?;
         }
--- a/crates/rillgap-cli/tests/explain.rs
+++ b/crates/rillgap-cli/tests/explain.rs
@@ -44,6 +44,28 @@
     );
 }
 
+#[gtest]
+fn configuration_that_decided_is_told_with_its_age() {
+    let log = concat!(
+        r#"n-1 {"message":"configuration: in force","version":7,"source":"store","time":90.0,"level":"INFO"}"#,
+        "\n",
+        r#"n-1 {"message":"outbound: answered","request":"x","status":404,"code":16,"configuration":7,"time":92.5,"level":"INFO"}"#,
+        "\n",
+        r#"n-1 {"message":"store: back from a copy","before":1,"epoch":2,"configuration":7,"time":93.0,"level":"WARN"}"#,
+        "\n",
+        r#"n-1 {"message":"outbound: answered","request":"y","status":404,"code":16,"configuration":7,"time":93.5,"level":"INFO"}"#,
+    );
+    let told = |request: &str| {
+        let mut explainer = Explainer::new(request);
+        explainer.read("", log.as_bytes()).expect("a log");
+        explainer.explain().configuration
+    };
+    let before = "decided by configuration 7, in force there for 2.5 s";
+    expect_that!(told("x"), some(eq(before)));
+    let after = "decided by configuration 7, in force there for 3.5 s; the store came back from a copy 0.5 s before and may have lost it";
+    expect_that!(told("y"), some(eq(after)));
+}
+
 #[gtest]
 fn call_is_followed_also_if_its_last_line_was_left_out() {
     let log: String = LOG
--- a/crates/rillgap-forward/src/node/mod.rs
+++ b/crates/rillgap-forward/src/node/mod.rs
@@ -46,6 +46,8 @@
 pub struct Node {
     settings: ForwardSettings,
     table: Option<Arc<RouteTable>>,
+    /// Since when it is in force.
+    configured_at: Option<Instant>,
     directory: Directory,
     inbound: Inbound,
     outbound: Outbound,
@@ -84,6 +86,7 @@
     pub fn new(now: Instant, settings: ForwardSettings) -> Self {
         Self {
             table: None,
+            configured_at: None,
             directory: Directory::new(&settings.record),
             inbound: Inbound::new(&settings),
             outbound: Outbound::new(&settings),
@@ -124,6 +127,12 @@
         self.table.is_some() && self.stopping_since.is_none()
     }
 
+    /// Returns for how long the configuration has been in force; `None` if there is none.
+    pub fn configuration_age(&self, now: Instant) -> Option<Duration> {
+        let since = self.configured_at?;
+        Some(now.saturating_since(since))
+    }
+
     /// Returns the bounds on what callers send.
     pub fn limits(&self) -> CallerLimits {
         self.table
--- a/crates/rillgap-forward/src/node/spread.rs
+++ b/crates/rillgap-forward/src/node/spread.rs
@@ -38,6 +38,7 @@
         self.freshness.adopted(version);
         self.limit_tenants(now, &table);
         self.table = Some(Arc::new(table));
+        self.configured_at = Some(now);
         self.offers.in_force(version);
         self.store.configuration_in_force();
         self.broadcast(&LinkMessage::ConfigurationOffer(version), out);
--- a/crates/rillgap-sidecar/src/control.rs
+++ b/crates/rillgap-sidecar/src/control.rs
@@ -21,6 +21,9 @@
 /// Content type of the metrics.
 const OPEN_METRICS: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
 
+/// Content type of the answer on readiness.
+const JSON: &str = "application/json";
+
 /// What a listener serves.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ControlService {
@@ -69,6 +72,7 @@
         .dialect()
         .control_call(parts.method.as_str(), parts.uri.path(), &body);
     Ok(match call {
+        Ok(ControlCall::Readiness) => readiness(&hub),
         Ok(call) => empty(carry_out(&hub, call).await),
         Err(ControlError::UnknownCall) => empty(StatusCode::NOT_FOUND),
         Err(error @ ControlError::Malformed(_)) => {
@@ -91,8 +95,7 @@
 
 async fn carry_out(hub: &Rc<Hub>, call: ControlCall) -> StatusCode {
     let acknowledged = match call {
-        ControlCall::Readiness if hub.with_node(|node| node.is_ready()) => return StatusCode::OK,
-        ControlCall::Readiness => return StatusCode::SERVICE_UNAVAILABLE,
+        ControlCall::Readiness => return readiness_status(hub),
         ControlCall::Heartbeat(heartbeat) => hub.announce(|announcement| Event::Heartbeat {
             announcement,
             heartbeat,
@@ -108,6 +111,37 @@
     }
 }
 
+fn readiness_status(hub: &Hub) -> StatusCode {
+    if hub.with_node(|node| node.is_ready()) {
+        StatusCode::OK
+    } else {
+        StatusCode::SERVICE_UNAVAILABLE
+    }
+}
+
+/// Answers whether new callers are welcome, and tells the configuration in force with its age: the store may have come
+/// back from a copy that holds an older one.
+fn readiness(hub: &Hub) -> Response<Full<Bytes>> {
+    let now = hub.now();
+    let body = hub.with_node(|node| {
+        let version = node.configuration_version();
+        let age = seconds_or_null(node.configuration_age(now));
+        let proof_age = seconds_or_null(node.proof_age(now));
+        let epoch = node.store_epoch().unwrap_or_default().0;
+        format!(
+            r#"{{"configuration-version":{version},"configuration-age-seconds":{age},"proof-age-seconds":{proof_age},"store-epoch":{epoch}}}"#
+        )
+    });
+    text(readiness_status(hub), JSON, body)
+}
+
+fn seconds_or_null(duration: Option<Duration>) -> String {
+    duration.map_or_else(
+        || "null".to_owned(),
+        |duration| format!("{:.1}", duration.as_secs_f64()),
+    )
+}
+
 fn empty(status: StatusCode) -> Response<Full<Bytes>> {
     let mut response = Response::new(Full::default());
     *response.status_mut() = status;
