--- a/crates/rillgap-forward/src/balancer.rs
+++ b/crates/rillgap-forward/src/balancer.rs
@@ -17,13 +17,12 @@
 
 /// Cost of leaving a zone that is idle, in shares of a back end's limit.
 const CROSS_ZONE_PENALTY: f64 = 0.3;
-/// Load of the own zone up to which the whole penalty counts, and from which none does. A back end
-/// with tens of slots begins to queue near 0.9; with (0.4, 0.8) bytes between zones cost 0.018 instead of
-/// 0.011 on the calm day of safari-dodoma, and no more was served.
+/// Load of the own zone up to which the whole penalty counts, and from which none does: back ends queue only when they
+/// are nearly full, and leaving the zone earlier costs bytes between zones for nothing.
 const PENALTY_FADES: (f64, f64) = (0.7, 0.95);
-/// Cost of a mean time as long as the time that the request has. One request in a hundred takes five times
-/// the mean at the users' back ends, so those at a back end whose mean is a fifth of that time come too
-/// late; its cost outweighs the penalty for leaving the zone. The square of the share was worse.
+/// Cost of a mean time as long as the time that the request has. Some requests take several times the mean, so those at
+/// a back end whose mean is a fifth of that time may come too late; its cost outweighs the penalty for leaving the
+/// zone.
 const SLOWNESS_COST: f64 = 2.0;
 /// Largest share of the time that a request has which counts.
 const MOST_SLOWNESS: f64 = 1.0;
--- a/crates/rillgap-forward/src/crash/register.rs
+++ b/crates/rillgap-forward/src/crash/register.rs
@@ -21,8 +21,7 @@
 /// Age up to which crashes are taken for one series.
 const SERIES: Duration = Duration::from_secs(10);
 /// Crashes without a request and without a known reason in one series from which the request may have been at others by
-/// chance. One or two may be the first crashes of another request of this kind. With a crash of any of nine back ends each
-/// 300 ms, requests that are not to blame are refused on none of 600 simulated days in place of 5.
+/// chance. One or two may be the first crashes of another request of this kind.
 const SERIES_CRASHES: usize = 3;
 
 /// A content whose standing has changed.
--- a/crates/rillgap-forward/src/inbound/isolation.rs
+++ b/crates/rillgap-forward/src/inbound/isolation.rs
@@ -15,8 +15,8 @@
 use crate::message::{ForwardResult, ForwardedRequest};
 use crate::note::{LostWork, Note};
 
-/// Longest body with which an answered request is remembered although no back end has ended. A fingerprint costs 4 µs with
-/// it, and 54 µs with 64 KiB.
+/// Longest body with which an answered request is remembered although no back end has ended: the fingerprint of a long one
+/// costs more than it is worth.
 const LONGEST_REMEMBERED_BODY: usize = 4_096;
 
 impl Inbound {
--- a/crates/rillgap-forward/src/inbound/losses.rs
+++ b/crates/rillgap-forward/src/inbound/losses.rs
@@ -14,10 +14,9 @@
 use crate::incarnation::Incarnation;
 use crate::note::LostWork;
 
-/// Time in which all connections of a process that has ended are seen to end; measured: 2 ms for 43 requests.
+/// Time in which all connections of a process that has ended are seen to end.
 const SETTLE: Duration = Duration::from_millis(5);
-/// Longest time for which the answers to lost requests wait for the health endpoint; one that is refused takes
-/// one to two milliseconds on the same machine.
+/// Longest time for which the answers to lost requests wait for the health endpoint, which is on the same machine.
 const PATIENCE: Duration = Duration::from_millis(60);
 /// Time between the first and the last loss of one crash.
 const SPREAD: Duration = Duration::from_millis(300);
--- a/crates/rillgap-forward/src/inbound/mod.rs
+++ b/crates/rillgap-forward/src/inbound/mod.rs
@@ -59,7 +59,7 @@
 /// Shortest and longest time after which a refused caller is asked back, in milliseconds.
 const RETRY_AFTER_MILLIS: (u64, u64) = (50, 2_000);
 /// Tuning of the published level. Calls may wait for several times as long as they run, so the queue may
-/// rest at nearly the limit; anything from 0.6 to 1.2 did as well on the users' sites, 0.2 worse.
+/// rest at nearly the limit.
 const LEVEL_TUNING: Tuning = Tuning {
     queue_target: 0.8,
     demand_weight: 0.15,
--- a/crates/rillgap-forward/src/message.rs
+++ b/crates/rillgap-forward/src/message.rs
@@ -179,9 +179,7 @@
     /// Returns the place within the rank; 0 is served first.
     ///
     /// It follows from the level, which all calls made for one root have. Where a service sheds calls of one priority, the
-    /// same chains go through whole; in the order of arrival each chain would lose a call now and then. With one of three
-    /// deepest back ends left, 1,533 in place of 1,417 of 5,766 requests are served in sixteen seconds, and the median answer
-    /// takes 270 ms in place of 510 ms (one day, before and after).
+    /// same chains go through whole; in the order of arrival each chain would lose a call now and then.
     pub fn place(&self) -> u8 {
         let within = self.level.0 % Level::PER_TIER;
         let group = within * u32::from(PLACES) / Level::PER_TIER;
--- a/crates/rillgap-forward/src/outbound/mod.rs
+++ b/crates/rillgap-forward/src/outbound/mod.rs
@@ -40,16 +40,15 @@
 use tenancy::Refusal;
 use weights::WeightedChoice;
 
-/// Share of the target latency for which a caller's request may wait in a queue. With twice as much no
-/// more are served, and more fail after work was done for them (docs/design/shifted-work.md).
+/// Share of the target latency for which a caller's request may wait in a queue. Those that wait longer are mostly not
+/// served in time, and fail after work was done for them.
 const QUEUE_SHARE: f64 = 0.2;
 /// Share of the target latency for which a back end's own request may wait in a queue: it is one
 /// of several that follow each other within the time of one caller's request.
 const CALL_QUEUE_SHARE: f64 = 0.33;
 /// Most moves of a request to another node while no back end was reached: they cost no budget.
 const MOST_FREE_MOVES: u32 = 3;
-/// Most moves in all. With back ends that refuse half of what they get, seven sends leave one call in a
-/// hundred without an answer.
+/// Most moves in all: enough for nearly every call where back ends refuse half of what they get.
 const MOST_MOVES: u32 = 6;
 /// Time after which to come back when no back end takes requests, in milliseconds.
 const NO_BACK_END_MILLIS: u32 = 250;
--- a/crates/rillgap-forward/src/outbound/results.rs
+++ b/crates/rillgap-forward/src/outbound/results.rs
@@ -10,9 +10,8 @@
 use crate::message::{ForwardResult, ForwardedAnswer};
 use crate::note::Note;
 
-/// Back ends from which on a request is repeated at once after a crash under it: the repeat may end one more of them.
-/// With three back ends a service, 0.61 in place of 0.48 of what others ask for is served in the eight seconds after such a
-/// request comes first; where no request is to blame, 0.905 in place of 0.901 at three crashes a second (simulation).
+/// Back ends from which on a request is repeated at once after a crash under it: the repeat may end one more of them, and
+/// where there are few the others lose much of the service.
 const LEAST_EXPOSED: usize = 4;
 
 impl Outbound {
