--- a/crates/rillgap-forward/tests/store_return.rs
+++ b/crates/rillgap-forward/tests/store_return.rs
@@ -218,6 +218,19 @@
     (test, link)
 }
 
+/// The same node after the return, when it has read the copy, which holds version 6.
+fn node_that_reads_the_copy() -> TestNode {
+    let (mut test, link) = node_with_peer();
+    let message = LinkMessage::StoreEpoch(AFTER);
+    test.event(Event::Link { link, message });
+    test.pass(3_500);
+    test.answer_store(
+        |request| matches!(request, StoreRequest::ReadConfiguration),
+        configured(AFTER, 20, Some(6)),
+    );
+    test
+}
+
 #[gtest]
 fn node_hears_of_the_return_from_a_peer_and_passes_it_on_once() {
     let (mut test, link) = node_with_peer();
@@ -266,14 +279,7 @@
 
 #[gtest]
 fn configuration_in_force_is_not_replaced_by_the_older_one_of_the_copy() {
-    let (mut test, link) = node_with_peer();
-    let message = LinkMessage::StoreEpoch(AFTER);
-    test.event(Event::Link { link, message });
-    test.pass(3_500);
-    test.answer_store(
-        |request| matches!(request, StoreRequest::ReadConfiguration),
-        configured(AFTER, 20, Some(6)),
-    );
+    let test = node_that_reads_the_copy();
     expect_that!(test.node.configuration_version(), eq(7));
 }
 
@@ -307,14 +313,7 @@
 
 #[gtest]
 fn store_that_holds_an_older_version_than_the_one_in_force_proves_nothing() {
-    let (mut test, link) = node_with_peer();
-    let message = LinkMessage::StoreEpoch(AFTER);
-    test.event(Event::Link { link, message });
-    test.pass(3_500);
-    test.answer_store(
-        |request| matches!(request, StoreRequest::ReadConfiguration),
-        configured(AFTER, 20, Some(6)),
-    );
+    let mut test = node_that_reads_the_copy();
     expect_that!(test.node.proof_age(at(test.now)), none());
     test.pass(100);
     test.answer_store(
