Store calls: a part of the nodes does not count once all are wanted

Found by reading: a list that was planned or under way when the first configuration with limits of tenants came stayed a list of a part, and was then taken for all nodes; beyond one answer of the store nodes would have disagreed on the owners of buckets. Test first (control.rs), then: the planned list becomes one of all, and a part that was under way is made again as a whole.

--- a/crates/rillgap-forward/src/store_sync/mod.rs
+++ b/crates/rillgap-forward/src/store_sync/mod.rs
@@ -199,8 +199,11 @@
             return;
         }
         self.extent = ListExtent::Whole;
-        if self.has_listed && self.membership.is_idle() {
-            let list = self.list();
+        let list = self.list();
+        let planned = self.membership.next.as_mut();
+        if let Some(planned @ StoreRequest::ListNodes { .. }) = planned {
+            *planned = list;
+        } else if self.has_listed && self.membership.is_idle() {
             self.membership.proceed(now, Some(list));
         }
     }
@@ -297,7 +300,9 @@
             }
         );
         self.nodes = list.estimated_nodes(watch_duty::place(&self.record.name));
-        let is_complete = is_newest || list.holds(&self.record);
+        // One that was under way when all nodes came to be wanted may be a part.
+        let is_enough = self.extent == ListExtent::Part || list.following.is_none();
+        let is_complete = is_enough && (is_newest || list.holds(&self.record));
         if is_complete {
             self.has_listed = true;
             self.membership.proceed(now, None);
--- a/crates/rillgap-forward/tests/control.rs
+++ b/crates/rillgap-forward/tests/control.rs
@@ -9,7 +9,9 @@
 use rillgap_forward::event::{AnnouncedState, Event, ExchangeResult};
 use rillgap_forward::message::{ForwardResult, LinkMessage};
 use rillgap_forward::store_epoch::{StoreEpoch, StorePosition};
-use rillgap_forward::store_sync::{StoreReply, StoreRequest, StoreRequestId, StoreSync};
+use rillgap_forward::store_sync::{
+    ListExtent, NodeList, StoreReply, StoreRequest, StoreRequestId, StoreSync,
+};
 use support::{
     INSTANCE, SERVICE, TestNode, WRITES, address, answer, at, configuration, failed, forwarded,
     settings,
@@ -46,6 +48,45 @@
     );
 }
 
+#[gtest]
+fn list_that_is_planned_or_under_way_becomes_one_of_all_nodes() {
+    let own = settings("own", SERVICE).record;
+    let part = StoreReply::Nodes {
+        epoch: StoreEpoch::default(),
+        list: NodeList {
+            lowest: vec![own.clone()],
+            following: Some(vec![own]),
+            unreadable: 0,
+        },
+    };
+    for is_under_way in [false, true] {
+        let mut store = store();
+        let register = store.poll(at(0))[0].0;
+        let reply = StoreReply::Registered {
+            epoch: StoreEpoch::default(),
+            is_new: false,
+        };
+        store.on_reply(at(2), register, reply);
+        if is_under_way {
+            let list = store.poll(at(2))[0].0;
+            store.list_all(at(3));
+            store.on_reply(at(4), list, part.clone());
+            expect_that!(store.has_listed(), eq(false));
+        } else {
+            store.list_all(at(2));
+        }
+        let whole = store.poll(at(600)).pop().map(|(_, request)| request);
+        let is_whole = matches!(
+            whole,
+            Some(StoreRequest::ListNodes {
+                extent: ListExtent::Whole,
+                ..
+            })
+        );
+        expect_that!(is_whole, eq(true), "under way: {is_under_way}");
+    }
+}
+
 #[gtest]
 fn watch_goes_on_from_its_position_and_reads_anew_when_history_is_gone() {
     let mut store = store();
