Sight: what back ends state in their answers, in log and metrics

The sidecar reads the two fields of an answer (rate limit, departure) by names of the platform's adapter and passes them to the inbound side as an event of their own. The inbound side logs each change of the limit by incarnation; metrics back_end_requests and back_end_rate_limit. No decision uses them yet.

--- /dev/null
+++ b/crates/rillgap-forward/src/back_end_notice.rs
@@ -0,0 +1,61 @@
+//! Notices that a back end gives about itself in its answers.
+//!
+//! A notice describes the incarnation that sent the answer, not the request. It arrives earlier than
+//! the next heartbeat, and also while heartbeats are lost.
+
+use std::fmt;
+
+use bitcode::{Decode, Encode};
+
+/// Thousandths of a request per second in one request per second.
+const THOUSANDTHS: f64 = 1_000.0;
+
+/// A rate of requests, with a resolution of a thousandth of a request per second.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Encode, Decode)]
+pub struct RequestRate {
+    thousandths: u32,
+}
+
+impl RequestRate {
+    /// Returns the rate of this many requests per second, rounded down; `None` if the number is
+    /// negative or not finite.
+    pub fn from_per_second(per_second: f64) -> Option<Self> {
+        let is_valid = per_second.is_finite() && per_second >= 0.0;
+        is_valid.then_some(Self {
+            thousandths: (per_second * THOUSANDTHS) as u32,
+        })
+    }
+
+    /// Returns the number of requests per second.
+    pub fn per_second(self) -> f64 {
+        f64::from(self.thousandths) / THOUSANDTHS
+    }
+}
+
+impl fmt::Display for RequestRate {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{}", self.per_second())
+    }
+}
+
+/// What an answer states about the rate of requests that its back end accepts from all nodes
+/// together.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum RateLimitNotice {
+    /// The answer states no limit.
+    #[default]
+    Unlimited,
+    /// The back end accepts this rate.
+    Limited(RequestRate),
+    /// The answer states a limit that cannot be read.
+    Unreadable,
+}
+
+/// Notices of a back end in one answer.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct BackEndNotice {
+    /// Rate of requests that the back end accepts.
+    pub rate_limit: RateLimitNotice,
+    /// Whether the back end is leaving service.
+    pub is_leaving: bool,
+}
--- a/crates/rillgap-forward/src/event.rs
+++ b/crates/rillgap-forward/src/event.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use crate::back_end_notice::BackEndNotice;
 use crate::credential::Credential;
 use crate::id::{AnnouncementId, ConnectionId, ExchangeId, LinkId, PipelineIndex, ProbeId};
 use crate::incarnation::Incarnation;
@@ -127,6 +128,13 @@
     },
     /// A link has ended or could not be opened.
     LinkClosed(LinkId),
+    /// An answer of the back end to a request that has not ended yet contained these notices.
+    BackEndNotice {
+        /// Identifier of the request at the back end.
+        exchange: ExchangeId,
+        /// The notices.
+        notice: BackEndNotice,
+    },
     /// A request at the back end has ended.
     ExchangeEnded {
         /// Identifier of the request at the back end.
--- a/crates/rillgap-forward/src/inbound/mod.rs
+++ b/crates/rillgap-forward/src/inbound/mod.rs
@@ -14,6 +14,7 @@
 mod restart;
 mod running;
 mod service_time;
+mod stated_rate;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
@@ -24,6 +25,7 @@
 use rillgap_core::time::Instant;
 
 use crate::action::{Action, Actions, Exchange};
+use crate::back_end_notice::{BackEndNotice, RequestRate};
 use crate::configuration::RouteTable;
 use crate::crash::{CrashRegister, Suspicion};
 use crate::event::{AnnouncedState, ExchangeResult, Heartbeat, ProbeResult};
@@ -39,6 +41,7 @@
 use queue::RankQueue;
 use running::Running;
 use service_time::ServiceTimes;
+use stated_rate::StatedRate;
 
 pub use running::{CallProgress, CallUpdate};
 
@@ -104,6 +107,8 @@
 #[derive(Debug)]
 pub struct Inbound {
     back_end: BackEnd,
+    /// Rate limit that the back end states.
+    stated_rate: StatedRate,
     queue: RankQueue<Arrival>,
     /// Suspect requests that wait for the running isolated request to end.
     isolated_queue: RankQueue<Arrival>,
@@ -134,6 +139,7 @@
     pub fn new(settings: &ForwardSettings) -> Self {
         Self {
             back_end: BackEnd::new(settings.back_end_address, settings.heartbeat_interval),
+            stated_rate: StatedRate::default(),
             queue: RankQueue::default(),
             isolated_queue: RankQueue::default(),
             isolated: None,
@@ -376,6 +382,36 @@
         request_states.map(|((_, sequence), _)| *sequence)
     }
 
+    /// Returns the rate of requests that the back end accepts; `None` if it states no limit.
+    pub fn rate_limit(&self) -> Option<RequestRate> {
+        self.stated_rate.rate(self.back_end.incarnation())
+    }
+
+    /// Processes the notices in an answer of the back end.
+    pub fn on_notice(
+        &mut self,
+        now: Instant,
+        exchange: ExchangeId,
+        notice: BackEndNotice,
+        out: &mut Actions,
+    ) {
+        let Some(running) = self.running.get(&exchange) else {
+            return;
+        };
+        let incarnation = running.incarnation.clone();
+        if self
+            .stated_rate
+            .observe(now, &incarnation, notice.rate_limit)
+        {
+            out.push(Action::Log(LogRecord::BackEndRateLimit {
+                instance: incarnation.to_string(),
+                rate: self.stated_rate.rate(Some(&incarnation)),
+                running: count(self.running.len()),
+                queued: count(self.queue.len()),
+            }));
+        }
+    }
+
     /// Processes the end of an exchange with the back end.
     pub fn on_exchange(
         &mut self,
--- a/crates/rillgap-forward/src/lib.rs
+++ b/crates/rillgap-forward/src/lib.rs
@@ -8,6 +8,7 @@
 //! executes the resulting [`action::Action`]s.
 
 pub mod action;
+pub mod back_end_notice;
 pub mod balancer;
 pub mod configuration;
 pub mod configuration_offers;
--- a/crates/rillgap-forward/src/log_record.rs
+++ b/crates/rillgap-forward/src/log_record.rs
@@ -3,6 +3,7 @@
 use rillgap_core::code::ResultCode;
 use rillgap_core::id::Fingerprint;
 
+use crate::back_end_notice::RequestRate;
 use crate::crash::SuspicionChange;
 use crate::message::Timing;
 use crate::store_epoch::StoreEpoch;
@@ -91,6 +92,17 @@
         /// Sequence number of the last heartbeat.
         sequence: u64,
     },
+    /// The rate limit that the back end states in its answers has changed.
+    BackEndRateLimit {
+        /// Identifier of the incarnation.
+        instance: String,
+        /// New limit; `None` if it has ended.
+        rate: Option<RequestRate>,
+        /// Number of requests that run.
+        running: u32,
+        /// Number of queued requests.
+        queued: u32,
+    },
     /// The back end has ended unexpectedly.
     BackEndCrashed {
         /// Identifier of the incarnation that has ended.
--- a/crates/rillgap-forward/src/node/mod.rs
+++ b/crates/rillgap-forward/src/node/mod.rs
@@ -220,6 +220,9 @@
             Event::LinkAccepted { link, hello } => self.on_link_accepted(now, link, &hello, out),
             Event::Link { link, message } => self.on_link_message(now, link, message, out),
             Event::LinkClosed(link) => self.on_link_closed(now, link, out),
+            Event::BackEndNotice { exchange, notice } => {
+                self.inbound.on_notice(now, exchange, notice, out);
+            }
             Event::ExchangeEnded { exchange, result } => {
                 let table = self.table.clone();
                 self.inbound
--- a/crates/rillgap-sidecar/src/back_end/connection.rs
+++ b/crates/rillgap-sidecar/src/back_end/connection.rs
@@ -7,6 +7,7 @@
 
 use bytes::{Buf, BytesMut};
 use rillgap_forward::action::Exchange;
+use rillgap_forward::back_end_notice::BackEndNotice;
 use rillgap_forward::event::ExchangeResult;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc::{self, UnboundedReceiver};
@@ -31,6 +32,7 @@
     /// The request ended with `result`; the connection can be used again if `reusable`.
     Ended {
         result: ExchangeResult,
+        notice: Option<BackEndNotice>,
         reusable: bool,
     },
     /// The request was cancelled.
@@ -90,7 +92,16 @@
                     return;
                 }
                 Outcome::Cancelled => return,
-                Outcome::Ended { result, reusable } => {
+                Outcome::Ended {
+                    result,
+                    notice,
+                    reusable,
+                } => {
+                    if let Some(notice) = notice {
+                        self.hub
+                            .back_end()
+                            .report_notice(&self.hub, exchange, notice);
+                    }
                     if !reusable {
                         let hub = self.hub.clone();
                         drop(self);
@@ -204,6 +215,7 @@
             Progress::Broken => Some(lost()),
             Progress::Complete {
                 result,
+                notice,
                 keep_alive,
                 idle_timeout,
             } => {
@@ -211,7 +223,11 @@
                     self.idle_timeout = idle_timeout.mul_f64(IDLE_TIMEOUT_FRACTION);
                 }
                 let reusable = keep_alive && is_sent && self.input.is_empty();
-                Some(Outcome::Ended { result, reusable })
+                Some(Outcome::Ended {
+                    result,
+                    notice,
+                    reusable,
+                })
             }
         }
     }
@@ -231,6 +247,7 @@
 fn lost() -> Outcome {
     Outcome::Ended {
         result: ExchangeResult::Lost,
+        notice: None,
         reusable: false,
     }
 }
--- a/crates/rillgap-sidecar/src/back_end/mod.rs
+++ b/crates/rillgap-sidecar/src/back_end/mod.rs
@@ -10,6 +10,7 @@
 use std::rc::Rc;
 
 use rillgap_forward::action::Exchange;
+use rillgap_forward::back_end_notice::BackEndNotice;
 use rillgap_forward::event::{Event, ExchangeResult};
 use rillgap_forward::id::{ExchangeId, ProbeId};
 use rillgap_forward::incarnation::Incarnation;
@@ -114,6 +115,15 @@
             .retain(|connection| !connection.is_closed());
     }
 
+    /// Reports the notices in the answer to a request, unless it was cancelled. Must precede the
+    /// report of its end.
+    fn report_notice(&self, hub: &Rc<Hub>, exchange: ExchangeId, notice: BackEndNotice) {
+        let is_in_flight = self.in_flight.borrow().contains_key(&exchange);
+        if is_in_flight {
+            hub.dispatch(Event::BackEndNotice { exchange, notice });
+        }
+    }
+
     /// Reports how a request ended, unless it was cancelled.
     fn report_end(&self, hub: &Rc<Hub>, exchange: ExchangeId, result: ExchangeResult) {
         let is_in_flight = self.in_flight.borrow_mut().remove(&exchange).is_some();
--- a/crates/rillgap-sidecar/src/back_end/response.rs
+++ b/crates/rillgap-sidecar/src/back_end/response.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use bytes::BytesMut;
+use rillgap_forward::back_end_notice::{BackEndNotice, RateLimitNotice, RequestRate};
 use rillgap_forward::event::ExchangeResult;
 use rillgap_forward::message::ForwardedAnswer;
 use rillgap_http::h1::{
@@ -30,6 +31,8 @@
     /// The answer is complete.
     Complete {
         result: ExchangeResult,
+        /// Notices of the incarnation that the request was sent to; `None` if it did not answer.
+        notice: Option<BackEndNotice>,
         /// Whether the connection may carry another request.
         keep_alive: bool,
         /// Time for which the back end keeps an idle connection; `None` if it does not say so.
@@ -46,6 +49,7 @@
     is_signed: bool,
     is_not_run: bool,
     is_encoded: bool,
+    notice: BackEndNotice,
     idle_timeout: Option<Duration>,
 }
 
@@ -173,8 +177,11 @@
             })
         };
         let is_reusable = result != ExchangeResult::Lost && self.foreign_answers == 0;
+        // A misdirected answer comes from another incarnation, and a lost one from an unknown one.
+        let is_own_answer = !matches!(result, ExchangeResult::WrongInstance | ExchangeResult::Lost);
         Some(Progress::Complete {
             result,
+            notice: is_own_answer.then_some(answer_fields.notice),
             keep_alive: head.connection == Connection::KeepAlive && is_reusable,
             idle_timeout: answer_fields.idle_timeout,
         })
@@ -191,6 +198,10 @@
             self.is_signed = !value.is_empty();
         } else if name.eq_ignore_ascii_case(names.not_executed) {
             self.is_not_run = true;
+        } else if name.eq_ignore_ascii_case(names.rate_limit) {
+            self.notice.rate_limit = parse_rate_limit(value);
+        } else if name.eq_ignore_ascii_case(names.leaving) {
+            self.notice.is_leaving = !matches!(value.trim_ascii(), b"" | b"0");
         } else if name.eq_ignore_ascii_case("content-encoding") {
             self.is_encoded = !value.eq_ignore_ascii_case(b"identity");
         } else if name.eq_ignore_ascii_case("keep-alive") {
@@ -200,6 +211,14 @@
     }
 }
 
+/// Reads a rate limit: a decimal number of requests per second.
+fn parse_rate_limit(value: &[u8]) -> RateLimitNotice {
+    let text = std::str::from_utf8(value).ok();
+    let per_second = text.and_then(|text| text.trim().parse().ok());
+    let rate = per_second.and_then(RequestRate::from_per_second);
+    rate.map_or(RateLimitNotice::Unreadable, RateLimitNotice::Limited)
+}
+
 /// Returns the `timeout` parameter of `Keep-Alive`, in seconds.
 fn parse_keep_alive(value: &[u8]) -> Option<Duration> {
     let text = std::str::from_utf8(value).ok()?;
--- a/crates/rillgap-sidecar/src/dialect.rs
+++ b/crates/rillgap-sidecar/src/dialect.rs
@@ -20,6 +20,10 @@
     pub caller_service: &'static str,
     /// Incarnation of the back end that answers.
     pub instance: &'static str,
+    /// Requests per second that the answering back end accepts from all nodes together.
+    pub rate_limit: &'static str,
+    /// Marks an answer of a back end that is leaving service.
+    pub leaving: &'static str,
     /// Credential of the caller; never passed on if tenants are configured.
     pub credential: &'static str,
     /// Tenant of the request; set by nodes for the back end.
--- a/crates/rillgap-sidecar/src/hub.rs
+++ b/crates/rillgap-sidecar/src/hub.rs
@@ -11,6 +11,7 @@
 use rillgap_clock::SteadyClock;
 use rillgap_core::time::Instant;
 use rillgap_forward::action::{Action, Actions, CallerAnswer};
+use rillgap_forward::back_end_notice::RequestRate;
 use rillgap_forward::event::Event;
 use rillgap_forward::id::{AnnouncementId, ConnectionId, LinkId, PipelineIndex};
 use rillgap_forward::message::LinkMessage;
@@ -263,7 +264,10 @@
             Action::CloseLink(link) => {
                 self.links.borrow_mut().remove(&link);
             }
-            Action::StartExchange(exchange) => self.back_end.start(self, exchange),
+            Action::StartExchange(exchange) => {
+                self.metrics.back_end_requests.inc();
+                self.back_end.start(self, exchange);
+            }
             Action::CancelExchange(exchange) => self.back_end.cancel(exchange),
             Action::Acknowledge {
                 announcement,
@@ -304,6 +308,10 @@
         self.metrics.running.set(u64::from(load.running));
         self.metrics.queued.set(u64::from(load.total_queued()));
         self.metrics.limit.set(u64::from(load.limit));
+        let rate_limit = node.inbound().rate_limit();
+        self.metrics
+            .back_end_rate_limit
+            .set(rate_limit.map_or(-1.0, RequestRate::per_second));
         self.metrics.peers.set(reachable as u64);
         self.metrics.ready.set(u64::from(node.is_ready()));
         let quarantined = node.inbound().crashes().quarantined(self.now());
--- a/crates/rillgap-sidecar/src/logging/request_log.rs
+++ b/crates/rillgap-sidecar/src/logging/request_log.rs
@@ -3,6 +3,7 @@
 use std::hash::{BuildHasher, BuildHasherDefault, DefaultHasher};
 
 use rillgap_clock::SteadyClock;
+use rillgap_forward::back_end_notice::RequestRate;
 use rillgap_forward::log_record::LogRecord;
 
 use crate::settings::LogSection;
@@ -73,6 +74,7 @@
             LogRecord::Answered { .. }
                 | LogRecord::Retried { .. }
                 | LogRecord::NotAnswered { .. }
+                | LogRecord::BackEndRateLimit { .. }
                 | LogRecord::Cancelled { .. }
                 | LogRecord::RequestQuarantined { .. }
                 | LogRecord::TenantLimit { .. }
@@ -91,6 +93,11 @@
     millis.map_or(-1, |millis| i64::try_from(millis).unwrap_or(i64::MAX))
 }
 
+/// Returns a rate for a log field, in requests per second; -1 stands for no limit.
+fn rate_or_minus_one(rate: Option<RequestRate>) -> f64 {
+    rate.map_or(-1.0, RequestRate::per_second)
+}
+
 fn sample_hash(id: &str) -> u64 {
     BuildHasherDefault::<DefaultHasher>::default().hash_one(id)
 }
@@ -161,6 +168,15 @@
             uptime, instance = instance.as_str(), standing = *health, cause = *cause, sequence;
             "inbound: back end"
         ),
+        LogRecord::BackEndRateLimit {
+            instance,
+            rate,
+            running,
+            queued,
+        } => log::info!(
+            uptime, instance = instance.as_str(), per_second = rate_or_minus_one(*rate),
+            running, queued; "inbound: rate limit of the back end"
+        ),
         LogRecord::BackEndCrashed {
             instance,
             in_flight,
--- a/crates/rillgap-sidecar/src/metrics.rs
+++ b/crates/rillgap-sidecar/src/metrics.rs
@@ -86,6 +86,10 @@
     link_bytes: Family<MessageLabels, Counter>,
     back_end_crashes: Counter,
     unreadable_records: Counter,
+    /// Requests sent to the back end, health probes excluded.
+    pub back_end_requests: Counter,
+    /// Rate limit that the back end states, in requests per second; -1 without a limit.
+    pub back_end_rate_limit: Gauge<f64, AtomicU64>,
     /// Connections that were opened to the back end.
     pub back_end_connections: Counter,
     /// Calls to the control address that were refused because they are malformed.
@@ -142,6 +146,8 @@
             back_end_crashes: Counter::default(),
             unreadable_records: Counter::default(),
             refused_control_calls: Counter::default(),
+            back_end_requests: Counter::default(),
+            back_end_rate_limit: Gauge::default(),
             back_end_connections: Counter::default(),
             log_lines_dropped: Counter::default(),
             configuration_version: Gauge::default(),
@@ -339,6 +345,16 @@
             "Crashes of the back end while requests were in flight",
             self.back_end_crashes.clone(),
         );
+        registry.register(
+            "back_end_requests",
+            "Requests sent to the back end, health probes excluded",
+            self.back_end_requests.clone(),
+        );
+        registry.register(
+            "back_end_rate_limit",
+            "Requests per second that the back end states it accepts; -1 without a limit",
+            self.back_end_rate_limit.clone(),
+        );
         registry.register(
             "back_end_connections",
             "Connections opened to the back end",
--- a/crates/rillgap-sidecar/tests/path/support.rs
+++ b/crates/rillgap-sidecar/tests/path/support.rs
@@ -39,6 +39,8 @@
     not_executed: "X-Not-Run",
     caller_service: "X-Caller",
     instance: "X-Instance",
+    rate_limit: "X-Rate-Limit",
+    leaving: "X-Leaving",
     credential: "X-Credential",
     tenant: "X-Tenant",
 };
