Simulation: back ends state rate limits and departures in their answers, judged by what they receive; red

In every second seed the node beside the back end is restarted meanwhile. The checker is shown to detect both if notices never reach the nodes.

--- a/crates/rillgap-forward/tests/simulation/checker.rs
+++ b/crates/rillgap-forward/tests/simulation/checker.rs
@@ -1,7 +1,11 @@
 //! Checks the guarantees of a deployment against what callers and back ends observed.
 
+pub mod notices;
+
 use std::collections::BTreeMap;
 
+use notices::{AnswerNotice, NoticeChecker};
+
 use crate::world::{Key, MAX_REVOCATION_DELAY, TENANT_LIMIT};
 
 /// Milliseconds after the acknowledgement of draining within which requests may still arrive.
@@ -76,6 +80,7 @@
     disturbances: Vec<(usize, u64, u64)>,
     /// Times at which back ends crashed because of a request, by its content.
     crashes: BTreeMap<String, Vec<u64>>,
+    notices: NoticeChecker,
     /// Violated guarantees; each text begins with the name of the check.
     pub violations: Vec<String>,
     /// Requests that callers sent, without calls of back ends.
@@ -148,6 +153,10 @@
             _ => {}
         }
         self.arrivals.push((now, service.to_owned(), is_retry));
+        let violation = self
+            .notices
+            .on_arrival(now, id, record.host, record.sent_at, instance);
+        self.violations.extend(violation);
         if record.executions > 1 && !record.is_idempotent {
             self.violations.push(format!("TWICE {id}"));
         }
@@ -209,6 +218,32 @@
         }
     }
 
+    /// Records that an answer with notices of its back end was passed on by the node of a host.
+    pub fn on_notice_passed_on(&mut self, now: u64, host: usize, notice: &AnswerNotice) {
+        self.notices.on_passed_on(now, host, notice);
+    }
+
+    /// Records the rate limit that the answers of a back end state from now on.
+    pub fn on_rate_limit_changed(&mut self, now: u64, instance: &str, rate_limit: Option<u32>) {
+        self.notices
+            .on_rate_limit_changed(now, instance, rate_limit);
+    }
+
+    /// Records that the node of a host has restarted or was frozen: it may have lost all notices.
+    pub fn on_host_frozen(&mut self, host: usize) {
+        self.notices.on_host_frozen(host);
+    }
+
+    /// Records that the links of a host were cut or are restored.
+    pub fn on_host_cut(&mut self, host: usize) {
+        self.notices.on_host_cut(host);
+    }
+
+    /// Checks the stated rate limits of all back ends.
+    pub fn check_rate_limits(&mut self) {
+        self.violations.extend(self.notices.rate_violations());
+    }
+
     /// Records the first acknowledgement that a back end drains.
     pub fn on_drain_acknowledged(&mut self, now: u64, instance: &str) {
         self.drain_acknowledged_at
--- a/crates/rillgap-forward/tests/simulation/main.rs
+++ b/crates/rillgap-forward/tests/simulation/main.rs
@@ -8,6 +8,7 @@
 mod crashing_requests;
 mod scenario;
 mod size;
+mod stated_notices;
 mod store_restore;
 mod suspension;
 mod world;
--- a/crates/rillgap-forward/tests/simulation/scenario.rs
+++ b/crates/rillgap-forward/tests/simulation/scenario.rs
@@ -31,6 +31,8 @@
     ClockStopsInSuspension,
     /// The owners of tenants' buckets grant three times the tokens.
     ExcessTokens,
+    /// The notices in the answers of back ends do not reach their nodes.
+    LostNotices,
 }
 
 /// Result of a scenario.
--- /dev/null
+++ b/crates/rillgap-forward/tests/simulation/stated_notices.rs
@@ -0,0 +1,100 @@
+//! Back ends state rate limits and departures in their answers only. Nodes must respect them from
+//! then on, also after a restart of the node beside the back end.
+
+use googletest::prelude::*;
+
+use crate::scenario::InjectedBug;
+use crate::world::{Fault, SERVICES, World, WorldEvent};
+
+/// Number of seeds that a test run simulates.
+const SEEDS: u64 = 60;
+/// Range of the times at which back ends begin to state something, in milliseconds.
+const STATEMENT_BEGIN_RANGE: (u64, u64) = (4_000, 5_000);
+/// Range of the stated limits, in requests per second. Each back end gets more without a limit.
+const RATE_RANGE: (u64, u64) = (4, 16);
+/// Times at which callers stop and at which the scenario ends, in milliseconds.
+const CALLERS_AND_SCENARIO_END: (u64, u64) = (15_000, 17_000);
+
+/// Restarts the node of a host at a random time after `begin`.
+fn schedule_restart(world: &mut World, host: usize, begin: u64) {
+    let killed_at = begin + 500 + world.draw(5_000);
+    world.schedule(killed_at, WorldEvent::Fault(Fault::Kill(host)));
+    world.schedule(killed_at + 600, WorldEvent::Fault(Fault::Start(host)));
+}
+
+/// Begins a scenario in which `schedule` affects one to three back ends of a service. In every
+/// second scenario the nodes beside them are restarted later.
+fn run_statements(
+    seed: u64,
+    injected_bug: InjectedBug,
+    schedule: impl Fn(&mut World, usize, u64),
+) -> Vec<String> {
+    let mut world = World::new(seed, injected_bug, CALLERS_AND_SCENARIO_END.0);
+    let service = world.draw(SERVICES.len() as u64) as usize;
+    let per_service = world.size() / SERVICES.len();
+    let affected = 1 + world.draw(per_service as u64) as usize;
+    for number in 0..affected {
+        let host = service + number * SERVICES.len();
+        let (earliest, latest) = STATEMENT_BEGIN_RANGE;
+        let begin = earliest + world.draw(latest - earliest);
+        schedule(&mut world, host, begin);
+        if seed % 2 == 1 {
+            schedule_restart(&mut world, host, begin);
+        }
+    }
+    world.run_until(CALLERS_AND_SCENARIO_END.1);
+    world.checker.check_rate_limits();
+    world.checker.violations
+}
+
+/// States a limit, changes it after some seconds, and in some scenarios ends it.
+fn schedule_rate_limits(world: &mut World, host: usize, begin: u64) {
+    let (lowest, highest) = RATE_RANGE;
+    for number in 0..3 {
+        let rate = lowest + world.draw(highest - lowest);
+        let has_limit = number < 2 || world.draw(2) == 0;
+        let rate_limit = has_limit.then_some(rate as u32);
+        let at = begin + number * 4_000;
+        let fault = Fault::StateRateLimit(host, rate_limit);
+        world.schedule(at, WorldEvent::Fault(fault));
+    }
+}
+
+fn schedule_departure(world: &mut World, host: usize, begin: u64) {
+    world.schedule(begin, WorldEvent::Fault(Fault::StateLeaving(host)));
+}
+
+#[gtest]
+fn back_ends_receive_no_more_requests_than_the_rate_limit_that_they_state() {
+    for seed in 0..SEEDS {
+        let violations = run_statements(seed, InjectedBug::None, schedule_rate_limits);
+        expect_that!(violations, is_empty(), "seed {seed}");
+    }
+}
+
+#[gtest]
+fn back_ends_that_state_their_departure_receive_no_more_requests_from_nodes_that_know_it() {
+    for seed in 0..SEEDS {
+        let violations = run_statements(seed, InjectedBug::None, schedule_departure);
+        expect_that!(violations, is_empty(), "seed {seed}");
+    }
+}
+
+/// Returns the violations of all seeds if the notices of back ends do not reach their nodes.
+fn violations_without_notices(schedule: impl Fn(&mut World, usize, u64)) -> Vec<String> {
+    (0..SEEDS)
+        .flat_map(|seed| run_statements(seed, InjectedBug::LostNotices, &schedule))
+        .collect()
+}
+
+#[gtest]
+fn checker_detects_a_back_end_above_its_stated_rate_limit() {
+    let violations = violations_without_notices(schedule_rate_limits);
+    expect_that!(violations, contains(starts_with("LIMIT")));
+}
+
+#[gtest]
+fn checker_detects_requests_at_a_back_end_that_states_its_departure() {
+    let violations = violations_without_notices(schedule_departure);
+    expect_that!(violations, contains(starts_with("DRAIN")));
+}
--- a/crates/rillgap-forward/tests/simulation/world/back_ends.rs
+++ b/crates/rillgap-forward/tests/simulation/world/back_ends.rs
@@ -1,6 +1,7 @@
 //! Simulates back ends: executions, calls to other services, heartbeats, draining and crashes.
 
 use rillgap_forward::action::{Action, Exchange};
+use rillgap_forward::back_end_notice::{BackEndNotice, RateLimitNotice, RequestRate};
 use rillgap_forward::event::{AnnouncedState, Event, ExchangeResult, Heartbeat, ProbeResult};
 use rillgap_forward::id::{AnnouncementId, ProbeId};
 use rillgap_forward::message::ForwardedAnswer;
@@ -12,6 +13,16 @@
 /// Milliseconds after which a back end that a request has crashed restarts.
 const CRASH_RESTART_MILLIS: u64 = 3_000;
 
+/// Returns the header fields of an answer, which contain its notices for the checker.
+fn notice_fields(back_end: &BackEnd) -> Vec<u8> {
+    let fields = AnswerNotice {
+        instance: back_end.instance.to_string(),
+        rate_limit: back_end.rate_limit,
+        is_leaving: back_end.states_leaving,
+    };
+    fields.encode()
+}
+
 fn last_part(target: &str) -> &str {
     target.rsplit('/').next().unwrap_or_default()
 }
@@ -111,7 +122,7 @@
             _ if lost => ExchangeResult::Lost,
             _ => ExchangeResult::Answered(ForwardedAnswer {
                 status,
-                fields: Vec::new(),
+                fields: notice_fields(&self.hosts[host].back_end),
                 body: body.as_bytes().to_vec(),
             }),
         };
@@ -125,6 +136,9 @@
         result: ExchangeResult,
         delay: u64,
     ) {
+        if matches!(result, ExchangeResult::Answered(_)) {
+            self.send_notice(host, key, delay);
+        }
         let event = Event::ExchangeEnded {
             exchange: key.exchange,
             result,
@@ -135,6 +149,26 @@
         );
     }
 
+    /// Passes the notices in an answer of the back end to its node.
+    fn send_notice(&mut self, host: usize, key: &ExecutionKey, delay: u64) {
+        if self.injected_bug == InjectedBug::LostNotices {
+            return;
+        }
+        let back_end = &self.hosts[host].back_end;
+        let rate = back_end.rate_limit.map(f64::from);
+        let rate = rate.and_then(RequestRate::from_per_second);
+        let notice = BackEndNotice {
+            rate_limit: rate.map_or(RateLimitNotice::Unlimited, RateLimitNotice::Limited),
+            is_leaving: back_end.states_leaving,
+        };
+        let event = Event::BackEndNotice {
+            exchange: key.exchange,
+            notice,
+        };
+        let event = WorldEvent::Node(host, key.incarnation, event);
+        self.schedule(self.now + delay, event);
+    }
+
     pub(super) fn probe(&mut self, host: usize, incarnation: u32, probe: ProbeId) {
         let back_end = &self.hosts[host].back_end;
         let (result, delay) = if !back_end.is_alive {
@@ -163,6 +197,8 @@
         back_end.is_draining = false;
         back_end.is_acknowledged = false;
         back_end.sequence = 0;
+        back_end.rate_limit = None;
+        back_end.states_leaving = false;
         back_end.executions.clear();
         let instance = back_end.instance.clone();
         self.schedule(self.now, WorldEvent::Heartbeat(host, instance));
--- a/crates/rillgap-forward/tests/simulation/world/callers.rs
+++ b/crates/rillgap-forward/tests/simulation/world/callers.rs
@@ -152,6 +152,9 @@
         connection: ConnectionId,
         answer: &CallerAnswer,
     ) {
+        if let Some(notice) = AnswerNotice::decode(&answer.fields) {
+            self.checker.on_notice_passed_on(self.now, host, &notice);
+        }
         let entry = &mut self.hosts[host];
         if let Some(key) = entry.calls.remove(&connection) {
             let status = if answer.status == 200 { 200 } else { 500 };
--- a/crates/rillgap-forward/tests/simulation/world/faults.rs
+++ b/crates/rillgap-forward/tests/simulation/world/faults.rs
@@ -8,6 +8,9 @@
 
 use super::*;
 
+/// Milliseconds for which a back end serves after it has begun to state that it is leaving.
+const LEAVING_MILLIS: u64 = 5_000;
+
 impl World {
     pub(super) fn apply_fault(&mut self, fault: Fault) {
         match fault {
@@ -18,7 +21,10 @@
                 self.schedule(self.now + 1_000, WorldEvent::BackEndStarts(host));
             }
             Fault::Start(host) => self.start_process(host),
-            Fault::Pause(host, until) => self.hosts[host].paused_until = until,
+            Fault::Pause(host, until) => {
+                self.hosts[host].paused_until = until;
+                self.checker.on_host_frozen(host);
+            }
             Fault::Suspend(host, until) => {
                 let entry = &mut self.hosts[host];
                 let suspended_from = self.now.max(entry.paused_until);
@@ -26,8 +32,10 @@
                     entry.clock_lag += until.saturating_sub(suspended_from);
                 }
                 entry.paused_until = entry.paused_until.max(until);
+                self.checker.on_host_frozen(host);
             }
             Fault::Partition(host, true) => {
+                self.checker.on_host_cut(host);
                 self.partitioned.insert(host);
             }
             Fault::Partition(host, false) => self.end_partition(host),
@@ -90,6 +98,22 @@
                 self.hosts[host].back_end.fail_percent = percent;
             }
             Fault::Slow(host, times) => self.hosts[host].back_end.slowdown = times,
+            Fault::StateRateLimit(host, rate_limit) => {
+                let back_end = &mut self.hosts[host].back_end;
+                back_end.rate_limit = rate_limit;
+                let instance = back_end.instance.to_string();
+                self.checker
+                    .on_rate_limit_changed(self.now, &instance, rate_limit);
+            }
+            Fault::StateLeaving(host) => {
+                let back_end = &mut self.hosts[host].back_end;
+                back_end.states_leaving = true;
+                let instance = back_end.instance.clone();
+                self.schedule(
+                    self.now + LEAVING_MILLIS,
+                    WorldEvent::BackEndEnds(host, instance),
+                );
+            }
         }
     }
 
@@ -99,6 +123,8 @@
             return;
         }
         entry.incarnation += 1;
+        self.checker.on_host_frozen(host);
+        let entry = &mut self.hosts[host];
         entry.calls.clear();
         entry.callers.clear();
         // The back end drops the executions of connections that the ended process had opened.
@@ -140,6 +166,7 @@
 
     pub(super) fn end_partition(&mut self, host: usize) {
         self.partitioned.remove(&host);
+        self.checker.on_host_cut(host);
         let ids: Vec<u64> = self.connections.keys().copied().collect();
         for id in ids {
             let Some(connection) = self.connections.get_mut(&id) else {
--- a/crates/rillgap-forward/tests/simulation/world/mod.rs
+++ b/crates/rillgap-forward/tests/simulation/world/mod.rs
@@ -29,6 +29,7 @@
 use rillgap_forward::store_sync::{StoreRequest, StoreRequestId};
 
 use crate::checker::Checker;
+use crate::checker::notices::AnswerNotice;
 use crate::scenario::InjectedBug;
 
 use object_store::ObjectStore;
@@ -157,6 +158,11 @@
     FailRequests(usize, u64),
     /// A back end takes this many times as long for its work.
     Slow(usize, u64),
+    /// A back end states this rate limit in its answers, in requests per second; `None` ends it.
+    StateRateLimit(usize, Option<u32>),
+    /// A back end states in its answers that it is leaving, and is replaced later. Its heartbeats
+    /// and its health endpoint do not say so.
+    StateLeaving(usize),
 }
 
 /// Identifies an execution by the incarnation of the node that sent the request.
@@ -200,6 +206,10 @@
     fail_percent: u64,
     /// Factor on the time that an execution takes.
     slowdown: u64,
+    /// Rate limit that the answers state, in requests per second.
+    rate_limit: Option<u32>,
+    /// Whether the answers state that the back end is leaving.
+    states_leaving: bool,
 }
 
 struct Host {
--- a/crates/rillgap-forward/tests/simulation/world/setup.rs
+++ b/crates/rillgap-forward/tests/simulation/world/setup.rs
@@ -50,6 +50,8 @@
             lost_answer_percent: 0,
             fail_percent: 0,
             slowdown: 1,
+            rate_limit: None,
+            states_leaving: false,
         },
         calls: BTreeMap::new(),
         callers: BTreeMap::new(),
