Inbound side and peers: a back end that states in an answer that it leaves gets no more requests

Back ends saw requests for seconds after their answers said that they leave: the statement was forwarded like any other field, and only heartbeats, leave calls and health answers took a back end out of service. The same class as the rate limit.

The statement now counts like an announced departure: the node beside the back end refuses what it holds and reports the departure on each link before the answer that states it. Peers keep the departed incarnation by its fingerprint, so that a node beside it that restarts and is told by a false health answer that all is well gets no requests for it. A repeated statement no longer evicts another departed incarnation.

--- a/crates/rillgap-forward/src/inbound/back_end.rs
+++ b/crates/rillgap-forward/src/inbound/back_end.rs
@@ -226,13 +226,13 @@
         announced.chain(self.incarnation()).chain(&self.departed)
     }
 
-    /// Processes the announcement of an incarnation that it leaves service.
-    pub fn on_leave(&mut self, incarnation: &Incarnation) -> Effect {
+    /// Processes the announcement or the statement of an incarnation that it leaves service.
+    pub fn on_leave(&mut self, incarnation: &Incarnation, cause: &'static str) -> Effect {
         let leaving = self.resolve_incarnation(incarnation);
         if self.is_superseded(&leaving) {
             return Effect::NONE;
         }
-        self.mark_leaving(leaving, "left")
+        self.mark_leaving(leaving, cause)
     }
 
     /// Resolves an incarnation without a start time to the latest known one with its identifier.
@@ -386,7 +386,8 @@
     }
 
     fn mark_leaving(&mut self, leaving: Incarnation, cause: &'static str) -> Effect {
-        if self.departed.len() >= MAX_DEPARTED_INCARNATIONS {
+        let is_known = self.departed.contains(&leaving);
+        if !is_known && self.departed.len() >= MAX_DEPARTED_INCARNATIONS {
             self.departed.pop_first();
         }
         self.announced.take_if(|known| known.incarnation == leaving);
--- a/crates/rillgap-forward/src/inbound/mod.rs
+++ b/crates/rillgap-forward/src/inbound/mod.rs
@@ -168,6 +168,7 @@
             service: self.back_end.service().to_owned(),
             instance: self.back_end.incarnation().map(Incarnation::fingerprint),
             is_serving: self.back_end.is_serving(),
+            has_left: self.back_end.has_left(),
             is_stopping: self.is_stopping,
             load: self.load(),
             is_watching: false,
@@ -283,7 +284,7 @@
     /// Processes the announcement of a back end that it leaves service.
     pub fn on_leave(&mut self, now: Instant, incarnation: &Incarnation, out: &mut Actions) {
         let leaving = self.back_end.resolve_incarnation(incarnation);
-        let effect = self.back_end.on_leave(incarnation);
+        let effect = self.back_end.on_leave(incarnation, "left");
         self.lost_requests.on_alive(&leaving);
         self.apply_effect(now, effect, None, out);
     }
@@ -410,6 +411,13 @@
         {
             self.on_rate_limit_changed(&incarnation, before, &request_id, "answer", out);
         }
+        if notice.is_leaving {
+            let effect = self
+                .back_end
+                .on_leave(&incarnation, "states that it leaves");
+            self.lost_requests.on_alive(&incarnation);
+            self.apply_effect(now, effect, None, out);
+        }
         self.start_queued(now, out);
     }
 
--- a/crates/rillgap-forward/src/message.rs
+++ b/crates/rillgap-forward/src/message.rs
@@ -138,6 +138,8 @@
     pub instance: Option<Fingerprint>,
     /// Whether the back end accepts new requests.
     pub is_serving: bool,
+    /// Whether this incarnation has announced that it leaves service, or has left.
+    pub has_left: bool,
     /// Whether the node is in a planned stop.
     pub is_stopping: bool,
     /// Load of the back end.
--- a/crates/rillgap-forward/src/peer.rs
+++ b/crates/rillgap-forward/src/peer.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use rillgap_core::admission::Level;
+use rillgap_core::id::Fingerprint;
 use rillgap_core::time::Instant;
 
 use crate::back_end_notice::RequestRate;
@@ -61,6 +62,9 @@
     is_suspected: bool,
     /// Last status that the peer has reported.
     pub(crate) status: Status,
+    /// Last incarnation of the back end that was reported to leave. It gets no requests although a
+    /// restarted node, which has lost this state, may report it as serving.
+    left_instance: Option<Fingerprint>,
     /// Last reported rate limit of the back end, kept over restarts of its node.
     rate_limit: Option<RememberedRateLimit>,
     /// Requests sent to the peer since its last report, minus those that have ended since.
@@ -104,6 +108,7 @@
             first_unanswered_ping_at: None,
             is_suspected: false,
             status: Status::default(),
+            left_instance: None,
             rate_limit: None,
             in_flight_since_report: 0,
             in_flight: 0,
@@ -223,8 +228,13 @@
         self.has_served_on_link |= self.takes_requests();
     }
 
-    const fn takes_requests(&self) -> bool {
-        self.status.is_serving && !self.status.is_stopping
+    fn takes_requests(&self) -> bool {
+        self.status.is_serving && !self.status.is_stopping && !self.has_left()
+    }
+
+    /// Returns whether the current incarnation of the back end has been reported to leave.
+    fn has_left(&self) -> bool {
+        self.left_instance.is_some() && self.left_instance == self.status.instance
     }
 
     /// Updates what is remembered of the back end from the last status.
@@ -232,6 +242,9 @@
         let Some(instance) = self.status.instance else {
             return;
         };
+        if self.status.has_left {
+            self.left_instance = Some(instance);
+        }
         match self.status.load.rate_limit {
             RateLimitReport::Limited(rate) => {
                 self.rate_limit = Some(RememberedRateLimit { instance, rate });
--- a/crates/rillgap-forward/tests/stated_rate.rs
+++ b/crates/rillgap-forward/tests/stated_rate.rs
@@ -345,3 +345,65 @@
     let (_, _, request) = test.sent().pop().expect("a sent request");
     expect_that!(request.remembered_rate_limit, none());
 }
+
+#[gtest]
+fn back_end_that_states_in_an_answer_that_it_leaves_gets_no_more_requests() {
+    let mut test = TestNode::serving();
+    let link = test.accept(50);
+    test.forward(link, 1, forwarded_request("a", true));
+    test.forward(link, 2, forwarded_request("b", true));
+    answer_with(&mut test, RateLimitNotice::Unlimited, true);
+    expect_that!(test.node.inbound().status().has_left, eq(true));
+    test.forward(link, 3, forwarded_request("c", true));
+    expect_that!(is_started(&test, "c"), eq(false));
+    // A late heartbeat and a false health answer do not return it to service.
+    test.heartbeat(7, AnnouncedState::Ready);
+    expect_that!(test.node.inbound().status().is_serving, eq(false));
+}
+
+#[gtest]
+fn status_of_the_departure_precedes_the_answer_that_states_it() {
+    let mut test = TestNode::serving();
+    let link = test.accept(50);
+    test.forward(link, 1, forwarded_request("a", true));
+    test.actions.clear();
+    test.forward(link, 2, forwarded_request("b", true));
+    answer_with(&mut test, RateLimitNotice::Unlimited, true);
+    let kinds: Vec<&str> = test
+        .actions
+        .iter()
+        .filter_map(|action| match action {
+            Action::SendOnLink { message, .. } => Some(message.kind()),
+            _ => None,
+        })
+        .collect();
+    expect_that!(kinds, elements_are![eq(&"status"), eq(&"response")]);
+}
+
+#[gtest]
+fn departed_incarnation_gets_no_requests_although_its_restarted_node_reports_it_as_serving() {
+    let mut test = TestNode::configured("logbok");
+    let link = test.connect("other", 2, SERVICE);
+    let departed = Status {
+        is_serving: false,
+        has_left: true,
+        ..serving(SERVICE)
+    };
+    report(&mut test, link, departed);
+    test.event(Event::LinkClosed(link));
+    let again = LinkId(77);
+    let first = hello("other", 2, serving(SERVICE), 0);
+    test.event(Event::LinkAccepted {
+        link: again,
+        hello: first,
+    });
+    test.request(0, caller_request("a", "/safe/1"));
+    expect_that!(test.sent(), is_empty());
+    let successor = Status {
+        instance: Some(Incarnation::without_start("i-2").fingerprint()),
+        ..serving(SERVICE)
+    };
+    report(&mut test, again, successor);
+    test.request(1, caller_request("b", "/safe/1"));
+    expect_that!(test.sent().len(), eq(1));
+}
--- a/crates/rillgap-forward/tests/support/mod.rs
+++ b/crates/rillgap-forward/tests/support/mod.rs
@@ -208,6 +208,7 @@
     Status {
         service: service.to_owned(),
         instance: Some(Incarnation::without_start(INSTANCE).fingerprint()),
+        has_left: false,
         is_serving: true,
         is_stopping: false,
         is_watching: false,
--- a/crates/rillgap-sidecar/tests/path/main.rs
+++ b/crates/rillgap-sidecar/tests/path/main.rs
@@ -355,6 +355,21 @@
     }
 }
 
+#[gtest]
+fn departure_of_a_back_end_is_read_from_its_answers() {
+    for (lines, has_left) in [("X-Leaving: 1", true), ("X-Leaving: 0", false)] {
+        let script = move |seen: &Seen| {
+            let id = seen.field("X-Request").unwrap_or_default();
+            Reply::Bytes(signed_with(&id, lines))
+        };
+        with_pair(script, |pair| async move {
+            pair.ask("a", "/safe/1").await;
+            let status = pair.back_end_node.with_node(|node| node.inbound().status());
+            expect_that!(status.has_left, eq(has_left), "{lines}");
+        });
+    }
+}
+
 #[gtest]
 fn notices_in_a_late_answer_to_another_request_are_ignored() {
     let script = |seen: &Seen| {
@@ -367,6 +382,7 @@
         pair.ask("a", "/safe/1").await;
         pair.back_end_node.with_node(|node| {
             expect_that!(node.inbound().rate_limit(), none());
+            expect_that!(node.inbound().has_left(), eq(false));
         });
     });
 }
