Simulation and soak: back ends state rate limits and departures at random, judged by what they receive

One checker for both (tests/soak/src/notices.rs): windows of 4 s from 3 s after the first statement, 1.5 times what the stated limits accept and 5 requests, counted for nodes that passed a limit on 0.5 s before and were not restarted, frozen or cut since; a departure binds callers' requests sent 2 s after it was passed on, and only a restart or freeze excuses it. Delays by the soak's own proxy in front of a back end are left out: they hold what the node has sent at the right rate, and release it at once.

What is stated has a generator of its own, so the schedule of faults of every kept seed stays as it was.

--- a/crates/rillgap-forward/tests/simulation/checker.rs
+++ b/crates/rillgap-forward/tests/simulation/checker.rs
@@ -1,10 +1,9 @@
 //! Checks the guarantees of a deployment against what callers and back ends observed.
 
-pub mod notices;
-
 use std::collections::BTreeMap;
+use std::time::Duration;
 
-use notices::{AnswerNotice, NoticeChecker};
+use rillgap_soak::notices::{AnswerNotice, NoticeChecker};
 
 use crate::world::{Key, MAX_REVOCATION_DELAY, TENANT_LIMIT};
 
@@ -26,6 +25,11 @@
 /// Tolerance above the limit of a tenant: a fraction of it, and requests on top of that.
 const LIMIT_TOLERANCE: (f64, f64) = (0.1, 20.0);
 
+/// Returns a time of the simulation for the checker of notices.
+const fn moment(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
 /// A request, as its caller and the back ends observed it.
 #[derive(Clone, Debug, Default)]
 struct RequestRecord {
@@ -164,9 +168,10 @@
             _ => {}
         }
         self.arrivals.push((now, service.to_owned(), is_retry));
+        let sent_at = moment(record.sent_at);
         let violation = self
             .notices
-            .on_arrival(now, id, record.host, record.sent_at, instance);
+            .on_arrival(moment(now), id, record.host, sent_at, instance);
         self.violations.extend(violation);
         if record.executions > 1 && !record.is_idempotent {
             self.violations.push(format!("TWICE {id}"));
@@ -231,23 +236,23 @@
 
     /// Records that an answer with notices of its back end was passed on by the node of a host.
     pub fn on_notice_passed_on(&mut self, now: u64, host: usize, notice: &AnswerNotice) {
-        self.notices.on_passed_on(now, host, notice);
+        self.notices.on_passed_on(moment(now), host, notice);
     }
 
     /// Records the rate limit that the answers of a back end state from now on.
     pub fn on_rate_limit_changed(&mut self, now: u64, instance: &str, rate_limit: Option<u32>) {
         self.notices
-            .on_rate_limit_changed(now, instance, rate_limit);
+            .on_rate_limit(moment(now), instance, rate_limit);
     }
 
     /// Records that the node of a host has restarted or was frozen: it may have lost all notices.
     pub fn on_host_frozen(&mut self, host: usize) {
-        self.notices.on_host_frozen(host);
+        self.notices.on_node_frozen(host);
     }
 
     /// Records that the links of a host were cut or are restored.
     pub fn on_host_cut(&mut self, host: usize) {
-        self.notices.on_host_cut(host);
+        self.notices.on_node_cut(host);
     }
 
     /// Checks the stated rate limits of all back ends.
--- a/crates/rillgap-forward/tests/simulation/main.rs
+++ b/crates/rillgap-forward/tests/simulation/main.rs
@@ -14,22 +14,29 @@
 mod world;
 
 use googletest::prelude::*;
-use scenario::{InjectedBug, run_scenario};
+use scenario::{InjectedBug, run_scenario, run_scenario_with_statements};
 use world::{Fault, World, WorldEvent};
 
 /// Number of seeds that a test run simulates by default.
 const SEEDS: u64 = 150;
 
-/// Environment variable that overrides [`SEEDS`] for manual exploration.
+/// Number of seeds with statements of back ends.
+const SEEDS_WITH_STATEMENTS: u64 = 60;
+
+/// Environment variable that overrides the number of seeds for manual exploration.
 const SEEDS_VARIABLE: &str = "RILLGAP_SIMULATED_DAYS";
 
+/// Returns the number of seeds to simulate: `default`, unless [`SEEDS_VARIABLE`] overrides it.
+fn seeds_or(default: u64) -> u64 {
+    let seeds = std::env::var(SEEDS_VARIABLE).ok();
+    seeds.and_then(|text| text.parse().ok()).unwrap_or(default)
+}
+
 #[gtest]
 fn random_scenarios_violate_no_guarantee() {
     let mut served = 0;
     let mut caller_requests = 0;
-    let seeds = std::env::var(SEEDS_VARIABLE).ok();
-    let seeds = seeds.and_then(|text| text.parse().ok()).unwrap_or(SEEDS);
-    for seed in 0..seeds {
+    for seed in 0..seeds_or(SEEDS) {
         let report = run_scenario(seed, InjectedBug::None);
         expect_that!(report.violations, is_empty(), "seed {seed}");
         served += report.served;
@@ -39,6 +46,14 @@
     expect_that!(served * 10, gt(caller_requests * 6));
 }
 
+#[gtest]
+fn random_scenarios_with_statements_of_back_ends_violate_no_guarantee() {
+    for seed in 0..seeds_or(SEEDS_WITH_STATEMENTS) {
+        let report = run_scenario_with_statements(seed, InjectedBug::None);
+        expect_that!(report.violations, is_empty(), "seed {seed}");
+    }
+}
+
 /// Milliseconds within which a stored configuration must be in force at every node.
 const MAX_APPLY_MILLIS: u64 = 2_000;
 
--- a/crates/rillgap-forward/tests/simulation/scenario.rs
+++ b/crates/rillgap-forward/tests/simulation/scenario.rs
@@ -1,5 +1,8 @@
 //! Runs one scenario with random faults and reports violated guarantees.
 
+use rand_chacha::ChaCha8Rng;
+use rand_chacha::rand_core::{Rng, SeedableRng};
+
 use crate::world::{Fault, RETRY_BOUND, World, WorldEvent};
 
 /// Range of the times at which faults begin, in milliseconds.
@@ -46,9 +49,51 @@
     pub served: u64,
 }
 
+/// Number of back ends that state a rate limit or their departure in a scenario.
+const STATEMENTS: u64 = 4;
+/// Distinguishes the seed of statements from that of faults.
+const STATEMENT_SEED_MASK: u64 = 0x5374_6174_656d_656e;
+/// Minimum time for which a rate limit is stated, in milliseconds: limits are checked from 3 s on.
+const MIN_LIMITED_MILLIS: u64 = 4_000;
+
 /// Runs the scenario of a seed.
 pub fn run_scenario(seed: u64, injected_bug: InjectedBug) -> Report {
+    let world = World::new(seed, injected_bug, CALLERS_AND_SCENARIO_END.0);
+    run_faults(world)
+}
+
+/// Runs the scenario of a seed, in which back ends also state rate limits and departures.
+pub fn run_scenario_with_statements(seed: u64, injected_bug: InjectedBug) -> Report {
     let mut world = World::new(seed, injected_bug, CALLERS_AND_SCENARIO_END.0);
+    let mut random = ChaCha8Rng::seed_from_u64(seed ^ STATEMENT_SEED_MASK);
+    for _ in 0..STATEMENTS {
+        schedule_random_statement(&mut world, |bound| {
+            (u64::from(random.next_u32()) * bound) >> 32
+        });
+    }
+    run_faults(world)
+}
+
+/// Schedules a back end to state a rate limit that changes once, or its departure.
+fn schedule_random_statement(world: &mut World, mut draw: impl FnMut(u64) -> u64) {
+    let host = draw(world.size() as u64) as usize;
+    let latest = LAST_FAULT_END - MIN_LIMITED_MILLIS;
+    let begin = FAULT_BEGIN_RANGE.0 + draw(latest - FAULT_BEGIN_RANGE.0);
+    let mut at = |time, fault| world.schedule(time, WorldEvent::Fault(fault));
+    if draw(4) == 0 {
+        at(begin, Fault::StateLeaving(host));
+        return;
+    }
+    let changed_at = begin + draw(LAST_FAULT_END - begin);
+    for (time, rate) in [(begin, draw(20)), (changed_at, draw(20))] {
+        let rate_limit = u32::try_from(rate).ok();
+        at(time, Fault::StateRateLimit(host, rate_limit));
+    }
+    at(LAST_FAULT_END, Fault::StateRateLimit(host, None));
+}
+
+/// Runs a scenario with random faults.
+fn run_faults(mut world: World) -> Report {
     let faults = 3 + world.draw(5);
     for _ in 0..faults {
         let begin = FAULT_BEGIN_RANGE.0 + world.draw(FAULT_BEGIN_RANGE.1 - FAULT_BEGIN_RANGE.0);
@@ -59,6 +104,7 @@
     let slack = f64::from(RETRY_BOUND.slack);
     world.checker.check_budget(RETRY_BOUND.ratio, slack);
     world.checker.check_limit();
+    world.checker.check_rate_limits();
     let statuses = std::mem::take(&mut world.statuses);
     world
         .checker
--- a/crates/rillgap-forward/tests/simulation/world/mod.rs
+++ b/crates/rillgap-forward/tests/simulation/world/mod.rs
@@ -29,8 +29,8 @@
 use rillgap_forward::store_sync::{StoreRequest, StoreRequestId};
 
 use crate::checker::Checker;
-use crate::checker::notices::AnswerNotice;
 use crate::scenario::InjectedBug;
+use rillgap_soak::notices::AnswerNotice;
 
 use object_store::ObjectStore;
 use setup::*;
--- a/tests/soak/src/back_end.rs
+++ b/tests/soak/src/back_end.rs
@@ -4,7 +4,7 @@
 
 use std::io;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use serde_json::json;
@@ -38,6 +38,13 @@
 /// Time between a response and the late extra copy of it.
 const EXTRA_ANSWER_DELAY: Duration = Duration::from_millis(60);
 
+/// Header field with the label of the incarnation that responds, for the checker.
+pub const INSTANCE_FIELD: &str = "Soak-Instance";
+/// Header field with the rate limit of the back end, in requests per second.
+pub const RATE_LIMIT_FIELD: &str = "Server-Limit";
+/// Header field that marks a response of a back end that is leaving.
+pub const LEAVING_FIELD: &str = "Server-Leaving";
+
 /// Action of the schedule on a back end.
 #[derive(Clone, Copy, Debug)]
 pub enum Action {
@@ -45,6 +52,9 @@
     Crash(Duration),
     /// Drains the back end and replaces it.
     Drain,
+    /// States in all responses that the back end is leaving, and replaces it after this time. Its
+    /// heartbeats and health answers do not say so.
+    Leave(Duration),
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -68,6 +78,8 @@
     capacity: Semaphore,
     /// Notified when a request crashes the back end.
     crashed: Notify,
+    /// Whether the responses state that the back end is leaving.
+    states_leaving: AtomicBool,
 }
 
 /// Keeps a back end running on a node's machine until the channel of actions closes.
@@ -84,7 +96,9 @@
             slots: Semaphore::new(BACK_END_SLOTS),
             capacity: Semaphore::new(BACK_END_SLOTS + QUEUE_LENGTH),
             crashed: Notify::new(),
+            states_leaving: AtomicBool::new(false),
         });
+        soak.machines[node].set_instance(&incarnation.label());
         let Ok(listener) = TcpListener::bind(soak.layout.back_end(node).0).await else {
             tokio::time::sleep(Duration::from_millis(100)).await;
             continue;
@@ -103,6 +117,11 @@
                 incarnation.drain().await;
                 REPLACEMENT_DELAY
             }
+            Some(Action::Leave(serving)) => {
+                incarnation.states_leaving.store(true, Ordering::Relaxed);
+                tokio::time::sleep(serving).await;
+                REPLACEMENT_DELAY
+            }
         };
         tasks.shutdown().await;
         tokio::time::sleep(pause).await;
@@ -270,11 +289,12 @@
             return Ok(false);
         }
         let body = body_of(id, &self.label());
-        let fields = [
+        let mut fields = vec![
             ("Attempt-Id", id.to_owned()),
             ("Response-Signature", signature_of(&body)),
             ("Keep-Alive", "timeout=5".to_owned()),
         ];
+        fields.extend(self.notice_fields());
         let bytes = encode_response(status, &fields, &body);
         if self.soak.draw_percent(&machine.corrupted_percent) {
             return self.corrupt(connection, &bytes).await;
@@ -317,6 +337,25 @@
         Ok(false)
     }
 
+    /// Returns the header fields with what the back end states about itself, and reports its rate
+    /// limit to the checker.
+    fn notice_fields(&self) -> Vec<(&'static str, String)> {
+        let rate_limit = self.soak.machines[self.node].stated_rate_limit();
+        let now = self.soak.now();
+        let mut checker = self.soak.checker();
+        checker
+            .notices()
+            .on_rate_limit(now, &self.label(), rate_limit);
+        let mut fields = vec![(INSTANCE_FIELD, self.label())];
+        if let Some(rate) = rate_limit {
+            fields.push((RATE_LIMIT_FIELD, rate.to_string()));
+        }
+        if self.states_leaving.load(Ordering::Relaxed) {
+            fields.push((LEAVING_FIELD, "1".to_owned()));
+        }
+        fields
+    }
+
     /// Returns a label that identifies the incarnation: its identifier and start time.
     fn label(&self) -> String {
         format!("{}@{}", self.instance, self.started_at)
--- a/tests/soak/src/caller.rs
+++ b/tests/soak/src/caller.rs
@@ -7,9 +7,11 @@
 
 use tokio::net::TcpStream;
 
+use crate::back_end::{INSTANCE_FIELD, LEAVING_FIELD, RATE_LIMIT_FIELD};
 use crate::checker::{Answer, Sent, prefix_of};
 use crate::crashing::QUARANTINED_CODE;
 use crate::deployment::{HOST, Layout};
+use crate::notices::AnswerNotice;
 use crate::soak::Soak;
 use crate::wire::{Connection, Response, encode_request};
 
@@ -150,8 +152,12 @@
         signature: response.fields.get("Response-Signature"),
         body: &response.body,
     };
+    let notice = notice_of(response);
     let newest = soak.version.load(Ordering::SeqCst);
     let mut checker = soak.checker();
+    if let Some(notice) = notice {
+        checker.notices().on_passed_on(now, node, &notice);
+    }
     checker.on_answer(now, &outgoing.id, &answer, outgoing.is_call);
     if String::from_utf8_lossy(answer.body).contains(QUARANTINED_CODE) {
         checker.on_quarantined(now, &outgoing.target);
@@ -168,6 +174,17 @@
     }
 }
 
+/// Returns what the back end that sent a response states about itself; `None` if a node sent it.
+fn notice_of(response: &Response) -> Option<AnswerNotice> {
+    let instance = response.fields.get(INSTANCE_FIELD)?.to_owned();
+    let rate_limit = response.fields.get(RATE_LIMIT_FIELD);
+    Some(AnswerNotice {
+        instance,
+        rate_limit: rate_limit.and_then(|text| text.parse().ok()),
+        is_leaving: response.fields.get(LEAVING_FIELD).is_some(),
+    })
+}
+
 /// Returns the service to which requests for a target are routed.
 fn service_of(target: &str) -> &'static str {
     match prefix_of(target) {
--- a/tests/soak/src/checker.rs
+++ b/tests/soak/src/checker.rs
@@ -12,6 +12,7 @@
 
 use crate::crashing::{self, CrashingRequests};
 use crate::deployment::{DRAIN_TIME, MAX_APPLY_TIME, MAX_REVOCATION_TIME, TENANT};
+use crate::notices::NoticeChecker;
 use crate::retries::RetryHistory;
 
 /// Maximum number of violations whose texts are kept; further ones are only counted.
@@ -131,6 +132,7 @@
     cancelled_count: u64,
     not_stopped_count: u64,
     crashing: CrashingRequests,
+    notices: NoticeChecker,
     violations: Vec<String>,
     violation_count: u64,
     totals: Totals,
@@ -169,6 +171,11 @@
             .insert(service);
     }
 
+    /// Returns the checker of what back ends state about themselves.
+    pub fn notices(&mut self) -> &mut NoticeChecker {
+        &mut self.notices
+    }
+
     /// Records a disturbance that lasts from `from` until `until`.
     pub fn add_disturbance(&mut self, from: Moment, until: Moment) {
         self.disturbances.push((from, until));
@@ -200,9 +207,18 @@
         history.arrivals += 1;
         let is_retry = history.arrivals > 1 || is_parent_retry;
         history.is_retry |= is_retry;
+        let sent = history.sent.as_ref();
+        let violation = sent.and_then(|sent| {
+            let instance = arrived.instance;
+            self.notices
+                .on_arrival(at, arrived.id, sent.node, sent.at, instance)
+        });
         if is_retry {
             self.retries.on_retry(at, arrived.service);
         }
+        if let Some(text) = violation {
+            self.report_violation(at, &text);
+        }
     }
 
     /// Records that a back end starts to work on a request, and checks all guarantees about runs.
@@ -391,6 +407,9 @@
         self.check_budget();
         self.check_stopping(now);
         self.check_crashing();
+        for text in self.notices.rate_violations() {
+            self.report_violation(now, &text);
+        }
     }
 
     /// Records that a request was refused with a promise that it did not run and never will.
--- a/tests/soak/src/faults.rs
+++ b/tests/soak/src/faults.rs
@@ -3,6 +3,7 @@
 //! In the disturbed part faults and planned work begin at random times. In the calm part everything
 //! must recover, which is checked at its end.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
@@ -39,6 +40,21 @@
 /// Time between two changes of a series, in milliseconds.
 const SERIES_INTERVAL_MILLIS: u64 = 150;
 
+/// Number of back ends that state a rate limit or their departure in a cycle.
+const STATEMENTS_PER_CYCLE: u64 = 4;
+/// Distinguishes the seed of statements from that of faults.
+const STATEMENT_SEED_MASK: u64 = 0x5374_6174_656d_656e;
+/// Range of the stated limits, in requests per second: minimum and exclusive maximum.
+const RATE_LIMIT_RANGE: (u64, u64) = (1, 25);
+/// Duration of a stated limit, in milliseconds: minimum and exclusive maximum. Limits are checked
+/// from 3 s on.
+const RATE_LIMIT_RANGE_MILLIS: (u64, u64) = (4_500, 9_000);
+/// Time for which a back end serves after it has begun to state that it is leaving, in
+/// milliseconds: minimum and exclusive maximum. Departures are checked from 2 s on.
+const LEAVING_RANGE_MILLIS: (u64, u64) = (3_500, 6_000);
+/// Time after a delay of the requests to a back end in which they may arrive in bursts.
+const DELAYED_DELIVERY_MARGIN: Duration = Duration::from_secs(1);
+
 /// The proxies in front of a machine.
 #[derive(Clone, Debug)]
 pub struct Proxies {
@@ -74,6 +90,8 @@
     targets: Arc<Targets>,
     random: ChaCha8Rng,
     crashing: CrashingCaller,
+    /// Generator of what back ends state, apart from that of the faults, whose seeds stay valid.
+    statement_random: ChaCha8Rng,
 }
 
 impl Schedule {
@@ -84,6 +102,7 @@
             soak,
             targets: Arc::new(targets),
             random: ChaCha8Rng::seed_from_u64(seed),
+            statement_random: ChaCha8Rng::seed_from_u64(seed ^ STATEMENT_SEED_MASK),
         }
     }
 
@@ -95,6 +114,9 @@
         if self.soak.has_renewals {
             self.schedule_restore();
         }
+        for _ in 0..STATEMENTS_PER_CYCLE {
+            self.schedule_statement();
+        }
         let mut elapsed = 0;
         while elapsed < DISTURBED_MILLIS {
             let left = DISTURBED_MILLIS - elapsed;
@@ -138,6 +160,53 @@
         });
     }
 
+    /// Schedules a back end to state a rate limit that changes once, or its departure, within the
+    /// disturbed part.
+    fn schedule_statement(&mut self) {
+        let node = self.draw_of_statement((0, self.soak.layout.nodes as u64));
+        let node = usize::try_from(node).unwrap_or(0);
+        let departs = self.draw_of_statement((0, 4)) == 0;
+        let range = if departs {
+            LEAVING_RANGE_MILLIS
+        } else {
+            RATE_LIMIT_RANGE_MILLIS
+        };
+        let length = self.draw_of_statement(range);
+        let begin = millis(self.draw_of_statement((0, DISTURBED_MILLIS - length)));
+        let length = millis(length);
+        let rates = [
+            self.draw_of_statement(RATE_LIMIT_RANGE),
+            self.draw_of_statement(RATE_LIMIT_RANGE),
+        ];
+        let soak = self.soak.clone();
+        let back_end = self.targets.back_ends[node].clone();
+        tokio::spawn(async move {
+            sleep(begin).await;
+            let seconds = soak.now().as_secs_f64();
+            if departs {
+                println!("{seconds:8.3} back end of node {node} states that it leaves");
+                let _ = back_end.send(back_end::Action::Leave(length));
+                return;
+            }
+            println!(
+                "{seconds:8.3} back end of node {node} states limits {rates:?} for {length:?}"
+            );
+            for rate in rates {
+                let rate = u32::try_from(rate).unwrap_or(u32::MAX);
+                let machine = &soak.machines[node];
+                machine.rate_limit.store(rate, Ordering::Relaxed);
+                sleep(length / 2).await;
+            }
+            soak.machines[node].rate_limit.store(0, Ordering::Relaxed);
+        });
+    }
+
+    /// Draws a number of a range, whose end is exclusive, for a statement of a back end.
+    fn draw_of_statement(&mut self, (first, end): (u64, u64)) -> u64 {
+        let draw = u64::from(self.statement_random.next_u32());
+        first + ((draw * (end - first)) >> 32)
+    }
+
     /// Begins planned work on a random node; slow work only if enough of the remaining time, in
     /// milliseconds, is left.
     fn plan(&mut self, left: u64) {
@@ -255,22 +324,43 @@
         let address = choose(&self.targets.proxies[node]).address();
         self.log(&format!("proxy {address}: {disturbance:?} for {length:?}"));
         proxy.set_disturbance(disturbance);
+        self.excuse_proxy(length, address, node);
+        let soak = self.soak.clone();
         tokio::spawn(async move {
             sleep(length).await;
             proxy.set_disturbance(Disturbance::None);
+            soak.checker().notices().on_node_cut(node);
         });
     }
 
+    /// Excuses what a disturbed proxy causes from the checks of statements of back ends.
+    fn excuse_proxy(&self, length: Duration, address: SocketAddr, node: usize) {
+        let proxies = &self.targets.proxies[node];
+        let now = self.soak.now();
+        let mut checker = self.soak.checker();
+        if address == proxies.mesh.address() {
+            checker.notices().on_node_cut(node);
+        }
+        if address == proxies.back_end.address() {
+            let instance = self.soak.machines[node].instance();
+            let until = now + length + DELAYED_DELIVERY_MARGIN;
+            checker.notices().on_delivery_delayed(&instance, now, until);
+        }
+    }
+
     /// Isolates a node from the store and from links that other nodes open.
     fn isolate(&self, node: usize, length: Duration) {
         self.log(&format!("node {node}: cut off for {length:?}"));
         let proxies = self.targets.proxies[node].clone();
         proxies.mesh.set_disturbance(Disturbance::Blackhole);
         proxies.store.set_disturbance(Disturbance::Blackhole);
+        let soak = self.soak.clone();
+        soak.checker().notices().on_node_cut(node);
         tokio::spawn(async move {
             sleep(length).await;
             proxies.mesh.set_disturbance(Disturbance::None);
             proxies.store.set_disturbance(Disturbance::None);
+            soak.checker().notices().on_node_cut(node);
         });
     }
 
--- a/tests/soak/src/lib.rs
+++ b/tests/soak/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod deployment;
 pub mod faults;
 pub mod node;
+pub mod notices;
 pub mod operator;
 pub mod proxy;
 pub mod retries;
--- a/tests/soak/src/node.rs
+++ b/tests/soak/src/node.rs
@@ -86,6 +86,7 @@
     soak.machines[node]
         .incarnation
         .fetch_add(1, Ordering::Relaxed);
+    soak.checker().notices().on_node_frozen(node);
     Command::new(&files.program)
         .arg("--settings")
         .arg(&settings)
@@ -118,6 +119,7 @@
                     signal(child, Signal::SIGSTOP);
                     sleep(length).await;
                     signal(child, Signal::SIGCONT);
+                    soak.checker().notices().on_node_frozen(node);
                 }
                 Some(Action::Kill(down)) => {
                     let _ = child.kill().await;
--- a/tests/soak/src/soak.rs
+++ b/tests/soak/src/soak.rs
@@ -27,6 +27,30 @@
     pub failed_percent: AtomicU32,
     /// Factor by which the back end's work takes longer; 0 counts as 1.
     pub slowdown_factor: AtomicU32,
+    /// Rate limit that the back end's responses state, in requests per second; 0 for none.
+    pub rate_limit: AtomicU32,
+    /// Label of the back end's current incarnation.
+    pub instance: Mutex<String>,
+}
+
+impl Machine {
+    /// Records the label of the back end's current incarnation.
+    pub fn set_instance(&self, label: &str) {
+        let mut instance = self.instance.lock().unwrap_or_else(PoisonError::into_inner);
+        label.clone_into(&mut instance);
+    }
+
+    /// Returns the label of the back end's current incarnation.
+    pub fn instance(&self) -> String {
+        let instance = self.instance.lock().unwrap_or_else(PoisonError::into_inner);
+        instance.clone()
+    }
+
+    /// Returns the rate limit that the back end's responses state, in requests per second.
+    pub fn stated_rate_limit(&self) -> Option<u32> {
+        let rate = self.rate_limit.load(Ordering::Relaxed);
+        (rate > 0).then_some(rate)
+    }
 }
 
 /// State shared by all parts of a soak.
--- a/tests/soak/tests/checker.rs
+++ b/tests/soak/tests/checker.rs
@@ -5,6 +5,7 @@
 use googletest::prelude::*;
 use rillgap_soak::checker::{Answer, Arrived, Checker, Sent, body_of, prefix_of, signature_of};
 use rillgap_soak::deployment::TENANT;
+use rillgap_soak::notices::AnswerNotice;
 
 const INSTANCE: &str = "b1-1";
 
@@ -416,3 +417,68 @@
     checker.on_quarantined(at(2), "/front/calls");
     expect_that!(kinds(&checker), elements_are![eq("HELD")]);
 }
+
+fn notice(rate_limit: Option<u32>, is_leaving: bool) -> AnswerNotice {
+    AnswerNotice {
+        instance: INSTANCE.to_owned(),
+        rate_limit,
+        is_leaving,
+    }
+}
+
+/// Reports a request to node 1 every `interval` milliseconds, each of which reaches the back end.
+fn arrive(checker: &mut Checker, from: u64, until: u64, interval: u64) {
+    for millis in (from..until).step_by(usize::try_from(interval).unwrap_or(1)) {
+        let id = format!("load-{millis}");
+        checker.on_sent(&id, sent(millis, true), "front", false);
+        checker.on_arrived(at(millis + 1), &arrived(&id));
+    }
+}
+
+/// Creates a checker in which the back end states 10 requests a second from the start on, which
+/// node 1 passes on at once.
+fn with_rate_limit() -> Checker {
+    let mut checker = checker();
+    let notices = checker.notices();
+    notices.on_rate_limit(at(0), INSTANCE, Some(10));
+    notices.on_passed_on(at(0), 1, &notice(Some(10), false));
+    checker
+}
+
+#[gtest]
+fn back_end_above_its_stated_rate_limit_is_reported() {
+    let mut checker = with_rate_limit();
+    arrive(&mut checker, 0, 8_000, 50);
+    checker.conclude(at(9_000));
+    expect_that!(kinds(&checker), elements_are![eq("LIMIT")]);
+}
+
+#[gtest]
+fn back_end_within_the_tolerance_of_its_stated_rate_limit_is_not_reported() {
+    let mut checker = with_rate_limit();
+    arrive(&mut checker, 0, 8_000, 70);
+    checker.conclude(at(9_000));
+    expect_that!(kinds(&checker), is_empty());
+}
+
+#[gtest]
+fn requests_of_a_node_that_was_frozen_do_not_count_towards_a_stated_rate_limit() {
+    let mut checker = with_rate_limit();
+    checker.notices().on_node_frozen(1);
+    arrive(&mut checker, 0, 8_000, 50);
+    checker.conclude(at(9_000));
+    expect_that!(kinds(&checker), is_empty());
+}
+
+#[gtest]
+fn requests_for_a_back_end_whose_departure_the_node_has_passed_on_are_reported() {
+    let mut checker = checker();
+    checker
+        .notices()
+        .on_passed_on(at(0), 1, &notice(None, true));
+    arrive(&mut checker, 1_000, 2_000, 100);
+    expect_that!(kinds(&checker), is_empty());
+    checker.notices().on_node_cut(1);
+    arrive(&mut checker, 2_500, 2_600, 100);
+    expect_that!(kinds(&checker), elements_are![eq("DRAIN")]);
+}
