Entries: back ends at their stated rate limit do not close their service while another one has room

Cause: the level of a service is the median over its back ends. A back end at its limit is full by design, so its node publishes a level; two of three such levels are the median.

Change: an entry leaves out the level of a back end with a stated limit while it has a link to a serving one of the same service without. Where all are limited their levels count as before, and chains are refused early (few_chains_begin_..., unchanged).

--- a/crates/rillgap-forward/src/node/mod.rs
+++ b/crates/rillgap-forward/src/node/mod.rs
@@ -383,12 +383,9 @@
     }
 
     fn on_status(&mut self, now: Instant, link: LinkId, status: Status, out: &mut Actions) {
-        if let Some(peer) = self.directory.by_link(link) {
-            self.outbound.on_status(now, &peer.record.name, &status);
-        }
         self.directory.on_status(now, link, status);
         let (outbound, mut context) = self.split_outbound(out);
-        outbound.update_rate_share(now, link, &mut context);
+        outbound.on_status(now, link, &mut context);
     }
 
     /// Does the work that is due and passes the results of one component to the others.
--- a/crates/rillgap-forward/src/outbound/mod.rs
+++ b/crates/rillgap-forward/src/outbound/mod.rs
@@ -31,7 +31,9 @@
 use crate::id::{ConnectionId, LinkId, PipelineIndex, Sequence};
 use crate::inbound::{CallProgress, CallUpdate, Inbound};
 use crate::log_record::LogRecord;
-use crate::message::{ForwardResponse, ForwardResult, ServiceAdmissionLevel, Status};
+use crate::message::{
+    ForwardResponse, ForwardResult, Load, RateLimitReport, ServiceAdmissionLevel, Status,
+};
 use crate::rate_limit::entry::EntryLimiter;
 use crate::retry_budget::RetryBudget;
 use crate::settings::ForwardSettings;
@@ -282,22 +284,27 @@
         }
     }
 
-    /// Records the admission level that a peer publishes for its back end.
-    pub fn on_status(&mut self, now: Instant, peer: &str, status: &Status) {
-        if status.is_serving {
-            let level = status.load.level;
+    /// Records what the last status of a peer says about its back end.
+    pub fn on_status(&mut self, now: Instant, link: LinkId, context: &mut OutboundContext<'_>) {
+        self.update_rate_share(now, link, context);
+        let Some(peer) = context.directory.by_link(link) else {
+            return;
+        };
+        let name = peer.record.name.clone();
+        let Status {
+            service,
+            is_serving,
+            load,
+            ..
+        } = peer.status().clone();
+        if is_serving && counts_for_service(&service, load, context) {
             self.admission
-                .record_published(now, &status.service, peer, level);
+                .record_published(now, &service, &name, load.level);
         }
     }
 
     /// Updates this node's share of the rate limit of the back end that is reached over a link.
-    pub fn update_rate_share(
-        &mut self,
-        now: Instant,
-        link: LinkId,
-        context: &mut OutboundContext<'_>,
-    ) {
+    fn update_rate_share(&mut self, now: Instant, link: LinkId, context: &mut OutboundContext<'_>) {
         let nodes = context.directory.estimated_nodes();
         if link == LinkId::LOCAL {
             let limit = context.inbound.rate_limit();
@@ -324,12 +331,14 @@
         let reporter = context
             .directory
             .by_link(link)
-            .map_or(self.own_name.as_str(), |peer| &peer.record.name);
+            .map_or_else(|| self.own_name.clone(), |peer| peer.record.name.clone());
         let service = &request.forwarded.service;
-        self.admission
-            .record_published(now, service, reporter, response.load.level);
+        if counts_for_service(service, response.load, context) {
+            self.admission
+                .record_published(now, service, &reporter, response.load.level);
+        }
         for involved in &response.downstream_levels {
-            self.admission.record_relayed(now, involved, reporter);
+            self.admission.record_relayed(now, involved, &reporter);
         }
         let is_success =
             matches!(&response.result, ForwardResult::Answered(answer) if answer.is_success());
@@ -379,6 +388,22 @@
     }
 }
 
+/// Returns whether the admission level of a back end says something about its service. At its stated
+/// rate limit a back end is full by design, which matters only if no other one is without a limit.
+fn counts_for_service(service: &str, load: Load, context: &OutboundContext<'_>) -> bool {
+    let is_limited = |load: Load| matches!(load.rate_limit, RateLimitReport::Limited(_));
+    if !is_limited(load) {
+        return true;
+    }
+    let inbound = context.inbound;
+    let own = inbound.is_serving() && inbound.service() == service;
+    let is_own_unlimited = own && inbound.rate_limit().is_none();
+    let mut peers = context.directory.linked(service);
+    let has_unlimited_peer =
+        peers.any(|(_, peer)| peer.serving_link().is_some() && !is_limited(peer.status().load));
+    !is_own_unlimited && !has_unlimited_peer
+}
+
 /// Returns how long a request that arrived `elapsed` ago may still wait in queues.
 fn queue_limit(route: &Route, is_call: bool, elapsed: Duration) -> Duration {
     let fraction = if is_call {
--- a/crates/rillgap-forward/tests/simulation/stated_notices.rs
+++ b/crates/rillgap-forward/tests/simulation/stated_notices.rs
@@ -104,13 +104,17 @@
 const COUNTED_RANGE: (u64, u64) = (6_000, 14_000);
 
 /// Runs scenarios in which the first `limited` back ends of a service state a limit, and sums the
-/// outcomes of all seeds.
-fn outcomes_under_limits(service: &str, limited: usize, rate: u32) -> Outcomes {
+/// outcomes of all seeds. The back ends of the service take `slowdown` times as long as others.
+fn outcomes_under_limits(service: &str, slowdown: u64, limited: usize, rate: u32) -> Outcomes {
     let position = SERVICES.iter().position(|name| *name == service);
     let first = position.expect("a simulated service");
     let mut sum = Outcomes::default();
     for seed in 0..10 {
         let mut world = World::new(seed, InjectedBug::None, CALLERS_AND_SCENARIO_END.0);
+        for host in (first..world.size()).step_by(SERVICES.len()) {
+            let fault = Fault::Slow(host, slowdown);
+            world.schedule(COUNTED_RANGE.0 / 2, WorldEvent::Fault(fault));
+        }
         for number in 0..limited {
             let host = first + number * SERVICES.len();
             let fault = Fault::StateRateLimit(host, Some(rate));
@@ -130,15 +134,23 @@
 #[gtest]
 fn nothing_is_refused_while_a_back_end_without_a_limit_has_room() {
     for limited_back_ends in 1..=2 {
-        let outcomes = outcomes_under_limits("deep", limited_back_ends, 12);
+        let outcomes = outcomes_under_limits("deep", 1, limited_back_ends, 12);
         expect_that!(outcomes.requests, gt(10_000));
         expect_that!(outcomes.refused, eq(0), "{limited_back_ends} limited");
     }
 }
 
+#[gtest]
+fn limited_back_ends_do_not_close_their_service_while_the_last_one_has_room() {
+    // The third back end has half of its slots in use on average.
+    let outcomes = outcomes_under_limits("front", 5, 2, 5);
+    expect_that!(outcomes.requests, gt(10_000));
+    expect_that!(outcomes.refused * 500, le(outcomes.requests));
+}
+
 #[gtest]
 fn few_chains_begin_that_a_limited_service_cannot_complete() {
-    let limited = outcomes_under_limits("deep", 3, 12);
+    let limited = outcomes_under_limits("deep", 1, 3, 12);
     // Without early refusal, most of the unserved requests fail after work was done for them.
     let not_served = limited.requests - limited.served;
     expect_that!(limited.failed_after_work * 2, le(not_served));
