Membership: a node whose request to leave has become void votes again at once

Cause: a node that has requested its removal does not vote, since it may be removed at any time. The request names the view from which it may be removed and is void in a later one, in which the other node has left; but the vote was withheld until the next tick had taken the request back.

Change: the vote depends on whether the removal from the current view is requested. What remains: while both have requested their removal from one view (0.2 s there), neither votes.

--- a/crates/rillgap-core/src/membership/leaving.rs
+++ b/crates/rillgap-core/src/membership/leaving.rs
@@ -49,13 +49,9 @@
         }
     }
 
-    /// Returns whether the removal is requested; the node does not vote then.
-    pub const fn is_requested(&self) -> bool {
-        self.request.is_some()
-    }
-
-    /// Returns whether the removal from this view is requested. It may happen at any time then.
-    fn is_requested_from(&self, view: ViewVersion) -> bool {
+    /// Returns whether the removal from this view is requested. It may happen at any time then, so the
+    /// node does not vote.
+    pub fn is_requested_from(&self, view: ViewVersion) -> bool {
         self.request.is_some_and(|request| request.view == view)
     }
 
--- a/crates/rillgap-core/src/membership/protocol.rs
+++ b/crates/rillgap-core/src/membership/protocol.rs
@@ -307,7 +307,10 @@
         let has_lease = self
             .lease
             .is_some_and(|lease| now.saturating_since(lease) <= VOTE_LEASE);
-        let is_removal_requested = self.leave.as_ref().is_some_and(Leave::is_requested);
+        // A request for the removal from an earlier view is void.
+        let view = self.view.version;
+        let leave = self.leave.as_ref();
+        let is_removal_requested = leave.is_some_and(|leave| leave.is_requested_from(view));
         not_paused && has_lease && self.is_in_service() && !is_removal_requested
     }
 
--- a/crates/rillgap-core/tests/membership_leaves.rs
+++ b/crates/rillgap-core/tests/membership_leaves.rs
@@ -221,3 +221,41 @@
     let member = observer.mesh.view(leaving).member(leaving);
     expect_that!(member, none());
 }
+
+/// Interval between two checks of a node whose request may become void.
+const VOTE_CHECK_INTERVAL: Duration = Duration::from_millis(2);
+
+/// Guards against bookings without a known result while two nodes stop at the same time: once the
+/// first one has left, the request of the other one is void, and it must vote again at once, not at
+/// its next tick.
+#[googletest::test]
+fn node_whose_request_to_leave_became_void_votes_again_at_once() {
+    let mut void_requests = 0;
+    for seed in 0..30 {
+        let mut random = ChaCha8Rng::seed_from_u64(seed);
+        let leaving = [node(1, 0), node(2, 0)];
+        let mut observer = Observer::start([1, 3, 3], &mut random, node(1, 2));
+        for node in leaving {
+            observer.leave(node);
+            let pause = Duration::from_millis(random.random_range(0..250));
+            observer.mesh.run(pause);
+        }
+        let mesh = &mut observer.mesh;
+        let end = mesh.now + Duration::from_secs(3);
+        while mesh.now < end {
+            let before = leaving.map(|node| mesh.view(node).version);
+            let voted = leaving.map(|node| mesh.membership(node).may_vote(mesh.clock()));
+            mesh.run(VOTE_CHECK_INTERVAL);
+            for (index, node) in leaving.into_iter().enumerate() {
+                let is_member = mesh.view(node).member(node).is_some();
+                let has_changed = mesh.view(node).version != before[index];
+                if has_changed && is_member && !voted[index] {
+                    void_requests += 1;
+                    let votes = mesh.membership(node).may_vote(mesh.clock());
+                    expect_that!(votes, eq(true), "seed {seed}");
+                }
+            }
+        }
+    }
+    expect_that!(void_requests, ge(20));
+}
