Inbound side: a permit that no free slot can use does not wake the node up again and again

With all slots taken, requests queued and the bucket of a stated rate limit filled meanwhile, the next wake-up lay in the past, so the timer fired without end until a slot was free. Found by reading; the test failed before (next wake-up at 80 ms at 176 ms). The bucket is filled up to the present at each poll. Two tests more: a late answer of an earlier incarnation does not replace the limit of the current one.

--- a/crates/rillgap-forward/src/inbound/mod.rs
+++ b/crates/rillgap-forward/src/inbound/mod.rs
@@ -490,6 +490,7 @@
     /// Performs all work that is due at `now`.
     pub fn poll(&mut self, now: Instant, table: Option<&RouteTable>, out: &mut Actions) {
         self.back_end.poll(now);
+        self.stated_rate.poll(now);
         self.update_level(now);
         self.update_failure_rate(now);
         self.poll_lost_requests(now);
--- a/crates/rillgap-forward/src/inbound/stated_rate.rs
+++ b/crates/rillgap-forward/src/inbound/stated_rate.rs
@@ -94,8 +94,8 @@
 #[derive(Clone, Debug, Default)]
 pub(super) struct StatedRate {
     limit: Option<Limit>,
-    /// Incarnation that has sent an answer to this node.
-    heard_from: Option<Incarnation>,
+    /// Last incarnation from which this node has received an answer.
+    answered: Option<Incarnation>,
 }
 
 impl StatedRate {
@@ -114,7 +114,9 @@
     pub fn report(&self, incarnation: Option<&Incarnation>) -> RateLimitReport {
         match self.rate(incarnation) {
             Some(rate) => RateLimitReport::Limited(rate),
-            None if self.heard_from.as_ref() == incarnation => RateLimitReport::Unlimited,
+            None if incarnation.is_some() && self.answered.as_ref() == incarnation => {
+                RateLimitReport::Unlimited
+            }
             None => RateLimitReport::Unknown,
         }
     }
@@ -127,8 +129,8 @@
         notice: RateLimitNotice,
     ) -> bool {
         let before = self.rate(Some(incarnation));
-        if self.heard_from.as_ref() != Some(incarnation) {
-            self.heard_from = Some(incarnation.clone());
+        if self.answered.as_ref() != Some(incarnation) {
+            self.answered = Some(incarnation.clone());
         }
         match notice {
             RateLimitNotice::Unreadable => {}
@@ -145,7 +147,7 @@
     /// Adopts the limit of an incarnation that a peer remembers, unless this node has had answers
     /// of it or adopted a lower limit. Returns whether the rate has changed.
     pub fn adopt(&mut self, now: Instant, incarnation: &Incarnation, rate: RequestRate) -> bool {
-        if self.heard_from.as_ref() == Some(incarnation) {
+        if self.answered.as_ref() == Some(incarnation) {
             return false;
         }
         let before = self.rate(Some(incarnation));
@@ -180,7 +182,16 @@
             .map_or(Duration::ZERO, |limit| limit.time_until(now, count as f64))
     }
 
-    /// Returns when the limit of an incarnation permits the next request; `None` without a limit.
+    /// Fills the bucket up to `now`. Must be called before [`Self::next_permit`], which would otherwise
+    /// return a time in the past while no slot is free.
+    pub fn poll(&mut self, now: Instant) {
+        if let Some(limit) = &mut self.limit {
+            limit.refill(now);
+        }
+    }
+
+    /// Returns when the limit of an incarnation permits the next request; `None` if it permits one
+    /// already.
     pub fn next_permit(&self, incarnation: Option<&Incarnation>) -> Option<Instant> {
         let limit = self.limit_of(incarnation)?;
         let wait = limit.time_until(limit.refilled_at, 1.0);
--- a/crates/rillgap-forward/tests/stated_rate.rs
+++ b/crates/rillgap-forward/tests/stated_rate.rs
@@ -407,3 +407,40 @@
     test.request(1, caller_request("b", "/safe/1"));
     expect_that!(test.sent().len(), eq(1));
 }
+
+#[gtest]
+fn late_answer_of_an_earlier_incarnation_does_not_replace_the_limit_of_the_current_one() {
+    let mut test = TestNode::serving();
+    let link = test.accept(50);
+    test.forward(link, 1, forwarded_request("early", true));
+    let early = test.exchanges()[0].id;
+    test.heartbeat_of("i-2", 1, AnnouncedState::Ready);
+    test.confirm("i-2");
+    state(&mut test, link, 2, limited(10.0));
+    let notice = BackEndNotice {
+        rate_limit: limited(500.0),
+        is_leaving: false,
+    };
+    let exchange = early;
+    test.event(Event::BackEndNotice { exchange, notice });
+    expect_that!(test.node.inbound().rate_limit(), some(eq(rate(10.0))));
+}
+
+#[gtest]
+fn node_does_not_wake_up_for_a_permit_that_no_free_slot_can_use() {
+    let mut test = TestNode::serving();
+    let link = test.accept(50);
+    state(&mut test, link, 1, limited(50.0));
+    // The three usable slots are taken one by one, and others wait.
+    for sequence in 2..8 {
+        test.advance(21);
+        let request = ForwardedRequest {
+            queue_limit_micros: 700_000,
+            ..forwarded_request(&format!("r{sequence}"), true)
+        };
+        test.forward(link, sequence, request);
+    }
+    test.advance(50);
+    expect_that!(test.node.inbound().load().total_queued(), gt(0));
+    expect_that!(test.node.next_wake(), gt(support::at(test.now)));
+}
