--- a/crates/rillgap-forward/src/inbound/mod.rs
+++ b/crates/rillgap-forward/src/inbound/mod.rs
@@ -402,13 +402,17 @@
         let Some(running) = self.running.get(&exchange) else {
             return;
         };
-        let incarnation = running.incarnation.clone();
-        let request_id = running.request.request_id.clone();
-        let before = self.stated_rate.rate(Some(&incarnation));
-        if self
+        let incarnation = &running.incarnation;
+        let before = self.stated_rate.rate(Some(incarnation));
+        let has_changed = self
             .stated_rate
-            .observe(now, &incarnation, notice.rate_limit)
-        {
+            .observe(now, incarnation, notice.rate_limit);
+        if !has_changed && !notice.is_leaving {
+            return;
+        }
+        let incarnation = incarnation.clone();
+        let request_id = running.request.request_id.clone();
+        if has_changed {
             self.on_rate_limit_changed(&incarnation, before, &request_id, "answer", out);
         }
         if notice.is_leaving {
