Sight: why a request is shed at the entry, and when a back end's level begins and ends

A refusal with code 40 had no record in log or metrics, so that the causes of refusals in a fresh deployment could not be told apart. Each request that is shed at the entry is logged with the deciding level and its reports with their ages, bounded like other records of single requests; start and end of a level at the back end's node with limit, running and queued requests, demand.

--- a/crates/rillgap-core/src/action.rs
+++ b/crates/rillgap-core/src/action.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 
+use crate::admission::{LevelChange, ShedRequest};
 use crate::claim::RefusedClaim;
 use crate::code::ResultCode;
 use crate::event::InboundId;
@@ -36,7 +37,7 @@
 }
 
 /// An operation for the driver.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub enum Action {
     /// Refuse an inbound request.
     Refuse {
@@ -119,7 +120,7 @@
 }
 
 /// An event that is recorded in logs or metrics.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub enum Observation {
     /// An inbound request was answered in full.
     Answered {
@@ -152,6 +153,10 @@
         /// View in force.
         view: crate::id::ViewVersion,
     },
+    /// A root request was shed at the entry.
+    Shed(Box<ShedRequest>),
+    /// The local back end began or ended to ask for requests to be shed.
+    LevelChanged(LevelChange),
     /// A claim ended without a majority of its replicas.
     ClaimRefused(Box<RefusedClaim>),
     /// A keyed request was refused before its key was looked up.
--- a/crates/rillgap-core/src/admission/back_end.rs
+++ b/crates/rillgap-core/src/admission/back_end.rs
@@ -7,6 +7,7 @@
 use super::limit::ConcurrencyLimit;
 use super::mode::{AdmissionSettings, ControlMode};
 use super::queue::{ClassQueue, Queued};
+use super::record::LevelChange;
 use super::report::{LoadReport, ServiceLoad, merge_service_loads};
 use super::service_time::ServiceTimes;
 use super::threshold::{Threshold, WindowLoad};
@@ -60,6 +61,8 @@
     running: BTreeMap<AttemptId, Running>,
     /// Decisions to return from the next [`BackEndAdmission::poll`].
     decisions: Vec<QueueDecision>,
+    /// Start or end of shedding that was not taken yet.
+    level_change: Option<LevelChange>,
 }
 
 impl BackEndAdmission {
@@ -145,6 +148,11 @@
         std::mem::take(&mut self.decisions)
     }
 
+    /// Removes and returns the last start or end of shedding.
+    pub fn take_level_change(&mut self) -> Option<LevelChange> {
+        self.level_change.take()
+    }
+
     /// Returns the time at which [`Self::poll`] must be called next; `None` if no ticket is queued.
     pub fn next_wake(&self) -> Option<Instant> {
         self.queue.next_cutoff()
@@ -324,7 +332,19 @@
                 .map(|class| (class.index() as u8, self.queue.class_len(class)))
                 .into(),
         };
+        let before = self.threshold.level();
         self.threshold.update(now, &load);
+        let after = self.threshold.level();
+        if (before == Level(0)) != (after == Level(0)) {
+            self.level_change = Some(LevelChange {
+                level: after,
+                limit: self.current_limit(),
+                running: self.running.len(),
+                queued: self.queue.len(),
+                demand: self.threshold.demand(),
+                mean_occupancy_micros: load.mean_service_micros,
+            });
+        }
     }
 
     fn refuse_expired(&mut self, now: Instant) {
--- a/crates/rillgap-core/src/admission/entry.rs
+++ b/crates/rillgap-core/src/admission/entry.rs
@@ -6,6 +6,7 @@
 
 use super::level::Level;
 use super::mode::{AdmissionSettings, ControlMode};
+use super::record::ShedRequest;
 use super::report::LoadReport;
 use super::reported::{Involvement, ServiceLevels};
 use crate::code::ResultCode;
@@ -82,6 +83,32 @@
         })
     }
 
+    /// Returns the inputs of the decision on a request, for logs.
+    pub fn describe(&self, now: Instant, request: RootRequest<'_>) -> ShedRequest {
+        let own = (request.service, self.level_of(now, request.service));
+        let involved = self.involvement.get(&request.route);
+        let downstream = involved
+            .into_iter()
+            .flat_map(Involvement::services)
+            .map(|name| (name, self.level_of(now, name)));
+        let (overloaded, threshold) =
+            downstream.fold(
+                own,
+                |highest, next| if next.1 > highest.1 { next } else { highest },
+            );
+        let reports = self
+            .levels
+            .get(overloaded)
+            .map(|levels| levels.reports(now));
+        ShedRequest {
+            service: request.service.clone(),
+            level: Level::of(request.class, request.root),
+            overloaded: overloaded.clone(),
+            threshold,
+            reports: reports.unwrap_or_default(),
+        }
+    }
+
     /// Records the levels that an answer or refusal of a service carried.
     pub fn record_levels(&mut self, now: Instant, _service: &ServiceName, load: &LoadReport) {
         for reported in &load.services {
@@ -110,12 +137,17 @@
 
     /// Returns the highest level of the services that requests of the route involve.
     fn threshold(&self, now: Instant, service: &ServiceName, route: RouteId) -> f64 {
-        let level_of = |name: &ServiceName| self.levels.get(name).map_or(0.0, |at| at.at(now));
-        let own = level_of(service);
+        let own = self.level_of(now, service);
         let Some(involved) = self.involvement.get(&route) else {
             return own;
         };
-        involved.services().map(level_of).fold(own, f64::max)
+        let downstream = involved.services().map(|name| self.level_of(now, name));
+        downstream.fold(own, f64::max)
+    }
+
+    fn level_of(&self, now: Instant, service: &ServiceName) -> f64 {
+        let levels = self.levels.get(service);
+        levels.map_or(0.0, |levels| levels.at(now))
     }
 }
 
--- a/crates/rillgap-core/src/admission/reported.rs
+++ b/crates/rillgap-core/src/admission/reported.rs
@@ -4,6 +4,8 @@
 use std::time::Duration;
 
 use super::level::Level;
+use super::record::ReportRecord;
+use crate::id::NodeId;
 use crate::time::{Instant, micros};
 
 /// Time constant of the smoothing of reported levels, in microseconds.
@@ -78,6 +80,19 @@
             .report(now, level);
     }
 
+    /// Returns the smoothed level of each reporter, for logs.
+    pub fn reports(&self, now: Instant) -> Vec<ReportRecord>
+    where
+        R: Into<NodeId> + Copy,
+    {
+        let records = self.reporters.iter().map(|(reporter, level)| ReportRecord {
+            reporter: (*reporter).into(),
+            level: level.at(now),
+            age: level.age(now),
+        });
+        records.collect()
+    }
+
     /// Returns the median level of the reporters with a recent report, or of all if none has one.
     ///
     /// With a mean, a single overloaded back end could shed a class that most of the others have
--- a/crates/rillgap-core/src/admission/threshold.rs
+++ b/crates/rillgap-core/src/admission/threshold.rs
@@ -117,6 +117,14 @@
         Level(self.level as u32)
     }
 
+    /// Returns the estimated demand of all tiers, as a fraction of the concurrency limit.
+    pub fn demand(&self) -> f64 {
+        let tiers = self.demand.iter();
+        tiers
+            .map(|(tier, demand)| demand.density() * (top(*tier) - floor(*tier)))
+            .sum()
+    }
+
     /// Records the arrival of a request that is expected to occupy a slot for `work_micros`.
     pub fn record_arrival(&mut self, level: Level, work_micros: f64) {
         if f64::from(level.0) < self.min_counted_level() {
--- a/crates/rillgap-core/src/call/attempt_runner/mod.rs
+++ b/crates/rillgap-core/src/call/attempt_runner/mod.rs
@@ -5,6 +5,7 @@
 use rand_chacha::ChaCha8Rng;
 use rand_chacha::rand_core::SeedableRng;
 
+use crate::action::{Action, Observation};
 use crate::admission::{BackEndAdmission, LoadReport, QueueDecision};
 use crate::call::answer_recorder::AnswerRecorder;
 use crate::call::children::Children;
@@ -181,6 +182,9 @@
                 }
             }
         }
+        if let Some(change) = self.admission.take_level_change() {
+            ports.emit(Action::Observe(Observation::LevelChanged(change)));
+        }
     }
 }
 
--- a/crates/rillgap-core/src/call/entry.rs
+++ b/crates/rillgap-core/src/call/entry.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use crate::action::{Action, Observation};
-use crate::admission::{RootRequest, RouteId};
+use crate::admission::{EntryAdmission, RootRequest, RouteId};
 use crate::call::attempt_runner::{AttemptRunner, Parent};
 use crate::call::outgoing::{OutgoingCall, ParentLink};
 use crate::call::ports::Ports;
@@ -63,7 +63,7 @@
             class: route.class,
             root,
         };
-        sender.entry_admission.admit(now.instant, request)?;
+        admit_load(now, &mut sender.entry_admission, request, ports)?;
     }
     let call = new_call(now, inbound, request, &route, sender, ports);
     sender.open_pool(call.id, RetryPool::new(policy.bounds.extra_attempts));
@@ -74,6 +74,26 @@
     })
 }
 
+/// Decides whether the load of the services that a root request involves admits it, and records
+/// why not.
+///
+/// # Errors
+///
+/// Returns the refusal if one of them would shed the request.
+pub fn admit_load(
+    now: Now,
+    admission: &mut EntryAdmission,
+    request: RootRequest<'_>,
+    ports: &mut Ports<'_, '_>,
+) -> Result<(), Refusal> {
+    let admitted = admission.admit(now.instant, request);
+    if admitted.is_err() {
+        let shed = admission.describe(now.instant, request);
+        ports.emit(Action::Observe(Observation::Shed(Box::new(shed))));
+    }
+    admitted
+}
+
 fn admit_child(
     now: Now,
     inbound: InboundId,
--- a/crates/rillgap-core/src/call/sender/claims.rs
+++ b/crates/rillgap-core/src/call/sender/claims.rs
@@ -6,6 +6,7 @@
 use crate::action::{Action, Observation};
 use crate::admission::RootRequest;
 use crate::call::attempt_runner::AttemptRunner;
+use crate::call::entry;
 use crate::call::outgoing::Phase;
 use crate::call::ports::Ports;
 use crate::claim::{ClaimEvent, ClaimResult, RememberedAnswer};
@@ -67,7 +68,7 @@
             class: call.class,
             root: call.root,
         };
-        let admitted = self.entry_admission.admit(now.instant, request);
+        let admitted = entry::admit_load(now, &mut self.entry_admission, request, ports);
         match admitted {
             Ok(()) => self.dispatch(now, attempt, runner, ports),
             Err(refusal) => self.refuse_and_release(now, attempt, refusal, runner, ports),
--- a/crates/rillgap-node/src/event_log.rs
+++ b/crates/rillgap-node/src/event_log.rs
@@ -5,6 +5,7 @@
 
 use rillgap_clock::SteadyClock;
 use rillgap_core::action::Observation;
+use rillgap_core::admission::{LevelChange, ShedRequest};
 use rillgap_core::claim::RefusedClaim;
 use rillgap_core::membership::{RemovalRecord, ViewTransition, ViewWrite};
 use rillgap_core::time::Instant;
@@ -62,6 +63,16 @@
                     record_claim(claim);
                 }
             }
+            Observation::Shed(shed) => {
+                if self.admits_request_record() {
+                    record_shed(shed);
+                }
+            }
+            Observation::LevelChanged(change) => {
+                if self.admits_request_record() {
+                    record_level(change);
+                }
+            }
             Observation::KeyUnchecked { inbound, reason } => {
                 if self.admits_request_record() {
                     log::warn!(
@@ -129,6 +140,24 @@
     );
 }
 
+fn record_shed(shed: &ShedRequest) {
+    log::warn!(
+        service = shed.service.as_str(), level = shed.level.0,
+        overloaded = shed.overloaded.as_str(), threshold = shed.threshold,
+        reports = list(&shed.reports).as_str();
+        "node: request shed at the entry"
+    );
+}
+
+fn record_level(change: &LevelChange) {
+    log::info!(
+        level = change.level.0, limit = change.limit, running = change.running,
+        queued = change.queued, demand = change.demand,
+        mean_micros = change.mean_occupancy_micros;
+        "node: level below which the back end sheds"
+    );
+}
+
 /// Formats at most [`MAX_NAMED_NODES`] items and the number of the others.
 fn list(items: &[impl Display]) -> String {
     let named: Vec<String> = items
--- a/crates/rillgap-node/src/metrics.rs
+++ b/crates/rillgap-node/src/metrics.rs
@@ -157,6 +157,8 @@
             | Observation::Leaving
             | Observation::LeaveDeferred { .. }
             | Observation::ClaimRefused(_)
+            | Observation::Shed(_)
+            | Observation::LevelChanged(_)
             | Observation::KeyUnchecked { .. } => {}
         }
     }
