Admission: the first requests of a lower tier are not shed by an idle back end

Cause: the level that sheds nothing is the floor of the lowest tier seen so far. It is published as 0 because it is compared with that floor. With the first request of a lower tier the floor falls, the level stays, and counts as one that sheds the whole new tier; it then comes down over some 1.5 s.

Evidence: records of requests shed at the entry: threshold 24576, the floor of the class of bookings, from the first browse on, with no queue, 1 request running of a limit of 5, demand 0.05 of the limit; no record of a level that began. Ruled out: the limit of slow start, the estimated time of a class with few samples (both need a queue or demand), the stop of the entry (occurs without one).

Change: a new tier moves a level that sheds nothing to its floor at once.

Test: first_requests_of_a_lower_tier_are_not_shed_while_nothing_is_shed, failed before (level 16465 after 15 windows where 0 is expected).

--- a/crates/rillgap-core/src/admission/threshold.rs
+++ b/crates/rillgap-core/src/admission/threshold.rs
@@ -131,10 +131,25 @@
             return;
         }
         let tier = level.tier();
-        self.demand
-            .entry(tier)
-            .or_insert_with(|| TierDemand::new(tier, self.tuning.demand_weight))
-            .record_arrival(level, work_micros);
+        if !self.demand.contains_key(&tier) {
+            self.add_tier(tier);
+        }
+        if let Some(demand) = self.demand.get_mut(&tier) {
+            demand.record_arrival(level, work_micros);
+        }
+    }
+
+    /// Adds a tier without recorded arrivals.
+    ///
+    /// While nothing is shed, the level is the floor of the lowest known tier. It moves to that of
+    /// a lower tier at once, since it would otherwise shed the whole new tier.
+    fn add_tier(&mut self, tier: u8) {
+        let sheds_nothing = self.level() == Level(0);
+        let demand = TierDemand::new(tier, self.tuning.demand_weight);
+        self.demand.insert(tier, demand);
+        if sheds_nothing {
+            self.level = self.lowest_known_floor();
+        }
     }
 
     /// Returns whether the control window is over and [`Self::update`] must be called.
--- a/crates/rillgap-core/tests/admission_threshold.rs
+++ b/crates/rillgap-core/tests/admission_threshold.rs
@@ -61,3 +61,21 @@
     );
     expect_that!(level, lt(Level::tier_floor(HIGH)));
 }
+
+/// Guards against requests that are shed by an idle back end because they are the first ones of a
+/// lower tier: the level that sheds nothing of the tiers seen so far must not shed that tier.
+#[gtest]
+fn first_requests_of_a_lower_tier_are_not_shed_while_nothing_is_shed() {
+    let mut threshold = Threshold::new(Tuning::default());
+    for number in 1..WINDOWS {
+        arrive(&mut threshold, HIGH, 1);
+        end_window(&mut threshold, number, 0);
+    }
+    arrive(&mut threshold, LOW, 1);
+    expect_that!(threshold.level(), eq(Level(0)));
+    for number in WINDOWS..2 * WINDOWS {
+        arrive(&mut threshold, LOW, 1);
+        end_window(&mut threshold, number, 0);
+        expect_that!(threshold.level(), eq(Level(0)), "window {number}");
+    }
+}
