Claims: a claim waits for replicas that will vote again

What callers saw: a booking refused with 74 while two nodes stop at one time, and lost if the next four attempts meet stopping entries.

Cause: a claim whose replicas abstain ends after its first round, some milliseconds, unless their groups differ. A replica without a lease votes again by itself: its request to leave becomes void, or its lease is renewed.

Change: if enough replicas granted or abstained for a reason that ends by itself (no lease, group differs, key ahead of the replica's clock), the votes are released and another round begins after a backoff, for at most 1 s (the default Retry-After, after which the caller would come back), 24 rounds, 256 waiting claims a node, and never beyond the request's deadline. Replicas that are not eligible never become so for a given key, and those that do not answer are not waited for: then the claim is refused at once, as before. Rounds lost to racing claimants are counted by themselves. Logged: what a granted claim had waited for and how long, votes of the last round also of a claim that ends in a pause; metric rillgap_delayed_claims.

Tests: claim_waits_for_replicas_that_will_vote_again, claim_waits_for_a_majority_for_at_most_a_second and number_of_claims_that_wait_for_a_majority_is_bounded failed before; claim_is_refused_at_once_without_enough_replicas_that_may_ever_vote holds the other side.

--- a/crates/rillgap-core/src/action.rs
+++ b/crates/rillgap-core/src/action.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 
 use crate::admission::{LevelChange, ShedRequest};
-use crate::claim::RefusedClaim;
+use crate::claim::{DelayedClaim, RefusedClaim};
 use crate::code::ResultCode;
 use crate::event::InboundId;
 use crate::id::{AttemptId, BackEndName, CallToken, NodeId};
@@ -159,6 +159,8 @@
     LevelChanged(LevelChange),
     /// A claim ended without a majority of its replicas.
     ClaimRefused(Box<RefusedClaim>),
+    /// A claim was granted after it had waited for replicas to vote again.
+    ClaimDelayed(Box<DelayedClaim>),
     /// A keyed request was refused before its key was looked up.
     KeyUnchecked {
         /// Identifier of the inbound request.
--- a/crates/rillgap-core/src/claim/claimant/guard_query.rs
+++ b/crates/rillgap-core/src/claim/claimant/guard_query.rs
@@ -39,7 +39,7 @@
             KeyState::OtherIncarnation | KeyState::Failed => ResultCode::ResultLost,
             KeyState::OtherRequest => ResultCode::KeyReused,
         };
-        self.refuse(reply.claimant, code);
+        self.refuse(now, reply.claimant, code);
     }
 
     pub(super) fn query_guard(
@@ -50,7 +50,7 @@
         electorate: &dyn Electorate,
     ) {
         if electorate.address(holder.guard.node).is_none() {
-            self.refuse(attempt, ResultCode::AnswerLost);
+            self.refuse(now, attempt, ResultCode::AnswerLost);
             return;
         }
         let Some(pending) = self.pending.get_mut(&attempt) else {
--- a/crates/rillgap-core/src/claim/claimant/mod.rs
+++ b/crates/rillgap-core/src/claim/claimant/mod.rs
@@ -9,7 +9,7 @@
 
 use crate::claim::electorate::Electorate;
 use crate::claim::message::{ClaimMessage, Release, Round};
-use crate::claim::record::RefusedClaim;
+use crate::claim::record::{DelayedClaim, RefusedClaim};
 use crate::claim::settings::{ClaimSettings, KeyAge};
 use crate::claim::{ClaimEvent, ClaimRequest, ClaimResult};
 use crate::code::ResultCode;
@@ -37,6 +37,9 @@
     events: VecDeque<ClaimEvent>,
     outgoing: VecDeque<Outgoing>,
     refused: VecDeque<RefusedClaim>,
+    delayed: VecDeque<DelayedClaim>,
+    /// Number of pending claims that wait, or have waited, for replicas to vote again.
+    waiting: usize,
 }
 
 /// Claim that was granted and not yet released or ended.
@@ -140,6 +143,11 @@
         self.refused.pop_front()
     }
 
+    /// Removes and returns the next record of a claim that was granted after a wait.
+    pub fn take_delayed(&mut self) -> Option<DelayedClaim> {
+        self.delayed.pop_front()
+    }
+
     fn on_timer(
         &mut self,
         now: Now,
@@ -151,7 +159,7 @@
             return;
         };
         if now.instant >= pending.request.deadline {
-            self.refuse(attempt, ResultCode::NoQuorum);
+            self.refuse(now, attempt, ResultCode::NoQuorum);
             return;
         }
         match &pending.stage {
@@ -159,9 +167,9 @@
                 self.conclude(now, attempt, true, settings, electorate);
             }
             Stage::Voting { .. } => self.resend_claims(now, attempt),
-            Stage::BackingOff => self.begin_round(now, attempt, electorate),
+            Stage::BackingOff { .. } => self.begin_round(now, attempt, electorate),
             Stage::QueryingGuard { reply_deadline, .. } if now.instant >= *reply_deadline => {
-                self.refuse(attempt, ResultCode::AnswerLost);
+                self.refuse(now, attempt, ResultCode::AnswerLost);
             }
             Stage::QueryingGuard { .. } => self.send_guard_query(now, attempt),
         }
@@ -169,11 +177,11 @@
 
     /// Ends a pending claim with a refusal, and releases its votes so that they block no other
     /// claim.
-    pub(super) fn refuse(&mut self, attempt: AttemptId, code: ResultCode) {
+    pub(super) fn refuse(&mut self, now: Now, attempt: AttemptId, code: ResultCode) {
         if code == ResultCode::NoQuorum
             && let Some(pending) = self.pending.get(&attempt)
         {
-            self.refused.push_back(pending.refused_record(code));
+            self.refused.push_back(pending.refused_record(now, code));
         }
         self.finish(attempt, ClaimResult::Refused(refusal(code)));
     }
@@ -213,6 +221,7 @@
     pub(super) fn remove_pending(&mut self, attempt: AttemptId) -> Option<PendingClaim> {
         let pending = self.pending.remove(&attempt)?;
         self.timers.remove(&(pending.wake, attempt));
+        self.waiting -= usize::from(pending.quorum_wait.is_some());
         Some(pending)
     }
 
--- a/crates/rillgap-core/src/claim/claimant/tally.rs
+++ b/crates/rillgap-core/src/claim/claimant/tally.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeSet;
 
-use crate::claim::message::{AbstainReason, KeyHolder, Vote};
+use crate::claim::message::{KeyHolder, Vote};
 use crate::claim::record::BallotRecord;
 use crate::id::{AttemptId, NodeId};
 use crate::view::View;
@@ -119,11 +119,15 @@
         Conclusion::NoQuorum
     }
 
-    /// Returns whether a replica abstained because its replica group differs from the claimant's.
-    pub fn views_differ(&self) -> bool {
-        self.ballots
-            .iter()
-            .any(|ballot| ballot.vote == Some(Vote::Abstained(AbstainReason::DifferentGroup)))
+    /// Returns whether a later round may have a majority: enough replicas granted the claim or
+    /// abstained for a reason that ends by itself. Those that did not reply are not counted.
+    pub fn may_win_later(&self) -> bool {
+        let may_grant = |ballot: &&Ballot| match &ballot.vote {
+            Some(Vote::Granted { .. }) => true,
+            Some(Vote::Abstained(reason)) => reason.is_temporary(),
+            Some(Vote::Held(_) | Vote::Dead) | None => false,
+        };
+        self.ballots.iter().filter(may_grant).count() >= self.majority()
     }
 
     const fn majority(&self) -> usize {
--- a/crates/rillgap-core/src/claim/claimant/voting.rs
+++ b/crates/rillgap-core/src/claim/claimant/voting.rs
@@ -2,19 +2,19 @@
 
 use std::sync::Arc;
 
-use super::pending::Stage;
+use super::pending::{QuorumWait, Stage};
 use super::tally::{Conclusion, Tally};
 use super::{Claimant, HeldClaim};
 use crate::claim::ClaimResult;
 use crate::claim::electorate::{Electorate, replica_group};
 use crate::claim::message::{ClaimMessage, KeyHolder, VoteReply};
 use crate::claim::settings::{
-    ClaimSettings, MAX_RACING_ROUNDS, MAX_ROUNDS, ROUND_TIMEOUT, UNCHARGED_ATTEMPTS,
-    VOTE_RESEND_INTERVAL,
+    ClaimSettings, MAX_RACING_ROUNDS, MAX_ROUNDS, MAX_WAITING_CLAIMS, ROUND_TIMEOUT,
+    UNCHARGED_ATTEMPTS, VOTE_RESEND_INTERVAL,
 };
 use crate::code::ResultCode;
 use crate::id::{AttemptId, NodeId};
-use crate::time::Now;
+use crate::time::{Instant, Now};
 
 impl Claimant {
     /// Handles the vote of a replica; ignores votes of other rounds.
@@ -49,14 +49,14 @@
             return;
         };
         if pending.round.0 >= MAX_ROUNDS {
-            self.refuse(attempt, ResultCode::NoQuorum);
+            self.refuse(now, attempt, ResultCode::NoQuorum);
             return;
         }
         pending.round.0 += 1;
         pending.view = Arc::clone(electorate.view());
         pending.group = replica_group(electorate.view(), pending.request.keyed.key);
         if pending.group.is_empty() {
-            self.refuse(attempt, ResultCode::NoQuorum);
+            self.refuse(now, attempt, ResultCode::NoQuorum);
             return;
         }
         pending.stage = Stage::Voting {
@@ -106,8 +106,8 @@
                 holder,
                 by_majority,
             } => self.lose(now, attempt, holder, by_majority, electorate),
-            Conclusion::Dead => self.refuse(attempt, ResultCode::InProgress),
-            Conclusion::NoQuorum => self.pause_or_refuse(now, attempt),
+            Conclusion::Dead => self.refuse(now, attempt, ResultCode::InProgress),
+            Conclusion::NoQuorum => self.wait_or_refuse(now, attempt),
         }
     }
 
@@ -126,7 +126,7 @@
             .get(&attempt)
             .is_none_or(|pending| now.instant >= pending.request.deadline);
         if expired {
-            self.refuse(attempt, ResultCode::NoQuorum);
+            self.refuse(now, attempt, ResultCode::NoQuorum);
             return;
         }
         let extra_attempts = usize::from(settings.extra_attempts);
@@ -137,12 +137,13 @@
             } else {
                 ResultCode::NoQuorum
             };
-            self.refuse(attempt, code);
+            self.refuse(now, attempt, code);
             return;
         }
         let Some(pending) = self.remove_pending(attempt) else {
             return;
         };
+        self.delayed.extend(pending.delayed_record(now));
         let held = HeldClaim {
             key: pending.request.keyed.key,
             protected_until: pending.protected_until(),
@@ -165,36 +166,59 @@
         electorate: &dyn Electorate,
     ) {
         self.release_votes(attempt);
-        let Some(pending) = self.pending.get(&attempt) else {
+        let Some(pending) = self.pending.get_mut(&attempt) else {
             return;
         };
         let racing = holder.protected && !holder.completed && !by_majority;
-        if racing && pending.round.0 < MAX_RACING_ROUNDS {
-            self.pause(now, attempt);
+        if racing && pending.lost_rounds + 1 < MAX_RACING_ROUNDS {
+            pending.lost_rounds += 1;
+            let wake = now.instant + pending.backoff();
+            self.pause(attempt, wake);
             return;
         }
         self.query_guard(now, attempt, holder, electorate);
     }
 
-    /// Starts another round after a backoff if membership views differ, or else refuses.
-    fn pause_or_refuse(&mut self, now: Now, attempt: AttemptId) {
-        let Some(pending) = self.pending.get(&attempt) else {
+    /// Starts another round after a backoff if enough replicas will vote again, for example because
+    /// membership views differ while a view spreads, or because a replica asked to leave while
+    /// another one left first. Refuses the claim otherwise, or after [`MAX_QUORUM_WAIT`].
+    fn wait_or_refuse(&mut self, now: Now, attempt: AttemptId) {
+        if !self.may_wait(now, attempt) {
+            self.refuse(now, attempt, ResultCode::NoQuorum);
             return;
-        };
-        let views_differ =
-            matches!(&pending.stage, Stage::Voting { tally, .. } if tally.views_differ());
-        if views_differ && pending.round.0 < MAX_RACING_ROUNDS {
-            self.release_votes(attempt);
-            self.pause(now, attempt);
+        }
+        self.release_votes(attempt);
+        let Some(pending) = self.pending.get_mut(&attempt) else {
             return;
+        };
+        if pending.quorum_wait.is_none() {
+            let ballots = pending.ballots();
+            let since = now.instant;
+            pending.quorum_wait = Some(QuorumWait { since, ballots });
+            self.waiting += 1;
         }
-        self.refuse(attempt, ResultCode::NoQuorum);
+        let wake = now.instant + pending.backoff();
+        let latest = pending.quorum_wait.as_ref().map(QuorumWait::ends_at);
+        self.pause(attempt, latest.map_or(wake, |latest| wake.min(latest)));
     }
 
-    fn pause(&mut self, now: Now, attempt: AttemptId) {
+    fn may_wait(&self, now: Now, attempt: AttemptId) -> bool {
+        let Some(pending) = self.pending.get(&attempt) else {
+            return false;
+        };
+        let Stage::Voting { tally, .. } = &pending.stage else {
+            return false;
+        };
+        let has_time = match &pending.quorum_wait {
+            Some(wait) => now.instant < wait.ends_at(),
+            None => self.waiting < MAX_WAITING_CLAIMS,
+        };
+        has_time && tally.may_win_later()
+    }
+
+    fn pause(&mut self, attempt: AttemptId, wake: Instant) {
         if let Some(pending) = self.pending.get_mut(&attempt) {
-            pending.stage = Stage::BackingOff;
-            let wake = now.instant + pending.backoff();
+            pending.back_off();
             self.schedule_timer(attempt, wake);
         }
     }
--- a/crates/rillgap-core/src/claim/claims.rs
+++ b/crates/rillgap-core/src/claim/claims.rs
@@ -195,6 +195,9 @@
         while let Some(record) = self.claimant.take_refused() {
             out.push(Action::Observe(Observation::ClaimRefused(Box::new(record))));
         }
+        while let Some(record) = self.claimant.take_delayed() {
+            out.push(Action::Observe(Observation::ClaimDelayed(Box::new(record))));
+        }
         while let Some(Outgoing { to, message }) = self.claimant.take_outgoing() {
             if to != self.voter.node {
                 self.send(to, message, membership, out);
--- a/crates/rillgap-core/src/claim/message.rs
+++ b/crates/rillgap-core/src/claim/message.rs
@@ -134,6 +134,20 @@
     Full,
 }
 
+impl AbstainReason {
+    /// Returns whether the reason ends by itself while the key can be used, so that the replica may
+    /// vote on it later.
+    ///
+    /// A replica that is not eligible for a key never becomes so: what counts is whether it was a
+    /// replica when the key was first used.
+    pub const fn is_temporary(self) -> bool {
+        match self {
+            Self::NoLease | Self::DifferentGroup | Self::KeyFromFuture => true,
+            Self::NotEligible | Self::KeyTooOld | Self::Full => false,
+        }
+    }
+}
+
 impl fmt::Display for AbstainReason {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         formatter.write_str(match self {
--- a/crates/rillgap-core/src/claim/mod.rs
+++ b/crates/rillgap-core/src/claim/mod.rs
@@ -22,7 +22,7 @@
 pub use electorate::{Electorate, replica_group};
 pub use guard::{DispatchGuard, GuardVerdict};
 pub use message::ClaimMessage;
-pub use record::{BallotRecord, RefusedClaim};
+pub use record::{BallotRecord, DelayedClaim, RefusedClaim};
 pub use settings::ClaimFaults;
 
 use crate::id::AttemptId;
--- a/crates/rillgap-core/src/claim/record.rs
+++ b/crates/rillgap-core/src/claim/record.rs
@@ -1,6 +1,7 @@
-//! Records of claims that were refused without a majority, for logs.
+//! Records of claims that had no majority at first or in the end, for logs.
 
 use std::fmt;
+use std::time::Duration;
 
 use crate::claim::message::Vote;
 use crate::code::ResultCode;
@@ -19,11 +20,30 @@
     pub view: ViewVersion,
     /// Number of rounds.
     pub rounds: u16,
+    /// Time for which it waited for replicas to vote again; `None` if it did not.
+    pub waited: Option<Duration>,
     /// Replicas of the last round and what is known of their votes.
     pub ballots: Vec<BallotRecord>,
 }
 
-/// A replica and its vote in the last round of a claim.
+/// Claim that was granted after it had waited for replicas to vote again.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct DelayedClaim {
+    /// Attempt that claimed the key.
+    pub attempt: AttemptId,
+    /// Key that was claimed.
+    pub key: IdempotencyKey,
+    /// View that determined the replicas of the last round.
+    pub view: ViewVersion,
+    /// Number of rounds.
+    pub rounds: u16,
+    /// Time from the first round without a majority to the grant.
+    pub waited: Duration,
+    /// Replicas of that first round and what is known of their votes.
+    pub first_ballots: Vec<BallotRecord>,
+}
+
+/// A replica and its vote in one round of a claim.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct BallotRecord {
     /// Name of the replica that was asked.
--- a/crates/rillgap-core/src/claim/settings.rs
+++ b/crates/rillgap-core/src/claim/settings.rs
@@ -20,16 +20,27 @@
 /// Time after which a round ends with the votes received so far.
 pub const ROUND_TIMEOUT: Duration = Duration::from_millis(200);
 
-/// Maximum number of rounds of one attempt.
-pub const MAX_ROUNDS: u16 = 6;
+/// Maximum number of rounds of one attempt, which bounds its messages.
+pub const MAX_ROUNDS: u16 = 24;
 
-/// Round from which a claimant stops retrying against another claimant or a differing view.
+/// Maximum number of rounds of one attempt that are lost to racing claimants.
 pub const MAX_RACING_ROUNDS: u16 = 4;
 
+/// Maximum time for which a claim waits for replicas that will vote again: that of the default
+/// `Retry-After`, since a caller that is refused would come back after it.
+pub const MAX_QUORUM_WAIT: Duration = Duration::from_secs(1);
+
+/// Maximum number of claims of one node that wait for replicas to vote again. Beyond it claims are
+/// refused at once, so that they do not pile up while many replicas are gone.
+pub const MAX_WAITING_CLAIMS: usize = 256;
+
 /// Base of the backoff before the next round: the maximum pause after round `n` is this times
-/// `2^n`, with `n` capped at 8.
+/// `2^n`, with `n` capped at [`MAX_BACKOFF_DOUBLINGS`].
 pub const BASE_BACKOFF: Duration = Duration::from_millis(4);
 
+/// Number of rounds after which the backoff no longer grows, at 256 ms.
+pub const MAX_BACKOFF_DOUBLINGS: u16 = 6;
+
 /// Time without a reply after which a query is sent to a guard again.
 pub const GUARD_RESEND_INTERVAL: Duration = Duration::from_millis(60);
 
--- a/crates/rillgap-core/tests/claim_rules.rs
+++ b/crates/rillgap-core/tests/claim_rules.rs
@@ -7,9 +7,10 @@
 
 use googletest::prelude::*;
 use rillgap_core::action::{Action, Outbox};
-use rillgap_core::claim::message::{GuardId, KeyHolder, Round, Vote, VoteReply};
+use rillgap_core::claim::message::{AbstainReason, GuardId, KeyHolder, Round, Vote, VoteReply};
 use rillgap_core::claim::settings::{
-    MAX_ANSWER_BYTES, MAX_ANSWER_STORE_BYTES, MAX_CLOCK_SKEW, MAX_GUARDED_KEYS, UNCHARGED_ATTEMPTS,
+    MAX_ANSWER_BYTES, MAX_ANSWER_STORE_BYTES, MAX_CLOCK_SKEW, MAX_GUARDED_KEYS, MAX_QUORUM_WAIT,
+    MAX_ROUNDS, MAX_WAITING_CLAIMS, UNCHARGED_ATTEMPTS,
 };
 use rillgap_core::claim::{
     ClaimFaults, ClaimMessage, ClaimRequest, ClaimResult, Claims, DispatchGuard, Electorate,
@@ -293,6 +294,198 @@
     }));
 }
 
+/// A claim of one attempt on a group of three replicas that vote as the test says.
+struct SingleClaim {
+    membership: StaticMembership,
+    group: Vec<NodeId>,
+    claims: Claims,
+    now: Now,
+    out: Outbox,
+}
+
+impl SingleClaim {
+    fn begin() -> Self {
+        let membership = StaticMembership::new(3, 3);
+        let group = replica_group(membership.view(), key(0));
+        let mut claims = Claims::new(NodeId(9), INCARNATION);
+        let mut out = Outbox::new();
+        claims.acquire(start(), request(1, group[0]), &membership, &mut out);
+        Self {
+            membership,
+            group,
+            claims,
+            now: start(),
+            out,
+        }
+    }
+
+    /// Sends the votes of all replicas in a round.
+    fn vote(&mut self, round: u16, votes: [Vote; 3]) {
+        for (replica, vote) in self.group.iter().zip(votes) {
+            let reply = VoteReply {
+                attempt: attempt(1),
+                round: Round(round),
+                vote,
+            };
+            let message = ClaimMessage::Vote(Box::new(reply));
+            let guard = &mut DispatchGuard::default();
+            self.claims.on_message(
+                self.now,
+                *replica,
+                message,
+                &self.membership,
+                guard,
+                &mut self.out,
+            );
+        }
+    }
+
+    /// Handles the timers up to a time; returns the last round in which claims were sent.
+    fn run_to(&mut self, elapsed: Duration) -> u16 {
+        let guard = &mut DispatchGuard::default();
+        while let Some(wake) = self
+            .claims
+            .next_wake()
+            .filter(|wake| *wake <= at(elapsed).instant)
+        {
+            let now = Now {
+                instant: wake,
+                ..at(elapsed)
+            };
+            self.claims
+                .poll(now, &self.membership, guard, &mut self.out);
+        }
+        self.now = at(elapsed);
+        self.last_round()
+    }
+
+    fn last_round(&self) -> u16 {
+        let rounds = self.out.iter().filter_map(|action| match action {
+            Action::Send {
+                message: PeerMessage::Claim(ClaimMessage::Claim(claim)),
+                ..
+            } => Some(claim.round.0),
+            _ => None,
+        });
+        rounds.max().unwrap_or(0)
+    }
+
+    fn released_rounds(&self) -> BTreeSet<u16> {
+        let rounds = self.out.iter().filter_map(|action| match action {
+            Action::Send {
+                message: PeerMessage::Claim(ClaimMessage::Release(release)),
+                ..
+            } => Some(release.round.0),
+            _ => None,
+        });
+        rounds.collect()
+    }
+
+    fn result(&mut self) -> Option<ClaimResult> {
+        self.claims.take_event().map(|event| event.result)
+    }
+}
+
+fn granted() -> Vote {
+    Vote::Granted { spent: Vec::new() }
+}
+
+const NO_LEASE: Vote = Vote::Abstained(AbstainReason::NoLease);
+const NOT_ELIGIBLE: Vote = Vote::Abstained(AbstainReason::NotEligible);
+
+fn is_refused(result: Option<ClaimResult>, code: ResultCode) -> bool {
+    matches!(result, Some(ClaimResult::Refused(refusal)) if refusal.code == code)
+}
+
+/// Guards against bookings without a known result when two replicas leave at the same time: a claim
+/// must not end while its majority returns by itself.
+#[gtest]
+fn claim_waits_for_replicas_that_will_vote_again() {
+    let mut claim = SingleClaim::begin();
+    claim.vote(1, [granted(), NO_LEASE, NO_LEASE]);
+    expect_that!(claim.result(), none());
+    expect_that!(claim.released_rounds(), eq(&BTreeSet::from([1])));
+    let round = claim.run_to(Duration::from_millis(100));
+    expect_that!(round, ge(2));
+    claim.vote(1, [granted(), granted(), granted()]);
+    expect_that!(claim.result(), none(), "votes of an earlier round");
+    claim.vote(round, [granted(), granted(), NO_LEASE]);
+    let result = claim.result();
+    expect_that!(result, some(pat!(ClaimResult::Granted { .. })));
+}
+
+/// Guards against requests that are held although no later round can have another result.
+#[gtest]
+fn claim_is_refused_at_once_without_enough_replicas_that_may_ever_vote() {
+    for votes in [
+        [granted(), NOT_ELIGIBLE, NOT_ELIGIBLE],
+        [NO_LEASE, NOT_ELIGIBLE, NOT_ELIGIBLE],
+    ] {
+        let mut claim = SingleClaim::begin();
+        claim.vote(1, votes);
+        expect_true!(is_refused(claim.result(), ResultCode::NoQuorum));
+    }
+}
+
+/// Guards against requests that are held for longer than their callers would stay away.
+#[gtest]
+fn claim_waits_for_a_majority_for_at_most_a_second() {
+    let mut claim = SingleClaim::begin();
+    let mut elapsed = Duration::ZERO;
+    let mut result = None;
+    while result.is_none() && elapsed < 3 * MAX_QUORUM_WAIT {
+        let round = claim.last_round();
+        claim.vote(round, [granted(), NO_LEASE, NO_LEASE]);
+        elapsed += Duration::from_millis(1);
+        claim.run_to(elapsed);
+        result = claim.result();
+    }
+    expect_true!(is_refused(result, ResultCode::NoQuorum));
+    expect_that!(
+        elapsed,
+        all![
+            ge(MAX_QUORUM_WAIT / 2),
+            le(MAX_QUORUM_WAIT + Duration::from_millis(5))
+        ]
+    );
+    expect_that!(claim.last_round(), le(MAX_ROUNDS));
+}
+
+/// Guards against a pile of waiting requests, and of messages for them, while many replicas are gone.
+#[gtest]
+fn number_of_claims_that_wait_for_a_majority_is_bounded() {
+    let membership = StaticMembership::new(3, 3);
+    let group = replica_group(membership.view(), key(0));
+    let mut claims = Claims::new(NodeId(9), INCARNATION);
+    let mut refused = 0;
+    for sequence in 0..MAX_WAITING_CLAIMS as u64 + 10 {
+        let request = request(sequence, group[0]);
+        claims.acquire(start(), request, &membership, &mut Outbox::new());
+        for replica in &group {
+            let reply = VoteReply {
+                attempt: attempt(sequence),
+                round: Round(1),
+                vote: NO_LEASE,
+            };
+            let message = ClaimMessage::Vote(Box::new(reply));
+            let guard = &mut DispatchGuard::default();
+            claims.on_message(
+                start(),
+                *replica,
+                message,
+                &membership,
+                guard,
+                &mut Outbox::new(),
+            );
+        }
+        refused += usize::from(is_refused(
+            claims.take_event().map(|event| event.result),
+            ResultCode::NoQuorum,
+        ));
+    }
+    expect_that!(refused, eq(10));
+}
+
 #[gtest]
 fn retries_of_a_key_share_one_budget() {
     let membership = StaticMembership::new(1, 1);
--- a/crates/rillgap-node/src/event_log.rs
+++ b/crates/rillgap-node/src/event_log.rs
@@ -6,7 +6,7 @@
 use rillgap_clock::SteadyClock;
 use rillgap_core::action::Observation;
 use rillgap_core::admission::{LevelChange, ShedRequest};
-use rillgap_core::claim::RefusedClaim;
+use rillgap_core::claim::{DelayedClaim, RefusedClaim};
 use rillgap_core::membership::{RemovalRecord, ViewTransition, ViewWrite};
 use rillgap_core::time::Instant;
 
@@ -63,6 +63,11 @@
                     record_claim(claim);
                 }
             }
+            Observation::ClaimDelayed(claim) => {
+                if self.admits_request_record() {
+                    record_delayed_claim(claim);
+                }
+            }
             Observation::Shed(shed) => {
                 if self.admits_request_record() {
                     record_shed(shed);
@@ -135,11 +140,26 @@
         key = format!("{:032x}", claim.key.0).as_str(), call = claim.attempt.call.sequence,
         attempt = claim.attempt.number, code = claim.code.number(),
         view = claim.view.0, rounds = claim.rounds,
+        waited_millis = claim.waited.map(millis),
         replicas = list(&claim.ballots).as_str();
         "node: claim refused without a majority"
     );
 }
 
+fn record_delayed_claim(claim: &DelayedClaim) {
+    log::info!(
+        key = format!("{:032x}", claim.key.0).as_str(), call = claim.attempt.call.sequence,
+        attempt = claim.attempt.number, view = claim.view.0, rounds = claim.rounds,
+        waited_millis = millis(claim.waited),
+        first_votes = list(&claim.first_ballots).as_str();
+        "node: claim granted after waiting for replicas to vote again"
+    );
+}
+
+fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
+
 fn record_shed(shed: &ShedRequest) {
     log::warn!(
         service = shed.service.as_str(), level = shed.level.0,
--- a/crates/rillgap-node/src/metrics.rs
+++ b/crates/rillgap-node/src/metrics.rs
@@ -51,6 +51,7 @@
     latency: Histogram,
     refusals: Family<RefusalLabels, Counter>,
     retries: Counter,
+    delayed_claims: Counter,
     serving: Gauge,
     policy_version: Gauge<u64, AtomicU64>,
     view_version: Gauge<u64, AtomicU64>,
@@ -88,6 +89,12 @@
         );
         let retries = Counter::default();
         registry.register("retries", "Extra attempts made", retries.clone());
+        let delayed_claims = Counter::default();
+        registry.register(
+            "delayed_claims",
+            "Claims granted after a wait for replicas to vote again",
+            delayed_claims.clone(),
+        );
         let serving = Gauge::default();
         registry.register(
             "serving",
@@ -118,6 +125,7 @@
             latency,
             refusals,
             retries,
+            delayed_claims,
             serving,
             policy_version,
             view_version,
@@ -142,6 +150,9 @@
             Observation::Retried => {
                 self.retries.inc();
             }
+            Observation::ClaimDelayed(_) => {
+                self.delayed_claims.inc();
+            }
             Observation::Serving(serving) => {
                 self.serving.set(i64::from(*serving));
             }
