Planned stop: a stopping entry looks up and serves keyed requests until it asks to be removed

Cause: an entry refused keyed requests before it looked their keys up from the request to stop until its end: 2.4 s for the first of two nodes, up to 12 s for the second one, which waits until the first one has been replaced. It cannot know that they have not run, and says unknown.

Change: keyed requests are accepted until the node requests its removal from the view in force, and again if that request becomes void. They do not delay the leave, since a steady stream of them would delay it for ever; their answers and votes reach the node after its removal, too, by the views that peers remember, and it ends only when they have ended. From the request on they are refused: the node may be outside the view without knowing it, and a new policy is accepted without its confirmation (PROOFS, condition 8).

Weighed: a look-up that ends in a true refusal (costs the same messages and one more attempt); handing the request to an entry of another zone (a hop and a message more, for the same result); accepting until the removal is in force (allowed by the claims, not by condition 8 during a cut).

Tests, failing before: stopping_entry_node_serves_keyed_requests_until_it_has_left, keyed_requests_do_not_delay_the_leave_of_a_stopping_entry_node.

--- a/crates/rillgap-core/src/call/entry.rs
+++ b/crates/rillgap-core/src/call/entry.rs
@@ -8,7 +8,7 @@
 use crate::call::outgoing::{OutgoingCall, ParentLink};
 use crate::call::ports::Ports;
 use crate::call::retry_pool::RetryPool;
-use crate::call::sender::Sender;
+use crate::call::sender::{Intake, Sender};
 use crate::code::ResultCode;
 use crate::event::InboundId;
 use crate::fingerprint::fingerprint;
@@ -162,17 +162,21 @@
 ) -> Result<std::sync::Arc<IndexedPolicy>, Refusal> {
     let context = &*ports.context;
     let policy = context.configuration.policy();
-    let reason = if sender.is_stopping() {
-        Some(ResultCode::NodeStopping)
-    } else if policy.is_none() || !context.membership.may_serve(now) {
-        Some(ResultCode::NotReady)
-    } else {
-        None
+    let accepts = match sender.intake() {
+        Intake::Open => true,
+        Intake::Keyed => request.key.is_some(),
+        Intake::Closed => false,
     };
-    if let (None, Some(policy)) = (reason, policy) {
+    if let Some(policy) = policy
+        && accepts
+        && context.membership.may_claim(now)
+    {
         return Ok(policy.clone());
     }
-    let reason = reason.unwrap_or(ResultCode::NotReady);
+    let reason = match sender.intake() {
+        Intake::Open => ResultCode::NotReady,
+        Intake::Keyed | Intake::Closed => ResultCode::NodeStopping,
+    };
     if request.key.is_none() {
         return Err(refusal(reason));
     }
@@ -237,6 +241,7 @@
         .map_or(max_timeout, |timeout| timeout.min(max_timeout));
     OutgoingCall {
         id: sender.next_call_id(ports.context.settings),
+        is_late: sender.intake() != Intake::Open && request.key.is_some(),
         inbound,
         root: RootId(0),
         parent: None,
--- a/crates/rillgap-core/src/call/mod.rs
+++ b/crates/rillgap-core/src/call/mod.rs
@@ -28,7 +28,7 @@
 
 use attempt_runner::AttemptRunner;
 use ports::Ports;
-use sender::{AnswerTrailer, Sender};
+use sender::{AnswerTrailer, Intake, Sender};
 
 /// The data path of one node.
 #[derive(Debug)]
@@ -167,12 +167,22 @@
         }
     }
 
-    /// Refuses new requests from now on; those in flight are finished.
-    pub fn begin_stop(&mut self, _now: Now, _context: &mut Context<'_>) {
-        self.sender.begin_stop();
+    /// Refuses new requests from now on, except keyed ones of callers; those in flight are finished.
+    pub fn begin_stop(&mut self) {
+        self.sender.set_intake(Intake::Keyed);
         self.runner.begin_stop();
     }
 
+    /// Refuses keyed requests of callers, too.
+    pub fn close(&mut self) {
+        self.sender.set_intake(Intake::Closed);
+    }
+
+    /// Returns whether everything that was in flight when the stop was requested has ended.
+    pub fn may_leave(&self) -> bool {
+        self.sender.has_only_late_calls() && self.runner.is_idle()
+    }
+
     /// Returns whether nothing is in flight.
     pub fn is_idle(&self) -> bool {
         self.sender.is_idle() && self.runner.is_idle()
--- a/crates/rillgap-core/src/call/outgoing.rs
+++ b/crates/rillgap-core/src/call/outgoing.rs
@@ -58,6 +58,8 @@
 /// A call that is being forwarded to a back end.
 #[derive(Debug)]
 pub struct OutgoingCall {
+    /// Whether the call was accepted after a stop was requested. It does not delay the leave.
+    pub is_late: bool,
     /// Identifier of the call.
     pub id: CallId,
     /// Inbound request that is answered with the result of the call.
--- a/crates/rillgap-core/src/call/sender/mod.rs
+++ b/crates/rillgap-core/src/call/sender/mod.rs
@@ -40,6 +40,19 @@
     pub unspent: u8,
 }
 
+/// Root requests that a node accepts.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Intake {
+    /// All.
+    Open,
+    /// Requests with an idempotency key only: a stop was requested. Others can be refused as not
+    /// run and sent to another entry node. Whether a keyed request has run is known only once its
+    /// key was looked up, and a caller that meets only stopping nodes would never find out.
+    Keyed,
+    /// None: the node has left the view.
+    Closed,
+}
+
 /// Calls in flight that this node forwards to back ends.
 #[derive(Debug)]
 pub struct Sender {
@@ -54,7 +67,7 @@
     retry_budget: RetryBudget,
     random: ChaCha8Rng,
     next_sequence: u64,
-    stopping: bool,
+    intake: Intake,
     has_unbounded_chain: bool,
 }
 
@@ -72,7 +85,7 @@
             retry_budget: RetryBudget::new(settings.admission),
             random: ChaCha8Rng::seed_from_u64(settings.random_seed ^ IDENTIFIER_SEED_SALT),
             next_sequence: 0,
-            stopping: false,
+            intake: Intake::Open,
             has_unbounded_chain: settings.admission.has_unbounded_chain(),
         }
     }
@@ -87,9 +100,14 @@
         self.calls.len()
     }
 
-    /// Returns whether the node is stopping.
-    pub const fn is_stopping(&self) -> bool {
-        self.stopping
+    /// Returns whether all calls in flight were accepted after a stop was requested.
+    pub fn has_only_late_calls(&self) -> bool {
+        self.calls.values().all(|call| call.is_late)
+    }
+
+    /// Returns which root requests are accepted.
+    pub const fn intake(&self) -> Intake {
+        self.intake
     }
 
     /// Returns whether the settings select a baseline that does not limit the retries of a chain.
@@ -97,9 +115,9 @@
         self.has_unbounded_chain
     }
 
-    /// Refuses new root requests from now on.
-    pub const fn begin_stop(&mut self) {
-        self.stopping = true;
+    /// Sets which root requests are accepted from now on.
+    pub const fn set_intake(&mut self, intake: Intake) {
+        self.intake = intake;
     }
 
     /// Returns when [`Self::expire`] must be called next.
--- a/crates/rillgap-core/src/claim/claims.rs
+++ b/crates/rillgap-core/src/claim/claims.rs
@@ -268,7 +268,7 @@
         membership: &impl Electorate,
         out: &mut Outbox,
     ) {
-        let Some(address) = membership.address(to) else {
+        let Some(address) = membership.answer_address(to) else {
             self.counters.undeliverable += 1;
             return;
         };
--- a/crates/rillgap-core/src/claim/counters.rs
+++ b/crates/rillgap-core/src/claim/counters.rs
@@ -15,6 +15,6 @@
     pub messages_sent: u64,
     /// Messages received from other nodes.
     pub messages_received: u64,
-    /// Messages that were dropped because their receiver is not in the view.
+    /// Messages that were dropped because their receiver is in none of the remembered views.
     pub undeliverable: u64,
 }
--- a/crates/rillgap-core/src/claim/electorate.rs
+++ b/crates/rillgap-core/src/claim/electorate.rs
@@ -37,6 +37,12 @@
     fn address(&self, node: NodeId) -> Option<SocketAddr> {
         self.view().member(node).map(|member| member.mesh_address)
     }
+
+    /// Returns the mesh address of a node that is or was a member, for answers to it: its claims may
+    /// be pending when it leaves the view.
+    fn answer_address(&self, node: NodeId) -> Option<SocketAddr> {
+        self.address(node)
+    }
 }
 
 impl Electorate for Membership {
@@ -51,6 +57,10 @@
     fn history(&self) -> &[ActivatedView] {
         self.view_history()
     }
+
+    fn answer_address(&self, node: NodeId) -> Option<SocketAddr> {
+        self.answer_address(node)
+    }
 }
 
 /// Returns the replicas of a key, chosen by rendezvous hashing, in the order of choice.
--- a/crates/rillgap-core/src/membership/mod.rs
+++ b/crates/rillgap-core/src/membership/mod.rs
@@ -142,6 +142,16 @@
         }
     }
 
+    /// Returns whether this node may accept keyed requests and request claims for them: like
+    /// [`Self::may_serve`], but also while it waits to leave. Once it has requested its removal, it
+    /// may be outside the view without knowing it, and a new policy is not delayed for it any more.
+    pub fn may_claim(&self, now: Now) -> bool {
+        match &self.mode {
+            Mode::Fixed(_) => true,
+            Mode::Active(protocol) => protocol.may_claim(now),
+        }
+    }
+
     /// Returns whether this node may vote on claims: by evidence no older than the vote lease, a
     /// majority of the members of its view has confirmed no later view.
     pub fn may_vote(&self, now: Now) -> bool {
--- a/crates/rillgap-core/src/membership/protocol.rs
+++ b/crates/rillgap-core/src/membership/protocol.rs
@@ -295,10 +295,24 @@
     }
 
     pub fn may_serve(&self, now: Now) -> bool {
+        self.leave.is_none() && self.may_claim(now)
+    }
+
+    pub fn may_claim(&self, now: Now) -> bool {
         let now = now.instant;
         let not_paused = now.saturating_since(self.last_poll) <= PROCESS_PAUSE_THRESHOLD;
-        let is_leaving = self.leave.is_some();
-        not_paused && self.is_in_service() && !is_leaving && self.has_recent_contact(now)
+        not_paused
+            && self.is_in_service()
+            && !self.is_removal_requested()
+            && self.has_recent_contact(now)
+    }
+
+    /// Returns whether this node has requested its removal from the view in force, so that it may
+    /// have been removed without its knowledge. A request for an earlier view is void.
+    fn is_removal_requested(&self) -> bool {
+        let view = self.view.version;
+        let leave = self.leave.as_ref();
+        leave.is_some_and(|leave| leave.is_requested_from(view))
     }
 
     pub fn may_vote(&self, now: Now) -> bool {
@@ -307,11 +321,7 @@
         let has_lease = self
             .lease
             .is_some_and(|lease| now.saturating_since(lease) <= VOTE_LEASE);
-        // A request for the removal from an earlier view is void.
-        let view = self.view.version;
-        let leave = self.leave.as_ref();
-        let is_removal_requested = leave.is_some_and(|leave| leave.is_requested_from(view));
-        not_paused && has_lease && self.is_in_service() && !is_removal_requested
+        not_paused && has_lease && self.is_in_service() && !self.is_removal_requested()
     }
 
     fn is_in_service(&self) -> bool {
--- a/crates/rillgap-core/src/node.rs
+++ b/crates/rillgap-core/src/node.rs
@@ -156,7 +156,7 @@
             } => self.on_peer(now, from, incarnation, message, out),
             Event::Store { request, reply } => self.on_store(now, request, &reply, out),
             Event::Operator { request, body } => self.on_operator(now, request, body, out),
-            Event::Stop => self.begin_stop(now, out),
+            Event::Stop => self.begin_stop(),
             Event::Wake => {}
             event => {
                 let (call_path, mut context) = self.split(out);
@@ -276,20 +276,19 @@
                 request,
                 reply: OperatorReply::Stopping,
             });
-            self.begin_stop(now, out);
+            self.begin_stop();
             return;
         }
         self.configuration
             .on_operator(now, request, body, &self.membership, out);
     }
 
-    fn begin_stop(&mut self, now: Now, out: &mut Outbox) {
+    fn begin_stop(&mut self) {
         if self.stopping {
             return;
         }
         self.stopping = true;
-        let (call_path, mut context) = self.split(out);
-        call_path.begin_stop(now, &mut context);
+        self.call_path.begin_stop();
     }
 
     fn poll_control_plane(&mut self, now: Now, out: &mut Outbox) {
@@ -345,11 +344,12 @@
         }
     }
 
-    /// Completes a planned stop: leaves the view once nothing is in flight (peers need the address
-    /// of a member to send it their answers), then refuses messages of peers that do not have the
-    /// new view yet for [`EXIT_DELAY`], then exits.
+    /// Completes a planned stop: leaves the view once nothing is in flight that was accepted before
+    /// the stop was requested, then refuses messages of peers that do not have the new view yet for
+    /// [`EXIT_DELAY`], then exits. Keyed requests are accepted until the node has left; their answers
+    /// arrive after it, too, since peers remember the address of a removed member.
     fn leave_when_idle(&mut self, now: Now, out: &mut Outbox) {
-        if !self.stopping || self.exited || !self.call_path.is_idle() {
+        if !self.stopping || self.exited || !self.call_path.may_leave() {
             return;
         }
         if !self.leaving {
@@ -360,8 +360,9 @@
         if !self.membership.has_left() {
             return;
         }
+        self.call_path.close();
         let exit_at = *self.exit_at.get_or_insert(now.instant + EXIT_DELAY);
-        if exit_at <= now.instant {
+        if exit_at <= now.instant && self.call_path.is_idle() {
             self.exited = true;
             out.push(Action::Exit);
         }
--- a/crates/rillgap-core/tests/call_path.rs
+++ b/crates/rillgap-core/tests/call_path.rs
@@ -209,6 +209,43 @@
     expect_that!(code(&cluster, later), some(eq(ResultCode::NodeStopping)));
 }
 
+/// Guards against bookings without a known result while several entry nodes stop: a stopping node
+/// must look up the key of a request, and serve it, for as long as it is a member of the view.
+#[gtest]
+fn stopping_entry_node_serves_keyed_requests_until_it_has_left() {
+    let mut cluster = Cluster::new(&policy());
+    let download = cluster.call("GET", "/page", None);
+    cluster.event("entry", Event::Stop);
+    let refused = cluster.call("GET", "/page", None);
+    expect_that!(code(&cluster, refused), some(eq(ResultCode::NodeStopping)));
+    let key = fresh_key(&cluster);
+    let booking = cluster.call("POST", "/page", Some(key));
+    cluster.answer(1, "booked");
+    expect_true!(cluster.response(booking).is_complete);
+    let repeated = cluster.call("POST", "/page", Some(key));
+    expect_that!(cluster.response(repeated).body, eq(b"booked"));
+    cluster.answer(0, "page");
+    expect_true!(cluster.response(download).is_complete);
+    let late = cluster.call("POST", "/page", Some(key));
+    expect_that!(code(&cluster, late), some(eq(ResultCode::KeyUnchecked)));
+}
+
+/// Guards against stops that never end because callers send keyed requests all the time.
+#[gtest]
+fn keyed_requests_do_not_delay_the_leave_of_a_stopping_entry_node() {
+    let mut cluster = Cluster::new(&policy());
+    let download = cluster.call("GET", "/page", None);
+    cluster.event("entry", Event::Stop);
+    let key = fresh_key(&cluster);
+    let booking = cluster.call("POST", "/page", Some(key));
+    cluster.answer(0, "page");
+    expect_true!(cluster.response(download).is_complete);
+    let late = cluster.call("POST", "/page", Some(IdempotencyKey(key.0 + 1)));
+    expect_that!(code(&cluster, late), some(eq(ResultCode::KeyUnchecked)));
+    cluster.answer(0, "booked");
+    expect_true!(cluster.response(booking).is_complete);
+}
+
 #[gtest]
 fn names_of_nodes_give_stable_identifiers() {
     expect_that!(NodeName::new("entry").id(), eq(NodeName::new("entry").id()));
