Data path: a broken answer to a back end's call is retried where it broke

Cause, as traced before: the answer to a call has begun when its back end ends. The beginning is already forwarded, so the calling back end gets a broken answer, fails, and is repeated whole by its own caller.

Change: the beginning of an answer to a back end's call is held until it is whole, for at most 4 KiB and 50 ms, and the call is retried under the chain's budget if it breaks off meanwhile; a call that may not be repeated is refused as unknown. Answers to callers, long answers and slow streams are forwarded as they arrive. Memory: 4 KiB for each call of a back end in flight.

Way weighed: stored answers of finished children for a second run of the same parent. It saves executions of siblings only while the second run makes the same calls, needs their answers on the node that runs it again, and a call that reads what its sibling wrote would get an old answer.

Test: broken_answer_to_a_back_end_is_retried_where_it_broke; before, the caller gets the head at once and an abort.

--- a/crates/rillgap-core/src/call/entry.rs
+++ b/crates/rillgap-core/src/call/entry.rs
@@ -241,6 +241,7 @@
         .map_or(max_timeout, |timeout| timeout.min(max_timeout));
     OutgoingCall {
         id: sender.next_call_id(ports.context.settings),
+        held: None,
         is_late: sender.intake() != Intake::Open && request.key.is_some(),
         inbound,
         root: RootId(0),
--- a/crates/rillgap-core/src/call/mod.rs
+++ b/crates/rillgap-core/src/call/mod.rs
@@ -20,6 +20,7 @@
 pub mod children;
 pub mod deadlines;
 pub mod entry;
+pub mod held_answer;
 pub mod outgoing;
 pub mod ports;
 pub mod retry;
--- a/crates/rillgap-core/src/call/outgoing.rs
+++ b/crates/rillgap-core/src/call/outgoing.rs
@@ -3,6 +3,7 @@
 use bytes::Bytes;
 
 use crate::admission::RouteId;
+use crate::call::held_answer::HeldAnswer;
 use crate::code::Outcome;
 use crate::event::InboundId;
 use crate::id::{AttemptId, BackEndName, CallId, Fingerprint, RootId, ServiceName};
@@ -58,6 +59,8 @@
 /// A call that is being forwarded to a back end.
 #[derive(Debug)]
 pub struct OutgoingCall {
+    /// Beginning of the answer to a back end's call that was not forwarded yet.
+    pub held: Option<HeldAnswer>,
     /// Whether the call was accepted after a stop was requested. It does not delay the leave.
     pub is_late: bool,
     /// Identifier of the call.
--- a/crates/rillgap-core/src/call/sender/answers.rs
+++ b/crates/rillgap-core/src/call/sender/answers.rs
@@ -6,11 +6,12 @@
 use crate::action::{Action, Observation};
 use crate::admission::LoadReport;
 use crate::call::attempt_runner::AttemptRunner;
+use crate::call::held_answer::HeldAnswer;
 use crate::call::outgoing::{OutgoingCall, Phase};
 use crate::call::ports::Ports;
 use crate::code::ResultCode;
 use crate::event::InboundId;
-use crate::id::{AttemptId, NodeId};
+use crate::id::{AttemptId, CallId, NodeId};
 use crate::message::CallMessage;
 use crate::request::{AnswerHead, Refusal};
 use crate::routing::{Router, TargetResult};
@@ -39,7 +40,32 @@
             return;
         }
         current.phase = Phase::Answering { parts: 0 };
-        ports.emit(Action::AnswerHead { inbound, head });
+        if call.parent.is_none() {
+            ports.emit(Action::AnswerHead { inbound, head });
+            return;
+        }
+        let held = HeldAnswer::new(now.instant, head);
+        let until = held.until;
+        call.held = Some(held);
+        self.held_until.insert(until, attempt.call);
+    }
+
+    /// Forwards what is held of an answer.
+    pub(super) fn forward_held(&mut self, id: CallId, ports: &mut Ports<'_, '_>) {
+        let Some(held) = self.take_held(id) else {
+            return;
+        };
+        let Some(call) = self.calls.get(&id) else {
+            return;
+        };
+        held.into_actions(call.inbound)
+            .for_each(|action| ports.emit(action));
+    }
+
+    fn take_held(&mut self, id: CallId) -> Option<HeldAnswer> {
+        let held = self.calls.get_mut(&id)?.held.take()?;
+        self.held_until.remove(held.until, id);
+        Some(held)
     }
 
     /// Forwards a part of an answer's body; a gap in the sequence aborts the answer.
@@ -58,10 +84,14 @@
         match call.attempt.as_mut().map(|current| &mut current.phase) {
             Some(Phase::Answering { parts }) if *parts == sequence => {
                 *parts += 1;
-                ports.emit(Action::AnswerBody {
-                    inbound,
-                    chunk: Bytes::from(chunk),
-                });
+                let chunk = Bytes::from(chunk);
+                let Some(held) = &mut call.held else {
+                    ports.emit(Action::AnswerBody { inbound, chunk });
+                    return;
+                };
+                if held.push(chunk) {
+                    self.forward_held(attempt.call, ports);
+                }
             }
             Some(Phase::Answering { .. }) => self.abort_answer(now, attempt, ports),
             _ => {}
@@ -88,6 +118,7 @@
             return;
         }
         self.restore(attempt, unspent, runner);
+        self.forward_held(attempt.call, ports);
         let Some(call) = self.remove(attempt.call) else {
             return;
         };
@@ -112,7 +143,8 @@
         }
     }
 
-    /// Handles an attempt that may have run and gave no complete answer.
+    /// Handles an attempt that may have run and gave no complete answer. A call whose answer is still
+    /// held is in the same position as one without an answer.
     pub fn on_failed(
         &mut self,
         now: Now,
@@ -122,9 +154,13 @@
         runner: &mut AttemptRunner,
         ports: &mut Ports<'_, '_>,
     ) {
+        let was_held = self.take_held(attempt.call).is_some();
         let Some(call) = self.current(attempt) else {
             return;
         };
+        if was_held && let Some(current) = &mut call.attempt {
+            current.phase = Phase::Waiting;
+        }
         let (phase, repeatable) = (call.phase(), call.repeatable);
         call.earlier_failure = Some(refusal);
         self.restore(attempt, unspent, runner);
--- a/crates/rillgap-core/src/call/sender/completion.rs
+++ b/crates/rillgap-core/src/call/sender/completion.rs
@@ -49,8 +49,11 @@
         }
     }
 
-    /// Ends the calls whose deadline has passed.
+    /// Forwards answers that were held for long enough, and ends the calls whose deadline has passed.
     pub fn expire(&mut self, now: Now, runner: &mut AttemptRunner, ports: &mut Ports<'_, '_>) {
+        while let Some(id) = self.held_until.pop_passed(now.instant) {
+            self.forward_held(id, ports);
+        }
         while let Some(id) = self.deadlines.pop_passed(now.instant) {
             self.expire_call(now, id, runner, ports);
         }
@@ -74,11 +77,11 @@
                 }
                 self.remove(id);
             }
-            Some(Phase::Answering { .. }) => {
+            Some(Phase::Answering { .. }) if call.held.is_none() => {
                 ports.emit(Action::AnswerAbort { inbound });
                 self.cancel(now, id, ports);
             }
-            Some(Phase::Waiting) => {
+            Some(Phase::Answering { .. } | Phase::Waiting) => {
                 entry::refuse(inbound, refusal_for(ResultCode::AnswerTimeout), ports);
                 self.cancel(now, id, ports);
             }
@@ -146,6 +149,9 @@
         self.remove_child(&call);
         self.by_inbound.remove(&call.inbound);
         self.deadlines.remove(call.deadline, id);
+        if let Some(held) = &call.held {
+            self.held_until.remove(held.until, id);
+        }
         Some(call)
     }
 
--- a/crates/rillgap-core/src/call/sender/mod.rs
+++ b/crates/rillgap-core/src/call/sender/mod.rs
@@ -63,6 +63,8 @@
     by_inbound: BTreeMap<InboundId, CallId>,
     by_parent: BTreeMap<AttemptId, BTreeSet<CallId>>,
     deadlines: Deadlines<CallId>,
+    /// Times until which answers are held.
+    held_until: Deadlines<CallId>,
     router: Router,
     retry_budget: RetryBudget,
     random: ChaCha8Rng,
@@ -81,6 +83,7 @@
             by_inbound: BTreeMap::new(),
             by_parent: BTreeMap::new(),
             deadlines: Deadlines::default(),
+            held_until: Deadlines::default(),
             router: Router::new(settings.random_seed ^ ROUTER_SEED_SALT),
             retry_budget: RetryBudget::new(settings.admission),
             random: ChaCha8Rng::seed_from_u64(settings.random_seed ^ IDENTIFIER_SEED_SALT),
@@ -122,7 +125,10 @@
 
     /// Returns when [`Self::expire`] must be called next.
     pub fn next_wake(&self) -> Option<Instant> {
-        self.deadlines.next()
+        [self.deadlines.next(), self.held_until.next()]
+            .into_iter()
+            .flatten()
+            .min()
     }
 
     /// Generates a random identifier.
--- a/crates/rillgap-core/tests/call_path.rs
+++ b/crates/rillgap-core/tests/call_path.rs
@@ -6,10 +6,11 @@
 
 use bytes::Bytes;
 use googletest::prelude::*;
+use rillgap_core::call::held_answer::MAX_HOLD_TIME;
 use rillgap_core::code::{Outcome, ResultCode};
 use rillgap_core::event::{BackEndFailure, Event, InboundId};
-use rillgap_core::id::{BackEndName, CallToken, IdempotencyKey, NodeName};
-use rillgap_core::policy::{BackEndState, Policy};
+use rillgap_core::id::{BackEndName, CallToken, IdempotencyKey, NodeName, ServiceName};
+use rillgap_core::policy::{BackEndPolicy, BackEndState, Policy};
 use rillgap_core::request::AnswerHead;
 use support::{Cluster, policy};
 
@@ -246,6 +247,85 @@
     expect_true!(cluster.response(booking).is_complete);
 }
 
+/// Gives all back ends slots for all requests of a test, from their slow start on.
+fn with_many_slots(mut policy: Policy) -> Policy {
+    for service in &mut policy.services {
+        service.slots = 40;
+    }
+    policy
+}
+
+fn two_deep() -> Policy {
+    let mut policy = policy();
+    policy.back_ends.push(BackEndPolicy {
+        name: BackEndName::new("deep-2"),
+        service: ServiceName::new("deep"),
+        node: NodeName::new("node-deep-2"),
+        state: BackEndState::Serving,
+    });
+    policy
+}
+
+/// Sends the head and a part of the body of an answer.
+fn begin_answer(cluster: &mut Cluster, position: usize, body: &'static [u8]) {
+    let node = node_of(cluster, position);
+    let attempt = cluster.calls[position].1.attempt;
+    let head = AnswerHead {
+        status: 200,
+        headers: Vec::new(),
+    };
+    let chunk = Bytes::from_static(body);
+    cluster.event(&node, Event::BackEndHead { attempt, head });
+    cluster.event(&node, Event::BackEndBody { attempt, chunk });
+}
+
+/// Ends a running request at a back end with a failure.
+fn fail(cluster: &mut Cluster, position: usize, failure: BackEndFailure) {
+    let node = node_of(cluster, position);
+    let attempt = cluster.calls.remove(position).1.attempt;
+    cluster.event(&node, Event::BackEndFailed { attempt, failure });
+}
+
+/// Guards against repeats of whole chains: a call of a back end whose answer breaks off must be
+/// retried by itself, so that the back end does not fail and is not run again.
+#[gtest]
+fn broken_answer_to_a_back_end_is_retried_where_it_broke() {
+    let mut cluster = Cluster::new(&two_deep());
+    let inbound = cluster.call("GET", "/page", None);
+    let token = cluster.calls[0].1.token;
+    let front = node_of(&cluster, 0);
+    let child = cluster.child_call(&front, Some(token), "/fare");
+    begin_answer(&mut cluster, 1, b"fa");
+    expect_that!(cluster.response(child).status, none());
+    fail(&mut cluster, 1, BackEndFailure::Broken);
+    cluster.answer(1, "fare");
+    let response = cluster.response(child);
+    expect_that!(response.body, eq(b"fare"));
+    expect_true!(response.is_complete);
+    expect_false!(response.is_aborted);
+    cluster.answer(0, "page");
+    expect_true!(cluster.response(inbound).is_complete);
+}
+
+/// Guards against streams that arrive late, and long answers that fill the memory of a node.
+#[gtest]
+fn long_or_slow_answers_to_a_back_end_are_forwarded_as_they_arrive() {
+    static LONG: [u8; 5_000] = [b'x'; 5_000];
+    for (part, wait) in [(&LONG[..], Duration::ZERO), (b"slow", MAX_HOLD_TIME)] {
+        let mut cluster = Cluster::new(&policy());
+        cluster.call("GET", "/page", None);
+        let token = cluster.calls[0].1.token;
+        let front = node_of(&cluster, 0);
+        let child = cluster.child_call(&front, Some(token), "/fare");
+        begin_answer(&mut cluster, 1, part);
+        cluster.advance(wait);
+        expect_that!(cluster.response(child).status, some(eq(200)));
+        expect_that!(cluster.response(child).body.len(), eq(part.len()));
+        fail(&mut cluster, 1, BackEndFailure::Broken);
+        expect_true!(cluster.response(child).is_aborted);
+    }
+}
+
 #[gtest]
 fn names_of_nodes_give_stable_identifiers() {
     expect_that!(NodeName::new("entry").id(), eq(NodeName::new("entry").id()));
--- a/crates/rillgap-core/tests/support/mod.rs
+++ b/crates/rillgap-core/tests/support/mod.rs
@@ -29,7 +29,8 @@
     pub is_aborted: bool,
 }
 
-/// The nodes `entry`, `node-front-1`, `node-front-2` and `node-deep-1` with their back ends.
+/// The nodes `entry`, `node-front-1`, `node-front-2`, `node-deep-1` and `node-deep-2` with their back
+/// ends; the policy leaves out the last one.
 pub struct Cluster {
     pub now: Now,
     pub nodes: BTreeMap<NodeId, Node>,
@@ -93,7 +94,13 @@
 }
 
 fn view() -> View {
-    let names = ["entry", "node-front-1", "node-front-2", "node-deep-1"];
+    let names = [
+        "entry",
+        "node-front-1",
+        "node-front-2",
+        "node-deep-1",
+        "node-deep-2",
+    ];
     let members = names
         .into_iter()
         .zip(0..)
