Data path: a back end whose connections have all broken gets no attempts

Cause: the node beside a back end knows at once that it has ended, since all its connections break, and went on sending attempts to it. Each attempt at an address that refuses is charged to the chain.

Change: when two requests without an answer in between have broken, or one was not connected, and no other one runs there, the node refuses attempts unsent for 250 ms (code 57, not run). They are rerouted free of charge, up to three times as before, since no attempt reached a back end; peers treat the back end as unreachable. Then it is tried again. A back end with other requests running is not passed over.

Tests: back_end_whose_requests_have_all_broken_gets_no_retries (failed before), back_end_with_other_requests_running_is_not_passed_over.

--- a/crates/rillgap-core/src/action.rs
+++ b/crates/rillgap-core/src/action.rs
@@ -8,7 +8,7 @@
 use crate::admission::{LevelChange, ShedRequest};
 use crate::claim::{DelayedClaim, RefusedClaim};
 use crate::code::ResultCode;
-use crate::event::InboundId;
+use crate::event::{BackEndFailure, InboundId};
 use crate::id::{AttemptId, BackEndName, CallToken, NodeId, NodeName};
 use crate::membership::{RemovalRecord, ViewTransition, ViewWrite};
 use crate::message::PeerMessage;
@@ -169,6 +169,11 @@
         /// View in force.
         view: crate::id::ViewVersion,
     },
+    /// The local back end counts as ended for a short time, in which no attempts are sent to it.
+    BackEndDown {
+        /// How its last request ended.
+        failure: BackEndFailure,
+    },
     /// A claim ended without a majority of its replicas.
     ClaimRefused(Box<RefusedClaim>),
     /// A claim was granted after it had waited for replicas to vote again.
--- a/crates/rillgap-core/src/call/attempt_runner/admission.rs
+++ b/crates/rillgap-core/src/call/attempt_runner/admission.rs
@@ -102,6 +102,9 @@
         if !context.membership.may_serve(now) {
             return Some(ResultCode::NotReady);
         }
+        if self.outage.is_down(now.instant) {
+            return Some(ResultCode::BackEndDown);
+        }
         let leaving_by_policy = policy
             .back_end(&local.name)
             .is_none_or(|back_end| back_end.state == BackEndState::Leaving);
--- a/crates/rillgap-core/src/call/attempt_runner/answers.rs
+++ b/crates/rillgap-core/src/call/attempt_runner/answers.rs
@@ -3,7 +3,7 @@
 use bytes::Bytes;
 
 use super::{AttemptRunner, Phase};
-use crate::action::Action;
+use crate::action::{Action, Observation};
 use crate::admission::Completion;
 use crate::call::ports::Ports;
 use crate::code::ResultCode;
@@ -68,6 +68,7 @@
         let Phase::Running { parts, .. } = local.phase else {
             return;
         };
+        self.outage.on_answered();
         if let Some(keyed) = local.dispatch.key {
             self.guard
                 .complete(now, keyed.key, local.recorder.into_answer());
@@ -92,12 +93,23 @@
         failure: BackEndFailure,
         ports: &mut Ports<'_, '_>,
     ) {
+        let was_down = self.outage.is_down(now.instant);
         match failure {
             BackEndFailure::NotConnected => {
                 self.end_not_run(now, attempt, ResultCode::BackEndUnreachable, ports);
+                self.outage.on_unreachable(now.instant, self.running());
             }
-            BackEndFailure::Shed => self.end_not_run(now, attempt, ResultCode::BackEndShed, ports),
-            BackEndFailure::Broken => self.end_failed(now, attempt, ResultCode::AnswerLost, ports),
+            BackEndFailure::Shed => {
+                self.end_not_run(now, attempt, ResultCode::BackEndShed, ports);
+                self.outage.on_answered();
+            }
+            BackEndFailure::Broken => {
+                self.end_failed(now, attempt, ResultCode::AnswerLost, ports);
+                self.outage.on_broken(now.instant, self.running());
+            }
+        }
+        if !was_down && self.outage.is_down(now.instant) {
+            ports.emit(Action::Observe(Observation::BackEndDown { failure }));
         }
     }
 }
--- a/crates/rillgap-core/src/call/attempt_runner/mod.rs
+++ b/crates/rillgap-core/src/call/attempt_runner/mod.rs
@@ -23,6 +23,9 @@
 mod admission;
 mod answers;
 mod completion;
+mod outage;
+
+use outage::Outage;
 
 /// Flow-control window: bytes of an answer's body that may be in flight to its reader.
 pub const ANSWER_WINDOW_BYTES: u32 = 64 * 1024;
@@ -75,6 +78,7 @@
     deadlines: Deadlines<AttemptId>,
     admission: BackEndAdmission,
     guard: DispatchGuard,
+    outage: Outage,
     random: ChaCha8Rng,
     announced_leaving: bool,
     stopping: bool,
@@ -91,6 +95,7 @@
             deadlines: Deadlines::default(),
             admission: BackEndAdmission::new(settings.admission, settings.id()),
             guard: DispatchGuard::default(),
+            outage: Outage::default(),
             random: ChaCha8Rng::seed_from_u64(settings.random_seed ^ TOKEN_SEED_SALT),
             announced_leaving: false,
             stopping: false,
@@ -132,6 +137,11 @@
         self.announced_leaving = leaving;
     }
 
+    /// Returns the number of attempts that were sent to the back end and have not ended.
+    fn running(&self) -> usize {
+        self.tokens.len()
+    }
+
     /// Returns the load of the back end.
     pub fn load(&self) -> LoadReport {
         self.admission.load()
--- a/crates/rillgap-core/src/call/retry.rs
+++ b/crates/rillgap-core/src/call/retry.rs
@@ -23,6 +23,7 @@
         ResultCode::NodeStopping
         | ResultCode::NotReady
         | ResultCode::BackEndLeaving
+        | ResultCode::BackEndDown
         | ResultCode::WrongIncarnation => Retry::Reroute,
         ResultCode::QueueFull
         | ResultCode::BackEndShed
--- a/crates/rillgap-core/src/call/sender/answers.rs
+++ b/crates/rillgap-core/src/call/sender/answers.rs
@@ -317,7 +317,7 @@
 /// ejected like a failing one, or it attracts all calls.
 fn target_result(refusal: Refusal) -> TargetResult {
     match refusal.code {
-        ResultCode::BackEndUnreachable => TargetResult::Unreachable,
+        ResultCode::BackEndUnreachable | ResultCode::BackEndDown => TargetResult::Unreachable,
         _ => TargetResult::Refused,
     }
 }
--- a/crates/rillgap-core/src/code.rs
+++ b/crates/rillgap-core/src/code.rs
@@ -137,6 +137,8 @@
     /// The back end states a rate limit in its answers, and has received as many requests as that
     /// allows.
     RateLimitStated = 56, 503, NotRun, "back end at the rate limit that it states";
+    /// The node beside the back end knows that the back end has ended, and did not try it.
+    BackEndDown = 57, 503, NotRun, "back end down";
     /// The request was started, but not answered in time.
     AnswerTimeout = 70, 504, Unknown, "no answer in time";
     /// The connection to the node or back end was lost after the request was sent.
--- a/crates/rillgap-core/tests/call_path.rs
+++ b/crates/rillgap-core/tests/call_path.rs
@@ -326,6 +326,56 @@
     }
 }
 
+/// Guards against retries that are spent on a back end that has ended: the node beside it knows
+/// from its broken connections.
+#[gtest]
+fn back_end_whose_requests_have_all_broken_gets_no_retries() {
+    let mut policy = with_many_slots(policy());
+    policy.bounds.extra_attempts = 1;
+    policy.bounds.retry_percent = 100;
+    let mut cluster = Cluster::new(&policy);
+    let inbounds: Vec<InboundId> = (0..8).map(|_| cluster.call("GET", "/page", None)).collect();
+    let ended = node_of(&cluster, 0);
+    let is_lost =
+        |cluster: &Cluster| (0..cluster.calls.len()).find(|at| node_of(cluster, *at) == ended);
+    let mut lost = 0;
+    while let Some(position) = is_lost(&cluster) {
+        fail(&mut cluster, position, BackEndFailure::Broken);
+        lost += 1;
+    }
+    expect_that!(lost, ge(2));
+    let later = cluster.call("GET", "/page", None);
+    expect_that!(is_lost(&cluster), none());
+    while !cluster.calls.is_empty() {
+        cluster.answer(0, "page");
+    }
+    for inbound in inbounds.into_iter().chain([later]) {
+        expect_true!(cluster.response(inbound).is_complete);
+    }
+    cluster.advance(Duration::from_secs(3));
+    for _ in 0..8 {
+        cluster.call("GET", "/page", None);
+    }
+    expect_that!(is_lost(&cluster), some(anything()), "is tried again");
+}
+
+/// Guards against a back end that is passed over because single requests of it break.
+#[gtest]
+fn back_end_with_other_requests_running_is_not_passed_over() {
+    let mut cluster = Cluster::new(&with_many_slots(single_front()));
+    for _ in 0..4 {
+        cluster.call("GET", "/page", None);
+    }
+    for _ in 0..2 {
+        fail(&mut cluster, 0, BackEndFailure::Broken);
+    }
+    let inbound = cluster.call("GET", "/page", None);
+    while !cluster.calls.is_empty() {
+        cluster.answer(0, "page");
+    }
+    expect_true!(cluster.response(inbound).is_complete);
+}
+
 #[gtest]
 fn names_of_nodes_give_stable_identifiers() {
     expect_that!(NodeName::new("entry").id(), eq(NodeName::new("entry").id()));
--- a/crates/rillgap-node/src/event_log.rs
+++ b/crates/rillgap-node/src/event_log.rs
@@ -67,6 +67,12 @@
             Observation::LeaveAnnounced { view } => {
                 log::info!(version = view.0; "node: announces that it is leaving the view");
             }
+            Observation::BackEndDown { failure } => {
+                log::warn!(
+                    failure = format!("{failure:?}").as_str();
+                    "node: back end counts as ended, attempts go to others"
+                );
+            }
             Observation::ClaimRefused(claim) => {
                 if self.admits_request_record() {
                     record_claim(claim);
--- a/crates/rillgap-node/src/metrics.rs
+++ b/crates/rillgap-node/src/metrics.rs
@@ -168,6 +168,7 @@
             | Observation::LeavesPermitted { .. }
             | Observation::Leaving
             | Observation::LeaveDeferred { .. }
+            | Observation::BackEndDown { .. }
             | Observation::LeaveAnnounced { .. }
             | Observation::ClaimRefused(_)
             | Observation::Shed(_)
