--- a/scripts/stop-loop.sh
+++ b/scripts/stop-loop.sh
@@ -10,6 +10,8 @@
 #   PAUSE_MS=3000       longest pause between stop and start
 #   SETTLE_S=0          seconds between a restart and the next stop
 #   OVERLAP=0           1: the next node in turn is stopped, too, while the first one stops
+#   OVERLAP_MS=0        longest pause, by chance, from the stop of the first node to that of the second one
+#   RESTARTING="a b"    nodes, in turn, that are stopped before the load and start while the others stop
 #   OUT=folder          keeps the logs of the nodes
 set -euo pipefail
 source "$(dirname "$0")/deployment.sh"
@@ -20,6 +22,7 @@
 readonly SEED=${2:-1}
 RANDOM=$SEED
 read -ra stopped <<< "${STOPPED:-${NODES[*]}}"
+read -ra restarting <<< "${RESTARTING:-}"
 failed=0
 
 keep_logs() {
@@ -49,16 +52,36 @@
   until_true "$1 serves again" is_serving "$1"
 }
 
-# run_round NODE OTHER: stops the node under load, and the other one at the same time if OVERLAP is set.
-run_round() {
+# stop_overlapping NODE OTHER: stops a node, and another one while the first one stops.
+stop_overlapping() {
   local node=$1 other=$2
+  [[ $node != "$other" ]] || fail "two different nodes are needed to stop at the same time"
+  if ((${OVERLAP_MS:-0})); then
+    kill -TERM "${PIDS[$node]}"
+    sleep "$((RANDOM % (OVERLAP_MS + 1)))e-3"
+    kill -TERM "${PIDS[$other]}"
+    wait_exit "$node" || report_failure "$node ended with $?"
+    return
+  fi
+  kill -TERM "${PIDS[$other]}"
+  stop_node "$node"
+}
+
+# run_round NODE OTHER THIRD: stops the node under load, and the other one at the same time if OVERLAP is set; the third
+# one, if there is one, starts meanwhile.
+run_round() {
+  local node=$1 other=$2 third=${3:-}
   sleep "${SETTLE_S:-0}"
+  if [[ -n $third ]]; then
+    stop_node "$third"
+    start_node "$third"
+  fi
   start_load
   if ((${OVERLAP:-0})); then
-    [[ $node != "$other" ]] || fail "two different nodes are needed to stop at the same time"
-    kill -TERM "${PIDS[$other]}"
+    stop_overlapping "$node" "$other"
+  else
+    stop_node "$node"
   fi
-  stop_node "$node"
   restart "$node"
   if ((${OVERLAP:-0})); then
     wait_exit "$other" || report_failure "$other ended with $?"
@@ -66,6 +89,7 @@
   fi
   wait_exit load || report_failure "calls failed"
   cat "$WORK/load.log"
+  [[ -z $third ]] || until_true "$third serves again" is_serving "$third"
 }
 
 # removed_again: prints how often a restarted node left the view without a stop.
@@ -86,8 +110,9 @@
 for ((round = 0; round < ROUNDS; round++)); do
   node=${stopped[$((round % ${#stopped[@]}))]}
   other=${stopped[$(((round + 1) % ${#stopped[@]}))]}
-  say "round $((round + 1)): $node"
-  run_round "$node" "$other"
+  third=${restarting:+${restarting[$((round % ${#restarting[@]}))]}}
+  say "round $((round + 1)): $node${third:+, $third starts}"
+  run_round "$node" "$other" "$third"
 done
 check_executions
 again=$(removed_again)
