Data path: a call keeps the last extra attempt that it holds

Change: half of a pool, rounded down, is lent; the last one stays with the caller, whose retry covers the attempt and its calls. A failure at the very bottom of a chain is retried one hop higher than before.

Test, failing before: last_extra_attempt_is_kept_where_an_attempt_with_calls_in_flight_may_fail.

--- a/crates/rillgap-core/src/call/retry_pool.rs
+++ b/crates/rillgap-core/src/call/retry_pool.rs
@@ -22,9 +22,12 @@
         self.available
     }
 
-    /// Removes half of the pool, rounded up, and returns it as the part to lend to an attempt.
+    /// Removes half of the pool, rounded down, and returns it as the part to lend to an attempt.
+    ///
+    /// The last extra attempt stays here: one that is lent further down while the attempt fails is
+    /// lost with it, and the retry would begin at a call higher up, which runs more again.
     pub fn lend(&mut self) -> u8 {
-        let lent = self.available.div_ceil(2);
+        let lent = self.available / 2;
         self.available -= lent;
         lent
     }
--- a/crates/rillgap-core/tests/call_path.rs
+++ b/crates/rillgap-core/tests/call_path.rs
@@ -307,6 +307,27 @@
     expect_true!(cluster.response(inbound).is_complete);
 }
 
+/// Guards against retries that begin higher up than needed: the last extra attempt of a call must not
+/// be lost in the calls of an attempt that fails.
+#[gtest]
+fn last_extra_attempt_is_kept_where_an_attempt_with_calls_in_flight_may_fail() {
+    let mut policy = policy();
+    policy.bounds.extra_attempts = 1;
+    let mut cluster = Cluster::new(&policy);
+    let inbound = cluster.call("GET", "/page", None);
+    let token = cluster.calls[0].1.token;
+    let front = node_of(&cluster, 0);
+    cluster.child_call(&front, Some(token), "/fare");
+    fail(&mut cluster, 0, BackEndFailure::Broken);
+    let is_front = |at: &usize| node_of(&cluster, *at).starts_with("node-front");
+    let retry = (0..cluster.calls.len()).find(is_front);
+    expect_that!(retry, some(anything()));
+    if let Some(retry) = retry {
+        cluster.answer(retry, "page");
+    }
+    expect_true!(cluster.response(inbound).is_complete);
+}
+
 /// Guards against streams that arrive late, and long answers that fill the memory of a node.
 #[gtest]
 fn long_or_slow_answers_to_a_back_end_are_forwarded_as_they_arrive() {
