--- a/scripts/deployment.sh
+++ b/scripts/deployment.sh
@@ -26,9 +26,9 @@
   exit 1
 }
 
-# Ends what still runs; called on every exit.
+# end_processes [STATUS]: ends what still runs; called on every exit, whose status it keeps.
 end_processes() {
-  local status=$? name
+  local status=${1:-$?} name
   for name in "${!PIDS[@]}"; do
     kill -TERM "${PIDS[$name]}" 2>/dev/null || true
   done
--- a/scripts/stop-loop.sh
+++ b/scripts/stop-loop.sh
@@ -26,11 +26,12 @@
 failed=0
 
 keep_logs() {
+  local status=$?
   if [[ -n ${OUT:-} ]]; then
     mkdir -p "$OUT"
     cp "$WORK"/*.log "$OUT"/
   fi
-  end_processes
+  end_processes "$status"
 }
 trap keep_logs EXIT
 
