--- a/crates/rillgap-core/tests/membership_leaves.rs
+++ b/crates/rillgap-core/tests/membership_leaves.rs
@@ -50,6 +50,20 @@
     votes.count() >= majority(&group)
 }
 
+/// Starts zones of these sizes whose nodes do not work in phase, and waits until they vote.
+fn start_mesh(sizes: &[usize], random: &mut ChaCha8Rng) -> Mesh {
+    let mut mesh = Mesh::empty();
+    for (zone, size) in sizes.iter().enumerate() {
+        for number in 0..*size {
+            mesh.boot(zone, number);
+            mesh.run(Duration::from_millis(random.random_range(1..80)));
+        }
+    }
+    mesh.run_until(TIMEOUT, Mesh::has_converged);
+    mesh.run(SETTLED);
+    mesh
+}
+
 /// A key without a majority.
 struct WaitingKey {
     key: IdempotencyKey,
@@ -68,15 +82,7 @@
 impl Observer {
     /// Starts zones of these sizes whose nodes do not work in phase, and waits until they vote.
     fn start(sizes: [usize; 3], random: &mut ChaCha8Rng, claimant: NodeId) -> Self {
-        let mut mesh = Mesh::empty();
-        for (zone, size) in sizes.into_iter().enumerate() {
-            for number in 0..size {
-                mesh.boot(zone, number);
-                mesh.run(Duration::from_millis(random.random_range(1..80)));
-            }
-        }
-        mesh.run_until(TIMEOUT, Mesh::has_converged);
-        mesh.run(SETTLED);
+        let mesh = start_mesh(&sizes, random);
         Self {
             mesh,
             claimant,
@@ -293,15 +299,7 @@
     let mut most = 0;
     for seed in 0..12 {
         let mut random = ChaCha8Rng::seed_from_u64(seed);
-        let mut mesh = Mesh::empty();
-        for (zone, size) in sizes.iter().enumerate() {
-            for number in 0..*size {
-                mesh.boot(zone, number);
-                mesh.run(Duration::from_millis(random.random_range(1..80)));
-            }
-        }
-        mesh.run_until(TIMEOUT, Mesh::has_converged);
-        mesh.run(SETTLED);
+        let mut mesh = start_mesh(sizes, &mut random);
         if let Some(killed) = killed {
             mesh.kill(killed);
         }
@@ -359,15 +357,7 @@
         (vec![2], vec![(0, 0)]),
     ] {
         let mut random = ChaCha8Rng::seed_from_u64(3);
-        let mut mesh = Mesh::empty();
-        for (zone, size) in sizes.iter().enumerate() {
-            for number in 0..*size {
-                mesh.boot(zone, number);
-                mesh.run(Duration::from_millis(random.random_range(1..80)));
-            }
-        }
-        mesh.run_until(TIMEOUT, Mesh::has_converged);
-        mesh.run(SETTLED);
+        let mut mesh = start_mesh(&sizes, &mut random);
         for (zone, number) in &leaving {
             let clock = mesh.clock();
             let host = mesh.hosts.get_mut(&node(*zone, *number));
