Admission level: calls that use up their wait count as queue length

The published level follows the queue, so it stays at zero and entries go on to begin chains of which calls are shed.

Change: the wait of the oldest queued call of the lowest rank, against the mean bound of calls, counts as queue length in the controller, 1.5 targets at most; so does a call whose wait has ended. Roots are not affected: a root that is refused has cost no work.

--- a/crates/rillgap-forward/src/inbound/admission.rs
+++ b/crates/rillgap-forward/src/inbound/admission.rs
@@ -1,5 +1,6 @@
 //! Decides which requests run, which wait and which are refused at once.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use rillgap_core::admission::WindowLoad;
@@ -8,12 +9,12 @@
 
 use super::queue::Queued;
 use super::{
-    Arrival, ESTIMATE_PROBE_FRACTION, Inbound, MAX_QUEUE_LENGTH, MAX_SLOT_UTILIZATION,
-    MIN_REMAINING_TIME_FRACTION, MIN_REPORTED_LEVEL_CHANGE, RANK_RESERVE_FRACTION,
-    RETRY_AFTER_RANGE_MILLIS, RequestState, count,
+    Arrival, ESTIMATE_PROBE_FRACTION, Inbound, LEVEL_TUNING, MAX_QUEUE_LENGTH,
+    MAX_SLOT_UTILIZATION, MIN_REMAINING_TIME_FRACTION, MIN_REPORTED_LEVEL_CHANGE,
+    RANK_RESERVE_FRACTION, RETRY_AFTER_RANGE_MILLIS, RequestState, count,
 };
 use crate::action::Actions;
-use crate::message::ForwardedRequest;
+use crate::message::{ForwardedRequest, tier_of};
 
 impl Inbound {
     pub(super) fn limit(&self) -> u32 {
@@ -63,14 +64,11 @@
         if !self.threshold.is_due(now) {
             return;
         }
-        let queued = (0_u8..)
-            .zip(self.queued_by_tier())
-            .map(|(tier, queued)| (tier, usize::from(queued)))
-            .collect();
+        let limit = self.usable_slots();
         let window_load = WindowLoad {
-            limit: self.usable_slots(),
+            limit,
             mean_service_micros: f64::from(self.service_times.mean_micros()),
-            queued,
+            queued: self.equivalent_queue(now, limit),
         };
         self.threshold.update(now, &window_load);
         let level = self.threshold.level();
@@ -80,6 +78,42 @@
         }
     }
 
+    /// Returns the queue lengths by tier. The lowest tier with waiting calls counts as longer if
+    /// these use up more of their wait than the length shows.
+    fn equivalent_queue(&mut self, now: Instant, limit: f64) -> BTreeMap<u8, usize> {
+        let mut queued: BTreeMap<u8, usize> = (0_u8..)
+            .zip(self.queued_by_tier())
+            .map(|(tier, queued)| (tier, usize::from(queued)))
+            .collect();
+        let oldest = self.oldest_waiting_call(now);
+        let Some(equivalent) = self.wait_pressure.end_window(oldest) else {
+            return queued;
+        };
+        let target = LEVEL_TUNING.queue_target * limit;
+        let total: usize = queued.values().sum();
+        let missing = ((equivalent.targets * target) as usize).saturating_sub(total);
+        *queued.entry(equivalent.tier).or_default() += missing;
+        queued
+    }
+
+    /// Returns the tier and the wait so far of the oldest queued call of the lowest rank.
+    fn oldest_waiting_call(&self, now: Instant) -> Option<(u8, Duration)> {
+        self.queue.ranks().rev().find_map(|rank| {
+            let calls = self.queue.items(rank).filter(|item| item.request.is_call);
+            let waits = calls.map(|call| now.saturating_since(call.arrived));
+            Some((tier_of(rank), waits.max()?))
+        })
+    }
+
+    /// Records that the wait of a queued request has ended unserved.
+    pub(super) fn record_expired_wait(&mut self, now: Instant, arrival: &Arrival) {
+        if arrival.request.is_call {
+            let tier = tier_of(arrival.request.rank());
+            let waited = now.saturating_since(arrival.arrived);
+            self.wait_pressure.record_expired(tier, waited);
+        }
+    }
+
     /// Returns whether a rank uses less than its reserved fraction of the limit. Under a stated
     /// rate limit hardly any slot is in use, so the reserve would put the lowest rank first.
     pub(super) fn is_within_reserve(&self, rank: u8) -> bool {
@@ -130,6 +164,9 @@
         }
         let expected = self.service_times.expected(&arrival.request.route);
         let latest = arrival.deadline - expected.mul_f64(MIN_REMAINING_TIME_FRACTION);
+        if arrival.request.is_call {
+            self.wait_pressure.observe_bound(bound);
+        }
         let request_key = (arrival.link, arrival.sequence);
         let is_isolated = arrival.is_isolated;
         let queued = Queued {
--- a/crates/rillgap-forward/src/inbound/completion.rs
+++ b/crates/rillgap-forward/src/inbound/completion.rs
@@ -113,6 +113,7 @@
 
     pub(super) fn refuse_expired(&mut self, now: Instant, out: &mut Actions) {
         while let Some(arrival) = self.queue.pop_expired(now) {
+            self.record_expired_wait(now, &arrival);
             let code = self.shed_code(now);
             self.refuse(now, &arrival, code, out);
         }
--- a/crates/rillgap-forward/src/inbound/mod.rs
+++ b/crates/rillgap-forward/src/inbound/mod.rs
@@ -15,6 +15,7 @@
 mod running;
 mod service_time;
 mod stated_rate;
+mod wait_pressure;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
@@ -42,6 +43,7 @@
 use running::Running;
 use service_time::ServiceTimes;
 use stated_rate::StatedRate;
+use wait_pressure::WaitPressure;
 
 pub use running::{CallProgress, CallUpdate};
 
@@ -130,6 +132,7 @@
     status_changed: bool,
     load_changed: bool,
     threshold: Threshold,
+    wait_pressure: WaitPressure,
     /// Level at which the last load report was triggered by a level change.
     reported_level: Level,
 }
@@ -158,6 +161,7 @@
             status_changed: false,
             load_changed: false,
             threshold: Threshold::new(LEVEL_TUNING),
+            wait_pressure: WaitPressure::default(),
             reported_level: Level(0),
         }
     }
--- a/crates/rillgap-forward/src/inbound/queue.rs
+++ b/crates/rillgap-forward/src/inbound/queue.rs
@@ -56,6 +56,15 @@
         self.ranks.keys().copied()
     }
 
+    /// Returns the queued items of a rank, in no particular order of arrival.
+    pub fn items(&self, rank: u8) -> impl Iterator<Item = &T> {
+        let queue = self.ranks.get(&rank);
+        queue
+            .into_iter()
+            .flat_map(BTreeMap::values)
+            .map(|queued| &queued.item)
+    }
+
     /// Returns the number of queued items of each rank.
     pub fn lengths(&self) -> impl Iterator<Item = (u8, usize)> {
         self.ranks.iter().map(|(rank, queue)| (*rank, queue.len()))
