Membership: the last live member of a zone goes on serving when its zone grows again

What callers saw: nothing lost.

Cause: an only member of a zone needs no contact. With the view that adds another member, has_recent_contact asked for a contact with the own zone at once. The last one was as old as the time alone, and the new member answers a tick and a round trip later.

Evidence: the recorded log (entry-hall-b 19:55:52.004 to .025, from the view that adds node-takst-1).

Change: when a view changes at the last live or only member of a zone, its last contact with another zone counts as one with its own zone, so that it serves for 2 s after that contact at most. This is the bound that the last live member always had; the new member reports it as silent after 4 s at the earliest (PROOFS, condition 8). Votes do not depend on it. Ruled out: 2 s from the adoption of the view, by which a node that was cut off and receives the view late would serve without any contact.

--- a/crates/rillgap-core/src/membership/protocol.rs
+++ b/crates/rillgap-core/src/membership/protocol.rs
@@ -110,7 +110,8 @@
     /// Lower bound on the time of the evidence on which this node votes.
     pub lease: Option<Instant>,
     /// Lower bound on the time of the last message from the own zone that echoes one of this node,
-    /// which proves that the zone receives this node's messages.
+    /// which proves that the zone receives this node's messages. When other members join a zone of
+    /// which this node was the last live member, it starts from `other_contact`.
     pub zone_contact: Option<Instant>,
     /// Counterpart of `zone_contact` for relays of other zones.
     pub other_contact: Option<Instant>,
@@ -334,17 +335,20 @@
         let is_recent = |contact: Option<Instant>| {
             contact.is_some_and(|at| now.saturating_since(at) <= CONTACT_TIMEOUT)
         };
-        let order = self.topology.order(self.identity.zone);
-        if order.len() <= 1 {
+        if self.topology.zone_size(self.identity.zone) <= 1 {
             return true;
         }
         if is_recent(self.zone_contact.max(self.detector.last_dated())) {
             return true;
         }
-        let is_last_live = order
-            .iter()
-            .all(|&node| node == self.identity.id || self.contacts.is_silent(now, node));
-        is_last_live && is_recent(self.other_contact)
+        self.is_last_live_of_zone(now) && is_recent(self.other_contact)
+    }
+
+    /// Returns whether all other members of the own zone are silent, or there are none.
+    pub fn is_last_live_of_zone(&self, now: Instant) -> bool {
+        let order = self.topology.order(self.identity.zone);
+        let mut others = order.iter().filter(|node| **node != self.identity.id);
+        others.all(|node| self.contacts.is_silent(now, *node))
     }
 
     pub fn leave(&mut self, now: Instant) {
--- a/crates/rillgap-core/src/membership/views.rs
+++ b/crates/rillgap-core/src/membership/views.rs
@@ -119,6 +119,7 @@
         from: Option<NodeId>,
         out: &mut Outbox,
     ) {
+        let was_last_live = self.is_member() && self.is_last_live_of_zone(now);
         self.update_is_member();
         let topology = Topology::of(&self.view);
         let earlier = std::mem::replace(&mut self.topology, topology);
@@ -126,6 +127,9 @@
         self.history
             .mark_confirmed_by_all(now, self.confirmed_by_all);
         self.drop_ended_incarnations(before);
+        if was_last_live {
+            self.keep_serving_by_other_contact();
+        }
         self.record_joins(now, before, &earlier);
         self.update_own_membership(now, before);
         self.update_roles(now);
@@ -150,6 +154,14 @@
             .retain(|zone| topology.zones.contains_key(&zone));
     }
 
+    /// Lets the last contact with another zone count as one with the own zone, of which this node was
+    /// the last live member. No message to a member that has just joined can have been answered yet.
+    /// That member reports this one as silent after
+    /// [`REMOVAL_TIMEOUT`](super::timing::REMOVAL_TIMEOUT) at the earliest.
+    fn keep_serving_by_other_contact(&mut self) {
+        self.zone_contact = self.zone_contact.max(self.other_contact);
+    }
+
     /// Records the zones that appeared after the view `before`, whose topology is `earlier`, and the
     /// members of the own zone that joined after it.
     fn record_joins(&mut self, now: Instant, before: &View, earlier: &Topology) {
