Placement by what a back end takes now: measured slowdown

Cause: the mean by which senders choose follows answers, some 20 of them, so an episode of half a second in which a back end takes 2.5 times as long is half over before it shows.

Change: the node beside a back end measures how much longer than usual its own work takes (time of calls left out), from requests that ended and from those that still run for longer than usual. Load.mean_micros is the usual mean (time constant 10 s) with its own part times that slowdown; a report goes out at once when it doubles or halves. Of the two drawn of a group, the sender prefers the one with the shorter expected completion time while it has capacity; what waits weighs by the time that the back end takes. A back end may state its load (one header, read in platform/): valid for a second, bounded, and able to move a measured slowdown by a factor of 2 at most. While the slowdown is 1.5 or more, queued requests that cannot start in time are given back, not run. Metrics, a log record and pages for operators.

Ruled out: multiplying the whole mean, which would count the time of calls of a back end as its own slowness.

Not measured on deployments yet.

--- a/crates/rillgap-forward/src/back_end_notice.rs
+++ b/crates/rillgap-forward/src/back_end_notice.rs
@@ -63,6 +63,41 @@
     }
 }
 
+/// Load that a back end states of itself.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct StatedLoad {
+    /// Number of requests that run.
+    pub running: u32,
+    /// Number of requests that wait at the back end.
+    pub waiting: u32,
+    /// Number of requests that may run at the same time.
+    pub slots: u32,
+    /// Time that work takes at the moment, in percent of the usual time; `None` if it is not stated.
+    pub slowdown_percent: Option<u32>,
+}
+
+/// What an answer states about the load of its back end.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum LoadNotice {
+    /// The answer states no load.
+    #[default]
+    Absent,
+    /// The load as stated.
+    Stated(StatedLoad),
+    /// The answer states a load that cannot be read, or several.
+    Unreadable,
+}
+
+impl LoadNotice {
+    /// Combines two values of one answer: a load that is stated twice is not believed.
+    pub fn and(self, other: Self) -> Self {
+        match (self, other) {
+            (Self::Absent, notice) | (notice, Self::Absent) => notice,
+            _ => Self::Unreadable,
+        }
+    }
+}
+
 /// Notices of a back end in one answer.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct BackEndNotice {
@@ -70,4 +105,6 @@
     pub rate_limit: RateLimitNotice,
     /// Whether the back end is leaving service.
     pub is_leaving: bool,
+    /// Load of the back end.
+    pub load: LoadNotice,
 }
--- a/crates/rillgap-forward/src/balancer.rs
+++ b/crates/rillgap-forward/src/balancer.rs
@@ -8,6 +8,10 @@
 //! not multiplied: a slow back end is avoided while others have capacity, but its slots are used
 //! when the fast ones fill up. For the same reason the penalty decreases to 0 as the own zone fills
 //! up.
+//!
+//! The two of a group are compared by the expected completion time too: requests that wait there
+//! weigh as much more as the back end takes longer than the other, and a back end that takes longer
+//! costs more while the faster one has capacity. Where all take the same time, this changes nothing.
 
 use std::time::Duration;
 
@@ -31,6 +35,11 @@
 /// Cost of a back end that fails every request. One that fails half of them gets requests when the
 /// others are full.
 const FAILURE_COST: f64 = 2.0;
+/// Cost of taking twice as long as the other back end of the group, as a fraction of a back end's
+/// limit.
+const RELATIVE_SLOWNESS_COST: f64 = 0.3;
+/// Maximum ratio of mean service times that is counted within a group.
+const MAX_TIME_RATIO: f64 = 4.0;
 /// Number of candidates drawn from each group.
 const SAMPLES_PER_GROUP: usize = 2;
 
@@ -60,6 +69,17 @@
         let quality = slowness * SLOWNESS_COST + failing * FAILURE_COST;
         self.utilization + next + quality + distance
     }
+
+    /// Returns the part of the cost that applies within a group whose fastest candidate takes
+    /// `fastest` microseconds and has this part of its capacity left.
+    fn relative_cost(&self, fastest: f64, capacity_left: f64) -> f64 {
+        if self.mean_micros == 0 || fastest <= 0.0 {
+            return 0.0;
+        }
+        let ratio = (f64::from(self.mean_micros) / fastest).min(MAX_TIME_RATIO);
+        let waiting = (self.utilization - 1.0).max(0.0);
+        (ratio - 1.0) * (waiting + RELATIVE_SLOWNESS_COST * capacity_left)
+    }
 }
 
 /// Chooses the node for an attempt among candidates, with random draws.
@@ -86,11 +106,9 @@
             .into_iter()
             .partition(|candidate| candidate.is_local);
         let penalty = cross_zone_penalty(&local);
-        let mut sampled = self.sample(local);
-        sampled.extend(self.sample(remote));
-        sampled.extend(self.sample(failing));
-        sampled
+        [local, remote, failing]
             .into_iter()
+            .filter_map(|group| best(self.sample(group), remaining_micros))
             .min_by(|left, right| {
                 let left = left.cost(remaining_micros, penalty);
                 left.total_cmp(&right.cost(remaining_micros, penalty))
@@ -113,13 +131,36 @@
     }
 }
 
+/// Returns the candidate of a group with the lowest cost within it.
+fn best<T>(group: Vec<Candidate<T>>, remaining_micros: f64) -> Option<Candidate<T>> {
+    let fastest = group
+        .iter()
+        .filter(|candidate| candidate.mean_micros > 0)
+        .min_by_key(|candidate| candidate.mean_micros);
+    let (fastest, capacity_left) = fastest.map_or((0.0, 0.0), |fastest| {
+        let left = capacity_left(fastest.utilization);
+        (f64::from(fastest.mean_micros), left)
+    });
+    let cost = |candidate: &Candidate<T>| {
+        candidate.cost(remaining_micros, 0.0) + candidate.relative_cost(fastest, capacity_left)
+    };
+    group
+        .into_iter()
+        .min_by(|left, right| cost(left).total_cmp(&cost(right)))
+}
+
 /// Returns the cost of leaving a zone that has these candidates.
 fn cross_zone_penalty<T>(local: &[Candidate<T>]) -> f64 {
     let lowest = local
         .iter()
         .map(|candidate| candidate.utilization)
         .fold(f64::INFINITY, f64::min);
+    CROSS_ZONE_PENALTY * capacity_left(lowest)
+}
+
+/// Returns the part of a cost of avoiding other back ends that applies at this utilization: all of
+/// it while there is capacity, none when requests are about to queue.
+fn capacity_left(utilization: f64) -> f64 {
     let (full_until, none_from) = PENALTY_FADE_RANGE;
-    let faded = ((lowest - full_until) / (none_from - full_until)).clamp(0.0, 1.0);
-    CROSS_ZONE_PENALTY * (1.0 - faded)
+    1.0 - ((utilization - full_until) / (none_from - full_until)).clamp(0.0, 1.0)
 }
--- a/crates/rillgap-forward/src/event.rs
+++ b/crates/rillgap-forward/src/event.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use crate::back_end_notice::BackEndNotice;
+use crate::back_end_notice::{BackEndNotice, LoadNotice};
 use crate::credential::Credential;
 use crate::id::{AnnouncementId, ConnectionId, ExchangeId, LinkId, PipelineIndex, ProbeId};
 use crate::incarnation::Incarnation;
@@ -135,6 +135,13 @@
         /// The notices.
         notice: BackEndNotice,
     },
+    /// An answer of the health endpoint stated the load of the back end.
+    HealthNotice {
+        /// Identifier of the back end that answered.
+        instance: String,
+        /// The load.
+        notice: LoadNotice,
+    },
     /// A request at the back end has ended.
     ExchangeEnded {
         /// Identifier of the request at the back end.
--- a/crates/rillgap-forward/src/inbound/admission.rs
+++ b/crates/rillgap-forward/src/inbound/admission.rs
@@ -148,7 +148,7 @@
 
     /// Returns the expected time until `count` queued requests have been started.
     pub(super) fn drain_time(&self, now: Instant, count: usize) -> Duration {
-        let mean = f64::from(self.service_times.mean_micros());
+        let mean = f64::from(self.drain_mean_micros());
         let micros = count as f64 * mean / f64::from(self.limit());
         let incarnation = self.back_end.incarnation();
         let rate_wait = self.stated_rate.wait_for(now, incarnation, count);
--- a/crates/rillgap-forward/src/inbound/completion.rs
+++ b/crates/rillgap-forward/src/inbound/completion.rs
@@ -74,7 +74,18 @@
             return;
         }
         let elapsed = now.saturating_since(running.started);
-        self.service_times.record(&running.request.route, elapsed);
+        let route = &running.request.route;
+        self.service_times.record(route, elapsed);
+        let own = running.own_time.elapsed(now);
+        self.speed.usual.record(now, route, own, elapsed);
+    }
+
+    /// Records the time of a request that the back end has answered, and updates the slowdown.
+    pub(super) fn record_answer_time(&mut self, now: Instant, running: &mut Running) {
+        let own_time = &mut running.own_time;
+        self.speed.slowdown.record_end(now, own_time);
+        self.record_service_time(now, running);
+        self.refresh_slowdown(now);
     }
 
     /// Records whether the back end itself failed a request.
--- a/crates/rillgap-forward/src/inbound/mod.rs
+++ b/crates/rillgap-forward/src/inbound/mod.rs
@@ -14,7 +14,11 @@
 mod restart;
 mod running;
 mod service_time;
+pub mod slowdown;
+mod speed;
+mod stated_load;
 mod stated_rate;
+mod usual_time;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
@@ -41,9 +45,12 @@
 use queue::RankQueue;
 use running::Running;
 use service_time::ServiceTimes;
+use slowdown::OwnTime;
+use speed::Speed;
 use stated_rate::StatedRate;
 
 pub use running::{CallProgress, CallUpdate};
+pub use speed::{SlowdownStatus, combined, percent};
 
 /// Fraction of the back end's slots that may be in use: back ends slow down when almost all are
 /// taken.
@@ -121,6 +128,7 @@
     request_states: BTreeMap<(LinkId, Sequence), RequestState>,
     by_request_id: BTreeMap<String, ExchangeId>,
     service_times: ServiceTimes,
+    speed: Speed,
     failure_rate: FailureRate,
     failing_permille: u32,
     /// Incarnation from which the service times and the failure rate were measured.
@@ -150,6 +158,7 @@
             request_states: BTreeMap::new(),
             by_request_id: BTreeMap::new(),
             service_times: ServiceTimes::default(),
+            speed: Speed::default(),
             failure_rate: FailureRate::default(),
             failing_permille: 0,
             measured_incarnation: None,
@@ -192,7 +201,7 @@
             limit: self.limit(),
             running: count(self.running.len()),
             queued: self.queued_by_tier(),
-            mean_micros: self.service_times.mean_micros(),
+            mean_micros: self.current_mean_micros(),
             level: self.threshold.level(),
             failing_permille: self.failing_permille,
             rate_limit: self.stated_rate.report(self.back_end.incarnation()),
@@ -244,12 +253,15 @@
     }
 
     /// Records the progress of a call that the back end makes while it works on a request.
-    pub fn on_call(&mut self, call: CallUpdate) {
+    pub fn on_call(&mut self, now: Instant, call: CallUpdate) {
         let exchange = self.by_request_id.get(&call.parent_id);
         let Some(running) = exchange.and_then(|exchange| self.running.get_mut(exchange)) else {
             return;
         };
         running.on_call(call);
+        let is_working = running.pending_calls() == 0;
+        let own_time = &mut running.own_time;
+        self.speed.slowdown.set_working(now, own_time, is_working);
     }
 
     /// Returns whether the back end has announced that it leaves service, or has left.
@@ -403,6 +415,7 @@
             return;
         };
         let incarnation = &running.incarnation;
+        self.speed.on_notice(now, incarnation, notice.load);
         let before = self.stated_rate.rate(Some(incarnation));
         let has_changed = self
             .stated_rate
@@ -475,11 +488,11 @@
         table: Option<&RouteTable>,
         out: &mut Actions,
     ) {
-        let Some(running) = self.take_running(exchange) else {
+        let Some(mut running) = self.take_running(exchange) else {
             return;
         };
         if matches!(result, ExchangeResult::Answered(_)) {
-            self.record_service_time(now, &running);
+            self.record_answer_time(now, &mut running);
         }
         self.record_outcome(now, &running, &result);
         let effect = self.back_end.on_exchange(&result);
@@ -502,6 +515,7 @@
         self.apply_effect(now, Effect::default(), table, out);
         self.refuse_expired(now, out);
         self.time_out_overdue(now, out);
+        self.poll_speed(now, out);
         self.start_queued(now, out);
     }
 
@@ -522,6 +536,7 @@
             permit,
             back_end,
             lost_requests,
+            self.next_speed_wake(),
         ]
         .into_iter()
         .flatten()
@@ -550,8 +565,10 @@
             incarnation: incarnation.clone(),
             remaining: arrival.deadline.saturating_since(now),
         }));
-        self.running
-            .insert(id, Running::new(now, arrival, incarnation));
+        let usual_micros = self.speed.usual.own_micros_of(&arrival.request.route);
+        let own_time = OwnTime::start(now, usual_micros);
+        let running = Running::new(now, arrival, incarnation, own_time);
+        self.running.insert(id, running);
     }
 
     /// Removes a running request with all that refers to it, and returns it.
--- a/crates/rillgap-forward/src/inbound/queue.rs
+++ b/crates/rillgap-forward/src/inbound/queue.rs
@@ -1,6 +1,7 @@
 //! Queue ordered by rank, then by position within the rank, then by arrival.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
 
 use rillgap_core::time::Instant;
 
@@ -108,6 +109,22 @@
         self.remove(ticket)
     }
 
+    /// Returns the tickets of items, at most `most`, that cannot be started before their cutoffs if one item
+    /// is started in each `interval` in the order of service and these items are removed.
+    pub fn late(&self, now: Instant, interval: Duration, most: usize) -> Vec<u64> {
+        let mut tickets = Vec::new();
+        let mut starts = now;
+        for ((_, ticket), queued) in self.ranks.values().flatten() {
+            let next = starts + interval;
+            if queued.cutoff >= next {
+                starts = next;
+            } else if tickets.len() < most {
+                tickets.push(*ticket);
+            }
+        }
+        tickets
+    }
+
     /// Returns the earliest cutoff.
     pub fn next_cutoff(&self) -> Option<Instant> {
         self.cutoffs.first().map(|(cutoff, _)| *cutoff)
--- a/crates/rillgap-forward/src/inbound/restart.rs
+++ b/crates/rillgap-forward/src/inbound/restart.rs
@@ -53,6 +53,7 @@
         }
         self.measured_incarnation = serving.cloned();
         self.service_times.on_restart();
+        self.speed.on_restart();
         self.failure_rate = FailureRate::default();
     }
 }
--- a/crates/rillgap-forward/src/inbound/running.rs
+++ b/crates/rillgap-forward/src/inbound/running.rs
@@ -6,6 +6,7 @@
 use rillgap_core::admission::Level;
 use rillgap_core::time::Instant;
 
+use super::slowdown::OwnTime;
 use super::{Arrival, elapsed_micros};
 use crate::id::{LinkId, Sequence};
 use crate::incarnation::Incarnation;
@@ -54,6 +55,8 @@
     pub is_isolated: bool,
     /// Whether the sender of the request still waits for the answer.
     pub is_awaited: bool,
+    /// Time during which the back end works on the request and waits for no call.
+    pub own_time: OwnTime,
     /// Calls that the back end makes for the request and that have no answer yet.
     pending_calls: u32,
     /// Whether a call made for the request has failed.
@@ -64,7 +67,12 @@
 
 impl Running {
     /// Creates the state of a request that is handed to the back end.
-    pub fn new(now: Instant, arrival: Arrival, incarnation: Incarnation) -> Self {
+    pub fn new(
+        now: Instant,
+        arrival: Arrival,
+        incarnation: Incarnation,
+        own_time: OwnTime,
+    ) -> Self {
         Self {
             incarnation,
             link: arrival.link,
@@ -75,6 +83,7 @@
             deadline: arrival.deadline,
             is_isolated: arrival.is_isolated,
             is_awaited: true,
+            own_time,
             pending_calls: 0,
             has_failed_call: false,
             downstream_levels: BTreeMap::new(),
@@ -97,6 +106,11 @@
         }
     }
 
+    /// Returns the number of calls that have no answer yet.
+    pub const fn pending_calls(&self) -> u32 {
+        self.pending_calls
+    }
+
     /// Returns whether a failure of the request is caused by the back end itself, not by one of its
     /// calls.
     pub fn is_back_end_fault(&self) -> bool {
--- a/crates/rillgap-forward/src/log_record.rs
+++ b/crates/rillgap-forward/src/log_record.rs
@@ -109,6 +109,23 @@
         /// Number of queued requests.
         queued: u32,
     },
+    /// The back end has become much slower than usual, or is no longer.
+    BackEndSlowdown {
+        /// Identifier of the incarnation.
+        instance: String,
+        /// Whether it is much slower than usual.
+        is_slow: bool,
+        /// Time that its own work takes as measured, in percent of the usual time.
+        measured_percent: u32,
+        /// The same as the back end states it; `None` without a recent statement.
+        stated_percent: Option<u32>,
+        /// The same in force.
+        percent: u32,
+        /// Number of requests that run.
+        running: u32,
+        /// Number of queued requests.
+        queued: u32,
+    },
     /// The back end has ended unexpectedly.
     BackEndCrashed {
         /// Identifier of the incarnation that has ended.
--- a/crates/rillgap-forward/src/node/mod.rs
+++ b/crates/rillgap-forward/src/node/mod.rs
@@ -223,6 +223,9 @@
             Event::BackEndNotice { exchange, notice } => {
                 self.inbound.on_notice(now, exchange, notice, out);
             }
+            Event::HealthNotice { instance, notice } => {
+                self.inbound.on_health_notice(now, &instance, notice);
+            }
             Event::ExchangeEnded { exchange, result } => {
                 let table = self.table.clone();
                 self.inbound
@@ -402,7 +405,7 @@
         self.query_tokens(now, out);
         self.deliver_local(now, out);
         for call in self.outbound.take_call_updates() {
-            self.inbound.on_call(call);
+            self.inbound.on_call(now, call);
         }
         for (id, request) in self.store.poll(now) {
             out.push(Action::CallStore { id, request });
--- a/crates/rillgap-forward/tests/simulation/world/back_ends.rs
+++ b/crates/rillgap-forward/tests/simulation/world/back_ends.rs
@@ -160,6 +160,7 @@
         let notice = BackEndNotice {
             rate_limit: rate.map_or(RateLimitNotice::Unlimited, RateLimitNotice::Limited),
             is_leaving: back_end.states_leaving,
+            ..BackEndNotice::default()
         };
         let event = Event::BackEndNotice {
             exchange: key.exchange,
--- a/crates/rillgap-forward/tests/stated_rate.rs
+++ b/crates/rillgap-forward/tests/stated_rate.rs
@@ -38,6 +38,7 @@
     let notice = BackEndNotice {
         rate_limit,
         is_leaving,
+        ..BackEndNotice::default()
     };
     test.event(Event::BackEndNotice { exchange, notice });
     test.end_exchange(exchange, ExchangeResult::Answered(answer(200)));
@@ -69,6 +70,7 @@
             let notice = BackEndNotice {
                 rate_limit: notice,
                 is_leaving: false,
+                ..BackEndNotice::default()
             };
             let exchange = exchange.id;
             test.event(Event::BackEndNotice { exchange, notice });
@@ -136,6 +138,7 @@
         let notice = BackEndNotice {
             rate_limit,
             is_leaving: false,
+            ..BackEndNotice::default()
         };
         let exchange = exchanges[index].id;
         test.event(Event::BackEndNotice { exchange, notice });
@@ -420,6 +423,7 @@
     let notice = BackEndNotice {
         rate_limit: limited(500.0),
         is_leaving: false,
+        ..BackEndNotice::default()
     };
     let exchange = early;
     test.event(Event::BackEndNotice { exchange, notice });
--- a/crates/rillgap-sidecar/src/back_end/connection.rs
+++ b/crates/rillgap-sidecar/src/back_end/connection.rs
@@ -14,7 +14,7 @@
 
 use super::Job;
 use super::response::{Progress, ResponseReader};
-use crate::dialect::HeaderNames;
+use crate::dialect::{Dialect, HeaderNames};
 use crate::hub::Hub;
 use crate::read::{read_some, release_if_empty};
 
@@ -152,8 +152,8 @@
         if !self.has_no_input() {
             return Outcome::Stale;
         }
-        let names = self.hub.dialect().headers().clone();
-        let mut output = BytesMut::from(encode(&job.exchange, &names).as_slice());
+        let dialect = self.hub.dialect().clone();
+        let mut output = BytesMut::from(encode(&job.exchange, dialect.headers()).as_slice());
         let is_head = job.exchange.request.method == "HEAD";
         let mut reader = ResponseReader::new(&job.exchange.request.request_id, is_head);
         loop {
@@ -165,7 +165,7 @@
                 biased;
                 _ = &mut job.cancelled => return Outcome::Cancelled,
                 received = read_some(&mut receiving, &mut self.input) => {
-                    let progress = self.on_received(received, &mut reader, &names);
+                    let progress = self.on_received(received, &mut reader, dialect.as_ref());
                     if let Some(notice) = reader.take_notice() {
                         let client = self.hub.back_end();
                         client.report_notice(&self.hub, job.exchange.id, notice);
@@ -191,11 +191,11 @@
         &mut self,
         received: io::Result<usize>,
         reader: &mut ResponseReader,
-        names: &HeaderNames,
+        dialect: &dyn Dialect,
     ) -> Progress {
         let progress = match received {
             Ok(0) => reader.on_close(),
-            Ok(_) => reader.read(&mut self.input, names),
+            Ok(_) => reader.read(&mut self.input, dialect),
             Err(_) => Progress::Broken,
         };
         release_if_empty(&mut self.input);
--- a/crates/rillgap-sidecar/src/back_end/mod.rs
+++ b/crates/rillgap-sidecar/src/back_end/mod.rs
@@ -10,8 +10,8 @@
 use std::rc::Rc;
 
 use rillgap_forward::action::Exchange;
-use rillgap_forward::back_end_notice::BackEndNotice;
-use rillgap_forward::event::{Event, ExchangeResult};
+use rillgap_forward::back_end_notice::{BackEndNotice, LoadNotice};
+use rillgap_forward::event::{Event, ExchangeResult, ProbeResult};
 use rillgap_forward::id::{ExchangeId, ProbeId};
 use rillgap_forward::incarnation::Incarnation;
 use tokio::sync::{mpsc, oneshot};
@@ -81,8 +81,17 @@
         let hub = hub.clone();
         let address = self.address;
         tokio::task::spawn_local(async move {
-            let result = probe::send(hub.dialect().headers(), address, &path).await;
+            let answer = probe::send(hub.dialect().as_ref(), address, &path).await;
+            let result = answer.result;
+            let stated = match &result {
+                ProbeResult::Healthy { instance } => Some(instance.clone()),
+                _ => None,
+            };
             hub.dispatch(Event::ProbeEnded { probe, result });
+            let notice = answer.load;
+            if let Some(instance) = stated.filter(|_| notice != LoadNotice::Absent) {
+                hub.dispatch(Event::HealthNotice { instance, notice });
+            }
         });
     }
 
--- a/crates/rillgap-sidecar/src/back_end/response.rs
+++ b/crates/rillgap-sidecar/src/back_end/response.rs
@@ -13,7 +13,7 @@
     BodyDecoder, BodyProgress, Connection, HeadLimits, ResponseHead, decode_response,
 };
 
-use crate::dialect::HeaderNames;
+use crate::dialect::Dialect;
 
 /// Maximum length of an answer's head, in bytes.
 const MAX_HEAD_BYTES: usize = 64 * 1024;
@@ -75,9 +75,9 @@
     }
 
     /// Reads received bytes.
-    pub fn read(&mut self, input: &mut BytesMut, names: &HeaderNames) -> Progress {
+    pub fn read(&mut self, input: &mut BytesMut, dialect: &dyn Dialect) -> Progress {
         loop {
-            if self.current.is_none() && !self.read_head(input, names).unwrap_or(false) {
+            if self.current.is_none() && !self.read_head(input, dialect).unwrap_or(false) {
                 return match self.is_partial_head(input) {
                     true => Progress::Partial,
                     false => Progress::Broken,
@@ -114,14 +114,14 @@
 
     /// Reads a head; returns `Some(true)` once it is complete. `None` stands for a partial head as
     /// well as for an error: [`Self::is_partial_head`] distinguishes them.
-    fn read_head(&mut self, input: &mut BytesMut, names: &HeaderNames) -> Option<bool> {
+    fn read_head(&mut self, input: &mut BytesMut, dialect: &dyn Dialect) -> Option<bool> {
         loop {
             let mut answer_fields = AnswerFields::default();
             let limits = HeadLimits {
                 max_bytes: MAX_HEAD_BYTES,
             };
             let head = decode_response(input, limits, self.is_head, |name, value| {
-                answer_fields.record(name, value, names)
+                answer_fields.record(name, value, dialect)
             });
             let head = head.ok()??;
             if head.is_interim() {
@@ -206,7 +206,8 @@
 impl AnswerFields {
     /// Records a field if it matters for the classification. Returns `true`, since every field is
     /// passed on.
-    fn record(&mut self, name: &str, value: &[u8], names: &HeaderNames) -> bool {
+    fn record(&mut self, name: &str, value: &[u8], dialect: &dyn Dialect) -> bool {
+        let names = dialect.headers();
         if name.eq_ignore_ascii_case(names.request_id) {
             self.request_id = Some(String::from_utf8_lossy(value).trim().to_owned());
         } else if name.eq_ignore_ascii_case(names.signature) {
@@ -215,6 +216,8 @@
             self.is_not_run = true;
         } else if name.eq_ignore_ascii_case(names.rate_limit) {
             self.notice.rate_limit = self.notice.rate_limit.stricter(parse_rate_limit(value));
+        } else if name.eq_ignore_ascii_case(names.load) {
+            self.notice.load = self.notice.load.and(dialect.load_notice(value));
         } else if name.eq_ignore_ascii_case(names.leaving) {
             self.notice.is_leaving = !matches!(value.trim_ascii(), b"" | b"0");
         } else if name.eq_ignore_ascii_case("content-encoding") {
--- a/crates/rillgap-sidecar/src/dialect.rs
+++ b/crates/rillgap-sidecar/src/dialect.rs
@@ -1,5 +1,6 @@
 //! Names and formats that a platform uses for HTTP messages to and from a node.
 
+use rillgap_forward::back_end_notice::LoadNotice;
 use rillgap_forward::event::Heartbeat;
 use rillgap_forward::incarnation::Incarnation;
 
@@ -22,6 +23,8 @@
     pub instance: &'static str,
     /// Requests per second that the answering back end accepts from all nodes together.
     pub rate_limit: &'static str,
+    /// Load that the answering back end states of itself.
+    pub load: &'static str,
     /// Marks an answer of a back end that is leaving service.
     pub leaving: &'static str,
     /// Credential of the caller; never passed on if tenants are configured.
@@ -68,6 +71,10 @@
     /// Returns the key that the value of a credential field holds, if it has the expected form.
     fn key<'a>(&self, credential: &'a [u8]) -> Option<&'a [u8]>;
 
+    /// Reads the value of a field that states the load of a back end; never returns
+    /// [`LoadNotice::Absent`].
+    fn load_notice(&self, value: &[u8]) -> LoadNotice;
+
     /// Reads a call to the node.
     ///
     /// # Errors
--- a/crates/rillgap-sidecar/src/hub.rs
+++ b/crates/rillgap-sidecar/src/hub.rs
@@ -312,6 +312,7 @@
         self.metrics
             .back_end_rate_limit
             .set(rate_limit.map_or(-1.0, RequestRate::per_second));
+        self.update_slowdown(&node);
         self.metrics.peers.set(reachable as u64);
         self.metrics.ready.set(u64::from(node.is_ready()));
         let quarantined = node.inbound().crashes().quarantined(self.now());
@@ -326,4 +327,18 @@
             .configuration_version
             .set(node.configuration_version());
     }
+
+    fn update_slowdown(&self, node: &Node) {
+        let slowdown = node.inbound().slowdown();
+        self.metrics
+            .set_slowdown("measured", Some(slowdown.measured));
+        self.metrics.set_slowdown("stated", slowdown.stated);
+        self.metrics
+            .set_slowdown("in_force", Some(slowdown.in_force));
+        let total = node.inbound().queue_given_back();
+        let counted = self.metrics.queue_given_back.get();
+        self.metrics
+            .queue_given_back
+            .inc_by(total.saturating_sub(counted));
+    }
 }
--- a/crates/rillgap-sidecar/src/logging/request_log.rs
+++ b/crates/rillgap-sidecar/src/logging/request_log.rs
@@ -75,6 +75,7 @@
                 | LogRecord::Retried { .. }
                 | LogRecord::NotAnswered { .. }
                 | LogRecord::BackEndRateLimit { .. }
+                | LogRecord::BackEndSlowdown { .. }
                 | LogRecord::Cancelled { .. }
                 | LogRecord::RequestQuarantined { .. }
                 | LogRecord::TenantLimit { .. }
@@ -181,6 +182,19 @@
             source = *source, before = rate_or_minus_one(*before), per_second = rate_or_minus_one(*rate),
             running, queued; "inbound: rate limit of the back end"
         ),
+        LogRecord::BackEndSlowdown {
+            instance,
+            is_slow,
+            measured_percent,
+            stated_percent,
+            percent,
+            running,
+            queued,
+        } => log::info!(
+            uptime, instance = instance.as_str(), is_slow, measured_percent,
+            stated_percent = stated_percent.map_or(-1, i64::from), percent,
+            running, queued; "inbound: slowdown of the back end"
+        ),
         LogRecord::BackEndCrashed {
             instance,
             in_flight,
--- a/crates/rillgap-sidecar/src/metrics.rs
+++ b/crates/rillgap-sidecar/src/metrics.rs
@@ -10,6 +10,7 @@
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::{Registry, Unit};
+use rillgap_forward::inbound::percent;
 use rillgap_forward::log_record::LogRecord;
 use rillgap_forward::store_sync::StoreReply;
 
@@ -45,6 +46,12 @@
     kind: &'static str,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct SlowdownLabels {
+    /// `measured`, `stated` or `in_force`.
+    source: &'static str,
+}
+
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct RetryLabels {
     /// `yes` if the retry was charged to the retry budget, otherwise `no`.
@@ -90,6 +97,11 @@
     pub back_end_requests: Counter,
     /// Rate limit that the back end states, in requests per second; -1 without a limit.
     pub back_end_rate_limit: Gauge<f64, AtomicU64>,
+    /// Time that the back end's own work takes now, in percent of the usual time, by source: -1
+    /// without a recent statement.
+    back_end_slowdown: Family<SlowdownLabels, Gauge>,
+    /// Queued requests that were given back because the back end had become slow.
+    pub queue_given_back: Counter,
     /// Connections that were opened to the back end.
     pub back_end_connections: Counter,
     /// Calls to the control address that were refused because they are malformed.
@@ -148,6 +160,8 @@
             refused_control_calls: Counter::default(),
             back_end_requests: Counter::default(),
             back_end_rate_limit: Gauge::default(),
+            back_end_slowdown: Family::default(),
+            queue_given_back: Counter::default(),
             back_end_connections: Counter::default(),
             log_lines_dropped: Counter::default(),
             configuration_version: Gauge::default(),
@@ -269,6 +283,14 @@
             .inc();
     }
 
+    /// Sets the slowdown of the back end from a source; `None` if there is none.
+    pub fn set_slowdown(&self, source: &'static str, slowdown: Option<f64>) {
+        let value = slowdown.map_or(-1, |slowdown| i64::from(percent(slowdown)));
+        self.back_end_slowdown
+            .get_or_create(&SlowdownLabels { source })
+            .set(value);
+    }
+
     fn build_registry(&self) -> Registry {
         let mut registry = Registry::with_prefix("rillgap");
         registry.register(
@@ -355,6 +377,16 @@
             "Requests per second that the back end states it accepts; -1 without a limit",
             self.back_end_rate_limit.clone(),
         );
+        registry.register(
+            "back_end_slowdown_percent",
+            "Time that the back end's own work takes, in percent of the usual time; -1 if not stated",
+            self.back_end_slowdown.clone(),
+        );
+        registry.register(
+            "queue_given_back",
+            "Queued requests given back because the back end had become slow",
+            self.queue_given_back.clone(),
+        );
         registry.register(
             "back_end_connections",
             "Connections opened to the back end",
--- a/crates/rillgap-sidecar/tests/path/support.rs
+++ b/crates/rillgap-sidecar/tests/path/support.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use bytes::BytesMut;
+use rillgap_forward::back_end_notice::{LoadNotice, StatedLoad};
 use rillgap_forward::configuration::{
     CallerLimits, Configuration, Repeatability, Route, Service, Tenant, WeightedService,
 };
@@ -40,6 +41,7 @@
     caller_service: "X-Caller",
     instance: "X-Instance",
     rate_limit: "X-Rate-Limit",
+    load: "X-Load",
     leaving: "X-Leaving",
     credential: "X-Credential",
     tenant: "X-Tenant",
@@ -60,6 +62,19 @@
         credential.strip_prefix(b"key ")
     }
 
+    fn load_notice(&self, value: &[u8]) -> LoadNotice {
+        let text = std::str::from_utf8(value).ok();
+        let percent = text.and_then(|text| text.trim().parse().ok());
+        percent.map_or(LoadNotice::Unreadable, |percent| {
+            LoadNotice::Stated(StatedLoad {
+                running: 1,
+                waiting: 0,
+                slots: 8,
+                slowdown_percent: Some(percent),
+            })
+        })
+    }
+
     fn control_call(&self, _: &str, _: &str, _: &[u8]) -> Result<ControlCall, ControlError> {
         Err(ControlError::UnknownCall)
     }
