--- a/crates/rillgap-forward/src/balancer.rs
+++ b/crates/rillgap-forward/src/balancer.rs
@@ -97,30 +97,29 @@
     }
 
     /// Chooses a candidate for a request with this remaining time; `None` without candidates.
-    pub fn choose<T>(&mut self, candidates: Vec<Candidate<T>>, remaining: Duration) -> Option<T> {
+    pub fn choose<T>(
+        &mut self,
+        mut candidates: Vec<Candidate<T>>,
+        remaining: Duration,
+    ) -> Option<T> {
         let remaining_micros = remaining.as_micros().max(1) as f64;
-        let (failing, healthy): (Vec<_>, Vec<_>) = candidates
+        let groups = Groups::of(&candidates);
+        let penalty = CROSS_ZONE_PENALTY * capacity_left(groups.lowest_local_utilization);
+        let chosen = [groups.local, groups.remote, groups.failing]
             .into_iter()
-            .partition(|candidate| candidate.failing_permille >= FAILURE_THRESHOLD_PERMILLE);
-        let (local, remote): (Vec<_>, Vec<_>) = healthy
-            .into_iter()
-            .partition(|candidate| candidate.is_local);
-        let penalty = cross_zone_penalty(&local);
-        [local, remote, failing]
-            .into_iter()
-            .filter_map(|group| best(self.sample(group), remaining_micros))
+            .filter_map(|group| best(&candidates, &self.sample(group), remaining_micros))
             .min_by(|left, right| {
-                let left = left.cost(remaining_micros, penalty);
-                left.total_cmp(&right.cost(remaining_micros, penalty))
-            })
-            .map(|candidate| candidate.target)
+                let left = candidates[*left].cost(remaining_micros, penalty);
+                left.total_cmp(&candidates[*right].cost(remaining_micros, penalty))
+            })?;
+        Some(candidates.swap_remove(chosen).target)
     }
 
-    fn sample<T>(&mut self, mut candidates: Vec<Candidate<T>>) -> Vec<Candidate<T>> {
+    fn sample(&mut self, mut group: Vec<usize>) -> Vec<usize> {
         let mut sampled = Vec::with_capacity(SAMPLES_PER_GROUP);
-        while sampled.len() < SAMPLES_PER_GROUP && !candidates.is_empty() {
-            let index = self.random_below(candidates.len());
-            sampled.push(candidates.swap_remove(index));
+        while sampled.len() < SAMPLES_PER_GROUP && !group.is_empty() {
+            let index = self.random_below(group.len());
+            sampled.push(group.swap_remove(index));
         }
         sampled
     }
@@ -131,31 +130,57 @@
     }
 }
 
-/// Returns the candidate of a group with the lowest cost within it.
-fn best<T>(group: Vec<Candidate<T>>, remaining_micros: f64) -> Option<Candidate<T>> {
-    let fastest = group
+/// Indices of candidates by group.
+struct Groups {
+    local: Vec<usize>,
+    remote: Vec<usize>,
+    failing: Vec<usize>,
+    /// Lowest utilization in the own zone; infinite without candidates there.
+    lowest_local_utilization: f64,
+}
+
+impl Groups {
+    fn of<T>(candidates: &[Candidate<T>]) -> Self {
+        let mut groups = Self {
+            local: Vec::with_capacity(candidates.len()),
+            remote: Vec::with_capacity(candidates.len()),
+            failing: Vec::new(),
+            lowest_local_utilization: f64::INFINITY,
+        };
+        for (index, candidate) in candidates.iter().enumerate() {
+            if candidate.failing_permille >= FAILURE_THRESHOLD_PERMILLE {
+                groups.failing.push(index);
+            } else if candidate.is_local {
+                groups.local.push(index);
+                groups.lowest_local_utilization =
+                    groups.lowest_local_utilization.min(candidate.utilization);
+            } else {
+                groups.remote.push(index);
+            }
+        }
+        groups
+    }
+}
+
+/// Returns the candidate with the lowest cost within its group, of those drawn from it.
+fn best<T>(candidates: &[Candidate<T>], sampled: &[usize], remaining_micros: f64) -> Option<usize> {
+    let fastest = sampled
         .iter()
+        .map(|index| &candidates[*index])
         .filter(|candidate| candidate.mean_micros > 0)
         .min_by_key(|candidate| candidate.mean_micros);
     let (fastest, capacity_left) = fastest.map_or((0.0, 0.0), |fastest| {
         let left = capacity_left(fastest.utilization);
         (f64::from(fastest.mean_micros), left)
     });
-    let cost = |candidate: &Candidate<T>| {
+    let cost = |index: usize| {
+        let candidate = &candidates[index];
         candidate.cost(remaining_micros, 0.0) + candidate.relative_cost(fastest, capacity_left)
     };
-    group
-        .into_iter()
-        .min_by(|left, right| cost(left).total_cmp(&cost(right)))
-}
-
-/// Returns the cost of leaving a zone that has these candidates.
-fn cross_zone_penalty<T>(local: &[Candidate<T>]) -> f64 {
-    let lowest = local
+    sampled
         .iter()
-        .map(|candidate| candidate.utilization)
-        .fold(f64::INFINITY, f64::min);
-    CROSS_ZONE_PENALTY * capacity_left(lowest)
+        .copied()
+        .min_by(|left, right| cost(*left).total_cmp(&cost(*right)))
 }
 
 /// Returns the part of a cost of avoiding other back ends that applies at this utilization: all of
--- a/crates/rillgap-sidecar/tests/path/main.rs
+++ b/crates/rillgap-sidecar/tests/path/main.rs
@@ -347,6 +347,33 @@
     expect_that!(huge, some(gt(1e6)));
 }
 
+/// Asks a back end whose answers contain these header lines, and returns the slowdown that its node
+/// has read from the answer.
+fn slowdown_read_from(lines: &'static str) -> Option<f64> {
+    let read = std::rc::Rc::new(std::cell::Cell::new(None));
+    let result = read.clone();
+    let script = move |seen: &Seen| {
+        let id = seen.field("X-Request").unwrap_or_default();
+        Reply::Bytes(signed_with(&id, lines))
+    };
+    with_pair(script, |pair| async move {
+        let answer = pair.ask("a", "/safe/1").await;
+        expect_that!(answer, some(eq(&ok_answer("a"))));
+        let node = &pair.back_end_node;
+        result.set(node.with_node(|node| node.inbound().slowdown().stated));
+    });
+    read.get()
+}
+
+#[gtest]
+fn slowdown_of_a_back_end_is_read_from_its_answers() {
+    expect_that!(slowdown_read_from("X-Load: 250"), some(eq(2.5)));
+    expect_that!(slowdown_read_from("x-load: 9999"), some(eq(8.0)));
+    expect_that!(slowdown_read_from("X-Other: 250"), none());
+    expect_that!(slowdown_read_from("X-Load: much"), none());
+    expect_that!(slowdown_read_from("X-Load: 250\r\nX-Load: 250"), none());
+}
+
 #[gtest]
 fn rate_limit_that_is_no_decimal_number_is_not_adopted() {
     for value in ["", "-1", "nan", "inf", "1e400", "many"] {
--- a/tests/soak/src/back_end.rs
+++ b/tests/soak/src/back_end.rs
@@ -42,6 +42,8 @@
 pub const INSTANCE_FIELD: &str = "Soak-Instance";
 /// Header field with the rate limit of the back end, in requests per second.
 pub const RATE_LIMIT_FIELD: &str = "Server-Limit";
+/// Header field with the load of the back end.
+const LOAD_FIELD: &str = "Server-Load";
 /// Header field that marks a response of a back end that is leaving.
 pub const LEAVING_FIELD: &str = "Server-Leaving";
 
@@ -174,7 +176,10 @@
     async fn answer_health(&self, connection: &mut Connection) -> io::Result<bool> {
         let is_ready = *self.state.borrow() == State::Ready;
         let status = if is_ready { 200 } else { 503 };
-        let fields = [("Instance-Id", self.instance.clone())];
+        let mut fields = vec![("Instance-Id", self.instance.clone())];
+        if let Some(load) = self.stated_load() {
+            fields.push((LOAD_FIELD, load));
+        }
         connection
             .write(&encode_response(status, &fields, b""))
             .await?;
@@ -350,12 +355,23 @@
         if let Some(rate) = rate_limit {
             fields.push((RATE_LIMIT_FIELD, rate.to_string()));
         }
+        if let Some(load) = self.stated_load() {
+            fields.push((LOAD_FIELD, load));
+        }
         if self.states_leaving.load(Ordering::Relaxed) {
             fields.push((LEAVING_FIELD, "1".to_owned()));
         }
         fields
     }
 
+    /// Returns the load that the back end states, if any.
+    fn stated_load(&self) -> Option<String> {
+        let machine = &self.soak.machines[self.node];
+        let slowdown = machine.slowdown_factor.load(Ordering::Relaxed);
+        let running = BACK_END_SLOTS - self.slots.available_permits();
+        machine.stated_load.next(running, BACK_END_SLOTS, slowdown)
+    }
+
     /// Returns a label that identifies the incarnation: its identifier and start time.
     fn label(&self) -> String {
         format!("{}@{}", self.instance, self.started_at)
--- a/tests/soak/src/faults.rs
+++ b/tests/soak/src/faults.rs
@@ -44,6 +44,10 @@
 const STATEMENTS_PER_CYCLE: u64 = 4;
 /// Distinguishes the seed of statements from that of faults.
 const STATEMENT_SEED_MASK: u64 = 0x5374_6174_656d_656e;
+/// Distinguishes the seed of stated loads from those of faults and of other statements.
+const LOAD_SEED_MASK: u64 = 0x4c6f_6164_7374_6174;
+/// Shift that leaves the highest bits of a draw, which tell the kind of a stated load.
+const TRUTH_SHIFT: u32 = 30;
 /// Range of the stated limits, in requests per second: minimum and exclusive maximum.
 const RATE_LIMIT_RANGE: (u64, u64) = (1, 25);
 /// Duration of a stated limit, in milliseconds: minimum and exclusive maximum. Limits are checked
@@ -92,6 +96,9 @@
     crashing: CrashingCaller,
     /// Generator of what back ends state, apart from that of the faults, whose seeds stay valid.
     statement_random: ChaCha8Rng,
+    /// Generator of the loads that back ends state, apart from the others; `None` if they state
+    /// none with this seed.
+    load_random: Option<ChaCha8Rng>,
 }
 
 impl Schedule {
@@ -103,6 +110,7 @@
             targets: Arc::new(targets),
             random: ChaCha8Rng::seed_from_u64(seed),
             statement_random: ChaCha8Rng::seed_from_u64(seed ^ STATEMENT_SEED_MASK),
+            load_random: load_random(seed),
         }
     }
 
@@ -117,6 +125,7 @@
         for _ in 0..STATEMENTS_PER_CYCLE {
             self.schedule_statement();
         }
+        self.draw_stated_loads();
         let mut elapsed = 0;
         while elapsed < DISTURBED_MILLIS {
             let left = DISTURBED_MILLIS - elapsed;
@@ -201,6 +210,16 @@
         });
     }
 
+    /// Draws for each back end how truthfully it states its load in this cycle.
+    fn draw_stated_loads(&mut self) {
+        let Some(random) = &mut self.load_random else {
+            return;
+        };
+        for machine in &self.soak.machines {
+            machine.stated_load.set(random.next_u32() >> TRUTH_SHIFT);
+        }
+    }
+
     /// Draws a number of a range, whose end is exclusive, for a statement of a back end.
     fn draw_of_statement(&mut self, (first, end): (u64, u64)) -> u64 {
         let draw = u64::from(self.statement_random.next_u32());
@@ -464,3 +483,10 @@
 const fn millis(count: u64) -> Duration {
     Duration::from_millis(count)
 }
+
+/// Returns the generator of stated loads; `None` for half of the seeds.
+fn load_random(seed: u64) -> Option<ChaCha8Rng> {
+    let mut random = ChaCha8Rng::seed_from_u64(seed ^ LOAD_SEED_MASK);
+    let has_loads = random.next_u32().is_multiple_of(2);
+    has_loads.then_some(random)
+}
--- a/tests/soak/src/lib.rs
+++ b/tests/soak/src/lib.rs
@@ -17,5 +17,6 @@
 pub mod proxy;
 pub mod retries;
 pub mod soak;
+pub mod stated_load;
 pub mod store;
 pub mod wire;
--- a/tests/soak/src/soak.rs
+++ b/tests/soak/src/soak.rs
@@ -10,6 +10,7 @@
 
 use crate::checker::{Checker, Moment};
 use crate::deployment::Layout;
+use crate::stated_load::StatedLoad;
 use crate::store::Store;
 
 /// Current state of a machine: the node's process, and the faults injected into its back end.
@@ -29,6 +30,8 @@
     pub slowdown_factor: AtomicU32,
     /// Rate limit that the back end's responses state, in requests per second; 0 for none.
     pub rate_limit: AtomicU32,
+    /// Load that the back end states.
+    pub stated_load: StatedLoad,
     /// Label of the back end's current incarnation.
     pub instance: Mutex<String>,
 }
