--- a/crates/rillgap-forward/src/balancer.rs
+++ b/crates/rillgap-forward/src/balancer.rs
@@ -8,6 +8,10 @@
 //! not multiplied: a slow back end is avoided while others have capacity, but its slots are used
 //! when the fast ones fill up. For the same reason the penalty decreases to 0 as the own zone fills
 //! up.
+//!
+//! The two of a group are compared by the expected completion time too: requests that wait there
+//! weigh as much more as the back end takes longer than the other, and a back end that takes longer
+//! costs more while the faster one has capacity. Where all take the same time, this changes nothing.
 
 use std::time::Duration;
 
@@ -31,6 +35,11 @@
 /// Cost of a back end that fails every request. One that fails half of them gets requests when the
 /// others are full.
 const FAILURE_COST: f64 = 2.0;
+/// Cost of taking twice as long as the other back end of the group, as a fraction of a back end's
+/// limit.
+const RELATIVE_SLOWNESS_COST: f64 = 0.3;
+/// Maximum ratio of mean service times that is counted within a group.
+const MAX_TIME_RATIO: f64 = 4.0;
 /// Number of candidates drawn from each group.
 const SAMPLES_PER_GROUP: usize = 2;
 
@@ -60,6 +69,17 @@
         let quality = slowness * SLOWNESS_COST + failing * FAILURE_COST;
         self.utilization + next + quality + distance
     }
+
+    /// Returns the part of the cost that applies within a group whose fastest candidate takes
+    /// `fastest` microseconds and has this part of its capacity left.
+    fn relative_cost(&self, fastest: f64, capacity_left: f64) -> f64 {
+        if self.mean_micros == 0 || fastest <= 0.0 {
+            return 0.0;
+        }
+        let ratio = (f64::from(self.mean_micros) / fastest).min(MAX_TIME_RATIO);
+        let waiting = (self.utilization - 1.0).max(0.0);
+        (ratio - 1.0) * (waiting + RELATIVE_SLOWNESS_COST * capacity_left)
+    }
 }
 
 /// Chooses the node for an attempt among candidates, with random draws.
@@ -77,32 +97,29 @@
     }
 
     /// Chooses a candidate for a request with this remaining time; `None` without candidates.
-    pub fn choose<T>(&mut self, candidates: Vec<Candidate<T>>, remaining: Duration) -> Option<T> {
+    pub fn choose<T>(
+        &mut self,
+        mut candidates: Vec<Candidate<T>>,
+        remaining: Duration,
+    ) -> Option<T> {
         let remaining_micros = remaining.as_micros().max(1) as f64;
-        let (failing, healthy): (Vec<_>, Vec<_>) = candidates
-            .into_iter()
-            .partition(|candidate| candidate.failing_permille >= FAILURE_THRESHOLD_PERMILLE);
-        let (local, remote): (Vec<_>, Vec<_>) = healthy
-            .into_iter()
-            .partition(|candidate| candidate.is_local);
-        let penalty = cross_zone_penalty(&local);
-        let mut sampled = self.sample(local);
-        sampled.extend(self.sample(remote));
-        sampled.extend(self.sample(failing));
-        sampled
+        let groups = Groups::of(&candidates);
+        let penalty = CROSS_ZONE_PENALTY * capacity_left(groups.lowest_local_utilization);
+        let chosen = [groups.local, groups.remote, groups.failing]
             .into_iter()
+            .filter_map(|group| best(&candidates, &self.sample(group), remaining_micros))
             .min_by(|left, right| {
-                let left = left.cost(remaining_micros, penalty);
-                left.total_cmp(&right.cost(remaining_micros, penalty))
-            })
-            .map(|candidate| candidate.target)
+                let left = candidates[*left].cost(remaining_micros, penalty);
+                left.total_cmp(&candidates[*right].cost(remaining_micros, penalty))
+            })?;
+        Some(candidates.swap_remove(chosen).target)
     }
 
-    fn sample<T>(&mut self, mut candidates: Vec<Candidate<T>>) -> Vec<Candidate<T>> {
+    fn sample(&mut self, mut group: Vec<usize>) -> Vec<usize> {
         let mut sampled = Vec::with_capacity(SAMPLES_PER_GROUP);
-        while sampled.len() < SAMPLES_PER_GROUP && !candidates.is_empty() {
-            let index = self.random_below(candidates.len());
-            sampled.push(candidates.swap_remove(index));
+        while sampled.len() < SAMPLES_PER_GROUP && !group.is_empty() {
+            let index = self.random_below(group.len());
+            sampled.push(group.swap_remove(index));
         }
         sampled
     }
@@ -113,13 +130,62 @@
     }
 }
 
-/// Returns the cost of leaving a zone that has these candidates.
-fn cross_zone_penalty<T>(local: &[Candidate<T>]) -> f64 {
-    let lowest = local
+/// Indices of candidates by group.
+struct Groups {
+    local: Vec<usize>,
+    remote: Vec<usize>,
+    failing: Vec<usize>,
+    /// Lowest utilization in the own zone; infinite without candidates there.
+    lowest_local_utilization: f64,
+}
+
+impl Groups {
+    fn of<T>(candidates: &[Candidate<T>]) -> Self {
+        let mut groups = Self {
+            local: Vec::with_capacity(candidates.len()),
+            remote: Vec::with_capacity(candidates.len()),
+            failing: Vec::new(),
+            lowest_local_utilization: f64::INFINITY,
+        };
+        for (index, candidate) in candidates.iter().enumerate() {
+            if candidate.failing_permille >= FAILURE_THRESHOLD_PERMILLE {
+                groups.failing.push(index);
+            } else if candidate.is_local {
+                groups.local.push(index);
+                groups.lowest_local_utilization =
+                    groups.lowest_local_utilization.min(candidate.utilization);
+            } else {
+                groups.remote.push(index);
+            }
+        }
+        groups
+    }
+}
+
+/// Returns the candidate with the lowest cost within its group, of those drawn from it.
+fn best<T>(candidates: &[Candidate<T>], sampled: &[usize], remaining_micros: f64) -> Option<usize> {
+    let fastest = sampled
+        .iter()
+        .map(|index| &candidates[*index])
+        .filter(|candidate| candidate.mean_micros > 0)
+        .min_by_key(|candidate| candidate.mean_micros);
+    let (fastest, capacity_left) = fastest.map_or((0.0, 0.0), |fastest| {
+        let left = capacity_left(fastest.utilization);
+        (f64::from(fastest.mean_micros), left)
+    });
+    let cost = |index: usize| {
+        let candidate = &candidates[index];
+        candidate.cost(remaining_micros, 0.0) + candidate.relative_cost(fastest, capacity_left)
+    };
+    sampled
         .iter()
-        .map(|candidate| candidate.utilization)
-        .fold(f64::INFINITY, f64::min);
+        .copied()
+        .min_by(|left, right| cost(*left).total_cmp(&cost(*right)))
+}
+
+/// Returns the part of a cost of avoiding other back ends that applies at this utilization: all of
+/// it while there is capacity, none when requests are about to queue.
+fn capacity_left(utilization: f64) -> f64 {
     let (full_until, none_from) = PENALTY_FADE_RANGE;
-    let faded = ((lowest - full_until) / (none_from - full_until)).clamp(0.0, 1.0);
-    CROSS_ZONE_PENALTY * (1.0 - faded)
+    1.0 - ((utilization - full_until) / (none_from - full_until)).clamp(0.0, 1.0)
 }
