Refusing services: entries let in the part that retries can carry

Cause: while the back ends of a deep service refuse a share of what they get, nobody decides how many chains retries can carry to their end. All are begun, nearly all fail after work was done for them. The published level follows queues, and a back end that refuses has none.

Change: the node beside a back end measures the refused share (inbound/refusals.rs) and computes from the retries that are left in the best of three windows which first arrivals a second can be carried, and from which level on (inbound/carried.rs). It publishes the higher one of this level and the level by room. While back ends refuse, the retry budget counts requests in the best of three windows for each beginning of a window that contains the present moment (request_window.rs), spends at an even pace and on chains that entries admit. A call that all back ends have refused may be sent to one of them again: with three back ends it had three attempts.

--- a/crates/rillgap-forward/src/inbound/admission.rs
+++ b/crates/rillgap-forward/src/inbound/admission.rs
@@ -2,17 +2,19 @@
 
 use std::time::Duration;
 
-use rillgap_core::admission::WindowLoad;
+use rillgap_core::admission::{Level, WindowLoad};
 use rillgap_core::code::ResultCode;
 use rillgap_core::time::Instant;
 
 use super::queue::Queued;
+use super::refusals::MIN_REFUSED_SHARE;
 use super::{
     Arrival, ESTIMATE_PROBE_FRACTION, Inbound, MAX_QUEUE_LENGTH, MAX_SLOT_UTILIZATION,
     MIN_REMAINING_TIME_FRACTION, MIN_REPORTED_LEVEL_CHANGE, RANK_RESERVE_FRACTION,
     RETRY_AFTER_RANGE_MILLIS, RequestState, count,
 };
-use crate::action::Actions;
+use crate::action::{Action, Actions};
+use crate::log_record::LogRecord;
 use crate::message::ForwardedRequest;
 
 impl Inbound {
@@ -52,17 +54,59 @@
 
     /// Records a request as demand. If this node refuses it, the node that receives it next counts
     /// it too.
-    pub(super) fn record_demand(&mut self, request: &ForwardedRequest) {
+    pub(super) fn record_demand(&mut self, now: Instant, request: &ForwardedRequest) {
+        self.carried
+            .record_arrival(now, request.level, request.is_retry);
         let expected = self.service_times.expected(&request.route);
         let work_micros = expected.as_micros() as f64;
         self.threshold.record_arrival(request.level, work_micros);
     }
 
+    /// Returns the published admission level: the higher one of the level by capacity and the
+    /// level by refusals.
+    pub(super) fn level(&self) -> Level {
+        self.threshold.level().max(self.carried.part().level)
+    }
+
     /// Updates the published admission level at the end of each control window.
     pub(super) fn update_level(&mut self, now: Instant) {
-        if !self.threshold.is_due(now) {
+        if self.carried.is_due(now) {
+            let published = self.level();
+            self.carried.update(now, published);
+        }
+        if self.threshold.is_due(now) {
+            self.update_threshold(now);
+        }
+        let level = self.level();
+        if level.0.abs_diff(self.reported_level.0) >= MIN_REPORTED_LEVEL_CHANGE {
+            self.reported_level = level;
+            self.load_changed = true;
+        }
+    }
+
+    /// Logs the begin and the end of a time in which the back end refuses a share of what it gets.
+    pub(super) fn log_refusals(&mut self, out: &mut Actions) {
+        let part = self.carried.part();
+        let is_refusing = if self.is_refusing_logged {
+            part.refused_share >= MIN_REFUSED_SHARE / 2.0
+        } else {
+            part.refused_share >= MIN_REFUSED_SHARE
+        };
+        if is_refusing == self.is_refusing_logged {
             return;
         }
+        self.is_refusing_logged = is_refusing;
+        out.push(Action::Log(LogRecord::BackEndRefusals {
+            service: self.back_end.service().to_owned(),
+            instance: self.back_end.log_name(),
+            is_refusing,
+            refused_permille: permille(part.refused_share),
+            carried_permille: permille(part.carried),
+            level: part.level,
+        }));
+    }
+
+    fn update_threshold(&mut self, now: Instant) {
         let queued = (0_u8..)
             .zip(self.queued_by_tier())
             .map(|(tier, queued)| (tier, usize::from(queued)))
@@ -73,11 +117,6 @@
             queued,
         };
         self.threshold.update(now, &window_load);
-        let level = self.threshold.level();
-        if level.0.abs_diff(self.reported_level.0) >= MIN_REPORTED_LEVEL_CHANGE {
-            self.reported_level = level;
-            self.load_changed = true;
-        }
     }
 
     /// Returns whether a rank uses less than its reserved fraction of the limit. Under a stated
@@ -178,3 +217,8 @@
         u32::try_from(millis.clamp(shortest, longest)).unwrap_or(u32::MAX)
     }
 }
+
+/// Returns a part from 0 to 1 in thousandths.
+fn permille(part: f64) -> u32 {
+    (part * 1_000.0).round() as u32
+}
--- a/crates/rillgap-forward/src/inbound/mod.rs
+++ b/crates/rillgap-forward/src/inbound/mod.rs
@@ -6,11 +6,13 @@
 
 mod admission;
 mod back_end;
+pub mod carried;
 mod completion;
 mod failure_rate;
 mod isolation;
 mod lost_requests;
 mod queue;
+pub mod refusals;
 mod restart;
 mod running;
 mod service_time;
@@ -36,6 +38,7 @@
 use crate::settings::ForwardSettings;
 
 use back_end::{BackEnd, Effect};
+use carried::{Carried, CarriedPart};
 use failure_rate::FailureRate;
 use lost_requests::LostRequests;
 use queue::RankQueue;
@@ -130,6 +133,9 @@
     status_changed: bool,
     load_changed: bool,
     threshold: Threshold,
+    carried: Carried,
+    /// Whether the last logged change was the begin of refusals.
+    is_refusing_logged: bool,
     /// Level at which the last load report was triggered by a level change.
     reported_level: Level,
 }
@@ -158,6 +164,8 @@
             status_changed: false,
             load_changed: false,
             threshold: Threshold::new(LEVEL_TUNING),
+            carried: Carried::new(settings.retry_bound),
+            is_refusing_logged: false,
             reported_level: Level(0),
         }
     }
@@ -193,12 +201,17 @@
             running: count(self.running.len()),
             queued: self.queued_by_tier(),
             mean_micros: self.service_times.mean_micros(),
-            level: self.threshold.level(),
+            level: self.level(),
             failing_permille: self.failing_permille,
             rate_limit: self.stated_rate.report(self.back_end.incarnation()),
         }
     }
 
+    /// Returns which part of the demand can be carried to its end while the back end refuses.
+    pub const fn carried_part(&self) -> CarriedPart {
+        self.carried.part()
+    }
+
     fn queued_by_tier(&self) -> [u16; TIER_COUNT] {
         let mut queued = [0_u16; TIER_COUNT];
         for (rank, length) in self.queue.lengths() {
@@ -336,7 +349,7 @@
             return;
         }
         self.adopt_rate_limit(now, &arrival.request, out);
-        self.record_demand(&arrival.request);
+        self.record_demand(now, &arrival.request);
         if arrival.is_isolated && self.isolated.is_some() {
             self.enqueue(now, arrival, out);
             return;
@@ -480,6 +493,8 @@
         };
         if matches!(result, ExchangeResult::Answered(_)) {
             self.record_service_time(now, &running);
+            self.carried
+                .record_calls(!running.downstream_levels.is_empty());
         }
         self.record_outcome(now, &running, &result);
         let effect = self.back_end.on_exchange(&result);
@@ -496,6 +511,7 @@
         self.back_end.poll(now);
         self.stated_rate.poll(now);
         self.update_level(now);
+        self.log_refusals(out);
         self.update_failure_rate(now);
         self.poll_lost_requests(now);
         self.crashes.evict_expired(now);
--- a/crates/rillgap-forward/src/log_record.rs
+++ b/crates/rillgap-forward/src/log_record.rs
@@ -1,5 +1,6 @@
 //! Log records: decisions on requests and changes of a node's state.
 
+use rillgap_core::admission::Level;
 use rillgap_core::code::ResultCode;
 use rillgap_core::id::Fingerprint;
 
@@ -109,6 +110,21 @@
         /// Number of queued requests.
         queued: u32,
     },
+    /// The back end begins or ceases to refuse a share of what it gets.
+    BackEndRefusals {
+        /// Service of the back end.
+        service: String,
+        /// Identifier of the incarnation.
+        instance: String,
+        /// Whether it refuses from now on.
+        is_refusing: bool,
+        /// Share of attempts that it refuses, in thousandths.
+        refused_permille: u32,
+        /// Part of the service's demand that retries can carry to its end, in thousandths.
+        carried_permille: u32,
+        /// Admission level from which on demand is carried; 0 if all of it is.
+        level: Level,
+    },
     /// The back end has ended unexpectedly.
     BackEndCrashed {
         /// Identifier of the incarnation that has ended.
--- a/crates/rillgap-forward/src/outbound/attempts.rs
+++ b/crates/rillgap-forward/src/outbound/attempts.rs
@@ -69,7 +69,7 @@
         let mut candidates = Vec::new();
         let inbound = context.inbound;
         let serves = inbound.is_serving() && inbound.service() == service && !context.is_stopping;
-        if serves && !request.was_tried(&self.own_name) {
+        if serves && !request.is_excluded(&self.own_name) {
             let load = inbound.load();
             let ahead = load.ahead_of(level);
             let utilization = f64::from(ahead) / f64::from(load.limit.max(1));
@@ -80,7 +80,7 @@
             let Some(link) = peer.serving_link() else {
                 continue;
             };
-            if request.was_tried(&peer.record.name) {
+            if request.is_excluded(&peer.record.name) {
                 continue;
             }
             let target = Target::Peer(index, link);
--- a/crates/rillgap-forward/src/outbound/request.rs
+++ b/crates/rillgap-forward/src/outbound/request.rs
@@ -60,6 +60,10 @@
     pub limited_tenant: Option<String>,
     /// Names of the nodes that the request was sent to, in order.
     tried_nodes: Vec<String>,
+    /// Names of the nodes that the request must not be sent to again.
+    excluded_nodes: Vec<String>,
+    /// Names of the nodes whose back ends have refused the request themselves.
+    refusing_nodes: Vec<String>,
     /// Number of back ends that the request may have reached.
     pub possible_arrivals: u32,
     /// Number of these back ends that have refused to run the request.
@@ -100,6 +104,8 @@
             forwarded,
             limited_tenant: None,
             tried_nodes: Vec::new(),
+            excluded_nodes: Vec::new(),
+            refusing_nodes: Vec::new(),
             possible_arrivals: 0,
             refusals: 0,
             retries: 0,
@@ -126,6 +132,7 @@
         let elapsed = now.saturating_since(self.arrived);
         let limit = queue_limit(&self.route, self.is_call, elapsed);
         self.tried_nodes.push(node.to_owned());
+        self.excluded_nodes.push(node.to_owned());
         self.possible_arrivals += 1;
         self.current = Some(Attempt { link, sequence });
         let forwarded = Arc::make_mut(&mut self.forwarded);
@@ -165,8 +172,21 @@
         self.current.is_some_and(|attempt| attempt.link == link)
     }
 
-    pub fn was_tried(&self, node: &str) -> bool {
-        self.tried_nodes.iter().any(|tried_node| tried_node == node)
+    /// Records that the back end beside the last node has refused the request itself.
+    pub fn record_refusing_node(&mut self) {
+        self.refusing_nodes.extend(self.tried_nodes.last().cloned());
+    }
+
+    /// Allows attempts at the nodes whose back ends have refused the request themselves.
+    pub fn readmit_refusing_nodes(&mut self) {
+        let refusing = std::mem::take(&mut self.refusing_nodes);
+        self.excluded_nodes
+            .retain(|excluded| !refusing.contains(excluded));
+    }
+
+    /// Returns whether the request must not be sent to a node, since it was sent there before.
+    pub fn is_excluded(&self, node: &str) -> bool {
+        self.excluded_nodes.iter().any(|excluded| excluded == node)
     }
 
     pub fn last_target(&self) -> &str {
--- a/crates/rillgap-forward/src/outbound/results.rs
+++ b/crates/rillgap-forward/src/outbound/results.rs
@@ -45,6 +45,8 @@
             return;
         };
         request.may_have_run = true;
+        self.budget
+            .record_attempt(now, &request.forwarded.service, false);
         // A failed call was already retried by the node that made it, within the budget. Retrying
         // the whole chain above it would cost a retry at every service of the chain.
         let is_failure = forwarded.status >= 500 && !request.has_failed_call;
@@ -84,6 +86,12 @@
             return;
         };
         request.record_not_run(arrived, retry_after_millis);
+        if code == ResultCode::BackEndShed {
+            self.on_refused(now, key, context);
+        }
+        let Some(request) = self.requests.get(&key) else {
+            return;
+        };
         let max_retries = if arrived {
             MAX_RETRIES
         } else {
@@ -108,6 +116,23 @@
         self.answer_with_code(now, key, code, retry_after_millis, context);
     }
 
+    /// Records that a back end has refused an attempt. A service that refuses a share of what it
+    /// gets may run the request at the next attempt, also at a back end that has refused it.
+    fn on_refused(&mut self, now: Instant, key: RequestKey, context: &OutboundContext<'_>) {
+        let Some(request) = self.requests.get_mut(&key) else {
+            return;
+        };
+        request.record_refusing_node();
+        let service = &request.forwarded.service;
+        self.budget.record_attempt(now, service, true);
+        if !self.budget.is_refusing(now, service) || self.has_other_target(now, key, context) {
+            return;
+        }
+        if let Some(request) = self.requests.get_mut(&key) {
+            request.readmit_refusing_nodes();
+        }
+    }
+
     pub(super) fn on_unknown(
         &mut self,
         now: Instant,
@@ -158,6 +183,10 @@
         let service = request.forwarded.service.clone();
         let level = request.forwarded.level;
         let nodes = context.directory.estimated_nodes();
+        let published = self.admission.published_level(now, &service);
+        if !self.budget.prefers(now, &service, level, published) {
+            return false;
+        }
         self.budget.try_spend(now, &service, nodes, level)
     }
 
--- /dev/null
+++ b/crates/rillgap-forward/src/request_window.rs
@@ -0,0 +1,116 @@
+//! Counts of a service's requests by time slice, over the last two windows of the retry bound.
+//!
+//! The bound compares the retries in a window with the requests in the best of three windows: the
+//! same one, the one before it, and the one half a window before it. While callers hold requests
+//! back because a service refuses, the older windows have most.
+
+use std::time::Duration;
+
+use rillgap_core::time::Instant;
+
+/// Number of slices that a window is divided into.
+pub const SLICES_PER_WINDOW: usize = 20;
+/// Number of slices in half a window.
+const HALF_WINDOW: usize = SLICES_PER_WINDOW / 2;
+/// Number of slices that are kept: two windows and the slice that has not ended.
+const KEPT_SLICES: usize = 2 * SLICES_PER_WINDOW + 1;
+/// Position of the first slice of the present window; the last position is the present slice.
+pub const PRESENT_WINDOW: usize = SLICES_PER_WINDOW;
+
+/// Returns the number of the slice at `now` if slices have this length.
+pub fn slice_number(now: Instant, slice: Duration) -> u64 {
+    let length = u64::try_from(slice.as_micros()).unwrap_or(u64::MAX);
+    now.as_micros() / length.max(1)
+}
+
+/// Counts by slice; a slice is known by its number.
+#[derive(Clone, Debug)]
+pub struct RequestWindow {
+    /// Ring buffer; a slice is at its number modulo the length.
+    counts: [u32; KEPT_SLICES],
+    newest: u64,
+}
+
+impl Default for RequestWindow {
+    fn default() -> Self {
+        Self {
+            counts: [0; KEPT_SLICES],
+            newest: 0,
+        }
+    }
+}
+
+impl RequestWindow {
+    /// Counts one request in the slice `number`.
+    pub fn count(&mut self, number: u64) {
+        self.advance(number);
+        self.counts[position(number)] += 1;
+    }
+
+    /// Returns the counts of all kept slices, seen from the slice `number`.
+    pub fn sums(&mut self, number: u64) -> WindowSums {
+        self.advance(number);
+        let mut before = [0; KEPT_SLICES + 1];
+        let oldest = number + KEPT_SLICES as u64 + 1;
+        for index in 0..KEPT_SLICES {
+            let count = self.counts[position(oldest + index as u64)];
+            before[index + 1] = before[index] + count;
+        }
+        WindowSums { before }
+    }
+
+    /// Removes the slices that have become too old.
+    fn advance(&mut self, number: u64) {
+        let passed = number.saturating_sub(self.newest);
+        let removed = passed.min(KEPT_SLICES as u64);
+        for ago in 0..removed {
+            self.counts[position(number - ago)] = 0;
+        }
+        self.newest = self.newest.max(number);
+    }
+}
+
+fn position(number: u64) -> usize {
+    (number % KEPT_SLICES as u64) as usize
+}
+
+/// Sums over the kept slices; position 0 is the oldest slice.
+#[derive(Clone, Copy, Debug)]
+pub struct WindowSums {
+    /// Sum of the slices before each position.
+    before: [u32; KEPT_SLICES + 1],
+}
+
+impl WindowSums {
+    /// Returns the sum of the slice at `first` and all later ones.
+    pub fn since(&self, first: usize) -> u32 {
+        self.between(first, KEPT_SLICES)
+    }
+
+    /// Returns the most that was counted in a window that begins at `first`, the one before it and
+    /// the one half a window before it. `first` is at least [`PRESENT_WINDOW`].
+    pub fn best(&self, first: usize) -> u32 {
+        let same = self.since(first);
+        let before = self.between(first - SLICES_PER_WINDOW, first);
+        let half_end = (first + HALF_WINDOW).min(KEPT_SLICES);
+        let half_before = self.between(first - HALF_WINDOW, half_end);
+        same.max(before).max(half_before)
+    }
+
+    /// Returns the positions at which a window that contains the present slice can begin.
+    pub fn window_beginnings() -> std::ops::Range<usize> {
+        PRESENT_WINDOW..KEPT_SLICES
+    }
+
+    fn between(&self, first: usize, end: usize) -> u32 {
+        self.before[end] - self.before[first]
+    }
+}
+
+/// Returns the number of retries that are left under a bound of `ratio` times the requests of the
+/// best window, in every window that contains the present slice; negative if more were sent.
+pub fn remaining_retries(requests: &WindowSums, retries: &WindowSums, ratio: f64) -> f64 {
+    WindowSums::window_beginnings()
+        .map(|first| f64::from(requests.best(first)) * ratio - f64::from(retries.since(first)))
+        .fold(f64::INFINITY, f64::min)
+}
--- a/crates/rillgap-forward/src/retry_budget.rs
+++ b/crates/rillgap-forward/src/retry_budget.rs
@@ -1,11 +1,31 @@
 //! Retry budget of a node, per service over a sliding window.
 //!
 //! The bound applies to the whole deployment: within a window, the nodes together send at most
-//! `R <= ratio * Q + slack` retries to a service, where `Q` is the number of requests for it.
+//! `R <= ratio * B + slack` retries to a service, where `B` is the number of requests for it in the
+//! best of three windows: the same one, the one before it or the one half a window before it.
 //! Nodes do not coordinate. The allowance of each node is a share `U` of `ratio` times the number
 //! of its *own* requests, plus its part of a share `F` of the slack, minus the retries that it has
 //! sent.
 //!
+//! While back ends of the service do not refuse, a node counts its requests `Q` of the present
+//! window, and `Q <= B`. While they refuse, requests become fewer because chains end early or are
+//! refused at the entry. A node then counts the requests `B_n(s)` in its own best window, for each
+//! beginning `s` of a window that contains the present moment, and sends a retry only if its
+//! retries `R_n(s)` since `s` stay within its allowance for every `s`. Both counts of all nodes
+//! refer to the same `s`, so for the window that begins at `s`
+//!
+//! ```text
+//! R(s) = sum of R_n(s) <= U * ratio * sum of B_n(s) + F * slack + ...
+//! sum of B_n(s) = B(s) + moved(s)
+//! ```
+//!
+//! `moved` is what nodes had more of in another window than in the one that is the best of the
+//! whole deployment. It is 0 while requests keep their distribution over the nodes; for nodes with
+//! few requests it is the spread of the larger of three random numbers, less than one request per
+//! node and square root of its requests. The unused part of the ratio covers
+//! `moved(s) <= (1 / U - 1) * B(s)`. Older windows count only while back ends refuse, so that
+//! shifts of requests by crashes and restarts alone do not use it up.
+//!
 //! At a node with few requests the allowance is less than one retry. It is therefore rounded at
 //! random: each node draws a number uniformly from 0 to 1, adds it to its allowance and may send as
 //! many retries as the integer part of the sum. On average, the total over all nodes is the sum of
@@ -13,29 +33,31 @@
 //! except in one of thousands of cases. So
 //!
 //! ```text
-//! R <= U * ratio * Q + F * slack + sqrt(N) + restarted + inherited
+//! R <= U * ratio * (B + moved) + F * slack + sqrt(N) + restarted + inherited
 //! ```
 //!
 //! Nodes that restart lose their counts and may spend their part of the slack again (`restarted`).
 //! A retry makes its back end repeat the calls below it. The node that sends these calls counts
-//! them against its own allowance, so a service gets `U * ratio * Q` retries in total, no matter
-//! which service above it was retried. `inherited` is only the excess over the allowances of single
-//! nodes. `U` is `LEAF_RATIO_SHARE` for a service whose answers so far have involved no calls, and
-//! `RATIO_SHARE` for others, where a retry also causes retries below it. `F` is
+//! them against its own allowance, so a service gets `U * ratio * (B + moved)` retries in total, no
+//! matter which service above it was retried. `inherited` is only the excess over the allowances of
+//! single nodes. `U` is `LEAF_RATIO_SHARE` for a service whose answers so far have involved no
+//! calls, and `RATIO_SHARE` for others, where a retry also causes retries below it. `F` is
 //! `FLOOR_SLACK_SHARE`.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use rillgap_core::admission::Level;
 use rillgap_core::time::Instant;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
+use crate::inbound::refusals::Refusals;
+use crate::request_window::{
+    PRESENT_WINDOW, RequestWindow, SLICES_PER_WINDOW, remaining_retries, slice_number,
+};
 use crate::retry_demand::RetryDemand;
 use crate::settings::RetryBound;
 
-/// Number of slices that the window is divided into.
-const SLICES: u32 = 20;
 /// Share of the deployment's ratio that a node may use for a service whose back ends make calls.
 const RATIO_SHARE: f64 = 0.4;
 /// Share of the deployment's ratio that a node may use for a service whose back ends make no calls.
@@ -49,57 +71,65 @@
 /// nodes that restart and lose their counts.
 const FLOOR_SLACK_SHARE: f64 = 0.25;
 
-/// Counts of one slice of the window.
-#[derive(Clone, Copy, Debug, Default)]
-struct Slice {
-    number: u64,
-    requests: u32,
-    retries: u32,
-}
-
 /// Fraction of the window for which the remaining budget has to last while more retries are
 /// requested than it covers.
 const HORIZON_FRACTION: f64 = 0.5;
 
-/// Requests and retries of one service within the window.
+/// Retries that are granted while back ends refuse, as a multiple of the even pace at which the
+/// allowance lasts for a window. The demand for them fluctuates, and entries confine it.
+const EVEN_PACE_TOLERANCE: f64 = 1.5;
+/// Distance below the published level of a service within which chains are retried: they were
+/// admitted just before the level rose. A tenth of a tier.
+const ADMITTED_MARGIN: u32 = Level::PER_TIER / 10;
+
+/// Returns the share of the deployment's ratio that a node may use for a service; `has_calls` says
+/// whether an answer of it has involved calls, `None` before the first answer.
+pub fn ratio_share(has_calls: Option<bool>) -> f64 {
+    match has_calls {
+        Some(false) => LEAF_RATIO_SHARE,
+        Some(true) | None => RATIO_SHARE,
+    }
+}
+
+/// Requests and retries of one service.
 #[derive(Clone, Debug, Default)]
 struct ServiceBudget {
-    slices: VecDeque<Slice>,
+    requests: RequestWindow,
+    retries: RequestWindow,
     demand: RetryDemand,
+    /// How attempts at back ends of the service end.
+    refusals: Refusals,
     /// Whether an answer of the service has involved calls; `None` before the first answer.
     has_calls: Option<bool>,
 }
 
+/// Retries that a node may send to a service, without the floor.
+#[derive(Clone, Copy, Debug)]
+struct Allowance {
+    /// Retries that are left; negative if more were sent.
+    remaining: f64,
+    /// Retries per window at which the allowance lasts.
+    per_window: f64,
+}
+
 impl ServiceBudget {
-    /// Returns the slice with this number, after removing the slices that have left the window.
-    fn current(&mut self, number: u64) -> &mut Slice {
-        let slices = &mut self.slices;
-        while slices
-            .front()
-            .is_some_and(|slice| slice.number + u64::from(SLICES) < number)
-        {
-            slices.pop_front();
+    /// Returns the allowance in the slice `number`, given the deployment's ratio of retries to
+    /// requests.
+    fn allowance(&mut self, number: u64, ratio: f64, is_refusing: bool) -> Allowance {
+        let ratio = ratio * ratio_share(self.has_calls);
+        let requests = self.requests.sums(number);
+        let retries = self.retries.sums(number);
+        if is_refusing {
+            return Allowance {
+                remaining: remaining_retries(&requests, &retries, ratio),
+                per_window: f64::from(requests.best(PRESENT_WINDOW)) * ratio,
+            };
         }
-        if slices.back().is_none_or(|slice| slice.number != number) {
-            slices.push_back(Slice {
-                number,
-                ..Slice::default()
-            });
+        let per_window = f64::from(requests.since(PRESENT_WINDOW)) * ratio;
+        Allowance {
+            remaining: per_window - f64::from(retries.since(PRESENT_WINDOW)),
+            per_window,
         }
-        let last = slices.len() - 1;
-        &mut slices[last]
-    }
-
-    /// Returns the number of retries left, without the floor, given the deployment's ratio of
-    /// retries to requests; negative if more were sent.
-    fn remaining(&self, ratio: f64) -> f64 {
-        let share = match self.has_calls {
-            Some(false) => LEAF_RATIO_SHARE,
-            Some(true) | None => RATIO_SHARE,
-        };
-        let requests: u32 = self.slices.iter().map(|slice| slice.requests).sum();
-        let retries: u32 = self.slices.iter().map(|slice| slice.retries).sum();
-        f64::from(requests) * ratio * share - f64::from(retries)
     }
 }
 
@@ -110,7 +140,7 @@
     ratio: f64,
     slack: f64,
     slice: Duration,
-    horizon: Duration,
+    window: Duration,
     services: BTreeMap<String, ServiceBudget>,
 }
 
@@ -123,15 +153,16 @@
             seed,
             ratio: bound.ratio,
             slack: f64::from(bound.slack),
-            slice: bound.window / SLICES,
-            horizon: bound.window.mul_f64(HORIZON_FRACTION),
+            slice: bound.window / SLICES_PER_WINDOW as u32,
+            window: bound.window,
             services: BTreeMap::new(),
         }
     }
 
     /// Counts a request for a service.
     pub fn count_request(&mut self, now: Instant, service: &str) {
-        self.current(now, service).requests += 1;
+        let number = slice_number(now, self.slice);
+        self.service(service).requests.count(number);
     }
 
     /// Records whether an answered request of a service involved calls to other services.
@@ -140,43 +171,63 @@
         budget.has_calls = Some(has_calls || budget.has_calls == Some(true));
     }
 
+    /// Records whether a back end of a service has refused an attempt that reached it.
+    pub fn record_attempt(&mut self, now: Instant, service: &str, is_refused: bool) {
+        self.service(service).refusals.record(now, is_refused);
+    }
+
+    /// Returns whether back ends of a service refuse a share of what they get.
+    pub fn is_refusing(&self, now: Instant, service: &str) -> bool {
+        let budget = self.services.get(service);
+        budget.is_some_and(|budget| budget.refusals.is_refusing(now))
+    }
+
+    /// Returns whether a chain whose root has this level is retried at a service that publishes the
+    /// level `published`: while its back ends refuse, retries go to the chains that entries admit.
+    pub fn prefers(&self, now: Instant, service: &str, level: Level, published: Level) -> bool {
+        !self.is_refusing(now, service) || level.0 + ADMITTED_MARGIN >= published.0
+    }
+
     /// Counts a retry that cannot be refused any more: a call made for a retried request.
     pub fn spend(&mut self, now: Instant, service: &str) {
-        self.current(now, service).retries += 1;
+        let number = slice_number(now, self.slice);
+        self.service(service).retries.count(number);
     }
 
     /// Spends one retry, for a chain whose root has this level, if the budget of a node in a
     /// deployment of `nodes` nodes covers it. Returns whether it does.
     pub fn try_spend(&mut self, now: Instant, service: &str, nodes: usize, level: Level) -> bool {
         let ratio = self.ratio;
-        let horizon = self.horizon.as_secs_f64();
+        let window = self.window.as_secs_f64();
         let floor = (self.slack * FLOOR_SLACK_SHARE / nodes.max(1) as f64).min(MAX_FLOOR);
-        let number = self.slice_number(now);
+        let number = slice_number(now, self.slice);
         let rounding = self.rounding(number, service);
         let budget = self.service(service);
-        budget.current(number);
-        let remaining = budget.remaining(ratio) + floor;
-        budget.demand.count(level);
-        let is_preferred = level >= budget.demand.min_level(now, remaining.max(0.0) / horizon);
+        let is_refusing = budget.refusals.is_refusing(now);
+        let allowance = budget.allowance(number, ratio, is_refusing);
+        let remaining = allowance.remaining + floor;
+        budget.demand.count(now, level);
+        let rate = if is_refusing {
+            let even_pace = allowance.per_window / window;
+            even_pace * EVEN_PACE_TOLERANCE * budget.demand.averaged_part(now)
+        } else {
+            remaining.max(0.0) / (window * HORIZON_FRACTION)
+        };
+        let is_preferred = level >= budget.demand.min_level(now, rate);
         if remaining + rounding < 1.0 || !is_preferred {
             return false;
         }
-        budget.current(number).retries += 1;
+        budget.retries.count(number);
         true
     }
 
     /// Returns the number from 0 to 1 by which the node's allowance for a service is rounded.
     fn rounding(&self, slice: u64, service: &str) -> f64 {
-        let draw = slice / (u64::from(SLICES) * REDRAW_WINDOWS);
+        let draw = slice / (SLICES_PER_WINDOW as u64 * REDRAW_WINDOWS);
         let node_hash = xxh3_64_with_seed(&draw.to_le_bytes(), self.seed);
         xxh3_64_with_seed(service.as_bytes(), node_hash) as f64 / u64::MAX as f64
     }
 
-    fn current(&mut self, now: Instant, service: &str) -> &mut Slice {
-        let number = self.slice_number(now);
-        self.service(service).current(number)
-    }
-
     fn service(&mut self, service: &str) -> &mut ServiceBudget {
         if !self.services.contains_key(service) {
             self.services
@@ -184,9 +235,4 @@
         }
         self.services.entry(service.to_owned()).or_default()
     }
-
-    fn slice_number(&self, now: Instant) -> u64 {
-        let length = u64::try_from(self.slice.as_micros()).unwrap_or(u64::MAX);
-        now.as_micros() / length.max(1)
-    }
 }
--- a/crates/rillgap-forward/src/retry_demand.rs
+++ b/crates/rillgap-forward/src/retry_demand.rs
@@ -22,6 +22,8 @@
 const LEVELS_PER_BIN: u32 = Level::PER_TIER / BINS_PER_TIER as u32;
 /// Time constant of the exponential average of the demand.
 const DECAY_TIME_CONSTANT: Duration = Duration::from_millis(500);
+/// Shortest time over which the demand is averaged after it has begun.
+const MIN_AVERAGING_TIME: Duration = Duration::from_millis(50);
 /// Demand that is treated as none, in retries per second.
 const NEGLIGIBLE_RATE: f64 = 0.05;
 /// Interval at which the lowest level to retry is recomputed.
@@ -35,6 +37,8 @@
     min_level: Level,
     next_update: Instant,
     updated_at: Instant,
+    /// Time of the first request for a retry after a time without any.
+    begun_at: Instant,
 }
 
 impl Default for RetryDemand {
@@ -44,13 +48,17 @@
             min_level: Level(0),
             next_update: Instant::default(),
             updated_at: Instant::default(),
+            begun_at: Instant::default(),
         }
     }
 }
 
 impl RetryDemand {
     /// Counts a request for a retry in a chain whose root has this level.
-    pub fn count(&mut self, level: Level) {
+    pub fn count(&mut self, now: Instant, level: Level) {
+        if self.requested.iter().sum::<f64>() < NEGLIGIBLE_RATE {
+            self.begun_at = now;
+        }
         let bin = (level.0 / LEVELS_PER_BIN) as usize;
         self.requested[bin.min(BINS - 1)] += 1.0 / DECAY_TIME_CONSTANT.as_secs_f64();
     }
@@ -66,6 +74,13 @@
         self.min_level
     }
 
+    /// Returns the part of the present demand that the average contains: it lags behind a demand
+    /// that has just begun. Multiplied by it, a rate covers no more retries at first than later.
+    pub fn averaged_part(&self, now: Instant) -> f64 {
+        let elapsed = now.saturating_since(self.begun_at).max(MIN_AVERAGING_TIME);
+        1.0 - (-elapsed.as_secs_f64() / DECAY_TIME_CONSTANT.as_secs_f64()).exp()
+    }
+
     fn decay(&mut self, now: Instant) {
         let elapsed = now.saturating_since(self.updated_at).as_secs_f64();
         self.updated_at = now;
--- a/crates/rillgap-sidecar/src/logging/request_log.rs
+++ b/crates/rillgap-sidecar/src/logging/request_log.rs
@@ -5,6 +5,7 @@
 use rillgap_clock::SteadyClock;
 use rillgap_forward::back_end_notice::RequestRate;
 use rillgap_forward::log_record::LogRecord;
+use rillgap_forward::message::priority_of;
 
 use crate::settings::LogSection;
 
@@ -181,6 +182,17 @@
             source = *source, before = rate_or_minus_one(*before), per_second = rate_or_minus_one(*rate),
             running, queued; "inbound: rate limit of the back end"
         ),
+        LogRecord::BackEndRefusals {
+            service,
+            instance,
+            is_refusing,
+            refused_permille,
+            carried_permille,
+            level,
+        } => log::info!(
+            uptime, service = service.as_str(), instance = instance.as_str(), is_refusing, refused_permille,
+            carried_permille, priority = priority_of(*level), admission_level = level.0; "inbound: refusals of the back end"
+        ),
         LogRecord::BackEndCrashed {
             instance,
             in_flight,
