Refusing services: retries alone; the level that entries follow is not kept

Change: inbound/carried.rs and the published level go; the budget by the best window, its pace, and further attempts at back ends that have refused stay.

--- a/crates/rillgap-forward/src/inbound/admission.rs
+++ b/crates/rillgap-forward/src/inbound/admission.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use rillgap_core::admission::{Level, WindowLoad};
+use rillgap_core::admission::WindowLoad;
 use rillgap_core::code::ResultCode;
 use rillgap_core::time::Instant;
 
@@ -54,30 +54,28 @@
 
     /// Records a request as demand. If this node refuses it, the node that receives it next counts
     /// it too.
-    pub(super) fn record_demand(&mut self, now: Instant, request: &ForwardedRequest) {
-        self.carried
-            .record_arrival(now, request.level, request.is_retry);
+    pub(super) fn record_demand(&mut self, request: &ForwardedRequest) {
         let expected = self.service_times.expected(&request.route);
         let work_micros = expected.as_micros() as f64;
         self.threshold.record_arrival(request.level, work_micros);
     }
 
-    /// Returns the published admission level: the higher one of the level by capacity and the
-    /// level by refusals.
-    pub(super) fn level(&self) -> Level {
-        self.threshold.level().max(self.carried.part().level)
-    }
-
     /// Updates the published admission level at the end of each control window.
     pub(super) fn update_level(&mut self, now: Instant) {
-        if self.carried.is_due(now) {
-            let published = self.level();
-            self.carried.update(now, published);
-        }
-        if self.threshold.is_due(now) {
-            self.update_threshold(now);
+        if !self.threshold.is_due(now) {
+            return;
         }
-        let level = self.level();
+        let queued = (0_u8..)
+            .zip(self.queued_by_tier())
+            .map(|(tier, queued)| (tier, usize::from(queued)))
+            .collect();
+        let window_load = WindowLoad {
+            limit: self.usable_slots(),
+            mean_service_micros: f64::from(self.service_times.mean_micros()),
+            queued,
+        };
+        self.threshold.update(now, &window_load);
+        let level = self.threshold.level();
         if level.0.abs_diff(self.reported_level.0) >= MIN_REPORTED_LEVEL_CHANGE {
             self.reported_level = level;
             self.load_changed = true;
@@ -85,13 +83,14 @@
     }
 
     /// Logs the begin and the end of a time in which the back end refuses a share of what it gets.
-    pub(super) fn log_refusals(&mut self, out: &mut Actions) {
-        let part = self.carried.part();
-        let is_refusing = if self.is_refusing_logged {
-            part.refused_share >= MIN_REFUSED_SHARE / 2.0
+    pub(super) fn log_refusals(&mut self, now: Instant, out: &mut Actions) {
+        let refused_share = self.refusals.share(now);
+        let threshold = if self.is_refusing_logged {
+            MIN_REFUSED_SHARE / 2.0
         } else {
-            part.refused_share >= MIN_REFUSED_SHARE
+            MIN_REFUSED_SHARE
         };
+        let is_refusing = refused_share >= threshold;
         if is_refusing == self.is_refusing_logged {
             return;
         }
@@ -100,25 +99,10 @@
             service: self.back_end.service().to_owned(),
             instance: self.back_end.log_name(),
             is_refusing,
-            refused_permille: permille(part.refused_share),
-            carried_permille: permille(part.carried),
-            level: part.level,
+            refused_permille: (refused_share * 1_000.0) as u32,
         }));
     }
 
-    fn update_threshold(&mut self, now: Instant) {
-        let queued = (0_u8..)
-            .zip(self.queued_by_tier())
-            .map(|(tier, queued)| (tier, usize::from(queued)))
-            .collect();
-        let window_load = WindowLoad {
-            limit: self.usable_slots(),
-            mean_service_micros: f64::from(self.service_times.mean_micros()),
-            queued,
-        };
-        self.threshold.update(now, &window_load);
-    }
-
     /// Returns whether a rank uses less than its reserved fraction of the limit. Under a stated
     /// rate limit hardly any slot is in use, so the reserve would put the lowest rank first.
     pub(super) fn is_within_reserve(&self, rank: u8) -> bool {
@@ -217,8 +201,3 @@
         u32::try_from(millis.clamp(shortest, longest)).unwrap_or(u32::MAX)
     }
 }
-
-/// Returns a part from 0 to 1 in thousandths.
-fn permille(part: f64) -> u32 {
-    (part * 1_000.0).round() as u32
-}
--- a/crates/rillgap-forward/src/inbound/completion.rs
+++ b/crates/rillgap-forward/src/inbound/completion.rs
@@ -94,7 +94,7 @@
         };
         self.failure_rate.record(now, is_failure);
         let is_refused = *result == ExchangeResult::NotExecuted;
-        self.carried.record_attempt(now, is_refused);
+        self.refusals.record(now, is_refused);
     }
 
     /// Updates the reported failure rate. Triggers a load report to peers when the back end starts
--- a/crates/rillgap-forward/src/inbound/mod.rs
+++ b/crates/rillgap-forward/src/inbound/mod.rs
@@ -6,7 +6,6 @@
 
 mod admission;
 mod back_end;
-pub mod carried;
 mod completion;
 mod failure_rate;
 mod isolation;
@@ -38,10 +37,10 @@
 use crate::settings::ForwardSettings;
 
 use back_end::{BackEnd, Effect};
-use carried::{Carried, CarriedPart};
 use failure_rate::FailureRate;
 use lost_requests::LostRequests;
 use queue::RankQueue;
+use refusals::Refusals;
 use running::Running;
 use service_time::ServiceTimes;
 use stated_rate::StatedRate;
@@ -133,7 +132,7 @@
     status_changed: bool,
     load_changed: bool,
     threshold: Threshold,
-    carried: Carried,
+    refusals: Refusals,
     /// Whether the last logged change was the begin of refusals.
     is_refusing_logged: bool,
     /// Level at which the last load report was triggered by a level change.
@@ -164,7 +163,7 @@
             status_changed: false,
             load_changed: false,
             threshold: Threshold::new(LEVEL_TUNING),
-            carried: Carried::new(settings.retry_bound),
+            refusals: Refusals::default(),
             is_refusing_logged: false,
             reported_level: Level(0),
         }
@@ -201,15 +200,15 @@
             running: count(self.running.len()),
             queued: self.queued_by_tier(),
             mean_micros: self.service_times.mean_micros(),
-            level: self.level(),
+            level: self.threshold.level(),
             failing_permille: self.failing_permille,
             rate_limit: self.stated_rate.report(self.back_end.incarnation()),
         }
     }
 
-    /// Returns which part of the demand can be carried to its end while the back end refuses.
-    pub const fn carried_part(&self) -> CarriedPart {
-        self.carried.part()
+    /// Returns the share of attempts that the back end refuses itself, from 0 to 1.
+    pub fn refused_share(&self, now: Instant) -> f64 {
+        self.refusals.share(now)
     }
 
     fn queued_by_tier(&self) -> [u16; TIER_COUNT] {
@@ -349,7 +348,7 @@
             return;
         }
         self.adopt_rate_limit(now, &arrival.request, out);
-        self.record_demand(now, &arrival.request);
+        self.record_demand(&arrival.request);
         if arrival.is_isolated && self.isolated.is_some() {
             self.enqueue(now, arrival, out);
             return;
@@ -493,8 +492,6 @@
         };
         if matches!(result, ExchangeResult::Answered(_)) {
             self.record_service_time(now, &running);
-            self.carried
-                .record_calls(!running.downstream_levels.is_empty());
         }
         self.record_outcome(now, &running, &result);
         let effect = self.back_end.on_exchange(&result);
@@ -511,7 +508,7 @@
         self.back_end.poll(now);
         self.stated_rate.poll(now);
         self.update_level(now);
-        self.log_refusals(out);
+        self.log_refusals(now, out);
         self.update_failure_rate(now);
         self.poll_lost_requests(now);
         self.crashes.evict_expired(now);
--- a/crates/rillgap-forward/src/log_record.rs
+++ b/crates/rillgap-forward/src/log_record.rs
@@ -1,6 +1,5 @@
 //! Log records: decisions on requests and changes of a node's state.
 
-use rillgap_core::admission::Level;
 use rillgap_core::code::ResultCode;
 use rillgap_core::id::Fingerprint;
 
@@ -120,10 +119,6 @@
         is_refusing: bool,
         /// Share of attempts that it refuses, in thousandths.
         refused_permille: u32,
-        /// Part of the service's demand that retries can carry to its end, in thousandths.
-        carried_permille: u32,
-        /// Admission level from which on demand is carried; 0 if all of it is.
-        level: Level,
     },
     /// The back end has ended unexpectedly.
     BackEndCrashed {
--- a/crates/rillgap-forward/src/outbound/results.rs
+++ b/crates/rillgap-forward/src/outbound/results.rs
@@ -183,10 +183,6 @@
         let service = request.forwarded.service.clone();
         let level = request.forwarded.level;
         let nodes = context.directory.estimated_nodes();
-        let published = self.admission.published_level(now, &service);
-        if !self.budget.prefers(now, &service, level, published) {
-            return false;
-        }
         self.budget.try_spend(now, &service, nodes, level)
     }
 
--- a/crates/rillgap-forward/src/retry_budget.rs
+++ b/crates/rillgap-forward/src/retry_budget.rs
@@ -8,8 +8,7 @@
 //! sent.
 //!
 //! While back ends of the service do not refuse, a node counts its requests `Q` of the present
-//! window, and `Q <= B`. While they refuse, requests become fewer because chains end early or are
-//! refused at the entry. A node then counts the requests `B_n(s)` in its own best window, for each
+//! window, and `Q <= B`. While they refuse, requests become fewer because chains end early. A node then counts the requests `B_n(s)` in its own best window, for each
 //! beginning `s` of a window that contains the present moment, and sends a retry only if its
 //! retries `R_n(s)` since `s` stay within its allowance for every `s`. Both counts of all nodes
 //! refer to the same `s`, so for the window that begins at `s`
@@ -76,11 +75,8 @@
 const HORIZON_FRACTION: f64 = 0.5;
 
 /// Retries that are granted while back ends refuse, as a multiple of the even pace at which the
-/// allowance lasts for a window. The demand for them fluctuates, and entries confine it.
+/// allowance lasts for a window. The demand for them fluctuates.
 const EVEN_PACE_TOLERANCE: f64 = 1.5;
-/// Distance below the published level of a service within which chains are retried: they were
-/// admitted just before the level rose. A tenth of a tier.
-const ADMITTED_MARGIN: u32 = Level::PER_TIER / 10;
 
 /// Returns the share of the deployment's ratio that a node may use for a service; `has_calls` says
 /// whether an answer of it has involved calls, `None` before the first answer.
@@ -182,12 +178,6 @@
         budget.is_some_and(|budget| budget.refusals.is_refusing(now))
     }
 
-    /// Returns whether a chain whose root has this level is retried at a service that publishes the
-    /// level `published`: while its back ends refuse, retries go to the chains that entries admit.
-    pub fn prefers(&self, now: Instant, service: &str, level: Level, published: Level) -> bool {
-        !self.is_refusing(now, service) || level.0 + ADMITTED_MARGIN >= published.0
-    }
-
     /// Counts a retry that cannot be refused any more: a call made for a retried request.
     pub fn spend(&mut self, now: Instant, service: &str) {
         let number = slice_number(now, self.slice);
--- a/crates/rillgap-sidecar/src/hub.rs
+++ b/crates/rillgap-sidecar/src/hub.rs
@@ -312,13 +312,10 @@
         self.metrics
             .back_end_rate_limit
             .set(rate_limit.map_or(-1.0, RequestRate::per_second));
-        let part = node.inbound().carried_part();
+        let refused_share = node.inbound().refused_share(self.now());
         self.metrics
             .back_end_refused_permille
-            .set((part.refused_share * 1_000.0) as u64);
-        self.metrics
-            .carried_permille
-            .set((part.carried * 1_000.0) as u64);
+            .set((refused_share * 1_000.0) as u64);
         self.metrics.peers.set(reachable as u64);
         self.metrics.ready.set(u64::from(node.is_ready()));
         let quarantined = node.inbound().crashes().quarantined(self.now());
--- a/crates/rillgap-sidecar/src/logging/request_log.rs
+++ b/crates/rillgap-sidecar/src/logging/request_log.rs
@@ -5,7 +5,6 @@
 use rillgap_clock::SteadyClock;
 use rillgap_forward::back_end_notice::RequestRate;
 use rillgap_forward::log_record::LogRecord;
-use rillgap_forward::message::priority_of;
 
 use crate::settings::LogSection;
 
@@ -187,11 +186,9 @@
             instance,
             is_refusing,
             refused_permille,
-            carried_permille,
-            level,
         } => log::info!(
-            uptime, service = service.as_str(), instance = instance.as_str(), is_refusing, refused_permille,
-            carried_permille, priority = priority_of(*level), admission_level = level.0; "inbound: refusals of the back end"
+            uptime, service = service.as_str(), instance = instance.as_str(), is_refusing, refused_permille;
+            "inbound: refusals of the back end"
         ),
         LogRecord::BackEndCrashed {
             instance,
--- a/crates/rillgap-sidecar/src/metrics.rs
+++ b/crates/rillgap-sidecar/src/metrics.rs
@@ -92,9 +92,6 @@
     pub back_end_rate_limit: Gauge<f64, AtomicU64>,
     /// Share of attempts that the back end itself refuses, in thousandths.
     pub back_end_refused_permille: Gauge<u64, AtomicU64>,
-    /// Part of the demand on the back end that retries can carry to its end, in thousandths; 1000
-    /// while the back end does not refuse.
-    pub carried_permille: Gauge<u64, AtomicU64>,
     /// Connections that were opened to the back end.
     pub back_end_connections: Counter,
     /// Calls to the control address that were refused because they are malformed.
@@ -154,7 +151,6 @@
             back_end_requests: Counter::default(),
             back_end_rate_limit: Gauge::default(),
             back_end_refused_permille: Gauge::default(),
-            carried_permille: Gauge::default(),
             back_end_connections: Counter::default(),
             log_lines_dropped: Counter::default(),
             configuration_version: Gauge::default(),
@@ -378,12 +374,6 @@
                 "Share of attempts that the back end itself refuses, in thousandths",
                 &self.back_end_refused_permille,
             ),
-            (
-                "carried_permille",
-                "Part of the demand on the back end that retries can carry to its end, in \
-                 thousandths; 1000 while it does not refuse",
-                &self.carried_permille,
-            ),
             (
                 "configuration_version",
                 "Version of the configuration in force",
