--- a/crates/rillgap-forward/src/inbound/admission.rs
+++ b/crates/rillgap-forward/src/inbound/admission.rs
@@ -8,12 +8,14 @@
 use rillgap_core::time::Instant;
 
 use super::queue::Queued;
+use super::refusals::MIN_REFUSED_SHARE;
 use super::{
     Arrival, ESTIMATE_PROBE_FRACTION, Inbound, LEVEL_TUNING, MAX_QUEUE_LENGTH,
     MAX_SLOT_UTILIZATION, MIN_REMAINING_TIME_FRACTION, MIN_REPORTED_LEVEL_CHANGE,
     RANK_RESERVE_FRACTION, RETRY_AFTER_RANGE_MILLIS, RequestState, count,
 };
-use crate::action::Actions;
+use crate::action::{Action, Actions};
+use crate::log_record::LogRecord;
 use crate::message::{ForwardedRequest, tier_of};
 
 impl Inbound {
@@ -114,6 +116,27 @@
         }
     }
 
+    /// Logs the begin and the end of a time in which the back end refuses a share of what it gets.
+    pub(super) fn log_refusals(&mut self, now: Instant, out: &mut Actions) {
+        let refused_share = self.refusals.share(now);
+        let threshold = if self.is_refusing_logged {
+            MIN_REFUSED_SHARE / 2.0
+        } else {
+            MIN_REFUSED_SHARE
+        };
+        let is_refusing = refused_share >= threshold;
+        if is_refusing == self.is_refusing_logged {
+            return;
+        }
+        self.is_refusing_logged = is_refusing;
+        out.push(Action::Log(LogRecord::BackEndRefusals {
+            service: self.back_end.service().to_owned(),
+            instance: self.back_end.log_name(),
+            is_refusing,
+            refused_permille: (refused_share * 1_000.0) as u32,
+        }));
+    }
+
     /// Returns whether a rank uses less than its reserved fraction of the limit. Under a stated
     /// rate limit hardly any slot is in use, so the reserve would put the lowest rank first.
     pub(super) fn is_within_reserve(&self, rank: u8) -> bool {
--- a/crates/rillgap-forward/src/inbound/mod.rs
+++ b/crates/rillgap-forward/src/inbound/mod.rs
@@ -11,6 +11,7 @@
 mod isolation;
 mod lost_requests;
 mod queue;
+pub mod refusals;
 mod restart;
 mod running;
 mod service_time;
@@ -44,6 +45,7 @@
 use failure_rate::FailureRate;
 use lost_requests::LostRequests;
 use queue::RankQueue;
+use refusals::Refusals;
 use running::Running;
 use service_time::ServiceTimes;
 use slowdown::OwnTime;
@@ -141,6 +143,9 @@
     load_changed: bool,
     threshold: Threshold,
     wait_pressure: WaitPressure,
+    refusals: Refusals,
+    /// Whether the last logged change was the begin of refusals.
+    is_refusing_logged: bool,
     /// Level at which the last load report was triggered by a level change.
     reported_level: Level,
 }
@@ -171,6 +176,8 @@
             load_changed: false,
             threshold: Threshold::new(LEVEL_TUNING),
             wait_pressure: WaitPressure::default(),
+            refusals: Refusals::default(),
+            is_refusing_logged: false,
             reported_level: Level(0),
         }
     }
@@ -212,6 +219,11 @@
         }
     }
 
+    /// Returns the share of attempts that the back end refuses itself, from 0 to 1.
+    pub fn refused_share(&self, now: Instant) -> f64 {
+        self.refusals.share(now)
+    }
+
     fn queued_by_tier(&self) -> [u16; TIER_COUNT] {
         let mut queued = [0_u16; TIER_COUNT];
         for (rank, length) in self.queue.lengths() {
@@ -513,6 +525,7 @@
         self.back_end.poll(now);
         self.stated_rate.poll(now);
         self.update_level(now);
+        self.log_refusals(now, out);
         self.update_failure_rate(now);
         self.poll_lost_requests(now);
         self.crashes.evict_expired(now);
--- a/crates/rillgap-forward/src/log_record.rs
+++ b/crates/rillgap-forward/src/log_record.rs
@@ -126,6 +126,17 @@
         /// Number of queued requests.
         queued: u32,
     },
+    /// The back end begins or ceases to refuse a share of what it gets.
+    BackEndRefusals {
+        /// Service of the back end.
+        service: String,
+        /// Identifier of the incarnation.
+        instance: String,
+        /// Whether it refuses from now on.
+        is_refusing: bool,
+        /// Share of attempts that it refuses, in thousandths.
+        refused_permille: u32,
+    },
     /// The back end has ended unexpectedly.
     BackEndCrashed {
         /// Identifier of the incarnation that has ended.
--- a/crates/rillgap-sidecar/src/logging/request_log.rs
+++ b/crates/rillgap-sidecar/src/logging/request_log.rs
@@ -195,6 +195,15 @@
             stated_percent = stated_percent.map_or(-1, i64::from), percent,
             running, queued; "inbound: slowdown of the back end"
         ),
+        LogRecord::BackEndRefusals {
+            service,
+            instance,
+            is_refusing,
+            refused_permille,
+        } => log::info!(
+            uptime, service = service.as_str(), instance = instance.as_str(), is_refusing, refused_permille;
+            "inbound: refusals of the back end"
+        ),
         LogRecord::BackEndCrashed {
             instance,
             in_flight,
--- a/crates/rillgap-sidecar/src/metrics.rs
+++ b/crates/rillgap-sidecar/src/metrics.rs
@@ -102,6 +102,8 @@
     back_end_slowdown: Family<SlowdownLabels, Gauge>,
     /// Queued requests that were given back because the back end had become slow.
     pub queue_given_back: Counter,
+    /// Share of attempts that the back end itself refuses, in thousandths.
+    pub back_end_refused_permille: Gauge<u64, AtomicU64>,
     /// Connections that were opened to the back end.
     pub back_end_connections: Counter,
     /// Calls to the control address that were refused because they are malformed.
@@ -162,6 +164,7 @@
             back_end_rate_limit: Gauge::default(),
             back_end_slowdown: Family::default(),
             queue_given_back: Counter::default(),
+            back_end_refused_permille: Gauge::default(),
             back_end_connections: Counter::default(),
             log_lines_dropped: Counter::default(),
             configuration_version: Gauge::default(),
@@ -398,6 +401,11 @@
             self.log_lines_dropped.clone(),
         );
         let gauges = [
+            (
+                "back_end_refused_permille",
+                "Share of attempts that the back end itself refuses, in thousandths",
+                &self.back_end_refused_permille,
+            ),
             (
                 "configuration_version",
                 "Version of the configuration in force",
