A level for each tenant: tokens go to the most important requests

Cause: a tenant that asks for several times its limit got its tokens by chance. An entry that was told to wait refused everything meanwhile, then got a few tokens at once; urgent requests passed as seldom as others, and refused callers were asked back after 0.2 to 0.4 s of a shortage of seconds.

Change: the owner of a bucket keeps the demand of all entries by admission level and computes the level from which on it fits the limit, corrected by the content of the bucket. Entries refuse what is below at once; what is above may wait for a token while one can be expected in time. Retry-After follows the length of the shortage. Protocol version 8. The record of a tenant at its limit is now the owner's, on begin, move and end, in place of one for each short answer.

--- a/crates/rillgap-forward/src/log_record.rs
+++ b/crates/rillgap-forward/src/log_record.rs
@@ -6,6 +6,7 @@
 use crate::back_end_notice::RequestRate;
 use crate::crash::SuspicionChange;
 use crate::message::Timing;
+use crate::rate_limit::level_change::LevelChange;
 use crate::store_epoch::StoreEpoch;
 use crate::store_sync::StoreFailure;
 
@@ -20,7 +21,7 @@
 }
 
 /// A structured log record.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub enum LogRecord {
     /// A caller's request was answered.
     Answered {
@@ -221,15 +222,9 @@
         /// Number of known peers.
         peers: usize,
     },
-    /// A tenant's bucket does not hold all requested tokens.
-    TenantLimit {
-        /// Name of the tenant.
-        tenant: String,
-        /// Number of tokens that were granted.
-        granted: u32,
-        /// Time until more tokens are available, in milliseconds.
-        wait_millis: u32,
-    },
+    /// The shortage of tokens of a tenant whose bucket this node owns has begun, moved to another
+    /// tier of requests, or ended.
+    TenantLimit(LevelChange),
     /// The lifecycle state of the node has changed.
     Lifecycle {
         /// `started`, `stopping` or `exiting`.
--- a/crates/rillgap-forward/src/message.rs
+++ b/crates/rillgap-forward/src/message.rs
@@ -27,7 +27,7 @@
 const TIERS_PER_PRIORITY: u8 = 3;
 /// Number of positions within a rank of a queue. Fewer than levels, so that requests of earlier
 /// roots are not overtaken indefinitely.
-const POSITIONS_PER_RANK: u8 = 8;
+pub const POSITIONS_PER_RANK: u8 = 8;
 /// Tier of the requests that are shed last.
 const HIGHEST_TIER: u8 = (LOWEST_PRIORITY + 1) * TIERS_PER_PRIORITY - 1;
 /// Number of tiers of admission levels.
@@ -349,8 +349,11 @@
     pub number: u64,
     /// Name of the tenant.
     pub tenant: String,
-    /// Number of tokens that are needed.
+    /// Number of tokens that are needed; 0 if the query only reports demand.
     pub wanted: u32,
+    /// Requests that the sender has received since its last query: numbers of bins of admission
+    /// levels, each with a number of requests.
+    pub seen: Vec<(u8, u32)>,
 }
 
 /// Answer to a query for tokens.
@@ -374,6 +377,10 @@
         /// Time until more tokens are available, in milliseconds; 0 if all requested tokens were
         /// granted.
         wait_millis: u32,
+        /// Admission level below which requests have no chance of a token; zero if all have.
+        level: Level,
+        /// Time for which the tenant has been short of tokens, in milliseconds; 0 if it is not.
+        shortage_millis: u32,
     },
     /// The bucket is owned by this other node.
     OwnedBy(NodeRecord),
--- a/crates/rillgap-forward/src/node/mod.rs
+++ b/crates/rillgap-forward/src/node/mod.rs
@@ -33,7 +33,7 @@
 use crate::watcher_election::WatcherElection;
 
 /// Version of the protocol between nodes. Links to nodes with another version are closed.
-pub const PROTOCOL_VERSION: u32 = 7;
+pub const PROTOCOL_VERSION: u32 = 8;
 
 /// Interval at which links are checked, opened and closed.
 const HOUSEKEEPING_INTERVAL: Duration = Duration::from_millis(100);
@@ -414,6 +414,7 @@
         if now >= self.next_housekeeping {
             self.next_housekeeping = now + HOUSEKEEPING_INTERVAL;
             self.maintain_links(now, out);
+            self.update_tenant_levels(now, out);
         }
         self.exit_when_done(now, out);
     }
--- a/crates/rillgap-forward/src/node/tokens.rs
+++ b/crates/rillgap-forward/src/node/tokens.rs
@@ -91,11 +91,8 @@
             .bucket_owner(hash, self.can_own_buckets_since)
         {
             Owner::Local { since } => {
-                let grant = self.grant(now, &query.tenant, since, query.wanted);
-                grant.map(|grant| TokenResult::Granted {
-                    tokens: grant.tokens,
-                    wait_millis: grant.wait_millis,
-                })
+                let grant = self.grant(now, &query.tenant, since, query.wanted, &query.seen);
+                grant.map(granted)
             }
             Owner::Peer(index, link) => {
                 self.probe_owner(now, index, link, out);
@@ -139,10 +136,14 @@
             TokenResult::Granted {
                 tokens,
                 wait_millis,
+                level,
+                shortage_millis,
             } => {
                 let grant = Grant {
                     tokens,
                     wait_millis,
+                    level,
+                    shortage_millis,
                 };
                 self.deliver_tokens(now, &answer.tenant, answer.number, grant, out);
             }
@@ -158,7 +159,8 @@
         since: Instant,
         out: &mut Actions,
     ) {
-        if let Some(grant) = self.grant(now, &demand.tenant, since, demand.tokens) {
+        let grant = self.grant(now, &demand.tenant, since, demand.tokens, &demand.seen);
+        if let Some(grant) = grant {
             self.deliver_tokens(now, &demand.tenant, demand.number, grant, out);
         }
     }
@@ -171,22 +173,20 @@
         grant: Grant,
         out: &mut Actions,
     ) {
-        if grant.wait_millis > 0 {
-            out.push(Action::Log(LogRecord::TenantLimit {
-                tenant: tenant.to_owned(),
-                granted: grant.tokens,
-                wait_millis: grant.wait_millis,
-            }));
-        }
         let (outbound, mut context) = self.split_outbound(out);
-        outbound.on_tokens(
-            now,
-            tenant,
-            number,
-            grant.tokens,
-            grant.wait_millis,
-            &mut context,
-        );
+        outbound.on_tokens(now, tenant, number, grant, &mut context);
+    }
+
+    /// Returns the number of tenants whose bucket this node owns and that are short of tokens.
+    pub fn short_tenants(&self) -> usize {
+        self.buckets.short_tenants()
+    }
+
+    /// Updates the levels of owned tenants that are short of tokens, and logs changes.
+    pub(super) fn update_tenant_levels(&mut self, now: Instant, out: &mut Actions) {
+        for change in self.buckets.poll(now) {
+            out.push(Action::Log(LogRecord::TenantLimit(change)));
+        }
     }
 
     /// Takes tokens out of a bucket that this node owns. Returns `None` if this node's
@@ -198,25 +198,36 @@
         tenant: &str,
         since: Instant,
         requested: u32,
+        seen: &[(u8, u32)],
     ) -> Option<Grant> {
         let tenant = self.table.as_ref()?.tenant(tenant)?.clone();
         Some(match tenant.limit {
             Some(limit) => self
                 .buckets
-                .grant(now, &tenant.name, limit, since, requested),
+                .grant(now, &tenant.name, limit, since, requested, seen),
             None => Grant {
                 tokens: requested,
-                wait_millis: 0,
+                ..Grant::default()
             },
         })
     }
 }
 
+fn granted(grant: Grant) -> TokenResult {
+    TokenResult::Granted {
+        tokens: grant.tokens,
+        wait_millis: grant.wait_millis,
+        level: grant.level,
+        shortage_millis: grant.shortage_millis,
+    }
+}
+
 fn send_query(demand: TokenDemand, links: impl IntoIterator<Item = LinkId>, out: &mut Actions) {
     let query = TokenQuery {
         number: demand.number,
         tenant: demand.tenant,
         wanted: demand.tokens,
+        seen: demand.seen,
     };
     for link in links {
         out.push(Action::SendOnLink {
--- a/crates/rillgap-forward/src/outbound/tenancy.rs
+++ b/crates/rillgap-forward/src/outbound/tenancy.rs
@@ -1,6 +1,7 @@
 //! Tenants of requests, and the tokens that a tenant's rate limit requires.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use rillgap_core::code::ResultCode;
 use rillgap_core::time::Instant;
@@ -10,7 +11,9 @@
 use crate::configuration::{Route, RouteTable, Tenant};
 use crate::credential::Credential;
 use crate::event::CallerRequest;
+use crate::rate_limit::bucket::Grant;
 use crate::rate_limit::entry::{Admission, TokenDemand};
+use crate::retry_after::spread_retry_after;
 
 /// `Retry-After` while the configuration is not known to be recent, in milliseconds; long enough
 /// for several attempts to prove it.
@@ -18,6 +21,8 @@
 /// `Retry-After` while the owner of a tenant's bucket does not answer, in milliseconds; its
 /// successor takes over within that time.
 const NO_OWNER_RETRY_AFTER_MILLIS: u32 = 500;
+/// Minimum and maximum `Retry-After` of a tenant at its limit, in milliseconds.
+const LIMIT_RETRY_AFTER_RANGE_MILLIS: (u32, u32) = (200, 2_000);
 
 /// Refusal of a request before its first attempt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -87,6 +92,11 @@
         self.tokens.queries_due(now)
     }
 
+    /// Returns the number of requests that were refused by the level of their tenant.
+    pub const fn refused_by_tenant_level(&self) -> u64 {
+        self.tokens.refused_by_level()
+    }
+
     /// Sends a request to a node if it needs no token or gets one, leaves it waiting for a token,
     /// or refuses it.
     pub(super) fn dispatch_with_token(
@@ -98,15 +108,16 @@
         let Some(request) = self.requests.get(&key) else {
             return;
         };
-        let tenant = request.limited_tenant.clone();
+        let level = request.forwarded.level;
+        let tenant = request.limited_tenant.as_deref();
         let admission = tenant.map_or(Admission::Granted, |tenant| {
-            self.tokens.admit(now, &tenant, key)
+            self.tokens.admit(now, tenant, level, key)
         });
         match admission {
             Admission::Granted => self.dispatch(now, key, context),
             Admission::Waiting => {}
-            Admission::Refused { retry_after_millis } => {
-                self.refuse_at_limit(now, key, retry_after_millis, context);
+            Admission::Refused { shortage } => {
+                self.refuse_at_limit(now, key, shortage, context);
             }
         }
     }
@@ -118,14 +129,10 @@
         now: Instant,
         tenant: &str,
         number: u64,
-        tokens: u32,
-        wait_millis: u32,
+        grant: Grant,
         context: &mut OutboundContext<'_>,
     ) {
-        let released = self
-            .tokens
-            .on_grant(now, tenant, number, tokens, wait_millis);
-        let Some(released) = released else {
+        let Some(released) = self.tokens.on_grant(now, tenant, number, grant) else {
             return;
         };
         for key in released.granted {
@@ -136,7 +143,7 @@
             }
         }
         for key in released.refused {
-            self.refuse_at_limit(now, key, released.retry_after_millis, context);
+            self.refuse_at_limit(now, key, released.shortage, context);
         }
     }
 
@@ -172,9 +179,15 @@
         &mut self,
         now: Instant,
         key: RequestKey,
-        retry_after_millis: u32,
+        shortage: Duration,
         context: &mut OutboundContext<'_>,
     ) {
+        let Some(request) = self.requests.get(&key) else {
+            return;
+        };
+        let request_id = &request.forwarded.request_id;
+        let retry_after_millis =
+            spread_retry_after(shortage, LIMIT_RETRY_AFTER_RANGE_MILLIS, request_id);
         let refusal = Refusal::after(ResultCode::LimitReached, retry_after_millis);
         self.refuse_without_token(now, key, refusal, context);
     }
--- a/crates/rillgap-forward/tests/tenants.rs
+++ b/crates/rillgap-forward/tests/tenants.rs
@@ -323,6 +323,7 @@
         number: 1,
         tenant: TENANT.to_owned(),
         wanted: 1,
+        seen: Vec::new(),
     };
     let message = LinkMessage::TokenQuery(query);
     test.event(Event::Link { link, message });
@@ -536,6 +537,7 @@
         number: 1,
         tenant: tenant.name.clone(),
         wanted: 1,
+        seen: Vec::new(),
     });
     test.event(Event::Link { link, message });
     test.advance(150);
--- a/crates/rillgap-sidecar/src/hub.rs
+++ b/crates/rillgap-sidecar/src/hub.rs
@@ -6,6 +6,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, VecDeque};
 use std::rc::Rc;
+use std::sync::atomic::Ordering;
 
 use bytes::BytesMut;
 use rillgap_clock::SteadyClock;
@@ -316,6 +317,13 @@
         self.metrics.ready.set(u64::from(node.is_ready()));
         let quarantined = node.inbound().crashes().quarantined(self.now());
         self.metrics.quarantined.set(quarantined as u64);
+        let short_tenants = node.short_tenants();
+        self.metrics.tenants_short.set(short_tenants as u64);
+        let level_refusals = node.outbound().refused_by_tenant_level();
+        self.metrics
+            .tenant_level_refusals
+            .inner()
+            .store(level_refusals, Ordering::Relaxed);
         let epoch = node.store_epoch().unwrap_or_default();
         self.metrics.store_epoch.set(epoch.0);
         let age = node.proof_age(self.now());
--- a/crates/rillgap-sidecar/src/logging/request_log.rs
+++ b/crates/rillgap-sidecar/src/logging/request_log.rs
@@ -77,7 +77,6 @@
                 | LogRecord::BackEndRateLimit { .. }
                 | LogRecord::Cancelled { .. }
                 | LogRecord::RequestQuarantined { .. }
-                | LogRecord::TenantLimit { .. }
         );
         if is_about_request && self.lines_in_second >= self.settings.lines_per_second {
             self.omitted_lines += 1;
@@ -269,12 +268,10 @@
         LogRecord::BucketOffer { offers, peers } => log::info!(
             uptime, offers, peers = *peers as u64; "limits: offer to own buckets"
         ),
-        LogRecord::TenantLimit {
-            tenant,
-            granted,
-            wait_millis,
-        } => log::info!(
-            uptime, tenant = tenant.as_str(), granted, wait_millis; "limits: tenant at its limit"
+        LogRecord::TenantLimit(change) => log::info!(
+            uptime, tenant = change.tenant.as_str(), change = change.kind.name(),
+            priority = change.priority, demand = change.demand, limit = change.limit,
+            shortage_millis = change.shortage_millis; "limits: tenant at its limit"
         ),
         LogRecord::Lifecycle { state, in_flight } => log::info!(
             uptime, state = *state, in_flight = *in_flight as u64; "node: lifecycle"
--- a/crates/rillgap-sidecar/src/metrics.rs
+++ b/crates/rillgap-sidecar/src/metrics.rs
@@ -113,6 +113,10 @@
     /// Distinct requests (by content) that are refused because back ends crashed while running
     /// them.
     pub quarantined: Gauge<u64, AtomicU64>,
+    /// Tenants that are short of tokens and whose bucket this node owns.
+    pub tenants_short: Gauge<u64, AtomicU64>,
+    /// Requests that were refused by the level of their tenant.
+    pub tenant_level_refusals: Counter,
     /// Peers with an open link.
     pub peers: Gauge<u64, AtomicU64>,
     /// 1 if the node accepts new callers, otherwise 0.
@@ -157,6 +161,8 @@
             queued: Gauge::default(),
             limit: Gauge::default(),
             quarantined: Gauge::default(),
+            tenants_short: Gauge::default(),
+            tenant_level_refusals: Counter::default(),
             peers: Gauge::default(),
             ready: Gauge::default(),
         };
@@ -303,6 +309,11 @@
             "Requests of tenants, by outcome",
             self.tenants.clone(),
         );
+        registry.register(
+            "tenant_level_refusals",
+            "Requests of tenants at their limit that were refused by the tenant's level",
+            self.tenant_level_refusals.clone(),
+        );
         registry.register(
             "link_messages",
             "Messages sent on links, by kind",
@@ -392,6 +403,11 @@
                  crashed while running them",
                 &self.quarantined,
             ),
+            (
+                "tenants_short",
+                "Tenants at their limit whose bucket this node owns",
+                &self.tenants_short,
+            ),
             ("peers", "Peers with an open link", &self.peers),
             (
                 "ready",
