--- a/crates/rillgap-forward/tests/tenants.rs
+++ b/crates/rillgap-forward/tests/tenants.rs
@@ -6,7 +6,7 @@
 
 use googletest::prelude::*;
 use rillgap_core::code::ResultCode;
-use rillgap_forward::action::Action;
+use rillgap_forward::action::{Action, CallerAnswer};
 use rillgap_forward::configuration::{Configuration, RateLimit, Tenant};
 use rillgap_forward::credential::{Credential, KeyDigest};
 use rillgap_forward::event::{AnnouncedState, CallerRequest, Event};
@@ -286,8 +286,31 @@
     }
     expect_that!(test.exchanges().len(), eq(3));
     expect_that!(test.statuses(), elements_are![eq(&429)]);
-    let fields = String::from_utf8_lossy(&test.answers()[0].fields).into_owned();
-    expect_that!(fields, contains_substring("Retry-After: "));
+    expect_that!(retry_after_seconds(&test), each(all![ge(&0.2), le(&2.0)]));
+}
+
+/// Returns the values of `Retry-After` in the answers, in seconds; NaN in an answer without one.
+fn retry_after_seconds(test: &TestNode) -> Vec<f64> {
+    let value = |answer: &CallerAnswer| {
+        let fields = String::from_utf8_lossy(&answer.fields).into_owned();
+        let lines = fields.lines().map(str::to_owned);
+        let mut values = lines.filter_map(|line| Some(line.strip_prefix("Retry-After: ")?.parse()));
+        values.next().and_then(Result::ok).unwrap_or(f64::NAN)
+    };
+    test.answers().iter().map(value).collect()
+}
+
+#[gtest]
+fn callers_refused_at_the_limit_are_asked_back_at_different_times() {
+    let mut test = sole_owner();
+    for index in 0..20 {
+        test.request(index, request_with_key(&format!("r{index}"), KEY));
+    }
+    let mut delays = retry_after_seconds(&test);
+    expect_that!(delays, each(all![ge(&0.2), le(&2.0)]));
+    delays.sort_by(f64::total_cmp);
+    delays.dedup();
+    expect_that!(delays.len(), ge(10));
 }
 
 #[gtest]
