--- a/crates/rillgap-forward/src/lib.rs
+++ b/crates/rillgap-forward/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod peer;
 pub mod rate_limit;
 pub mod request_window;
+pub mod retry_after;
 pub mod retry_budget;
 pub mod retry_demand;
 pub mod settings;
