--- a/crates/rillgap-forward/src/lib.rs
+++ b/crates/rillgap-forward/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod outbound;
 pub mod peer;
 pub mod rate_limit;
+pub mod retry_after;
 pub mod retry_budget;
 pub mod retry_demand;
 pub mod settings;
