Callers that come back as told precede newcomers of their tier

Cause: refused callers come back as told and compete with newcomers like any other; the time that they are told is fixed while a shortage lasts for seconds.

Change: an entry remembers the content of truthful refusals for 4 s (4,096 at most) and recognizes returns; one as told has its level moved into the highest eighth of its tier, within half of the route's target latency from its first refusal. The entry's Retry-After follows how long the service has been short (0.3 to 2 s, at most 0.4 of the target latency and a third of the stated time left).

Published level with half of the arrivals being returns: rillgap-core, admission_threshold.

--- a/crates/rillgap-core/src/admission/level.rs
+++ b/crates/rillgap-core/src/admission/level.rs
@@ -17,6 +17,9 @@
 impl Level {
     /// Number of levels in one tier.
     pub const PER_TIER: u32 = 8_192;
+    /// Part of a tier, from its top, that also holds the requests of refused callers that come back
+    /// as told, as a divisor.
+    pub const RETURN_PART: u32 = 8;
     /// Number of levels of all classes of a policy; as a threshold, it admits none of them.
     pub const COUNT: u32 = Self::PER_TIER * Class::ALL.len() as u32;
 
@@ -42,6 +45,15 @@
         Self(tier as u32 * Self::PER_TIER)
     }
 
+    /// Returns the level of a request whose caller was refused and comes back as told: in the highest
+    /// part of its tier, so that it precedes newcomers of the tier but no request of a higher one.
+    /// The order among such requests is kept.
+    pub const fn after_return(self) -> Self {
+        let floor = Self::tier_floor(self.tier()).0;
+        let position = (self.0 - floor) / Self::RETURN_PART;
+        Self(floor + Self::PER_TIER - Self::PER_TIER / Self::RETURN_PART + position)
+    }
+
     /// Returns the tier that the level belongs to.
     pub const fn tier(self) -> u8 {
         (self.0 / Self::PER_TIER) as u8
--- a/crates/rillgap-core/tests/admission_threshold.rs
+++ b/crates/rillgap-core/tests/admission_threshold.rs
@@ -79,3 +79,84 @@
         expect_that!(threshold.level(), eq(Level(0)), "window {number}");
     }
 }
+
+/// Delay until entries apply a published level, in windows.
+const LEVEL_DELAY: usize = 2;
+
+/// Requests that an overloaded back end receives in one window, before entries refuse any.
+#[derive(Clone, Copy)]
+struct Offered {
+    newcomers: u64,
+    returns: u64,
+}
+
+/// Returns the levels of newcomers and returns in a window, of the tier [`LOW`].
+fn arrivals(offered: Offered, window: u64) -> Vec<Level> {
+    let newcomer = |number| Level::in_tier(LOW, format!("newcomer-{window}-{number}").as_bytes());
+    let returned =
+        |number| Level::in_tier(LOW, format!("return-{window}-{number}").as_bytes()).after_return();
+    let newcomers = (0..offered.newcomers).map(newcomer);
+    newcomers
+        .chain((0..offered.returns).map(returned))
+        .collect()
+}
+
+/// Plays `windows` control windows of a back end that works off [`FULL`] requests in each. Returns
+/// the number of requests that its entries admit in each window.
+fn play(offered: Offered, windows: u64) -> Vec<usize> {
+    let mut threshold = Threshold::new(Tuning {
+        queue_target: 0.8,
+        ..Tuning::default()
+    });
+    let mut levels = vec![Level(0); LEVEL_DELAY];
+    let mut admitted = Vec::new();
+    let mut queued = 0_usize;
+    for number in 1..=windows {
+        let upstream = levels[levels.len() - LEVEL_DELAY];
+        let mut count = 0;
+        for level in arrivals(offered, number) {
+            if level >= upstream {
+                threshold.record_arrival(level, WORK.as_micros() as f64);
+                count += 1;
+            }
+        }
+        queued = (queued + count).saturating_sub(FULL as usize);
+        end_window(&mut threshold, number, queued);
+        levels.push(threshold.level());
+        admitted.push(count);
+    }
+    admitted
+}
+
+/// Returns the mean and the standard deviation of the requests that entries admit in a window, in
+/// the last half of the windows.
+fn admitted(offered: Offered) -> (f64, f64) {
+    let course = play(offered, 400);
+    let last: Vec<f64> = course[course.len() / 2..]
+        .iter()
+        .map(|count| *count as f64)
+        .collect();
+    let count = last.len() as f64;
+    let mean = last.iter().sum::<f64>() / count;
+    let variance = last.iter().map(|value| (value - mean).powi(2)).sum::<f64>() / count;
+    (mean, variance.sqrt())
+}
+
+/// The demand per level takes levels as evenly spread, and those of returns are not: the work that
+/// is admitted must still fit, and vary little more than with as many newcomers.
+#[gtest]
+fn level_settles_while_half_of_the_arrivals_are_returns() {
+    for half in [35, 40, 60] {
+        let (mean, deviation) = admitted(Offered {
+            newcomers: half,
+            returns: half,
+        });
+        let (_, deviation_of_newcomers) = admitted(Offered {
+            newcomers: 2 * half,
+            returns: 0,
+        });
+        let full = FULL as f64;
+        expect_that!(mean, all!(ge(0.95 * full), le(1.02 * full)));
+        expect_that!(deviation, le(1.25 * deviation_of_newcomers), "{half} each");
+    }
+}
--- a/crates/rillgap-forward/src/log_record.rs
+++ b/crates/rillgap-forward/src/log_record.rs
@@ -6,6 +6,7 @@
 use crate::back_end_notice::RequestRate;
 use crate::crash::SuspicionChange;
 use crate::message::Timing;
+use crate::outbound::returns::CallerReturn;
 use crate::store_epoch::StoreEpoch;
 use crate::store_sync::StoreFailure;
 
@@ -47,6 +48,11 @@
         /// Age of the proof that the configuration was the newest one, in milliseconds; `None` if
         /// there was no proof.
         proof_age_millis: Option<u64>,
+        /// Whether the request is the return of a caller that was refused.
+        caller_return: CallerReturn,
+        /// Time after which the caller was asked to come back because room is short, in
+        /// milliseconds; `None` for all other answers.
+        told_millis: Option<u32>,
     },
     /// A request was sent to another node after an attempt at a first one.
     Retried {
--- a/crates/rillgap-forward/src/message.rs
+++ b/crates/rillgap-forward/src/message.rs
@@ -51,6 +51,12 @@
     Level::in_tier(tier, request_id.as_bytes())
 }
 
+/// Returns the admission level of a request, given that its caller was refused and comes back as
+/// told: before newcomers of its tier, behind all requests of higher tiers.
+pub const fn level_of_return(level: Level) -> Level {
+    level.after_return()
+}
+
 /// Returns the priority of the requests with an admission level.
 pub const fn priority_of(level: Level) -> u8 {
     HIGHEST_TIER.saturating_sub(level.tier()) / TIERS_PER_PRIORITY
--- a/crates/rillgap-forward/src/outbound/admission.rs
+++ b/crates/rillgap-forward/src/outbound/admission.rs
@@ -7,6 +7,7 @@
 //! admits a request whose level is at least the highest of these.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use rillgap_core::admission::{Involvement, Level, ServiceLevels};
 use rillgap_core::time::Instant;
@@ -16,6 +17,9 @@
 /// Smallest change of a service's level that is logged: a tenth of a tier.
 const MIN_REPORTED_CHANGE: f64 = Level::PER_TIER as f64 / 10.0;
 
+/// Lowest level that sheds any requests.
+const LOWEST_SHEDDING_LEVEL: f64 = 1.0;
+
 /// Change of the admission threshold that a service's level sets for an entry node.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(super) struct AdmissionChange {
@@ -39,6 +43,37 @@
     all: ServiceLevels<String>,
     /// Level that was last logged.
     logged_level: f64,
+    /// Time since which the level has shed requests without a pause; `None` if it did not at the
+    /// last report.
+    short_since: Option<Instant>,
+}
+
+impl ServiceState {
+    /// Records a level of `reporter`, and whether requests are shed from now on.
+    fn report(&mut self, now: Instant, reporter: &str, level: Level) {
+        let is_calm = level == Level(0) && self.short_since.is_none();
+        if is_calm {
+            self.all.report(now, reporter.to_owned(), level);
+            return;
+        }
+        let was_shedding = self.sheds(now);
+        self.all.report(now, reporter.to_owned(), level);
+        self.short_since = match self.short_since {
+            _ if !self.sheds(now) => None,
+            Some(since) if was_shedding => Some(since),
+            _ => Some(now),
+        };
+    }
+
+    fn sheds(&self, now: Instant) -> bool {
+        self.all.at(now) >= LOWEST_SHEDDING_LEVEL
+    }
+
+    /// Returns for how long requests have been shed.
+    fn shortage(&self, now: Instant) -> Duration {
+        self.short_since
+            .map_or(Duration::ZERO, |since| now.saturating_since(since))
+    }
 }
 
 /// Admission state of an entry node.
@@ -54,7 +89,7 @@
     pub fn record_published(&mut self, now: Instant, service: &str, reporter: &str, level: Level) {
         let state = self.service_state(service);
         state.own.report(now, reporter.to_owned(), level);
-        state.all.report(now, reporter.to_owned(), level);
+        state.report(now, reporter, level);
     }
 
     /// Records the level of a service that `reporter` has relayed.
@@ -65,7 +100,7 @@
         reporter: &str,
     ) {
         let state = self.service_state(&involved.service);
-        state.all.report(now, reporter.to_owned(), involved.level);
+        state.report(now, reporter, involved.level);
     }
 
     /// Records which services the answer to a caller's request involved. A failed request may have
@@ -124,17 +159,34 @@
         changes
     }
 
+    /// Returns for how long the service that sets the threshold of the route has been short.
+    pub fn shortage(&self, now: Instant, route: &str, service: &str) -> Duration {
+        let (scarcest, _) = self.scarcest(now, route, service);
+        let state = self.services.get(scarcest);
+        state.map_or(Duration::ZERO, |state| state.shortage(now))
+    }
+
     /// Returns the highest level of the services that a request of the route involves.
     fn threshold(&self, now: Instant, route: &str, service: &str) -> f64 {
-        let own = self.level_at(now, service);
+        self.scarcest(now, route, service).1
+    }
+
+    /// Returns the service with the highest level of those that a request of the route involves, and
+    /// that level.
+    fn scarcest<'a>(&'a self, now: Instant, route: &str, service: &'a str) -> (&'a str, f64) {
+        let own = (service, self.level_at(now, service));
         let by_service = self.involvement.get(route);
         let Some(involved) = by_service.and_then(|by_service| by_service.get(service)) else {
             return own;
         };
-        involved
-            .services()
-            .map(|service| self.level_at(now, service))
-            .fold(own, f64::max)
+        let mut scarcest = own;
+        for service in involved.services() {
+            let level = self.level_at(now, service);
+            if level > scarcest.1 {
+                scarcest = (service, level);
+            }
+        }
+        scarcest
     }
 
     fn service_state(&mut self, service: &str) -> &mut ServiceState {
--- a/crates/rillgap-forward/src/outbound/completion.rs
+++ b/crates/rillgap-forward/src/outbound/completion.rs
@@ -1,10 +1,15 @@
 //! Completion of requests, with the answer of a back end or with one that the node itself makes.
 
+use std::time::Duration;
+
 use rillgap_core::code::ResultCode;
+use rillgap_core::id::Fingerprint;
 use rillgap_core::time::Instant;
 
 use super::request::{Request, RequestKey};
-use super::{NO_BACK_END_RETRY_AFTER_MILLIS, Outbound, OutboundContext, answer};
+use super::returns::{Returned, kind_of};
+use super::tenancy::Refusal;
+use super::{NO_BACK_END_RETRY_AFTER_MILLIS, Outbound, OutboundContext, answer, returns};
 use crate::action::{Action, CallerAnswer};
 use crate::configuration::RouteTable;
 use crate::event::CallerRequest;
@@ -27,7 +32,7 @@
             body: forwarded.body,
             close: context.is_stopping,
         };
-        self.finish(now, key, answer, None, context);
+        self.finish(now, key, answer, None, None, context);
     }
 
     pub(super) fn answer_without_target(
@@ -83,13 +88,39 @@
             self.finish_forwarded(now, key, forwarded, context);
             return;
         }
+        let time_left = request
+            .caller_deadline
+            .map(|deadline| deadline.saturating_since(now));
+        let retry_after_millis = answer::bounded_retry_after(retry_after_millis, time_left);
         let answer = answer::for_code(
             code,
             retry_after_millis,
             request.may_have_run,
             context.is_stopping,
         );
-        self.finish(now, key, answer, Some(code), context);
+        let is_told = !request.is_call
+            && returns::is_shortage(code)
+            && answer::states_retry_after(answer.status);
+        let told_millis = is_told.then_some(retry_after_millis);
+        if let Some(told_millis) = told_millis {
+            let content = request.forwarded.content();
+            let returned = request.returned;
+            self.remember_refusal(now, content, told_millis, returned);
+        }
+        self.finish(now, key, answer, Some(code), told_millis, context);
+    }
+
+    /// Remembers a refusal whose caller was asked to come back after `told_millis`.
+    pub(super) fn remember_refusal(
+        &mut self,
+        now: Instant,
+        content: Fingerprint,
+        told_millis: u32,
+        returned: Option<Returned>,
+    ) {
+        let told = Duration::from_millis(u64::from(told_millis));
+        let first_refused = returned.map_or(now, |returned| returned.first_refused);
+        self.refusals.remember(now, content, told, first_refused);
     }
 
     pub(super) fn finish(
@@ -98,6 +129,7 @@
         key: RequestKey,
         answer: CallerAnswer,
         code: Option<ResultCode>,
+        told_millis: Option<u32>,
         context: &mut OutboundContext<'_>,
     ) {
         let Some(request) = self.remove_request(key) else {
@@ -120,6 +152,8 @@
             timing: request.timing,
             tenant: request.forwarded.tenant.clone().unwrap_or_default(),
             proof_age_millis: context.proof_age_millis,
+            caller_return: kind_of(request.returned),
+            told_millis,
         }));
         self.record_call_outcome(request, answer.status);
         context.out.push(Action::Answer {
@@ -145,14 +179,20 @@
         });
     }
 
+    /// Answers a request that was refused before its first attempt.
     pub(super) fn answer_rejected(
         &self,
         key: RequestKey,
         caller: CallerRequest,
-        code: ResultCode,
-        answer: CallerAnswer,
+        refusal: Refusal,
         context: &mut OutboundContext<'_>,
     ) {
+        let Refusal {
+            code,
+            retry_after_millis,
+            caller_return,
+        } = refusal;
+        let answer = answer::for_code(code, retry_after_millis, false, context.is_stopping);
         context.out.push(Action::Log(LogRecord::Answered {
             request_id: caller.request_id,
             route: String::new(),
@@ -165,6 +205,8 @@
             timing: Timing::default(),
             tenant: String::new(),
             proof_age_millis: context.proof_age_millis,
+            caller_return,
+            told_millis: returns::is_shortage(code).then_some(retry_after_millis),
         }));
         context.out.push(Action::Answer {
             connection: key.connection,
--- a/crates/rillgap-forward/src/outbound/mod.rs
+++ b/crates/rillgap-forward/src/outbound/mod.rs
@@ -13,6 +13,7 @@
 mod rate_share;
 mod request;
 mod results;
+pub mod returns;
 mod tenancy;
 mod weights;
 
@@ -41,7 +42,7 @@
 use admission::EntryAdmission;
 use rate_share::RateShares;
 use request::{Request, RequestKey};
-use tenancy::Refusal;
+use returns::RefusalMemory;
 use weights::WeightedChoice;
 
 /// Fraction of the route's target latency for which a caller's request may wait in queues. Requests
@@ -61,8 +62,8 @@
 const NO_BACK_END_RETRY_AFTER_MILLIS: u32 = 250;
 /// Interval at which changes of admission are logged.
 const ADMISSION_REPORT_INTERVAL: Duration = Duration::from_millis(200);
-/// `Retry-After` of a request that admission control refuses, in milliseconds.
-const THROTTLED_RETRY_AFTER_MILLIS: u32 = 300;
+/// Bounds of the `Retry-After` of a request that admission control refuses, in milliseconds.
+const OVERLOADED_RETRY_AFTER_RANGE_MILLIS: (u32, u32) = (300, 2_000);
 
 /// Node that may run an attempt.
 #[derive(Clone, Copy, Debug)]
@@ -131,6 +132,7 @@
     next_admission_report: Instant,
     weights: WeightedChoice,
     rate_shares: RateShares,
+    refusals: RefusalMemory,
     /// Updates on calls of the local back end that the inbound side has not received yet.
     call_updates: Vec<CallUpdate>,
 }
@@ -153,6 +155,7 @@
             next_admission_report: Instant::default(),
             weights: WeightedChoice::new(settings.random_seed),
             rate_shares: RateShares::default(),
+            refusals: RefusalMemory::default(),
             call_updates: Vec::new(),
         }
     }
@@ -179,12 +182,7 @@
         let request = match self.prepare(now, caller, origin, context) {
             Ok(request) => request,
             Err((rejected, refusal)) => {
-                let Refusal {
-                    code,
-                    retry_after_millis,
-                } = refusal;
-                let answer = answer::for_code(code, retry_after_millis, false, context.is_stopping);
-                self.answer_rejected(key, *rejected, code, answer, context);
+                self.answer_rejected(key, *rejected, refusal, context);
                 return;
             }
         };
--- a/crates/rillgap-forward/src/outbound/request.rs
+++ b/crates/rillgap-forward/src/outbound/request.rs
@@ -5,6 +5,7 @@
 use rillgap_core::time::Instant;
 
 use super::queue_limit;
+use super::returns::Returned;
 use crate::configuration::Route;
 use crate::id::{ConnectionId, LinkId, PipelineIndex, Sequence};
 use crate::message::{
@@ -56,6 +57,10 @@
     /// Version of the configuration by which the request was routed.
     pub configuration: u64,
     pub forwarded: Arc<ForwardedRequest>,
+    /// Time until which the caller waits; `None` if it has not stated it.
+    pub caller_deadline: Option<Instant>,
+    /// The refused caller whose return the request is; `None` if it is no return.
+    pub returned: Option<Returned>,
     /// Tenant whose rate limit the request counts towards; `None` if it needs no token.
     pub limited_tenant: Option<String>,
     /// Names of the nodes that the request was sent to, in order.
@@ -98,6 +103,8 @@
             parent_id,
             configuration,
             forwarded,
+            caller_deadline: None,
+            returned: None,
             limited_tenant: None,
             tried_nodes: Vec::new(),
             possible_arrivals: 0,
--- a/crates/rillgap-forward/src/outbound/tenancy.rs
+++ b/crates/rillgap-forward/src/outbound/tenancy.rs
@@ -6,6 +6,7 @@
 use rillgap_core::time::Instant;
 
 use super::request::RequestKey;
+use super::returns::CallerReturn;
 use super::{Origin, Outbound, OutboundContext};
 use crate::configuration::{Route, RouteTable, Tenant};
 use crate::credential::Credential;
@@ -25,6 +26,8 @@
     pub code: ResultCode,
     /// `Retry-After`, in milliseconds; 0 for the default.
     pub retry_after_millis: u32,
+    /// Whether the request is the return of a caller that was refused before.
+    pub caller_return: CallerReturn,
 }
 
 impl Refusal {
@@ -33,6 +36,7 @@
         Self {
             code,
             retry_after_millis: 0,
+            caller_return: CallerReturn::None,
         }
     }
 
@@ -40,6 +44,7 @@
         Self {
             code,
             retry_after_millis,
+            caller_return: CallerReturn::None,
         }
     }
 }
--- a/crates/rillgap-sidecar/src/logging/request_log.rs
+++ b/crates/rillgap-sidecar/src/logging/request_log.rs
@@ -88,7 +88,7 @@
     }
 }
 
-/// Returns an age for a log field; -1 stands for none.
+/// Returns an age or another time for a log field; -1 stands for none.
 fn age_or_minus_one(millis: Option<u64>) -> i64 {
     millis.map_or(-1, |millis| i64::try_from(millis).unwrap_or(i64::MAX))
 }
@@ -116,8 +116,10 @@
             timing,
             tenant,
             proof_age_millis,
+            caller_return,
+            told_millis,
         } => log::info!(
-            uptime, tenant = tenant.as_str(), proof_age_millis = age_or_minus_one(*proof_age_millis), request = request_id.as_str(), route = route.as_str(), status,
+            uptime, "return" = caller_return.name(), told_millis = age_or_minus_one(told_millis.map(u64::from)), tenant = tenant.as_str(), proof_age_millis = age_or_minus_one(*proof_age_millis), request = request_id.as_str(), route = route.as_str(), status,
             code = code.map_or(0, |code| code.number()), peer = peer.as_str(), attempts,
             elapsed_micros, queued_micros = timing.queued_micros,
             back_end_micros = timing.back_end_micros, configuration; "outbound: answered"
--- a/crates/rillgap-sidecar/src/metrics.rs
+++ b/crates/rillgap-sidecar/src/metrics.rs
@@ -11,6 +11,7 @@
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::{Registry, Unit};
 use rillgap_forward::log_record::LogRecord;
+use rillgap_forward::outbound::returns::CallerReturn;
 use rillgap_forward::store_sync::StoreReply;
 
 /// Upper bound of the first latency bucket, in seconds.
@@ -64,6 +65,13 @@
     outcome: &'static str,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ReturnLabels {
+    /// `as_told` or `early`.
+    kind: &'static str,
+    outcome: &'static str,
+}
+
 /// Metrics of a sidecar node; clones share their values.
 #[derive(Clone, Debug)]
 pub struct Metrics {
@@ -81,6 +89,10 @@
     retries: Family<RetryLabels, Counter>,
     tenants: Family<TenantLabels, Counter>,
     tenant_names: Arc<Mutex<BTreeSet<String>>>,
+    /// Callers that were refused because room is short and asked to come back.
+    caller_refusals: Counter,
+    /// Requests of callers that have come back after such a refusal.
+    caller_returns: Family<ReturnLabels, Counter>,
     store_calls: Family<StoreLabels, Counter>,
     link_messages: Family<MessageLabels, Counter>,
     link_bytes: Family<MessageLabels, Counter>,
@@ -140,6 +152,8 @@
             retries: Family::default(),
             tenants: Family::default(),
             tenant_names: Arc::default(),
+            caller_refusals: Counter::default(),
+            caller_returns: Family::default(),
             store_calls: Family::default(),
             link_messages: Family::default(),
             link_bytes: Family::default(),
@@ -182,9 +196,15 @@
                 attempts,
                 timing,
                 tenant,
+                caller_return,
+                told_millis,
                 ..
             } => {
                 self.count_tenant(tenant, *status);
+                self.count_return(*caller_return, *status);
+                if told_millis.is_some() {
+                    self.caller_refusals.inc();
+                }
                 // Without a code of the node, the answer is that of a back end.
                 let code = code.map_or(0, |code| code.number());
                 let status = *status;
@@ -222,18 +242,24 @@
         if tenant.is_empty() {
             return;
         }
-        let outcome = match status {
-            200..=299 => "served",
-            429 => "limited",
-            503 => "refused",
-            _ => "failed",
-        };
+        let outcome = outcome(status);
         let tenant = self.tenant_label(tenant);
         self.tenants
             .get_or_create(&TenantLabels { tenant, outcome })
             .inc();
     }
 
+    fn count_return(&self, caller_return: CallerReturn, status: u16) {
+        if caller_return == CallerReturn::None {
+            return;
+        }
+        let labels = ReturnLabels {
+            kind: caller_return.name(),
+            outcome: outcome(status),
+        };
+        self.caller_returns.get_or_create(&labels).inc();
+    }
+
     /// Returns the label of a tenant: its name, or [`OTHER_TENANTS_LABEL`] if
     /// [`MAX_TENANT_LABELS`] others have their own.
     fn tenant_label(&self, tenant: &str) -> String {
@@ -303,6 +329,16 @@
             "Requests of tenants, by outcome",
             self.tenants.clone(),
         );
+        registry.register(
+            "caller_refusals",
+            "Callers refused because room is short and asked to come back",
+            self.caller_refusals.clone(),
+        );
+        registry.register(
+            "caller_returns",
+            "Requests of callers that have come back after such a refusal, by kind (as_told, early) and outcome",
+            self.caller_returns.clone(),
+        );
         registry.register(
             "link_messages",
             "Messages sent on links, by kind",
@@ -405,3 +441,13 @@
         registry
     }
 }
+
+/// Returns the label of an answer's outcome.
+const fn outcome(status: u16) -> &'static str {
+    match status {
+        200..=299 => "served",
+        429 => "limited",
+        503 => "refused",
+        _ => "failed",
+    }
+}
