--- a/crates/rillgap-forward/src/outbound/intake.rs
+++ b/crates/rillgap-forward/src/outbound/intake.rs
@@ -67,7 +67,7 @@
         let (level, is_retry) = match origin {
             Origin::Caller => {
                 let level = caller_level(&caller, &route, tenant.as_deref());
-                (level_after_return(now, level, returned, &route), false)
+                (self.level_after_return(now, level, returned, &route), false)
             }
             Origin::BackEnd { level, is_retry } => (level, is_retry),
         };
@@ -77,6 +77,9 @@
             let refusal = self.refuse_overloaded(now, &caller, &route, &service, content, returned);
             return Err((Box::new(caller), refusal));
         }
+        if !is_call {
+            self.return_share.record_admitted(level.tier());
+        }
         if is_retry {
             self.budget.spend(now, &service);
         }
@@ -117,6 +120,21 @@
         Ok(request)
     }
 
+    /// Returns the level of a caller's request, given its return after a refusal.
+    fn level_after_return(
+        &mut self,
+        now: Instant,
+        level: Level,
+        returned: Option<Returned>,
+        route: &Route,
+    ) -> Level {
+        if may_precede(now, returned, route) && self.return_share.try_spend(level.tier()) {
+            level_of_return(level)
+        } else {
+            level
+        }
+    }
+
     /// Returns the refusal of a request that admission control does not admit, and remembers it.
     fn refuse_overloaded(
         &mut self,
@@ -139,6 +157,17 @@
     }
 }
 
+/// Returns whether a request is a return as told that can still be answered within the target
+/// latency of its route. Later, its answer is worth less than that of the newcomer in whose place it
+/// would be served.
+fn may_precede(now: Instant, returned: Option<Returned>, route: &Route) -> bool {
+    let max_wait = route.target_latency().mul_f64(MAX_WAIT_FRACTION);
+    returned.is_some_and(|returned| {
+        returned.kind == CallerReturn::AsTold
+            && now.saturating_since(returned.first_refused) <= max_wait
+    })
+}
+
 /// Returns the bounds of the `Retry-After` of a request that admission control refuses, in
 /// milliseconds: the caller should come back while the answer still has its full value.
 fn retry_after_range(route: &Route) -> (u32, u32) {
@@ -219,21 +248,3 @@
         .unwrap_or(route.priority);
     level_for_tenant(priority, route.priority, &caller.request_id)
 }
-
-/// Returns the level of a caller's request, given its return after a refusal.
-///
-/// A return precedes newcomers only while it can be answered within the target latency of its route:
-/// later, its answer is worth less than that of the newcomer in whose place it would be served.
-fn level_after_return(
-    now: Instant,
-    level: Level,
-    returned: Option<Returned>,
-    route: &Route,
-) -> Level {
-    let max_wait = route.target_latency().mul_f64(MAX_WAIT_FRACTION);
-    let gains = returned.is_some_and(|returned| {
-        returned.kind == CallerReturn::AsTold
-            && now.saturating_since(returned.first_refused) <= max_wait
-    });
-    if gains { level_of_return(level) } else { level }
-}
--- a/crates/rillgap-forward/src/outbound/mod.rs
+++ b/crates/rillgap-forward/src/outbound/mod.rs
@@ -13,6 +13,7 @@
 mod rate_share;
 mod request;
 mod results;
+mod return_share;
 pub mod returns;
 mod tenancy;
 mod weights;
@@ -42,6 +43,7 @@
 use admission::EntryAdmission;
 use rate_share::RateShares;
 use request::{Request, RequestKey};
+use return_share::ReturnShare;
 use returns::RefusalMemory;
 use weights::WeightedChoice;
 
@@ -133,6 +135,7 @@
     weights: WeightedChoice,
     rate_shares: RateShares,
     refusals: RefusalMemory,
+    return_share: ReturnShare,
     /// Updates on calls of the local back end that the inbound side has not received yet.
     call_updates: Vec<CallUpdate>,
 }
@@ -156,6 +159,7 @@
             weights: WeightedChoice::new(settings.random_seed),
             rate_shares: RateShares::default(),
             refusals: RefusalMemory::default(),
+            return_share: ReturnShare::default(),
             call_updates: Vec::new(),
         }
     }
