Carried part: calls that are given up close the level; smaller update

Cause: chains that end early make fewer calls than they need, so the demand looks smaller than it is and the level stays where too many chains begin. The log of refusals took its begin from a share with a small prior: one refusal of a quiet back end was logged as a begin.

Change: the carried rate is multiplied by the share of refusals that are followed by a retry. Begin and end are logged by the evidence that switches the part on. Tiers without arrivals are left out of the update of the demand.

Allowances are per node, needs are not: a node without allowance fails fast, is lightly loaded and so gets more chains. That has no remedy here yet.

--- a/crates/rillgap-forward/src/inbound/admission.rs
+++ b/crates/rillgap-forward/src/inbound/admission.rs
@@ -87,11 +87,9 @@
     /// Logs the begin and the end of a time in which the back end refuses a share of what it gets.
     pub(super) fn log_refusals(&mut self, out: &mut Actions) {
         let part = self.carried.part();
-        let is_refusing = if self.is_refusing_logged {
-            part.refused_share >= MIN_REFUSED_SHARE / 2.0
-        } else {
-            part.refused_share >= MIN_REFUSED_SHARE
-        };
+        // Around the threshold, the end is logged only once the share is clearly below it.
+        let has_ended = part.refused_share < MIN_REFUSED_SHARE / 2.0;
+        let is_refusing = part.is_refusing || self.is_refusing_logged && !has_ended;
         if is_refusing == self.is_refusing_logged {
             return;
         }
--- a/crates/rillgap-forward/src/inbound/carried.rs
+++ b/crates/rillgap-forward/src/inbound/carried.rs
@@ -8,11 +8,13 @@
 //! their end at a rate of
 //!
 //! ```text
-//! C = (share * ratio * B - R) / (window - elapsed) * (1 - q) / q
+//! C = f * (share * ratio * B - R) / (window - elapsed) * (1 - q) / q
 //! ```
 //!
-//! where `B` is the number of first arrivals in the best window and `R` the number of retries. The
-//! level is the lowest one at which the demand above it does not exceed `C`.
+//! where `B` is the number of first arrivals in the best window and `R` the number of retries. `f`
+//! is the share of refusals that are retried. While it is below 1, more chains have begun than
+//! the nodes that call the service can retry. These chains end early and make fewer calls than
+//! they would need, so that the demand looks smaller than it is. The level is the lowest one at which the demand above it does not exceed `C`.
 
 use std::time::Duration;
 
@@ -50,6 +52,8 @@
 /// State of a service whose back ends refuse, as seen by the node beside one of them.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct CarriedPart {
+    /// Whether the back end refuses a share of what it gets.
+    pub is_refusing: bool,
     /// Share of attempts that the back end refuses, from 0 to 1.
     pub refused_share: f64,
     /// Part of the demand that retries can carry to its end, from 0 to 1.
@@ -61,6 +65,7 @@
 impl Default for CarriedPart {
     fn default() -> Self {
         Self {
+            is_refusing: false,
             refused_share: 0.0,
             carried: 1.0,
             level: Level(0),
@@ -81,6 +86,8 @@
     demand: [f64; BINS],
     /// First arrivals in each bin since the last update.
     arrived: [u32; BINS],
+    /// Whether a tier has had arrivals.
+    has_demand: [bool; TIER_COUNT],
     has_calls: Option<bool>,
     part: CarriedPart,
     /// Ring buffer of the last published levels.
@@ -100,6 +107,7 @@
             refusing_since: None,
             demand: [0.0; BINS],
             arrived: [0; BINS],
+            has_demand: [false; TIER_COUNT],
             has_calls: None,
             part: CarriedPart::default(),
             published: [Level(0); LEVEL_HISTORY],
@@ -114,10 +122,13 @@
         let number = slice_number(now, self.slice());
         if is_retry {
             self.retries.count(number);
+            self.refusals.record_retry(now);
             return;
         }
         self.first_arrivals.count(number);
-        self.arrived[bin_of(level)] += 1;
+        let bin = bin_of(level);
+        self.arrived[bin] += 1;
+        self.has_demand[bin / BINS_PER_TIER] = true;
     }
 
     /// Records how an attempt that reached the back end has ended.
@@ -156,6 +167,7 @@
         let rate = self.carried_rate(now, refused_share);
         let demand: f64 = self.demand.iter().sum();
         self.part = CarriedPart {
+            is_refusing: true,
             refused_share,
             carried: (rate / demand.max(NEGLIGIBLE_RATE)).min(1.0),
             level: self.smoothed(self.level_within(rate)),
@@ -180,7 +192,8 @@
         let ratio = ratio_share(self.has_calls) * self.bound.ratio;
         let remaining = remaining_retries(&requests, &retries, ratio).max(0.0);
         let retry_rate = remaining / self.horizon(now).as_secs_f64();
-        retry_rate * (1.0 - refused_share) / refused_share
+        let carried = retry_rate * (1.0 - refused_share) / refused_share;
+        carried * self.refusals.retried_share(now)
     }
 
     /// Returns how long the remaining retries have to last.
@@ -202,20 +215,34 @@
         let followed = (-elapsed / FOLLOW_TIME_CONSTANT.as_secs_f64()).exp();
         let faded = (-elapsed / FADE_TIME_CONSTANT.as_secs_f64()).exp();
         for tier in 0..TIER_COUNT {
-            let first = tier * BINS_PER_TIER;
-            let end = first + BINS_PER_TIER;
-            let open = (first..end).find(|bin| floor_of(*bin) >= admitted);
-            let open = open.unwrap_or(end);
-            for bin in open..end {
-                let arrived = f64::from(self.arrived[bin]);
-                self.demand[bin] += (1.0 - followed) * (arrived / elapsed - self.demand[bin]);
-            }
-            let mean = self.demand[open..end].iter().sum::<f64>() / (end - open).max(1) as f64;
-            for demand in &mut self.demand[first..open] {
-                *demand = if open < end { mean } else { *demand * faded };
+            if self.has_demand[tier] {
+                self.update_tier(tier, admitted, elapsed, (followed, faded));
             }
         }
-        self.arrived = [0; BINS];
+    }
+
+    /// Updates the demand of a tier. `kept` are the parts of the old demand that admitted levels
+    /// and levels of a tier that is not admitted keep.
+    fn update_tier(
+        &mut self,
+        tier: usize,
+        admitted: Level,
+        elapsed: f64,
+        (followed, faded): (f64, f64),
+    ) {
+        let first = tier * BINS_PER_TIER;
+        let end = first + BINS_PER_TIER;
+        let open = (first..end).find(|bin| floor_of(*bin) >= admitted);
+        let open = open.unwrap_or(end);
+        for bin in open..end {
+            let arrived = f64::from(self.arrived[bin]);
+            self.demand[bin] += (1.0 - followed) * (arrived / elapsed - self.demand[bin]);
+        }
+        let mean = self.demand[open..end].iter().sum::<f64>() / (end - open).max(1) as f64;
+        for demand in &mut self.demand[first..open] {
+            *demand = if open < end { mean } else { *demand * faded };
+        }
+        self.arrived[first..end].fill(0);
     }
 
     /// Records the published level. Returns the highest one whose effect may not have ended.
--- a/crates/rillgap-forward/src/inbound/refusals.rs
+++ b/crates/rillgap-forward/src/inbound/refusals.rs
@@ -16,6 +16,12 @@
 /// Accepted attempts that are added to those counted for the share of a service that refuses. A
 /// prior as large as the above one would understate the share of a service with few attempts.
 const SHARE_PRIOR_ACCEPTED: f64 = 2.0;
+/// Refusals that are added to those counted, each followed by a retry, for the share of refusals
+/// that are retried.
+const PRIOR_RETRIED: f64 = 5.0;
+/// Share of refusals followed by a retry that counts as all of them: retries arrive later, and a
+/// few calls have used up their attempts.
+const FULLY_RETRIED_SHARE: f64 = 0.9;
 /// Share of attempts from which a service counts as refusing.
 pub const MIN_REFUSED_SHARE: f64 = 0.05;
 
@@ -24,6 +30,7 @@
 pub struct Refusals {
     refused: f64,
     attempts: f64,
+    retries: f64,
     decayed_at: Instant,
 }
 
@@ -37,6 +44,20 @@
         }
     }
 
+    /// Records the arrival of a retry.
+    pub fn record_retry(&mut self, now: Instant) {
+        self.decay(now);
+        self.retries += 1.0;
+    }
+
+    /// Returns the share of refusals that are followed by a retry, from 0 to 1.
+    pub fn retried_share(&self, now: Instant) -> f64 {
+        let kept = self.kept(now);
+        let retried = self.retries * kept + PRIOR_RETRIED;
+        let refused = self.refused * kept + PRIOR_RETRIED;
+        (retried / refused / FULLY_RETRIED_SHARE).min(1.0)
+    }
+
     /// Returns the share of attempts that were refused, from 0 to 1.
     pub fn share(&self, now: Instant) -> f64 {
         self.share_with_prior(now, SHARE_PRIOR_ACCEPTED)
@@ -57,6 +78,7 @@
         self.decayed_at = self.decayed_at.max(now);
         self.refused *= kept;
         self.attempts *= kept;
+        self.retries *= kept;
     }
 
     fn kept(&self, now: Instant) -> f64 {
--- a/crates/rillgap-forward/tests/refusing_services.rs
+++ b/crates/rillgap-forward/tests/refusing_services.rs
@@ -78,6 +78,24 @@
     expect_that!(refusals.is_refusing(at(3_000)), eq(false));
 }
 
+#[gtest]
+fn share_of_retried_refusals_shows_calls_that_are_given_up() {
+    let mut refusals = Refusals::default();
+    expect_that!(refusals.retried_share(at(0)), eq(1.0));
+    for step in 0..1_000_u64 {
+        refusals.record(at(step), true);
+        if step % 4 == 0 {
+            refusals.record_retry(at(step));
+        }
+    }
+    expect_that!(refusals.retried_share(at(1_000)), near(0.28, 0.05));
+    for step in 1_000..2_000 {
+        refusals.record(at(step), true);
+        refusals.record_retry(at(step));
+    }
+    expect_that!(refusals.retried_share(at(2_000)), eq(1.0));
+}
+
 /// Returns the level of the number-th chain of a priority.
 fn level(priority: u8, number: u64) -> Level {
     level_of(priority, &format!("root-{priority}-{number}"))
