Add review case 1: a late second copy of a refusal lets a booking run twice

The node sends a refused request to the same back end again, under the same Attempt-Id and on the same connection, and takes the late copy for the answer to the second send.

--- /dev/null
+++ b/review/standins/main.rs
@@ -0,0 +1,46 @@
+//! Stand-ins for the cases of the review: `standins CASE FOLDER TROUBLE`.
+//!
+//! Exits with 1 if a rule was broken, 0 if all held, 2 if the case could not run.
+
+mod back_end;
+mod client;
+mod deployment;
+mod http;
+mod late_extra;
+mod left_booking;
+mod node;
+mod proxy;
+mod record;
+mod slow_reader;
+mod store;
+mod sys;
+mod two_owners;
+
+use std::path::Path;
+use std::process::ExitCode;
+
+use deployment::Case;
+
+fn main() -> ExitCode {
+    let arguments: Vec<String> = std::env::args().collect();
+    let [_, name, folder, trouble] = arguments.as_slice() else {
+        eprintln!("usage: standins CASE FOLDER TROUBLE");
+        return ExitCode::from(2);
+    };
+    let result =
+        Case::new(Path::new(folder), trouble != "0").and_then(|case| match name.as_str() {
+            "late-extra" => late_extra::run(&case),
+            "slow-reader" => slow_reader::run(&case),
+            "left-booking" => left_booking::run(&case),
+            "two-owners" => two_owners::run(&case),
+            _ => Err(std::io::Error::other("no such case")),
+        });
+    match result {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::from(1),
+        Err(error) => {
+            eprintln!("the case could not run: {error}");
+            ExitCode::from(2)
+        }
+    }
+}
