--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -8,6 +8,7 @@
 mod http;
 mod late_extra;
 mod left_booking;
+mod lost_machines;
 mod node;
 mod proxy;
 mod record;
@@ -32,6 +33,7 @@
             "late-extra" => late_extra::run(&case),
             "slow-reader" => slow_reader::run(&case),
             "left-booking" => left_booking::run(&case),
+            "lost-machines" => lost_machines::run(&case),
             "two-owners" => two_owners::run(&case),
             _ => Err(std::io::Error::other("no such case")),
         });
--- a/review/standins/node.rs
+++ b/review/standins/node.rs
@@ -33,6 +33,8 @@
     pub mesh_advertised: Option<SocketAddr>,
     pub back_end: SocketAddr,
     pub store: SocketAddr,
+    /// Whether the whole deployment starts for the first time (`bootstrap`).
+    pub is_first_start: bool,
     /// `budget-slack` of the deployment.
     pub retry_slack: u32,
     /// `revoke-s` of a deployment with tenants.
@@ -60,6 +62,7 @@
             mesh_advertised: None,
             back_end: free[4],
             store,
+            is_first_start: true,
             retry_slack,
             revocation_seconds: None,
         })
@@ -76,6 +79,7 @@
             mesh,
             back_end,
             store,
+            is_first_start,
             retry_slack,
             ..
         } = self;
@@ -86,7 +90,7 @@
             format!("revocation-seconds = {seconds}\n")
         });
         format!(
-            "[node]\nname = \"{name}\"\nzone = \"{zone}\"\nregion = \"region\"\nfirst-start = true\n\n\
+            "[node]\nname = \"{name}\"\nzone = \"{zone}\"\nregion = \"region\"\nfirst-start = {is_first_start}\n\n\
              [listen]\ncallers = \"{callers}\"\ncontrol = \"{control}\"\nreadiness = \"{readiness}\"\n\
              mesh = \"{mesh}\"\n{advertised}\n\
              [back-end]\nservice = \"{service}\"\naddress = \"{back_end}\"\nheartbeat-seconds = 1.5\n\n\
