Sight: charges to the retry budget, calls without a running parent, how close a soak comes to the budget

Logs and metrics did not tell the hypotheses of the incident apart: a call that is made for a retried run left no trace, nor did a retry that the budget did not cover, nor a call whose run the node does not have on record. Records and counters by service now say so, with what the node has counted; the soak prints the largest share of the budget that a window has used. No decision changes.

--- a/crates/rillgap-forward/src/log_record.rs
+++ b/crates/rillgap-forward/src/log_record.rs
@@ -7,6 +7,7 @@
 use crate::crash::SuspicionChange;
 use crate::message::Timing;
 use crate::rate_limit::level_change::LevelChange;
+use crate::retry_budget::RetryBudgetState;
 use crate::store_epoch::StoreEpoch;
 use crate::store_sync::StoreFailure;
 
@@ -20,6 +21,28 @@
     pub content: Fingerprint,
 }
 
+/// Effect of a request on the retry budget of a node.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RetryCharge {
+    /// A retry was sent and charged.
+    Retry,
+    /// A call was charged because the run that it is made for is a retry.
+    Call,
+    /// A retry was not sent because the budget does not cover it.
+    Denied,
+}
+
+impl RetryCharge {
+    /// Returns the name in logs and metrics.
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Retry => "retry",
+            Self::Call => "call",
+            Self::Denied => "denied",
+        }
+    }
+}
+
 /// A structured log record.
 #[derive(Clone, Debug, PartialEq)]
 pub enum LogRecord {
@@ -60,6 +83,23 @@
         /// Whether the retry was paid for from the retry budget.
         paid: bool,
     },
+    /// The retry budget of this node was charged, or does not cover a retry.
+    RetryBudget {
+        /// The caller's identifier of the request.
+        request_id: String,
+        /// Service that the request is for.
+        service: String,
+        /// What happened.
+        charge: RetryCharge,
+        /// Budget after it.
+        state: RetryBudgetState,
+    },
+    /// A request has the identifier of a call, but the request that it is made for does not run at
+    /// the local back end. It counts as a caller's request.
+    UnknownParent {
+        /// The identifier of the request.
+        request_id: String,
+    },
     /// The inbound side has ended a request without an answer.
     NotAnswered {
         /// The caller's identifier of the request.
--- a/crates/rillgap-forward/src/node/mod.rs
+++ b/crates/rillgap-forward/src/node/mod.rs
@@ -23,6 +23,7 @@
 use crate::freshness::Freshness;
 use crate::id::{AnnouncementId, ConnectionId, LinkId, PipelineIndex};
 use crate::inbound::Inbound;
+use crate::log_record::LogRecord;
 use crate::message::{Hello, LinkMessage, Status};
 use crate::outbound::{Origin, Outbound, OutboundContext};
 use crate::rate_limit::bucket::Buckets;
@@ -305,6 +306,11 @@
         out: &mut Actions,
     ) {
         let origin = self.origin(&request);
+        if origin == Origin::Caller && request.parent_id.is_some() {
+            out.push(Action::Log(LogRecord::UnknownParent {
+                request_id: request.request_id.clone(),
+            }));
+        }
         let (outbound, mut context) = self.split_outbound(out);
         outbound.on_request(
             now,
--- a/crates/rillgap-forward/src/outbound/intake.rs
+++ b/crates/rillgap-forward/src/outbound/intake.rs
@@ -16,7 +16,7 @@
 use crate::configuration::{Route, RouteTable, Tenant};
 use crate::crash::Suspicion;
 use crate::event::CallerRequest;
-use crate::log_record::LogRecord;
+use crate::log_record::{LogRecord, RetryCharge};
 use crate::message::{ForwardedRequest, content_fingerprint, level_for_tenant};
 
 /// Configuration entries that apply to a request.
@@ -71,6 +71,8 @@
         }
         if is_retry {
             self.budget.spend(now, &service);
+            let id = &caller.request_id;
+            self.log_retry_charge(now, id, &service, RetryCharge::Call, context);
         }
         let timeout = caller
             .deadline
--- a/crates/rillgap-forward/src/outbound/mod.rs
+++ b/crates/rillgap-forward/src/outbound/mod.rs
@@ -30,7 +30,7 @@
 use crate::event::CallerRequest;
 use crate::id::{ConnectionId, LinkId, PipelineIndex, Sequence};
 use crate::inbound::{CallProgress, CallUpdate, Inbound};
-use crate::log_record::LogRecord;
+use crate::log_record::{LogRecord, RetryCharge};
 use crate::message::{
     ForwardResponse, ForwardResult, Load, RateLimitReport, ServiceAdmissionLevel, Status,
 };
@@ -364,6 +364,24 @@
         }
     }
 
+    /// Logs that a request was charged to the retry budget, or that the budget does not cover it.
+    fn log_retry_charge(
+        &mut self,
+        now: Instant,
+        request_id: &str,
+        service: &str,
+        charge: RetryCharge,
+        context: &mut OutboundContext<'_>,
+    ) {
+        let nodes = context.directory.estimated_nodes();
+        context.out.push(Action::Log(LogRecord::RetryBudget {
+            request_id: request_id.to_owned(),
+            service: service.to_owned(),
+            charge,
+            state: self.budget.state(now, service, nodes),
+        }));
+    }
+
     /// Logs changes of admission.
     fn report_admission(&mut self, now: Instant, context: &mut OutboundContext<'_>) {
         for change in self.admission.take_changes(now) {
--- a/crates/rillgap-forward/src/outbound/results.rs
+++ b/crates/rillgap-forward/src/outbound/results.rs
@@ -7,7 +7,7 @@
 use super::{MAX_RETRIES, MAX_TRANSPARENT_RETRIES, Outbound, OutboundContext};
 use crate::action::Action;
 use crate::crash::Suspicion;
-use crate::log_record::LogRecord;
+use crate::log_record::{LogRecord, RetryCharge};
 use crate::message::{ForwardResult, ForwardedAnswer};
 
 /// Minimum number of serving back ends for an immediate retry of a request during which a back end
@@ -163,7 +163,7 @@
         &mut self,
         now: Instant,
         key: RequestKey,
-        context: &OutboundContext<'_>,
+        context: &mut OutboundContext<'_>,
     ) -> bool {
         let Some(request) = self.requests.get(&key) else {
             return false;
@@ -180,10 +180,17 @@
         if !has_time || !may_run_again || !has_attempts_left || is_recurrent {
             return false;
         }
-        let service = request.forwarded.service.clone();
-        let level = request.forwarded.level;
+        let forwarded = request.forwarded.clone();
+        let service = &forwarded.service;
         let nodes = context.directory.estimated_nodes();
-        self.budget.try_spend(now, &service, nodes, level)
+        let is_granted = self.budget.try_spend(now, service, nodes, forwarded.level);
+        let charge = if is_granted {
+            RetryCharge::Retry
+        } else {
+            RetryCharge::Denied
+        };
+        self.log_retry_charge(now, &forwarded.request_id, service, charge, context);
+        is_granted
     }
 
     pub(super) fn has_other_target(
--- a/crates/rillgap-forward/src/retry_budget.rs
+++ b/crates/rillgap-forward/src/retry_budget.rs
@@ -108,6 +108,17 @@
     per_window: f64,
 }
 
+/// What a node has counted for a service, for logs.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RetryBudgetState {
+    /// Own requests of the present window.
+    pub requests: u32,
+    /// Retries of the present window, with the calls made for retried requests.
+    pub retries: u32,
+    /// Retries that are left in the present window; negative if more were sent.
+    pub remaining: f64,
+}
+
 impl ServiceBudget {
     /// Returns the allowance in the slice `number`, given the deployment's ratio of retries to
     /// requests.
@@ -184,12 +195,32 @@
         self.service(service).retries.count(number);
     }
 
+    /// Returns what the node has counted for a service.
+    pub fn state(&mut self, now: Instant, service: &str, nodes: usize) -> RetryBudgetState {
+        let ratio = self.ratio;
+        let floor = self.floor(nodes);
+        let number = slice_number(now, self.slice);
+        let budget = self.service(service);
+        let is_refusing = budget.refusals.is_refusing(now);
+        RetryBudgetState {
+            requests: budget.requests.sums(number).since(PRESENT_WINDOW),
+            retries: budget.retries.sums(number).since(PRESENT_WINDOW),
+            remaining: budget.allowance(number, ratio, is_refusing).remaining + floor,
+        }
+    }
+
+    /// Returns the retries per window that a node of a deployment of `nodes` nodes may send without
+    /// any requests.
+    fn floor(&self, nodes: usize) -> f64 {
+        (self.slack * FLOOR_SLACK_SHARE / nodes.max(1) as f64).min(MAX_FLOOR)
+    }
+
     /// Spends one retry, for a chain whose root has this level, if the budget of a node in a
     /// deployment of `nodes` nodes covers it. Returns whether it does.
     pub fn try_spend(&mut self, now: Instant, service: &str, nodes: usize, level: Level) -> bool {
         let ratio = self.ratio;
         let window = self.window.as_secs_f64();
-        let floor = (self.slack * FLOOR_SLACK_SHARE / nodes.max(1) as f64).min(MAX_FLOOR);
+        let floor = self.floor(nodes);
         let number = slice_number(now, self.slice);
         let rounding = self.rounding(number, service);
         let budget = self.service(service);
--- a/crates/rillgap-sidecar/src/logging/request_log.rs
+++ b/crates/rillgap-sidecar/src/logging/request_log.rs
@@ -50,7 +50,9 @@
                 attempts,
                 ..
             } if *status < 300 && *attempts <= 1 => request_id,
-            LogRecord::Cancelled { request_id } => request_id,
+            LogRecord::Cancelled { request_id } | LogRecord::UnknownParent { request_id } => {
+                request_id
+            }
             _ => return false,
         };
         match self.settings.success_sample {
@@ -73,6 +75,8 @@
             record,
             LogRecord::Answered { .. }
                 | LogRecord::Retried { .. }
+                | LogRecord::RetryBudget { .. }
+                | LogRecord::UnknownParent { .. }
                 | LogRecord::NotAnswered { .. }
                 | LogRecord::BackEndRateLimit { .. }
                 | LogRecord::BackEndSlowdown { .. }
@@ -131,6 +135,19 @@
             uptime, request = request_id.as_str(), from = from.as_str(), code = code.number(),
             paid; "outbound: sent to another node"
         ),
+        LogRecord::RetryBudget {
+            request_id,
+            service,
+            charge,
+            state,
+        } => log::info!(
+            uptime, request = request_id.as_str(), service = service.as_str(), charge = charge.name(),
+            requests = state.requests, retries = state.retries, remaining = state.remaining;
+            "outbound: retry budget"
+        ),
+        LogRecord::UnknownParent { request_id } => log::info!(
+            uptime, request = request_id.as_str(); "outbound: call without a running parent"
+        ),
         LogRecord::NotAnswered {
             request_id,
             code,
--- a/crates/rillgap-sidecar/src/metrics.rs
+++ b/crates/rillgap-sidecar/src/metrics.rs
@@ -58,6 +58,13 @@
     paid: &'static str,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct RetryBudgetLabels {
+    service: String,
+    /// Name of the [`RetryCharge`](rillgap_forward::log_record::RetryCharge).
+    charge: &'static str,
+}
+
 /// Maximum number of tenants with a label of their own, which bounds the number of time series. All
 /// further tenants share one label.
 const MAX_TENANT_LABELS: usize = 200;
@@ -86,6 +93,10 @@
     failures: Family<CodeLabels, Counter>,
     /// Requests sent to another node (metric `moves`).
     retries: Family<RetryLabels, Counter>,
+    /// Charges to the retry budget and retries that it does not cover, by service.
+    retry_budget: Family<RetryBudgetLabels, Counter>,
+    /// Requests that have the identifier of a call whose request does not run here.
+    unknown_parents: Counter,
     tenants: Family<TenantLabels, Counter>,
     tenant_names: Arc<Mutex<BTreeSet<String>>>,
     store_calls: Family<StoreLabels, Counter>,
@@ -156,6 +167,8 @@
             forwarding: Histogram::new(forwarding_buckets),
             failures: Family::default(),
             retries: Family::default(),
+            retry_budget: Family::default(),
+            unknown_parents: Counter::default(),
             tenants: Family::default(),
             tenant_names: Arc::default(),
             store_calls: Family::default(),
@@ -227,6 +240,18 @@
                 let paid = if *paid { "yes" } else { "no" };
                 self.retries.get_or_create(&RetryLabels { paid }).inc();
             }
+            LogRecord::RetryBudget {
+                service, charge, ..
+            } => {
+                let labels = RetryBudgetLabels {
+                    service: service.clone(),
+                    charge: charge.name(),
+                };
+                self.retry_budget.get_or_create(&labels).inc();
+            }
+            LogRecord::UnknownParent { .. } => {
+                self.unknown_parents.inc();
+            }
             LogRecord::NotAnswered { code, .. } => {
                 let code = code.number();
                 self.failures.get_or_create(&CodeLabels { code }).inc();
@@ -329,6 +354,17 @@
             "Requests sent to another node, by whether the retry was charged to the retry budget",
             self.retries.clone(),
         );
+        registry.register(
+            "retry_budget",
+            "Retries and calls made for retried requests that were charged to the retry budget, and \
+             retries that it did not cover, by service",
+            self.retry_budget.clone(),
+        );
+        registry.register(
+            "unknown_parents",
+            "Requests with the identifier of a call whose request does not run here",
+            self.unknown_parents.clone(),
+        );
         registry.register(
             "tenant_answers",
             "Requests of tenants, by outcome",
--- a/tests/soak/src/checker.rs
+++ b/tests/soak/src/checker.rs
@@ -176,6 +176,11 @@
         &mut self.notices
     }
 
+    /// Returns the retries that back ends received.
+    pub const fn retries(&self) -> &RetryHistory {
+        &self.retries
+    }
+
     /// Records a disturbance that lasts from `from` until `until`.
     pub fn add_disturbance(&mut self, from: Moment, until: Moment) {
         self.disturbances.push((from, until));
--- a/tests/soak/src/main.rs
+++ b/tests/soak/src/main.rs
@@ -157,6 +157,10 @@
         totals.denied,
         checker.violation_count()
     );
+    for (service, share) in checker.retries().peak_shares() {
+        let percent = share * 100.0;
+        println!("retries of {service}: at most {percent:.0}% of the budget in a window");
+    }
     for violation in checker.violations() {
         println!("BROKEN {violation}");
     }
