--- a/crates/rillgap-forward/tests/simulation/checker.rs
+++ b/crates/rillgap-forward/tests/simulation/checker.rs
@@ -4,15 +4,14 @@
 use std::time::Duration;
 
 use rillgap_soak::notices::{AnswerNotice, NoticeChecker};
+use rillgap_soak::retries::{RetryHistory, RetryLimit};
 
-use crate::world::{Key, MAX_REVOCATION_DELAY, TENANT_LIMIT};
+use crate::world::{Key, MAX_REVOCATION_DELAY, RETRY_BOUND, TENANT_LIMIT, service_of_target};
 
 /// Milliseconds after the acknowledgement of draining within which requests may still arrive.
 const DRAIN_GRACE_MILLIS: u64 = 2_000;
 /// Milliseconds within which every connected node must apply a stored configuration.
 const MAX_APPLY_MILLIS: u64 = 2_000;
-/// Length of the sliding window over which the retry budget is checked, in milliseconds.
-const RETRY_WINDOW_MILLIS: u64 = 10_000;
 
 /// Length of the sliding window over which a tenant's requests are counted, in milliseconds.
 const LIMIT_WINDOW_MILLIS: u64 = 5_000;
@@ -38,8 +37,12 @@
     target: String,
     is_idempotent: bool,
     is_call: bool,
+    /// Whether the request is a call made by a run that is a retry.
+    is_of_retry: bool,
     sent_at: u64,
     key: Option<Key>,
+    /// Arrivals at back ends, also those that were rejected.
+    arrivals: u32,
     executions: u32,
     /// An answer to the caller has guaranteed that the request was not executed.
     was_reported_not_run: bool,
@@ -58,6 +61,36 @@
     }
 }
 
+impl RequestRecord {
+    /// Counts an arrival at a back end; returns whether it is a retry.
+    fn count_arrival(&mut self) -> bool {
+        self.arrivals += 1;
+        self.arrivals > 1 || self.is_of_retry
+    }
+}
+
+/// A request as it is sent to a node.
+#[derive(Clone, Copy, Debug)]
+pub struct Sent<'a> {
+    /// Host of the entry node.
+    pub host: usize,
+    pub id: &'a str,
+    pub target: &'a str,
+    pub is_idempotent: bool,
+    /// The run of a back end that makes this call; `None` for a request of a caller.
+    pub caller_run: Option<Run>,
+}
+
+/// A run of a request at a back end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Run {
+    /// Number of this run of the request, from 0.
+    pub number: u32,
+    /// Whether the run counts as a retry: the request had reached a back end before, or is a call
+    /// of a run that is a retry.
+    pub is_retry: bool,
+}
+
 /// An execution of a request, with the host of its entry node.
 #[derive(Clone, Copy, Debug)]
 struct Execution {
@@ -78,13 +111,12 @@
 }
 
 /// Records what happens in a scenario and collects violated guarantees.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Checker {
     requests: BTreeMap<String, RequestRecord>,
     /// Time at which the draining of each incarnation of a back end was acknowledged.
     drain_acknowledged_at: BTreeMap<String, u64>,
-    /// Time and service of each execution, and whether it repeats one of the same request.
-    arrivals: Vec<(u64, String, bool)>,
+    retries: RetryHistory,
     /// Time at which each version of the configuration was stored.
     stored_at: BTreeMap<u64, u64>,
     /// Times at which each executed request of the limited tenant was sent and first executed.
@@ -104,29 +136,57 @@
     pub served: u64,
 }
 
+impl Default for Checker {
+    fn default() -> Self {
+        let limit = RetryLimit {
+            ratio: RETRY_BOUND.ratio,
+            slack: f64::from(RETRY_BOUND.slack),
+            window: RETRY_BOUND.window,
+        };
+        Self {
+            requests: BTreeMap::new(),
+            drain_acknowledged_at: BTreeMap::new(),
+            retries: RetryHistory::new(limit),
+            stored_at: BTreeMap::new(),
+            limited_executions: Vec::new(),
+            executions_by_content: BTreeMap::new(),
+            disturbances: Vec::new(),
+            crashes: BTreeMap::new(),
+            notices: NoticeChecker::default(),
+            violations: Vec::new(),
+            caller_requests: 0,
+            served: 0,
+        }
+    }
+}
+
 impl Checker {
-    /// Records a request or call that is sent to the node of `host`.
-    pub fn on_sent(
-        &mut self,
-        now: u64,
-        host: usize,
-        id: &str,
-        target: &str,
-        is_idempotent: bool,
-        is_call: bool,
-    ) {
+    /// Records a request or call that is sent to a node.
+    pub fn on_sent(&mut self, now: u64, sent: &Sent<'_>) {
+        let is_call = sent.caller_run.is_some();
         let record = RequestRecord {
-            host,
-            target: target.to_owned(),
-            is_idempotent,
+            host: sent.host,
+            target: sent.target.to_owned(),
+            is_idempotent: sent.is_idempotent,
             is_call,
+            is_of_retry: sent.caller_run.is_some_and(|run| run.is_retry),
             sent_at: now,
             ..RequestRecord::default()
         };
-        self.requests.insert(id.to_owned(), record);
+        self.requests.insert(sent.id.to_owned(), record);
+        self.retries
+            .on_request(moment(now), service_of_target(sent.target));
         self.caller_requests += u64::from(!is_call);
     }
 
+    /// Records that a back end rejects a request because it is meant for another incarnation.
+    pub fn on_rejected(&mut self, now: u64, id: &str, service: &'static str) {
+        let record = self.requests.get_mut(id);
+        if record.is_some_and(RequestRecord::count_arrival) {
+            self.retries.on_retry(moment(now), service);
+        }
+    }
+
     /// Records the key with which a request was sent.
     pub fn on_key(&mut self, id: &str, key: Key) {
         if let Some(record) = self.requests.get_mut(id) {
@@ -140,11 +200,24 @@
     }
 
     /// Records that a back end begins to execute a request, and checks that it may.
-    pub fn on_execution_started(&mut self, now: u64, id: &str, instance: &str, service: &str) {
+    pub fn on_execution_started(
+        &mut self,
+        now: u64,
+        id: &str,
+        instance: &str,
+        service: &'static str,
+    ) -> Run {
         let Some(record) = self.requests.get_mut(id) else {
             self.violations
                 .push(format!("UNASKED {id} was executed and never sent"));
-            return;
+            return Run {
+                number: 0,
+                is_retry: false,
+            };
+        };
+        let run = Run {
+            number: record.executions,
+            is_retry: record.count_arrival(),
         };
         record.executions += 1;
         let executions = self.executions_by_content.entry(record.content());
@@ -153,7 +226,6 @@
             sent_at: record.sent_at,
             host: record.host,
         });
-        let is_retry = record.executions > 1;
         match record.key {
             Some(Key::OfVersion(version)) => {
                 let removed = self.stored_at.get(&(version + 1)).copied();
@@ -164,10 +236,14 @@
                     ));
                 }
             }
-            Some(Key::Limited) if !is_retry => self.limited_executions.push((record.sent_at, now)),
+            Some(Key::Limited) if run.number == 0 => {
+                self.limited_executions.push((record.sent_at, now))
+            }
             _ => {}
         }
-        self.arrivals.push((now, service.to_owned(), is_retry));
+        if run.is_retry {
+            self.retries.on_retry(moment(now), service);
+        }
         let sent_at = moment(record.sent_at);
         let violation = self
             .notices
@@ -185,6 +261,7 @@
             self.violations
                 .push(format!("DRAIN {id} reached {instance}"));
         }
+        run
     }
 
     /// Records that a request has crashed the back end that executed it.
@@ -311,30 +388,12 @@
         }
     }
 
-    /// Checks the retry budget of each service: repeated executions within any window.
-    pub fn check_budget(&mut self, ratio: f64, slack: f64) {
-        let mut by_service: BTreeMap<String, Vec<(u64, bool)>> = BTreeMap::new();
-        for (at, service, is_retry) in &self.arrivals {
-            let arrivals = by_service.entry(service.clone()).or_default();
-            arrivals.push((*at, *is_retry));
-        }
-        for (service, arrivals) in by_service {
-            let mut first = 0;
-            for last in 0..arrivals.len() {
-                while arrivals[first].0 + RETRY_WINDOW_MILLIS < arrivals[last].0 {
-                    first += 1;
-                }
-                let window = &arrivals[first..=last];
-                let retries = window.iter().filter(|(_, is_retry)| *is_retry).count();
-                let requests = window.len() - retries;
-                if retries as f64 > ratio * requests as f64 + slack {
-                    self.violations.push(format!(
-                        "BUDGET {service}: {retries} retries for {requests} requests"
-                    ));
-                    return;
-                }
-            }
-        }
+    /// Checks the retry budget of each service: retries within any window, with the calls that
+    /// retried runs make.
+    pub fn check_budget(&mut self) {
+        let violations = self.retries.violations();
+        self.violations
+            .extend(violations.into_iter().map(|(_, text)| text));
     }
 
     /// Checks the limit of the limited tenant: requests that are both sent and executed within any
--- a/crates/rillgap-forward/tests/simulation/main.rs
+++ b/crates/rillgap-forward/tests/simulation/main.rs
@@ -6,6 +6,7 @@
 
 mod checker;
 mod crashing_requests;
+mod retry_budget;
 mod scenario;
 mod size;
 mod stated_notices;
--- a/crates/rillgap-forward/tests/simulation/scenario.rs
+++ b/crates/rillgap-forward/tests/simulation/scenario.rs
@@ -3,7 +3,7 @@
 use rand_chacha::ChaCha8Rng;
 use rand_chacha::rand_core::{Rng, SeedableRng};
 
-use crate::world::{Fault, RETRY_BOUND, World, WorldEvent};
+use crate::world::{Fault, World, WorldEvent};
 
 /// Range of the times at which faults begin, in milliseconds.
 const FAULT_BEGIN_RANGE: (u64, u64) = (3_000, 9_000);
@@ -34,6 +34,8 @@
     ClockStopsInSuspension,
     /// The owners of tenants' buckets grant three times the tokens.
     ExcessTokens,
+    /// Nodes have a retry budget that covers every retry.
+    ExcessRetries,
     /// The notices in the answers of back ends do not reach their nodes.
     LostNotices,
 }
@@ -101,8 +103,7 @@
     }
     world.run_until(CALLERS_AND_SCENARIO_END.1);
     world.check_configurations();
-    let slack = f64::from(RETRY_BOUND.slack);
-    world.checker.check_budget(RETRY_BOUND.ratio, slack);
+    world.checker.check_budget();
     world.checker.check_limit();
     world.checker.check_rate_limits();
     let statuses = std::mem::take(&mut world.statuses);
--- a/crates/rillgap-forward/tests/simulation/store_restore.rs
+++ b/crates/rillgap-forward/tests/simulation/store_restore.rs
@@ -3,7 +3,7 @@
 use googletest::prelude::*;
 
 use crate::scenario::InjectedBug;
-use crate::world::{Fault, RETRY_BOUND, World, WorldEvent};
+use crate::world::{Fault, World, WorldEvent};
 
 /// Number of seeds that a test run simulates by default.
 const SEEDS: u64 = 60;
@@ -71,8 +71,7 @@
     }
     world.run_until(CALLERS_AND_SCENARIO_END.1);
     world.check_configurations();
-    let slack = f64::from(RETRY_BOUND.slack);
-    world.checker.check_budget(RETRY_BOUND.ratio, slack);
+    world.checker.check_budget();
     world.checker.violations
 }
 
--- a/crates/rillgap-forward/tests/simulation/world/back_ends.rs
+++ b/crates/rillgap-forward/tests/simulation/world/back_ends.rs
@@ -33,20 +33,17 @@
             incarnation,
             exchange: exchange.id,
         };
-        let back_end = &self.hosts[host].back_end;
-        let result = if !back_end.is_alive {
-            Some(ExchangeResult::NotSent)
-        } else if back_end.instance.id != exchange.incarnation.id {
-            Some(ExchangeResult::WrongInstance)
-        } else {
-            None
-        };
+        let result = self.rejection(host, exchange);
+        let request = &exchange.request;
+        let id = request.request_id.clone();
         if let Some(result) = result {
+            if result != ExchangeResult::NotSent {
+                self.checker.on_rejected(self.now, &id, service(host));
+            }
             self.end_exchange(host, &key, result, 1);
             return;
         }
-        let request = &exchange.request;
-        let id = request.request_id.clone();
+        let back_end = &self.hosts[host].back_end;
         if back_end.executions.len() >= SLOTS as usize {
             self.checker.violations.push(format!(
                 "SLOTS {id} exceeds the slots of {}",
@@ -55,12 +52,21 @@
         }
         let instance = back_end.instance.clone();
         let label = instance.to_string();
-        self.checker
+        let run = self
+            .checker
             .on_execution_started(self.now, &id, &label, service(host));
+        let has_calls = request.target.contains("calls");
+        let calls_per_run = if has_calls {
+            self.calls_per_run(service(host))
+        } else {
+            0
+        };
         let execution = Execution {
             id,
             instance,
-            calls: request.target.contains("calls") && service(host) != "deep",
+            run,
+            calls_made: 0,
+            calls_per_run,
             crashes: request.target.contains("crash"),
             item: last_part(&request.target).to_owned(),
         };
@@ -72,6 +78,21 @@
         self.schedule(self.now + millis, WorldEvent::WorkDone(host, key));
     }
 
+    /// Returns how an exchange ends that the back end does not begin to execute.
+    fn rejection(&mut self, host: usize, exchange: &Exchange) -> Option<ExchangeResult> {
+        let back_end = &self.hosts[host].back_end;
+        let percent = back_end.reject_percent;
+        if !back_end.is_alive {
+            Some(ExchangeResult::NotSent)
+        } else if back_end.instance.id != exchange.incarnation.id {
+            Some(ExchangeResult::WrongInstance)
+        } else if percent > 0 && self.draw(100) < percent {
+            Some(ExchangeResult::NotExecuted)
+        } else {
+            None
+        }
+    }
+
     /// Continues an execution: crashes the back end, sends the call of the request if it is still
     /// to be made, or answers.
     pub(super) fn on_work_done(&mut self, host: usize, key: &ExecutionKey) {
@@ -92,18 +113,59 @@
             );
             return;
         }
-        if !std::mem::take(&mut execution.calls) {
+        if execution.calls_made == execution.calls_per_run {
             let fails = self.draw(100) < self.hosts[host].back_end.fail_percent;
             self.finish_execution(host, key, if fails { 500 } else { 200 });
             return;
         }
-        let id = format!("{}.1", execution.id);
+        self.send_call(host, key);
+    }
+
+    /// Sends the next call of an execution. Each run of a request makes calls of its own.
+    fn send_call(&mut self, host: usize, key: &ExecutionKey) {
+        let Some(execution) = self.hosts[host].back_end.executions.get_mut(key) else {
+            return;
+        };
+        execution.calls_made += 1;
+        let number = execution.run.number * execution.calls_per_run + execution.calls_made;
+        let id = format!("{}.{number}", execution.id);
         let next = next_service(service(host));
         let target = format!("/{next}/calls/{}", execution.item);
-        let connection = self.send_request(host, &id, &target, true, true);
+        let caller_run = Some(execution.run);
+        let connection = self.send_request(&Sent {
+            host,
+            id: &id,
+            target: &target,
+            is_idempotent: true,
+            caller_run,
+        });
         self.hosts[host].calls.insert(connection, key.clone());
     }
 
+    /// Returns the number of calls that a run of a service makes.
+    fn calls_per_run(&self, service: &str) -> u32 {
+        match service {
+            "front" => 1,
+            "middle" => self.middle_calls,
+            _ => 0,
+        }
+    }
+
+    /// Continues an execution whose call was answered: sends the next one, or answers.
+    pub(super) fn on_call_answered(&mut self, host: usize, key: &ExecutionKey, status: u16) {
+        let executions = &self.hosts[host].back_end.executions;
+        let has_more = executions
+            .get(key)
+            .is_some_and(|execution| execution.calls_made < execution.calls_per_run);
+        if status == 200 && has_more {
+            self.send_call(host, key);
+        } else {
+            let percent = self.hosts[host].back_end.late_fail_percent;
+            let fails = status != 200 || percent > 0 && self.draw(100) < percent;
+            self.finish_execution(host, key, if fails { 500 } else { 200 });
+        }
+    }
+
     pub(super) fn finish_execution(&mut self, host: usize, key: &ExecutionKey, status: u16) {
         let lost = self.draw(100) < self.hosts[host].back_end.lost_answer_percent;
         let swapped = self.injected_bug == InjectedBug::SwappedAnswer && self.draw(50) == 0;
--- a/crates/rillgap-forward/tests/simulation/world/callers.rs
+++ b/crates/rillgap-forward/tests/simulation/world/callers.rs
@@ -19,7 +19,7 @@
         if self.now >= self.callers_until {
             return;
         }
-        let pause = 20 + self.draw(80);
+        let pause = (20 + self.draw(80)) * self.caller_pause_factor;
         self.schedule(self.now + pause, WorldEvent::CallerSends(host));
         if self.hosts[host].node.is_none() {
             return;
@@ -49,7 +49,13 @@
         self.next_request += 1;
         let id = format!("r{}", self.next_request);
         let is_idempotent = !target.starts_with("/once/");
-        let connection = self.send_request(host, &id, &target, is_idempotent, false);
+        let connection = self.send_request(&Sent {
+            host,
+            id: &id,
+            target: &target,
+            is_idempotent,
+            caller_run: None,
+        });
         let request = CallerAttempt {
             id,
             target,
@@ -93,21 +99,16 @@
         }
     }
 
-    pub(super) fn send_request(
-        &mut self,
-        host: usize,
-        id: &str,
-        target: &str,
-        is_idempotent: bool,
-        is_call: bool,
-    ) -> ConnectionId {
-        self.checker
-            .on_sent(self.now, host, id, target, is_idempotent, is_call);
+    pub(super) fn send_request(&mut self, sent: &Sent<'_>) -> ConnectionId {
+        self.checker.on_sent(self.now, sent);
+        let Sent {
+            host, id, target, ..
+        } = *sent;
         let is_of_single_caller = target.ends_with(SINGLE_CALLER_SUFFIX);
-        let key = match is_call {
-            true => None,
-            false if is_of_single_caller => Some(Key::Kept),
-            false => Some(self.draw_key()),
+        let key = match sent.caller_run {
+            Some(_) => None,
+            None if is_of_single_caller => Some(Key::Kept),
+            None => Some(self.draw_key()),
         };
         if let Some(key) = key {
             self.checker.on_key(id, key);
@@ -157,8 +158,7 @@
         }
         let entry = &mut self.hosts[host];
         if let Some(key) = entry.calls.remove(&connection) {
-            let status = if answer.status == 200 { 200 } else { 500 };
-            self.finish_execution(host, &key, status);
+            self.on_call_answered(host, &key, answer.status);
             return;
         }
         let Some(request) = entry.callers.remove(&connection) else {
--- a/crates/rillgap-forward/tests/simulation/world/faults.rs
+++ b/crates/rillgap-forward/tests/simulation/world/faults.rs
@@ -11,6 +11,9 @@
 /// Milliseconds for which a back end serves after it has begun to state that it is leaving.
 const LEAVING_MILLIS: u64 = 5_000;
 
+/// Retries per request that nodes with [`InjectedBug::ExcessRetries`] allow.
+const EXCESS_RETRY_RATIO: f64 = 10.0;
+
 impl World {
     pub(super) fn apply_fault(&mut self, fault: Fault) {
         match fault {
@@ -97,6 +100,10 @@
             Fault::FailRequests(host, percent) => {
                 self.hosts[host].back_end.fail_percent = percent;
             }
+            Fault::FailAfterCalls(host, percent) => {
+                self.hosts[host].back_end.late_fail_percent = percent;
+            }
+            Fault::Reject(host, percent) => self.hosts[host].back_end.reject_percent = percent,
             Fault::Slow(host, times) => self.hosts[host].back_end.slowdown = times,
             Fault::StateRateLimit(host, rate_limit) => {
                 let back_end = &mut self.hosts[host].back_end;
@@ -159,7 +166,11 @@
         entry.incarnation += 1;
         entry.version = 0;
         entry.wakes_at = u64::MAX;
-        entry.node = Some(Node::new(now, settings(host, entry.incarnation, seed)));
+        let mut settings = settings(host, entry.incarnation, seed);
+        if self.injected_bug == InjectedBug::ExcessRetries {
+            settings.retry_bound.ratio = EXCESS_RETRY_RATIO;
+        }
+        entry.node = Some(Node::new(now, settings));
         let incarnation = entry.incarnation;
         self.node_event(host, incarnation, Event::Wake);
     }
--- a/crates/rillgap-forward/tests/simulation/world/mod.rs
+++ b/crates/rillgap-forward/tests/simulation/world/mod.rs
@@ -28,11 +28,12 @@
 use rillgap_forward::store_epoch::StorePosition;
 use rillgap_forward::store_sync::{StoreRequest, StoreRequestId};
 
-use crate::checker::Checker;
+use crate::checker::{Checker, Run, Sent};
 use crate::scenario::InjectedBug;
 use rillgap_soak::notices::AnswerNotice;
 
 use object_store::ObjectStore;
+pub use setup::service_of_target;
 use setup::*;
 
 /// Services of a chain; each one calls the next.
@@ -156,6 +157,10 @@
     LoseAnswers(usize, u64),
     /// A back end answers this percentage of its requests with status 500.
     FailRequests(usize, u64),
+    /// A back end answers this percentage of its requests with status 500 after their calls.
+    FailAfterCalls(usize, u64),
+    /// A back end rejects this percentage of the requests that reach it.
+    Reject(usize, u64),
     /// A back end takes this many times as long for its work.
     Slow(usize, u64),
     /// A back end states this rate limit in its answers, in requests per second; `None` ends it.
@@ -176,8 +181,11 @@
 struct Execution {
     id: String,
     instance: Incarnation,
-    /// Whether the request still has to send a call to the next service.
-    calls: bool,
+    run: Run,
+    /// Number of calls to the next service that were sent.
+    calls_made: u32,
+    /// Number of calls that the run makes in total, one after the other.
+    calls_per_run: u32,
     /// Whether the request crashes the back end.
     crashes: bool,
     /// Last part of the target, which the target of the call repeats.
@@ -204,6 +212,10 @@
     executions: BTreeMap<ExecutionKey, Execution>,
     lost_answer_percent: u64,
     fail_percent: u64,
+    /// Percentage of requests that fail after their calls.
+    late_fail_percent: u64,
+    /// Percentage of requests that are rejected on arrival.
+    reject_percent: u64,
     /// Factor on the time that an execution takes.
     slowdown: u64,
     /// Rate limit that the answers state, in requests per second.
@@ -281,6 +293,10 @@
     callers_until: u64,
     /// Maximum number of attempts that a caller makes with a request.
     max_caller_attempts: u32,
+    /// Number of calls to the deepest service that a run of the middle one makes.
+    middle_calls: u32,
+    /// Factor on the time between two requests of a caller.
+    caller_pause_factor: u64,
     /// Percentage of requests with the same content, see [`Self::set_popular_percent`].
     popular_percent: u64,
     /// Number of log records of requests that were refused or not answered because they are
@@ -329,6 +345,8 @@
             watch_changes: 0,
             callers_until,
             max_caller_attempts: 1,
+            middle_calls: 1,
+            caller_pause_factor: 1,
             popular_percent: 0,
             quarantined_requests: 0,
         };
@@ -356,6 +374,16 @@
         self.popular_percent = percent;
     }
 
+    /// Sets the number of calls to the deepest service that a run of the middle one makes.
+    pub fn set_middle_calls(&mut self, middle_calls: u32) {
+        self.middle_calls = middle_calls;
+    }
+
+    /// Sets the factor on the time between two requests of a caller.
+    pub fn set_caller_pause_factor(&mut self, factor: u64) {
+        self.caller_pause_factor = factor;
+    }
+
     /// Makes every second restart of a back end keep its identifier.
     pub fn reuse_back_end_identifiers(&mut self) {
         self.reuses_identifiers = true;
--- a/crates/rillgap-forward/tests/simulation/world/setup.rs
+++ b/crates/rillgap-forward/tests/simulation/world/setup.rs
@@ -19,6 +19,15 @@
     SERVICES[host % SERVICES.len()]
 }
 
+/// Returns the service to which requests for a target are routed.
+pub fn service_of_target(target: &str) -> &'static str {
+    match target.split('/').nth(1) {
+        Some("front") => "front",
+        Some("once" | "middle") => "middle",
+        _ => "deep",
+    }
+}
+
 pub(super) fn next_service(service: &str) -> &'static str {
     match service {
         "front" => "middle",
@@ -49,6 +58,8 @@
             executions: BTreeMap::new(),
             lost_answer_percent: 0,
             fail_percent: 0,
+            late_fail_percent: 0,
+            reject_percent: 0,
             slowdown: 1,
             rate_limit: None,
             states_leaving: false,
--- a/tests/soak/src/retries.rs
+++ b/tests/soak/src/retries.rs
@@ -1,18 +1,58 @@
 //! Checks that the retries of all nodes together stay within the retry budget.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use crate::checker::Moment;
 use crate::deployment::{RETRY_RATIO, RETRY_SLACK, RETRY_WINDOW};
 
+/// Bound on the retries that a service receives from all nodes together in any window.
+#[derive(Clone, Copy, Debug)]
+pub struct RetryLimit {
+    /// Retries allowed per request.
+    pub ratio: f64,
+    /// Retries allowed on top of the ratio.
+    pub slack: f64,
+    /// Length of the sliding window in which requests and retries are counted.
+    pub window: Duration,
+}
+
+impl RetryLimit {
+    /// Returns the number of retries that are allowed for so many requests.
+    fn allowed(&self, requests: usize) -> f64 {
+        requests as f64 * self.ratio + self.slack
+    }
+}
+
 /// Times of requests for each service and of retries that reached it.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct RetryHistory {
+    limit: RetryLimit,
     requests: BTreeMap<&'static str, Vec<Moment>>,
     retries: BTreeMap<&'static str, Vec<Moment>>,
 }
 
+impl Default for RetryHistory {
+    /// Creates an empty history with the retry budget of the soaked deployment.
+    fn default() -> Self {
+        Self::new(RetryLimit {
+            ratio: RETRY_RATIO,
+            slack: RETRY_SLACK,
+            window: RETRY_WINDOW,
+        })
+    }
+}
+
 impl RetryHistory {
+    /// Creates an empty history.
+    pub const fn new(limit: RetryLimit) -> Self {
+        Self {
+            limit,
+            requests: BTreeMap::new(),
+            retries: BTreeMap::new(),
+        }
+    }
+
     /// Records that a request for a service is sent.
     pub fn on_request(&mut self, at: Moment, service: &'static str) {
         self.requests.entry(service).or_default().push(at);
@@ -25,60 +65,87 @@
 
     /// Returns for each service the first window with more retries than the budget allows.
     pub fn violations(&self) -> Vec<(Moment, String)> {
-        let services = self.retries.iter();
+        let services = self.retries.keys();
         services
-            .filter_map(|(service, retries)| self.violation_of(service, retries))
+            .filter_map(|service| self.violation_of(service))
             .collect()
     }
 
     /// Returns for each service with retries the largest share of the bound that a window has used.
     pub fn peak_shares(&self) -> Vec<(&'static str, f64)> {
-        let services = self.retries.iter();
+        let services = self.retries.keys();
         services
-            .map(|(service, retries)| (*service, self.peak_share_of(service, retries)))
+            .map(|service| (*service, self.peak_share_of(service)))
             .collect()
     }
 
-    fn peak_share_of(&self, service: &str, retries: &[Moment]) -> f64 {
-        let requests = self.requests.get(service).map_or(&[][..], Vec::as_slice);
-        let shares = retries.iter().map(|end| {
-            let start = end.saturating_sub(RETRY_WINDOW);
-            let is_within = |at: &&Moment| **at > start && **at <= *end;
-            let count = retries.iter().filter(is_within).count();
-            count as f64 / bound_of(max_requests(requests, *end))
-        });
+    fn peak_share_of(&self, service: &str) -> f64 {
+        let windows = self.windows(service);
+        let shares = windows
+            .iter()
+            .map(|window| window.retries as f64 / window.allowed);
         shares.fold(0.0, f64::max)
     }
 
-    fn violation_of(&self, service: &str, retries: &[Moment]) -> Option<(Moment, String)> {
-        let requests = self.requests.get(service).map_or(&[][..], Vec::as_slice);
-        for (index, end) in retries.iter().enumerate() {
-            let start = end.saturating_sub(RETRY_WINDOW);
-            let count = retries[..=index].iter().filter(|at| **at > start).count();
-            let requested = max_requests(requests, *end);
-            if count as f64 > bound_of(requested) {
-                let text = format!("BUDGET {service}: {count} retries, {requested} requests");
-                return Some((*end, text));
+    fn violation_of(&self, service: &str) -> Option<(Moment, String)> {
+        let windows = self.windows(service);
+        let is_broken = |window: &&Window| window.retries as f64 > window.allowed;
+        let broken = windows.iter().find(is_broken)?;
+        let Window {
+            end,
+            retries,
+            requests,
+            ..
+        } = broken;
+        let text = format!("BUDGET {service}: {retries} retries, {requests} requests");
+        Some((*end, text))
+    }
+
+    /// Returns the windows that end with each of the retries of a service.
+    fn windows(&self, service: &str) -> Vec<Window> {
+        let requests = sorted(self.requests.get(service));
+        let retries = sorted(self.retries.get(service));
+        let length = self.limit.window;
+        let window = |(index, end): (usize, &Moment)| {
+            let start = end.saturating_sub(length);
+            let requests = max_requests(&requests, *end, length);
+            Window {
+                end: *end,
+                retries: index + 1 - retries.partition_point(|at| *at <= start),
+                requests,
+                allowed: self.limit.allowed(requests),
             }
-        }
-        None
+        };
+        retries.iter().enumerate().map(window).collect()
     }
 }
 
-/// Returns the number of retries that are allowed in a window for a service with so many requests.
-fn bound_of(requests: usize) -> f64 {
-    requests as f64 * RETRY_RATIO + RETRY_SLACK
+/// Retries of a service in a window, and what is allowed.
+#[derive(Clone, Copy, Debug)]
+struct Window {
+    end: Moment,
+    retries: usize,
+    /// Requests in the window that has most of the three that count.
+    requests: usize,
+    allowed: f64,
+}
+
+/// Returns times in their order. Concurrent tasks may have recorded them in another one.
+fn sorted(times: Option<&Vec<Moment>>) -> Vec<Moment> {
+    let mut times = times.cloned().unwrap_or_default();
+    times.sort_unstable();
+    times
 }
 
 /// Returns the largest number of requests in three windows: the one that ends at `end`, and those
-/// that end half a window and a whole window earlier.
-fn max_requests(requests: &[Moment], end: Moment) -> usize {
+/// that end half a window and a whole window earlier. `requests` are sorted.
+fn max_requests(requests: &[Moment], end: Moment, length: Duration) -> usize {
     let count = |end: Moment| {
-        let start = end.saturating_sub(RETRY_WINDOW);
-        let is_within = |at: &&Moment| **at >= start && **at <= end;
-        requests.iter().filter(is_within).count()
+        let start = end.saturating_sub(length);
+        let first = requests.partition_point(|at| *at < start);
+        requests.partition_point(|at| *at <= end) - first
     };
-    let earlier = [RETRY_WINDOW / 2, RETRY_WINDOW];
+    let earlier = [length / 2, length];
     earlier
         .iter()
         .map(|offset| count(end.saturating_sub(*offset)))
