Retry budget: what nodes allow themselves adds up to the bound, also over restarts and moves

What callers saw: a service received more retries than the deployment allows.

A node now charges against a weighted mean of a window and the one before it, for each window that contains the present moment: a mean adds up over nodes, whichever of them the requests come to, and is never above the best window. Charges count from the time in which they may still arrive. The slack is divided by the largest number of nodes known recently; a restarted node gets its part when the charges of its earlier run have left all windows. Calls of retried runs no longer count as requests.

--- a/crates/rillgap-forward/src/directory/mod.rs
+++ b/crates/rillgap-forward/src/directory/mod.rs
@@ -175,6 +175,12 @@
         self.estimated_nodes.max(self.peers.len() + 1)
     }
 
+    /// Returns the number of nodes, this one included, as far as a list of nodes has told it; `None`
+    /// before the first list.
+    pub fn known_nodes(&self) -> Option<usize> {
+        (self.estimated_nodes > 0).then(|| self.estimated_nodes())
+    }
+
     /// Selects the peers that links are kept to if a relevant change has occurred or the selection
     /// interval has elapsed. `has_store_contact` returns whether the peer on a link has a recent
     /// contact with the store.
--- a/crates/rillgap-forward/src/node/mod.rs
+++ b/crates/rillgap-forward/src/node/mod.rs
@@ -93,7 +93,7 @@
             configured_at: None,
             directory: Directory::new(&settings.record),
             inbound: Inbound::new(&settings),
-            outbound: Outbound::new(&settings),
+            outbound: Outbound::new(now, &settings),
             store: StoreSync::new(
                 now,
                 settings.record.clone(),
--- a/crates/rillgap-forward/src/outbound/intake.rs
+++ b/crates/rillgap-forward/src/outbound/intake.rs
@@ -45,11 +45,13 @@
             tenant,
         } = resolved;
         let service = self.weights.choose(&route).to_owned();
-        self.budget.count_request(now, &service);
         let (level, is_retry) = match origin {
             Origin::Caller => (caller_level(&caller, &route, tenant.as_deref()), false),
             Origin::BackEnd { level, is_retry } => (level, is_retry),
         };
+        if !is_retry {
+            self.budget.count_request(now, &service);
+        }
         let content = tracked_fingerprint(&caller, &route, tenant.as_deref(), context);
         let quarantined = content.filter(|content| is_quarantined(now, *content, context));
         if let Some(content) = quarantined {
--- a/crates/rillgap-forward/src/outbound/mod.rs
+++ b/crates/rillgap-forward/src/outbound/mod.rs
@@ -137,7 +137,7 @@
 
 impl Outbound {
     /// Creates the outbound side of a node that has just started.
-    pub fn new(settings: &ForwardSettings) -> Self {
+    pub fn new(now: Instant, settings: &ForwardSettings) -> Self {
         Self {
             own_name: settings.record.name.clone(),
             own_zone: settings.record.zone.clone(),
@@ -147,7 +147,7 @@
             by_sequence: BTreeMap::new(),
             next_sequence: 0,
             balancer: Balancer::new(settings.random_seed),
-            budget: RetryBudget::new(settings.retry_bound, settings.random_seed),
+            budget: RetryBudget::new(now, settings.retry_bound, !settings.is_first_start),
             admission: EntryAdmission::default(),
             tokens: EntryLimiter::default(),
             next_admission_report: Instant::default(),
@@ -271,6 +271,9 @@
     /// Logs changes of admission, and answers requests that have waited too long for a token or
     /// whose deadline has passed.
     pub fn poll(&mut self, now: Instant, context: &mut OutboundContext<'_>) {
+        if let Some(nodes) = context.directory.known_nodes() {
+            self.budget.observe_nodes(now, nodes);
+        }
         if now >= self.next_admission_report {
             self.next_admission_report = now + ADMISSION_REPORT_INTERVAL;
             self.report_admission(now, context);
@@ -373,12 +376,11 @@
         charge: RetryCharge,
         context: &mut OutboundContext<'_>,
     ) {
-        let nodes = context.directory.estimated_nodes();
         context.out.push(Action::Log(LogRecord::RetryBudget {
             request_id: request_id.to_owned(),
             service: service.to_owned(),
             charge,
-            state: self.budget.state(now, service, nodes),
+            state: self.budget.state(now, service),
         }));
     }
 
--- a/crates/rillgap-forward/src/outbound/results.rs
+++ b/crates/rillgap-forward/src/outbound/results.rs
@@ -182,8 +182,7 @@
         }
         let forwarded = request.forwarded.clone();
         let service = &forwarded.service;
-        let nodes = context.directory.estimated_nodes();
-        let is_granted = self.budget.try_spend(now, service, nodes, forwarded.level);
+        let is_granted = self.budget.try_spend(now, service, forwarded.level);
         let charge = if is_granted {
             RetryCharge::Retry
         } else {
--- a/crates/rillgap-forward/src/request_window.rs
+++ b/crates/rillgap-forward/src/request_window.rs
@@ -1,4 +1,5 @@
-//! Counts of a service's requests by time slice, over the last two windows of the retry bound.
+//! Counts of a service's requests and retries by time slice, over the last two windows of the retry
+//! bound.
 //!
 //! The bound compares the retries in a window with the requests in the best of three windows: the
 //! same one, the one before it, and the one half a window before it. While callers hold requests
@@ -10,10 +11,13 @@
 
 /// Number of slices that a window is divided into.
 pub const SLICES_PER_WINDOW: usize = 20;
-/// Number of slices in half a window.
-const HALF_WINDOW: usize = SLICES_PER_WINDOW / 2;
+/// Number of slices within which a retry reaches its back end after it was charged.
+pub const ARRIVAL_SLICES: usize = 2;
 /// Number of slices that are kept: two windows and the slice that has not ended.
 const KEPT_SLICES: usize = 2 * SLICES_PER_WINDOW + 1;
+/// Weight of the requests of a window in its bound; the window before it has the rest. It is small
+/// because requests become fewer while a service fails, which is when retries are needed.
+const SAME_WINDOW_WEIGHT: f64 = 0.25;
 /// Position of the first slice of the present window; the last position is the present slice.
 pub const PRESENT_WINDOW: usize = SLICES_PER_WINDOW;
 
@@ -87,14 +91,16 @@
         self.between(first, KEPT_SLICES)
     }
 
-    /// Returns the most that was counted in a window that begins at `first`, the one before it and
-    /// the one half a window before it. `first` is at least [`PRESENT_WINDOW`].
-    pub fn best(&self, first: usize) -> u32 {
+    /// Returns the weighted mean of two windows: the one that begins at `first`, as far as it has
+    /// passed, and the one before it. `first` is at least [`PRESENT_WINDOW`].
+    ///
+    /// A window may begin anywhere within its first slice. That slice belongs to the first of the
+    /// two windows, which has the smaller weight, and the second one is shorter by a slice, so the
+    /// mean is never above the better one of the two exact windows.
+    pub fn weighted_mean(&self, first: usize) -> f64 {
         let same = self.since(first);
-        let before = self.between(first - SLICES_PER_WINDOW, first);
-        let half_end = (first + HALF_WINDOW).min(KEPT_SLICES);
-        let half_before = self.between(first - HALF_WINDOW, half_end);
-        same.max(before).max(half_before)
+        let before = self.between(first + 1 - SLICES_PER_WINDOW, first);
+        SAME_WINDOW_WEIGHT * f64::from(same) + (1.0 - SAME_WINDOW_WEIGHT) * f64::from(before)
     }
 
     /// Returns the positions at which a window that contains the present slice can begin.
@@ -107,10 +113,16 @@
     }
 }
 
-/// Returns the number of retries that are left under a bound of `ratio` times the requests of the
-/// best window, in every window that contains the present slice; negative if more were sent.
+/// Returns the number of retries that are left under a bound of `ratio` times the weighted mean
+/// of two windows, in every window that contains the present slice; negative if more were sent.
+///
+/// A retry arrives up to [`ARRIVAL_SLICES`] after it was charged, so those that were charged so long
+/// before a window count towards it.
 pub fn remaining_retries(requests: &WindowSums, retries: &WindowSums, ratio: f64) -> f64 {
     WindowSums::window_beginnings()
-        .map(|first| f64::from(requests.best(first)) * ratio - f64::from(retries.since(first)))
+        .map(|first| {
+            let charged = retries.since(first - ARRIVAL_SLICES);
+            requests.weighted_mean(first) * ratio - f64::from(charged)
+        })
         .fold(f64::INFINITY, f64::min)
 }
--- a/crates/rillgap-forward/src/retry_budget.rs
+++ b/crates/rillgap-forward/src/retry_budget.rs
@@ -1,74 +1,63 @@
 //! Retry budget of a node, per service over a sliding window.
 //!
-//! The bound applies to the whole deployment: within a window, the nodes together send at most
-//! `R <= ratio * B + slack` retries to a service, where `B` is the number of requests for it in the
-//! best of three windows: the same one, the one before it or the one half a window before it.
-//! Nodes do not coordinate. The allowance of each node is a share `U` of `ratio` times the number
-//! of its *own* requests, plus its part of a share `F` of the slack, minus the retries that it has
-//! sent.
+//! The bound applies to the whole deployment: in each window `[x, x + W]`, the back ends of a
+//! service receive at most `ratio * B + slack` retries from all nodes together, where `B` is the
+//! number of requests for the service in the best of three windows: the same one, the one before it
+//! and the one half a window before it.
 //!
-//! While back ends of the service do not refuse, a node counts its requests `Q` of the present
-//! window, and `Q <= B`. While they refuse, requests become fewer because chains end early. A node then counts the requests `B_n(s)` in its own best window, for each
-//! beginning `s` of a window that contains the present moment, and sends a retry only if its
-//! retries `R_n(s)` since `s` stay within its allowance for every `s`. Both counts of all nodes
-//! refer to the same `s`, so for the window that begins at `s`
+//! Nodes do not coordinate. A node charges a retry when it decides to send it, and it arrives up to
+//! `D` later. For each beginning `x` of a window that contains the present moment, the node keeps
 //!
 //! ```text
-//! R(s) = sum of R_n(s) <= U * ratio * sum of B_n(s) + F * slack + ...
-//! sum of B_n(s) = B(s) + moved(s)
+//! R_n(x - D, now) <= U * ratio * (w * Q_n(x, now) + (1 - w) * Q_n(x - W, x)) + S_n
 //! ```
 //!
-//! `moved` is what nodes had more of in another window than in the one that is the best of the
-//! whole deployment. It is 0 while requests keep their distribution over the nodes; for nodes with
-//! few requests it is the spread of the larger of three random numbers, less than one request per
-//! node and square root of its requests. The unused part of the ratio covers
-//! `moved(s) <= (1 / U - 1) * B(s)`. Older windows count only while back ends refuse, so that
-//! shifts of requests by crashes and restarts alone do not use it up.
-//!
-//! At a node with few requests the allowance is less than one retry. It is therefore rounded at
-//! random: each node draws a number uniformly from 0 to 1, adds it to its allowance and may send as
-//! many retries as the integer part of the sum. On average, the total over all nodes is the sum of
-//! the allowances; with `N` nodes, it differs from that sum by at most the square root of `N`,
-//! except in one of thousands of cases. So
+//! with its own charges `R_n`, its own requests `Q_n`, a fixed weight `w` and its part `S_n` of the
+//! slack. All nodes keep it for the same `x`, so the sum over the nodes is
 //!
 //! ```text
-//! R <= U * ratio * (B + moved) + F * slack + sqrt(N) + restarted + inherited
+//! R(x, x + W) <= U * ratio * (w * Q(x, x + W) + (1 - w) * Q(x - W, x)) + sum of S_n
+//!             <= U * ratio * B + sum of S_n
 //! ```
 //!
-//! Nodes that restart lose their counts and may spend their part of the slack again (`restarted`).
-//! A retry makes its back end repeat the calls below it. The node that sends these calls counts
-//! them against its own allowance, so a service gets `U * ratio * (B + moved)` retries in total, no
-//! matter which service above it was retried. `inherited` is only the excess over the allowances of
-//! single nodes. `U` is `LEAF_RATIO_SHARE` for a service whose answers so far have involved no
-//! calls, and `RATIO_SHARE` for others, where a retry also causes retries below it. `F` is
-//! `FLOOR_SLACK_SHARE`.
+//! A weighted mean of two windows, unlike the larger one, adds up over the nodes: it does not matter
+//! whether requests move from node to node, nor whether nodes differ in `U` or change it. What is
+//! counted as a request must be one by the bound, so calls made for a retry are not.
+//!
+//! A node that restarts loses its counts. Its requests before and after add up like those of two
+//! nodes, and it gets a part of the slack only when the charges of its earlier run have left all
+//! windows. The slack is divided by the largest number of nodes known in the last windows, and a node that
+//! has not read the list of nodes yet gets no part. So `sum of S_n <= F * slack`, `F` being
+//! [`SLACK_SHARE`].
+//!
+//! `U` is [`LEAF_RATIO_SHARE`] for a service whose answers so far have involved no calls, and
+//! [`RATIO_SHARE`] for others, where a retry also causes retries below it.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
 
 use rillgap_core::admission::Level;
 use rillgap_core::time::Instant;
-use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::inbound::refusals::Refusals;
 use crate::request_window::{
-    PRESENT_WINDOW, RequestWindow, SLICES_PER_WINDOW, remaining_retries, slice_number,
+    ARRIVAL_SLICES, PRESENT_WINDOW, RequestWindow, SLICES_PER_WINDOW, remaining_retries,
+    slice_number,
 };
 use crate::retry_demand::RetryDemand;
 use crate::settings::RetryBound;
 
 /// Share of the deployment's ratio that a node may use for a service whose back ends make calls.
-const RATIO_SHARE: f64 = 0.4;
+const RATIO_SHARE: f64 = 0.45;
 /// Share of the deployment's ratio that a node may use for a service whose back ends make no calls.
-const LEAF_RATIO_SHARE: f64 = 0.8;
-/// Maximum floor: retries per window that a node may send for a service without any requests.
-const MAX_FLOOR: f64 = 1.0;
-/// Number of windows after which a node draws its rounding number again, so that no node with few
-/// requests is without retries permanently.
-const REDRAW_WINDOWS: u64 = 6;
-/// Share of the deployment's slack that is divided into the floors of all nodes. The rest is for
-/// nodes that restart and lose their counts.
-const FLOOR_SLACK_SHARE: f64 = 0.25;
+/// The rest covers retries that arrive later than expected.
+const LEAF_RATIO_SHARE: f64 = 0.95;
+/// Share of the deployment's slack that is divided among all nodes. The rest is for nodes that
+/// others do not know yet.
+const SLACK_SHARE: f64 = 0.8;
+/// Number of windows for which the largest number of nodes is remembered, so that an incomplete list
+/// does not raise the part of each node.
+const SIZE_MEMORY_WINDOWS: u32 = 3;
 
 /// Fraction of the window for which the remaining budget has to last while more retries are
 /// requested than it covers.
@@ -99,7 +88,7 @@
     has_calls: Option<bool>,
 }
 
-/// Retries that a node may send to a service, without the floor.
+/// Retries that a node may send to a service, without its part of the slack.
 #[derive(Clone, Copy, Debug)]
 struct Allowance {
     /// Retries that are left; negative if more were sent.
@@ -122,20 +111,30 @@
 impl ServiceBudget {
     /// Returns the allowance in the slice `number`, given the deployment's ratio of retries to
     /// requests.
-    fn allowance(&mut self, number: u64, ratio: f64, is_refusing: bool) -> Allowance {
+    fn allowance(&mut self, number: u64, ratio: f64) -> Allowance {
         let ratio = ratio * ratio_share(self.has_calls);
         let requests = self.requests.sums(number);
         let retries = self.retries.sums(number);
-        if is_refusing {
-            return Allowance {
-                remaining: remaining_retries(&requests, &retries, ratio),
-                per_window: f64::from(requests.best(PRESENT_WINDOW)) * ratio,
-            };
-        }
-        let per_window = f64::from(requests.since(PRESENT_WINDOW)) * ratio;
         Allowance {
-            remaining: per_window - f64::from(retries.since(PRESENT_WINDOW)),
-            per_window,
+            remaining: remaining_retries(&requests, &retries, ratio),
+            per_window: requests.weighted_mean(PRESENT_WINDOW) * ratio,
+        }
+    }
+}
+
+/// Largest number of nodes of the deployment that was known recently.
+#[derive(Clone, Copy, Debug, Default)]
+struct DeploymentSize {
+    /// Number of nodes; 0 before it is known.
+    nodes: usize,
+    known_at: Instant,
+}
+
+impl DeploymentSize {
+    fn observe(&mut self, now: Instant, nodes: usize, memory: Duration) {
+        if nodes >= self.nodes || now > self.known_at + memory {
+            self.nodes = nodes;
+            self.known_at = now;
         }
     }
 }
@@ -143,29 +142,46 @@
 /// Retry budget of one node for all services.
 #[derive(Clone, Debug)]
 pub struct RetryBudget {
-    seed: u64,
     ratio: f64,
     slack: f64,
     slice: Duration,
     window: Duration,
+    /// When the charges of an earlier run of the node have left all windows; the time of the start
+    /// if there was none.
+    has_slack_from: Instant,
+    size: DeploymentSize,
     services: BTreeMap<String, ServiceBudget>,
 }
 
 impl RetryBudget {
-    /// Creates the budget of a node that has just started.
-    ///
-    /// `seed` must differ between nodes, so that they round their allowances independently.
-    pub fn new(bound: RetryBound, seed: u64) -> Self {
+    /// Creates the budget of a node that has just started. `had_earlier_run` says whether retries
+    /// of an earlier run of the node may still count.
+    pub fn new(now: Instant, bound: RetryBound, had_earlier_run: bool) -> Self {
+        let slice = bound.window / SLICES_PER_WINDOW as u32;
+        // One slice more than the retries need to arrive: a window may begin anywhere within one.
+        let earlier_charges = bound.window + slice * (ARRIVAL_SLICES as u32 + 1);
+        let has_slack_from = if had_earlier_run {
+            now + earlier_charges
+        } else {
+            now
+        };
         Self {
-            seed,
             ratio: bound.ratio,
             slack: f64::from(bound.slack),
-            slice: bound.window / SLICES_PER_WINDOW as u32,
+            slice,
             window: bound.window,
+            has_slack_from,
+            size: DeploymentSize::default(),
             services: BTreeMap::new(),
         }
     }
 
+    /// Records the number of nodes of the deployment, this one included.
+    pub fn observe_nodes(&mut self, now: Instant, nodes: usize) {
+        let memory = self.window * SIZE_MEMORY_WINDOWS;
+        self.size.observe(now, nodes, memory);
+    }
+
     /// Counts a request for a service.
     pub fn count_request(&mut self, now: Instant, service: &str) {
         let number = slice_number(now, self.slice);
@@ -196,59 +212,51 @@
     }
 
     /// Returns what the node has counted for a service.
-    pub fn state(&mut self, now: Instant, service: &str, nodes: usize) -> RetryBudgetState {
+    pub fn state(&mut self, now: Instant, service: &str) -> RetryBudgetState {
         let ratio = self.ratio;
-        let floor = self.floor(nodes);
+        let slack = self.slack_part(now);
         let number = slice_number(now, self.slice);
         let budget = self.service(service);
-        let is_refusing = budget.refusals.is_refusing(now);
         RetryBudgetState {
             requests: budget.requests.sums(number).since(PRESENT_WINDOW),
             retries: budget.retries.sums(number).since(PRESENT_WINDOW),
-            remaining: budget.allowance(number, ratio, is_refusing).remaining + floor,
+            remaining: budget.allowance(number, ratio).remaining + slack,
         }
     }
 
-    /// Returns the retries per window that a node of a deployment of `nodes` nodes may send without
-    /// any requests.
-    fn floor(&self, nodes: usize) -> f64 {
-        (self.slack * FLOOR_SLACK_SHARE / nodes.max(1) as f64).min(MAX_FLOOR)
+    /// Returns this node's part of the deployment's slack, in retries per window and service.
+    fn slack_part(&self, now: Instant) -> f64 {
+        if now < self.has_slack_from || self.size.nodes == 0 {
+            return 0.0;
+        }
+        self.slack * SLACK_SHARE / self.size.nodes as f64
     }
 
-    /// Spends one retry, for a chain whose root has this level, if the budget of a node in a
-    /// deployment of `nodes` nodes covers it. Returns whether it does.
-    pub fn try_spend(&mut self, now: Instant, service: &str, nodes: usize, level: Level) -> bool {
+    /// Spends one retry, for a chain whose root has this level, if the budget covers it. Returns
+    /// whether it does.
+    pub fn try_spend(&mut self, now: Instant, service: &str, level: Level) -> bool {
         let ratio = self.ratio;
         let window = self.window.as_secs_f64();
-        let floor = self.floor(nodes);
+        let slack = self.slack_part(now);
         let number = slice_number(now, self.slice);
-        let rounding = self.rounding(number, service);
         let budget = self.service(service);
-        let is_refusing = budget.refusals.is_refusing(now);
-        let allowance = budget.allowance(number, ratio, is_refusing);
-        let remaining = allowance.remaining + floor;
+        let allowance = budget.allowance(number, ratio);
+        let remaining = allowance.remaining + slack;
         budget.demand.count(now, level);
-        let rate = if is_refusing {
+        let rate = if budget.refusals.is_refusing(now) {
             let even_pace = allowance.per_window / window;
             even_pace * EVEN_PACE_TOLERANCE * budget.demand.averaged_part(now)
         } else {
             remaining.max(0.0) / (window * HORIZON_FRACTION)
         };
         let is_preferred = level >= budget.demand.min_level(now, rate);
-        if remaining + rounding < 1.0 || !is_preferred {
+        if remaining < 1.0 || !is_preferred {
             return false;
         }
         budget.retries.count(number);
         true
     }
 
-    /// Returns the number from 0 to 1 by which the node's allowance for a service is rounded.
-    fn rounding(&self, slice: u64, service: &str) -> f64 {
-        let draw = slice / (SLICES_PER_WINDOW as u64 * REDRAW_WINDOWS);
-        let node_hash = xxh3_64_with_seed(&draw.to_le_bytes(), self.seed);
-        xxh3_64_with_seed(service.as_bytes(), node_hash) as f64 / u64::MAX as f64
-    }
-
     fn service(&mut self, service: &str) -> &mut ServiceBudget {
         if !self.services.contains_key(service) {
             self.services
