Calls of retried runs stay within the retry budget: reserved before the run, refused beyond it

What callers saw: a service received more retries than the deployment allows. Cause (hypothesis 1): a retry was admitted against the budget of its own service alone. The calls that its run makes reached the services below as retries, several for one; they were charged after the fact and never refused. Once a service's own retries had used up its budget, retries further up brought any number on top.

The node beside a back end knows from finished runs which calls a route makes. It reserves them before it begins a retried run and refuses the attempt unsent (code 58) if its budget does not cover them; a call beyond what is reserved is charged or refused. The budget then bounds own retries and such calls together, at each node, and what nodes keep adds up. The checker no longer counts calls of retries as requests.

--- a/crates/rillgap-core/src/code.rs
+++ b/crates/rillgap-core/src/code.rs
@@ -139,6 +139,9 @@
     RateLimitStated = 56, 503, NotRun, "back end at the rate limit that it states";
     /// The node beside the back end knows that the back end has ended, and did not try it.
     BackEndDown = 57, 503, NotRun, "back end down";
+    /// The request is a retry, or a call made for one, and the retry budget of the node that received
+    /// it does not cover it or the calls that it would make.
+    RetryNotCovered = 58, 503, NotRun, "retry not covered by the budget";
     /// The request was started, but not answered in time.
     AnswerTimeout = 70, 504, Unknown, "no answer in time";
     /// The connection to the node or back end was lost after the request was sent.
--- a/crates/rillgap-forward/src/inbound/isolation.rs
+++ b/crates/rillgap-forward/src/inbound/isolation.rs
@@ -90,6 +90,8 @@
             self.lost_requests.on_answer(now, &running.incarnation);
             if answer.status < INTERNAL_SERVER_ERROR {
                 self.exonerate(now, &running.request);
+                let route = &running.request.route;
+                self.call_profile.record(route, &running.calls);
             }
         }
         let result = self.forward_result(now, result);
--- a/crates/rillgap-forward/src/inbound/mod.rs
+++ b/crates/rillgap-forward/src/inbound/mod.rs
@@ -6,6 +6,7 @@
 
 mod admission;
 mod back_end;
+mod call_profile;
 mod completion;
 mod failure_rate;
 mod isolation;
@@ -42,6 +43,7 @@
 use crate::settings::ForwardSettings;
 
 use back_end::{BackEnd, Effect};
+use call_profile::CallProfile;
 use failure_rate::FailureRate;
 use lost_requests::LostRequests;
 use queue::RankQueue;
@@ -53,6 +55,7 @@
 use stated_rate::StatedRate;
 use wait_pressure::WaitPressure;
 
+pub use call_profile::CallCounts;
 pub use running::{CallProgress, CallUpdate};
 pub use speed::{SlowdownStatus, combined, percent};
 
@@ -132,6 +135,7 @@
     request_states: BTreeMap<(LinkId, Sequence), RequestState>,
     by_request_id: BTreeMap<String, ExchangeId>,
     service_times: ServiceTimes,
+    call_profile: CallProfile,
     speed: Speed,
     failure_rate: FailureRate,
     failing_permille: u32,
@@ -166,6 +170,7 @@
             request_states: BTreeMap::new(),
             by_request_id: BTreeMap::new(),
             service_times: ServiceTimes::default(),
+            call_profile: CallProfile::default(),
             speed: Speed::default(),
             failure_rate: FailureRate::default(),
             failing_permille: 0,
@@ -379,6 +384,36 @@
         self.enqueue(now, arrival, out);
     }
 
+    /// Returns the calls that the back end is expected to make for a request of this route.
+    pub fn expected_calls(&self, route: &str) -> CallCounts {
+        self.call_profile.expected(route)
+    }
+
+    /// Returns whether a received request runs or waits.
+    pub fn is_unfinished(&self, link: LinkId, sequence: Sequence) -> bool {
+        self.request_states.contains_key(&(link, sequence))
+    }
+
+    /// Refuses a retry whose calls the retry budget does not cover.
+    pub fn refuse_uncovered_retry(
+        &mut self,
+        now: Instant,
+        link: LinkId,
+        sequence: Sequence,
+        request: Arc<ForwardedRequest>,
+        out: &mut Actions,
+    ) {
+        let arrival = Arrival {
+            link,
+            sequence,
+            request,
+            arrived: now,
+            deadline: now,
+            is_isolated: false,
+        };
+        self.refuse(now, &arrival, ResultCode::RetryNotCovered, out);
+    }
+
     /// Cancels a request for which nobody waits any more.
     pub fn on_cancel(&mut self, now: Instant, link: LinkId, sequence: Sequence, out: &mut Actions) {
         match self.request_states.remove(&(link, sequence)) {
--- a/crates/rillgap-forward/src/inbound/running.rs
+++ b/crates/rillgap-forward/src/inbound/running.rs
@@ -6,6 +6,7 @@
 use rillgap_core::admission::Level;
 use rillgap_core::time::Instant;
 
+use super::call_profile::CallCounts;
 use super::slowdown::OwnTime;
 use super::{Arrival, elapsed_micros};
 use crate::id::{LinkId, Sequence};
@@ -28,6 +29,8 @@
 pub struct CallUpdate {
     /// Identifier of the parent, the request for which the call is made.
     pub parent_id: String,
+    /// Service that is called.
+    pub service: String,
     /// Progress of the call.
     pub progress: CallProgress,
     /// Admission levels of the services that the call involved.
@@ -57,6 +60,8 @@
     pub is_awaited: bool,
     /// Time during which the back end works on the request and waits for no call.
     pub own_time: OwnTime,
+    /// Calls that the back end has made for the request.
+    pub calls: CallCounts,
     /// Calls that the back end makes for the request and that have no answer yet.
     pending_calls: u32,
     /// Whether a call made for the request has failed.
@@ -84,6 +89,7 @@
             is_isolated: arrival.is_isolated,
             is_awaited: true,
             own_time,
+            calls: CallCounts::new(),
             pending_calls: 0,
             has_failed_call: false,
             downstream_levels: BTreeMap::new(),
@@ -97,7 +103,10 @@
                 .insert(involved.service, involved.level);
         }
         match call.progress {
-            CallProgress::Started => self.pending_calls += 1,
+            CallProgress::Started => {
+                *self.calls.entry(call.service).or_default() += 1;
+                self.pending_calls += 1;
+            }
             CallProgress::Succeeded => self.pending_calls = self.pending_calls.saturating_sub(1),
             CallProgress::Failed => {
                 self.pending_calls = self.pending_calls.saturating_sub(1);
--- a/crates/rillgap-forward/src/log_record.rs
+++ b/crates/rillgap-forward/src/log_record.rs
@@ -30,6 +30,8 @@
     Call,
     /// A retry was not sent because the budget does not cover it.
     Denied,
+    /// A call made for a retry was refused because the budget does not cover it.
+    CallDenied,
 }
 
 impl RetryCharge {
@@ -39,6 +41,7 @@
             Self::Retry => "retry",
             Self::Call => "call",
             Self::Denied => "denied",
+            Self::CallDenied => "call_denied",
         }
     }
 }
--- a/crates/rillgap-forward/src/node/mod.rs
+++ b/crates/rillgap-forward/src/node/mod.rs
@@ -21,10 +21,10 @@
 use crate::directory::Directory;
 use crate::event::{CallerRequest, Event, Heartbeat};
 use crate::freshness::Freshness;
-use crate::id::{AnnouncementId, ConnectionId, LinkId, PipelineIndex};
+use crate::id::{AnnouncementId, ConnectionId, LinkId, PipelineIndex, Sequence};
 use crate::inbound::Inbound;
 use crate::log_record::LogRecord;
-use crate::message::{Hello, LinkMessage, Status};
+use crate::message::{ForwardedRequest, Hello, LinkMessage, Status};
 use crate::outbound::{Origin, Outbound, OutboundContext};
 use crate::rate_limit::bucket::Buckets;
 use crate::settings::ForwardSettings;
@@ -358,7 +358,7 @@
         self.offers.on_message(now, link);
         match message {
             LinkMessage::Request { sequence, request } => {
-                self.inbound.on_request(now, link, sequence, request, out);
+                self.on_forwarded_request(now, link, sequence, request, out);
             }
             LinkMessage::Cancel(sequence) => self.inbound.on_cancel(now, link, sequence, out),
             LinkMessage::Response(response) => {
@@ -391,6 +391,31 @@
         }
     }
 
+    /// Passes a request to the inbound side. A retry whose calls the budget does not cover is refused
+    /// before the back end works on it.
+    fn on_forwarded_request(
+        &mut self,
+        now: Instant,
+        link: LinkId,
+        sequence: Sequence,
+        request: Arc<ForwardedRequest>,
+        out: &mut Actions,
+    ) {
+        if request.is_retry {
+            let calls = self.inbound.expected_calls(&request.route);
+            let attempt = (link, sequence);
+            let is_covered = self
+                .outbound
+                .reserve_calls(now, attempt, &request.request_id, calls);
+            if !is_covered {
+                self.inbound
+                    .refuse_uncovered_retry(now, link, sequence, request, out);
+                return;
+            }
+        }
+        self.inbound.on_request(now, link, sequence, request, out);
+    }
+
     fn on_status(&mut self, now: Instant, link: LinkId, status: Status, out: &mut Actions) {
         self.directory.on_status(now, link, status);
         let (outbound, mut context) = self.split_outbound(out);
@@ -413,6 +438,7 @@
         for call in self.outbound.take_call_updates() {
             self.inbound.on_call(now, call);
         }
+        self.outbound.release_ended_runs(&self.inbound);
         for (id, request) in self.store.poll(now) {
             out.push(Action::CallStore { id, request });
         }
--- a/crates/rillgap-forward/src/outbound/completion.rs
+++ b/crates/rillgap-forward/src/outbound/completion.rs
@@ -140,6 +140,7 @@
         };
         self.call_updates.push(CallUpdate {
             parent_id,
+            service: request.forwarded.service.clone(),
             progress,
             involved: request.involved,
         });
--- a/crates/rillgap-forward/src/outbound/intake.rs
+++ b/crates/rillgap-forward/src/outbound/intake.rs
@@ -71,10 +71,9 @@
             let refusal = Refusal::after(ResultCode::Overloaded, THROTTLED_RETRY_AFTER_MILLIS);
             return Err((Box::new(caller), refusal));
         }
-        if is_retry {
-            self.budget.spend(now, &service);
-            let id = &caller.request_id;
-            self.log_retry_charge(now, id, &service, RetryCharge::Call, context);
+        if is_retry && !self.charge_call(now, &caller, &service, context) {
+            let refusal = Refusal::after(ResultCode::RetryNotCovered, THROTTLED_RETRY_AFTER_MILLIS);
+            return Err((Box::new(caller), refusal));
         }
         let timeout = caller
             .deadline
@@ -112,6 +111,28 @@
     }
 }
 
+impl Outbound {
+    /// Charges a call of a retried run to the retry budget. Returns whether the budget covers it.
+    fn charge_call(
+        &mut self,
+        now: Instant,
+        caller: &CallerRequest,
+        service: &str,
+        context: &mut OutboundContext<'_>,
+    ) -> bool {
+        let parent_id = caller.parent_id.as_deref().unwrap_or_default();
+        let is_reserved = self.retried_runs.take_reserved(parent_id, service);
+        let is_covered = self.budget.try_spend_call(now, service, is_reserved);
+        let charge = if is_covered {
+            RetryCharge::Call
+        } else {
+            RetryCharge::CallDenied
+        };
+        self.log_retry_charge(now, &caller.request_id, service, charge, context);
+        is_covered
+    }
+}
+
 /// Resolves the configuration entries for a request and authenticates its tenant.
 fn resolve<'a>(
     caller: &CallerRequest,
--- a/crates/rillgap-forward/src/outbound/mod.rs
+++ b/crates/rillgap-forward/src/outbound/mod.rs
@@ -13,6 +13,7 @@
 mod rate_share;
 mod request;
 mod results;
+mod retried_runs;
 mod tenancy;
 mod weights;
 
@@ -29,7 +30,7 @@
 use crate::directory::{Directory, PeerIndex};
 use crate::event::CallerRequest;
 use crate::id::{ConnectionId, LinkId, PipelineIndex, Sequence};
-use crate::inbound::{CallProgress, CallUpdate, Inbound};
+use crate::inbound::{CallCounts, CallProgress, CallUpdate, Inbound};
 use crate::log_record::{LogRecord, RetryCharge};
 use crate::message::{
     ForwardResponse, ForwardResult, Load, RateLimitReport, ServiceAdmissionLevel, Status,
@@ -41,6 +42,7 @@
 use admission::EntryAdmission;
 use rate_share::RateShares;
 use request::{Request, RequestKey};
+use retried_runs::{AttemptId, RetriedRuns};
 use tenancy::Refusal;
 use weights::WeightedChoice;
 
@@ -126,6 +128,7 @@
     next_sequence: u64,
     balancer: Balancer,
     budget: RetryBudget,
+    retried_runs: RetriedRuns,
     admission: EntryAdmission,
     tokens: EntryLimiter<RequestKey>,
     next_admission_report: Instant,
@@ -148,6 +151,7 @@
             next_sequence: 0,
             balancer: Balancer::new(settings.random_seed),
             budget: RetryBudget::new(now, settings.retry_bound, !settings.is_first_start),
+            retried_runs: RetriedRuns::default(),
             admission: EntryAdmission::default(),
             tokens: EntryLimiter::default(),
             next_admission_report: Instant::default(),
@@ -191,6 +195,7 @@
         if let Some(parent_id) = &request.parent_id {
             self.call_updates.push(CallUpdate {
                 parent_id: parent_id.clone(),
+                service: request.forwarded.service.clone(),
                 progress: CallProgress::Started,
                 involved: Vec::new(),
             });
@@ -367,6 +372,30 @@
         }
     }
 
+    /// Reserves retries for the calls that a retried run is expected to make. Returns whether the
+    /// budget covers them.
+    pub fn reserve_calls(
+        &mut self,
+        now: Instant,
+        attempt: AttemptId,
+        request_id: &str,
+        calls: CallCounts,
+    ) -> bool {
+        let is_covered = self.budget.try_reserve(now, &calls);
+        if is_covered {
+            self.retried_runs.begin(attempt, request_id, calls);
+        }
+        is_covered
+    }
+
+    /// Releases the retries that are reserved for runs which have ended.
+    pub fn release_ended_runs(&mut self, inbound: &Inbound) {
+        let is_known = |(link, sequence)| inbound.is_unfinished(link, sequence);
+        for reserved in self.retried_runs.remove_ended(is_known) {
+            self.budget.release(&reserved);
+        }
+    }
+
     /// Logs that a request was charged to the retry budget, or that the budget does not cover it.
     fn log_retry_charge(
         &mut self,
--- a/crates/rillgap-forward/src/retry_budget.rs
+++ b/crates/rillgap-forward/src/retry_budget.rs
@@ -30,6 +30,10 @@
 //! has not read the list of nodes yet gets no part. So `sum of S_n <= F * slack`, `F` being
 //! [`SLACK_SHARE`].
 //!
+//! A retry makes its back end repeat the calls below it, several for one. The node that sends these
+//! calls charges them against its own allowance like its own retries, and refuses those that it does
+//! not cover. Retries for the calls of a run are reserved before the run begins.
+//!
 //! `U` is [`LEAF_RATIO_SHARE`] for a service whose answers so far have involved no calls, and
 //! [`RATIO_SHARE`] for others, where a retry also causes retries below it.
 
@@ -39,6 +43,7 @@
 use rillgap_core::admission::Level;
 use rillgap_core::time::Instant;
 
+use crate::inbound::CallCounts;
 use crate::inbound::refusals::Refusals;
 use crate::request_window::{
     ARRIVAL_SLICES, PRESENT_WINDOW, RequestWindow, SLICES_PER_WINDOW, remaining_retries,
@@ -81,6 +86,8 @@
 struct ServiceBudget {
     requests: RequestWindow,
     retries: RequestWindow,
+    /// Retries that are reserved for calls of retried runs.
+    reserved: u32,
     demand: RetryDemand,
     /// How attempts at back ends of the service end.
     refusals: Refusals,
@@ -104,7 +111,8 @@
     pub requests: u32,
     /// Retries of the present window, with the calls made for retried requests.
     pub retries: u32,
-    /// Retries that are left in the present window; negative if more were sent.
+    /// Retries that are left, without those that are reserved; negative if the requests have become
+    /// fewer since they were sent.
     pub remaining: f64,
 }
 
@@ -205,22 +213,69 @@
         budget.is_some_and(|budget| budget.refusals.is_refusing(now))
     }
 
-    /// Counts a retry that cannot be refused any more: a call made for a retried request.
-    pub fn spend(&mut self, now: Instant, service: &str) {
+    /// Reserves retries for the calls of a retried run, if the budget covers them all. Returns
+    /// whether it does.
+    pub fn try_reserve(&mut self, now: Instant, calls: &CallCounts) -> bool {
+        let mut services = calls.iter();
+        let is_covered =
+            services.all(|(service, count)| self.remaining(now, service) >= f64::from(*count));
+        if is_covered {
+            for (service, count) in calls {
+                self.service(service).reserved += count;
+            }
+        }
+        is_covered
+    }
+
+    /// Releases retries that were reserved and are not needed any more.
+    pub fn release(&mut self, calls: &CallCounts) {
+        for (service, count) in calls {
+            let budget = self.service(service);
+            budget.reserved = budget.reserved.saturating_sub(*count);
+        }
+    }
+
+    /// Spends one retry on a call of a retried run, if the budget covers it. Returns whether it does.
+    /// `is_reserved` says whether the call uses a reserved retry, which it takes in any case.
+    pub fn try_spend_call(&mut self, now: Instant, service: &str, is_reserved: bool) -> bool {
+        let own = u32::from(is_reserved);
+        let budget = self.service(service);
+        budget.reserved = budget.reserved.saturating_sub(own);
+        // Reserved retries precede others, but the budget may have become smaller since.
+        let reserved_for_others = if is_reserved { 0 } else { budget.reserved };
+        let covered = self.uncharged(now, service) - f64::from(reserved_for_others);
+        if covered < 1.0 {
+            return false;
+        }
         let number = slice_number(now, self.slice);
         self.service(service).retries.count(number);
+        true
     }
 
-    /// Returns what the node has counted for a service.
-    pub fn state(&mut self, now: Instant, service: &str) -> RetryBudgetState {
+    /// Returns the retries that are neither charged nor reserved.
+    fn remaining(&mut self, now: Instant, service: &str) -> f64 {
+        let uncharged = self.uncharged(now, service);
+        uncharged - f64::from(self.service(service).reserved)
+    }
+
+    /// Returns the retries that are not charged.
+    fn uncharged(&mut self, now: Instant, service: &str) -> f64 {
         let ratio = self.ratio;
         let slack = self.slack_part(now);
         let number = slice_number(now, self.slice);
         let budget = self.service(service);
+        budget.allowance(number, ratio).remaining + slack
+    }
+
+    /// Returns what the node has counted for a service.
+    pub fn state(&mut self, now: Instant, service: &str) -> RetryBudgetState {
+        let remaining = self.remaining(now, service);
+        let number = slice_number(now, self.slice);
+        let budget = self.service(service);
         RetryBudgetState {
             requests: budget.requests.sums(number).since(PRESENT_WINDOW),
             retries: budget.retries.sums(number).since(PRESENT_WINDOW),
-            remaining: budget.allowance(number, ratio).remaining + slack,
+            remaining,
         }
     }
 
@@ -241,7 +296,7 @@
         let number = slice_number(now, self.slice);
         let budget = self.service(service);
         let allowance = budget.allowance(number, ratio);
-        let remaining = allowance.remaining + slack;
+        let remaining = allowance.remaining + slack - f64::from(budget.reserved);
         budget.demand.count(now, level);
         let rate = if budget.refusals.is_refusing(now) {
             let even_pace = allowance.per_window / window;
--- a/crates/rillgap-forward/tests/policies.rs
+++ b/crates/rillgap-forward/tests/policies.rs
@@ -301,7 +301,7 @@
     let mut budget = small_budget();
     for _ in 0..100 {
         budget.count_request(at(0), "takst");
-        budget.spend(at(0), "takst");
+        budget.try_spend_call(at(0), "takst", false);
     }
     expect_that!(budget.try_spend(at(1), "takst", HIGHEST), eq(false));
 }
--- a/crates/rillgap-forward/tests/refusing_services.rs
+++ b/crates/rillgap-forward/tests/refusing_services.rs
@@ -82,23 +82,23 @@
 /// Returns how many retries a node may send that has sent 80 when its requests became ten times
 /// fewer, eight seconds ago.
 fn retries_after_decline() -> usize {
+    let highest = Level(u32::MAX);
     let mut budget = RetryBudget::new(at(0), BOUND, true);
     budget.record_calls(SERVICE, false);
-    for step in 0..1_000_u64 {
+    for step in 0..2_000_u64 {
         budget.count_request(at(step * 10), SERVICE);
     }
     for _ in 0..80 {
-        budget.spend(at(10_000), SERVICE);
+        expect_that!(budget.try_spend(at(20_000), SERVICE, highest), eq(true));
     }
     for step in 0..80_u64 {
-        budget.count_request(at(10_000 + step * 100), SERVICE);
+        budget.count_request(at(20_000 + step * 100), SERVICE);
     }
     for _ in 0..100 {
-        budget.record_attempt(at(18_000), SERVICE, true);
+        budget.record_attempt(at(28_000), SERVICE, true);
     }
-    let highest = Level(u32::MAX);
     (0..500)
-        .filter(|_| budget.try_spend(at(18_000), SERVICE, highest))
+        .filter(|_| budget.try_spend(at(28_000), SERVICE, highest))
         .count()
 }
 
--- a/crates/rillgap-forward/tests/retry_bound.rs
+++ b/crates/rillgap-forward/tests/retry_bound.rs
@@ -119,8 +119,8 @@
                 requests += 1.0;
                 // 8 % of the requests are calls made for a request that was retried further up.
                 if draw(100) < 8 {
-                    budget.spend(now, SERVICE);
-                    retries += 1.0;
+                    let is_covered = budget.try_spend_call(now, SERVICE, false);
+                    retries += f64::from(u8::from(is_covered));
                 }
                 for _ in 0..3 {
                     retries += f64::from(u8::from(budget.try_spend(now, SERVICE, HIGHEST)));
--- a/crates/rillgap-forward/tests/simulation/checker.rs
+++ b/crates/rillgap-forward/tests/simulation/checker.rs
@@ -164,18 +164,22 @@
     /// Records a request or call that is sent to a node.
     pub fn on_sent(&mut self, now: u64, sent: &Sent<'_>) {
         let is_call = sent.caller_run.is_some();
+        let is_of_retry = sent.caller_run.is_some_and(|run| run.is_retry);
         let record = RequestRecord {
             host: sent.host,
             target: sent.target.to_owned(),
             is_idempotent: sent.is_idempotent,
             is_call,
-            is_of_retry: sent.caller_run.is_some_and(|run| run.is_retry),
+            is_of_retry,
             sent_at: now,
             ..RequestRecord::default()
         };
         self.requests.insert(sent.id.to_owned(), record);
-        self.retries
-            .on_request(moment(now), service_of_target(sent.target));
+        // A call made for a retry is itself a retry, not a request.
+        if !is_of_retry {
+            self.retries
+                .on_request(moment(now), service_of_target(sent.target));
+        }
         self.caller_requests += u64::from(!is_call);
     }
 
--- a/crates/rillgap-forward/tests/support/mod.rs
+++ b/crates/rillgap-forward/tests/support/mod.rs
@@ -270,7 +270,13 @@
 
     /// Creates a node whose back end serves [`SERVICE`].
     pub fn serving() -> Self {
-        let mut test = Self::configured(SERVICE);
+        Self::serving_with(settings("own", SERVICE))
+    }
+
+    /// Creates a node with the given settings whose back end serves [`SERVICE`].
+    pub fn serving_with(settings: ForwardSettings) -> Self {
+        let mut test = Self::with_settings(settings);
+        test.configure(configuration(1));
         test.heartbeat(1, AnnouncedState::Ready);
         test.confirm(INSTANCE);
         test.actions.clear();
