Calls of a retried run are charged although the run is not on record any more

When its answer was lost, its caller had left or the node had been restarted beside a live back end, the rest of its calls counted as new requests: they paid nothing and raised the budget.

A run that has ended is remembered until its deadline, and its calls are charged or refused like those of a running one. A restarted node cannot know the runs of its earlier process: until their charges have left all windows, it charges each request that has the identifier of a call and no parent here, without refusing it. Two tests in retried_runs.rs; before, neither call was charged.

--- a/crates/rillgap-forward/src/log_record.rs
+++ b/crates/rillgap-forward/src/log_record.rs
@@ -32,6 +32,9 @@
     Denied,
     /// A call made for a retry was refused because the budget does not cover it.
     CallDenied,
+    /// A call was charged because an earlier run of the node may have started the run that it is
+    /// made for, as a retry.
+    Unattributed,
 }
 
 impl RetryCharge {
@@ -42,6 +45,7 @@
             Self::Call => "call",
             Self::Denied => "denied",
             Self::CallDenied => "call_denied",
+            Self::Unattributed => "unattributed",
         }
     }
 }
@@ -98,7 +102,7 @@
         state: RetryBudgetState,
     },
     /// A request has the identifier of a call, but the request that it is made for does not run at
-    /// the local back end. It counts as a caller's request.
+    /// the local back end. It is checked like a caller's request.
     UnknownParent {
         /// The identifier of the request.
         request_id: String,
--- a/crates/rillgap-forward/src/node/mod.rs
+++ b/crates/rillgap-forward/src/node/mod.rs
@@ -305,8 +305,8 @@
         request: CallerRequest,
         out: &mut Actions,
     ) {
-        let origin = self.origin(&request);
-        if origin == Origin::Caller && request.parent_id.is_some() {
+        let origin = self.origin(now, &request);
+        if !origin.is_call() && request.parent_id.is_some() {
             out.push(Action::Log(LogRecord::UnknownParent {
                 request_id: request.request_id.clone(),
             }));
@@ -338,13 +338,17 @@
 
     /// Distinguishes a call of the back end from a caller's request: a call carries the identifier
     /// of a request that runs at the back end.
-    fn origin(&self, request: &CallerRequest) -> Origin {
-        let parent_id = request.parent_id.as_deref();
-        let parent = parent_id.and_then(|parent_id| self.inbound.running_request(parent_id));
-        parent.map_or(Origin::Caller, |parent| Origin::BackEnd {
-            level: parent.level,
-            is_retry: parent.is_retry,
-        })
+    fn origin(&self, now: Instant, request: &CallerRequest) -> Origin {
+        let Some(parent_id) = request.parent_id.as_deref() else {
+            return Origin::Caller;
+        };
+        match self.inbound.running_request(parent_id) {
+            Some(parent) => Origin::BackEnd {
+                level: parent.level,
+                is_retry: parent.is_retry,
+            },
+            None => self.outbound.origin_without_parent(now, parent_id),
+        }
     }
 
     fn on_link_message(
@@ -401,21 +405,25 @@
         request: Arc<ForwardedRequest>,
         out: &mut Actions,
     ) {
-        if request.is_retry {
-            let calls = self.inbound.expected_calls(&request.route);
-            let attempt = (link, sequence);
-            let is_covered = self
-                .outbound
-                .reserve_calls(now, attempt, &request.request_id, calls);
-            if !is_covered {
-                self.inbound
-                    .refuse_uncovered_retry(now, link, sequence, request, out);
-                return;
-            }
+        if request.is_retry && !self.admits_retry(now, (link, sequence), &request) {
+            self.inbound
+                .refuse_uncovered_retry(now, link, sequence, request, out);
+            return;
         }
         self.inbound.on_request(now, link, sequence, request, out);
     }
 
+    /// Returns whether a retry may be begun.
+    fn admits_retry(
+        &mut self,
+        now: Instant,
+        attempt: (LinkId, Sequence),
+        request: &ForwardedRequest,
+    ) -> bool {
+        let calls = self.inbound.expected_calls(&request.route);
+        self.outbound.reserve_calls(now, attempt, request, calls)
+    }
+
     fn on_status(&mut self, now: Instant, link: LinkId, status: Status, out: &mut Actions) {
         self.directory.on_status(now, link, status);
         let (outbound, mut context) = self.split_outbound(out);
@@ -438,7 +446,7 @@
         for call in self.outbound.take_call_updates() {
             self.inbound.on_call(now, call);
         }
-        self.outbound.release_ended_runs(&self.inbound);
+        self.outbound.release_ended_runs(now, &self.inbound);
         for (id, request) in self.store.poll(now) {
             out.push(Action::CallStore { id, request });
         }
--- a/crates/rillgap-forward/src/outbound/intake.rs
+++ b/crates/rillgap-forward/src/outbound/intake.rs
@@ -47,6 +47,9 @@
         let service = self.weights.choose(&route).to_owned();
         let (level, is_retry) = match origin {
             Origin::Caller => (caller_level(&caller, &route, tenant.as_deref()), false),
+            Origin::EndedRetry | Origin::Unattributed => {
+                (caller_level(&caller, &route, tenant.as_deref()), true)
+            }
             Origin::BackEnd { level, is_retry } => (level, is_retry),
         };
         if !is_retry {
@@ -66,12 +69,16 @@
             }));
             return Err((Box::new(caller), refusal));
         }
-        let is_call = origin != Origin::Caller;
+        let is_call = origin.is_call();
         if !is_call && !self.admission.admits(now, &route.name, &service, level) {
             let refusal = Refusal::after(ResultCode::Overloaded, THROTTLED_RETRY_AFTER_MILLIS);
             return Err((Box::new(caller), refusal));
         }
-        if is_retry && !self.charge_call(now, &caller, &service, context) {
+        if origin == Origin::Unattributed {
+            self.budget.charge_unattributed(now, &service);
+            let id = &caller.request_id;
+            self.log_retry_charge(now, id, &service, RetryCharge::Unattributed, context);
+        } else if is_retry && !self.charge_call(now, &caller, &service, context) {
             let refusal = Refusal::after(ResultCode::RetryNotCovered, THROTTLED_RETRY_AFTER_MILLIS);
             return Err((Box::new(caller), refusal));
         }
@@ -139,7 +146,7 @@
     origin: Origin,
     context: &OutboundContext<'a>,
 ) -> Result<Resolved<'a>, Refusal> {
-    let is_refused = context.refuses_callers && origin == Origin::Caller;
+    let is_refused = context.refuses_callers && !origin.is_call();
     if context.is_exiting || is_refused {
         return Err(Refusal::new(ResultCode::NodeStopping));
     }
--- a/crates/rillgap-forward/src/outbound/mod.rs
+++ b/crates/rillgap-forward/src/outbound/mod.rs
@@ -33,7 +33,8 @@
 use crate::inbound::{CallCounts, CallProgress, CallUpdate, Inbound};
 use crate::log_record::{LogRecord, RetryCharge};
 use crate::message::{
-    ForwardResponse, ForwardResult, Load, RateLimitReport, ServiceAdmissionLevel, Status,
+    ForwardResponse, ForwardResult, ForwardedRequest, Load, RateLimitReport, ServiceAdmissionLevel,
+    Status,
 };
 use crate::rate_limit::entry::EntryLimiter;
 use crate::retry_budget::RetryBudget;
@@ -87,6 +88,19 @@
         /// Whether a request further up the chain is a retry.
         is_retry: bool,
     },
+    /// The local back end, as a call for a retried run that has ended at this node. Such a call is
+    /// checked like a caller's request.
+    EndedRetry,
+    /// Unknown: the identifier is that of a call, and an earlier run of this node may have started
+    /// the run that the call is made for. The request is checked like a caller's.
+    Unattributed,
+}
+
+impl Origin {
+    /// Returns whether the request is a call for a request that runs at the local back end.
+    pub const fn is_call(self) -> bool {
+        matches!(self, Self::BackEnd { .. })
+    }
 }
 
 /// State of the node that the outbound side uses to handle an event.
@@ -378,20 +392,34 @@
         &mut self,
         now: Instant,
         attempt: AttemptId,
-        request_id: &str,
+        request: &ForwardedRequest,
         calls: CallCounts,
     ) -> bool {
         let is_covered = self.budget.try_reserve(now, &calls);
         if is_covered {
-            self.retried_runs.begin(attempt, request_id, calls);
+            let deadline = now + Duration::from_micros(request.remaining_micros);
+            self.retried_runs
+                .begin(attempt, &request.request_id, deadline, calls);
         }
         is_covered
     }
 
+    /// Returns the origin of a request that has the identifier of a call, but whose parent does not
+    /// run at the local back end.
+    pub fn origin_without_parent(&self, now: Instant, parent_id: &str) -> Origin {
+        if self.retried_runs.has_ended_run(now, parent_id) {
+            Origin::EndedRetry
+        } else if self.budget.may_have_earlier_charges(now) {
+            Origin::Unattributed
+        } else {
+            Origin::Caller
+        }
+    }
+
     /// Releases the retries that are reserved for runs which have ended.
-    pub fn release_ended_runs(&mut self, inbound: &Inbound) {
+    pub fn release_ended_runs(&mut self, now: Instant, inbound: &Inbound) {
         let is_known = |(link, sequence)| inbound.is_unfinished(link, sequence);
-        for reserved in self.retried_runs.remove_ended(is_known) {
+        for reserved in self.retried_runs.remove_ended(now, is_known) {
             self.budget.release(&reserved);
         }
     }
--- a/crates/rillgap-forward/src/outbound/retried_runs.rs
+++ b/crates/rillgap-forward/src/outbound/retried_runs.rs
@@ -6,31 +6,50 @@
 
 use std::collections::BTreeMap;
 
+use rillgap_core::time::Instant;
+
 use crate::id::{LinkId, Sequence};
 use crate::inbound::CallCounts;
 
 /// An attempt as its sender knows it.
 pub type AttemptId = (LinkId, Sequence);
 
+/// Maximum number of ended runs that are remembered.
+const MAX_ENDED_RUNS: usize = 4_096;
+
 /// A retried run that waits for the back end or runs there.
 #[derive(Clone, Debug)]
 struct RetriedRun {
     request_id: String,
+    deadline: Instant,
     /// Retries that are reserved for calls which the run has not made yet.
     reserved: CallCounts,
 }
 
 /// Retried runs, by the attempt that began them.
+///
+/// A run that has ended for the node, because its answer was lost or nobody waits for it, may go on
+/// at the back end until its deadline. Its identifier is remembered until then, so that its calls
+/// are still known as calls of a retry.
 #[derive(Clone, Debug, Default)]
 pub struct RetriedRuns {
     runs: BTreeMap<AttemptId, RetriedRun>,
+    /// Deadlines of the runs that have ended, by request.
+    ended: BTreeMap<String, Instant>,
 }
 
 impl RetriedRuns {
     /// Records a run and the retries that are reserved for its calls.
-    pub fn begin(&mut self, attempt: AttemptId, request_id: &str, reserved: CallCounts) {
+    pub fn begin(
+        &mut self,
+        attempt: AttemptId,
+        request_id: &str,
+        deadline: Instant,
+        reserved: CallCounts,
+    ) {
         let run = RetriedRun {
             request_id: request_id.to_owned(),
+            deadline,
             reserved,
         };
         self.runs.insert(attempt, run);
@@ -51,15 +70,41 @@
         false
     }
 
+    /// Returns whether a request has had a retried run here that has ended and may still go on at
+    /// the back end.
+    pub fn has_ended_run(&self, now: Instant, request_id: &str) -> bool {
+        let deadline = self.ended.get(request_id);
+        deadline.is_some_and(|deadline| now <= *deadline)
+    }
+
     /// Removes the runs that have ended, and returns the retries that were still reserved for them.
-    pub fn remove_ended(&mut self, is_known: impl Fn(AttemptId) -> bool) -> Vec<CallCounts> {
+    pub fn remove_ended(
+        &mut self,
+        now: Instant,
+        is_known: impl Fn(AttemptId) -> bool,
+    ) -> Vec<CallCounts> {
         let ended: Vec<AttemptId> = self
             .runs
             .keys()
             .copied()
             .filter(|attempt| !is_known(*attempt))
             .collect();
-        let removed = ended.iter().filter_map(|attempt| self.runs.remove(attempt));
-        removed.map(|run| run.reserved).collect()
+        let mut released = Vec::new();
+        for attempt in ended {
+            if let Some(run) = self.runs.remove(&attempt) {
+                self.remember(now, run.request_id, run.deadline);
+                released.push(run.reserved);
+            }
+        }
+        released
+    }
+
+    fn remember(&mut self, now: Instant, request_id: String, deadline: Instant) {
+        if self.ended.len() >= MAX_ENDED_RUNS {
+            self.ended.retain(|_, deadline| now <= *deadline);
+        }
+        if self.ended.len() < MAX_ENDED_RUNS {
+            self.ended.insert(request_id, deadline);
+        }
     }
 }
--- a/crates/rillgap-forward/src/outbound/tenancy.rs
+++ b/crates/rillgap-forward/src/outbound/tenancy.rs
@@ -58,7 +58,7 @@
     is_configuration_fresh: bool,
 ) -> Result<Option<&'a Arc<Tenant>>, Refusal> {
     // A call belongs to the request that it is made for, whose key has been checked.
-    if !table.has_tenants() || origin != Origin::Caller {
+    if !table.has_tenants() || origin.is_call() {
         return Ok(None);
     }
     let tenant = match caller.credential {
--- a/crates/rillgap-forward/src/retry_budget.rs
+++ b/crates/rillgap-forward/src/retry_budget.rs
@@ -252,6 +252,18 @@
         true
     }
 
+    /// Charges a call that may belong to a retried run of an earlier run of the node, whether or not
+    /// the budget covers it.
+    pub fn charge_unattributed(&mut self, now: Instant, service: &str) {
+        let number = slice_number(now, self.slice);
+        self.service(service).retries.count(number);
+    }
+
+    /// Returns whether retries that an earlier run of the node has charged may still count.
+    pub fn may_have_earlier_charges(&self, now: Instant) -> bool {
+        now < self.has_slack_from
+    }
+
     /// Returns the retries that are neither charged nor reserved.
     fn remaining(&mut self, now: Instant, service: &str) -> f64 {
         let uncharged = self.uncharged(now, service);
--- a/crates/rillgap-forward/tests/retried_runs.rs
+++ b/crates/rillgap-forward/tests/retried_runs.rs
@@ -7,6 +7,7 @@
 use rillgap_core::code::ResultCode;
 use rillgap_forward::event::ExchangeResult;
 use rillgap_forward::id::{ExchangeId, LinkId};
+use rillgap_forward::log_record::{LogRecord, RetryCharge};
 use rillgap_forward::message::{ForwardResult, ForwardedRequest};
 use support::{
     DEEP_SERVICE, SERVICE, TestNode, answer, caller_request, code_of, forwarded_request, settings,
@@ -139,3 +140,48 @@
     caller.test.advance(11_500);
     expect_that!(caller.begin(true), some(anything()));
 }
+
+/// Returns the charges to the retry budget that the node has logged.
+fn charges(caller: &Caller) -> Vec<RetryCharge> {
+    let charge = |record: LogRecord| match record {
+        LogRecord::RetryBudget { charge, .. } => Some(charge),
+        _ => None,
+    };
+    let records = caller.test.log_records().into_iter();
+    records.filter_map(charge).collect()
+}
+
+#[gtest]
+fn calls_of_a_retried_run_whose_answer_was_lost_are_still_charged() {
+    let mut caller = Caller::new(false);
+    let exchange = caller.begin(true).expect("a retried run");
+    caller.test.end_exchange(exchange, ExchangeResult::Lost);
+    // The run goes on at the back end. 13 calls use the budget up, and a further one is refused.
+    for number in 0..SLACK_PART {
+        expect_that!(caller.call("r2", number), eq(true));
+    }
+    expect_that!(caller.call("r2", SLACK_PART), eq(false));
+    expect_that!(charges(&caller).len() as u64, eq(SLACK_PART + 1));
+    // After its deadline the run has ended at the back end as well.
+    caller.test.advance(900);
+    expect_that!(caller.call("r2", SLACK_PART + 1), eq(true));
+    expect_that!(charges(&caller).len() as u64, eq(SLACK_PART + 1));
+}
+
+#[gtest]
+fn calls_that_a_restarted_node_cannot_attribute_are_charged() {
+    let mut caller = Caller::new(true);
+    expect_that!(caller.call("of-an-earlier-run", 1), eq(true));
+    expect_that!(
+        charges(&caller),
+        elements_are![eq(&RetryCharge::Unattributed)]
+    );
+    // A request without the identifier of a call is a caller's.
+    let before = caller.test.sent().len();
+    caller.test.request(9, caller_request("r9", "/deep/1"));
+    expect_that!(caller.test.sent().len(), eq(before + 1));
+    // Once no earlier run can matter any more, such calls are requests like others.
+    caller.test.advance(11_500);
+    caller.call("of-an-earlier-run", 2);
+    expect_that!(charges(&caller).len(), eq(1));
+}
