Retries that have waited too long are refused before the back end gets them

Retries that waited in a paused process or a long queue arrived together with those of a later window, and no window paid for both.

A node refuses retries that it reads right after a pause of its process, and a retry waits in a queue for half of the time in which charges count at most. The rest of that time is for the link and a new connection to the back end.

--- a/crates/rillgap-forward/src/node/mod.rs
+++ b/crates/rillgap-forward/src/node/mod.rs
@@ -79,6 +79,7 @@
     next_housekeeping: Instant,
     next_status: Instant,
     last_event_at: Instant,
+    /// Until when messages that arrived during a process pause may be read.
     peer_timeouts_after: Instant,
     stopping_since: Option<Instant>,
     inbound_stops_at: Option<Instant>,
@@ -413,13 +414,17 @@
         self.inbound.on_request(now, link, sequence, request, out);
     }
 
-    /// Returns whether a retry may be begun.
+    /// Returns whether a retry may be begun. Retries that have waited while the process was paused
+    /// are not: their charges may have left the window in which they would arrive.
     fn admits_retry(
         &mut self,
         now: Instant,
         attempt: (LinkId, Sequence),
         request: &ForwardedRequest,
     ) -> bool {
+        if now < self.peer_timeouts_after {
+            return false;
+        }
         let calls = self.inbound.expected_calls(&request.route);
         self.outbound.reserve_calls(now, attempt, request, calls)
     }
--- a/crates/rillgap-forward/src/outbound/attempts.rs
+++ b/crates/rillgap-forward/src/outbound/attempts.rs
@@ -43,7 +43,9 @@
             Target::Local => None,
             Target::Peer(index, _) => context.directory.peer(index).forgotten_rate_limit(),
         };
-        let forwarded = request.begin_attempt(now, link, name, sequence, remembered);
+        let max_retry_wait = self.budget.max_queue_time();
+        let forwarded =
+            request.begin_attempt(now, link, name, sequence, remembered, max_retry_wait);
         self.by_sequence.insert(sequence, key);
         if let Some(peer) = context.directory.by_link(link) {
             peer.request_sent(now);
--- a/crates/rillgap-forward/src/outbound/request.rs
+++ b/crates/rillgap-forward/src/outbound/request.rs
@@ -1,6 +1,7 @@
 //! State of one request at the node that received it.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use rillgap_core::time::Instant;
 
@@ -119,7 +120,8 @@
         }
     }
 
-    /// Begins an attempt at a node and returns the request as it is to be sent.
+    /// Begins an attempt at a node and returns the request as it is to be sent. A retry may wait for
+    /// `max_retry_wait` in a queue at most.
     pub fn begin_attempt(
         &mut self,
         now: Instant,
@@ -127,6 +129,7 @@
         node: &str,
         sequence: Sequence,
         remembered_rate_limit: Option<RememberedRateLimit>,
+        max_retry_wait: Duration,
     ) -> Arc<ForwardedRequest> {
         let remaining = self.deadline.saturating_since(now);
         let elapsed = now.saturating_since(self.arrived);
@@ -137,6 +140,11 @@
         self.current = Some(Attempt { link, sequence });
         let forwarded = Arc::make_mut(&mut self.forwarded);
         forwarded.is_retry |= self.possible_arrivals > 1;
+        let limit = if forwarded.is_retry {
+            limit.min(max_retry_wait)
+        } else {
+            limit
+        };
         forwarded.remaining_micros = u64::try_from(remaining.as_micros()).unwrap_or(u64::MAX);
         forwarded.queue_limit_micros = u64::try_from(limit.as_micros()).unwrap_or(u64::MAX);
         forwarded.remembered_rate_limit = remembered_rate_limit;
--- a/crates/rillgap-forward/src/retry_budget.rs
+++ b/crates/rillgap-forward/src/retry_budget.rs
@@ -264,6 +264,12 @@
         now < self.has_slack_from
     }
 
+    /// Returns the maximum time for which a retry may wait in a queue, so that it reaches its back
+    /// end before its charge has left the windows that it arrives in.
+    pub fn max_queue_time(&self) -> Duration {
+        self.slice * ARRIVAL_SLICES as u32 / 2
+    }
+
     /// Returns the retries that are neither charged nor reserved.
     fn remaining(&mut self, now: Instant, service: &str) -> f64 {
         let uncharged = self.uncharged(now, service);
--- a/crates/rillgap-forward/tests/retried_runs.rs
+++ b/crates/rillgap-forward/tests/retried_runs.rs
@@ -185,3 +185,13 @@
     caller.call("of-an-earlier-run", 2);
     expect_that!(charges(&caller).len(), eq(1));
 }
+
+#[gtest]
+fn retries_that_have_waited_for_a_paused_process_are_refused() {
+    let mut caller = Caller::new(false);
+    caller.test.now += 3_000;
+    expect_that!(caller.begin(true), none());
+    expect_that!(caller.last_code(), some(eq(ResultCode::RetryNotCovered)));
+    caller.test.advance(500);
+    expect_that!(caller.begin(true), some(anything()));
+}
