--- a/crates/rillgap-cli/src/arguments.rs
+++ b/crates/rillgap-cli/src/arguments.rs
@@ -14,7 +14,7 @@
 const DEFAULT_WAIT_SECONDS: u64 = 10;
 
 /// Operates a rillgap deployment. docs/ERRORS.md lists the exit codes.
-#[derive(Clone, Debug, PartialEq, Eq, FromArgs)]
+#[derive(Clone, Debug, PartialEq, FromArgs)]
 pub struct Arguments {
     /// operator listener of a node, IP:PORT (default 127.0.0.1:7440); may be repeated: if one does
     /// not answer, the next one is tried
@@ -76,7 +76,7 @@
 }
 
 /// Top-level command.
-#[derive(Clone, Debug, PartialEq, Eq, FromArgs)]
+#[derive(Clone, Debug, PartialEq, FromArgs)]
 #[argh(subcommand)]
 pub enum Command {
     /// Shows, checks, compares or replaces the policy of the deployment.
@@ -91,6 +91,26 @@
     Node(NodeArguments),
     /// Explains the outcome of a request from logs.
     Explain(ExplainArguments),
+    /// Adds up the retries of all nodes from logs.
+    Retries(RetriesArguments),
+}
+
+/// add up the retries of each service over the logs of all nodes; contacts no node
+#[derive(Clone, Debug, PartialEq, FromArgs)]
+#[argh(subcommand, name = "retries")]
+pub struct RetriesArguments {
+    /// retries allowed per request (default: 0.2)
+    #[argh(option, default = "0.2")]
+    pub ratio: f64,
+    /// retries allowed on top of the ratio (default: 50)
+    #[argh(option, default = "50.0")]
+    pub slack: f64,
+    /// length of the sliding window, in seconds (default: 10)
+    #[argh(option, default = "Seconds(10)")]
+    pub window: Seconds,
+    /// log files of all nodes, each named after its node (default: standard input)
+    #[argh(positional)]
+    pub files: Vec<PathBuf>,
 }
 
 /// explain from node logs how a request ended and why; contacts no node
--- a/crates/rillgap-cli/src/command.rs
+++ b/crates/rillgap-cli/src/command.rs
@@ -1,8 +1,8 @@
 //! Execution of the commands.
 
 use std::fs::File;
-use std::io::{BufReader, Write};
-use std::path::Path;
+use std::io::{BufRead, BufReader, Write};
+use std::path::{Path, PathBuf};
 use std::time::Duration;
 
 use rillgap_core::code::ResultCode;
@@ -14,13 +14,14 @@
 
 use crate::arguments::{
     ApplyPolicyArguments, Arguments, BackEndCommand, Command, ExplainArguments, NodeCommand,
-    PolicyCommand, Seconds,
+    PolicyCommand, RetriesArguments, Seconds,
 };
 use crate::difference;
 use crate::error::CommandError;
 use crate::explain::Explainer;
 use crate::output::Printer;
 use crate::policy_file;
+use crate::retries::{RetryBudget, RetryLogs, WorstWindow};
 use crate::session::{ChangeRequest, Session};
 
 /// Runs one command and returns the exit code of the process.
@@ -54,6 +55,7 @@
                 NodeCommand::Stop(_) => self.stop().await,
             },
             Command::Explain(explain) => self.explain(&explain),
+            Command::Retries(retries) => self.retries(&retries),
         }
     }
 
@@ -139,19 +141,7 @@
 
     fn explain(&mut self, arguments: &ExplainArguments) -> Result<ResultCode, CommandError> {
         let mut explainer = Explainer::new(&arguments.request);
-        for file in &arguments.files {
-            let unreadable = |source| CommandError::Unreadable {
-                file: file.clone(),
-                source,
-            };
-            let node = file.file_stem().unwrap_or_default().to_string_lossy();
-            let log = File::open(file).map_err(unreadable)?;
-            let read = explainer.read(&node, BufReader::new(log));
-            read.map_err(unreadable)?;
-        }
-        if arguments.files.is_empty() {
-            explainer.read("", std::io::stdin().lock())?;
-        }
+        read_logs(&arguments.files, |node, log| explainer.read(node, log))?;
         let explanation = explainer.explain();
         self.printer.explanation(&explanation)?;
         Ok(match explanation.path.is_empty() {
@@ -160,6 +150,21 @@
         })
     }
 
+    fn retries(&mut self, arguments: &RetriesArguments) -> Result<ResultCode, CommandError> {
+        let mut logs = RetryLogs::default();
+        read_logs(&arguments.files, |node, log| logs.read(node, log))?;
+        let windows = logs.worst_windows(RetryBudget {
+            ratio: arguments.ratio,
+            slack: arguments.slack,
+            window: arguments.window.0 as f64,
+        });
+        self.printer.retries(&windows)?;
+        Ok(match windows.iter().any(WorstWindow::is_exceeded) {
+            true => ResultCode::RetryNotCovered,
+            false => ResultCode::Ok,
+        })
+    }
+
     async fn stop(&mut self) -> Result<ResultCode, CommandError> {
         self.session.client().stop_node().await?;
         self.printer.stopping()?;
@@ -167,6 +172,27 @@
     }
 }
 
+/// Passes log files to `read`, each with the name of its node, or the standard input if there are
+/// none.
+fn read_logs(
+    files: &[PathBuf],
+    mut read: impl FnMut(&str, &mut dyn BufRead) -> std::io::Result<()>,
+) -> Result<(), CommandError> {
+    for file in files {
+        let unreadable = |source| CommandError::Unreadable {
+            file: file.clone(),
+            source,
+        };
+        let node = file.file_stem().unwrap_or_default().to_string_lossy();
+        let log = File::open(file).map_err(unreadable)?;
+        read(&node, &mut BufReader::new(log)).map_err(unreadable)?;
+    }
+    if files.is_empty() {
+        read("", &mut std::io::stdin().lock())?;
+    }
+    Ok(())
+}
+
 fn new_change_id() -> ChangeId {
     ChangeId(Uuid::now_v7().as_u128())
 }
--- a/crates/rillgap-cli/src/lib.rs
+++ b/crates/rillgap-cli/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod explain;
 mod output;
 pub mod policy_file;
+pub mod retries;
 mod session;
 
 pub use command::run;
--- a/crates/rillgap-cli/src/output.rs
+++ b/crates/rillgap-cli/src/output.rs
@@ -13,6 +13,7 @@
 use crate::error::CommandError;
 use crate::explain::{Explanation, Record};
 use crate::policy_file;
+use crate::retries::WorstWindow;
 
 /// Writes the results of commands.
 #[derive(Debug)]
@@ -81,6 +82,16 @@
         self.records("\nEvents at its nodes", &explanation.node_events)
     }
 
+    /// Writes for each service the window that has used most of the retry budget.
+    pub fn retries(&mut self, windows: &[WorstWindow]) -> Result<(), CommandError> {
+        if self.form == OutputForm::Json {
+            return self.json(&json!(windows));
+        }
+        windows
+            .iter()
+            .try_for_each(|window| self.line(&retries_line(window)))
+    }
+
     /// Writes a table of log records with their time since the first one.
     fn records(&mut self, title: &str, records: &[Record]) -> Result<(), CommandError> {
         let Some(first) = records.first() else {
@@ -172,6 +183,32 @@
     }
 }
 
+fn retries_line(window: &WorstWindow) -> String {
+    let WorstWindow {
+        service,
+        end,
+        sums,
+        counted_requests,
+        allowed,
+        busiest_node,
+        busiest_charged,
+    } = window;
+    let verdict = if window.is_exceeded() {
+        "EXCEEDED"
+    } else {
+        "within the budget"
+    };
+    format!(
+        "{service}: {verdict}; in the window until {end:.1}: {:.0} of {allowed:.0} allowed for \
+         {counted_requests:.0} requests: {:.0} retries, {:.0} calls made for retries, {:.0} \
+         unattributed; most from {busiest_node}, {busiest_charged:.0}",
+        sums.charged(),
+        sums.retries,
+        sums.calls,
+        sums.unattributed,
+    )
+}
+
 fn member_value(member: &MemberStatus) -> Value {
     json!({
         "node": member.node, "zone": member.zone,
--- a/crates/rillgap-forward/src/log_record.rs
+++ b/crates/rillgap-forward/src/log_record.rs
@@ -6,6 +6,7 @@
 use crate::back_end_notice::RequestRate;
 use crate::crash::SuspicionChange;
 use crate::message::Timing;
+use crate::outbound::retry_report::RetryTally;
 use crate::rate_limit::level_change::LevelChange;
 use crate::retry_budget::RetryBudgetState;
 use crate::store_epoch::StoreEpoch;
@@ -101,6 +102,21 @@
         /// Budget after it.
         state: RetryBudgetState,
     },
+    /// Requests and retries that this node has sent to a service since the last such record.
+    ServiceRetries {
+        /// Name of the service.
+        service: String,
+        /// Time that the record covers, in milliseconds.
+        covered_millis: u64,
+        /// Numbers of requests and retries.
+        tally: RetryTally,
+        /// Retry budget at the end of that time.
+        state: RetryBudgetState,
+        /// This node's part of the deployment's slack, in retries.
+        slack_part: f64,
+        /// Number of nodes by which the slack is divided; 0 before it is known.
+        nodes: usize,
+    },
     /// A request has the identifier of a call, but the request that it is made for does not run at
     /// the local back end. It is checked like a caller's request.
     UnknownParent {
--- a/crates/rillgap-forward/src/outbound/intake.rs
+++ b/crates/rillgap-forward/src/outbound/intake.rs
@@ -54,6 +54,7 @@
         };
         if !is_retry {
             self.budget.count_request(now, &service);
+            self.retry_reports.count_request(now, &service);
         }
         let content = tracked_fingerprint(&caller, &route, tenant.as_deref(), context);
         let quarantined = content.filter(|content| is_quarantined(now, *content, context));
--- a/crates/rillgap-forward/src/outbound/mod.rs
+++ b/crates/rillgap-forward/src/outbound/mod.rs
@@ -14,6 +14,7 @@
 mod request;
 mod results;
 mod retried_runs;
+pub mod retry_report;
 mod tenancy;
 mod weights;
 
@@ -44,6 +45,7 @@
 use rate_share::RateShares;
 use request::{Request, RequestKey};
 use retried_runs::{AttemptId, RetriedRuns};
+use retry_report::RetryReports;
 use tenancy::Refusal;
 use weights::WeightedChoice;
 
@@ -143,6 +145,7 @@
     balancer: Balancer,
     budget: RetryBudget,
     retried_runs: RetriedRuns,
+    retry_reports: RetryReports,
     admission: EntryAdmission,
     tokens: EntryLimiter<RequestKey>,
     next_admission_report: Instant,
@@ -166,6 +169,7 @@
             balancer: Balancer::new(settings.random_seed),
             budget: RetryBudget::new(now, settings.retry_bound, !settings.is_first_start),
             retried_runs: RetriedRuns::default(),
+            retry_reports: RetryReports::default(),
             admission: EntryAdmission::default(),
             tokens: EntryLimiter::default(),
             next_admission_report: Instant::default(),
@@ -297,6 +301,7 @@
             self.next_admission_report = now + ADMISSION_REPORT_INTERVAL;
             self.report_admission(now, context);
         }
+        self.report_retries(now, context);
         self.refuse_unanswered_token_waits(now, context);
         while let Some((deadline, key)) = self.deadlines.first().copied() {
             if deadline > now {
@@ -433,6 +438,7 @@
         charge: RetryCharge,
         context: &mut OutboundContext<'_>,
     ) {
+        self.retry_reports.count_charge(now, service, charge);
         context.out.push(Action::Log(LogRecord::RetryBudget {
             request_id: request_id.to_owned(),
             service: service.to_owned(),
@@ -441,6 +447,21 @@
         }));
     }
 
+    /// Logs the requests and retries of each service since its last report.
+    fn report_retries(&mut self, now: Instant, context: &mut OutboundContext<'_>) {
+        for (service, covered, tally) in self.retry_reports.take_due(now) {
+            let state = self.budget.state(now, &service);
+            context.out.push(Action::Log(LogRecord::ServiceRetries {
+                service,
+                covered_millis: u64::try_from(covered.as_millis()).unwrap_or(u64::MAX),
+                tally,
+                state,
+                slack_part: self.budget.slack_part(now),
+                nodes: self.budget.known_nodes(),
+            }));
+        }
+    }
+
     /// Logs changes of admission.
     fn report_admission(&mut self, now: Instant, context: &mut OutboundContext<'_>) {
         for change in self.admission.take_changes(now) {
--- a/crates/rillgap-forward/src/outbound/results.rs
+++ b/crates/rillgap-forward/src/outbound/results.rs
@@ -213,6 +213,10 @@
     ) {
         if let Some(request) = self.requests.get_mut(&key) {
             request.retries += 1;
+            if !paid {
+                let service = &request.forwarded.service;
+                self.retry_reports.count_free(now, service);
+            }
             context.out.push(Action::Log(LogRecord::Retried {
                 request_id: request.forwarded.request_id.clone(),
                 from: request.last_target().to_owned(),
--- a/crates/rillgap-forward/src/retry_budget.rs
+++ b/crates/rillgap-forward/src/retry_budget.rs
@@ -297,8 +297,13 @@
         }
     }
 
+    /// Returns the number of nodes by which the slack is divided; 0 before it is known.
+    pub const fn known_nodes(&self) -> usize {
+        self.size.nodes
+    }
+
     /// Returns this node's part of the deployment's slack, in retries per window and service.
-    fn slack_part(&self, now: Instant) -> f64 {
+    pub fn slack_part(&self, now: Instant) -> f64 {
         if now < self.has_slack_from || self.size.nodes == 0 {
             return 0.0;
         }
--- a/crates/rillgap-sidecar/src/logging/request_log.rs
+++ b/crates/rillgap-sidecar/src/logging/request_log.rs
@@ -145,6 +145,20 @@
             requests = state.requests, retries = state.retries, remaining = state.remaining;
             "outbound: retry budget"
         ),
+        LogRecord::ServiceRetries {
+            service,
+            covered_millis,
+            tally,
+            state,
+            slack_part,
+            nodes,
+        } => log::info!(
+            uptime, service = service.as_str(), covered_millis, requests = tally.requests,
+            retries = tally.retries, calls = tally.calls, unattributed = tally.unattributed,
+            denied = tally.denied, calls_denied = tally.calls_denied, free = tally.free,
+            remaining = state.remaining, slack_part, nodes = *nodes as u64;
+            "outbound: retries of a service"
+        ),
         LogRecord::UnknownParent { request_id } => log::info!(
             uptime, request = request_id.as_str(); "outbound: call without a running parent"
         ),
