--- a/crates/rillgap-forward/tests/simulation/retry_budget.rs
+++ b/crates/rillgap-forward/tests/simulation/retry_budget.rs
@@ -44,6 +44,13 @@
     },
 ];
 
+/// Runs a scenario to its end and returns the violations of the retry budget.
+fn budget_violations(mut world: World, end: u64) -> Vec<String> {
+    world.run_until(end);
+    world.checker.check_budget();
+    world.checker.violations
+}
+
 /// Simulates a deepest service that rejects requests until its retries have used up its budget, and
 /// services above it that then lose answers. Returns the violations.
 fn run_scenario(seed: u64, chain: Chain, injected_bug: InjectedBug) -> Vec<String> {
@@ -60,9 +67,7 @@
             at(end, Fault::LoseAnswers(host, LOSE_PERCENT));
         }
     }
-    world.run_until(CALLERS_AND_SCENARIO_END.1);
-    world.checker.check_budget();
-    world.checker.violations
+    budget_violations(world, CALLERS_AND_SCENARIO_END.1)
 }
 
 #[gtest]
@@ -84,6 +89,83 @@
     }
 }
 
+/// Expects the checker to report the deepest service in a scenario with an injected bug.
+fn expect_budget_violation(chain: Chain, injected_bug: InjectedBug) {
+    let violations = run_scenario(0, chain, injected_bug);
+    expect_that!(violations, contains(starts_with("BUDGET deep:")));
+}
+
+/// Percentage of requests that all back ends reject in [`run_rejections`].
+const REJECT_ALL_PERCENT: u64 = 40;
+
+/// Simulates back ends that all reject requests. Returns the violations of the retry budget.
+fn run_rejections(injected_bug: InjectedBug) -> Vec<String> {
+    let mut world = World::new(0, injected_bug, CALLERS_AND_SCENARIO_END.0);
+    world.set_middle_calls(4);
+    for host in 0..world.size() {
+        let reject = Fault::Reject(host, REJECT_ALL_PERCENT);
+        world.schedule(REJECTING.1, WorldEvent::Fault(reject));
+    }
+    budget_violations(world, CALLERS_AND_SCENARIO_END.1)
+}
+
+#[gtest]
+fn checker_detects_calls_that_are_not_known_as_calls_of_retries() {
+    expect_that!(run_rejections(InjectedBug::None), is_empty());
+    let violations = run_rejections(InjectedBug::AnonymousCalls);
+    expect_that!(violations, contains(starts_with("BUDGET deep:")));
+}
+
+#[gtest]
+fn checker_detects_rejected_attempts_that_are_not_charged() {
+    expect_budget_violation(CHAINS[0], InjectedBug::FreeRejections);
+}
+
+#[gtest]
+fn checker_detects_nodes_that_do_not_divide_the_slack() {
+    expect_budget_violation(CHAINS[2], InjectedBug::UndividedSlack);
+}
+
+/// Number of back ends of each service in [`run_restarts`].
+const RESTARTING_PER_SERVICE: usize = 5;
+/// Milliseconds between two restarts of a node in [`run_restarts`].
+const RESTART_INTERVAL: u64 = 2_000;
+
+/// Simulates few requests to back ends that lose most answers, while each node is killed again and
+/// again. Returns the violations of the retry budget.
+fn run_restarts(seed: u64, injected_bug: InjectedBug) -> Vec<String> {
+    let (callers_until, end) = CALLERS_AND_SCENARIO_END;
+    let mut world = World::of_size(seed, injected_bug, callers_until, RESTARTING_PER_SERVICE);
+    world.set_caller_pause_factor(4);
+    world.set_middle_calls(4);
+    let size = world.size() as u64;
+    for host in 0..world.size() {
+        let mut at = |time, fault| world.schedule(time, WorldEvent::Fault(fault));
+        at(REJECTING.0, Fault::LoseAnswers(host, 90));
+        let first = REJECTING.0 + host as u64 * RESTART_INTERVAL / size;
+        for restart in 0..8 {
+            let killed_at = first + restart * RESTART_INTERVAL;
+            at(killed_at, Fault::Kill(host));
+            at(killed_at + 50, Fault::Start(host));
+        }
+    }
+    budget_violations(world, end)
+}
+
+#[gtest]
+fn series_of_restarts_exceed_no_retry_budget() {
+    for seed in 0..SEEDS {
+        let violations = run_restarts(seed, InjectedBug::None);
+        expect_that!(violations, is_empty(), "seed {seed}");
+    }
+}
+
+#[gtest]
+fn checker_detects_nodes_that_forget_their_retries_at_a_restart() {
+    let violations = run_restarts(0, InjectedBug::ForgottenRetries);
+    expect_that!(violations, contains(starts_with("BUDGET")));
+}
+
 /// Number of seeds of random failures.
 const RANDOM_SEEDS: u64 = 40;
 /// Seeds with which the calls of retried runs came on top of own retries of the deepest service.
@@ -98,8 +180,8 @@
 const KILL_INTERVAL: u64 = 700;
 
 /// Simulates a deployment of random size, shape and load in which back ends fail in random ways at
-/// all levels, and nodes are killed in series. Returns the violations of the retry budget.
-fn run_random_failures(seed: u64) -> Vec<String> {
+/// all levels, and nodes are killed in series.
+fn random_failures(seed: u64) -> World {
     let mut random = ChaCha8Rng::seed_from_u64(seed);
     let mut draw = |bound: u64| (u64::from(random.next_u32()) * bound) >> 32;
     let per_service = 3 + draw(3) as usize;
@@ -110,9 +192,7 @@
     for _ in 0..3 + draw(8) {
         schedule_random_failure(&mut world, &mut draw);
     }
-    world.run_until(RANDOM_CALLERS_AND_SCENARIO_END.1);
-    world.checker.check_budget();
-    world.checker.violations
+    world
 }
 
 /// Schedules a failure of one back end, of a service, of a service without one back end, or of all.
@@ -188,9 +268,43 @@
     }
 }
 
+/// Distinguishes the seed of disturbances from that of failures.
+const DISTURBANCE_SEED_MASK: u64 = 0x4469_7374_7572_6261;
+
+/// Schedules pauses of processes and partitions, which delay messages, beside random failures.
+fn schedule_disturbances(world: &mut World, seed: u64) {
+    let mut random = ChaCha8Rng::seed_from_u64(seed ^ DISTURBANCE_SEED_MASK);
+    let mut draw = |bound: u64| (u64::from(random.next_u32()) * bound) >> 32;
+    for _ in 0..8 {
+        let host = draw(world.size() as u64) as usize;
+        let (first, last) = FAILURE_BEGIN_RANGE;
+        let begin = first + draw(last - first);
+        let end = begin + 300 + draw(5_000);
+        let mut at = |time, fault| world.schedule(time, WorldEvent::Fault(fault));
+        if draw(2) == 0 {
+            at(begin, Fault::Pause(host, end));
+        } else {
+            at(begin, Fault::Partition(host, true));
+            at(end, Fault::Partition(host, false));
+        }
+    }
+}
+
+#[gtest]
+fn random_failures_with_delayed_messages_exceed_no_retry_budget() {
+    for seed in 0..seeds_or(RANDOM_SEEDS) {
+        let mut world = random_failures(seed);
+        schedule_disturbances(&mut world, seed);
+        let violations = budget_violations(world, RANDOM_CALLERS_AND_SCENARIO_END.1);
+        expect_that!(violations, is_empty(), "seed {seed}");
+    }
+}
+
 #[gtest]
 fn random_failures_at_all_levels_exceed_no_retry_budget() {
     for seed in (0..seeds_or(RANDOM_SEEDS)).chain(REGRESSION_SEEDS) {
-        expect_that!(run_random_failures(seed), is_empty(), "seed {seed}");
+        let end = RANDOM_CALLERS_AND_SCENARIO_END.1;
+        let violations = budget_violations(random_failures(seed), end);
+        expect_that!(violations, is_empty(), "seed {seed}");
     }
 }
--- a/crates/rillgap-forward/tests/simulation/scenario.rs
+++ b/crates/rillgap-forward/tests/simulation/scenario.rs
@@ -36,6 +36,14 @@
     ExcessTokens,
     /// Nodes have a retry budget that covers every retry.
     ExcessRetries,
+    /// The identifiers of calls do not tell which request they are made for.
+    AnonymousCalls,
+    /// Requests that back ends have rejected are reported as never sent.
+    FreeRejections,
+    /// Restarted nodes take the retries of their earlier run for forgotten at once.
+    ForgottenRetries,
+    /// Each node has the whole slack of the retry budget.
+    UndividedSlack,
     /// The notices in the answers of back ends do not reach their nodes.
     LostNotices,
 }
--- a/crates/rillgap-forward/tests/simulation/world/back_ends.rs
+++ b/crates/rillgap-forward/tests/simulation/world/back_ends.rs
@@ -40,6 +40,10 @@
             if result != ExchangeResult::NotSent {
                 self.checker.on_rejected(self.now, &id, service(host));
             }
+            let result = match self.injected_bug {
+                InjectedBug::FreeRejections => ExchangeResult::NotSent,
+                _ => result,
+            };
             self.end_exchange(host, &key, result, 1);
             return;
         }
@@ -128,7 +132,11 @@
         };
         execution.calls_made += 1;
         let number = execution.run.number * execution.calls_per_run + execution.calls_made;
-        let id = format!("{}.{number}", execution.id);
+        let separator = match self.injected_bug {
+            InjectedBug::AnonymousCalls => '-',
+            _ => '.',
+        };
+        let id = format!("{}{separator}{number}", execution.id);
         let next = next_service(service(host));
         let target = format!("/{next}/calls/{}", execution.item);
         let caller_run = Some(execution.run);
--- a/crates/rillgap-forward/tests/simulation/world/callers.rs
+++ b/crates/rillgap-forward/tests/simulation/world/callers.rs
@@ -106,6 +106,7 @@
         } = *sent;
         let is_of_single_caller = target.ends_with(SINGLE_CALLER_SUFFIX);
         let key = match sent.caller_run {
+            Some(_) if self.injected_bug == InjectedBug::AnonymousCalls => Some(Key::Kept),
             Some(_) => None,
             None if is_of_single_caller => Some(Key::Kept),
             None => Some(self.draw_key()),
--- a/crates/rillgap-forward/tests/simulation/world/faults.rs
+++ b/crates/rillgap-forward/tests/simulation/world/faults.rs
@@ -167,9 +167,15 @@
         entry.version = 0;
         entry.wakes_at = u64::MAX;
         let mut settings = settings(host, entry.incarnation, seed);
-        if self.injected_bug == InjectedBug::ExcessRetries {
-            settings.retry_bound.ratio = EXCESS_RETRY_RATIO;
+        match self.injected_bug {
+            InjectedBug::ExcessRetries => settings.retry_bound.ratio = EXCESS_RETRY_RATIO,
+            InjectedBug::ForgottenRetries => settings.is_first_start = true,
+            InjectedBug::UndividedSlack => {
+                settings.retry_bound.slack *= u32::try_from(self.hosts.len()).unwrap_or(u32::MAX);
+            }
+            _ => {}
         }
+        let entry = &mut self.hosts[host];
         entry.node = Some(Node::new(now, settings));
         let incarnation = entry.incarnation;
         self.node_event(host, incarnation, Event::Wake);
