Soak: retry pressure, BUDGET counted as the rule says, a planted fault that it reports

It counted calls of a retried run by the last run of its parent, gave the calls of both runs one identifier, and counted them as requests.

Requests younger than 0.4 s are judged in neither window; those carried over from before it are. Older ones in flight count as not served, as before.

--- a/tests/soak/src/back_end.rs
+++ b/tests/soak/src/back_end.rs
@@ -13,7 +13,7 @@
 use tokio::task::JoinSet;
 
 use crate::caller::{self, Outgoing};
-use crate::checker::{Arrived, body_of, signature_of};
+use crate::checker::{Arrival, Arrived, body_of, signature_of};
 use crate::crashing;
 use crate::deployment::{BACK_END_SLOTS, DRAIN_TIME, HEARTBEAT_INTERVAL, Layout, QUEUE_LENGTH};
 use crate::soak::Soak;
@@ -42,6 +42,8 @@
 pub const INSTANCE_FIELD: &str = "Soak-Instance";
 /// Header field with the rate limit of the back end, in requests per second.
 pub const RATE_LIMIT_FIELD: &str = "Server-Limit";
+/// Header field that marks a response to a request that was not run.
+const NOT_EXECUTED_FIELD: &str = "Not-Executed";
 /// Header field with the load of the back end.
 const LOAD_FIELD: &str = "Server-Load";
 /// Header field that marks a response of a back end that is leaving.
@@ -215,7 +217,15 @@
                 .await?;
             return Ok(true);
         }
-        self.soak.checker().on_arrived(self.soak.now(), &arrived);
+        let arrival = self.soak.checker().on_arrived(self.soak.now(), &arrived);
+        let machine = &self.soak.machines[self.node];
+        if self.soak.draw_percent(&machine.rejected_percent) {
+            let fields = [(NOT_EXECUTED_FIELD, "1".to_owned()), ("Attempt-Id", id)];
+            connection
+                .write(&encode_response(503, &fields, b""))
+                .await?;
+            return Ok(true);
+        }
         let Ok(_admission) = self.capacity.try_acquire() else {
             // A request that does not fit into the queue gets no response, and the connection is
             // not used any further.
@@ -228,7 +238,7 @@
         self.soak
             .checker()
             .on_run_started(self.soak.now(), &arrived);
-        let _guard = RunGuard {
+        let guard = RunGuard {
             soak: self.soak.clone(),
             id: id.clone(),
             instance: self.label(),
@@ -238,17 +248,24 @@
             .get("Deadline-Ms")
             .and_then(|text| text.parse().ok());
         let deadline = Duration::from_millis(deadline.unwrap_or(10_000));
+        let work = tokio::time::timeout(deadline, self.work(request, &id, arrival));
+        tokio::pin!(work);
         let status = tokio::select! {
-            status = tokio::time::timeout(deadline, self.work(request, &id)) => {
-                status.unwrap_or(504)
+            status = &mut work => status.unwrap_or(504),
+            () = connection.wait_closed() => {
+                // For the checker, the request no longer runs once its connection is closed.
+                drop(guard);
+                if machine.finishes_abandoned_work.load(Ordering::Relaxed) {
+                    let _ = work.await;
+                }
+                return Ok(false);
             }
-            () = connection.wait_closed() => return Ok(false),
         };
         self.reply(connection, &id, status).await
     }
 
     /// Works on a request and makes its calls; returns the status of the response.
-    async fn work(&self, request: &Request, id: &str) -> u16 {
+    async fn work(&self, request: &Request, id: &str, arrival: Arrival) -> u16 {
         let machine = &self.soak.machines[self.node];
         let (min, spread) = WORK_MILLIS;
         let slowdown_factor = u64::from(machine.slowdown_factor.load(Ordering::Relaxed).max(1));
@@ -264,23 +281,32 @@
         if self.soak.draw_percent(&machine.failed_percent) {
             return 500;
         }
-        let Some(target) = call_target(Layout::service(self.node), &request.target) else {
+        let service = Layout::service(self.node);
+        let Some(target) = call_target(service, &request.target) else {
             return 200;
         };
-        let call = Outgoing {
-            id: format!("{id}.1"),
-            method: "GET",
-            target,
-            body: Vec::new(),
-            is_idempotent: true,
-            is_call: true,
-            deadline: Duration::from_millis(700),
+        let calls = match service {
+            "middle" => self.soak.middle_calls,
+            _ => 1,
         };
-        let answer = caller::exchange(&self.soak, self.node, &mut None, &call).await;
-        match answer {
-            Some(response) if response.status == 200 => 200,
-            _ => 500,
+        for number in 1..=calls {
+            let call = Outgoing {
+                // Each run makes calls of its own.
+                id: format!("{id}.{}-{number}", arrival.number),
+                method: "GET",
+                target: target.clone(),
+                body: Vec::new(),
+                is_idempotent: true,
+                is_call: true,
+                is_of_retry: arrival.is_retry,
+                deadline: Duration::from_millis(700),
+            };
+            let answer = caller::exchange(&self.soak, self.node, &mut None, &call).await;
+            if answer.is_none_or(|response| response.status != 200) {
+                return 500;
+            }
         }
+        200
     }
 
     /// Sends the response, unless an injected fault loses or corrupts it; returns whether the
--- a/tests/soak/src/caller.rs
+++ b/tests/soak/src/caller.rs
@@ -42,6 +42,8 @@
     pub is_idempotent: bool,
     /// Whether a back end sends the request while it works on another one.
     pub is_call: bool,
+    /// Whether the back end makes the call for a run that is a retry.
+    pub is_of_retry: bool,
     /// Deadline sent to the node.
     pub deadline: Duration,
 }
@@ -70,6 +72,7 @@
         is_idempotent: outgoing.is_idempotent,
         caller_service: Layout::service(node),
         key_version,
+        is_of_retry: outgoing.is_of_retry,
     };
     let sent_at = sent.at;
     let service = service_of(&outgoing.target);
@@ -205,7 +208,8 @@
 pub async fn run(soak: Arc<Soak>, node: usize) {
     let mut idle = None;
     loop {
-        tokio::time::sleep(Duration::from_millis(10 + soak.draw(80))).await;
+        let pause = Duration::from_millis(10 + soak.draw(80));
+        tokio::time::sleep(pause * soak.pause_factor.load(Ordering::Relaxed).max(1)).await;
         // An open connection is used as long as the node keeps it open, even if the node is not
         // ready; a new one is opened only to a node that is ready.
         if idle.is_none() && !soak.machines[node].is_ready.load(Ordering::Relaxed) {
@@ -241,6 +245,7 @@
         body: vec![b'b'; length],
         is_idempotent,
         is_call: false,
+        is_of_retry: false,
         deadline: DEADLINE,
     }
 }
--- a/tests/soak/src/checker.rs
+++ b/tests/soak/src/checker.rs
@@ -44,6 +44,17 @@
     pub caller_service: &'static str,
     /// Version of the configuration to which the key belongs; `None` for a call, which has no key.
     pub key_version: Option<u64>,
+    /// Whether the request is a call made by a run that is a retry.
+    pub is_of_retry: bool,
+}
+
+/// Arrival of a request at a back end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Arrival {
+    /// Number of this arrival of the request, from 1.
+    pub number: u32,
+    /// Whether it counts as a retry.
+    pub is_retry: bool,
 }
 
 /// A run of a request at a back end.
@@ -121,6 +132,8 @@
 #[derive(Debug, Default)]
 pub struct Checker {
     histories: BTreeMap<String, RequestHistory>,
+    /// Times at which the requests of callers that have no outcome yet were sent.
+    in_flight: BTreeMap<String, Moment>,
     drained_at: BTreeMap<String, Moment>,
     retries: RetryHistory,
     allowed_services: BTreeMap<String, BTreeSet<&'static str>>,
@@ -139,6 +152,14 @@
 }
 
 impl Checker {
+    /// Creates a checker of a deployment whose retry budget has this slack.
+    pub fn with_retry_slack(slack: f64) -> Self {
+        Self {
+            retries: RetryHistory::with_slack(slack),
+            ..Self::default()
+        }
+    }
+
     /// Records a violation.
     pub fn report_violation(&mut self, at: Moment, text: &str) {
         self.violation_count += 1;
@@ -163,6 +184,12 @@
         self.totals
     }
 
+    /// Returns the number of requests of callers without an outcome that were sent after `since`.
+    pub fn in_flight_since(&self, since: Moment) -> u64 {
+        let sent = self.in_flight.values();
+        sent.filter(|at| **at > since).count() as u64
+    }
+
     /// Allows requests under a prefix to run at a service.
     pub fn allow_route(&mut self, prefix: &str, service: &'static str) {
         self.allowed_services
@@ -196,34 +223,43 @@
     pub fn on_sent(&mut self, id: &str, sent: Sent, service: &'static str, is_call: bool) {
         if !is_call {
             self.totals.requests += 1;
+            self.in_flight.insert(id.to_owned(), sent.at);
+        }
+        // A call made for a retry is itself a retry, not a request.
+        if !sent.is_of_retry {
+            self.retries.on_request(sent.at, service);
         }
-        let at = sent.at;
-        self.retries.on_request(at, service);
         self.histories.entry(id.to_owned()).or_default().sent = Some(sent);
     }
 
     /// Records that a request reached a back end, whether or not it runs there.
-    pub fn on_arrived(&mut self, at: Moment, arrived: &Arrived<'_>) {
+    pub fn on_arrived(&mut self, at: Moment, arrived: &Arrived<'_>) -> Arrival {
         let parent = arrived.id.rsplit_once('.').map(|(parent, _)| parent);
         let is_parent_retry = parent
             .and_then(|parent| self.histories.get(parent))
             .is_some_and(|history| history.is_retry);
         let history = self.histories.entry(arrived.id.to_owned()).or_default();
         history.arrivals += 1;
-        let is_retry = history.arrivals > 1 || is_parent_retry;
-        history.is_retry |= is_retry;
         let sent = history.sent.as_ref();
+        // Without a record of the call, it counts as one of the last run of its parent.
+        let is_of_retry = sent.map_or(is_parent_retry, |sent| sent.is_of_retry);
+        let arrival = Arrival {
+            number: history.arrivals,
+            is_retry: history.arrivals > 1 || is_of_retry,
+        };
+        history.is_retry |= arrival.is_retry;
         let violation = sent.and_then(|sent| {
             let instance = arrived.instance;
             self.notices
                 .on_arrival(at, arrived.id, sent.node, sent.at, instance)
         });
-        if is_retry {
+        if arrival.is_retry {
             self.retries.on_retry(at, arrived.service);
         }
         if let Some(text) = violation {
             self.report_violation(at, &text);
         }
+        arrival
     }
 
     /// Records that a back end starts to work on a request, and checks all guarantees about runs.
@@ -284,6 +320,7 @@
 
     /// Records a response to a request, and checks that it belongs to the request.
     pub fn on_answer(&mut self, at: Moment, id: &str, answer: &Answer<'_>, is_call: bool) {
+        self.in_flight.remove(id);
         if !is_call {
             match answer.status {
                 200..300 => self.totals.served += 1,
@@ -314,6 +351,7 @@
     /// Records that a request got no response, and checks that it was not lost to a planned stop.
     /// `was_reused` tells whether the connection had carried an earlier request.
     pub fn on_no_answer(&mut self, at: Moment, id: &str, is_call: bool, was_reused: bool) {
+        self.in_flight.remove(id);
         if !is_call {
             self.totals.failed += 1;
         }
@@ -342,6 +380,7 @@
 
     /// Records that a caller left before the response to its request.
     pub fn on_caller_left(&mut self, at: Moment, id: &str) {
+        self.in_flight.remove(id);
         if let Some(history) = self.histories.get_mut(id) {
             self.totals.cancelled += 1;
             history.cancelled_at = Some(at);
--- a/tests/soak/src/crashing.rs
+++ b/tests/soak/src/crashing.rs
@@ -145,6 +145,7 @@
         body: Vec::new(),
         is_idempotent,
         is_call: false,
+        is_of_retry: false,
         deadline: DEADLINE,
     };
     caller::exchange(soak, node, &mut None, &outgoing).await;
--- a/tests/soak/src/deployment.rs
+++ b/tests/soak/src/deployment.rs
@@ -27,6 +27,13 @@
 pub const RETRY_RATIO: f64 = 0.2;
 /// Retry budget: number of retries allowed within a window in addition to the ratio.
 pub const RETRY_SLACK: f64 = 55.0;
+/// The same under retry pressure, when it is small beside the number of nodes.
+pub const TIGHT_RETRY_SLACK: f64 = 12.0;
+/// Ratio of retries to requests that nodes are set to instead of [`RETRY_RATIO`] for a soak that must
+/// exceed the retry budget.
+const EXCESS_RETRY_RATIO: f64 = 10.0;
+/// Slack that nodes are set to for it.
+const EXCESS_RETRY_SLACK: f64 = 10_000.0;
 /// Tenant of all callers.
 pub const TENANT: &str = "north";
 /// Maximum time until a revoked key stops working.
@@ -51,6 +58,10 @@
     pub network: u8,
     /// Number of machines.
     pub nodes: usize,
+    /// Retries allowed within a window in addition to the ratio.
+    pub retry_slack: f64,
+    /// Whether nodes are set to a larger ratio of retries than the deployment allows.
+    pub has_excess_retries: bool,
 }
 
 impl Layout {
@@ -118,14 +129,21 @@
         (self.machine(node, STORE_PORT), self.proxy(node, STORE_PORT))
     }
 
-    /// Returns the content of a node's settings file.
-    pub fn settings(self, node: usize) -> String {
+    /// Returns the content of a node's settings file. `is_first_start` says whether the whole
+    /// deployment starts.
+    pub fn settings(self, node: usize, is_first_start: bool) -> String {
         let (mesh, mesh_proxy) = self.mesh(node);
+        let (retry_ratio, retry_slack) = if self.has_excess_retries {
+            (EXCESS_RETRY_RATIO, EXCESS_RETRY_SLACK)
+        } else {
+            (RETRY_RATIO, self.retry_slack)
+        };
         format!(
             r#"[node]
 name = "{name}"
 zone = "{zone}"
 region = "region"
+first-start = {is_first_start}
 
 [listen]
 callers = "{callers}"
@@ -144,8 +162,8 @@
 
 [bounds]
 grace-seconds = {grace}
-retry-ratio = {RETRY_RATIO}
-retry-slack = {RETRY_SLACK:?}
+retry-ratio = {retry_ratio}
+retry-slack = {retry_slack:?}
 retry-window-seconds = {window}
 revocation-seconds = {revocation}
 
--- a/tests/soak/src/faults.rs
+++ b/tests/soak/src/faults.rs
@@ -15,6 +15,7 @@
 
 use crate::crashing::CrashingCaller;
 use crate::proxy::{Disturbance, Proxy};
+use crate::retry_pressure::RetryPressure;
 use crate::soak::Soak;
 use crate::store::StoreFault;
 use crate::{back_end, node, operator};
@@ -28,6 +29,8 @@
 const SETTLE_MILLIS: u64 = 5_000;
 /// Time over which the recovery is checked, in milliseconds.
 const CHECK_MILLIS: u64 = 2_500;
+/// Time within which requests are answered after the recovery. Younger ones are not judged yet.
+const ANSWER_TIME: Duration = Duration::from_millis(400);
 /// Minimum percentage of requests that must be served after the recovery.
 const MIN_SERVED_PERCENT: u64 = 95;
 /// On average one of this many cycles has planned work only, without faults.
@@ -94,6 +97,8 @@
     targets: Arc<Targets>,
     random: ChaCha8Rng,
     crashing: CrashingCaller,
+    /// Retry pressure, if the soak has it.
+    retry_pressure: Option<RetryPressure>,
     /// Generator of what back ends state, apart from that of the faults, whose seeds stay valid.
     statement_random: ChaCha8Rng,
     /// Generator of the loads that back ends state, apart from the others; `None` if they state
@@ -103,11 +108,15 @@
 
 impl Schedule {
     /// Creates the schedule that `seed` determines.
-    pub fn new(soak: Arc<Soak>, targets: Targets, seed: u64) -> Self {
+    pub fn new(soak: Arc<Soak>, targets: Targets, seed: u64, has_retry_pressure: bool) -> Self {
+        let targets = Arc::new(targets);
+        let retry_pressure =
+            has_retry_pressure.then(|| RetryPressure::new(soak.clone(), targets.clone(), seed));
         Self {
             crashing: CrashingCaller::new(soak.clone(), seed),
+            retry_pressure,
             soak,
-            targets: Arc::new(targets),
+            targets,
             random: ChaCha8Rng::seed_from_u64(seed),
             statement_random: ChaCha8Rng::seed_from_u64(seed ^ STATEMENT_SEED_MASK),
             load_random: load_random(seed),
@@ -119,6 +128,9 @@
         let is_planned_only = self.draw(CYCLES_PER_PLANNED_CYCLE) == 0;
         let length = DISTURBED_MILLIS + SETTLE_MILLIS + CHECK_MILLIS;
         self.crashing.begin_cycle(millis(length));
+        if let Some(retry_pressure) = &mut self.retry_pressure {
+            retry_pressure.begin_cycle();
+        }
         if self.soak.has_renewals {
             self.schedule_restore();
         }
@@ -445,7 +457,10 @@
     /// Checks that all nodes are ready and nearly all requests are served.
     async fn check_recovery(&self) {
         self.log("calm");
-        let before = self.soak.checker().totals();
+        let (before, carried_over) = {
+            let checker = self.soak.checker();
+            (checker.totals(), checker.in_flight_since(Duration::ZERO))
+        };
         let newest = self.soak.version.load(Ordering::SeqCst);
         sleep(millis(CHECK_MILLIS)).await;
         let now = self.soak.now();
@@ -453,7 +468,10 @@
         let after = checker.totals();
         // Cancelled requests and requests with a revoked key need not be served.
         let excused = after.cancelled - before.cancelled + after.denied - before.denied;
-        let expected = (after.requests - before.requests).saturating_sub(excused);
+        // Requests that were sent just now may still be answered in time.
+        let recent = checker.in_flight_since(now.saturating_sub(ANSWER_TIME));
+        let sent = after.requests - before.requests + carried_over;
+        let expected = sent.saturating_sub(excused + recent);
         let served = after.served - before.served;
         if served * 100 < expected * MIN_SERVED_PERCENT {
             let text = format!("RECOVER {served} of {expected} served, configuration {newest}");
--- a/tests/soak/src/lib.rs
+++ b/tests/soak/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod operator;
 pub mod proxy;
 pub mod retries;
+pub mod retry_pressure;
 pub mod soak;
 pub mod stated_load;
 pub mod store;
--- a/tests/soak/src/main.rs
+++ b/tests/soak/src/main.rs
@@ -10,10 +10,11 @@
 use tokio::sync::mpsc;
 use tokio::time::sleep;
 
-use rillgap_soak::deployment::{DEFAULT_NODES, Layout, MAX_NODES};
+use rillgap_soak::deployment::{DEFAULT_NODES, Layout, MAX_NODES, RETRY_SLACK, TIGHT_RETRY_SLACK};
 use rillgap_soak::faults::{Proxies, Schedule, Targets};
 use rillgap_soak::node::Files;
 use rillgap_soak::proxy::Proxy;
+use rillgap_soak::retry_pressure::MIDDLE_CALLS;
 use rillgap_soak::soak::Soak;
 use rillgap_soak::{back_end, caller, node, operator};
 
@@ -44,6 +45,12 @@
     /// restore the store from backups, and restart back ends under the identifier that they had
     #[argh(switch)]
     renewals: bool,
+    /// let back ends fail at several levels under a small retry budget, and kill nodes in series
+    #[argh(switch)]
+    retry_pressure: bool,
+    /// set nodes to more retries than the budget allows: the soak must report it
+    #[argh(switch)]
+    excess_retries: bool,
     /// number of callers on each machine
     #[argh(option, default = "3")]
     callers: usize,
@@ -71,6 +78,12 @@
     let layout = Layout {
         network: arguments.network,
         nodes: arguments.nodes,
+        retry_slack: if arguments.retry_pressure {
+            TIGHT_RETRY_SLACK
+        } else {
+            RETRY_SLACK
+        },
+        has_excess_retries: arguments.excess_retries,
     };
     let folder = arguments.folder.join(format!("seed-{}", arguments.seed));
     if folder.exists() {
@@ -81,7 +94,12 @@
         program: arguments.program.clone(),
         folder,
     };
-    let soak = Soak::new(layout, arguments.seed, arguments.renewals);
+    let middle_calls = if arguments.retry_pressure {
+        MIDDLE_CALLS
+    } else {
+        1
+    };
+    let soak = Soak::new(layout, arguments.seed, arguments.renewals, middle_calls);
     if arguments.renewals {
         soak.store.start_backups();
     }
@@ -93,7 +111,12 @@
             tokio::spawn(caller::run(soak.clone(), node));
         }
     }
-    let mut schedule = Schedule::new(soak.clone(), targets, arguments.seed);
+    let mut schedule = Schedule::new(
+        soak.clone(),
+        targets,
+        arguments.seed,
+        arguments.retry_pressure,
+    );
     let end = Duration::from_secs(arguments.seconds);
     while soak.now() < end {
         schedule.cycle().await;
--- a/tests/soak/src/node.rs
+++ b/tests/soak/src/node.rs
@@ -78,14 +78,14 @@
 fn start(soak: &Arc<Soak>, node: usize, files: &Files) -> io::Result<Child> {
     let name = Layout::name(node);
     let settings = files.folder.join(format!("{name}.toml"));
-    std::fs::write(&settings, soak.layout.settings(node))?;
+    let earlier_starts = soak.machines[node]
+        .incarnation
+        .fetch_add(1, Ordering::Relaxed);
+    std::fs::write(&settings, soak.layout.settings(node, earlier_starts == 0))?;
     let log = File::options()
         .create(true)
         .append(true)
         .open(files.folder.join(format!("{name}.log")))?;
-    soak.machines[node]
-        .incarnation
-        .fetch_add(1, Ordering::Relaxed);
     soak.checker().notices().on_node_frozen(node);
     Command::new(&files.program)
         .arg("--settings")
--- a/tests/soak/src/retries.rs
+++ b/tests/soak/src/retries.rs
@@ -35,15 +35,20 @@
 impl Default for RetryHistory {
     /// Creates an empty history with the retry budget of the soaked deployment.
     fn default() -> Self {
+        Self::with_slack(RETRY_SLACK)
+    }
+}
+
+impl RetryHistory {
+    /// Creates an empty history with the ratio and window of the soaked deployment.
+    pub const fn with_slack(slack: f64) -> Self {
         Self::new(RetryLimit {
             ratio: RETRY_RATIO,
-            slack: RETRY_SLACK,
+            slack,
             window: RETRY_WINDOW,
         })
     }
-}
 
-impl RetryHistory {
     /// Creates an empty history.
     pub const fn new(limit: RetryLimit) -> Self {
         Self {
--- a/tests/soak/src/soak.rs
+++ b/tests/soak/src/soak.rs
@@ -26,6 +26,10 @@
     pub corrupted_percent: AtomicU32,
     /// Percentage of requests that the back end answers with an error.
     pub failed_percent: AtomicU32,
+    /// Percentage of requests that the back end rejects as not run.
+    pub rejected_percent: AtomicU32,
+    /// Whether the back end goes on with requests whose connection was closed.
+    pub finishes_abandoned_work: AtomicBool,
     /// Factor by which the back end's work takes longer; 0 counts as 1.
     pub slowdown_factor: AtomicU32,
     /// Rate limit that the back end's responses state, in requests per second; 0 for none.
@@ -69,6 +73,10 @@
     pub version: AtomicU64,
     /// Whether the store is restored from backups and back ends may restart under their identifier.
     pub has_renewals: bool,
+    /// Number of calls to the deepest service that a run of the middle one makes.
+    pub middle_calls: u32,
+    /// Factor on the time between two requests of a caller; 0 counts as 1.
+    pub pause_factor: AtomicU32,
     /// Newest configuration as written to the store.
     configuration: Mutex<Value>,
     start: Instant,
@@ -79,16 +87,18 @@
 
 impl Soak {
     /// Creates a soak whose random draws are determined by `seed`.
-    pub fn new(layout: Layout, seed: u64, has_renewals: bool) -> Arc<Self> {
+    pub fn new(layout: Layout, seed: u64, has_renewals: bool, middle_calls: u32) -> Arc<Self> {
         Arc::new(Self {
             layout,
             store: Store::new(layout.nodes),
             machines: (0..layout.nodes).map(|_| Machine::default()).collect(),
             version: AtomicU64::new(0),
             has_renewals,
+            middle_calls,
+            pause_factor: AtomicU32::new(1),
             configuration: Mutex::default(),
             start: Instant::now(),
-            checker: Mutex::default(),
+            checker: Mutex::new(Checker::with_retry_slack(layout.retry_slack)),
             random: Mutex::new(ChaCha8Rng::seed_from_u64(seed)),
             next_request: AtomicU64::new(0),
         })
--- a/tests/soak/tests/checker.rs
+++ b/tests/soak/tests/checker.rs
@@ -3,7 +3,9 @@
 use std::time::Duration;
 
 use googletest::prelude::*;
-use rillgap_soak::checker::{Answer, Arrived, Checker, Sent, body_of, prefix_of, signature_of};
+use rillgap_soak::checker::{
+    Answer, Arrival, Arrived, Checker, Sent, body_of, prefix_of, signature_of,
+};
 use rillgap_soak::deployment::TENANT;
 use rillgap_soak::notices::AnswerNotice;
 
@@ -23,6 +25,7 @@
         is_idempotent,
         caller_service: "middle",
         key_version: None,
+        is_of_retry: false,
     }
 }
 
@@ -284,6 +287,64 @@
     );
 }
 
+#[gtest]
+fn only_calls_of_the_retried_run_count_as_retries() {
+    let mut checker = checker();
+    for number in 0..60 {
+        let id = format!("r{number}");
+        checker.on_sent(&id, sent(number, true), "front", false);
+        expect_that!(
+            checker.on_arrived(at(number), &arrived(&id)).is_retry,
+            eq(false)
+        );
+        let second = checker.on_arrived(at(number), &arrived(&id));
+        expect_that!(
+            second,
+            eq(Arrival {
+                number: 2,
+                is_retry: true
+            })
+        );
+        // The first run makes its call after the second one has begun.
+        for (call, is_of_retry) in [(format!("{id}.1"), false), (format!("{id}.2"), true)] {
+            let sent = Sent {
+                is_of_retry,
+                ..sent(number, true)
+            };
+            checker.on_sent(&call, sent, "deep", true);
+            let deep = Arrived {
+                service: "deep",
+                ..arrived(&call)
+            };
+            let arrival = checker.on_arrived(at(number), &deep);
+            expect_that!(arrival.is_retry, eq(is_of_retry));
+        }
+    }
+    // 60 requests and 60 retries of each service: 0.2 * 60 + 55 are allowed.
+    checker.conclude(at(20_000));
+    expect_that!(kinds(&checker), is_empty());
+}
+
+#[gtest]
+fn calls_of_retries_do_not_raise_the_budget() {
+    let mut checker = Checker::with_retry_slack(5.0);
+    checker.allow_route("/front/", "front");
+    for number in 0..10 {
+        let id = format!("r{number}.1");
+        let of_retry = Sent {
+            is_of_retry: true,
+            ..sent(number, true)
+        };
+        checker.on_sent(&id, of_retry, "front", true);
+        checker.on_arrived(at(number), &arrived(&id));
+    }
+    checker.conclude(at(20_000));
+    expect_that!(
+        checker.violations(),
+        contains(contains_substring("BUDGET front: 6 retries, 0 requests"))
+    );
+}
+
 #[gtest]
 fn work_that_continues_after_its_callers_left_is_reported() {
     for (stops_at, expected) in [(300, vec![]), (2_000, vec!["GONE".to_owned()])] {
