Sight: connection and time of a back end's refusals, answers that belong to another request

No record told them apart: a refusal was logged with the time since the request had reached the node, not with the connection that it came on.

Records: `back end: request refused` (connection, time since the send), `back end: answer to another request skipped`. Counters: rillgap_back_end_refusals, rillgap_foreign_answers.

--- a/crates/rillgap-forward/src/log_record.rs
+++ b/crates/rillgap-forward/src/log_record.rs
@@ -140,6 +140,24 @@
         /// The lost request, if the back end may have run it.
         lost: Option<LostRequest>,
     },
+    /// The back end has answered that it did not run a request.
+    RefusedByBackEnd {
+        /// The caller's identifier of the request.
+        request_id: String,
+        /// Number of the connection to the back end.
+        connection: u64,
+        /// Time since the request was sent on it, in microseconds.
+        elapsed_micros: u64,
+    },
+    /// The back end has sent an answer to another request than the one that waits on the connection.
+    ForeignAnswer {
+        /// Identifier of the request that waits.
+        request_id: String,
+        /// Identifier in the answer.
+        answered_id: String,
+        /// Number of the connection to the back end.
+        connection: u64,
+    },
     /// The caller of a request has disconnected.
     Cancelled {
         /// The caller's identifier of the request.
--- a/crates/rillgap-sidecar/src/back_end/connection.rs
+++ b/crates/rillgap-sidecar/src/back_end/connection.rs
@@ -6,8 +6,10 @@
 use std::time::Duration;
 
 use bytes::{Buf, BytesMut};
+use rillgap_core::time::Instant;
 use rillgap_forward::action::Exchange;
 use rillgap_forward::event::ExchangeResult;
+use rillgap_forward::log_record::LogRecord;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc::{self, UnboundedReceiver};
 use tokio::time::timeout;
@@ -52,25 +54,28 @@
         client.report_end(&hub, job.exchange.id, ExchangeResult::NotSent);
         return;
     };
-    hub.metrics().back_end_connections.inc();
-    let connection = BackEndConnection::new(hub, stream);
+    let number = hub.metrics().back_end_connections.inc() + 1;
+    let connection = BackEndConnection::new(hub, number, stream);
     connection.serve(job).await;
 }
 
 struct BackEndConnection {
     hub: Rc<Hub>,
+    /// Number of the connection in log records.
+    number: u64,
     stream: TcpStream,
     input: BytesMut,
     idle_timeout: Duration,
 }
 
 impl BackEndConnection {
-    fn new(hub: Rc<Hub>, stream: TcpStream) -> Self {
+    fn new(hub: Rc<Hub>, number: u64, stream: TcpStream) -> Self {
         // Without `TCP_NODELAY` requests may wait for acknowledgements. The connection also works
         // without it, so an error is ignored.
         let _ = stream.set_nodelay(true);
         Self {
             hub,
+            number,
             stream,
             input: BytesMut::new(),
             idle_timeout: DEFAULT_IDLE_TIMEOUT,
@@ -155,6 +160,7 @@
         let dialect = self.hub.dialect().clone();
         let mut output = BytesMut::from(encode(&job.exchange, dialect.headers()).as_slice());
         let is_head = job.exchange.request.method == "HEAD";
+        let sent_at = self.hub.now();
         let mut reader = ResponseReader::new(&job.exchange.request.request_id, is_head);
         loop {
             if self.flush(&mut output).is_err() {
@@ -170,7 +176,9 @@
                         let client = self.hub.back_end();
                         client.report_notice(&self.hub, job.exchange.id, notice);
                     }
+                    self.log_foreign_answers(job, &mut reader);
                     if let Some(outcome) = self.outcome_of(progress, output.is_empty()) {
+                        self.log_refusal(job, sent_at, &outcome);
                         return outcome;
                     }
                 }
@@ -220,6 +228,31 @@
         }
     }
 
+    fn log_foreign_answers(&self, job: &Job, reader: &mut ResponseReader) {
+        for answered_id in reader.take_foreign_ids() {
+            self.hub.log(&LogRecord::ForeignAnswer {
+                request_id: job.exchange.request.request_id.clone(),
+                answered_id,
+                connection: self.number,
+            });
+        }
+    }
+
+    fn log_refusal(&self, job: &Job, sent_at: Instant, outcome: &Outcome) {
+        let Outcome::Ended { result, .. } = outcome else {
+            return;
+        };
+        if *result != ExchangeResult::NotExecuted {
+            return;
+        }
+        let elapsed = self.hub.now().saturating_since(sent_at);
+        self.hub.log(&LogRecord::RefusedByBackEnd {
+            request_id: job.exchange.request.request_id.clone(),
+            connection: self.number,
+            elapsed_micros: u64::try_from(elapsed.as_micros()).unwrap_or(u64::MAX),
+        });
+    }
+
     fn flush(&mut self, output: &mut BytesMut) -> io::Result<()> {
         while !output.is_empty() {
             match self.stream.try_write(output) {
--- a/crates/rillgap-sidecar/src/back_end/response.rs
+++ b/crates/rillgap-sidecar/src/back_end/response.rs
@@ -58,6 +58,8 @@
     current: Option<(ResponseHead, AnswerFields, BodyDecoder)>,
     body: Vec<u8>,
     foreign_answers: u32,
+    /// Identifiers in the answers to other requests, until they are taken.
+    foreign_ids: Vec<String>,
     /// Notices in the head of the answer, until they are taken.
     notice: Option<BackEndNotice>,
 }
@@ -70,6 +72,7 @@
             current: None,
             body: Vec::new(),
             foreign_answers: 0,
+            foreign_ids: Vec::new(),
             notice: None,
         }
     }
@@ -141,6 +144,11 @@
         self.notice.take()
     }
 
+    /// Returns the identifiers in answers to other requests that were read since the last call.
+    pub fn take_foreign_ids(&mut self) -> Vec<String> {
+        std::mem::take(&mut self.foreign_ids)
+    }
+
     /// Records the notices of the back end that the request was sent to. A head without the
     /// identifier of the request may be a late answer, and a misdirected one comes from another
     /// back end.
@@ -166,11 +174,9 @@
     /// Classifies a complete answer; `None` if it belongs to another request.
     fn finish(&mut self) -> Option<Progress> {
         let (head, answer_fields, _) = self.current.take()?;
-        let is_foreign = answer_fields
-            .request_id
-            .as_ref()
-            .is_some_and(|id| *id != self.request_id);
-        if is_foreign {
+        let answered_id = answer_fields.request_id.as_ref();
+        if let Some(foreign_id) = answered_id.filter(|id| **id != self.request_id) {
+            self.foreign_ids.push(foreign_id.clone());
             self.foreign_answers += 1;
             if self.foreign_answers > MAX_FOREIGN_ANSWERS || head.connection == Connection::Close {
                 return Some(Progress::Broken);
--- a/crates/rillgap-sidecar/src/hub.rs
+++ b/crates/rillgap-sidecar/src/hub.rs
@@ -15,6 +15,7 @@
 use rillgap_forward::back_end_notice::RequestRate;
 use rillgap_forward::event::Event;
 use rillgap_forward::id::{AnnouncementId, ConnectionId, LinkId, PipelineIndex};
+use rillgap_forward::log_record::LogRecord;
 use rillgap_forward::message::LinkMessage;
 use rillgap_forward::node::Node;
 use rillgap_forward::settings::ForwardSettings;
@@ -225,6 +226,12 @@
         }
     }
 
+    /// Counts and logs a record.
+    pub(crate) fn log(&self, record: &LogRecord) {
+        self.metrics.observe(record);
+        self.log.borrow_mut().write(record);
+    }
+
     /// Waits for [`Action::Exit`].
     pub async fn exited(&self) {
         self.exit.notified().await;
@@ -290,10 +297,7 @@
                     hub.dispatch(Event::Store { request: id, reply });
                 });
             }
-            Action::Log(record) => {
-                self.metrics.observe(&record);
-                self.log.borrow_mut().write(&record);
-            }
+            Action::Log(record) => self.log(&record),
             Action::Exit => self.exit.notify_one(),
         }
     }
--- a/crates/rillgap-sidecar/src/logging/request_log.rs
+++ b/crates/rillgap-sidecar/src/logging/request_log.rs
@@ -80,6 +80,8 @@
                 | LogRecord::NotAnswered { .. }
                 | LogRecord::BackEndRateLimit { .. }
                 | LogRecord::BackEndSlowdown { .. }
+                | LogRecord::RefusedByBackEnd { .. }
+                | LogRecord::ForeignAnswer { .. }
                 | LogRecord::Cancelled { .. }
                 | LogRecord::RequestQuarantined { .. }
         );
@@ -187,6 +189,22 @@
             reason = code.title(), elapsed_micros, running, queued, limit,
             instance = lost.instance.as_str(), content = lost.content.to_string().as_str(); "inbound: no answer"
         ),
+        LogRecord::RefusedByBackEnd {
+            request_id,
+            connection,
+            elapsed_micros,
+        } => log::info!(
+            uptime, request = request_id.as_str(), connection, elapsed_micros;
+            "back end: request refused"
+        ),
+        LogRecord::ForeignAnswer {
+            request_id,
+            answered_id,
+            connection,
+        } => log::info!(
+            uptime, request = request_id.as_str(), answered = answered_id.as_str(), connection;
+            "back end: answer to another request skipped"
+        ),
         LogRecord::Cancelled { request_id } => log::info!(
             uptime, request = request_id.as_str(); "outbound: caller gone"
         ),
--- a/crates/rillgap-sidecar/src/metrics.rs
+++ b/crates/rillgap-sidecar/src/metrics.rs
@@ -102,6 +102,10 @@
     store_calls: Family<StoreLabels, Counter>,
     link_messages: Family<MessageLabels, Counter>,
     link_bytes: Family<MessageLabels, Counter>,
+    /// Requests that the back end has answered as not run.
+    back_end_refusals: Counter,
+    /// Answers of the back end to another request than the one that waited on the connection.
+    foreign_answers: Counter,
     back_end_crashes: Counter,
     unreadable_records: Counter,
     /// Requests sent to the back end, health probes excluded.
@@ -174,6 +178,8 @@
             store_calls: Family::default(),
             link_messages: Family::default(),
             link_bytes: Family::default(),
+            back_end_refusals: Counter::default(),
+            foreign_answers: Counter::default(),
             back_end_crashes: Counter::default(),
             unreadable_records: Counter::default(),
             refused_control_calls: Counter::default(),
@@ -256,6 +262,12 @@
                 let code = code.number();
                 self.failures.get_or_create(&CodeLabels { code }).inc();
             }
+            LogRecord::RefusedByBackEnd { .. } => {
+                self.back_end_refusals.inc();
+            }
+            LogRecord::ForeignAnswer { .. } => {
+                self.foreign_answers.inc();
+            }
             LogRecord::BackEndCrashed { .. } => {
                 self.back_end_crashes.inc();
             }
@@ -360,6 +372,16 @@
              retries that it did not cover, by service",
             self.retry_budget.clone(),
         );
+        registry.register(
+            "back_end_refusals",
+            "Requests that the back end has answered as not run",
+            self.back_end_refusals.clone(),
+        );
+        registry.register(
+            "foreign_answers",
+            "Answers of the back end to another request than the one that waited on the connection",
+            self.foreign_answers.clone(),
+        );
         registry.register(
             "unknown_parents",
             "Requests with the identifier of a call whose request does not run here",
