A connection to the back end carries a request once: a late copy is no answer to the next send

A back end may send an answer again, late, in place of the next answer. The node matched answers by the identifier of the request. A request that its back end has refused may be sent there again, and the pool gave it the connection used last, which is the one of the refusal. A copy of the refusal was then the answer to the second send: reported as not run while it ran, so the entry sent it a third time or answered 503. The same holds for any answer, and for any second send of an identifier: a repeated run's calls, a caller's own repeat. An answer without an identifier counted for whatever waited.

A connection remembers the identifiers that it has carried (hashes, 512 at most, then it is closed) and never gets one of them again; a request that returns takes another idle connection or a new one. Time does not help, since a copy may come behind any later send: if it comes while another request waits, its identifier differs and the connection is closed after it, as before. Answers without an identifier are broken answers.

Test changed: refusal_by_the_back_end_becomes_503 sent a refusal without the identifier that every answer has; it has one now, and answer_without_an_identifier_does_not_prove_that_a_request_did_not_run asserts what one without it proves.

--- a/crates/rillgap-forward/tests/simulation/main.rs
+++ b/crates/rillgap-forward/tests/simulation/main.rs
@@ -6,6 +6,7 @@
 
 mod checker;
 mod crashing_requests;
+mod late_rejections;
 mod retry_budget;
 mod scenario;
 mod size;
--- a/crates/rillgap-forward/tests/simulation/scenario.rs
+++ b/crates/rillgap-forward/tests/simulation/scenario.rs
@@ -40,6 +40,9 @@
     AnonymousCalls,
     /// Requests that back ends have rejected are reported as never sent.
     FreeRejections,
+    /// A second attempt at a back end that has rejected a request gets the rejection of the first
+    /// one, while it is executed.
+    StaleRejections,
     /// Restarted nodes take the retries of their earlier run for forgotten at once.
     ForgottenRetries,
     /// Each node has the whole slack of the retry budget.
--- a/crates/rillgap-forward/tests/simulation/world/back_ends.rs
+++ b/crates/rillgap-forward/tests/simulation/world/back_ends.rs
@@ -13,6 +13,9 @@
 /// Milliseconds after which a back end that a request has crashed restarts.
 const CRASH_RESTART_MILLIS: u64 = 3_000;
 
+/// Milliseconds after which a back end sends the second copy of an answer.
+const LATE_ANSWER_MILLIS: u64 = 3;
+
 /// Returns the header fields of an answer, which contain its notices for the checker.
 fn notice_fields(back_end: &BackEnd) -> Vec<u8> {
     let fields = AnswerNotice {
@@ -39,6 +42,7 @@
         if let Some(result) = result {
             if result != ExchangeResult::NotSent {
                 self.checker.on_rejected(self.now, &id, service(host));
+                self.rejections.insert((host, id));
             }
             let result = match self.injected_bug {
                 InjectedBug::FreeRejections => ExchangeResult::NotSent,
@@ -47,6 +51,11 @@
             self.end_exchange(host, &key, result, 1);
             return;
         }
+        let is_second_attempt = self.rejections.contains(&(host, id.clone()));
+        if self.injected_bug == InjectedBug::StaleRejections && is_second_attempt {
+            let result = ExchangeResult::NotExecuted;
+            self.end_exchange(host, &key, result, LATE_ANSWER_MILLIS);
+        }
         let back_end = &self.hosts[host].back_end;
         if back_end.executions.len() >= SLOTS as usize {
             self.checker.violations.push(format!(
--- a/crates/rillgap-forward/tests/simulation/world/mod.rs
+++ b/crates/rillgap-forward/tests/simulation/world/mod.rs
@@ -268,6 +268,8 @@
     partitioned: BTreeSet<usize>,
     random: ChaCha8Rng,
     injected_bug: InjectedBug,
+    /// Hosts whose back ends have rejected a request, with its identifier.
+    rejections: BTreeSet<(usize, String)>,
     pub checker: Checker,
     pub statuses: BTreeMap<String, u16>,
     /// Newest configuration that the store has acknowledged.
@@ -330,6 +332,7 @@
             partitioned: BTreeSet::new(),
             random: ChaCha8Rng::seed_from_u64(seed),
             injected_bug,
+            rejections: BTreeSet::new(),
             checker: Checker::default(),
             statuses: BTreeMap::new(),
             stored_version: 1,
--- a/crates/rillgap-sidecar/src/back_end/connection.rs
+++ b/crates/rillgap-sidecar/src/back_end/connection.rs
@@ -1,5 +1,6 @@
 //! Runs requests on one connection to the back end, one at a time.
 
+use std::cell::RefCell;
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -14,8 +15,9 @@
 use tokio::sync::mpsc::{self, UnboundedReceiver};
 use tokio::time::timeout;
 
-use super::Job;
+use super::carried_requests::CarriedRequests;
 use super::response::{Progress, ResponseReader};
+use super::{IdleConnection, Job};
 use crate::dialect::{Dialect, HeaderNames};
 use crate::hub::Hub;
 use crate::read::{read_some, release_if_empty};
@@ -65,6 +67,7 @@
     number: u64,
     stream: TcpStream,
     input: BytesMut,
+    carried: Rc<RefCell<CarriedRequests>>,
     idle_timeout: Duration,
 }
 
@@ -78,6 +81,7 @@
             number,
             stream,
             input: BytesMut::new(),
+            carried: Rc::default(),
             idle_timeout: DEFAULT_IDLE_TIMEOUT,
         }
     }
@@ -104,7 +108,10 @@
                     }
                     // The connection becomes idle before the end is reported, so that a request
                     // that is started because of this end can use it.
-                    self.hub.back_end().add_idle(sender.clone());
+                    self.hub.back_end().add_idle(IdleConnection {
+                        jobs: sender.clone(),
+                        carried: self.carried.clone(),
+                    });
                     self.hub.back_end().report_end(&self.hub, exchange, result);
                 }
             }
@@ -157,11 +164,13 @@
         if !self.has_no_input() {
             return Outcome::Stale;
         }
+        let request_id = &job.exchange.request.request_id;
+        self.carried.borrow_mut().record(request_id);
         let dialect = self.hub.dialect().clone();
         let mut output = BytesMut::from(encode(&job.exchange, dialect.headers()).as_slice());
         let is_head = job.exchange.request.method == "HEAD";
         let sent_at = self.hub.now();
-        let mut reader = ResponseReader::new(&job.exchange.request.request_id, is_head);
+        let mut reader = ResponseReader::new(request_id, is_head);
         loop {
             if self.flush(&mut output).is_err() {
                 return lost();
@@ -222,7 +231,8 @@
                 if let Some(idle_timeout) = idle_timeout {
                     self.idle_timeout = idle_timeout.mul_f64(IDLE_TIMEOUT_FRACTION);
                 }
-                let reusable = keep_alive && is_sent && self.input.is_empty();
+                let is_full = self.carried.borrow().is_full();
+                let reusable = keep_alive && is_sent && self.input.is_empty() && !is_full;
                 Some(Outcome::Ended { result, reusable })
             }
         }
--- a/crates/rillgap-sidecar/src/back_end/mod.rs
+++ b/crates/rillgap-sidecar/src/back_end/mod.rs
@@ -1,5 +1,6 @@
 //! Client of the node's back end: a pool of connections, and health probes.
 
+mod carried_requests;
 mod connection;
 mod probe;
 mod response;
@@ -17,6 +18,7 @@
 use tokio::sync::{mpsc, oneshot};
 
 use crate::hub::Hub;
+use carried_requests::CarriedRequests;
 
 /// A request to run on a connection; `cancelled` completes when the request is cancelled.
 pub(super) struct Job {
@@ -24,13 +26,19 @@
     pub cancelled: oneshot::Receiver<()>,
 }
 
+/// A connection that waits for its next request.
+struct IdleConnection {
+    jobs: mpsc::UnboundedSender<Job>,
+    carried: Rc<RefCell<CarriedRequests>>,
+}
+
 /// Pool of connections to the back end; the most recently used idle connection is used first.
 pub struct BackEndClient {
     address: SocketAddr,
     /// Incarnation of the back end to which the idle connections were opened; `None` before the
     /// first request.
     connected_incarnation: RefCell<Option<Incarnation>>,
-    idle: RefCell<Vec<mpsc::UnboundedSender<Job>>>,
+    idle: RefCell<Vec<IdleConnection>>,
     in_flight: RefCell<BTreeMap<ExchangeId, oneshot::Sender<()>>>,
 }
 
@@ -95,10 +103,10 @@
         });
     }
 
-    /// Runs a job on an idle connection, or on a new one.
+    /// Runs a job on an idle connection that has not carried its request yet, or on a new one.
     fn run(&self, hub: &Rc<Hub>, mut job: Job) {
-        while let Some(connection) = self.take_idle() {
-            match connection.send(job) {
+        while let Some(connection) = self.take_idle(&job.exchange.request.request_id) {
+            match connection.jobs.send(job) {
                 Ok(()) => return,
                 Err(returned) => job = returned.0,
             }
@@ -108,12 +116,17 @@
         tokio::task::spawn_local(connection::open(hub, address, job));
     }
 
-    fn take_idle(&self) -> Option<mpsc::UnboundedSender<Job>> {
-        self.idle.borrow_mut().pop()
+    /// Takes the most recently used connection that has not carried a request.
+    fn take_idle(&self, request_id: &str) -> Option<IdleConnection> {
+        let mut idle = self.idle.borrow_mut();
+        let position = idle
+            .iter()
+            .rposition(|connection| !connection.carried.borrow().contains(request_id))?;
+        Some(idle.remove(position))
     }
 
     /// Adds a connection whose request has ended to the idle connections.
-    fn add_idle(&self, connection: mpsc::UnboundedSender<Job>) {
+    fn add_idle(&self, connection: IdleConnection) {
         self.idle.borrow_mut().push(connection);
     }
 
@@ -121,7 +134,7 @@
     fn remove_closed(&self) {
         self.idle
             .borrow_mut()
-            .retain(|connection| !connection.is_closed());
+            .retain(|connection| !connection.jobs.is_closed());
     }
 
     /// Reports the notices in the head of the answer to a request, unless it was cancelled.
--- a/crates/rillgap-sidecar/src/back_end/response.rs
+++ b/crates/rillgap-sidecar/src/back_end/response.rs
@@ -1,7 +1,8 @@
 //! Reads the answer to one request and checks that it is complete, genuine and belongs to the
 //! request.
 //!
-//! A successful answer is genuine if it is signed, names its request and has no content encoding.
+//! Every answer must name its request. A successful one is genuine if it is signed and has no
+//! content encoding.
 
 use std::time::Duration;
 
@@ -174,9 +175,13 @@
     /// Classifies a complete answer; `None` if it belongs to another request.
     fn finish(&mut self) -> Option<Progress> {
         let (head, answer_fields, _) = self.current.take()?;
-        let answered_id = answer_fields.request_id.as_ref();
-        if let Some(foreign_id) = answered_id.filter(|id| **id != self.request_id) {
-            self.foreign_ids.push(foreign_id.clone());
+        let Some(answered_id) = &answer_fields.request_id else {
+            // Back ends repeat the identifier, so these bytes belong to no request. They prove
+            // neither an answer nor that the request did not run.
+            return Some(Progress::Broken);
+        };
+        if *answered_id != self.request_id {
+            self.foreign_ids.push(answered_id.clone());
             self.foreign_answers += 1;
             if self.foreign_answers > MAX_FOREIGN_ANSWERS || head.connection == Connection::Close {
                 return Some(Progress::Broken);
@@ -184,9 +189,7 @@
             return None;
         }
         let is_success = (200..300).contains(&head.status);
-        let is_genuine = answer_fields.is_signed
-            && answer_fields.request_id.is_some()
-            && !answer_fields.is_encoded;
+        let is_genuine = answer_fields.is_signed && !answer_fields.is_encoded;
         let result = if answer_fields.is_not_run {
             ExchangeResult::NotExecuted
         } else if head.status == MISDIRECTED_STATUS {
--- a/crates/rillgap-sidecar/tests/path/main.rs
+++ b/crates/rillgap-sidecar/tests/path/main.rs
@@ -1,6 +1,7 @@
 //! Requests over sockets: from a caller through its entry node and the back end's node to the back
 //! end.
 
+mod late_answers;
 mod support;
 
 use googletest::prelude::*;
@@ -146,7 +147,7 @@
 
 #[gtest]
 fn refusal_by_the_back_end_becomes_503() {
-    let bytes = b"HTTP/1.1 503 X\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n";
+    let bytes = b"HTTP/1.1 503 X\r\nX-Request: a\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n";
     let script = move |_: &Seen| Reply::Bytes(bytes.to_vec());
     with_pair(script, |pair| async move {
         let answer = pair.ask("a", "/once/1").await;
--- a/crates/rillgap-sidecar/tests/path/support.rs
+++ b/crates/rillgap-sidecar/tests/path/support.rs
@@ -171,6 +171,8 @@
 /// A request as the back end received it.
 #[derive(Clone, Debug)]
 pub struct Seen {
+    /// Number of the connection that it arrived on, from 1.
+    pub connection: usize,
     pub method: String,
     pub target: String,
     pub fields: String,
@@ -216,7 +218,7 @@
 
     async fn serve(self: Rc<Self>, mut stream: TcpStream) {
         let mut input = BytesMut::new();
-        let mut counted = false;
+        let mut connection = 0;
         while let Some((head, body)) = read_request(&mut stream, &mut input).await {
             if head.target == "/health" {
                 let text = format!(
@@ -225,11 +227,12 @@
                 let _ = stream.write_all(text.as_bytes()).await;
                 return;
             }
-            if !counted {
-                counted = true;
-                self.connections.set(self.connections.get() + 1);
+            if connection == 0 {
+                connection = self.connections.get() + 1;
+                self.connections.set(connection);
             }
             let seen = Seen {
+                connection,
                 method: head.method,
                 target: head.target,
                 fields: String::from_utf8_lossy(head.fields.as_bytes()).into_owned(),
--- a/tests/soak/src/back_end.rs
+++ b/tests/soak/src/back_end.rs
@@ -220,11 +220,7 @@
         let arrival = self.soak.checker().on_arrived(self.soak.now(), &arrived);
         let machine = &self.soak.machines[self.node];
         if self.soak.draw_percent(&machine.rejected_percent) {
-            let fields = [(NOT_EXECUTED_FIELD, "1".to_owned()), ("Attempt-Id", id)];
-            connection
-                .write(&encode_response(503, &fields, b""))
-                .await?;
-            return Ok(true);
+            return self.reject(connection, id).await;
         }
         let Ok(_admission) = self.capacity.try_acquire() else {
             // A request that does not fit into the queue gets no response, and the connection is
@@ -264,6 +260,20 @@
         self.reply(connection, &id, status).await
     }
 
+    /// Answers that a request was not run, and sends some of these answers a second time, late;
+    /// returns whether the connection stays open.
+    async fn reject(&self, connection: &mut Connection, id: String) -> io::Result<bool> {
+        let fields = [(NOT_EXECUTED_FIELD, "1".to_owned()), ("Attempt-Id", id)];
+        let bytes = encode_response(503, &fields, b"");
+        connection.write(&bytes).await?;
+        let machine = &self.soak.machines[self.node];
+        if self.soak.draw_percent(&machine.repeated_rejection_percent) {
+            tokio::time::sleep(EXTRA_ANSWER_DELAY).await;
+            connection.write(&bytes).await?;
+        }
+        Ok(true)
+    }
+
     /// Works on a request and makes its calls; returns the status of the response.
     async fn work(&self, request: &Request, id: &str, arrival: Arrival) -> u16 {
         let machine = &self.soak.machines[self.node];
--- a/tests/soak/src/faults.rs
+++ b/tests/soak/src/faults.rs
@@ -18,7 +18,7 @@
 use crate::retry_pressure::RetryPressure;
 use crate::soak::Soak;
 use crate::store::StoreFault;
-use crate::{back_end, node, operator};
+use crate::{back_end, late_rejections, node, operator};
 
 /// Length of the disturbed part of a cycle, in milliseconds.
 const DISTURBED_MILLIS: u64 = 13_000;
@@ -90,6 +90,15 @@
 /// Selects the field of a machine that controls a fault of its back end.
 type PercentField = fn(&crate::soak::Machine) -> &AtomicU32;
 
+/// Faults that a soak has in each cycle, beside those of the schedule.
+#[derive(Clone, Copy, Debug)]
+pub struct ExtraFaults {
+    /// Back ends fail at several levels, and nodes are killed in series.
+    pub retry_pressure: bool,
+    /// Back ends reject requests and send some of the rejections a second time.
+    pub late_rejections: bool,
+}
+
 /// Draws the schedule and carries it out.
 #[derive(Debug)]
 pub struct Schedule {
@@ -99,6 +108,8 @@
     crashing: CrashingCaller,
     /// Retry pressure, if the soak has it.
     retry_pressure: Option<RetryPressure>,
+    /// Whether back ends send some of their rejections a second time.
+    has_late_rejections: bool,
     /// Generator of what back ends state, apart from that of the faults, whose seeds stay valid.
     statement_random: ChaCha8Rng,
     /// Generator of the loads that back ends state, apart from the others; `None` if they state
@@ -108,13 +119,15 @@
 
 impl Schedule {
     /// Creates the schedule that `seed` determines.
-    pub fn new(soak: Arc<Soak>, targets: Targets, seed: u64, has_retry_pressure: bool) -> Self {
+    pub fn new(soak: Arc<Soak>, targets: Targets, seed: u64, extra: ExtraFaults) -> Self {
         let targets = Arc::new(targets);
-        let retry_pressure =
-            has_retry_pressure.then(|| RetryPressure::new(soak.clone(), targets.clone(), seed));
+        let retry_pressure = extra
+            .retry_pressure
+            .then(|| RetryPressure::new(soak.clone(), targets.clone(), seed));
         Self {
             crashing: CrashingCaller::new(soak.clone(), seed),
             retry_pressure,
+            has_late_rejections: extra.late_rejections,
             soak,
             targets,
             random: ChaCha8Rng::seed_from_u64(seed),
@@ -131,6 +144,9 @@
         if let Some(retry_pressure) = &mut self.retry_pressure {
             retry_pressure.begin_cycle();
         }
+        if self.has_late_rejections {
+            late_rejections::begin_cycle(&self.soak);
+        }
         if self.soak.has_renewals {
             self.schedule_restore();
         }
--- a/tests/soak/src/lib.rs
+++ b/tests/soak/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod crashing;
 pub mod deployment;
 pub mod faults;
+pub mod late_rejections;
 pub mod node;
 pub mod notices;
 pub mod operator;
--- a/tests/soak/src/main.rs
+++ b/tests/soak/src/main.rs
@@ -11,7 +11,7 @@
 use tokio::time::sleep;
 
 use rillgap_soak::deployment::{DEFAULT_NODES, Layout, MAX_NODES, RETRY_SLACK, TIGHT_RETRY_SLACK};
-use rillgap_soak::faults::{Proxies, Schedule, Targets};
+use rillgap_soak::faults::{ExtraFaults, Proxies, Schedule, Targets};
 use rillgap_soak::node::Files;
 use rillgap_soak::proxy::Proxy;
 use rillgap_soak::retry_pressure::MIDDLE_CALLS;
@@ -48,6 +48,9 @@
     /// let back ends fail at several levels under a small retry budget, and kill nodes in series
     #[argh(switch)]
     retry_pressure: bool,
+    /// let back ends reject requests and send some of the rejections a second time, late
+    #[argh(switch)]
+    late_rejections: bool,
     /// set nodes to more retries than the budget allows: the soak must report it
     #[argh(switch)]
     excess_retries: bool,
@@ -111,12 +114,11 @@
             tokio::spawn(caller::run(soak.clone(), node));
         }
     }
-    let mut schedule = Schedule::new(
-        soak.clone(),
-        targets,
-        arguments.seed,
-        arguments.retry_pressure,
-    );
+    let extra = ExtraFaults {
+        retry_pressure: arguments.retry_pressure,
+        late_rejections: arguments.late_rejections,
+    };
+    let mut schedule = Schedule::new(soak.clone(), targets, arguments.seed, extra);
     let end = Duration::from_secs(arguments.seconds);
     while soak.now() < end {
         schedule.cycle().await;
--- a/tests/soak/src/soak.rs
+++ b/tests/soak/src/soak.rs
@@ -28,6 +28,8 @@
     pub failed_percent: AtomicU32,
     /// Percentage of requests that the back end rejects as not run.
     pub rejected_percent: AtomicU32,
+    /// Percentage of the rejections that the back end sends a second time, late.
+    pub repeated_rejection_percent: AtomicU32,
     /// Whether the back end goes on with requests whose connection was closed.
     pub finishes_abandoned_work: AtomicBool,
     /// Factor by which the back end's work takes longer; 0 counts as 1.
