--- a/crates/rillgap-sidecar/src/caller/connection.rs
+++ b/crates/rillgap-sidecar/src/caller/connection.rs
@@ -31,6 +31,9 @@
 /// Timeout for the peer's close after the last answer.
 const LINGER_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Interim answer to a caller that waits for it before it sends a body.
+const CONTINUE: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
+
 /// A request that waits for its answer.
 #[derive(Debug)]
 struct PendingRequest {
@@ -69,6 +72,12 @@
     active_at: Instant,
 }
 
+impl Drop for CallerConnection {
+    fn drop(&mut self) {
+        self.hub.remove_unsent_answer_bytes(self.output.len());
+    }
+}
+
 impl CallerConnection {
     pub fn new(hub: Rc<Hub>, id: ConnectionId, stream: TcpStream) -> Self {
         // Without `TCP_NODELAY` answers may wait for acknowledgements. The connection also works
@@ -189,8 +198,8 @@
                 Progress::Request(read) => self.dispatch_request(*read),
                 Progress::Partial => return Ok(()),
                 Progress::SendContinue => {
-                    self.output
-                        .extend_from_slice(b"HTTP/1.1 100 Continue\r\n\r\n");
+                    self.output.extend_from_slice(CONTINUE);
+                    self.hub.add_unsent_answer_bytes(CONTINUE.len());
                     return self.flush();
                 }
                 Progress::Refused(code) => return self.refuse(code),
@@ -290,10 +299,12 @@
             self.accepts_requests = false;
         }
         head.extend_from_slice(b"\r\n");
+        let before = self.output.len();
         self.output.extend_from_slice(&head);
         if has_body && !pending.is_head {
             self.output.extend_from_slice(&answer.body);
         }
+        self.hub.add_unsent_answer_bytes(self.output.len() - before);
         self.active_at = self.hub.now();
     }
 
@@ -302,6 +313,7 @@
             match self.stream.try_write(&self.output) {
                 Ok(written) => {
                     self.output.advance(written);
+                    self.hub.remove_unsent_answer_bytes(written);
                     self.active_at = self.hub.now();
                 }
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Ok(()),
--- a/crates/rillgap-sidecar/src/daemon.rs
+++ b/crates/rillgap-sidecar/src/daemon.rs
@@ -109,6 +109,8 @@
             _ = hangup.recv() => current = reload(&path, current),
         }
     }
+    log::info!(callers = hub.caller_count() as u64, unsent_answer_bytes = hub.unsent_answer_bytes() as u64;
+        "node: exiting");
     tokio::time::sleep(EXIT_DELAY).await;
     Ok(())
 }
--- a/crates/rillgap-sidecar/src/hub.rs
+++ b/crates/rillgap-sidecar/src/hub.rs
@@ -48,6 +48,8 @@
     next_announcement: Cell<u64>,
     announcements: RefCell<BTreeMap<AnnouncementId, oneshot::Sender<bool>>>,
     callers: RefCell<BTreeMap<ConnectionId, UnboundedSender<PipelinedAnswer>>>,
+    /// Bytes of answers that callers' connections have not accepted yet.
+    unsent_answer_bytes: Cell<usize>,
     links: RefCell<BTreeMap<LinkId, UnboundedSender<LinkMessage>>>,
     /// Codec of the links. All links share its buffers, because a node has many links.
     encoder: RefCell<FrameEncoder>,
@@ -83,6 +85,7 @@
             next_announcement: Cell::new(0),
             announcements: RefCell::default(),
             callers: RefCell::default(),
+            unsent_answer_bytes: Cell::new(0),
             links: RefCell::default(),
             encoder: RefCell::default(),
             decoder: RefCell::default(),
@@ -143,6 +146,23 @@
         self.callers.borrow().len()
     }
 
+    /// Counts bytes of answers that wait to be sent to a caller.
+    pub(crate) fn add_unsent_answer_bytes(&self, length: usize) {
+        let unsent = self.unsent_answer_bytes.get() + length;
+        self.unsent_answer_bytes.set(unsent);
+    }
+
+    /// Counts bytes of answers that were sent or dropped with their connection.
+    pub(crate) fn remove_unsent_answer_bytes(&self, length: usize) {
+        let unsent = self.unsent_answer_bytes.get().saturating_sub(length);
+        self.unsent_answer_bytes.set(unsent);
+    }
+
+    /// Returns the number of bytes of answers that wait to be sent to callers.
+    pub fn unsent_answer_bytes(&self) -> usize {
+        self.unsent_answer_bytes.get()
+    }
+
     /// Returns a number for a new link.
     pub fn new_link(&self) -> LinkId {
         self.node.borrow_mut().new_link()
@@ -324,6 +344,8 @@
             .set((refused_share * 1_000.0) as u64);
         self.metrics.peers.set(reachable as u64);
         self.metrics.ready.set(u64::from(node.is_ready()));
+        let unsent = self.unsent_answer_bytes() as u64;
+        self.metrics.unsent_answer_bytes.set(unsent);
         let quarantined = node.inbound().crashes().quarantined(self.now());
         self.metrics.quarantined.set(quarantined as u64);
         let short_tenants = node.short_tenants();
--- a/crates/rillgap-sidecar/src/metrics.rs
+++ b/crates/rillgap-sidecar/src/metrics.rs
@@ -148,6 +148,8 @@
     pub tenant_level_refusals: Counter,
     /// Peers with an open link.
     pub peers: Gauge<u64, AtomicU64>,
+    /// Bytes of answers that callers have not read and their connections have not accepted.
+    pub unsent_answer_bytes: Gauge<u64, AtomicU64>,
     /// 1 if the node accepts new callers, otherwise 0.
     pub ready: Gauge<u64, AtomicU64>,
 }
@@ -200,6 +202,7 @@
             tenants_short: Gauge::default(),
             tenant_level_refusals: Counter::default(),
             peers: Gauge::default(),
+            unsent_answer_bytes: Gauge::default(),
             ready: Gauge::default(),
         };
         metrics.registry = Arc::new(metrics.build_registry());
@@ -507,6 +510,11 @@
                 &self.tenants_short,
             ),
             ("peers", "Peers with an open link", &self.peers),
+            (
+                "unsent_answer_bytes",
+                "Bytes of answers that callers have not read and their connections have not accepted",
+                &self.unsent_answer_bytes,
+            ),
             (
                 "ready",
                 "1 if the node accepts new callers, otherwise 0",
