Planned stops cut answers that callers are still reading: failing tests (known red)

A node counts a request as done once its answer is handed to the task of the connection, and exits when none is in flight. What the task still holds ends with the process.

--- a/crates/rillgap-forward/tests/simulation/checker.rs
+++ b/crates/rillgap-forward/tests/simulation/checker.rs
@@ -268,6 +268,13 @@
         run
     }
 
+    /// Records that a process exits in a planned stop, with the requests whose answers callers have
+    /// not read to the end.
+    pub fn on_planned_exit<'a>(&mut self, unread: impl Iterator<Item = &'a String>) {
+        let lost = unread.map(|id| format!("LOST {id}: the answer was cut by a planned stop"));
+        self.violations.extend(lost);
+    }
+
     /// Records that a request has crashed the back end that executed it.
     pub fn on_crash(&mut self, now: u64, id: &str) {
         if let Some(record) = self.requests.get(id) {
--- a/crates/rillgap-forward/tests/simulation/main.rs
+++ b/crates/rillgap-forward/tests/simulation/main.rs
@@ -7,6 +7,7 @@
 mod checker;
 mod crashing_requests;
 mod late_rejections;
+mod planned_stops;
 mod retry_budget;
 mod scenario;
 mod size;
--- a/crates/rillgap-forward/tests/simulation/world/callers.rs
+++ b/crates/rillgap-forward/tests/simulation/world/callers.rs
@@ -12,6 +12,10 @@
 /// Suffix of targets that a single caller requests, always with the same key.
 const SINGLE_CALLER_SUFFIX: &str = "/one-caller";
 
+/// Time for which a slow caller reads an answer, in milliseconds: minimum and exclusive maximum. With
+/// the deadline of a request it ends within the grace period of a stop.
+const SLOW_READ_RANGE_MILLIS: (u64, u64) = (100, 2_000);
+
 impl World {
     /// Schedules the next turn of the caller at `host` and sends a request with a random target. One
     /// caller in 20 disconnects within 100 ms.
@@ -148,6 +152,32 @@
         }
     }
 
+    /// Lets the caller read its answer slowly, for a part of all answers.
+    fn begin_slow_read(&mut self, host: usize, connection: ConnectionId, id: &str) {
+        if self.slow_reader_percent == 0 || self.draw(100) >= self.slow_reader_percent {
+            return;
+        }
+        let (min, max) = SLOW_READ_RANGE_MILLIS;
+        let read_at = self.now + min + self.draw(max - min);
+        let entry = &mut self.hosts[host];
+        entry.unread.insert(connection, id.to_owned());
+        let read = WorldEvent::AnswerRead(host, entry.incarnation, connection);
+        self.schedule(read_at, read);
+    }
+
+    /// Records that a caller has its whole answer.
+    pub(super) fn on_answer_read(
+        &mut self,
+        host: usize,
+        incarnation: u32,
+        connection: ConnectionId,
+    ) {
+        let entry = &mut self.hosts[host];
+        if entry.incarnation == incarnation {
+            entry.unread.remove(&connection);
+        }
+    }
+
     pub(super) fn on_answer(
         &mut self,
         host: usize,
@@ -168,6 +198,7 @@
         let body = String::from_utf8_lossy(&answer.body).into_owned();
         self.statuses.insert(request.id.clone(), answer.status);
         self.checker.on_answer(&request.id, answer.status, &body);
+        self.begin_slow_read(host, connection, &request.id);
         self.schedule_caller_retry(&request, answer.status);
     }
 }
--- a/crates/rillgap-forward/tests/simulation/world/faults.rs
+++ b/crates/rillgap-forward/tests/simulation/world/faults.rs
@@ -134,6 +134,7 @@
         let entry = &mut self.hosts[host];
         entry.calls.clear();
         entry.callers.clear();
+        entry.unread.clear();
         // The back end drops the executions of connections that the ended process had opened.
         entry.back_end.executions.clear();
         if notifies_peers {
--- a/crates/rillgap-forward/tests/simulation/world/mod.rs
+++ b/crates/rillgap-forward/tests/simulation/world/mod.rs
@@ -110,6 +110,8 @@
         /// Number of this attempt, from 1.
         attempts: u32,
     },
+    /// A caller has read an answer to the end.
+    AnswerRead(usize, u32, ConnectionId),
     /// A caller closes its connection.
     CallerDisconnects(usize, u32, ConnectionId),
     /// A fault begins or ends.
@@ -240,6 +242,8 @@
     calls: BTreeMap<ConnectionId, ExecutionKey>,
     /// Requests of callers in flight.
     callers: BTreeMap<ConnectionId, CallerAttempt>,
+    /// Answers that callers have not read to the end, by connection, with the request's identifier.
+    unread: BTreeMap<ConnectionId, String>,
     /// Time of the earliest scheduled [`WorldEvent::Wake`], or [`u64::MAX`].
     wakes_at: u64,
 }
@@ -299,6 +303,8 @@
     middle_calls: u32,
     /// Factor on the time between two requests of a caller.
     caller_pause_factor: u64,
+    /// Percentage of answers that callers read slowly, see [`Self::set_slow_reader_percent`].
+    slow_reader_percent: u64,
     /// Percentage of requests with the same content, see [`Self::set_popular_percent`].
     popular_percent: u64,
     /// Number of log records of requests that were refused or not answered because they are
@@ -350,6 +356,7 @@
             max_caller_attempts: 1,
             middle_calls: 1,
             caller_pause_factor: 1,
+            slow_reader_percent: 0,
             popular_percent: 0,
             quarantined_requests: 0,
         };
@@ -387,6 +394,11 @@
         self.caller_pause_factor = factor;
     }
 
+    /// Sets the percentage of answers that callers read slowly.
+    pub fn set_slow_reader_percent(&mut self, percent: u64) {
+        self.slow_reader_percent = percent;
+    }
+
     /// Makes every second restart of a back end keep its identifier.
     pub fn reuse_back_end_identifiers(&mut self) {
         self.reuses_identifiers = true;
@@ -498,6 +510,9 @@
             WorldEvent::CallerRetry { target, attempts } => {
                 self.resend_at_random_host(target, attempts)
             }
+            WorldEvent::AnswerRead(host, incarnation, connection) => {
+                self.on_answer_read(host, incarnation, connection);
+            }
             WorldEvent::CallerDisconnects(host, incarnation, connection) => {
                 if self.hosts[host].callers.remove(&connection).is_some() {
                     self.node_event(host, incarnation, Event::CallerDisconnected(connection));
@@ -592,6 +607,8 @@
             }
             Action::Acknowledge { .. } => {}
             Action::Exit => {
+                self.checker
+                    .on_planned_exit(self.hosts[host].unread.values());
                 self.stop_process(host, true);
                 self.schedule(self.now + 600, WorldEvent::Fault(Fault::Start(host)));
             }
--- a/crates/rillgap-forward/tests/simulation/world/setup.rs
+++ b/crates/rillgap-forward/tests/simulation/world/setup.rs
@@ -66,6 +66,7 @@
         },
         calls: BTreeMap::new(),
         callers: BTreeMap::new(),
+        unread: BTreeMap::new(),
         wakes_at: u64::MAX,
     }
 }
--- a/crates/rillgap-sidecar/tests/path/main.rs
+++ b/crates/rillgap-sidecar/tests/path/main.rs
@@ -2,6 +2,7 @@
 //! end.
 
 mod late_answers;
+mod planned_stops;
 mod support;
 
 use googletest::prelude::*;
--- a/crates/rillgap-sidecar/tests/path/support.rs
+++ b/crates/rillgap-sidecar/tests/path/support.rs
@@ -28,7 +28,7 @@
 use rillgap_sidecar::settings::SidecarSettings;
 use rillgap_sidecar::store::{PendingReply, Store};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 
 pub const INSTANCE: &str = "i-1";
 
@@ -405,6 +405,18 @@
         }
     }
 
+    /// Opens a connection whose unread answers soon wait at the node, because its window is small.
+    pub async fn connect_with_small_window(&self) -> Caller {
+        let socket = TcpSocket::new_v4().expect("a socket");
+        socket
+            .set_recv_buffer_size(SMALL_WINDOW_BYTES)
+            .expect("a receive buffer");
+        Caller {
+            stream: socket.connect(self.callers).await.expect("an entry"),
+            input: BytesMut::new(),
+        }
+    }
+
     /// Sends one request on a new connection and returns its answer.
     pub async fn ask(&self, id: &str, target: &str) -> Option<Answer> {
         let mut caller = self.connect().await;
@@ -413,6 +425,9 @@
     }
 }
 
+/// Receive buffer of a connection with a small window, in bytes.
+const SMALL_WINDOW_BYTES: u32 = 16 * 1024;
+
 /// Port of all listeners of nodes; their addresses differ.
 const NODE_PORT: u16 = 7_000;
 
