A planned stop ends when callers and peers have what they were sent

The state machine counts a request as done once its answer is handed to the task of the connection, and exits when none is in flight; it cannot see what the tasks still hold. The process ended 150 ms later with these bytes. The same holds for messages to peers: the last answer of a back end's node was in the link's queue, or in a socket that the exit resets because peers go on sending.

Records at exit (commit before): in_flight 0 and 5,805,070 bytes of answers unsent on four open connections.

Once no request is in flight the state machine asks for the end of all connections and exits when told that they have ended (EndConnections, ConnectionsEnded), 0.4 s before the end of the grace at the latest. Nothing new is accepted meanwhile. Connections of callers send what they hold, close their sending side and read until the caller closes; then the links do the same, so that peers are answered as long as callers are waited for. A caller is waited for until the deadline of its last answer, an idle or silent one 0.5 s, a silent peer 1 s. Bytes that a caller sends while it still reads no longer reset the connection after 0.5 s, and a caller may pause in its answer until its deadline.

The other way, to wait in the daemon before the process ends, needs no event, but the decision could not be simulated, and requests of peers would meet a node that believes it has exited.

The planted fault (ForgottenReaders) makes the simulation report LOST.

New: planned_stop_ends_within_the_grace_period_although_connections_stay_open.

--- a/crates/rillgap-forward/src/action.rs
+++ b/crates/rillgap-forward/src/action.rs
@@ -4,6 +4,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use rillgap_core::time::Instant;
+
 use crate::id::{AnnouncementId, ConnectionId, ExchangeId, LinkId, PipelineIndex, ProbeId};
 use crate::incarnation::Incarnation;
 use crate::log_record::LogRecord;
@@ -47,6 +49,8 @@
         pipeline_index: PipelineIndex,
         /// The answer.
         answer: CallerAnswer,
+        /// Until when the caller waits for it; `None` for a request that was not accepted.
+        wanted_until: Option<Instant>,
     },
     /// Open a link to a peer.
     OpenLink {
@@ -91,6 +95,9 @@
     },
     /// Write a log record.
     Log(LogRecord),
+    /// Accept no further connections, end those of callers once they have their answers, and then
+    /// the links. [`Event::ConnectionsEnded`](crate::event::Event::ConnectionsEnded) reports the end.
+    EndConnections,
     /// Exit the process.
     Exit,
 }
--- a/crates/rillgap-forward/src/event.rs
+++ b/crates/rillgap-forward/src/event.rs
@@ -180,6 +180,9 @@
     },
     /// A planned stop begins.
     Stop,
+    /// After [`Action::EndConnections`](crate::action::Action::EndConnections), all connections of
+    /// callers and peers have ended.
+    ConnectionsEnded,
     /// The time given by [`Node::next_wake`](crate::node::Node::next_wake) has been reached.
     Wake,
 }
--- a/crates/rillgap-forward/src/log_record.rs
+++ b/crates/rillgap-forward/src/log_record.rs
@@ -336,7 +336,7 @@
     TenantLimit(LevelChange),
     /// The lifecycle state of the node has changed.
     Lifecycle {
-        /// `started`, `stopping` or `exiting`.
+        /// `stopping`, `ending connections` or `exiting`.
         state: &'static str,
         /// Number of requests in flight.
         in_flight: usize,
--- a/crates/rillgap-forward/src/node/mod.rs
+++ b/crates/rillgap-forward/src/node/mod.rs
@@ -83,6 +83,8 @@
     peer_timeouts_after: Instant,
     stopping_since: Option<Instant>,
     inbound_stops_at: Option<Instant>,
+    /// Whether the connections of callers and peers are being ended.
+    ends_connections: bool,
     exited: bool,
 }
 
@@ -122,6 +124,7 @@
             peer_timeouts_after: now,
             stopping_since: None,
             inbound_stops_at: None,
+            ends_connections: false,
             exited: false,
             settings,
         }
@@ -249,6 +252,7 @@
             }
             Event::Store { request, reply } => self.on_store(now, request, reply, out),
             Event::Stop => self.begin_stop(now, out),
+            Event::ConnectionsEnded => self.exit(out),
             Event::Wake => {}
         }
         self.deliver_local(now, out);
@@ -283,7 +287,7 @@
             proof_age_millis: freshness::age_millis(&self.freshness, now),
             is_stopping: self.stopping_since.is_some(),
             refuses_callers,
-            is_exiting: self.exited,
+            is_exiting: self.ends_connections,
             out,
         };
         (&mut self.outbound, context)
@@ -464,7 +468,7 @@
             self.maintain_links(now, out);
             self.update_tenant_levels(now, out);
         }
-        self.exit_when_done(now, out);
+        self.advance_stop(now, out);
     }
 
     /// Delivers messages between the two sides of this node, which use no link.
--- a/crates/rillgap-forward/src/node/stop.rs
+++ b/crates/rillgap-forward/src/node/stop.rs
@@ -16,7 +16,8 @@
 /// Fraction of the grace period for which the back end beside a stopping node still receives
 /// requests. No other node can reach it, so a shorter time would waste its capacity.
 const INBOUND_GRACE_FRACTION: f64 = 0.25;
-/// Time before the end of the grace period at which the node exits even if requests are in flight.
+/// Time before the end of the grace period at which the node exits even if requests are in flight or
+/// callers are reading their answers.
 const STOP_MARGIN: Duration = Duration::from_millis(400);
 
 impl Node {
@@ -39,18 +40,33 @@
         }
     }
 
-    pub(super) fn exit_when_done(&mut self, now: Instant, out: &mut Actions) {
+    /// Ends all connections once no request is in flight. A request counts as in flight until its
+    /// answer is handed to the connection, which may need much longer to send it: the node exits
+    /// only when all connections have ended.
+    pub(super) fn advance_stop(&mut self, now: Instant, out: &mut Actions) {
         let Some(since) = self.stopping_since else {
             return;
         };
         let elapsed = now.saturating_since(since);
+        if elapsed + STOP_MARGIN >= self.settings.grace {
+            self.exit(out);
+            return;
+        }
         let in_flight = self.inbound.in_flight() + self.outbound.in_flight();
         let is_done = self.stop_notice_elapsed(now) && in_flight == 0;
-        let is_late = elapsed + STOP_MARGIN >= self.settings.grace;
-        if self.exited || !(is_done || is_late) {
+        if is_done && !self.ends_connections {
+            self.ends_connections = true;
+            self.log_lifecycle("ending connections", out);
+            out.push(Action::EndConnections);
+        }
+    }
+
+    /// Exits the process.
+    pub(super) fn exit(&mut self, out: &mut Actions) {
+        if std::mem::replace(&mut self.exited, true) {
             return;
         }
-        self.exited = true;
+        self.ends_connections = true;
         self.log_lifecycle("exiting", out);
         out.push(Action::Exit);
     }
--- a/crates/rillgap-forward/src/outbound/completion.rs
+++ b/crates/rillgap-forward/src/outbound/completion.rs
@@ -121,11 +121,13 @@
             tenant: request.forwarded.tenant.clone().unwrap_or_default(),
             proof_age_millis: context.proof_age_millis,
         }));
+        let deadline = request.deadline;
         self.record_call_outcome(request, answer.status);
         context.out.push(Action::Answer {
             connection: key.connection,
             pipeline_index: key.pipeline_index,
             answer,
+            wanted_until: Some(deadline),
         });
     }
 
@@ -171,6 +173,7 @@
             connection: key.connection,
             pipeline_index: key.pipeline_index,
             answer,
+            wanted_until: None,
         });
     }
 
--- a/crates/rillgap-forward/tests/control.rs
+++ b/crates/rillgap-forward/tests/control.rs
@@ -220,16 +220,40 @@
     slow.remaining_micros = 10_000_000;
     test.forward(link, 1, slow);
     test.event(Event::Stop);
-    let exits = |test: &TestNode| {
-        let is_exit = |action: &Action| matches!(action, Action::Exit);
-        test.actions.iter().any(is_exit)
-    };
     test.advance(4_000);
-    expect_that!(exits(&test), eq(false));
+    expect_that!(ends_connections(&test), eq(false));
     let exchange = test.exchanges()[0].id;
     test.end_exchange(exchange, ExchangeResult::Answered(answer(200)));
-    expect_that!(exits(&test), eq(true));
     expect_that!(test.results().len(), eq(1));
+    expect_that!(ends_connections(&test), eq(true));
+    expect_that!(exits(&test), eq(false));
+    test.advance(500);
+    expect_that!(exits(&test), eq(false));
+    test.event(Event::ConnectionsEnded);
+    expect_that!(exits(&test), eq(true));
+}
+
+/// Returns whether the node has asked for the end of its connections.
+fn ends_connections(test: &TestNode) -> bool {
+    let is_end = |action: &Action| matches!(action, Action::EndConnections);
+    test.actions.iter().any(is_end)
+}
+
+/// Returns whether the node exits.
+fn exits(test: &TestNode) -> bool {
+    let is_exit = |action: &Action| matches!(action, Action::Exit);
+    test.actions.iter().any(is_exit)
+}
+
+#[gtest]
+fn planned_stop_ends_within_the_grace_period_although_connections_stay_open() {
+    let mut test = TestNode::configured("logbok");
+    test.event(Event::Stop);
+    test.advance(5_000);
+    expect_that!(ends_connections(&test), eq(true));
+    expect_that!(exits(&test), eq(false));
+    test.advance(900);
+    expect_that!(exits(&test), eq(true));
 }
 
 #[gtest]
@@ -241,11 +265,7 @@
     test.forward(link, 1, endless);
     test.event(Event::Stop);
     test.advance(5_900);
-    let exits = test
-        .actions
-        .iter()
-        .any(|action| matches!(action, Action::Exit));
-    expect_that!(exits, eq(true));
+    expect_that!(exits(&test), eq(true));
 }
 
 #[gtest]
@@ -302,8 +322,7 @@
     test.connect("peer-a", 2, SERVICE);
     test.event(Event::Stop);
     test.advance(2_600);
-    let is_exit = |action: &Action| matches!(action, Action::Exit);
-    expect_that!(test.actions.iter().any(is_exit), eq(true));
+    expect_that!(ends_connections(&test), eq(true));
     test.actions.clear();
     test.request(0, support::caller_request("a", "/safe/1"));
     expect_that!(test.statuses(), elements_are![eq(&503)]);
--- a/crates/rillgap-forward/tests/simulation/planned_stops.rs
+++ b/crates/rillgap-forward/tests/simulation/planned_stops.rs
@@ -41,3 +41,9 @@
         expect_that!(lost, is_empty(), "seed {seed}");
     }
 }
+
+#[gtest]
+fn checker_detects_a_planned_stop_that_forgets_callers() {
+    let lost = run(0, InjectedBug::ForgottenReaders);
+    expect_that!(lost, contains(starts_with("LOST")));
+}
--- a/crates/rillgap-forward/tests/simulation/scenario.rs
+++ b/crates/rillgap-forward/tests/simulation/scenario.rs
@@ -47,6 +47,8 @@
     ForgottenRetries,
     /// Each node has the whole slack of the retry budget.
     UndividedSlack,
+    /// A node that ends its connections does not wait for callers that read their answers.
+    ForgottenReaders,
     /// The notices in the answers of back ends do not reach their nodes.
     LostNotices,
 }
--- a/crates/rillgap-forward/tests/simulation/world/callers.rs
+++ b/crates/rillgap-forward/tests/simulation/world/callers.rs
@@ -16,6 +16,9 @@
 /// the deadline of a request it ends within the grace period of a stop.
 const SLOW_READ_RANGE_MILLIS: (u64, u64) = (100, 2_000);
 
+/// Time in which the links of a node end once their last messages are sent, in milliseconds.
+const LINK_END_MILLIS: u64 = 5;
+
 impl World {
     /// Schedules the next turn of the caller at `host` and sends a request with a random target. One
     /// caller in 20 disconnects within 100 ms.
@@ -175,6 +178,18 @@
         let entry = &mut self.hosts[host];
         if entry.incarnation == incarnation {
             entry.unread.remove(&connection);
+            self.report_ended_connections(host);
+        }
+    }
+
+    /// Tells a node that waits for it that all callers have their answers and all messages have
+    /// reached its peers.
+    pub(super) fn report_ended_connections(&mut self, host: usize) {
+        let entry = &self.hosts[host];
+        let forgets_readers = self.injected_bug == InjectedBug::ForgottenReaders;
+        if entry.ends_connections && (entry.unread.is_empty() || forgets_readers) {
+            let event = WorldEvent::Node(host, entry.incarnation, Event::ConnectionsEnded);
+            self.schedule(self.now + LINK_END_MILLIS, event);
         }
     }
 
--- a/crates/rillgap-forward/tests/simulation/world/faults.rs
+++ b/crates/rillgap-forward/tests/simulation/world/faults.rs
@@ -135,6 +135,7 @@
         entry.calls.clear();
         entry.callers.clear();
         entry.unread.clear();
+        entry.ends_connections = false;
         // The back end drops the executions of connections that the ended process had opened.
         entry.back_end.executions.clear();
         if notifies_peers {
--- a/crates/rillgap-forward/tests/simulation/world/mod.rs
+++ b/crates/rillgap-forward/tests/simulation/world/mod.rs
@@ -244,6 +244,8 @@
     callers: BTreeMap<ConnectionId, CallerAttempt>,
     /// Answers that callers have not read to the end, by connection, with the request's identifier.
     unread: BTreeMap<ConnectionId, String>,
+    /// Whether the node waits for the end of its connections.
+    ends_connections: bool,
     /// Time of the earliest scheduled [`WorldEvent::Wake`], or [`u64::MAX`].
     wakes_at: u64,
 }
@@ -539,6 +541,10 @@
         if entry.incarnation != incarnation {
             return;
         }
+        // A node that ends its connections accepts no further ones.
+        if entry.ends_connections && matches!(event, Event::Request { .. }) {
+            return;
+        }
         let Some(node) = &mut entry.node else {
             return;
         };
@@ -606,6 +612,10 @@
                 self.watch_changes += u64::from(matches!(record, LogRecord::Watch { .. }));
             }
             Action::Acknowledge { .. } => {}
+            Action::EndConnections => {
+                self.hosts[host].ends_connections = true;
+                self.report_ended_connections(host);
+            }
             Action::Exit => {
                 self.checker
                     .on_planned_exit(self.hosts[host].unread.values());
--- a/crates/rillgap-forward/tests/simulation/world/setup.rs
+++ b/crates/rillgap-forward/tests/simulation/world/setup.rs
@@ -67,6 +67,7 @@
         calls: BTreeMap::new(),
         callers: BTreeMap::new(),
         unread: BTreeMap::new(),
+        ends_connections: false,
         wakes_at: u64::MAX,
     }
 }
--- a/crates/rillgap-sidecar/src/caller/connection.rs
+++ b/crates/rillgap-sidecar/src/caller/connection.rs
@@ -15,9 +15,10 @@
 use rillgap_http::h1::{Connection, encode_status_line};
 use tokio::net::TcpStream;
 use tokio::sync::mpsc::UnboundedReceiver;
+use tokio::time::timeout_at;
 
 use super::reader::{Progress, ReadRequest, RequestReader};
-use crate::hub::{Hub, PipelinedAnswer};
+use crate::hub::{Ending, Hub, PipelinedAnswer};
 use crate::read::{read_some, release_if_empty};
 
 /// Maximum number of requests of one connection that are in flight.
@@ -28,8 +29,11 @@
 const UNREAD_ANSWER_TIMEOUT: Duration = Duration::from_secs(10);
 /// Minimum time between two checks for a timeout.
 const MIN_TIMER_INTERVAL: Duration = Duration::from_millis(20);
-/// Timeout for the peer's close after the last answer.
+/// Timeout for the peer's close after the last answer or its last bytes, if it has not read slowly
+/// before.
 const LINGER_TIMEOUT: Duration = Duration::from_millis(500);
+/// Maximum time to wait for the peer's close.
+const MAX_LINGER_TIME: Duration = Duration::from_secs(10);
 
 /// Interim answer to a caller that waits for it before it sends a body.
 const CONTINUE: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
@@ -70,6 +74,12 @@
     next_pipeline_index: u64,
     accepts_requests: bool,
     active_at: Instant,
+    /// Until when the caller waits for the answers that it has been sent.
+    wanted_until: Instant,
+    /// Whether answers had to wait for the caller to read earlier ones.
+    reads_slowly: bool,
+    /// Whether the node ends the connection because it stops.
+    is_ending: bool,
 }
 
 impl Drop for CallerConnection {
@@ -96,6 +106,9 @@
             next_pipeline_index: 0,
             accepts_requests: true,
             active_at,
+            wanted_until: active_at,
+            reads_slowly: false,
+            is_ending: false,
         }
     }
 
@@ -110,6 +123,7 @@
         &mut self,
         answers: &mut UnboundedReceiver<PipelinedAnswer>,
     ) -> Result<(), ConnectionEnd> {
+        let mut ending = self.hub.ending();
         let timer = tokio::time::sleep_until(self.hub.deadline(self.times_out_at()));
         tokio::pin!(timer);
         loop {
@@ -121,10 +135,10 @@
             tokio::select! {
                 biased;
                 answer = answers.recv() => {
-                    let Some((pipeline_index, answer)) = answer else {
+                    let Some(answer) = answer else {
                         return Err(ConnectionEnd::Aborted);
                     };
-                    self.on_answers(pipeline_index, answer, answers)?;
+                    self.on_answers(answer, answers)?;
                 }
                 received = read_some(&mut receiving, &mut self.input), if may_read => {
                     self.on_received(received?)?;
@@ -142,12 +156,29 @@
                     let again = self.times_out_at().max(now + MIN_TIMER_INTERVAL);
                     timer.as_mut().reset(self.hub.deadline(again));
                 }
+                () = ending.reached(Ending::Callers), if !self.is_ending => {
+                    self.begin_end();
+                    timer.as_mut().reset(self.hub.deadline(self.times_out_at()));
+                }
             }
         }
     }
 
-    /// Returns the time at which the connection times out if it makes no progress until then.
+    /// Accepts no further requests; the connection ends once its answers are sent.
+    fn begin_end(&mut self) {
+        self.is_ending = true;
+        self.accepts_requests = false;
+        self.input.clear();
+        self.reader = RequestReader::default();
+    }
+
+    /// Returns the time at which the connection times out if it makes no progress until then. A
+    /// caller may pause in reading its answers as long as it waits for them; a node that stops
+    /// does not wait longer.
     fn times_out_at(&self) -> Instant {
+        if self.is_ending && self.pending.is_empty() {
+            return self.wanted_until.max(self.active_at + LINGER_TIMEOUT);
+        }
         let limits = self.hub.with_node(|node| node.limits());
         let idle = Duration::from_millis(u64::from(limits.idle_timeout_millis));
         let head = Duration::from_millis(u64::from(limits.head_timeout_millis));
@@ -161,7 +192,12 @@
         } else {
             idle
         };
-        self.active_at + timeout
+        let times_out_at = self.active_at + timeout;
+        if self.output.is_empty() {
+            times_out_at
+        } else {
+            times_out_at.max(self.wanted_until)
+        }
     }
 
     fn on_timeout(&mut self) -> Result<(), ConnectionEnd> {
@@ -254,19 +290,25 @@
     /// Handles an answer and all others that are queued.
     fn on_answers(
         &mut self,
-        pipeline_index: PipelineIndex,
-        answer: CallerAnswer,
+        first: PipelinedAnswer,
         answers: &mut UnboundedReceiver<PipelinedAnswer>,
     ) -> Result<(), ConnectionEnd> {
-        self.answers.insert(pipeline_index, answer);
-        while let Ok((pipeline_index, answer)) = answers.try_recv() {
-            self.answers.insert(pipeline_index, answer);
+        self.add_answer(first);
+        while let Ok(answer) = answers.try_recv() {
+            self.add_answer(answer);
         }
         self.write_answers()?;
         // Requests may have waited because `MAX_PIPELINED_REQUESTS` were in flight.
         self.read_requests()
     }
 
+    fn add_answer(&mut self, answer: PipelinedAnswer) {
+        self.wanted_until = self
+            .wanted_until
+            .max(answer.wanted_until.unwrap_or(self.wanted_until));
+        self.answers.insert(answer.pipeline_index, answer.answer);
+    }
+
     /// Writes the answers that are next in order.
     fn write_answers(&mut self) -> Result<(), ConnectionEnd> {
         while let Some(answer) = self
@@ -316,7 +358,10 @@
                     self.hub.remove_unsent_answer_bytes(written);
                     self.active_at = self.hub.now();
                 }
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Ok(()),
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
+                    self.reads_slowly = true;
+                    return Ok(());
+                }
                 Err(error) => return Err(error.into()),
             }
         }
@@ -325,24 +370,32 @@
     }
 
     /// Closes the sending side and reads until the peer closes, so that the peer can read the last
-    /// answer: closing a connection with unread bytes would reset it.
+    /// answers: closing a connection with unread bytes would reset it.
     async fn linger(&mut self) {
         use tokio::io::AsyncWriteExt;
         if self.stream.shutdown().await.is_err() {
             return;
         }
+        let begin = self.hub.now();
+        let latest = begin + MAX_LINGER_TIME;
+        let mut until = begin + LINGER_TIMEOUT;
+        if self.reads_slowly {
+            until = until.max(self.wanted_until);
+        }
         // After the timeout the connection is closed even if the peer has not closed it.
-        let _ = tokio::time::timeout(LINGER_TIMEOUT, self.read_to_end()).await;
+        while let Ok(true) =
+            timeout_at(self.hub.deadline(until.min(latest)), self.read_more()).await
+        {
+            // The peer still uses the connection: it has not read the last answer yet.
+            until = until.max(self.hub.now() + LINGER_TIMEOUT);
+        }
     }
 
-    async fn read_to_end(&mut self) {
-        loop {
-            self.input.clear();
-            let (mut receiving, _) = self.stream.split();
-            let received = read_some(&mut receiving, &mut self.input).await;
-            if !matches!(received, Ok(1..)) {
-                return;
-            }
-        }
+    /// Reads and drops bytes; returns whether the peer has sent any and not closed the connection.
+    async fn read_more(&mut self) -> bool {
+        self.input.clear();
+        let (mut receiving, _) = self.stream.split();
+        let received = read_some(&mut receiving, &mut self.input).await;
+        matches!(received, Ok(1..))
     }
 }
--- a/crates/rillgap-sidecar/src/caller/mod.rs
+++ b/crates/rillgap-sidecar/src/caller/mod.rs
@@ -9,16 +9,22 @@
 use tokio::net::TcpListener;
 use tokio::sync::mpsc::unbounded_channel;
 
-use crate::hub::Hub;
+use crate::hub::{Ending, Hub};
 use connection::CallerConnection;
 
 /// Maximum number of open connections; further ones are closed at once.
 const MAX_CONNECTIONS: usize = 3_000;
 
-/// Accepts connections until the process ends.
+/// Accepts connections until the node ends them.
 pub async fn accept(hub: Rc<Hub>, listener: TcpListener) {
+    let mut ending = hub.ending();
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
+        let accepted = tokio::select! {
+            biased;
+            () = ending.reached(Ending::Callers) => return,
+            accepted = listener.accept() => accepted,
+        };
+        let Ok((stream, _)) = accepted else {
             tokio::time::sleep(Duration::from_millis(20)).await;
             continue;
         };
--- a/crates/rillgap-sidecar/src/hub.rs
+++ b/crates/rillgap-sidecar/src/hub.rs
@@ -21,7 +21,7 @@
 use rillgap_forward::settings::ForwardSettings;
 use tokio::sync::Notify;
 use tokio::sync::mpsc::UnboundedSender;
-use tokio::sync::oneshot;
+use tokio::sync::{oneshot, watch};
 
 use crate::back_end::BackEndClient;
 use crate::dialect::Dialect;
@@ -30,8 +30,39 @@
 use crate::metrics::Metrics;
 use crate::store::Store;
 
-/// An answer and the index of its request on a pipelined connection.
-pub type PipelinedAnswer = (PipelineIndex, CallerAnswer);
+/// An answer on a pipelined connection.
+#[derive(Debug)]
+pub struct PipelinedAnswer {
+    /// Index of the request on the connection.
+    pub pipeline_index: PipelineIndex,
+    /// The answer.
+    pub answer: CallerAnswer,
+    /// Until when the caller waits for it; `None` for a request that was not accepted.
+    pub wanted_until: Option<Instant>,
+}
+
+/// Which connections a stopping node ends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum Ending {
+    /// None: the node serves.
+    None,
+    /// Those of callers.
+    Callers,
+    /// Those of callers, which have ended, and the links to peers.
+    Links,
+}
+
+/// Tells a task when the node ends its connections.
+#[derive(Clone, Debug)]
+pub(crate) struct EndingSignal(watch::Receiver<Ending>);
+
+impl EndingSignal {
+    /// Waits until the node ends these connections.
+    pub async fn reached(&mut self, ending: Ending) {
+        // The sender lives as long as the hub, so that this cannot fail before the process ends.
+        let _ = self.0.wait_for(|current| *current >= ending).await;
+    }
+}
 
 /// Connects the node's state machine to the tasks that do its I/O.
 pub struct Hub {
@@ -44,6 +75,7 @@
     wake_at: Cell<Instant>,
     wake_changed: Notify,
     exit: Notify,
+    ending: watch::Sender<Ending>,
     next_connection: Cell<u64>,
     next_announcement: Cell<u64>,
     announcements: RefCell<BTreeMap<AnnouncementId, oneshot::Sender<bool>>>,
@@ -81,6 +113,7 @@
             wake_at: Cell::new(now),
             wake_changed: Notify::new(),
             exit: Notify::new(),
+            ending: watch::Sender::new(Ending::None),
             next_connection: Cell::new(0),
             next_announcement: Cell::new(0),
             announcements: RefCell::default(),
@@ -139,6 +172,7 @@
     pub fn remove_caller(self: &Rc<Self>, id: ConnectionId) {
         self.callers.borrow_mut().remove(&id);
         self.dispatch(Event::CallerDisconnected(id));
+        self.advance_ending();
     }
 
     /// Returns the number of connections of callers.
@@ -177,6 +211,7 @@
     pub fn remove_link(self: &Rc<Self>, link: LinkId) {
         self.links.borrow_mut().remove(&link);
         self.dispatch(Event::LinkClosed(link));
+        self.advance_ending();
     }
 
     /// Appends a message for a link to `out` as a frame, and counts it.
@@ -246,6 +281,28 @@
         }
     }
 
+    /// Returns a signal of the end of connections.
+    pub(crate) fn ending(&self) -> EndingSignal {
+        EndingSignal(self.ending.subscribe())
+    }
+
+    /// Returns whether the links to peers are being ended.
+    pub(crate) fn ends_links(&self) -> bool {
+        *self.ending.borrow() == Ending::Links
+    }
+
+    /// Ends the links once all callers' connections have ended, so that peers are answered until
+    /// then, and reports when the links have ended.
+    fn advance_ending(self: &Rc<Self>) {
+        let ending = *self.ending.borrow();
+        if ending == Ending::Callers && self.callers.borrow().is_empty() {
+            self.ending.send_replace(Ending::Links);
+        }
+        if self.ends_links() && self.links.borrow().is_empty() {
+            self.dispatch(Event::ConnectionsEnded);
+        }
+    }
+
     /// Counts and logs a record.
     pub(crate) fn log(&self, record: &LogRecord) {
         self.metrics.observe(record);
@@ -276,10 +333,15 @@
                 connection,
                 pipeline_index,
                 answer,
+                wanted_until,
             } => {
                 if let Some(answers) = self.callers.borrow().get(&connection) {
                     // Fails if the connection has just ended; the answer is not needed then.
-                    let _ = answers.send((pipeline_index, answer));
+                    let _ = answers.send(PipelinedAnswer {
+                        pipeline_index,
+                        answer,
+                        wanted_until,
+                    });
                 }
             }
             Action::OpenLink { link, address } => link::open(self.clone(), link, address),
@@ -318,6 +380,10 @@
                 });
             }
             Action::Log(record) => self.log(&record),
+            Action::EndConnections => {
+                self.ending.send_replace(Ending::Callers);
+                self.advance_ending();
+            }
             Action::Exit => self.exit.notify_one(),
         }
     }
--- a/crates/rillgap-sidecar/src/link/mod.rs
+++ b/crates/rillgap-sidecar/src/link/mod.rs
@@ -11,17 +11,20 @@
 use rillgap_forward::event::Event;
 use rillgap_forward::id::LinkId;
 use rillgap_forward::message::{Hello, LinkMessage};
+use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc::{UnboundedReceiver, unbounded_channel};
 use tokio::time::timeout;
 
 pub use codec::{FrameDecoder, FrameEncoder, FrameError};
 
-use crate::hub::Hub;
+use crate::hub::{Ending, Hub};
 use crate::read::{read_some, release_if_empty};
 
 /// Timeout for opening a connection, and then for the exchange of hello messages.
 const OPEN_TIMEOUT: Duration = Duration::from_millis(900);
+/// Time for which a node that ends a link waits for the peer's close, if nothing waited to be sent.
+const END_TIMEOUT: Duration = Duration::from_secs(1);
 /// Maximum number of bytes that wait to be sent; beyond it the peer reads too slowly and the link
 /// is closed. A configuration, the longest message, has at most 1 MiB in the store.
 const MAX_UNSENT_BYTES: usize = 8 * 1024 * 1024;
@@ -48,8 +51,11 @@
     Accepted,
 }
 
-/// Opens a link; the hub dispatches its events.
+/// Opens a link, unless the node ends its links; the hub dispatches its events.
 pub fn open(hub: Rc<Hub>, link: LinkId, address: SocketAddr) {
+    if hub.ends_links() {
+        return;
+    }
     tokio::task::spawn_local(async move {
         let connected = timeout(OPEN_TIMEOUT, TcpStream::connect(address)).await;
         if let Ok(Ok(stream)) = connected {
@@ -59,10 +65,16 @@
     });
 }
 
-/// Accepts links until the process ends.
+/// Accepts links until the node ends them.
 pub async fn accept(hub: Rc<Hub>, listener: TcpListener) {
+    let mut ending = hub.ending();
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
+        let accepted = tokio::select! {
+            biased;
+            () = ending.reached(Ending::Links) => return,
+            accepted = listener.accept() => accepted,
+        };
+        let Ok((stream, _)) = accepted else {
             tokio::time::sleep(Duration::from_millis(50)).await;
             continue;
         };
@@ -140,12 +152,14 @@
         }
     }
 
-    /// Sends and receives messages until the link ends or its queue is closed.
+    /// Sends and receives messages until the link ends, its queue is closed or the node ends its
+    /// links.
     async fn carry_messages(
         &mut self,
         link: LinkId,
         mut messages: UnboundedReceiver<LinkMessage>,
     ) -> Result<(), LinkError> {
+        let mut ending = self.hub.ending();
         self.deliver(link)?;
         loop {
             let (mut receiving, sending) = self.stream.split();
@@ -162,6 +176,7 @@
                     self.encode_batch(message, &mut messages)?;
                     self.flush()?;
                 }
+                () = ending.reached(Ending::Links) => return self.end().await,
                 ready = sending.writable(), if !self.output.is_empty() => {
                     ready?;
                     self.flush()?;
@@ -170,6 +185,35 @@
         }
     }
 
+    /// Sends what is left, closes the sending side and reads until the peer closes: it then has
+    /// everything that was sent, also over a slow connection.
+    async fn end(&mut self) -> Result<(), LinkError> {
+        let is_slow = !self.output.is_empty();
+        while !self.output.is_empty() {
+            self.stream.writable().await?;
+            self.flush()?;
+        }
+        self.stream.shutdown().await?;
+        if is_slow {
+            return self.read_to_end().await;
+        }
+        // A peer that is paused or cut off does not close the link. It is not waited for.
+        timeout(END_TIMEOUT, self.read_to_end())
+            .await
+            .unwrap_or(Ok(()))
+    }
+
+    /// Reads and drops what the peer sends until it closes the link.
+    async fn read_to_end(&mut self) -> Result<(), LinkError> {
+        loop {
+            self.input.clear();
+            let (mut receiving, _) = self.stream.split();
+            if read_some(&mut receiving, &mut self.input).await? == 0 {
+                return Ok(());
+            }
+        }
+    }
+
     /// Encodes a message and all others that are queued.
     fn encode_batch(
         &mut self,
--- a/crates/rillgap-sidecar/tests/path/planned_stops.rs
+++ b/crates/rillgap-sidecar/tests/path/planned_stops.rs
@@ -41,3 +41,18 @@
         expect_that!(exits_within(&pair, EXIT_TIME).await, eq(true));
     });
 }
+
+#[gtest]
+fn planned_stop_does_not_wait_for_callers_that_have_given_up_or_are_idle() {
+    with_pair(long_answer, |pair| async move {
+        let mut gone_silent = pair.connect_with_small_window().await;
+        gone_silent
+            .send("GET /safe/1 HTTP/1.1\r\nHost: h\r\nX-Request: a\r\nX-Deadline: 1000\r\n\r\n")
+            .await;
+        until(|| pair.entry.unsent_answer_bytes() > 0).await;
+        let idle = pair.connect().await;
+        pair.entry.dispatch(Event::Stop);
+        expect_that!(exits_within(&pair, STOP_TIME + EXIT_TIME).await, eq(true));
+        drop((gone_silent, idle));
+    });
+}
--- a/tests/soak/src/checker.rs
+++ b/tests/soak/src/checker.rs
@@ -22,6 +22,11 @@
 /// Time after a disturbance during which its effects, such as lost requests, are still excused.
 const DISTURBANCE_MARGIN: Duration = Duration::from_secs(3);
 
+/// Prefix of the identifiers of requests that get a long body.
+pub const LONG_BODY_PREFIX: &str = "long-";
+/// Length of a long body, in bytes: more than the buffers of a connection hold.
+const LONG_BODY_BYTES: usize = 3_000_000;
+
 /// Time since the start of the soak.
 pub type Moment = Duration;
 
@@ -616,6 +621,9 @@
 /// identifier.
 pub fn body_of(id: &str, instance: &str) -> Vec<u8> {
     let unit = format!("{id} at {instance};");
+    if id.starts_with(LONG_BODY_PREFIX) {
+        return unit.repeat(LONG_BODY_BYTES / unit.len()).into_bytes();
+    }
     let count = 1 + xxh3_64(id.as_bytes()) % 200;
     unit.repeat(usize::try_from(count).unwrap_or(1))
         .into_bytes()
--- a/tests/soak/src/faults.rs
+++ b/tests/soak/src/faults.rs
@@ -18,7 +18,7 @@
 use crate::retry_pressure::RetryPressure;
 use crate::soak::Soak;
 use crate::store::StoreFault;
-use crate::{back_end, late_rejections, node, operator};
+use crate::{back_end, late_rejections, node, operator, slow_readers};
 
 /// Length of the disturbed part of a cycle, in milliseconds.
 const DISTURBED_MILLIS: u64 = 13_000;
@@ -97,6 +97,8 @@
     pub retry_pressure: bool,
     /// Back ends reject requests and send some of the rejections a second time.
     pub late_rejections: bool,
+    /// Callers read long answers slowly, and nodes are stopped in series.
+    pub slow_readers: bool,
 }
 
 /// Draws the schedule and carries it out.
@@ -110,6 +112,8 @@
     retry_pressure: Option<RetryPressure>,
     /// Whether back ends send some of their rejections a second time.
     has_late_rejections: bool,
+    /// Whether callers read slowly while nodes are stopped in series.
+    has_slow_readers: bool,
     /// Generator of what back ends state, apart from that of the faults, whose seeds stay valid.
     statement_random: ChaCha8Rng,
     /// Generator of the loads that back ends state, apart from the others; `None` if they state
@@ -128,6 +132,7 @@
             crashing: CrashingCaller::new(soak.clone(), seed),
             retry_pressure,
             has_late_rejections: extra.late_rejections,
+            has_slow_readers: extra.slow_readers,
             soak,
             targets,
             random: ChaCha8Rng::seed_from_u64(seed),
@@ -144,6 +149,10 @@
         if let Some(retry_pressure) = &mut self.retry_pressure {
             retry_pressure.begin_cycle();
         }
+        if self.has_slow_readers {
+            let first = self.draw_node();
+            slow_readers::begin_cycle(&self.targets, first);
+        }
         if self.has_late_rejections {
             late_rejections::begin_cycle(&self.soak);
         }
--- a/tests/soak/src/lib.rs
+++ b/tests/soak/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod proxy;
 pub mod retries;
 pub mod retry_pressure;
+pub mod slow_readers;
 pub mod soak;
 pub mod stated_load;
 pub mod store;
--- a/tests/soak/src/main.rs
+++ b/tests/soak/src/main.rs
@@ -16,7 +16,7 @@
 use rillgap_soak::proxy::Proxy;
 use rillgap_soak::retry_pressure::MIDDLE_CALLS;
 use rillgap_soak::soak::Soak;
-use rillgap_soak::{back_end, caller, node, operator};
+use rillgap_soak::{back_end, caller, node, operator, slow_readers};
 
 /// Time for the nodes to start before callers and the schedule begin.
 const START_TIME: Duration = Duration::from_secs(4);
@@ -51,6 +51,9 @@
     /// let back ends reject requests and send some of the rejections a second time, late
     #[argh(switch)]
     late_rejections: bool,
+    /// let callers read long answers slowly while nodes are stopped in series
+    #[argh(switch)]
+    slow_readers: bool,
     /// set nodes to more retries than the budget allows: the soak must report it
     #[argh(switch)]
     excess_retries: bool,
@@ -113,10 +116,14 @@
         for _ in 0..arguments.callers {
             tokio::spawn(caller::run(soak.clone(), node));
         }
+        if arguments.slow_readers {
+            tokio::spawn(slow_readers::run(soak.clone(), node));
+        }
     }
     let extra = ExtraFaults {
         retry_pressure: arguments.retry_pressure,
         late_rejections: arguments.late_rejections,
+        slow_readers: arguments.slow_readers,
     };
     let mut schedule = Schedule::new(soak.clone(), targets, arguments.seed, extra);
     let end = Duration::from_secs(arguments.seconds);
--- a/tests/soak/src/wire.rs
+++ b/tests/soak/src/wire.rs
@@ -4,11 +4,14 @@
 //! purpose.
 
 use std::io;
+use std::time::Duration;
 
 use bytes::{Buf, BytesMut};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
+/// Maximum number of bytes that a slow reader reads at a time.
+pub const SLOW_READ_BYTES: usize = 16 * 1024;
 /// Maximum number of header fields of a message.
 const MAX_FIELDS: usize = 64;
 
@@ -73,6 +76,8 @@
     /// The underlying socket.
     pub stream: TcpStream,
     input: BytesMut,
+    /// Time between two reads of a slow reader, each of [`SLOW_READ_BYTES`] at most.
+    read_interval: Option<Duration>,
 }
 
 impl Connection {
@@ -84,9 +89,28 @@
         Self {
             stream,
             input: BytesMut::new(),
+            read_interval: None,
         }
     }
 
+    /// Makes the connection read [`SLOW_READ_BYTES`] at most in each interval.
+    pub fn read_slowly(mut self, interval: Duration) -> Self {
+        self.read_interval = Some(interval);
+        self
+    }
+
+    /// Reads bytes; returns their number, 0 at the end of the stream.
+    async fn read(&mut self) -> io::Result<usize> {
+        let Some(interval) = self.read_interval else {
+            return self.stream.read_buf(&mut self.input).await;
+        };
+        tokio::time::sleep(interval).await;
+        let mut chunk = [0; SLOW_READ_BYTES];
+        let length = self.stream.read(&mut chunk).await?;
+        self.input.extend_from_slice(&chunk[..length]);
+        Ok(length)
+    }
+
     /// Reads a request; `None` if the connection ended before its first byte.
     ///
     /// # Errors
@@ -117,7 +141,7 @@
             if let Some(response) = parse_response(&mut self.input)? {
                 return Ok(response);
             }
-            if self.stream.read_buf(&mut self.input).await? == 0 {
+            if self.read().await? == 0 {
                 return Err(io::ErrorKind::UnexpectedEof.into());
             }
         }
@@ -147,7 +171,7 @@
             match self.stream.peek(&mut byte).await {
                 Ok(0) | Err(_) => return,
                 // Bytes of a further request hide the close, so look again later.
-                Ok(_) => tokio::time::sleep(std::time::Duration::from_millis(20)).await,
+                Ok(_) => tokio::time::sleep(Duration::from_millis(20)).await,
             }
         }
     }
