Late answers beside HEAD requests are not misread

What callers saw (tests): 503 for a request that ran, and 504 after the whole deadline for one that the back end had answered.

Cause: whether an answer has a body depends on the method of its request, and a late answer to another request was read by the method of the one that waits. Beside HEAD its body was read as the next answer, which may claim anything; a late answer to HEAD swallowed the next answer as its body.

Beside HEAD a foreign answer ends the connection, and a connection that has carried HEAD is not used again.

--- a/crates/rillgap-sidecar/src/back_end/response.rs
+++ b/crates/rillgap-sidecar/src/back_end/response.rs
@@ -183,7 +183,10 @@
         if *answered_id != self.request_id {
             self.foreign_ids.push(answered_id.clone());
             self.foreign_answers += 1;
-            if self.foreign_answers > MAX_FOREIGN_ANSWERS || head.connection == Connection::Close {
+            // Whether an answer has a body depends on the method of its request, so next to HEAD the
+            // end of a foreign answer is not known.
+            let is_end_unknown = self.is_head || head.connection == Connection::Close;
+            if is_end_unknown || self.foreign_answers > MAX_FOREIGN_ANSWERS {
                 return Some(Progress::Broken);
             }
             return None;
@@ -203,7 +206,9 @@
                 body: std::mem::take(&mut self.body),
             })
         };
-        let is_reusable = result != ExchangeResult::Lost && self.foreign_answers == 0;
+        // A late copy of an answer to HEAD would be read with a body.
+        let is_reusable =
+            result != ExchangeResult::Lost && self.foreign_answers == 0 && !self.is_head;
         Some(Progress::Complete {
             result,
             keep_alive: head.connection == Connection::KeepAlive && is_reusable,
--- a/crates/rillgap-sidecar/tests/path/late_answers.rs
+++ b/crates/rillgap-sidecar/tests/path/late_answers.rs
@@ -4,7 +4,7 @@
 
 use googletest::prelude::*;
 
-use crate::support::{Answer, Reply, Seen, echo, signed, with_pair};
+use crate::support::{Answer, Reply, Seen, echo, signed, until, with_pair};
 
 /// Returns an answer that states that the request did not run.
 fn refusal(id: &str) -> Vec<u8> {
@@ -70,6 +70,45 @@
     }
 }
 
+#[gtest]
+fn body_of_a_late_answer_is_not_read_as_the_answer_to_a_head_request() {
+    // The late answer has a body, which an answer to HEAD has not. Here the body claims that the
+    // request of HEAD did not run.
+    let late = signed("a", &String::from_utf8(refusal("b")).expect("text"));
+    let script = move |seen: &Seen| match seen.method.as_str() {
+        "HEAD" => Reply::Bytes([late.clone(), failure("b", 200)].concat()),
+        _ => Reply::Bytes(late.clone()),
+    };
+    with_pair(script, |pair| async move {
+        pair.ask("a", "/safe/1").await;
+        let mut caller = pair.connect().await;
+        caller
+            .send("HEAD /once/1 HTTP/1.1\r\nHost: h\r\nX-Request: b\r\n\r\n")
+            .await;
+        expect_that!(caller.status_of_head().await, some(eq(502)));
+    });
+}
+
+#[gtest]
+fn late_answer_to_a_head_request_does_not_swallow_the_next_answer() {
+    // The late answer has no body although it states its length.
+    let late = b"HTTP/1.1 200 X\r\nX-Request: a\r\nX-Signature: s\r\nContent-Length: 9000\r\n\r\n";
+    let script = move |seen: &Seen| match seen.method.as_str() {
+        "HEAD" => Reply::Bytes(late.to_vec()),
+        _ if seen.connection == 1 => Reply::Bytes([&late[..], &signed("b", "b")].concat()),
+        _ => Reply::Bytes(signed("b", "b")),
+    };
+    with_pair(script, |pair| async move {
+        let mut caller = pair.connect().await;
+        caller
+            .send("HEAD /safe/1 HTTP/1.1\r\nHost: h\r\nX-Request: a\r\n\r\n")
+            .await;
+        until(|| pair.back_end.seen.borrow().len() == 1).await;
+        let answer = pair.ask("b", "/safe/1").await;
+        expect_that!(answer.map(|answer| answer.status), some(eq(200)));
+    });
+}
+
 #[gtest]
 fn answer_without_an_identifier_does_not_prove_that_a_request_did_not_run() {
     for lines in ["503 X\r\nX-Not-Run: 1", "421 X", "500 X\r\nX-Signature: s"] {
--- a/crates/rillgap-sidecar/tests/path/support.rs
+++ b/crates/rillgap-sidecar/tests/path/support.rs
@@ -19,7 +19,8 @@
 use rillgap_forward::store_epoch::{StoreEpoch, StorePosition};
 use rillgap_forward::store_sync::{NodeList, StoreReply, StoreRequest};
 use rillgap_http::h1::{
-    BodyDecoder, BodyProgress, HeadLimits, RequestHead, decode_request, decode_response,
+    BodyDecoder, BodyProgress, HeadLimits, RequestHead, ResponseHead, decode_request,
+    decode_response,
 };
 use rillgap_sidecar::daemon::{self, Platform};
 use rillgap_sidecar::dialect::{ControlCall, ControlError, Dialect, HeaderNames};
@@ -316,20 +317,30 @@
         self.send(&text).await;
     }
 
-    /// Returns the next answer; `None` if the connection ends before it is whole.
-    pub async fn answer(&mut self) -> Option<Answer> {
+    /// Returns the status of the next answer, which is one to `HEAD`.
+    pub async fn status_of_head(&mut self) -> Option<u16> {
+        let head = self.read_head(true).await?;
+        Some(head.status)
+    }
+
+    async fn read_head(&mut self, is_head_request: bool) -> Option<ResponseHead> {
         let limits = HeadLimits { max_bytes: 100_000 };
-        let head = loop {
-            let head = decode_response(&mut self.input, limits, false, |_, _| true).ok()?;
-            match head {
-                Some(head) if !head.is_interim() => break head,
+        loop {
+            let head = decode_response(&mut self.input, limits, is_head_request, |_, _| true);
+            match head.ok()? {
+                Some(head) if !head.is_interim() => return Some(head),
                 Some(_) => continue,
                 None => {}
             }
             if self.stream.read_buf(&mut self.input).await.ok()? == 0 {
                 return None;
             }
-        };
+        }
+    }
+
+    /// Returns the next answer; `None` if the connection ends before it is whole.
+    pub async fn answer(&mut self) -> Option<Answer> {
+        let head = self.read_head(false).await?;
         let mut decoder = BodyDecoder::new(head.framing);
         let mut body = Vec::new();
         while decoder.decode(&mut self.input, &mut body).ok()? == BodyProgress::Partial {
