An answer longer than 8 MiB no longer closes the link

What callers saw (test): 502 for each answer of over 8 MiB of a back end at another node, and for all requests in flight between the two nodes.

Cause: a link was closed when more than 8 MiB waited, counted with the messages that had just been added, so that one long answer, or some shorter ones at one time, were enough. The limit is for a peer that reads too slowly: it now counts what waits before more is added.

answer_longer_than_the_buffer_of_a_link_arrives_whole failed before (502).

--- a/crates/rillgap-sidecar/src/link/mod.rs
+++ b/crates/rillgap-sidecar/src/link/mod.rs
@@ -25,8 +25,8 @@
 const OPEN_TIMEOUT: Duration = Duration::from_millis(900);
 /// Time for which a node that ends a link waits for the peer's close, if nothing waited to be sent.
 const END_TIMEOUT: Duration = Duration::from_secs(1);
-/// Maximum number of bytes that wait to be sent; beyond it the peer reads too slowly and the link
-/// is closed. A configuration, the longest message, has at most 1 MiB in the store.
+/// Maximum number of bytes that wait to be sent when further messages are added; beyond it the peer
+/// reads too slowly and the link is closed. A single answer may be longer.
 const MAX_UNSENT_BYTES: usize = 8 * 1024 * 1024;
 
 /// Why a link ended.
@@ -220,13 +220,13 @@
         first: LinkMessage,
         messages: &mut UnboundedReceiver<LinkMessage>,
     ) -> Result<(), LinkError> {
+        if self.output.len() > MAX_UNSENT_BYTES {
+            return Err(LinkError::TooMuchUnsent);
+        }
         self.hub.encode_frame(&first, &mut self.output)?;
         while let Ok(message) = messages.try_recv() {
             self.hub.encode_frame(&message, &mut self.output)?;
         }
-        if self.output.len() > MAX_UNSENT_BYTES {
-            return Err(LinkError::TooMuchUnsent);
-        }
         Ok(())
     }
 
--- a/crates/rillgap-sidecar/tests/path/main.rs
+++ b/crates/rillgap-sidecar/tests/path/main.rs
@@ -432,3 +432,18 @@
         expect_that!(rate.map(RequestRate::per_second), some(eq(5.0)));
     });
 }
+
+#[gtest]
+fn answer_longer_than_the_buffer_of_a_link_arrives_whole() {
+    let length = 9_000_000;
+    // All printable characters, which the codec of the links cannot pack.
+    let body: String = (b' '..=b'~').map(char::from).cycle().take(length).collect();
+    let script = move |seen: &Seen| {
+        let id = seen.field("X-Request").unwrap_or_default();
+        Reply::Bytes(signed(&id, &body))
+    };
+    with_pair(script, move |pair| async move {
+        let answer = pair.ask("a", "/once/1").await;
+        expect_that!(answer.map(|answer| answer.body.len()), some(eq(length)));
+    });
+}
