--- a/crates/rillgap-sidecar/src/caller/connection.rs
+++ b/crates/rillgap-sidecar/src/caller/connection.rs
@@ -18,7 +18,8 @@
 use tokio::time::timeout_at;
 
 use super::reader::{Progress, ReadRequest, RequestReader};
-use crate::hub::{Ending, Hub, PipelinedAnswer};
+use crate::ending::Ending;
+use crate::hub::{Hub, PipelinedAnswer};
 use crate::read::{read_some, release_if_empty};
 
 /// Maximum number of requests of one connection that are in flight.
@@ -303,9 +304,9 @@
     }
 
     fn add_answer(&mut self, answer: PipelinedAnswer) {
-        self.wanted_until = self
-            .wanted_until
-            .max(answer.wanted_until.unwrap_or(self.wanted_until));
+        if let Some(wanted_until) = answer.wanted_until {
+            self.wanted_until = self.wanted_until.max(wanted_until);
+        }
         self.answers.insert(answer.pipeline_index, answer.answer);
     }
 
--- a/crates/rillgap-sidecar/src/caller/mod.rs
+++ b/crates/rillgap-sidecar/src/caller/mod.rs
@@ -9,7 +9,8 @@
 use tokio::net::TcpListener;
 use tokio::sync::mpsc::unbounded_channel;
 
-use crate::hub::{Ending, Hub};
+use crate::ending::Ending;
+use crate::hub::Hub;
 use connection::CallerConnection;
 
 /// Maximum number of open connections; further ones are closed at once.
--- a/crates/rillgap-sidecar/src/hub.rs
+++ b/crates/rillgap-sidecar/src/hub.rs
@@ -25,6 +25,7 @@
 
 use crate::back_end::BackEndClient;
 use crate::dialect::Dialect;
+use crate::ending::{Ending, EndingSignal};
 use crate::link::{self, FrameDecoder, FrameEncoder, FrameError};
 use crate::logging::RequestLog;
 use crate::metrics::Metrics;
@@ -41,29 +42,6 @@
     pub wanted_until: Option<Instant>,
 }
 
-/// Which connections a stopping node ends.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub(crate) enum Ending {
-    /// None: the node serves.
-    None,
-    /// Those of callers.
-    Callers,
-    /// Those of callers, which have ended, and the links to peers.
-    Links,
-}
-
-/// Tells a task when the node ends its connections.
-#[derive(Clone, Debug)]
-pub(crate) struct EndingSignal(watch::Receiver<Ending>);
-
-impl EndingSignal {
-    /// Waits until the node ends these connections.
-    pub async fn reached(&mut self, ending: Ending) {
-        // The sender lives as long as the hub, so that this cannot fail before the process ends.
-        let _ = self.0.wait_for(|current| *current >= ending).await;
-    }
-}
-
 /// Connects the node's state machine to the tasks that do its I/O.
 pub struct Hub {
     clock: SteadyClock,
@@ -283,7 +261,7 @@
 
     /// Returns a signal of the end of connections.
     pub(crate) fn ending(&self) -> EndingSignal {
-        EndingSignal(self.ending.subscribe())
+        EndingSignal::new(self.ending.subscribe())
     }
 
     /// Returns whether the links to peers are being ended.
--- a/crates/rillgap-sidecar/src/lib.rs
+++ b/crates/rillgap-sidecar/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod control;
 pub mod daemon;
 pub mod dialect;
+mod ending;
 pub mod hub;
 pub mod link;
 pub mod logging;
--- a/crates/rillgap-sidecar/src/link/mod.rs
+++ b/crates/rillgap-sidecar/src/link/mod.rs
@@ -18,7 +18,8 @@
 
 pub use codec::{FrameDecoder, FrameEncoder, FrameError};
 
-use crate::hub::{Ending, Hub};
+use crate::ending::Ending;
+use crate::hub::Hub;
 use crate::read::{read_some, release_if_empty};
 
 /// Timeout for opening a connection, and then for the exchange of hello messages.
