--- a/crates/rillgap-sidecar/tests/path/support.rs
+++ b/crates/rillgap-sidecar/tests/path/support.rs
@@ -15,7 +15,7 @@
 };
 use rillgap_forward::event::{AnnouncedState, Event, Heartbeat};
 use rillgap_forward::incarnation::Incarnation;
-use rillgap_forward::message::NodeRecord;
+use rillgap_forward::message::{ForwardResponse, LinkMessage, NodeRecord};
 use rillgap_forward::store_epoch::{StoreEpoch, StorePosition};
 use rillgap_forward::store_sync::{NodeList, StoreReply, StoreRequest};
 use rillgap_http::h1::{
@@ -25,6 +25,7 @@
 use rillgap_sidecar::daemon::{self, Platform};
 use rillgap_sidecar::dialect::{ControlCall, ControlError, Dialect, HeaderNames};
 use rillgap_sidecar::hub::Hub;
+use rillgap_sidecar::link::{FrameDecoder, FrameEncoder};
 use rillgap_sidecar::metrics::Metrics;
 use rillgap_sidecar::settings::SidecarSettings;
 use rillgap_sidecar::store::{PendingReply, Store};
@@ -439,6 +440,54 @@
 /// Receive buffer of a connection with a small window, in bytes.
 const SMALL_WINDOW_BYTES: u32 = 16 * 1024;
 
+/// A peer of a node whose unread messages soon wait at the node, because its window is small.
+pub struct SlowPeer {
+    stream: TcpStream,
+    input: BytesMut,
+    encoder: FrameEncoder,
+    decoder: FrameDecoder,
+}
+
+impl SlowPeer {
+    /// Opens a link to a node.
+    pub async fn connect(node: &Hub) -> Self {
+        let mut hello = node.with_node(|node| node.hello());
+        let socket = TcpSocket::new_v4().expect("a socket");
+        socket
+            .set_recv_buffer_size(SMALL_WINDOW_BYTES)
+            .expect("a receive buffer");
+        let mut peer = Self {
+            stream: socket.connect(hello.node.address).await.expect("a node"),
+            input: BytesMut::new(),
+            encoder: FrameEncoder::default(),
+            decoder: FrameDecoder::default(),
+        };
+        hello.node.name = "slow-peer".to_owned();
+        peer.send(&LinkMessage::Hello(hello)).await;
+        peer
+    }
+
+    pub async fn send(&mut self, message: &LinkMessage) {
+        let mut frame = BytesMut::new();
+        self.encoder.encode(message, &mut frame).expect("a frame");
+        self.stream.write_all(&frame).await.expect("a link");
+    }
+
+    /// Returns the first response; `None` if the link ends before it is whole.
+    pub async fn response(&mut self) -> Option<ForwardResponse> {
+        loop {
+            while let Some(message) = self.decoder.decode(&mut self.input).ok()? {
+                if let LinkMessage::Response(response) = message {
+                    return Some(response);
+                }
+            }
+            if self.stream.read_buf(&mut self.input).await.ok()? == 0 {
+                return None;
+            }
+        }
+    }
+}
+
 /// Port of all listeners of nodes; their addresses differ.
 const NODE_PORT: u16 = 7_000;
 
