Soak: answers that slow readers are still reading are not judged by the recovery check

Each node has one slow reader, whose answer takes some 3 s; the check judged every request older than 0.4 s. Requests for long answers are judged after their deadline of 6 s, all others as before.

--- a/tests/soak/src/checker.rs
+++ b/tests/soak/src/checker.rs
@@ -22,6 +22,10 @@
 /// Time after a disturbance during which its effects, such as lost requests, are still excused.
 const DISTURBANCE_MARGIN: Duration = Duration::from_secs(3);
 
+/// Time within which requests are answered while nothing is disturbed.
+const ANSWER_TIME: Duration = Duration::from_millis(400);
+/// The same for long bodies, which slow readers read for about 3 s: their deadline.
+const LONG_ANSWER_TIME: Duration = Duration::from_secs(6);
 /// Prefix of the identifiers of requests that get a long body.
 pub const LONG_BODY_PREFIX: &str = "long-";
 /// Length of a long body, in bytes: more than the buffers of a connection hold.
@@ -189,10 +193,26 @@
         self.totals
     }
 
-    /// Returns the number of requests of callers without an outcome that were sent after `since`.
-    pub fn in_flight_since(&self, since: Moment) -> u64 {
-        let sent = self.in_flight.values();
-        sent.filter(|at| **at > since).count() as u64
+    /// Returns the number of requests of callers without an outcome.
+    pub fn in_flight(&self) -> u64 {
+        self.in_flight.len() as u64
+    }
+
+    /// Returns the number of requests of callers without an outcome that may still be served in time.
+    pub fn in_flight_in_time(&self, now: Moment) -> u64 {
+        let is_in_time = |id: &str, sent_at: Moment| {
+            let answer_time = if id.starts_with(LONG_BODY_PREFIX) {
+                LONG_ANSWER_TIME
+            } else {
+                ANSWER_TIME
+            };
+            sent_at + answer_time > now
+        };
+        let in_time = self
+            .in_flight
+            .iter()
+            .filter(|(id, at)| is_in_time(id, **at));
+        in_time.count() as u64
     }
 
     /// Allows requests under a prefix to run at a service.
--- a/tests/soak/src/faults.rs
+++ b/tests/soak/src/faults.rs
@@ -29,8 +29,6 @@
 const SETTLE_MILLIS: u64 = 5_000;
 /// Time over which the recovery is checked, in milliseconds.
 const CHECK_MILLIS: u64 = 2_500;
-/// Time within which requests are answered after the recovery. Younger ones are not judged yet.
-const ANSWER_TIME: Duration = Duration::from_millis(400);
 /// Minimum percentage of requests that must be served after the recovery.
 const MIN_SERVED_PERCENT: u64 = 95;
 /// On average one of this many cycles has planned work only, without faults.
@@ -484,7 +482,7 @@
         self.log("calm");
         let (before, carried_over) = {
             let checker = self.soak.checker();
-            (checker.totals(), checker.in_flight_since(Duration::ZERO))
+            (checker.totals(), checker.in_flight())
         };
         let newest = self.soak.version.load(Ordering::SeqCst);
         sleep(millis(CHECK_MILLIS)).await;
@@ -493,10 +491,9 @@
         let after = checker.totals();
         // Cancelled requests and requests with a revoked key need not be served.
         let excused = after.cancelled - before.cancelled + after.denied - before.denied;
-        // Requests that were sent just now may still be answered in time.
-        let recent = checker.in_flight_since(now.saturating_sub(ANSWER_TIME));
+        let unjudged = checker.in_flight_in_time(now);
         let sent = after.requests - before.requests + carried_over;
-        let expected = sent.saturating_sub(excused + recent);
+        let expected = sent.saturating_sub(excused + unjudged);
         let served = after.served - before.served;
         if served * 100 < expected * MIN_SERVED_PERCENT {
             let text = format!("RECOVER {served} of {expected} served, configuration {newest}");
--- a/tests/soak/tests/checker.rs
+++ b/tests/soak/tests/checker.rs
@@ -4,7 +4,7 @@
 
 use googletest::prelude::*;
 use rillgap_soak::checker::{
-    Answer, Arrival, Arrived, Checker, Sent, body_of, prefix_of, signature_of,
+    Answer, Arrival, Arrived, Checker, LONG_BODY_PREFIX, Sent, body_of, prefix_of, signature_of,
 };
 use rillgap_soak::deployment::TENANT;
 use rillgap_soak::notices::AnswerNotice;
@@ -543,3 +543,16 @@
     arrive(&mut checker, 2_500, 2_600, 100);
     expect_that!(kinds(&checker), elements_are![eq("DRAIN")]);
 }
+
+#[gtest]
+fn requests_in_flight_are_judged_once_their_time_is_over() {
+    let mut checker = Checker::default();
+    checker.on_sent("short", sent(1_000, true), "middle", false);
+    let long = format!("{LONG_BODY_PREFIX}1");
+    checker.on_sent(&long, sent(1_000, true), "middle", false);
+    expect_that!(checker.in_flight(), eq(2));
+    expect_that!(checker.in_flight_in_time(at(1_399)), eq(2));
+    expect_that!(checker.in_flight_in_time(at(1_400)), eq(1));
+    expect_that!(checker.in_flight_in_time(at(6_999)), eq(1));
+    expect_that!(checker.in_flight_in_time(at(7_000)), eq(0));
+}
