Soak: a process that cannot be started is a violation

Five nodes were not there again after they had been killed, and nothing said whether they could not be started: the errors of their supervisors were dropped at the end.

--- a/tests/soak/src/main.rs
+++ b/tests/soak/src/main.rs
@@ -142,7 +142,7 @@
 async fn start(
     soak: &Arc<Soak>,
     files: &Files,
-) -> io::Result<(Targets, Vec<tokio::task::JoinHandle<io::Result<()>>>)> {
+) -> io::Result<(Targets, Vec<tokio::task::JoinHandle<()>>)> {
     let mut targets = Targets {
         proxies: Vec::new(),
         nodes: Vec::new(),
@@ -156,12 +156,25 @@
         tokio::spawn(back_end::supervise(soak.clone(), node, received));
         let (actions, received) = mpsc::unbounded_channel();
         targets.nodes.push(actions);
-        let process = node::supervise(soak.clone(), node, files.clone(), received);
+        let process = supervise_node(soak.clone(), node, files.clone(), received);
         supervisors.push(tokio::spawn(process));
     }
     Ok((targets, supervisors))
 }
 
+/// Keeps a node running; a process that cannot be started is a violation.
+async fn supervise_node(
+    soak: Arc<Soak>,
+    node: usize,
+    files: Files,
+    actions: mpsc::UnboundedReceiver<node::Action>,
+) {
+    if let Err(error) = node::supervise(soak.clone(), node, files, actions).await {
+        let text = format!("START node {node}: {error}");
+        soak.checker().report_violation(soak.now(), &text);
+    }
+}
+
 async fn start_proxies(soak: &Arc<Soak>, node: usize) -> io::Result<Proxies> {
     let (mesh, mesh_proxy) = soak.layout.mesh(node);
     let (back_end, back_end_proxy) = soak.layout.back_end(node);
