--- a/crates/rillgap-forward/src/inbound/mod.rs
+++ b/crates/rillgap-forward/src/inbound/mod.rs
@@ -6,7 +6,7 @@
 
 mod admission;
 mod back_end;
-mod call_profile;
+pub mod call_profile;
 mod completion;
 mod failure_rate;
 mod isolation;
--- a/crates/rillgap-forward/tests/simulation/main.rs
+++ b/crates/rillgap-forward/tests/simulation/main.rs
@@ -165,6 +165,18 @@
     expect_that!(violations, contains(starts_with("REFUSED")));
 }
 
+#[gtest]
+fn checker_detects_requests_beyond_the_slots_of_a_back_end() {
+    let violations = violations_with(InjectedBug::ExcessSlots);
+    expect_that!(violations, contains(starts_with("SLOTS")));
+}
+
+#[gtest]
+fn checker_detects_a_service_that_does_not_come_back() {
+    let violations = violations_with(InjectedBug::NoRestarts);
+    expect_that!(violations, contains(starts_with("RECOVER")));
+}
+
 #[gtest]
 fn checker_detects_swapped_answers() {
     let violations = violations_with(InjectedBug::SwappedAnswer);
--- a/crates/rillgap-forward/tests/simulation/scenario.rs
+++ b/crates/rillgap-forward/tests/simulation/scenario.rs
@@ -51,6 +51,10 @@
     ForgottenReaders,
     /// The notices in the answers of back ends do not reach their nodes.
     LostNotices,
+    /// Back ends announce more slots than they have.
+    ExcessSlots,
+    /// Back ends that have ended do not start again.
+    NoRestarts,
 }
 
 /// Result of a scenario.
--- a/crates/rillgap-forward/tests/simulation/world/back_ends.rs
+++ b/crates/rillgap-forward/tests/simulation/world/back_ends.rs
@@ -264,6 +264,10 @@
     }
 
     pub(super) fn start_back_end(&mut self, host: usize) {
+        let has_run = self.hosts[host].back_end.start_count > 0;
+        if has_run && self.injected_bug == InjectedBug::NoRestarts {
+            return;
+        }
         let reuses_identifier = self.reuses_identifiers;
         let started_at_millis = reuses_identifier.then_some(self.now);
         let back_end = &mut self.hosts[host].back_end;
@@ -291,6 +295,7 @@
         } else {
             1
         };
+        let slots = self.announced_slots();
         let back_end = &mut self.hosts[host].back_end;
         if !back_end.is_alive || back_end.instance != *instance {
             return;
@@ -305,7 +310,7 @@
             incarnation: instance.clone(),
             service: service(host).to_owned(),
             address: back_end_address(host).to_string(),
-            slots: SLOTS,
+            slots,
             state,
             sequence: back_end.sequence,
         };
@@ -322,6 +327,14 @@
         self.schedule(self.now + wait, WorldEvent::Heartbeat(host, instance));
     }
 
+    /// Returns the number of slots that back ends announce.
+    const fn announced_slots(&self) -> u32 {
+        match self.injected_bug {
+            InjectedBug::ExcessSlots => SLOTS * 4,
+            _ => SLOTS,
+        }
+    }
+
     pub(super) fn on_heartbeat(&mut self, host: usize, heartbeat: &Heartbeat) {
         let is_draining = heartbeat.state == AnnouncedState::Draining;
         let now = self.clock(host);
