Sidecar: one accept loop and one way to drop input for callers and links

Both had the loop that accepts until the node ends connections, and both the read that drops what a peer sends before it closes. The pauses after a failed accept stay as they were, 20 and 50 ms, and have a name. The tests' connections with a small window are opened in one place.

--- a/crates/rillgap-sidecar/src/caller/connection.rs
+++ b/crates/rillgap-sidecar/src/caller/connection.rs
@@ -20,7 +20,7 @@
 use super::reader::{Progress, ReadRequest, RequestReader};
 use crate::ending::Ending;
 use crate::hub::{Hub, PipelinedAnswer};
-use crate::read::{read_some, release_if_empty};
+use crate::read::{discard_some, read_some, release_if_empty};
 
 /// Maximum number of requests of one connection that are in flight.
 const MAX_PIPELINED_REQUESTS: usize = 32;
@@ -383,20 +383,15 @@
         if self.reads_slowly {
             until = until.max(self.wanted_until);
         }
-        // After the timeout the connection is closed even if the peer has not closed it.
-        while let Ok(true) =
-            timeout_at(self.hub.deadline(until.min(latest)), self.read_more()).await
-        {
+        loop {
+            let closes_at = self.hub.deadline(until.min(latest));
+            let received = discard_some(&mut self.stream, &mut self.input);
+            // After the timeout the connection is closed even if the peer has not closed it.
+            let Ok(Ok(1..)) = timeout_at(closes_at, received).await else {
+                return;
+            };
             // The peer still uses the connection: it has not read the last answer yet.
             until = until.max(self.hub.now() + LINGER_TIMEOUT);
         }
     }
-
-    /// Reads and drops bytes; returns whether the peer has sent any and not closed the connection.
-    async fn read_more(&mut self) -> bool {
-        self.input.clear();
-        let (mut receiving, _) = self.stream.split();
-        let received = read_some(&mut receiving, &mut self.input).await;
-        matches!(received, Ok(1..))
-    }
 }
--- a/crates/rillgap-sidecar/src/caller/mod.rs
+++ b/crates/rillgap-sidecar/src/caller/mod.rs
@@ -16,19 +16,14 @@
 /// Maximum number of open connections; further ones are closed at once.
 const MAX_CONNECTIONS: usize = 3_000;
 
+/// Pause after a connection could not be accepted.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
 /// Accepts connections until the node ends them.
 pub async fn accept(hub: Rc<Hub>, listener: TcpListener) {
     let mut ending = hub.ending();
-    loop {
-        let accepted = tokio::select! {
-            biased;
-            () = ending.reached(Ending::Callers) => return,
-            accepted = listener.accept() => accepted,
-        };
-        let Ok((stream, _)) = accepted else {
-            tokio::time::sleep(Duration::from_millis(20)).await;
-            continue;
-        };
+    let callers = Ending::Callers;
+    while let Some(stream) = ending.accept_until(callers, &listener, ACCEPT_PAUSE).await {
         if hub.caller_count() >= MAX_CONNECTIONS {
             continue;
         }
--- a/crates/rillgap-sidecar/src/ending.rs
+++ b/crates/rillgap-sidecar/src/ending.rs
@@ -1,5 +1,8 @@
 //! Tells the tasks of connections when a stopping node ends them.
 
+use std::time::Duration;
+
+use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
 /// Which connections a stopping node ends.
@@ -28,4 +31,25 @@
         // The sender lives as long as the hub, so that this cannot fail before the process ends.
         let _ = self.0.wait_for(|current| *current >= ending).await;
     }
+
+    /// Accepts a connection, again after a pause if that fails; `None` once the node ends these
+    /// connections.
+    pub async fn accept_until(
+        &mut self,
+        ending: Ending,
+        listener: &TcpListener,
+        pause: Duration,
+    ) -> Option<TcpStream> {
+        loop {
+            let accepted = tokio::select! {
+                biased;
+                () = self.reached(ending) => return None,
+                accepted = listener.accept() => accepted,
+            };
+            if let Ok((stream, _)) = accepted {
+                return Some(stream);
+            }
+            tokio::time::sleep(pause).await;
+        }
+    }
 }
--- a/crates/rillgap-sidecar/src/link/mod.rs
+++ b/crates/rillgap-sidecar/src/link/mod.rs
@@ -20,10 +20,12 @@
 
 use crate::ending::Ending;
 use crate::hub::Hub;
-use crate::read::{read_some, release_if_empty};
+use crate::read::{discard_some, read_some, release_if_empty};
 
 /// Timeout for opening a connection, and then for the exchange of hello messages.
 const OPEN_TIMEOUT: Duration = Duration::from_millis(900);
+/// Pause after a link could not be accepted.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 /// Time for which a node that ends a link waits for the peer's close, if nothing waited to be sent.
 const END_TIMEOUT: Duration = Duration::from_secs(1);
 /// Maximum number of bytes that wait to be sent when further messages are added; beyond it the peer
@@ -69,16 +71,8 @@
 /// Accepts links until the node ends them.
 pub async fn accept(hub: Rc<Hub>, listener: TcpListener) {
     let mut ending = hub.ending();
-    loop {
-        let accepted = tokio::select! {
-            biased;
-            () = ending.reached(Ending::Links) => return,
-            accepted = listener.accept() => accepted,
-        };
-        let Ok((stream, _)) = accepted else {
-            tokio::time::sleep(Duration::from_millis(50)).await;
-            continue;
-        };
+    let links = Ending::Links;
+    while let Some(stream) = ending.accept_until(links, &listener, ACCEPT_PAUSE).await {
         let hub = hub.clone();
         tokio::task::spawn_local(async move {
             let link = hub.new_link();
@@ -206,13 +200,8 @@
 
     /// Reads and drops what the peer sends until it closes the link.
     async fn read_to_end(&mut self) -> Result<(), LinkError> {
-        loop {
-            self.input.clear();
-            let (mut receiving, _) = self.stream.split();
-            if read_some(&mut receiving, &mut self.input).await? == 0 {
-                return Ok(());
-            }
-        }
+        while discard_some(&mut self.stream, &mut self.input).await? > 0 {}
+        Ok(())
     }
 
     /// Encodes a message and all others that are queued.
--- a/crates/rillgap-sidecar/src/read.rs
+++ b/crates/rillgap-sidecar/src/read.rs
@@ -11,6 +11,7 @@
 
 use bytes::BytesMut;
 use tokio::io::{AsyncRead, ReadBuf};
+use tokio::net::TcpStream;
 use tokio::net::tcp::ReadHalf;
 
 /// Maximum number of bytes of one read.
@@ -38,6 +39,18 @@
     .await
 }
 
+/// Waits until bytes arrive on a socket and drops them, using `buffer`; returns their number, 0 at the
+/// end of the stream.
+///
+/// # Errors
+///
+/// Fails if the connection is lost.
+pub async fn discard_some(stream: &mut TcpStream, buffer: &mut BytesMut) -> io::Result<usize> {
+    buffer.clear();
+    let (mut receiving, _) = stream.split();
+    read_some(&mut receiving, buffer).await
+}
+
 /// Frees the memory of a buffer if it is empty and has more than `MAX_EMPTY_CAPACITY`.
 pub fn release_if_empty(buffer: &mut BytesMut) {
     if buffer.is_empty() && buffer.capacity() > MAX_EMPTY_CAPACITY {
--- a/crates/rillgap-sidecar/tests/path/support.rs
+++ b/crates/rillgap-sidecar/tests/path/support.rs
@@ -419,12 +419,8 @@
 
     /// Opens a connection whose unread answers soon wait at the node, because its window is small.
     pub async fn connect_with_small_window(&self) -> Caller {
-        let socket = TcpSocket::new_v4().expect("a socket");
-        socket
-            .set_recv_buffer_size(SMALL_WINDOW_BYTES)
-            .expect("a receive buffer");
         Caller {
-            stream: socket.connect(self.callers).await.expect("an entry"),
+            stream: connect_with_small_window(self.callers).await,
             input: BytesMut::new(),
         }
     }
@@ -440,6 +436,14 @@
 /// Receive buffer of a connection with a small window, in bytes.
 const SMALL_WINDOW_BYTES: u32 = 16 * 1024;
 
+async fn connect_with_small_window(address: SocketAddr) -> TcpStream {
+    let socket = TcpSocket::new_v4().expect("a socket");
+    socket
+        .set_recv_buffer_size(SMALL_WINDOW_BYTES)
+        .expect("a receive buffer");
+    socket.connect(address).await.expect("a node")
+}
+
 /// A peer of a node whose unread messages soon wait at the node, because its window is small.
 pub struct SlowPeer {
     stream: TcpStream,
@@ -452,12 +456,8 @@
     /// Opens a link to a node.
     pub async fn connect(node: &Hub) -> Self {
         let mut hello = node.with_node(|node| node.hello());
-        let socket = TcpSocket::new_v4().expect("a socket");
-        socket
-            .set_recv_buffer_size(SMALL_WINDOW_BYTES)
-            .expect("a receive buffer");
         let mut peer = Self {
-            stream: socket.connect(hello.node.address).await.expect("a node"),
+            stream: connect_with_small_window(hello.node.address).await,
             input: BytesMut::new(),
             encoder: FrameEncoder::default(),
             decoder: FrameDecoder::default(),
