--- a/tests/soak/src/faults.rs
+++ b/tests/soak/src/faults.rs
@@ -108,10 +108,7 @@
     crashing: CrashingCaller,
     /// Retry pressure, if the soak has it.
     retry_pressure: Option<RetryPressure>,
-    /// Whether back ends send some of their rejections a second time.
-    has_late_rejections: bool,
-    /// Whether callers read slowly while nodes are stopped in series.
-    has_slow_readers: bool,
+    extra: ExtraFaults,
     /// Generator of what back ends state, apart from that of the faults, whose seeds stay valid.
     statement_random: ChaCha8Rng,
     /// Generator of the loads that back ends state, apart from the others; `None` if they state
@@ -129,8 +126,7 @@
         Self {
             crashing: CrashingCaller::new(soak.clone(), seed),
             retry_pressure,
-            has_late_rejections: extra.late_rejections,
-            has_slow_readers: extra.slow_readers,
+            extra,
             soak,
             targets,
             random: ChaCha8Rng::seed_from_u64(seed),
@@ -147,11 +143,11 @@
         if let Some(retry_pressure) = &mut self.retry_pressure {
             retry_pressure.begin_cycle();
         }
-        if self.has_slow_readers {
+        if self.extra.slow_readers {
             let first = self.draw_node();
             slow_readers::begin_cycle(&self.targets, first);
         }
-        if self.has_late_rejections {
+        if self.extra.late_rejections {
             late_rejections::begin_cycle(&self.soak);
         }
         if self.soak.has_renewals {
