--- a/crates/rillgap-forward/src/inbound/mod.rs
+++ b/crates/rillgap-forward/src/inbound/mod.rs
@@ -5,12 +5,14 @@
 //! end that leaves service gets no new requests.
 
 mod admission;
+mod announcements;
 mod back_end;
 pub mod call_profile;
 mod completion;
 mod failure_rate;
 mod isolation;
 mod lost_requests;
+mod notices;
 mod queue;
 pub mod refusals;
 mod restart;
@@ -32,13 +34,11 @@
 use rillgap_core::time::Instant;
 
 use crate::action::{Action, Actions, Exchange};
-use crate::back_end_notice::{BackEndNotice, RequestRate};
 use crate::configuration::RouteTable;
 use crate::crash::{CrashRegister, Suspicion};
-use crate::event::{AnnouncedState, ExchangeResult, Heartbeat, ProbeResult};
-use crate::id::{ExchangeId, LinkId, ProbeId, Sequence};
+use crate::event::ExchangeResult;
+use crate::id::{ExchangeId, LinkId, Sequence};
 use crate::incarnation::Incarnation;
-use crate::log_record::LogRecord;
 use crate::message::{ForwardedRequest, Load, Status, TIER_COUNT, tier_of};
 use crate::settings::ForwardSettings;
 
@@ -296,47 +296,6 @@
         self.status_changed = true;
     }
 
-    /// Processes a heartbeat. Returns whether it may be acknowledged: only those of the local back
-    /// end are.
-    pub fn on_heartbeat(
-        &mut self,
-        now: Instant,
-        heartbeat: &Heartbeat,
-        table: Option<&RouteTable>,
-        out: &mut Actions,
-    ) -> bool {
-        let effect = self.back_end.on_heartbeat(now, heartbeat);
-        self.end_requests_of_earlier_runs(now, out);
-        if heartbeat.state == AnnouncedState::Draining {
-            self.lost_requests.on_alive(&heartbeat.incarnation);
-        }
-        self.apply_effect(now, effect, table, out);
-        self.back_end.is_own(heartbeat)
-    }
-
-    /// Processes the announcement of a back end that it leaves service.
-    pub fn on_leave(&mut self, now: Instant, incarnation: &Incarnation, out: &mut Actions) {
-        let leaving = self.back_end.resolve_incarnation(incarnation);
-        let effect = self.back_end.on_leave(incarnation, "left");
-        self.lost_requests.on_alive(&leaving);
-        self.apply_effect(now, effect, None, out);
-    }
-
-    /// Processes the result of a health probe.
-    pub fn on_probe(
-        &mut self,
-        now: Instant,
-        probe: ProbeId,
-        result: &ProbeResult,
-        out: &mut Actions,
-    ) {
-        let effect = self.back_end.on_probe(now, probe, result);
-        self.end_requests_of_earlier_runs(now, out);
-        self.reset_measurements();
-        self.resolve_losses(now, result, out);
-        self.apply_effect(now, effect, None, out);
-    }
-
     /// Starts, queues or refuses a forwarded request.
     pub fn on_request(
         &mut self,
@@ -449,87 +408,6 @@
         request_states.map(|((_, sequence), _)| *sequence)
     }
 
-    /// Returns the rate of requests that the back end accepts; `None` if it states no limit.
-    pub fn rate_limit(&self) -> Option<RequestRate> {
-        self.stated_rate.rate(self.back_end.incarnation())
-    }
-
-    /// Processes the notices in an answer of the back end.
-    pub fn on_notice(
-        &mut self,
-        now: Instant,
-        exchange: ExchangeId,
-        notice: BackEndNotice,
-        out: &mut Actions,
-    ) {
-        let Some(running) = self.running.get(&exchange) else {
-            return;
-        };
-        let incarnation = &running.incarnation;
-        self.speed.on_notice(now, incarnation, notice.load);
-        let before = self.stated_rate.rate(Some(incarnation));
-        let has_changed = self
-            .stated_rate
-            .observe(now, incarnation, notice.rate_limit);
-        if !has_changed && !notice.is_leaving {
-            return;
-        }
-        let incarnation = incarnation.clone();
-        let request_id = running.request.request_id.clone();
-        if has_changed {
-            self.on_rate_limit_changed(&incarnation, before, &request_id, "answer", out);
-        }
-        if notice.is_leaving {
-            let effect = self
-                .back_end
-                .on_leave(&incarnation, "states that it leaves");
-            self.lost_requests.on_alive(&incarnation);
-            self.apply_effect(now, effect, None, out);
-        }
-        self.start_queued(now, out);
-    }
-
-    /// Adopts the rate limit that the sender of a request remembers of the back end.
-    fn adopt_rate_limit(&mut self, now: Instant, request: &ForwardedRequest, out: &mut Actions) {
-        let remembered = request.remembered_rate_limit;
-        let (Some(remembered), Some(incarnation)) = (remembered, self.back_end.incarnation())
-        else {
-            return;
-        };
-        if incarnation.fingerprint() != remembered.instance {
-            return;
-        }
-        let incarnation = incarnation.clone();
-        let before = self.stated_rate.rate(Some(&incarnation));
-        if self.stated_rate.adopt(now, &incarnation, remembered.rate) {
-            let request_id = &request.request_id;
-            self.on_rate_limit_changed(&incarnation, before, request_id, "peer", out);
-        }
-    }
-
-    /// Logs a change of the rate limit of the back end. Peers are informed at once when a limit
-    /// begins or ends; its value is part of each load report.
-    fn on_rate_limit_changed(
-        &mut self,
-        incarnation: &Incarnation,
-        before: Option<RequestRate>,
-        request_id: &str,
-        source: &'static str,
-        out: &mut Actions,
-    ) {
-        let rate = self.stated_rate.rate(Some(incarnation));
-        self.load_changed |= before.is_some() != rate.is_some();
-        out.push(Action::Log(LogRecord::BackEndRateLimit {
-            instance: incarnation.to_string(),
-            before,
-            rate,
-            request_id: request_id.to_owned(),
-            source,
-            running: count(self.running.len()),
-            queued: count(self.queue.len()),
-        }));
-    }
-
     /// Processes the end of an exchange with the back end.
     pub fn on_exchange(
         &mut self,
@@ -655,35 +533,6 @@
             self.start_or_refuse(now, arrival, out);
         }
     }
-
-    fn apply_effect(
-        &mut self,
-        now: Instant,
-        effect: Effect,
-        table: Option<&RouteTable>,
-        out: &mut Actions,
-    ) {
-        if let Some(change) = effect.change {
-            self.status_changed = true;
-            out.push(Action::Log(LogRecord::BackEnd {
-                instance: self.back_end.log_name(),
-                health: self.back_end.health_name(),
-                cause: change,
-                sequence: self.back_end.sequence(),
-            }));
-            if !self.back_end.is_serving() {
-                self.refuse_queued(now, ResultCode::BackEndLeaving, out);
-            }
-        }
-        if !self.back_end.should_probe() {
-            return;
-        }
-        let service = table.and_then(|table| table.service(self.back_end.service()));
-        if let Some(path) = service.map(|service| service.health_path.clone()) {
-            let probe = self.back_end.begin_probe();
-            out.push(Action::Probe { probe, path });
-        }
-    }
 }
 
 fn count(length: usize) -> u32 {
--- a/crates/rillgap-forward/src/node/stop.rs
+++ b/crates/rillgap-forward/src/node/stop.rs
@@ -52,8 +52,7 @@
             self.exit(out);
             return;
         }
-        let in_flight = self.inbound.in_flight() + self.outbound.in_flight();
-        let is_done = self.stop_notice_elapsed(now) && in_flight == 0;
+        let is_done = self.stop_notice_elapsed(now) && self.requests_in_flight() == 0;
         if is_done && !self.ends_connections {
             self.ends_connections = true;
             self.log_lifecycle("ending connections", out);
@@ -80,7 +79,11 @@
     pub(super) fn log_lifecycle(&self, state: &'static str, out: &mut Actions) {
         out.push(Action::Log(LogRecord::Lifecycle {
             state,
-            in_flight: self.inbound.in_flight() + self.outbound.in_flight(),
+            in_flight: self.requests_in_flight(),
         }));
     }
+
+    fn requests_in_flight(&self) -> usize {
+        self.inbound.in_flight() + self.outbound.in_flight()
+    }
 }
--- a/crates/rillgap-forward/src/outbound/intake.rs
+++ b/crates/rillgap-forward/src/outbound/intake.rs
@@ -119,28 +119,6 @@
     }
 }
 
-impl Outbound {
-    /// Charges a call of a retried run to the retry budget. Returns whether the budget covers it.
-    fn charge_call(
-        &mut self,
-        now: Instant,
-        caller: &CallerRequest,
-        service: &str,
-        context: &mut OutboundContext<'_>,
-    ) -> bool {
-        let parent_id = caller.parent_id.as_deref().unwrap_or_default();
-        let is_reserved = self.retried_runs.take_reserved(parent_id, service);
-        let is_covered = self.budget.try_spend_call(now, service, is_reserved);
-        let charge = if is_covered {
-            RetryCharge::Call
-        } else {
-            RetryCharge::CallDenied
-        };
-        self.log_retry_charge(now, &caller.request_id, service, charge, context);
-        is_covered
-    }
-}
-
 /// Resolves the configuration entries for a request and authenticates its tenant.
 fn resolve<'a>(
     caller: &CallerRequest,
--- a/crates/rillgap-forward/src/outbound/mod.rs
+++ b/crates/rillgap-forward/src/outbound/mod.rs
@@ -14,6 +14,7 @@
 mod request;
 mod results;
 mod retried_runs;
+mod retry_charges;
 pub mod retry_report;
 mod tenancy;
 mod weights;
@@ -31,11 +32,10 @@
 use crate::directory::{Directory, PeerIndex};
 use crate::event::CallerRequest;
 use crate::id::{ConnectionId, LinkId, PipelineIndex, Sequence};
-use crate::inbound::{CallCounts, CallProgress, CallUpdate, Inbound};
-use crate::log_record::{LogRecord, RetryCharge};
+use crate::inbound::{CallProgress, CallUpdate, Inbound};
+use crate::log_record::LogRecord;
 use crate::message::{
-    ForwardResponse, ForwardResult, ForwardedRequest, Load, RateLimitReport, ServiceAdmissionLevel,
-    Status,
+    ForwardResponse, ForwardResult, Load, RateLimitReport, ServiceAdmissionLevel, Status,
 };
 use crate::rate_limit::entry::EntryLimiter;
 use crate::retry_budget::RetryBudget;
@@ -44,7 +44,7 @@
 use admission::EntryAdmission;
 use rate_share::RateShares;
 use request::{Request, RequestKey};
-use retried_runs::{AttemptId, RetriedRuns};
+use retried_runs::RetriedRuns;
 use retry_report::RetryReports;
 use tenancy::Refusal;
 use weights::WeightedChoice;
@@ -391,77 +391,6 @@
         }
     }
 
-    /// Reserves retries for the calls that a retried run is expected to make. Returns whether the
-    /// budget covers them.
-    pub fn reserve_calls(
-        &mut self,
-        now: Instant,
-        attempt: AttemptId,
-        request: &ForwardedRequest,
-        calls: CallCounts,
-    ) -> bool {
-        let is_covered = self.budget.try_reserve(now, &calls);
-        if is_covered {
-            let deadline = now + Duration::from_micros(request.remaining_micros);
-            self.retried_runs
-                .begin(attempt, &request.request_id, deadline, calls);
-        }
-        is_covered
-    }
-
-    /// Returns the origin of a request that has the identifier of a call, but whose parent does not
-    /// run at the local back end.
-    pub fn origin_without_parent(&self, now: Instant, parent_id: &str) -> Origin {
-        if self.retried_runs.has_ended_run(now, parent_id) {
-            Origin::EndedRetry
-        } else if self.budget.may_have_earlier_charges(now) {
-            Origin::Unattributed
-        } else {
-            Origin::Caller
-        }
-    }
-
-    /// Releases the retries that are reserved for runs which have ended.
-    pub fn release_ended_runs(&mut self, now: Instant, inbound: &Inbound) {
-        let is_known = |(link, sequence)| inbound.is_unfinished(link, sequence);
-        for reserved in self.retried_runs.remove_ended(now, is_known) {
-            self.budget.release(&reserved);
-        }
-    }
-
-    /// Logs that a request was charged to the retry budget, or that the budget does not cover it.
-    fn log_retry_charge(
-        &mut self,
-        now: Instant,
-        request_id: &str,
-        service: &str,
-        charge: RetryCharge,
-        context: &mut OutboundContext<'_>,
-    ) {
-        self.retry_reports.count_charge(now, service, charge);
-        context.out.push(Action::Log(LogRecord::RetryBudget {
-            request_id: request_id.to_owned(),
-            service: service.to_owned(),
-            charge,
-            state: self.budget.state(now, service),
-        }));
-    }
-
-    /// Logs the requests and retries of each service since its last report.
-    fn report_retries(&mut self, now: Instant, context: &mut OutboundContext<'_>) {
-        for (service, covered, tally) in self.retry_reports.take_due(now) {
-            let state = self.budget.state(now, &service);
-            context.out.push(Action::Log(LogRecord::ServiceRetries {
-                service,
-                covered_millis: u64::try_from(covered.as_millis()).unwrap_or(u64::MAX),
-                tally,
-                state,
-                slack_part: self.budget.slack_part(now),
-                nodes: self.budget.known_nodes(),
-            }));
-        }
-    }
-
     /// Logs changes of admission.
     fn report_admission(&mut self, now: Instant, context: &mut OutboundContext<'_>) {
         for change in self.admission.take_changes(now) {
