Sight: every claim of "not run" names its proof, attempt, exchange and connection

Logs could not tell a claim that rests on an answer of the back end from one that rests on a connection that was not opened, nor which attempt it ended. ForwardResult::NotRun carries a NotRunProof in place of a flag (protocol version 9); the records of the entry name the sequence number and the proof of each attempt, those of the back end's node the sequence number and the exchange, and a record of the exchange its connection, end and time. Counters by proof and by end replace back_end_refusals. No decision changes: the proofs that say the request reached the back end are those for which the flag was set.

--- a/crates/rillgap-forward/src/inbound/completion.rs
+++ b/crates/rillgap-forward/src/inbound/completion.rs
@@ -9,15 +9,58 @@
 };
 use crate::action::{Action, Actions};
 use crate::event::ExchangeResult;
-use crate::id::{ExchangeId, LinkId};
+use crate::id::{ExchangeId, LinkId, Sequence};
 use crate::log_record::{LogRecord, LostRequest};
 use crate::message::{
-    ForwardResponse, ForwardResult, ForwardedRequest, LinkMessage, ServiceAdmissionLevel, Timing,
+    ForwardResponse, ForwardResult, ForwardedRequest, LinkMessage, NotRunProof,
+    ServiceAdmissionLevel, Timing,
 };
 
 /// Status that a back end sends for a failure of its own.
 pub(super) const INTERNAL_SERVER_ERROR: u16 = 500;
 
+/// A request that ends without an answer, for the log.
+pub(super) struct Ended<'a> {
+    request: &'a ForwardedRequest,
+    sequence: Sequence,
+    arrived: Instant,
+    /// Exchange with the back end; `None` if the request was not handed to it.
+    exchange: Option<ExchangeId>,
+    lost: Option<&'a LostRequest>,
+}
+
+impl<'a> Ended<'a> {
+    /// Describes a request that was not started.
+    fn unstarted(arrival: &'a Arrival) -> Self {
+        Self {
+            request: &arrival.request,
+            sequence: arrival.sequence,
+            arrived: arrival.arrived,
+            exchange: None,
+            lost: None,
+        }
+    }
+
+    /// Describes a request that was handed to the back end.
+    fn of(running: &'a Running) -> Self {
+        Self {
+            request: &running.request,
+            sequence: running.sequence,
+            arrived: running.arrived,
+            exchange: Some(running.exchange),
+            lost: None,
+        }
+    }
+
+    /// Describes a request whose answer was lost.
+    pub fn without_answer(running: &'a Running, lost: &'a LostRequest) -> Self {
+        Self {
+            lost: Some(lost),
+            ..Self::of(running)
+        }
+    }
+}
+
 impl Inbound {
     /// Cancels requests that got no answer by the end of the grace after their deadline, and
     /// reports their outcome as unknown.
@@ -144,10 +187,11 @@
     ) {
         self.request_states
             .remove(&(arrival.link, arrival.sequence));
-        self.log_not_answered(now, &arrival.request, arrival.arrived, code, None, out);
+        let proof = NotRunProof::NotStarted;
+        self.log_not_answered(now, &Ended::unstarted(arrival), code, Some(proof), out);
         let result = ForwardResult::NotRun {
             code,
-            arrived: false,
+            proof,
             retry_after_millis: self.retry_after_millis_for(now, code, &arrival.request),
         };
         let timing = Timing {
@@ -191,20 +235,20 @@
     }
 
     pub(super) fn forward_result(&self, now: Instant, result: ExchangeResult) -> ForwardResult {
-        let (code, arrived) = match result {
+        let (code, proof) = match result {
             ExchangeResult::Answered(answer) => return ForwardResult::Answered(answer),
             ExchangeResult::Lost => {
                 return ForwardResult::Unknown {
                     code: ResultCode::AnswerLost,
                 };
             }
-            ExchangeResult::NotExecuted => (ResultCode::BackEndShed, true),
-            ExchangeResult::WrongInstance => (ResultCode::BackEndLeaving, true),
-            ExchangeResult::NotSent => (ResultCode::BackEndUnreachable, false),
+            ExchangeResult::NotExecuted => (ResultCode::BackEndShed, NotRunProof::Refused),
+            ExchangeResult::WrongInstance => (ResultCode::BackEndLeaving, NotRunProof::Misdirected),
+            ExchangeResult::NotSent => (ResultCode::BackEndUnreachable, NotRunProof::NotConnected),
         };
         ForwardResult::NotRun {
             code,
-            arrived,
+            proof,
             retry_after_millis: self.retry_after_millis(now),
         }
     }
@@ -216,29 +260,33 @@
         result: &ForwardResult,
         out: &mut Actions,
     ) {
-        let (ForwardResult::NotRun { code, .. } | ForwardResult::Unknown { code }) = result else {
-            return;
+        let (code, proof) = match result {
+            ForwardResult::Answered(_) => return,
+            ForwardResult::NotRun { code, proof, .. } => (*code, Some(*proof)),
+            ForwardResult::Unknown { code } => (*code, None),
         };
-        self.log_not_answered(now, &running.request, running.arrived, *code, None, out);
+        self.log_not_answered(now, &Ended::of(running), code, proof, out);
     }
 
     pub(super) fn log_not_answered(
         &self,
         now: Instant,
-        request: &ForwardedRequest,
-        arrived: Instant,
+        ended: &Ended<'_>,
         code: ResultCode,
-        lost: Option<LostRequest>,
+        proof: Option<NotRunProof>,
         out: &mut Actions,
     ) {
         out.push(Action::Log(LogRecord::NotAnswered {
-            request_id: request.request_id.clone(),
+            request_id: ended.request.request_id.clone(),
+            sequence: ended.sequence.0,
+            exchange: ended.exchange.map_or(0, |exchange| exchange.0),
             code,
-            elapsed_micros: elapsed_micros(now, arrived),
+            proof,
+            elapsed_micros: elapsed_micros(now, ended.arrived),
             running: count(self.running.len()),
             queued: count(self.queue.len()),
             limit: self.limit(),
-            lost,
+            lost: ended.lost.cloned(),
         }));
     }
 }
--- a/crates/rillgap-forward/src/inbound/isolation.rs
+++ b/crates/rillgap-forward/src/inbound/isolation.rs
@@ -5,7 +5,7 @@
 use rillgap_core::code::ResultCode;
 use rillgap_core::time::Instant;
 
-use super::completion::INTERNAL_SERVER_ERROR;
+use super::completion::{Ended, INTERNAL_SERVER_ERROR};
 use super::lost_requests::{Crash, HeldRequest, LossAction};
 use super::{Arrival, Inbound, Running};
 use crate::action::{Action, Actions};
@@ -179,10 +179,13 @@
     pub(crate) fn release_lost_requests(&mut self, now: Instant, out: &mut Actions) {
         let (code, released) = self.lost_requests.take_released();
         for HeldRequest { running, lost } in released {
-            let Running {
-                request, arrived, ..
-            } = &running;
-            self.log_not_answered(now, request, *arrived, code, Some(lost), out);
+            self.log_not_answered(
+                now,
+                &Ended::without_answer(&running, &lost),
+                code,
+                None,
+                out,
+            );
             let result = ForwardResult::Unknown { code };
             self.respond_running(now, running, result, out);
         }
--- a/crates/rillgap-forward/src/inbound/mod.rs
+++ b/crates/rillgap-forward/src/inbound/mod.rs
@@ -497,7 +497,7 @@
         }));
         let usual_micros = self.speed.usual.own_micros_of(&arrival.request.route);
         let own_time = OwnTime::start(now, usual_micros);
-        let running = Running::new(now, arrival, incarnation, own_time);
+        let running = Running::new(now, arrival, id, incarnation, own_time);
         self.running.insert(id, running);
     }
 
--- a/crates/rillgap-forward/src/inbound/running.rs
+++ b/crates/rillgap-forward/src/inbound/running.rs
@@ -9,7 +9,7 @@
 use super::call_profile::CallCounts;
 use super::slowdown::OwnTime;
 use super::{Arrival, elapsed_micros};
-use crate::id::{LinkId, Sequence};
+use crate::id::{ExchangeId, LinkId, Sequence};
 use crate::incarnation::Incarnation;
 use crate::message::{ForwardedRequest, ServiceAdmissionLevel, Timing};
 
@@ -44,6 +44,8 @@
     pub link: LinkId,
     /// Number of the request on that link.
     pub sequence: Sequence,
+    /// Exchange with the back end.
+    pub exchange: ExchangeId,
     /// Incarnation of the back end that works on the request.
     pub incarnation: Incarnation,
     /// The request.
@@ -75,10 +77,12 @@
     pub fn new(
         now: Instant,
         arrival: Arrival,
+        exchange: ExchangeId,
         incarnation: Incarnation,
         own_time: OwnTime,
     ) -> Self {
         Self {
+            exchange,
             incarnation,
             link: arrival.link,
             sequence: arrival.sequence,
--- a/crates/rillgap-forward/src/log_record.rs
+++ b/crates/rillgap-forward/src/log_record.rs
@@ -5,7 +5,7 @@
 
 use crate::back_end_notice::RequestRate;
 use crate::crash::SuspicionChange;
-use crate::message::Timing;
+use crate::message::{NotRunProof, Timing};
 use crate::outbound::retry_report::RetryTally;
 use crate::rate_limit::level_change::LevelChange;
 use crate::retry_budget::RetryBudgetState;
@@ -22,6 +22,17 @@
     pub content: Fingerprint,
 }
 
+/// An attempt of a request, as the node that answers the request knows it.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct AttemptRecord {
+    /// Node that the request was sent to; empty without an attempt.
+    pub node: String,
+    /// Sequence number of the attempt at the sending process; 0 without an attempt.
+    pub sequence: u64,
+    /// Why it is certain that the attempt did not run; `None` if it is not.
+    pub proof: Option<NotRunProof>,
+}
+
 /// Effect of a request on the retry budget of a node.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RetryCharge {
@@ -64,10 +75,10 @@
         status: u16,
         /// Result code if the node itself produced the answer; `None` if a back end did.
         code: Option<ResultCode>,
-        /// Node that the request was sent to last, empty if it was sent to none.
-        peer: String,
         /// Number of attempts.
         attempts: u32,
+        /// The last attempt.
+        last_attempt: AttemptRecord,
         /// Time since the request was received, in microseconds.
         elapsed_micros: u64,
         /// Version of the configuration by which the route was chosen.
@@ -84,8 +95,8 @@
     Retried {
         /// The caller's identifier of the request.
         request_id: String,
-        /// Node of the previous attempt.
-        from: String,
+        /// The previous attempt.
+        attempt: AttemptRecord,
         /// Reason for the retry.
         code: ResultCode,
         /// Whether the retry was paid for from the retry budget.
@@ -127,8 +138,14 @@
     NotAnswered {
         /// The caller's identifier of the request.
         request_id: String,
+        /// Sequence number of the attempt at the process that sent it.
+        sequence: u64,
+        /// Number of the exchange with the back end; 0 if the request was not handed to it.
+        exchange: u64,
         /// Reason.
         code: ResultCode,
+        /// Why it is certain that the request did not run; `None` if it may have run.
+        proof: Option<NotRunProof>,
         /// Time since the request reached the inbound side, in microseconds.
         elapsed_micros: u64,
         /// Number of requests that run.
@@ -140,13 +157,19 @@
         /// The lost request, if the back end may have run it.
         lost: Option<LostRequest>,
     },
-    /// The back end has answered that it did not run a request.
-    RefusedByBackEnd {
+    /// An exchange with the back end has ended without an answer that is passed on, or was a retry.
+    ExchangeEnded {
         /// The caller's identifier of the request.
         request_id: String,
-        /// Number of the connection to the back end.
+        /// Number of the exchange.
+        exchange: u64,
+        /// Number of the connection to the back end; 0 if none could be opened.
         connection: u64,
-        /// Time since the request was sent on it, in microseconds.
+        /// How it ended.
+        end: &'static str,
+        /// Status of the answer; 0 without one.
+        status: u16,
+        /// Time since the request was sent, in microseconds.
         elapsed_micros: u64,
     },
     /// The back end has sent an answer to another request than the one that waits on the connection.
--- a/crates/rillgap-forward/src/message.rs
+++ b/crates/rillgap-forward/src/message.rs
@@ -281,6 +281,36 @@
     pub back_end_micros: u64,
 }
 
+/// Why it is certain that a request did not run at a back end and never will.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Encode, Decode)]
+pub enum NotRunProof {
+    /// The node beside the back end has ended the request before it was handed to a connection.
+    NotStarted,
+    /// No connection to the back end could be opened, so that no byte of the request was sent.
+    NotConnected,
+    /// The back end has answered that it did not run the request.
+    Refused,
+    /// Another incarnation than the expected one has answered that the request is not for it.
+    Misdirected,
+}
+
+impl NotRunProof {
+    /// Returns whether the request has reached a back end, which did not run it.
+    pub const fn has_reached_back_end(self) -> bool {
+        matches!(self, Self::Refused | Self::Misdirected)
+    }
+
+    /// Returns the name in logs and metrics.
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::NotStarted => "not started",
+            Self::NotConnected => "not connected",
+            Self::Refused => "refused by the back end",
+            Self::Misdirected => "not for this incarnation",
+        }
+    }
+}
+
 /// Result of a request at the node beside the back end.
 #[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
 pub enum ForwardResult {
@@ -290,8 +320,8 @@
     NotRun {
         /// Reason.
         code: ResultCode,
-        /// Whether the request had reached the back end.
-        arrived: bool,
+        /// Why this is certain.
+        proof: NotRunProof,
         /// Time after which a retry may be admitted, in milliseconds.
         retry_after_millis: u32,
     },
--- a/crates/rillgap-forward/src/node/mod.rs
+++ b/crates/rillgap-forward/src/node/mod.rs
@@ -34,7 +34,7 @@
 use crate::watcher_election::WatcherElection;
 
 /// Version of the protocol between nodes. Links to nodes with another version are closed.
-pub const PROTOCOL_VERSION: u32 = 8;
+pub const PROTOCOL_VERSION: u32 = 9;
 
 /// Interval at which links are checked, opened and closed.
 const HOUSEKEEPING_INTERVAL: Duration = Duration::from_millis(100);
--- a/crates/rillgap-forward/src/outbound/completion.rs
+++ b/crates/rillgap-forward/src/outbound/completion.rs
@@ -9,7 +9,7 @@
 use crate::configuration::RouteTable;
 use crate::event::CallerRequest;
 use crate::inbound::{CallProgress, CallUpdate};
-use crate::log_record::LogRecord;
+use crate::log_record::{AttemptRecord, LogRecord};
 use crate::message::{ForwardedAnswer, Timing};
 
 impl Outbound {
@@ -113,8 +113,8 @@
             route: request.route.name.clone(),
             status: answer.status,
             code,
-            peer: request.last_target().to_owned(),
             attempts: request.attempts(),
+            last_attempt: request.last_attempt(),
             elapsed_micros: u64::try_from(elapsed).unwrap_or(u64::MAX),
             configuration: request.configuration,
             timing: request.timing,
@@ -161,8 +161,8 @@
             route: String::new(),
             status: answer.status,
             code: Some(code),
-            peer: String::new(),
             attempts: 0,
+            last_attempt: AttemptRecord::default(),
             elapsed_micros: 0,
             configuration: context.table.map_or(0, RouteTable::version),
             timing: Timing::default(),
--- a/crates/rillgap-forward/src/outbound/request.rs
+++ b/crates/rillgap-forward/src/outbound/request.rs
@@ -8,8 +8,10 @@
 use super::queue_limit;
 use crate::configuration::Route;
 use crate::id::{ConnectionId, LinkId, PipelineIndex, Sequence};
+use crate::log_record::AttemptRecord;
 use crate::message::{
-    ForwardedAnswer, ForwardedRequest, RememberedRateLimit, ServiceAdmissionLevel, Timing,
+    ForwardedAnswer, ForwardedRequest, NotRunProof, RememberedRateLimit, ServiceAdmissionLevel,
+    Timing,
 };
 
 /// Identifies a request by its connection and its position in the connection's pipeline.
@@ -84,6 +86,10 @@
     /// Failure that a back end answered, kept while another back end is tried.
     pub failed_answer: Option<ForwardedAnswer>,
     current: Option<Attempt>,
+    /// Sequence number of the last attempt; 0 before the first one.
+    last_sequence: u64,
+    /// Why it is certain that the last attempt did not run; `None` if it is not.
+    last_proof: Option<NotRunProof>,
 }
 
 impl Request {
@@ -117,6 +123,8 @@
             involved: Vec::new(),
             failed_answer: None,
             current: None,
+            last_sequence: 0,
+            last_proof: None,
         }
     }
 
@@ -138,6 +146,8 @@
         self.excluded_nodes.push(node.to_owned());
         self.possible_arrivals += 1;
         self.current = Some(Attempt { link, sequence });
+        self.last_sequence = sequence.0;
+        self.last_proof = None;
         let forwarded = Arc::make_mut(&mut self.forwarded);
         forwarded.is_retry |= self.possible_arrivals > 1;
         let limit = if forwarded.is_retry {
@@ -156,9 +166,10 @@
         self.current = None;
     }
 
-    /// Records that the last attempt did not run; `arrived` states whether it reached the back end.
-    pub fn record_not_run(&mut self, arrived: bool, retry_after_millis: u32) {
-        if arrived {
+    /// Records that the last attempt did not run.
+    pub fn record_not_run(&mut self, proof: NotRunProof, retry_after_millis: u32) {
+        self.last_proof = Some(proof);
+        if proof.has_reached_back_end() {
             self.refusals += 1;
         } else {
             self.possible_arrivals = self.possible_arrivals.saturating_sub(1);
@@ -197,8 +208,13 @@
         self.excluded_nodes.iter().any(|excluded| excluded == node)
     }
 
-    pub fn last_target(&self) -> &str {
-        self.tried_nodes.last().map_or("", String::as_str)
+    /// Returns the last attempt for the log.
+    pub fn last_attempt(&self) -> AttemptRecord {
+        AttemptRecord {
+            node: self.tried_nodes.last().cloned().unwrap_or_default(),
+            sequence: self.last_sequence,
+            proof: self.last_proof,
+        }
     }
 
     pub fn attempts(&self) -> u32 {
--- a/crates/rillgap-forward/src/outbound/results.rs
+++ b/crates/rillgap-forward/src/outbound/results.rs
@@ -8,7 +8,7 @@
 use crate::action::Action;
 use crate::crash::Suspicion;
 use crate::log_record::{LogRecord, RetryCharge};
-use crate::message::{ForwardResult, ForwardedAnswer};
+use crate::message::{ForwardResult, ForwardedAnswer, NotRunProof};
 
 /// Minimum number of serving back ends for an immediate retry of a request during which a back end
 /// crashed. The retry may crash another one; with few back ends, that takes away much of the
@@ -27,9 +27,9 @@
             ForwardResult::Answered(answer) => self.on_answer(now, key, answer, context),
             ForwardResult::NotRun {
                 code,
-                arrived,
+                proof,
                 retry_after_millis,
-            } => self.on_not_run(now, key, code, arrived, retry_after_millis, context),
+            } => self.on_not_run(now, key, code, proof, retry_after_millis, context),
             ForwardResult::Unknown { code } => self.on_unknown(now, key, code, context),
         }
     }
@@ -78,14 +78,15 @@
         now: Instant,
         key: RequestKey,
         code: ResultCode,
-        arrived: bool,
+        proof: NotRunProof,
         retry_after_millis: u32,
         context: &mut OutboundContext<'_>,
     ) {
         let Some(request) = self.requests.get_mut(&key) else {
             return;
         };
-        request.record_not_run(arrived, retry_after_millis);
+        request.record_not_run(proof, retry_after_millis);
+        let arrived = proof.has_reached_back_end();
         if code == ResultCode::BackEndShed {
             self.on_refused(now, key, context);
         }
@@ -219,7 +220,7 @@
             }
             context.out.push(Action::Log(LogRecord::Retried {
                 request_id: request.forwarded.request_id.clone(),
-                from: request.last_target().to_owned(),
+                attempt: request.last_attempt(),
                 code,
                 paid,
             }));
--- a/crates/rillgap-forward/tests/crash.rs
+++ b/crates/rillgap-forward/tests/crash.rs
@@ -12,7 +12,7 @@
 use rillgap_forward::id::LinkId;
 use rillgap_forward::incarnation::Incarnation;
 use rillgap_forward::log_record::LogRecord;
-use rillgap_forward::message::{ForwardResult, ForwardedRequest, LinkMessage};
+use rillgap_forward::message::{ForwardResult, ForwardedRequest, LinkMessage, NotRunProof};
 
 use support::*;
 
@@ -408,7 +408,7 @@
     let results = test.results();
     let is_refused = matches!(
         &results[0].1,
-        ForwardResult::NotRun { code: ResultCode::Quarantined, arrived: false, retry_after_millis }
+        ForwardResult::NotRun { code: ResultCode::Quarantined, proof: NotRunProof::NotStarted, retry_after_millis }
             if *retry_after_millis > 500_000
     );
     expect_that!(is_refused, eq(true));
--- a/crates/rillgap-forward/tests/inbound.rs
+++ b/crates/rillgap-forward/tests/inbound.rs
@@ -9,7 +9,10 @@
 use rillgap_forward::configuration::Repeatability;
 use rillgap_forward::event::{AnnouncedState, Event, ExchangeResult, ProbeResult};
 use rillgap_forward::id::{LinkId, Sequence};
-use rillgap_forward::message::{ForwardResult, LinkMessage, Timing, level_of, priority_of};
+use rillgap_forward::log_record::LogRecord;
+use rillgap_forward::message::{
+    ForwardResult, LinkMessage, NotRunProof, Timing, level_of, priority_of,
+};
 use support::{
     INSTANCE, SERVICE, TestNode, answer, caller_request, code_of, configuration, forwarded_request,
     route,
@@ -200,20 +203,24 @@
 #[gtest]
 fn result_is_not_run_only_if_execution_is_ruled_out() {
     let cases = [
-        (ExchangeResult::Lost, ResultCode::AnswerLost, false),
+        (ExchangeResult::Lost, ResultCode::AnswerLost, None),
         (
             ExchangeResult::NotSent,
             ResultCode::BackEndUnreachable,
-            true,
+            Some(NotRunProof::NotConnected),
+        ),
+        (
+            ExchangeResult::NotExecuted,
+            ResultCode::BackEndShed,
+            Some(NotRunProof::Refused),
         ),
-        (ExchangeResult::NotExecuted, ResultCode::BackEndShed, true),
         (
             ExchangeResult::WrongInstance,
             ResultCode::BackEndLeaving,
-            true,
+            Some(NotRunProof::Misdirected),
         ),
     ];
-    for (result, code, is_not_run) in cases {
+    for (result, code, expected) in cases {
         let mut test = TestNode::serving();
         let link = test.accept(50);
         test.forward(link, 1, forwarded_request("a", false));
@@ -224,8 +231,21 @@
         test.advance(60);
         let results = test.results();
         expect_that!(code_of(&results[0].1), some(eq(code)));
-        let is_reported_not_run = matches!(results[0].1, ForwardResult::NotRun { .. });
-        expect_that!(is_reported_not_run, eq(is_not_run));
+        let proof = match results[0].1 {
+            ForwardResult::NotRun { proof, .. } => Some(proof),
+            _ => None,
+        };
+        expect_that!(proof, eq(expected));
+        let logged = test.actions.iter().find_map(|action| match action {
+            Action::Log(LogRecord::NotAnswered {
+                sequence,
+                exchange,
+                proof,
+                ..
+            }) => Some((*sequence, *exchange, *proof)),
+            _ => None,
+        });
+        expect_that!(logged, some(eq((1, exchange.0, expected))));
     }
 }
 
--- a/crates/rillgap-forward/tests/outbound.rs
+++ b/crates/rillgap-forward/tests/outbound.rs
@@ -8,16 +8,21 @@
 use rillgap_forward::action::Action;
 use rillgap_forward::event::{Event, ExchangeResult};
 use rillgap_forward::id::ConnectionId;
+use rillgap_forward::log_record::{AttemptRecord, LogRecord};
 use rillgap_forward::message::{
-    ForwardResponse, ForwardResult, LinkMessage, ServiceAdmissionLevel, Status, Timing, level_of,
-    priority_of,
+    ForwardResponse, ForwardResult, LinkMessage, NotRunProof, ServiceAdmissionLevel, Status,
+    Timing, level_of, priority_of,
 };
 use support::{DEEP_SERVICE, SERVICE, TestNode, answer, caller_request, serving};
 
 fn not_run(arrived: bool) -> ForwardResult {
     ForwardResult::NotRun {
         code: ResultCode::QueueFull,
-        arrived,
+        proof: if arrived {
+            NotRunProof::Refused
+        } else {
+            NotRunProof::NotStarted
+        },
         retry_after_millis: 350,
     }
 }
@@ -114,6 +119,28 @@
     expect_that!(has_retry_after(&test.answers()[0].fields), eq(true));
 }
 
+#[gtest]
+fn log_names_each_attempt_of_a_refused_request_and_the_proof_that_it_did_not_run() {
+    let mut test = entry();
+    test.request(0, caller_request("a", "/once/1"));
+    test.respond(not_run(true));
+    test.respond(not_run(false));
+    let attempts: Vec<AttemptRecord> = test
+        .actions
+        .iter()
+        .filter_map(|action| match action {
+            Action::Log(LogRecord::Retried { attempt, .. }) => Some(attempt.clone()),
+            Action::Log(LogRecord::Answered { last_attempt, .. }) => Some(last_attempt.clone()),
+            _ => None,
+        })
+        .collect();
+    let proofs: Vec<Option<NotRunProof>> = attempts.iter().map(|attempt| attempt.proof).collect();
+    let expected = [Some(NotRunProof::Refused), Some(NotRunProof::NotStarted)];
+    expect_that!(proofs, eq(&expected.to_vec()));
+    expect_that!(attempts[0].node, not(eq(&attempts[1].node)));
+    expect_that!(attempts[0].sequence, lt(attempts[1].sequence));
+}
+
 #[gtest]
 fn refusal_by_a_back_end_does_not_count_as_an_attempt() {
     let mut test = entry_with_peers(6);
--- a/crates/rillgap-sidecar/src/back_end/connection.rs
+++ b/crates/rillgap-sidecar/src/back_end/connection.rs
@@ -11,12 +11,13 @@
 use rillgap_forward::action::Exchange;
 use rillgap_forward::event::ExchangeResult;
 use rillgap_forward::log_record::LogRecord;
+use rillgap_forward::message::NotRunProof;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc::{self, UnboundedReceiver};
 use tokio::time::timeout;
 
 use super::carried_requests::CarriedRequests;
-use super::response::{Progress, ResponseReader};
+use super::response::{AnswerFault, Progress, ResponseReader};
 use super::{IdleConnection, Job};
 use crate::dialect::{Dialect, HeaderNames};
 use crate::hub::Hub;
@@ -29,6 +30,8 @@
 /// Fraction of the `Keep-Alive` timeout of the back end after which an idle connection is closed,
 /// so that the node closes it before the back end does.
 const IDLE_TIMEOUT_FRACTION: f64 = 0.7;
+/// Number in log records of an exchange for which no connection could be opened.
+const NO_CONNECTION: u64 = 0;
 
 /// Result of running a request on a connection.
 enum Outcome {
@@ -36,6 +39,8 @@
     Ended {
         result: ExchangeResult,
         reusable: bool,
+        /// Why the answer is broken, if it is.
+        fault: Option<AnswerFault>,
     },
     /// The request was cancelled.
     Cancelled,
@@ -52,6 +57,14 @@
         connected = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)) => connected,
     };
     let Ok(Ok(stream)) = connected else {
+        log_end(
+            &hub,
+            &job,
+            NO_CONNECTION,
+            Duration::ZERO,
+            &ExchangeResult::NotSent,
+            None,
+        );
         let client = hub.back_end();
         client.report_end(&hub, job.exchange.id, ExchangeResult::NotSent);
         return;
@@ -99,7 +112,9 @@
                     return;
                 }
                 Outcome::Cancelled => return,
-                Outcome::Ended { result, reusable } => {
+                Outcome::Ended {
+                    result, reusable, ..
+                } => {
                     if !reusable {
                         let hub = self.hub.clone();
                         drop(self);
@@ -173,7 +188,9 @@
         let mut reader = ResponseReader::new(request_id, is_head);
         loop {
             if self.flush(&mut output).is_err() {
-                return lost();
+                let outcome = lost(AnswerFault::ConnectionLost);
+                self.log_outcome(job, sent_at, &outcome);
+                return outcome;
             }
             let (mut receiving, sending) = self.stream.split();
             tokio::select! {
@@ -187,7 +204,7 @@
                     }
                     self.log_foreign_answers(job, &mut reader);
                     if let Some(outcome) = self.outcome_of(progress, output.is_empty()) {
-                        self.log_refusal(job, sent_at, &outcome);
+                        self.log_outcome(job, sent_at, &outcome);
                         return outcome;
                     }
                 }
@@ -213,7 +230,7 @@
         let progress = match received {
             Ok(0) => reader.on_close(),
             Ok(_) => reader.read(&mut self.input, dialect),
-            Err(_) => Progress::Broken,
+            Err(_) => Progress::Broken(AnswerFault::ConnectionLost),
         };
         release_if_empty(&mut self.input);
         progress
@@ -222,7 +239,7 @@
     fn outcome_of(&mut self, progress: Progress, is_sent: bool) -> Option<Outcome> {
         match progress {
             Progress::Partial => None,
-            Progress::Broken => Some(lost()),
+            Progress::Broken(fault) => Some(lost(fault)),
             Progress::Complete {
                 result,
                 keep_alive,
@@ -233,7 +250,11 @@
                 }
                 let is_full = self.carried.borrow().is_full();
                 let reusable = keep_alive && is_sent && self.input.is_empty() && !is_full;
-                Some(Outcome::Ended { result, reusable })
+                Some(Outcome::Ended {
+                    result,
+                    reusable,
+                    fault: None,
+                })
             }
         }
     }
@@ -248,19 +269,12 @@
         }
     }
 
-    fn log_refusal(&self, job: &Job, sent_at: Instant, outcome: &Outcome) {
-        let Outcome::Ended { result, .. } = outcome else {
+    fn log_outcome(&self, job: &Job, sent_at: Instant, outcome: &Outcome) {
+        let Outcome::Ended { result, fault, .. } = outcome else {
             return;
         };
-        if *result != ExchangeResult::NotExecuted {
-            return;
-        }
         let elapsed = self.hub.now().saturating_since(sent_at);
-        self.hub.log(&LogRecord::RefusedByBackEnd {
-            request_id: job.exchange.request.request_id.clone(),
-            connection: self.number,
-            elapsed_micros: u64::try_from(elapsed.as_micros()).unwrap_or(u64::MAX),
-        });
+        log_end(&self.hub, job, self.number, elapsed, result, *fault);
     }
 
     fn flush(&mut self, output: &mut BytesMut) -> io::Result<()> {
@@ -275,13 +289,42 @@
     }
 }
 
-fn lost() -> Outcome {
+fn lost(fault: AnswerFault) -> Outcome {
     Outcome::Ended {
         result: ExchangeResult::Lost,
         reusable: false,
+        fault: Some(fault),
     }
 }
 
+/// Logs the end of an exchange that has no answer to pass on, or is a retry: the records of all
+/// attempts of a request then show which of them may have run, and why.
+fn log_end(
+    hub: &Hub,
+    job: &Job,
+    connection: u64,
+    elapsed: Duration,
+    result: &ExchangeResult,
+    fault: Option<AnswerFault>,
+) {
+    let (end, status) = match result {
+        ExchangeResult::Answered(_) if !job.exchange.request.is_retry => return,
+        ExchangeResult::Answered(answer) => ("answered", answer.status),
+        ExchangeResult::NotExecuted => (NotRunProof::Refused.name(), 0),
+        ExchangeResult::WrongInstance => (NotRunProof::Misdirected.name(), 0),
+        ExchangeResult::NotSent => (NotRunProof::NotConnected.name(), 0),
+        ExchangeResult::Lost => (fault.map_or("lost", AnswerFault::name), 0),
+    };
+    hub.log(&LogRecord::ExchangeEnded {
+        request_id: job.exchange.request.request_id.clone(),
+        exchange: job.exchange.id.0,
+        connection,
+        end,
+        status,
+        elapsed_micros: u64::try_from(elapsed.as_micros()).unwrap_or(u64::MAX),
+    });
+}
+
 /// Encodes a request for the back end.
 fn encode(exchange: &Exchange, names: &HeaderNames) -> Vec<u8> {
     let request = &exchange.request;
--- a/crates/rillgap-sidecar/src/back_end/response.rs
+++ b/crates/rillgap-sidecar/src/back_end/response.rs
@@ -38,7 +38,41 @@
         idle_timeout: Option<Duration>,
     },
     /// The bytes are not an answer, or the connection ended within the answer.
-    Broken,
+    Broken(AnswerFault),
+}
+
+/// Why what a back end has sent is not the answer to a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum AnswerFault {
+    /// The connection was reset or could not be written to.
+    ConnectionLost,
+    /// The connection was closed before the answer was whole.
+    Closed,
+    /// The bytes are not an answer in the protocol.
+    Malformed,
+    /// The body is longer than the limit.
+    BodyTooLong,
+    /// More answers to other requests came first than are skipped, or one without a known end.
+    TooManyForeign,
+    /// The answer names no request.
+    NoIdentifier,
+    /// The answer is a success without a signature, or its body is encoded.
+    NotGenuine,
+}
+
+impl AnswerFault {
+    /// Returns the name in logs.
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::ConnectionLost => "connection lost",
+            Self::Closed => "closed before the end of the answer",
+            Self::Malformed => "not an answer",
+            Self::BodyTooLong => "body too long",
+            Self::TooManyForeign => "answers to other requests",
+            Self::NoIdentifier => "answer without an identifier",
+            Self::NotGenuine => "answer not genuine",
+        }
+    }
 }
 
 /// Header fields that decide how an answer is classified.
@@ -84,15 +118,17 @@
             if self.current.is_none() && !self.read_head(input, dialect).unwrap_or(false) {
                 return match self.is_partial_head(input) {
                     true => Progress::Partial,
-                    false => Progress::Broken,
+                    false => Progress::Broken(AnswerFault::Malformed),
                 };
             }
             let Some((_, _, decoder)) = &mut self.current else {
-                return Progress::Broken;
+                return Progress::Broken(AnswerFault::Malformed);
             };
             match decoder.decode(input, &mut self.body) {
-                Err(_) => return Progress::Broken,
-                Ok(_) if self.body.len() > MAX_BODY_BYTES => return Progress::Broken,
+                Err(_) => return Progress::Broken(AnswerFault::Malformed),
+                Ok(_) if self.body.len() > MAX_BODY_BYTES => {
+                    return Progress::Broken(AnswerFault::BodyTooLong);
+                }
                 Ok(BodyProgress::Partial) => return Progress::Partial,
                 Ok(BodyProgress::Complete) => {}
             }
@@ -111,9 +147,10 @@
             .as_ref()
             .is_some_and(|(_, _, decoder)| decoder.is_complete_at_close());
         if !is_complete {
-            return Progress::Broken;
+            return Progress::Broken(AnswerFault::Closed);
         }
-        self.finish().unwrap_or(Progress::Broken)
+        self.finish()
+            .unwrap_or(Progress::Broken(AnswerFault::Closed))
     }
 
     /// Reads a head; returns `Some(true)` once it is complete. `None` stands for a partial head as
@@ -178,7 +215,7 @@
         let Some(answered_id) = &answer_fields.request_id else {
             // Back ends repeat the identifier, so these bytes belong to no request. They prove
             // neither an answer nor that the request did not run.
-            return Some(Progress::Broken);
+            return Some(Progress::Broken(AnswerFault::NoIdentifier));
         };
         if *answered_id != self.request_id {
             self.foreign_ids.push(answered_id.clone());
@@ -187,18 +224,19 @@
             // end of a foreign answer is not known.
             let is_end_unknown = self.is_head || head.connection == Connection::Close;
             if is_end_unknown || self.foreign_answers > MAX_FOREIGN_ANSWERS {
-                return Some(Progress::Broken);
+                return Some(Progress::Broken(AnswerFault::TooManyForeign));
             }
             return None;
         }
         let is_success = (200..300).contains(&head.status);
         let is_genuine = answer_fields.is_signed && !answer_fields.is_encoded;
+        if is_success && !is_genuine && !answer_fields.is_not_run {
+            return Some(Progress::Broken(AnswerFault::NotGenuine));
+        }
         let result = if answer_fields.is_not_run {
             ExchangeResult::NotExecuted
         } else if head.status == MISDIRECTED_STATUS {
             ExchangeResult::WrongInstance
-        } else if is_success && !is_genuine {
-            ExchangeResult::Lost
         } else {
             ExchangeResult::Answered(ForwardedAnswer {
                 status: head.status,
@@ -207,8 +245,7 @@
             })
         };
         // A late copy of an answer to HEAD would be read with a body.
-        let is_reusable =
-            result != ExchangeResult::Lost && self.foreign_answers == 0 && !self.is_head;
+        let is_reusable = self.foreign_answers == 0 && !self.is_head;
         Some(Progress::Complete {
             result,
             keep_alive: head.connection == Connection::KeepAlive && is_reusable,
--- a/crates/rillgap-sidecar/src/logging/request_log.rs
+++ b/crates/rillgap-sidecar/src/logging/request_log.rs
@@ -5,6 +5,7 @@
 use rillgap_clock::SteadyClock;
 use rillgap_forward::back_end_notice::RequestRate;
 use rillgap_forward::log_record::LogRecord;
+use rillgap_forward::message::NotRunProof;
 
 use crate::settings::LogSection;
 
@@ -80,7 +81,7 @@
                 | LogRecord::NotAnswered { .. }
                 | LogRecord::BackEndRateLimit { .. }
                 | LogRecord::BackEndSlowdown { .. }
-                | LogRecord::RefusedByBackEnd { .. }
+                | LogRecord::ExchangeEnded { .. }
                 | LogRecord::ForeignAnswer { .. }
                 | LogRecord::Cancelled { .. }
                 | LogRecord::RequestQuarantined { .. }
@@ -104,6 +105,11 @@
     rate.map_or(-1.0, RequestRate::per_second)
 }
 
+/// Returns a proof for a log field; empty if the request may have run.
+fn proof_name(proof: Option<NotRunProof>) -> &'static str {
+    proof.map_or("", NotRunProof::name)
+}
+
 fn sample_hash(id: &str) -> u64 {
     BuildHasherDefault::<DefaultHasher>::default().hash_one(id)
 }
@@ -115,8 +121,8 @@
             route,
             status,
             code,
-            peer,
             attempts,
+            last_attempt,
             elapsed_micros,
             configuration,
             timing,
@@ -124,18 +130,18 @@
             proof_age_millis,
         } => log::info!(
             uptime, tenant = tenant.as_str(), proof_age_millis = age_or_minus_one(*proof_age_millis), request = request_id.as_str(), route = route.as_str(), status,
-            code = code.map_or(0, |code| code.number()), peer = peer.as_str(), attempts,
-            elapsed_micros, queued_micros = timing.queued_micros,
+            code = code.map_or(0, |code| code.number()), peer = last_attempt.node.as_str(), attempts,
+            sequence = last_attempt.sequence, proof = proof_name(last_attempt.proof), elapsed_micros, queued_micros = timing.queued_micros,
             back_end_micros = timing.back_end_micros, configuration; "outbound: answered"
         ),
         LogRecord::Retried {
             request_id,
-            from,
+            attempt,
             code,
             paid,
         } => log::info!(
-            uptime, request = request_id.as_str(), from = from.as_str(), code = code.number(),
-            paid; "outbound: sent to another node"
+            uptime, request = request_id.as_str(), from = attempt.node.as_str(), sequence = attempt.sequence,
+            code = code.number(), proof = proof_name(attempt.proof), paid; "outbound: sent to another node"
         ),
         LogRecord::RetryBudget {
             request_id,
@@ -166,36 +172,45 @@
         ),
         LogRecord::NotAnswered {
             request_id,
+            sequence,
+            exchange,
             code,
+            proof,
             elapsed_micros,
             running,
             queued,
             limit,
             lost: None,
         } => log::info!(
-            uptime, request = request_id.as_str(), code = code.number(),
-            reason = code.title(), elapsed_micros, running, queued, limit; "inbound: no answer"
+            uptime, request = request_id.as_str(), sequence, exchange, code = code.number(),
+            reason = code.title(), proof = proof_name(*proof), elapsed_micros, running, queued, limit; "inbound: no answer"
         ),
         LogRecord::NotAnswered {
             request_id,
+            sequence,
+            exchange,
             code,
+            proof,
             elapsed_micros,
             running,
             queued,
             limit,
             lost: Some(lost),
         } => log::info!(
-            uptime, request = request_id.as_str(), code = code.number(),
-            reason = code.title(), elapsed_micros, running, queued, limit,
+            uptime, request = request_id.as_str(), sequence, exchange, code = code.number(),
+            reason = code.title(), proof = proof_name(*proof), elapsed_micros, running, queued, limit,
             instance = lost.instance.as_str(), content = lost.content.to_string().as_str(); "inbound: no answer"
         ),
-        LogRecord::RefusedByBackEnd {
+        LogRecord::ExchangeEnded {
             request_id,
+            exchange,
             connection,
+            end,
+            status,
             elapsed_micros,
         } => log::info!(
-            uptime, request = request_id.as_str(), connection, elapsed_micros;
-            "back end: request refused"
+            uptime, request = request_id.as_str(), exchange, connection, end = *end, status, elapsed_micros;
+            "back end: exchange ended"
         ),
         LogRecord::ForeignAnswer {
             request_id,
--- a/crates/rillgap-sidecar/src/metrics.rs
+++ b/crates/rillgap-sidecar/src/metrics.rs
@@ -12,6 +12,7 @@
 use prometheus_client::registry::{Registry, Unit};
 use rillgap_forward::inbound::percent;
 use rillgap_forward::log_record::LogRecord;
+use rillgap_forward::message::NotRunProof;
 use rillgap_forward::store_sync::StoreReply;
 
 /// Upper bound of the first latency bucket, in seconds.
@@ -30,6 +31,16 @@
     code: u8,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ProofLabels {
+    proof: &'static str,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct EndLabels {
+    end: &'static str,
+}
+
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct CodeLabels {
     code: u8,
@@ -102,8 +113,10 @@
     store_calls: Family<StoreLabels, Counter>,
     link_messages: Family<MessageLabels, Counter>,
     link_bytes: Family<MessageLabels, Counter>,
-    /// Requests that the back end has answered as not run.
-    back_end_refusals: Counter,
+    /// Requests reported to their senders as not run (metric `not_run`).
+    not_run: Family<ProofLabels, Counter>,
+    /// Exchanges with the back end that ended without an answer to pass on, and retries.
+    exchange_ends: Family<EndLabels, Counter>,
     /// Answers of the back end to another request than the one that waited on the connection.
     foreign_answers: Counter,
     back_end_crashes: Counter,
@@ -180,7 +193,8 @@
             store_calls: Family::default(),
             link_messages: Family::default(),
             link_bytes: Family::default(),
-            back_end_refusals: Counter::default(),
+            not_run: Family::default(),
+            exchange_ends: Family::default(),
             foreign_answers: Counter::default(),
             back_end_crashes: Counter::default(),
             unreadable_records: Counter::default(),
@@ -261,12 +275,15 @@
             LogRecord::UnknownParent { .. } => {
                 self.unknown_parents.inc();
             }
-            LogRecord::NotAnswered { code, .. } => {
+            LogRecord::NotAnswered { code, proof, .. } => {
                 let code = code.number();
                 self.failures.get_or_create(&CodeLabels { code }).inc();
+                if let Some(proof) = proof.map(NotRunProof::name) {
+                    self.not_run.get_or_create(&ProofLabels { proof }).inc();
+                }
             }
-            LogRecord::RefusedByBackEnd { .. } => {
-                self.back_end_refusals.inc();
+            LogRecord::ExchangeEnded { end, .. } => {
+                self.exchange_ends.get_or_create(&EndLabels { end }).inc();
             }
             LogRecord::ForeignAnswer { .. } => {
                 self.foreign_answers.inc();
@@ -376,9 +393,14 @@
             self.retry_budget.clone(),
         );
         registry.register(
-            "back_end_refusals",
-            "Requests that the back end has answered as not run",
-            self.back_end_refusals.clone(),
+            "not_run",
+            "Requests reported to their senders as not run, by proof",
+            self.not_run.clone(),
+        );
+        registry.register(
+            "exchange_ends",
+            "Exchanges with the back end without an answer to pass on, and retries, by their end",
+            self.exchange_ends.clone(),
         );
         registry.register(
             "foreign_answers",
