A success that is marked as not run is no proof that the request did not run

An answer with a success, a signature and the mark of a request that was not run was taken as a refusal: a booking would have been answered 503, or sent again, although the back end answered a run. Read, not seen. Such an answer contradicts itself, so it is broken and the outcome unknown. The test got 503 before.

--- a/crates/rillgap-sidecar/src/back_end/response.rs
+++ b/crates/rillgap-sidecar/src/back_end/response.rs
@@ -230,7 +230,8 @@
         }
         let is_success = (200..300).contains(&head.status);
         let is_genuine = answer_fields.is_signed && !answer_fields.is_encoded;
-        if is_success && !is_genuine && !answer_fields.is_not_run {
+        // A success that is marked as not run contradicts itself and proves neither.
+        if is_success && (!is_genuine || answer_fields.is_not_run) {
             return Some(Progress::Broken(AnswerFault::NotGenuine));
         }
         let result = if answer_fields.is_not_run {
--- a/crates/rillgap-sidecar/tests/path/late_answers.rs
+++ b/crates/rillgap-sidecar/tests/path/late_answers.rs
@@ -109,6 +109,18 @@
     });
 }
 
+#[gtest]
+fn success_that_is_marked_as_not_run_does_not_prove_that_a_request_did_not_run() {
+    let bytes = b"HTTP/1.1 200 X\r\nX-Request: a\r\nX-Signature: s\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n";
+    with_pair(
+        move |_: &Seen| Reply::Bytes(bytes.to_vec()),
+        |pair| async move {
+            let answer = pair.ask("a", "/once/1").await;
+            expect_that!(answer.map(|answer| answer.status), some(eq(502)));
+        },
+    );
+}
+
 #[gtest]
 fn answer_without_an_identifier_does_not_prove_that_a_request_did_not_run() {
     for lines in ["503 X\r\nX-Not-Run: 1", "421 X", "500 X\r\nX-Signature: s"] {
