--- a/tests/soak/src/back_end.rs
+++ b/tests/soak/src/back_end.rs
@@ -16,6 +16,8 @@
 use crate::checker::{Arrival, Arrived, body_of, signature_of};
 use crate::crashing;
 use crate::deployment::{BACK_END_SLOTS, DRAIN_TIME, HEARTBEAT_INTERVAL, Layout, QUEUE_LENGTH};
+use crate::endless_answers;
+use crate::rough_answers;
 use crate::soak::Soak;
 use crate::wire::{Connection, Request, encode_request, encode_response};
 
@@ -257,6 +259,8 @@
                 return Ok(false);
             }
         };
+        // The run ends with its work, whatever becomes of the answer.
+        drop(guard);
         self.reply(connection, &id, status).await
     }
 
@@ -265,7 +269,9 @@
     async fn reject(&self, connection: &mut Connection, id: String) -> io::Result<bool> {
         let fields = [(NOT_EXECUTED_FIELD, "1".to_owned()), ("Attempt-Id", id)];
         let bytes = encode_response(503, &fields, b"");
-        connection.write(&bytes).await?;
+        if !self.deliver(connection, &bytes).await? {
+            return Ok(false);
+        }
         let machine = &self.soak.machines[self.node];
         if self.soak.draw_percent(&machine.repeated_rejection_percent) {
             tokio::time::sleep(EXTRA_ANSWER_DELAY).await;
@@ -340,10 +346,39 @@
         if self.soak.draw_percent(&machine.corrupted_percent) {
             return self.corrupt(connection, &bytes).await;
         }
-        connection.write(&bytes).await?;
+        if self.soak.draw_percent(&machine.endless_percent) {
+            return self.answer_without_end(connection, id, &body).await;
+        }
+        self.deliver(connection, &bytes).await
+    }
+
+    /// Sends a whole answer, some of them roughly; returns whether the connection stays open.
+    async fn deliver(&self, connection: &mut Connection, bytes: &[u8]) -> io::Result<bool> {
+        let machine = &self.soak.machines[self.node];
+        if self.soak.draw_percent(&machine.rough_percent) {
+            return rough_answers::send(&self.soak, connection, bytes).await;
+        }
+        connection.write(bytes).await?;
         Ok(true)
     }
 
+    /// Sends bytes without end in place of an answer.
+    async fn answer_without_end(
+        &self,
+        connection: &mut Connection,
+        id: &str,
+        body: &[u8],
+    ) -> io::Result<bool> {
+        let forms = endless_answers::Form::ALL;
+        let drawn = usize::try_from(self.soak.draw(forms.len() as u64)).unwrap_or(0);
+        let signature = signature_of(body);
+        let head = format!(
+            "HTTP/1.1 200 Status\r\nAttempt-Id: {id}\r\nResponse-Signature: {signature}\r\n"
+        );
+        endless_answers::send(connection, forms[drawn], &head).await?;
+        Ok(false)
+    }
+
     /// Sends a response with a randomly chosen protocol error; returns whether the connection stays
     /// open.
     async fn corrupt(&self, connection: &mut Connection, bytes: &[u8]) -> io::Result<bool> {
--- a/tests/soak/src/deployment.rs
+++ b/tests/soak/src/deployment.rs
@@ -41,7 +41,7 @@
 /// Window in which retries are counted against [`RETRY_RATIO`] and [`RETRY_SLACK`].
 pub const RETRY_WINDOW: Duration = Duration::from_secs(10);
 /// Maximum peak memory of a node, in kilobytes.
-pub const MAX_MEMORY_KB: u64 = 260 * 1024;
+pub const MAX_MEMORY_KB: u64 = 32 * 1024;
 
 const CALLERS_PORT: u16 = 8304;
 const CONTROL_PORT: u16 = 8306;
@@ -114,6 +114,11 @@
         (self.machine(node, MESH_PORT), self.proxy(node, MESH_PORT))
     }
 
+    /// Returns the address of a further proxy in front of the node's links, for a planted fault.
+    pub fn tampering(self, node: usize) -> SocketAddr {
+        self.address(3, node, MESH_PORT)
+    }
+
     /// Returns the address on which the back end accepts requests, and that of the proxy in front
     /// of it.
     pub fn back_end(self, node: usize) -> (SocketAddr, SocketAddr) {
--- a/tests/soak/src/faults.rs
+++ b/tests/soak/src/faults.rs
@@ -18,7 +18,9 @@
 use crate::retry_pressure::RetryPressure;
 use crate::soak::Soak;
 use crate::store::StoreFault;
-use crate::{back_end, late_rejections, node, operator, slow_readers};
+use crate::{
+    back_end, endless_answers, late_rejections, node, operator, rough_answers, slow_readers,
+};
 
 /// Length of the disturbed part of a cycle, in milliseconds.
 const DISTURBED_MILLIS: u64 = 13_000;
@@ -97,6 +99,10 @@
     pub late_rejections: bool,
     /// Callers read long answers slowly, and nodes are stopped in series.
     pub slow_readers: bool,
+    /// Back ends deliver whole answers in pieces, before a reset or close, or several times.
+    pub rough_answers: bool,
+    /// Back ends send bytes without end in place of answers.
+    pub endless_answers: bool,
 }
 
 /// Draws the schedule and carries it out.
@@ -150,6 +156,12 @@
         if self.extra.late_rejections {
             late_rejections::begin_cycle(&self.soak);
         }
+        if self.extra.rough_answers {
+            rough_answers::begin_cycle(&self.soak);
+        }
+        if self.extra.endless_answers {
+            endless_answers::begin_cycle(&self.soak);
+        }
         if self.soak.has_renewals {
             self.schedule_restore();
         }
--- a/tests/soak/src/main.rs
+++ b/tests/soak/src/main.rs
@@ -16,7 +16,7 @@
 use rillgap_soak::proxy::Proxy;
 use rillgap_soak::retry_pressure::MIDDLE_CALLS;
 use rillgap_soak::soak::Soak;
-use rillgap_soak::{back_end, caller, node, operator, slow_readers};
+use rillgap_soak::{back_end, caller, false_claims, node, operator, slow_readers};
 
 /// Time for the nodes to start before callers and the schedule begin.
 const START_TIME: Duration = Duration::from_secs(4);
@@ -54,9 +54,18 @@
     /// let callers read long answers slowly while nodes are stopped in series
     #[argh(switch)]
     slow_readers: bool,
+    /// let back ends deliver answers in pieces, before a reset or close, or several times
+    #[argh(switch)]
+    rough_answers: bool,
+    /// let back ends send bytes without end in place of answers
+    #[argh(switch)]
+    endless_answers: bool,
     /// set nodes to more retries than the budget allows: the soak must report it
     #[argh(switch)]
     excess_retries: bool,
+    /// report some requests as not run on the links to half of the nodes: the soak must report it
+    #[argh(switch)]
+    false_claims: bool,
     /// number of callers on each machine
     #[argh(option, default = "3")]
     callers: usize,
@@ -110,7 +119,7 @@
         soak.store.start_backups();
     }
     operator::configure(&soak);
-    let (targets, supervisors) = start(&soak, &files).await?;
+    let (targets, supervisors) = start(&soak, &files, arguments.false_claims).await?;
     sleep(START_TIME).await;
     for node in 0..layout.nodes {
         for _ in 0..arguments.callers {
@@ -124,6 +133,8 @@
         retry_pressure: arguments.retry_pressure,
         late_rejections: arguments.late_rejections,
         slow_readers: arguments.slow_readers,
+        rough_answers: arguments.rough_answers,
+        endless_answers: arguments.endless_answers,
     };
     let mut schedule = Schedule::new(soak.clone(), targets, arguments.seed, extra);
     let end = Duration::from_secs(arguments.seconds);
@@ -142,6 +153,7 @@
 async fn start(
     soak: &Arc<Soak>,
     files: &Files,
+    has_false_claims: bool,
 ) -> io::Result<(Targets, Vec<tokio::task::JoinHandle<()>>)> {
     let mut targets = Targets {
         proxies: Vec::new(),
@@ -150,7 +162,10 @@
     };
     let mut supervisors = Vec::new();
     for node in 0..soak.layout.nodes {
-        targets.proxies.push(start_proxies(soak, node).await?);
+        let claims_falsely = has_false_claims && node % 2 == 0;
+        targets
+            .proxies
+            .push(start_proxies(soak, node, claims_falsely).await?);
         let (actions, received) = mpsc::unbounded_channel();
         targets.back_ends.push(actions);
         tokio::spawn(back_end::supervise(soak.clone(), node, received));
@@ -175,13 +190,19 @@
     }
 }
 
-async fn start_proxies(soak: &Arc<Soak>, node: usize) -> io::Result<Proxies> {
+async fn start_proxies(soak: &Arc<Soak>, node: usize, claims_falsely: bool) -> io::Result<Proxies> {
     let (mesh, mesh_proxy) = soak.layout.mesh(node);
     let (back_end, back_end_proxy) = soak.layout.back_end(node);
     let (store, store_proxy) = soak.layout.store(node);
     soak.store.listen(node, store).await?;
     Ok(Proxies {
-        mesh: Proxy::start(mesh_proxy, mesh).await?,
+        mesh: if claims_falsely {
+            let tampering = soak.layout.tampering(node);
+            false_claims::start(tampering, mesh).await?;
+            Proxy::start(mesh_proxy, tampering).await?
+        } else {
+            Proxy::start(mesh_proxy, mesh).await?
+        },
         back_end: Proxy::start(back_end_proxy, back_end).await?,
         store: Proxy::start(store_proxy, store).await?,
     })
--- a/tests/soak/src/soak.rs
+++ b/tests/soak/src/soak.rs
@@ -30,6 +30,10 @@
     pub rejected_percent: AtomicU32,
     /// Percentage of the rejections that the back end sends a second time, late.
     pub repeated_rejection_percent: AtomicU32,
+    /// Percentage of the back end's whole answers that are delivered roughly.
+    pub rough_percent: AtomicU32,
+    /// Percentage of the back end's answers that have no end.
+    pub endless_percent: AtomicU32,
     /// Whether the back end goes on with requests whose connection was closed.
     pub finishes_abandoned_work: AtomicBool,
     /// Factor by which the back end's work takes longer; 0 counts as 1.
