HTTP codec: heads that arrive in pieces are not decoded again for each piece

A head was decoded from its begin after each read. Byte by byte, a head of 64 KiB took some 2 GB of decoding, a whole core for as long as the sender liked.

--- a/crates/rillgap-http/src/h1/mod.rs
+++ b/crates/rillgap-http/src/h1/mod.rs
@@ -10,9 +10,11 @@
 mod head;
 mod request;
 mod response;
+mod scan;
 
 pub use body::{BodyDecoder, BodyProgress, Framing};
 pub use error::MessageError;
 pub use head::{Connection, FieldBlock, HeadLimits};
 pub use request::{RequestHead, decode_request};
 pub use response::{ResponseHead, decode_response, encode_status_line};
+pub use scan::HeadScan;
--- a/crates/rillgap-http/tests/h1.rs
+++ b/crates/rillgap-http/tests/h1.rs
@@ -3,8 +3,8 @@
 use bytes::BytesMut;
 use googletest::prelude::*;
 use rillgap_http::h1::{
-    BodyDecoder, BodyProgress, Connection, Framing, HeadLimits, MessageError, RequestHead,
-    ResponseHead, decode_request, decode_response,
+    BodyDecoder, BodyProgress, Connection, Framing, HeadLimits, HeadScan, MessageError,
+    RequestHead, ResponseHead, decode_request, decode_response,
 };
 
 const LIMITS: HeadLimits = HeadLimits { max_bytes: 1_024 };
@@ -165,3 +165,15 @@
     expect_that!(&output[..], eq(b"abcd"));
     expect_that!(&input[..], eq(b"NEXT"));
 }
+
+#[gtest]
+fn head_that_arrives_byte_by_byte_is_decoded_rarely_and_as_soon_as_it_is_complete() {
+    for end in ["\r\n\r\n", "\n\n", "\n\r\n"] {
+        let head = format!("GET /{} HTTP/1.1{end}", "x".repeat(5_000));
+        let mut scan = HeadScan::default();
+        let due = (1..=head.len()).filter(|length| scan.is_due(&head.as_bytes()[..*length]));
+        let due: Vec<usize> = due.collect();
+        expect_that!(due.len(), lt(20));
+        expect_that!(due.last(), some(eq(&head.len())));
+    }
+}
