--- a/crates/rillgap-core/src/code.rs
+++ b/crates/rillgap-core/src/code.rs
@@ -142,6 +142,8 @@
     /// The request is a retry, or a call made for one, and the retry budget of the node that received
     /// it does not cover it or the calls that it would make.
     RetryNotCovered = 58, 503, NotRun, "retry not covered by the budget";
+    /// The node holds as many bytes for callers, back ends and peers as it may.
+    BuffersFull = 59, 503, NotRun, "no room in the buffers of the node";
     /// The request was started, but not answered in time.
     AnswerTimeout = 70, 504, Unknown, "no answer in time";
     /// The connection to the node or back end was lost after the request was sent.
--- a/crates/rillgap-forward/src/event.rs
+++ b/crates/rillgap-forward/src/event.rs
@@ -103,6 +103,15 @@
         /// The request.
         request: CallerRequest,
     },
+    /// The node has no room for further requests of callers, or has room again.
+    BufferShortage {
+        /// Whether room is short from now on.
+        is_short: bool,
+        /// Number of bytes that are held.
+        held: usize,
+        /// Maximum number of bytes.
+        limit: usize,
+    },
     /// A caller's connection has ended; answers to its requests are no longer needed.
     CallerDisconnected(ConnectionId),
     /// A link that this node opened is up.
--- a/crates/rillgap-forward/src/inbound/admission.rs
+++ b/crates/rillgap-forward/src/inbound/admission.rs
@@ -10,7 +10,7 @@
 use super::queue::Queued;
 use super::refusals::MIN_REFUSED_SHARE;
 use super::{
-    Arrival, ESTIMATE_PROBE_FRACTION, Inbound, LEVEL_TUNING, MAX_QUEUE_LENGTH,
+    Arrival, ESTIMATE_PROBE_FRACTION, Inbound, LEVEL_TUNING, MAX_QUEUE_LENGTH, MAX_QUEUED_BYTES,
     MAX_SLOT_UTILIZATION, MIN_REMAINING_TIME_FRACTION, MIN_REPORTED_LEVEL_CHANGE,
     RANK_RESERVE_FRACTION, RETRY_AFTER_RANGE_MILLIS, RequestState, count,
 };
@@ -180,7 +180,11 @@
         // counted, almost every request would be queued, and the queue would grow beyond its bound.
         let ahead = self.queue.ahead_of(rank, u8::MAX);
         let wait = self.drain_time(now, ahead + 1);
-        if wait > bound || self.queue.len() >= MAX_QUEUE_LENGTH {
+        let bytes = arrival.request.body.len();
+        let queued_bytes = self.queue.bytes() + self.isolated_queue.bytes();
+        let is_full =
+            self.queue.len() >= MAX_QUEUE_LENGTH || queued_bytes + bytes > MAX_QUEUED_BYTES;
+        if wait > bound || is_full {
             let code = self.shed_code(now);
             self.refuse(now, &arrival, code, out);
             return;
@@ -196,6 +200,7 @@
             rank,
             position_in_rank,
             cutoff: latest.min(now + bound),
+            bytes,
             item: arrival,
         };
         let state = if is_isolated {
--- a/crates/rillgap-forward/src/inbound/mod.rs
+++ b/crates/rillgap-forward/src/inbound/mod.rs
@@ -95,6 +95,8 @@
 pub const FAILURE_THRESHOLD_PERMILLE: u32 = 100;
 /// Maximum number of requests in the queue.
 const MAX_QUEUE_LENGTH: usize = 2_048;
+/// Maximum sum of the bodies of the requests in the queues, in bytes.
+const MAX_QUEUED_BYTES: usize = 4 * 1024 * 1024;
 
 /// A request that has arrived and is not running yet.
 #[derive(Clone, Debug)]
--- a/crates/rillgap-forward/src/inbound/queue.rs
+++ b/crates/rillgap-forward/src/inbound/queue.rs
@@ -14,6 +14,8 @@
     pub position_in_rank: u8,
     /// Latest time at which the item may be started.
     pub cutoff: Instant,
+    /// Number of bytes that the item holds.
+    pub bytes: usize,
     /// The item.
     pub item: T,
 }
@@ -25,6 +27,8 @@
     positions: BTreeMap<u64, (u8, u8)>,
     cutoffs: BTreeSet<(Instant, u64)>,
     next_ticket: u64,
+    /// Sum of the bytes that the items hold.
+    bytes: usize,
 }
 
 impl<T> Default for RankQueue<T> {
@@ -34,6 +38,7 @@
             positions: BTreeMap::new(),
             cutoffs: BTreeSet::new(),
             next_ticket: 0,
+            bytes: 0,
         }
     }
 }
@@ -44,6 +49,11 @@
         self.positions.len()
     }
 
+    /// Returns the sum of the bytes that the items hold.
+    pub const fn bytes(&self) -> usize {
+        self.bytes
+    }
+
     /// Returns the number of items that are served before a new one of this rank and position.
     pub fn ahead_of(&self, rank: u8, position: u8) -> usize {
         let higher = self.ranks.range(..rank);
@@ -75,6 +85,7 @@
     pub fn push(&mut self, queued: Queued<T>) -> u64 {
         let ticket = self.next_ticket;
         self.next_ticket += 1;
+        self.bytes += queued.bytes;
         self.positions
             .insert(ticket, (queued.rank, queued.position_in_rank));
         self.cutoffs.insert((queued.cutoff, ticket));
@@ -94,6 +105,7 @@
             self.ranks.remove(&rank);
         }
         self.cutoffs.remove(&(queued.cutoff, ticket));
+        self.bytes -= queued.bytes;
         Some(queued.item)
     }
 
--- a/crates/rillgap-forward/src/lib.rs
+++ b/crates/rillgap-forward/src/lib.rs
@@ -8,8 +8,10 @@
 //! executes the resulting [`action::Action`]s.
 
 pub mod action;
+pub mod answer_pace;
 pub mod back_end_notice;
 pub mod balancer;
+pub mod buffer_account;
 pub mod configuration;
 pub mod configuration_offers;
 pub mod crash;
--- a/crates/rillgap-forward/src/log_record.rs
+++ b/crates/rillgap-forward/src/log_record.rs
@@ -357,6 +357,16 @@
     /// The shortage of tokens of a tenant whose bucket this node owns has begun, moved to another
     /// tier of requests, or ended.
     TenantLimit(LevelChange),
+    /// The node refuses callers because it holds as many bytes for others as it may, or accepts them
+    /// again.
+    BufferShortage {
+        /// Whether callers are refused.
+        is_short: bool,
+        /// Number of bytes that are held.
+        held: usize,
+        /// Maximum number of bytes.
+        limit: usize,
+    },
     /// The lifecycle state of the node has changed.
     Lifecycle {
         /// `stopping`, `ending connections` or `exiting`.
--- a/crates/rillgap-forward/src/message.rs
+++ b/crates/rillgap-forward/src/message.rs
@@ -200,6 +200,8 @@
     pub remaining_micros: u64,
     /// Maximum time that the request may wait in a queue, in microseconds.
     pub queue_limit_micros: u64,
+    /// Time within which the answer must be whole once it has begun, in microseconds.
+    pub answer_grace_micros: u64,
     /// Rate limit of the back end that the node beside it may have forgotten.
     pub remembered_rate_limit: Option<RememberedRateLimit>,
 }
@@ -465,6 +467,18 @@
 }
 
 impl LinkMessage {
+    /// Returns the length of the body that the message contains, in bytes.
+    pub fn body_bytes(&self) -> usize {
+        match self {
+            Self::Request { request, .. } => request.body.len(),
+            Self::Response(ForwardResponse {
+                result: ForwardResult::Answered(answer),
+                ..
+            }) => answer.body.len(),
+            _ => 0,
+        }
+    }
+
     /// Returns the kind of the message, for metrics.
     pub const fn kind(&self) -> &'static str {
         match self {
--- a/crates/rillgap-forward/src/node/mod.rs
+++ b/crates/rillgap-forward/src/node/mod.rs
@@ -81,6 +81,8 @@
     last_event_at: Instant,
     /// Until when messages that arrived during a process pause may be read.
     peer_timeouts_after: Instant,
+    /// Whether callers are refused because the node has no room for further requests.
+    is_short_of_buffers: bool,
     stopping_since: Option<Instant>,
     inbound_stops_at: Option<Instant>,
     /// Whether the connections of callers and peers are being ended.
@@ -122,6 +124,7 @@
             next_status: now,
             last_event_at: now,
             peer_timeouts_after: now,
+            is_short_of_buffers: false,
             stopping_since: None,
             inbound_stops_at: None,
             ends_connections: false,
@@ -217,6 +220,18 @@
                 pipeline_index,
                 request,
             } => self.on_request(now, connection, pipeline_index, request, out),
+            Event::BufferShortage {
+                is_short,
+                held,
+                limit,
+            } => {
+                self.is_short_of_buffers = is_short;
+                out.push(Action::Log(LogRecord::BufferShortage {
+                    is_short,
+                    held,
+                    limit,
+                }));
+            }
             Event::CallerDisconnected(connection) => {
                 let (outbound, mut context) = self.split_outbound(out);
                 outbound.on_caller_disconnected(connection, &mut context);
@@ -288,6 +303,7 @@
             is_stopping: self.stopping_since.is_some(),
             refuses_callers,
             is_exiting: self.ends_connections,
+            is_short_of_buffers: self.is_short_of_buffers,
             out,
         };
         (&mut self.outbound, context)
--- a/crates/rillgap-forward/src/outbound/intake.rs
+++ b/crates/rillgap-forward/src/outbound/intake.rs
@@ -1,6 +1,7 @@
 //! Checks of a request before its first attempt.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use rillgap_core::admission::Level;
 use rillgap_core::code::ResultCode;
@@ -10,9 +11,11 @@
 use super::request::Request;
 use super::tenancy::{self, Refusal};
 use super::{
-    NO_BACK_END_RETRY_AFTER_MILLIS, Origin, Outbound, OutboundContext, THROTTLED_RETRY_AFTER_MILLIS,
+    NO_BACK_END_RETRY_AFTER_MILLIS, NO_ROOM_RETRY_AFTER_MILLIS, Origin, Outbound, OutboundContext,
+    THROTTLED_RETRY_AFTER_MILLIS,
 };
 use crate::action::Action;
+use crate::answer_pace;
 use crate::configuration::{Route, RouteTable, Tenant};
 use crate::crash::Suspicion;
 use crate::event::CallerRequest;
@@ -103,6 +106,7 @@
             is_retry,
             remaining_micros: 0,
             queue_limit_micros: 0,
+            answer_grace_micros: micros(answer_pace::grace(route.target_latency())),
             remembered_rate_limit: None,
         };
         let mut request = Request::new(
@@ -129,6 +133,13 @@
     if context.is_exiting || is_refused {
         return Err(Refusal::new(ResultCode::NodeStopping));
     }
+    // A call is a part of a request that has been accepted.
+    if context.is_short_of_buffers && !origin.is_call() {
+        return Err(Refusal::after(
+            ResultCode::BuffersFull,
+            NO_ROOM_RETRY_AFTER_MILLIS,
+        ));
+    }
     let Some(table) = context.table else {
         return Err(Refusal::after(
             ResultCode::NotReady,
@@ -177,6 +188,10 @@
     ))
 }
 
+fn micros(duration: Duration) -> u64 {
+    u64::try_from(duration.as_micros()).unwrap_or(u64::MAX)
+}
+
 fn is_quarantined(now: Instant, content: Fingerprint, context: &OutboundContext<'_>) -> bool {
     context.inbound.crashes().suspicion(now, content) == Suspicion::Quarantined
 }
--- a/crates/rillgap-forward/src/outbound/mod.rs
+++ b/crates/rillgap-forward/src/outbound/mod.rs
@@ -66,6 +66,8 @@
 const NO_BACK_END_RETRY_AFTER_MILLIS: u32 = 250;
 /// Interval at which changes of admission are logged.
 const ADMISSION_REPORT_INTERVAL: Duration = Duration::from_millis(200);
+/// `Retry-After` of a request for which the node has no room, in milliseconds.
+const NO_ROOM_RETRY_AFTER_MILLIS: u32 = 300;
 /// `Retry-After` of a request that admission control refuses, in milliseconds.
 const THROTTLED_RETRY_AFTER_MILLIS: u32 = 300;
 
@@ -127,6 +129,8 @@
     /// Whether the process is about to exit. All new requests are refused, as none could be
     /// completed.
     pub is_exiting: bool,
+    /// Whether callers' requests are refused because the node has no room for them.
+    pub is_short_of_buffers: bool,
     /// Receives the actions that the driver has to carry out.
     pub out: &'a mut Actions,
 }
--- a/crates/rillgap-forward/tests/inbound.rs
+++ b/crates/rillgap-forward/tests/inbound.rs
@@ -512,3 +512,31 @@
     expect_that!(timing(1), some(eq(expected(0, 20_000))));
     expect_that!(timing(4), some(eq(expected(20_000, 30_000))));
 }
+
+/// Length of a body of which only a few may wait.
+const LONG_BODY_BYTES: usize = 1_000_000;
+/// Maximum sum of the bodies of queued requests.
+const MAX_QUEUED_BYTES: usize = 4 * 1024 * 1024;
+
+#[gtest]
+fn queue_holds_few_requests_with_long_bodies() {
+    let mut test = TestNode::serving();
+    let link = test.accept(50);
+    let bodies = |test: &mut TestNode, first: u64| {
+        for sequence in first..first + 20 {
+            let mut request = forwarded_request(&format!("r{sequence}"), true);
+            request.body = vec![0; LONG_BODY_BYTES];
+            request.queue_limit_micros = 700_000;
+            test.forward(link, sequence, request);
+        }
+        let started = test.exchanges().len();
+        20 - started - test.results().len()
+    };
+    let queued = bodies(&mut test, 1);
+    expect_that!(queued, gt(0));
+    expect_that!(queued * LONG_BODY_BYTES, le(MAX_QUEUED_BYTES));
+    // What has left the queue makes room.
+    test.advance(1_500);
+    test.actions.clear();
+    expect_that!(bodies(&mut test, 100), gt(0));
+}
--- a/crates/rillgap-forward/tests/outbound.rs
+++ b/crates/rillgap-forward/tests/outbound.rs
@@ -387,3 +387,25 @@
     expect_that!(test.sent(), is_empty());
     expect_that!(test.statuses(), is_empty());
 }
+
+#[gtest]
+fn node_without_room_refuses_callers_and_goes_on_with_chains_that_have_begun() {
+    let mut test = TestNode::serving();
+    let link = test.accept(50);
+    test.forward(link, 1, support::forwarded_request("chain", true));
+    let shortage = |is_short| Event::BufferShortage {
+        is_short,
+        held: 900,
+        limit: 1_000,
+    };
+    test.event(shortage(true));
+    test.request(0, caller_request("a", "/safe/1"));
+    expect_that!(test.statuses(), elements_are![eq(&503)]);
+    expect_that!(has_retry_after(&test.answers()[0].fields), eq(true));
+    test.actions.clear();
+    test.request(1, caller_request("chain.1", "/safe/1"));
+    expect_that!(test.statuses(), is_empty());
+    test.event(shortage(false));
+    test.request(2, caller_request("b", "/safe/1"));
+    expect_that!(test.statuses(), is_empty());
+}
--- a/crates/rillgap-forward/tests/stated_rate.rs
+++ b/crates/rillgap-forward/tests/stated_rate.rs
@@ -207,6 +207,7 @@
         let request = ForwardedRequest {
             level: level_of(priority, &id),
             queue_limit_micros: 400_000,
+            answer_grace_micros: 1_000_000,
             ..forwarded_request(&id, true)
         };
         test.forward(link, sequence, request);
@@ -220,6 +221,7 @@
     let instance = Incarnation::without_start(instance).fingerprint();
     ForwardedRequest {
         queue_limit_micros: 400_000,
+        answer_grace_micros: 1_000_000,
         remembered_rate_limit: Some(RememberedRateLimit {
             instance,
             rate: rate(10.0),
@@ -440,6 +442,7 @@
         test.advance(21);
         let request = ForwardedRequest {
             queue_limit_micros: 700_000,
+            answer_grace_micros: 1_000_000,
             ..forwarded_request(&format!("r{sequence}"), true)
         };
         test.forward(link, sequence, request);
--- a/crates/rillgap-forward/tests/support/mod.rs
+++ b/crates/rillgap-forward/tests/support/mod.rs
@@ -164,6 +164,7 @@
         is_retry: false,
         remaining_micros: 800_000,
         queue_limit_micros: 100_000,
+        answer_grace_micros: 1_000_000,
         remembered_rate_limit: None,
     }
 }
--- a/crates/rillgap-sidecar/src/back_end/connection.rs
+++ b/crates/rillgap-sidecar/src/back_end/connection.rs
@@ -9,6 +9,7 @@
 use bytes::{Buf, BytesMut};
 use rillgap_core::time::Instant;
 use rillgap_forward::action::Exchange;
+use rillgap_forward::answer_pace::AnswerPace;
 use rillgap_forward::event::ExchangeResult;
 use rillgap_forward::log_record::LogRecord;
 use rillgap_forward::message::NotRunProof;
@@ -30,6 +31,11 @@
 /// Fraction of the `Keep-Alive` timeout of the back end after which an idle connection is closed,
 /// so that the node closes it before the back end does.
 const IDLE_TIMEOUT_FRACTION: f64 = 0.7;
+/// Time to wait for room for an answer after which the caller with the most unread bytes is
+/// disconnected.
+const RELIEF_DELAY: Duration = Duration::from_millis(500);
+/// Maximum time to wait for room for an answer.
+const ROOM_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Number in log records of an exchange for which no connection could be opened.
 const NO_CONNECTION: u64 = 0;
 
@@ -49,6 +55,26 @@
     Stale,
 }
 
+/// Wait for room for what has arrived of an answer.
+#[derive(Clone, Copy, Debug, Default)]
+struct RoomWait {
+    /// Since when there is no room; `None` if there is.
+    since: Option<Instant>,
+    has_asked_for_relief: bool,
+}
+
+impl RoomWait {
+    /// Returns when the next step of a long wait is due.
+    fn ends_at(&self) -> Option<Instant> {
+        let delay = if self.has_asked_for_relief {
+            ROOM_TIMEOUT
+        } else {
+            RELIEF_DELAY
+        };
+        self.since.map(|since| since + delay)
+    }
+}
+
 /// Opens a connection for a job and serves jobs on it until it ends.
 pub(super) async fn open(hub: Rc<Hub>, address: SocketAddr, mut job: Job) {
     let connected = tokio::select! {
@@ -179,40 +205,85 @@
         if !self.has_no_input() {
             return Outcome::Stale;
         }
-        let request_id = &job.exchange.request.request_id;
-        self.carried.borrow_mut().record(request_id);
+        let sent_at = self.hub.now();
+        let outcome = self.exchange(job).await;
+        if let Outcome::Ended { result, fault, .. } = &outcome {
+            let elapsed = self.hub.now().saturating_since(sent_at);
+            log_end(&self.hub, job, self.number, elapsed, result, *fault);
+        }
+        outcome
+    }
+
+    async fn exchange(&mut self, job: &mut Job) -> Outcome {
+        let request = job.exchange.request.clone();
+        self.carried.borrow_mut().record(&request.request_id);
         let dialect = self.hub.dialect().clone();
         let mut output = BytesMut::from(encode(&job.exchange, dialect.headers()).as_slice());
-        let is_head = job.exchange.request.method == "HEAD";
-        let sent_at = self.hub.now();
-        let mut reader = ResponseReader::new(request_id, is_head);
+        let buffers = self.hub.buffers().clone();
+        let is_head = request.method == "HEAD";
+        let mut reader = ResponseReader::new(&request.request_id, is_head, buffers.clone());
+        let mut pace = AnswerPace::new(Duration::from_micros(request.answer_grace_micros));
+        let mut wait = RoomWait::default();
         loop {
             if self.flush(&mut output).is_err() {
-                let outcome = lost(AnswerFault::ConnectionLost);
-                self.log_outcome(job, sent_at, &outcome);
-                return outcome;
+                return lost(AnswerFault::ConnectionLost);
             }
+            let ends_at = pace.ends_at();
             let (mut receiving, sending) = self.stream.split();
-            tokio::select! {
+            let progress = tokio::select! {
                 biased;
                 _ = &mut job.cancelled => return Outcome::Cancelled,
-                received = read_some(&mut receiving, &mut self.input) => {
-                    let progress = self.on_received(received, &mut reader, dialect.as_ref());
-                    if let Some(notice) = reader.take_notice() {
-                        let client = self.hub.back_end();
-                        client.report_notice(&self.hub, job.exchange.id, notice);
-                    }
-                    self.log_foreign_answers(job, &mut reader);
-                    if let Some(outcome) = self.outcome_of(progress, output.is_empty()) {
-                        self.log_outcome(job, sent_at, &outcome);
-                        return outcome;
-                    }
+                received = read_some(&mut receiving, &mut self.input), if wait.since.is_none() => {
+                    pace.on_bytes(self.hub.now(), received.as_ref().map_or(0, |count| *count));
+                    self.on_received(received, &mut reader, dialect.as_ref())
+                }
+                _ = sending.writable(), if !output.is_empty() => Progress::Partial,
+                () = buffers.freed(), if wait.since.is_some() => {
+                    reader.read(&mut self.input, dialect.as_ref())
                 }
-                _ = sending.writable(), if !output.is_empty() => {}
+                () = self.hub.sleep_until(ends_at), if ends_at.is_some() => {
+                    Progress::Broken(AnswerFault::TooSlow)
+                }
+                () = self.hub.sleep_until(wait.ends_at()), if wait.since.is_some() => {
+                    self.on_long_wait(&mut wait)
+                }
+            };
+            release_if_empty(&mut self.input);
+            let now = self.hub.now();
+            if reader.take_skipped() {
+                pace.restart();
+                if !self.input.is_empty() {
+                    pace.on_bytes(now, self.input.len());
+                }
+            }
+            if matches!(progress, Progress::NoRoom) {
+                wait.since.get_or_insert(now);
+                pace.pause(now);
+            } else {
+                wait = RoomWait::default();
+                pace.resume(now);
+            }
+            if let Some(notice) = reader.take_notice() {
+                let client = self.hub.back_end();
+                client.report_notice(&self.hub, job.exchange.id, notice);
+            }
+            self.log_foreign_answers(job, &mut reader);
+            if let Some(outcome) = self.outcome_of(progress, output.is_empty()) {
+                return outcome;
             }
         }
     }
 
+    /// Handles a wait for room that has become long: first makes room at the cost of the caller that
+    /// reads most slowly, then gives up.
+    fn on_long_wait(&self, wait: &mut RoomWait) -> Progress {
+        if std::mem::replace(&mut wait.has_asked_for_relief, true) {
+            return Progress::Broken(AnswerFault::NoRoom);
+        }
+        self.hub.disconnect_slowest_reader();
+        Progress::NoRoom
+    }
+
     /// Returns whether the connection is open and nothing has arrived since the last answer.
     fn has_no_input(&self) -> bool {
         let mut byte = [0];
@@ -227,18 +298,16 @@
         reader: &mut ResponseReader,
         dialect: &dyn Dialect,
     ) -> Progress {
-        let progress = match received {
+        match received {
             Ok(0) => reader.on_close(),
             Ok(_) => reader.read(&mut self.input, dialect),
             Err(_) => Progress::Broken(AnswerFault::ConnectionLost),
-        };
-        release_if_empty(&mut self.input);
-        progress
+        }
     }
 
     fn outcome_of(&mut self, progress: Progress, is_sent: bool) -> Option<Outcome> {
         match progress {
-            Progress::Partial => None,
+            Progress::Partial | Progress::NoRoom => None,
             Progress::Broken(fault) => Some(lost(fault)),
             Progress::Complete {
                 result,
@@ -269,14 +338,6 @@
         }
     }
 
-    fn log_outcome(&self, job: &Job, sent_at: Instant, outcome: &Outcome) {
-        let Outcome::Ended { result, fault, .. } = outcome else {
-            return;
-        };
-        let elapsed = self.hub.now().saturating_since(sent_at);
-        log_end(&self.hub, job, self.number, elapsed, result, *fault);
-    }
-
     fn flush(&mut self, output: &mut BytesMut) -> io::Result<()> {
         while !output.is_empty() {
             match self.stream.try_write(output) {
--- a/crates/rillgap-sidecar/src/back_end/probe.rs
+++ b/crates/rillgap-sidecar/src/back_end/probe.rs
@@ -7,7 +7,7 @@
 use bytes::BytesMut;
 use rillgap_forward::back_end_notice::LoadNotice;
 use rillgap_forward::event::ProbeResult;
-use rillgap_http::h1::{HeadLimits, decode_response};
+use rillgap_http::h1::{HeadLimits, HeadScan, decode_response};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::time::timeout;
@@ -57,7 +57,14 @@
     let request = format!("GET {path} HTTP/1.1\r\nHost: {address}\r\nConnection: close\r\n\r\n");
     stream.write_all(request.as_bytes()).await?;
     let mut input = BytesMut::new();
+    let mut scan = HeadScan::default();
     loop {
+        if stream.read_buf(&mut input).await? == 0 {
+            return Ok(ProbeAnswer::without_load(ProbeResult::Unreachable));
+        }
+        if input.len() <= MAX_HEAD_BYTES && !scan.is_due(&input) {
+            continue;
+        }
         let mut instance = String::new();
         let mut load = LoadNotice::Absent;
         let limits = HeadLimits {
@@ -80,8 +87,5 @@
             Ok(None) => {}
             Err(_) => return Ok(ProbeAnswer::without_load(ProbeResult::Unhealthy)),
         }
-        if stream.read_buf(&mut input).await? == 0 {
-            return Ok(ProbeAnswer::without_load(ProbeResult::Unreachable));
-        }
     }
 }
--- a/crates/rillgap-sidecar/src/caller/connection.rs
+++ b/crates/rillgap-sidecar/src/caller/connection.rs
@@ -10,6 +10,7 @@
 use rillgap_core::code::ResultCode;
 use rillgap_core::time::Instant;
 use rillgap_forward::action::CallerAnswer;
+use rillgap_forward::buffer_account::HolderKind;
 use rillgap_forward::event::Event;
 use rillgap_forward::id::{ConnectionId, PipelineIndex};
 use rillgap_http::h1::{Connection, encode_status_line};
@@ -18,6 +19,7 @@
 use tokio::time::timeout_at;
 
 use super::reader::{Progress, ReadRequest, RequestReader};
+use crate::buffers::Held;
 use crate::ending::Ending;
 use crate::hub::{Hub, PipelinedAnswer};
 use crate::read::{discard_some, read_some, release_if_empty};
@@ -28,13 +30,20 @@
 const MAX_READ_AHEAD_BYTES: usize = 256 * 1024;
 /// Timeout for a caller that does not read its answers.
 const UNREAD_ANSWER_TIMEOUT: Duration = Duration::from_secs(10);
+/// Maximum time for the body of a request to arrive.
+const MAX_BODY_TIME: Duration = Duration::from_secs(30);
 /// Minimum time between two checks for a timeout.
 const MIN_TIMER_INTERVAL: Duration = Duration::from_millis(20);
 /// Timeout for the peer's close after the last answer or its last bytes, if it has not read slowly
 /// before.
 const LINGER_TIMEOUT: Duration = Duration::from_millis(500);
-/// Maximum time to wait for the peer's close.
-const MAX_LINGER_TIME: Duration = Duration::from_secs(10);
+/// Maximum time to wait for the close of a peer that goes on sending.
+const MAX_LINGER_TIME: Duration = Duration::from_secs(2);
+/// The same if the peer has read its answers slowly.
+const MAX_SLOW_LINGER_TIME: Duration = Duration::from_secs(10);
+/// Maximum number of bytes that are dropped meanwhile. A peer that sends more does not wait for its
+/// last answer.
+const MAX_LINGER_BYTES: usize = 1024 * 1024;
 
 /// Interim answer to a caller that waits for it before it sends a body.
 const CONTINUE: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
@@ -45,6 +54,8 @@
     pipeline_index: PipelineIndex,
     is_head: bool,
     connection: Connection,
+    /// Length of its body, which the node keeps until the request is answered.
+    body_bytes: usize,
 }
 
 /// Why a connection ends.
@@ -74,6 +85,14 @@
     answers: BTreeMap<PipelineIndex, CallerAnswer>,
     next_pipeline_index: u64,
     accepts_requests: bool,
+    /// Counts answers that the caller has not read.
+    unread: Rc<Held>,
+    /// Counts the bytes of requests.
+    requests: Held,
+    /// Sum of the bodies of the requests that wait for their answers.
+    pending_body_bytes: usize,
+    /// Until when the rest of a body may arrive.
+    body_until: Option<Instant>,
     active_at: Instant,
     /// Until when the caller waits for the answers that it has been sent.
     wanted_until: Instant,
@@ -90,11 +109,13 @@
 }
 
 impl CallerConnection {
-    pub fn new(hub: Rc<Hub>, id: ConnectionId, stream: TcpStream) -> Self {
+    /// Creates the state of a connection whose unread answers `unread` counts.
+    pub fn new(hub: Rc<Hub>, id: ConnectionId, stream: TcpStream, unread: Rc<Held>) -> Self {
         // Without `TCP_NODELAY` answers may wait for acknowledgements. The connection also works
         // without it, so an error is ignored.
         let _ = stream.set_nodelay(true);
         let active_at = hub.now();
+        let requests = hub.buffers().open(HolderKind::Requests);
         Self {
             hub,
             id,
@@ -106,6 +127,10 @@
             answers: BTreeMap::new(),
             next_pipeline_index: 0,
             accepts_requests: true,
+            unread,
+            requests,
+            pending_body_bytes: 0,
+            body_until: None,
             active_at,
             wanted_until: active_at,
             reads_slowly: false,
@@ -131,7 +156,9 @@
             if !self.accepts_requests && self.pending.is_empty() && self.output.is_empty() {
                 return Err(ConnectionEnd::Finished);
             }
-            let may_read = self.input.len() < MAX_READ_AHEAD_BYTES;
+            let is_slowed = self.is_slowed();
+            let may_read = self.input.len() < MAX_READ_AHEAD_BYTES && !is_slowed;
+            let buffers = self.hub.buffers();
             let (mut receiving, sending) = self.stream.split();
             tokio::select! {
                 biased;
@@ -143,7 +170,12 @@
                 }
                 received = read_some(&mut receiving, &mut self.input), if may_read => {
                     self.on_received(received?)?;
+                    let times_out_at = self.hub.deadline(self.times_out_at());
+                    if times_out_at < timer.deadline() {
+                        timer.as_mut().reset(times_out_at);
+                    }
                 }
+                () = buffers.freed(), if is_slowed => self.read_requests()?,
                 ready = sending.writable(), if !self.output.is_empty() => {
                     ready?;
                     self.flush()?;
@@ -165,6 +197,14 @@
         }
     }
 
+    /// Returns whether nothing is read from the caller because the node holds many bytes: a caller
+    /// that reads its answers more slowly than it asks for them is slowed down first, as are long
+    /// bodies.
+    fn is_slowed(&self) -> bool {
+        let has_unread = !self.output.is_empty() || !self.answers.is_empty();
+        (has_unread || self.reader.is_within_body()) && self.hub.buffers().slows_callers()
+    }
+
     /// Accepts no further requests; the connection ends once its answers are sent.
     fn begin_end(&mut self) {
         self.is_ending = true;
@@ -188,6 +228,8 @@
         } else if !self.pending.is_empty() {
             // The node itself ends every request in time.
             Duration::from_secs(3_600)
+        } else if let Some(body_until) = self.body_until {
+            return body_until;
         } else if self.reader.is_within_request(&self.input) && !self.reader.is_within_body() {
             head
         } else {
@@ -223,20 +265,29 @@
         while self.accepts_requests
             && self.pending.len() < MAX_PIPELINED_REQUESTS
             && !self.input.is_empty()
+            && !self.is_slowed()
         {
-            let (limits, withholds_credentials) = self
+            let (mut limits, withholds_credentials) = self
                 .hub
                 .with_node(|node| (node.limits(), node.withholds_credentials()));
+            // A longer body could never be held.
+            let longest = self.hub.buffers().limits().answer as u64;
+            limits.body_bytes = limits.body_bytes.min(longest);
             let dialect = self.hub.dialect().clone();
             let progress =
                 self.reader
                     .read(&mut self.input, &*dialect, &limits, withholds_credentials);
             match progress {
                 Progress::Request(read) => self.dispatch_request(*read),
-                Progress::Partial => return Ok(()),
+                Progress::Partial => {
+                    self.set_body_timeout();
+                    self.count_requests();
+                    return Ok(());
+                }
                 Progress::SendContinue => {
+                    self.set_body_timeout();
                     self.output.extend_from_slice(CONTINUE);
-                    self.hub.add_unsent_answer_bytes(CONTINUE.len());
+                    self.count_unsent(CONTINUE.len());
                     return self.flush();
                 }
                 Progress::Refused(code) => return self.refuse(code),
@@ -246,17 +297,44 @@
             self.input.clear();
         }
         release_if_empty(&mut self.input);
+        self.count_requests();
         Ok(())
     }
 
+    /// Sets until when the body of a request may arrive: as long as its caller waits for the answer.
+    fn set_body_timeout(&mut self) {
+        if !self.reader.is_within_body() {
+            self.body_until = None;
+        } else if self.body_until.is_none() {
+            let timeout = self.reader.deadline().unwrap_or(MAX_BODY_TIME);
+            self.body_until = Some(self.hub.now() + timeout.min(MAX_BODY_TIME));
+        }
+    }
+
+    /// Counts the bytes of requests that have not been answered.
+    fn count_requests(&self) {
+        let unread = self.input.len() + self.reader.body_bytes();
+        self.requests.set(unread + self.pending_body_bytes);
+    }
+
+    /// Counts bytes that are added to the output.
+    fn count_unsent(&self, length: usize) {
+        self.hub.add_unsent_answer_bytes(length);
+        self.unread.add(length);
+    }
+
     fn dispatch_request(&mut self, read: ReadRequest) {
         let pipeline_index = PipelineIndex(self.next_pipeline_index);
         self.next_pipeline_index += 1;
         self.accepts_requests = read.connection == Connection::KeepAlive;
+        self.body_until = None;
+        let body_bytes = read.request.body.len();
+        self.pending_body_bytes += body_bytes;
         self.pending.push_back(PendingRequest {
             pipeline_index,
             is_head: read.is_head,
             connection: read.connection,
+            body_bytes,
         });
         self.hub.dispatch(Event::Request {
             connection: self.id,
@@ -277,6 +355,7 @@
             pipeline_index,
             is_head: false,
             connection: Connection::Close,
+            body_bytes: 0,
         });
         let answer = CallerAnswer {
             status: code.http_status(),
@@ -284,6 +363,7 @@
             body: code.title().as_bytes().to_vec(),
             close: true,
         };
+        self.unread.add(answer.body.len());
         self.answers.insert(pipeline_index, answer);
         self.write_answers()
     }
@@ -320,6 +400,8 @@
             let Some(pending) = self.pending.pop_front() else {
                 break;
             };
+            self.pending_body_bytes -= pending.body_bytes;
+            self.unread.remove(answer.body.len());
             self.encode(&pending, &answer);
         }
         self.flush()
@@ -347,7 +429,7 @@
         if has_body && !pending.is_head {
             self.output.extend_from_slice(&answer.body);
         }
-        self.hub.add_unsent_answer_bytes(self.output.len() - before);
+        self.count_unsent(self.output.len() - before);
         self.active_at = self.hub.now();
     }
 
@@ -358,6 +440,7 @@
                     self.output.advance(written);
                     self.hub.remove_unsent_answer_bytes(written);
                     self.active_at = self.hub.now();
+                    self.unread.remove_read(self.active_at, written);
                 }
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
                     self.reads_slowly = true;
@@ -378,18 +461,21 @@
             return;
         }
         let begin = self.hub.now();
-        let latest = begin + MAX_LINGER_TIME;
+        let mut latest = begin + MAX_LINGER_TIME;
         let mut until = begin + LINGER_TIMEOUT;
         if self.reads_slowly {
             until = until.max(self.wanted_until);
+            latest = begin + MAX_SLOW_LINGER_TIME;
         }
-        loop {
+        let mut dropped = 0;
+        while dropped <= MAX_LINGER_BYTES {
             let closes_at = self.hub.deadline(until.min(latest));
             let received = discard_some(&mut self.stream, &mut self.input);
             // After the timeout the connection is closed even if the peer has not closed it.
-            let Ok(Ok(1..)) = timeout_at(closes_at, received).await else {
+            let Ok(Ok(count @ 1..)) = timeout_at(closes_at, received).await else {
                 return;
             };
+            dropped += count;
             // The peer still uses the connection: it has not read the last answer yet.
             until = until.max(self.hub.now() + LINGER_TIMEOUT);
         }
--- a/crates/rillgap-sidecar/src/caller/mod.rs
+++ b/crates/rillgap-sidecar/src/caller/mod.rs
@@ -6,6 +6,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use rillgap_forward::buffer_account::HolderKind;
 use tokio::net::TcpListener;
 use tokio::sync::mpsc::unbounded_channel;
 
@@ -30,8 +31,9 @@
         let hub = hub.clone();
         tokio::task::spawn_local(async move {
             let (sender, answers) = unbounded_channel();
-            let id = hub.add_caller(sender);
-            let connection = CallerConnection::new(hub.clone(), id, stream);
+            let unread = Rc::new(hub.buffers().open(HolderKind::UnreadAnswers));
+            let id = hub.add_caller(sender, unread.clone());
+            let connection = CallerConnection::new(hub.clone(), id, stream, unread);
             connection.run(answers).await;
             hub.remove_caller(id);
         });
--- a/crates/rillgap-sidecar/src/caller/reader.rs
+++ b/crates/rillgap-sidecar/src/caller/reader.rs
@@ -8,12 +8,15 @@
 use rillgap_forward::credential::{Credential, KeyDigest};
 use rillgap_forward::event::CallerRequest;
 use rillgap_http::h1::{
-    BodyDecoder, BodyProgress, Connection, Framing, HeadLimits, MessageError, RequestHead,
-    decode_request,
+    BodyDecoder, BodyProgress, Connection, Framing, HeadLimits, HeadScan, MessageError,
+    RequestHead, decode_request,
 };
 
 use crate::dialect::{Dialect, HeaderNames};
 
+/// Number of bytes around a short body, for chunks and trailers, that are always accepted.
+const MIN_OVERHEAD_BYTES: u64 = 64 * 1024;
+
 /// A request that has arrived completely.
 #[derive(Debug)]
 pub(super) struct ReadRequest {
@@ -44,12 +47,15 @@
     credential: Credential,
     decoder: BodyDecoder,
     body: Vec<u8>,
+    /// Number of bytes received after the head.
+    received: u64,
 }
 
 /// Reads requests out of the bytes of a connection.
 #[derive(Debug, Default)]
 pub(super) struct RequestReader {
     partial: Option<PartialRequest>,
+    scan: HeadScan,
 }
 
 impl RequestReader {
@@ -63,6 +69,19 @@
         self.partial.is_some()
     }
 
+    /// Returns the length of the body received so far.
+    pub fn body_bytes(&self) -> usize {
+        self.partial
+            .as_ref()
+            .map_or(0, |partial| partial.body.len())
+    }
+
+    /// Returns the time for which the caller waits for the answer to the request whose body is being
+    /// read; `None` if it has not stated one.
+    pub fn deadline(&self) -> Option<Duration> {
+        self.partial.as_ref().and_then(|partial| partial.deadline)
+    }
+
     /// Reads the next request from `input`. Fields that hold credentials are not passed on if
     /// `withholds_credentials`.
     pub fn read(
@@ -74,8 +93,13 @@
     ) -> Progress {
         let mut wants_continue = false;
         if self.partial.is_none() {
+            let is_short = input.len() <= limits.head_bytes as usize;
+            if is_short && !self.scan.is_due(input) {
+                return Progress::Partial;
+            }
             match read_head(input, dialect, limits, withholds_credentials) {
                 Ok(Some(partial)) => {
+                    self.scan = HeadScan::default();
                     wants_continue = partial.head.expects_continue;
                     self.partial = Some(partial);
                 }
@@ -86,9 +110,12 @@
         let Some(partial) = &mut self.partial else {
             return Progress::Partial;
         };
-        match partial.decoder.decode(input, &mut partial.body) {
+        let before = input.len();
+        let decoded = partial.decoder.decode(input, &mut partial.body);
+        partial.received += (before - input.len()) as u64;
+        match decoded {
             Err(_) => return Progress::Refused(ResultCode::MalformedRequest),
-            Ok(_) if partial.body.len() as u64 > limits.body_bytes => {
+            Ok(_) if partial.is_too_long(limits.body_bytes) => {
                 return Progress::Refused(ResultCode::BodyTooLong);
             }
             Ok(BodyProgress::Partial) if wants_continue => return Progress::SendContinue,
@@ -103,6 +130,14 @@
 }
 
 impl PartialRequest {
+    /// Returns whether the body, or what comes with it in chunks and trailers, is too long.
+    fn is_too_long(&self, max_body: u64) -> bool {
+        let max_received = max_body
+            .saturating_mul(2)
+            .saturating_add(MIN_OVERHEAD_BYTES);
+        self.body.len() as u64 > max_body || self.received > max_received
+    }
+
     fn finish(self, dialect: &dyn Dialect) -> ReadRequest {
         let parent_id = dialect.parent_id(&self.request_id).map(str::to_owned);
         ReadRequest {
@@ -169,6 +204,7 @@
         deadline,
         credential,
         body: Vec::new(),
+        received: 0,
     }))
 }
 
--- a/crates/rillgap-sidecar/src/control.rs
+++ b/crates/rillgap-sidecar/src/control.rs
@@ -8,16 +8,26 @@
 use hyper::body::{Bytes, Incoming};
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
-use hyper_util::rt::TokioIo;
+use hyper_util::rt::{TokioIo, TokioTimer};
 use rillgap_core::code::ResultCode;
 use rillgap_forward::event::Event;
 use tokio::net::TcpListener;
+use tokio::sync::Semaphore;
+use tokio::time::timeout;
 
 use crate::dialect::{ControlCall, ControlError};
 use crate::hub::Hub;
 
 /// Maximum length of a call's body, in bytes.
 const MAX_BODY_BYTES: usize = 64 * 1024;
+/// Timeout for the head of a call, which also ends idle connections.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
+/// Timeout for the body of a call.
+const BODY_TIMEOUT: Duration = Duration::from_secs(2);
+/// Maximum number of open connections of a listener; further ones are closed at once.
+const MAX_CONNECTIONS: usize = 256;
+/// Maximum length of a call's head, in bytes.
+const MAX_HEAD_BYTES: usize = 16 * 1024;
 /// Content type of the metrics answer.
 const OPEN_METRICS_CONTENT_TYPE: &str =
     "application/openmetrics-text; version=1.0.0; charset=utf-8";
@@ -36,15 +46,23 @@
 
 /// Serves a listener until the process ends.
 pub async fn serve(hub: Rc<Hub>, listener: TcpListener, service: ControlService) {
+    let connections = Rc::new(Semaphore::new(MAX_CONNECTIONS));
     loop {
         let Ok((stream, _)) = listener.accept().await else {
             tokio::time::sleep(Duration::from_millis(50)).await;
             continue;
         };
         let hub = hub.clone();
+        let connections = connections.clone();
         tokio::task::spawn_local(async move {
+            let Ok(_permit) = connections.try_acquire() else {
+                return;
+            };
             let answer = service_fn(move |request| answer(hub.clone(), request, service));
             let connection = hyper::server::conn::http1::Builder::new()
+                .timer(TokioTimer::new())
+                .header_read_timeout(HEAD_TIMEOUT)
+                .max_buf_size(MAX_HEAD_BYTES)
                 .serve_connection(TokioIo::new(stream), answer);
             if let Err(error) = connection.await {
                 log::debug!("control: connection ended: {error}");
@@ -67,9 +85,10 @@
         ));
     }
     let (parts, body) = request.into_parts();
-    let Ok(body) = Limited::new(body, MAX_BODY_BYTES).collect().await else {
+    let body = timeout(BODY_TIMEOUT, Limited::new(body, MAX_BODY_BYTES).collect()).await;
+    let Ok(Ok(body)) = body else {
         let code = ResultCode::BodyTooLong.number();
-        log::warn!(code, path = parts.uri.path(); "control: call refused: body cut short or too long");
+        log::warn!(code, path = parts.uri.path(); "control: call refused: body cut short, late or too long");
         return Ok(empty(StatusCode::PAYLOAD_TOO_LARGE));
     };
     let body = body.to_bytes();
--- a/crates/rillgap-sidecar/src/daemon.rs
+++ b/crates/rillgap-sidecar/src/daemon.rs
@@ -133,7 +133,14 @@
     let control = bind(listen.control).await?;
     let readiness = bind(listen.readiness).await?;
     let mesh = bind(listen.mesh).await?;
-    let hub = Hub::new(forward, platform.dialect, platform.store, log, metrics);
+    let hub = Hub::new(
+        forward,
+        platform.dialect,
+        platform.store,
+        log,
+        metrics,
+        settings.buffer_limits(),
+    );
     tokio::task::spawn_local(caller::accept(hub.clone(), callers));
     tokio::task::spawn_local(link::accept(hub.clone(), mesh));
     let calls = ControlService::Calls;
--- a/crates/rillgap-sidecar/src/hub.rs
+++ b/crates/rillgap-sidecar/src/hub.rs
@@ -13,6 +13,7 @@
 use rillgap_core::time::Instant;
 use rillgap_forward::action::{Action, Actions, CallerAnswer};
 use rillgap_forward::back_end_notice::RequestRate;
+use rillgap_forward::buffer_account::BufferLimits;
 use rillgap_forward::event::Event;
 use rillgap_forward::id::{AnnouncementId, ConnectionId, LinkId, PipelineIndex};
 use rillgap_forward::log_record::LogRecord;
@@ -24,9 +25,10 @@
 use tokio::sync::{oneshot, watch};
 
 use crate::back_end::BackEndClient;
+use crate::buffers::{Buffers, Held};
 use crate::dialect::Dialect;
 use crate::ending::{Ending, EndingSignal};
-use crate::link::{self, FrameDecoder, FrameEncoder, FrameError};
+use crate::link::{self, Frame, FrameDecoder, FrameEncoder, FrameError};
 use crate::logging::RequestLog;
 use crate::metrics::Metrics;
 use crate::store::Store;
@@ -42,6 +44,20 @@
     pub wanted_until: Option<Instant>,
 }
 
+/// Queue of the answers for a caller's connection.
+struct CallerQueue {
+    answers: UnboundedSender<PipelinedAnswer>,
+    /// Counts the answers that the caller has not read.
+    unread: Rc<Held>,
+}
+
+/// Queue of the messages to send on a link.
+struct LinkQueue {
+    messages: UnboundedSender<LinkMessage>,
+    /// Counts the messages that the peer has not read.
+    held: Rc<Held>,
+}
+
 /// Connects the node's state machine to the tasks that do its I/O.
 pub struct Hub {
     clock: SteadyClock,
@@ -57,10 +73,11 @@
     next_connection: Cell<u64>,
     next_announcement: Cell<u64>,
     announcements: RefCell<BTreeMap<AnnouncementId, oneshot::Sender<bool>>>,
-    callers: RefCell<BTreeMap<ConnectionId, UnboundedSender<PipelinedAnswer>>>,
+    callers: RefCell<BTreeMap<ConnectionId, CallerQueue>>,
+    buffers: Rc<Buffers>,
     /// Bytes of answers that callers' connections have not accepted yet.
     unsent_answer_bytes: Cell<usize>,
-    links: RefCell<BTreeMap<LinkId, UnboundedSender<LinkMessage>>>,
+    links: RefCell<BTreeMap<LinkId, LinkQueue>>,
     /// Codec of the links. All links share its buffers, because a node has many links.
     encoder: RefCell<FrameEncoder>,
     decoder: RefCell<FrameDecoder>,
@@ -79,6 +96,7 @@
         store: Rc<dyn Store>,
         log: RequestLog,
         metrics: Metrics,
+        buffer_limits: BufferLimits,
     ) -> Rc<Self> {
         let back_end = BackEndClient::new(settings.back_end_address);
         let now = Instant::from_micros(0);
@@ -96,6 +114,7 @@
             next_announcement: Cell::new(0),
             announcements: RefCell::default(),
             callers: RefCell::default(),
+            buffers: Buffers::new(buffer_limits),
             unsent_answer_bytes: Cell::new(0),
             links: RefCell::default(),
             encoder: RefCell::default(),
@@ -118,6 +137,14 @@
         self.clock.deadline(at)
     }
 
+    /// Waits until a time of the state machine; never returns if there is none.
+    pub async fn sleep_until(&self, at: Option<Instant>) {
+        match at {
+            Some(at) => tokio::time::sleep_until(self.deadline(at)).await,
+            None => std::future::pending().await,
+        }
+    }
+
     /// Returns the names and formats that the platform uses over HTTP.
     pub fn dialect(&self) -> &Rc<dyn Dialect> {
         &self.dialect
@@ -138,14 +165,41 @@
         read(&self.node.borrow())
     }
 
-    /// Registers a connection of a caller.
-    pub fn add_caller(&self, answers: UnboundedSender<PipelinedAnswer>) -> ConnectionId {
+    /// Returns the account of the bytes that are held for callers, back ends and peers.
+    pub const fn buffers(&self) -> &Rc<Buffers> {
+        &self.buffers
+    }
+
+    /// Registers a connection of a caller whose unread answers `unread` counts.
+    pub fn add_caller(
+        &self,
+        answers: UnboundedSender<PipelinedAnswer>,
+        unread: Rc<Held>,
+    ) -> ConnectionId {
         let id = ConnectionId(self.next_connection.get() + 1);
         self.next_connection.set(id.0);
-        self.callers.borrow_mut().insert(id, answers);
+        let queue = CallerQueue { answers, unread };
+        self.callers.borrow_mut().insert(id, queue);
         id
     }
 
+    /// Ends the connection of the caller that reads most slowly, to make room for others.
+    pub(crate) fn disconnect_slowest_reader(&self) {
+        let Some(slowest) = self.buffers.slowest_reader(self.now()) else {
+            return;
+        };
+        let mut callers = self.callers.borrow_mut();
+        let connection = callers
+            .iter()
+            .find(|(_, queue)| queue.unread.id() == slowest)
+            .map(|(connection, _)| *connection);
+        // The task of the connection ends when its queue is dropped.
+        if let Some(connection) = connection.filter(|id| callers.remove(id).is_some()) {
+            log::warn!(connection = connection.0, held = self.buffers.held() as u64;
+                "caller: disconnected, reads too slowly for the buffers of the node");
+        }
+    }
+
     /// Removes a connection of a caller and reports its end to the node.
     pub fn remove_caller(self: &Rc<Self>, id: ConnectionId) {
         self.callers.borrow_mut().remove(&id);
@@ -180,9 +234,10 @@
         self.node.borrow_mut().new_link()
     }
 
-    /// Registers the queue of messages to send on a link.
-    pub fn add_link(&self, link: LinkId, messages: UnboundedSender<LinkMessage>) {
-        self.links.borrow_mut().insert(link, messages);
+    /// Registers the queue of messages to send on a link, which `held` counts.
+    pub fn add_link(&self, link: LinkId, messages: UnboundedSender<LinkMessage>, held: Rc<Held>) {
+        let queue = LinkQueue { messages, held };
+        self.links.borrow_mut().insert(link, queue);
     }
 
     /// Removes a link and reports its end to the node.
@@ -205,11 +260,8 @@
         Ok(())
     }
 
-    /// Decodes the next message of a link from `input`; `None` if it has not arrived completely.
-    pub(crate) fn decode_frame(
-        &self,
-        input: &mut BytesMut,
-    ) -> Result<Option<LinkMessage>, FrameError> {
+    /// Decodes the next frame of a link from `input`; `None` if it has not arrived completely.
+    pub(crate) fn decode_frame(&self, input: &mut BytesMut) -> Result<Option<Frame>, FrameError> {
         self.decoder.borrow_mut().decode(input)
     }
 
@@ -230,6 +282,13 @@
     /// Passes an event to the node and executes the resulting actions. Events that the actions
     /// dispatch are queued and handled before it returns.
     pub fn dispatch(self: &Rc<Self>, event: Event) {
+        if let Some(is_short) = self.buffers.take_shortage_change() {
+            self.events.borrow_mut().push_back(Event::BufferShortage {
+                is_short,
+                held: self.buffers.held(),
+                limit: self.buffers.limits().total,
+            });
+        }
         self.events.borrow_mut().push_back(event);
         if self.is_running.replace(true) {
             return;
@@ -313,20 +372,25 @@
                 answer,
                 wanted_until,
             } => {
-                if let Some(answers) = self.callers.borrow().get(&connection) {
+                if let Some(queue) = self.callers.borrow().get(&connection) {
+                    queue.unread.add_unread(self.now(), answer.body.len());
                     // Fails if the connection has just ended; the answer is not needed then.
-                    let _ = answers.send(PipelinedAnswer {
+                    let _ = queue.answers.send(PipelinedAnswer {
                         pipeline_index,
                         answer,
                         wanted_until,
                     });
                 }
+                if self.buffers.is_full() {
+                    self.disconnect_slowest_reader();
+                }
             }
             Action::OpenLink { link, address } => link::open(self.clone(), link, address),
             Action::SendOnLink { link, message } => {
-                if let Some(messages) = self.links.borrow().get(&link) {
+                if let Some(queue) = self.links.borrow().get(&link) {
+                    queue.held.add(message.body_bytes());
                     // Fails if the link has just ended; its task reports that.
-                    let _ = messages.send(message);
+                    let _ = queue.messages.send(message);
                 }
             }
             Action::CloseLink(link) => {
@@ -388,6 +452,7 @@
             .set((refused_share * 1_000.0) as u64);
         self.metrics.peers.set(reachable as u64);
         self.metrics.ready.set(u64::from(node.is_ready()));
+        self.metrics.buffered_bytes.set(self.buffers.held() as u64);
         let unsent = self.unsent_answer_bytes() as u64;
         self.metrics.unsent_answer_bytes.set(unsent);
         let quarantined = node.inbound().crashes().quarantined(self.now());
--- a/crates/rillgap-sidecar/src/lib.rs
+++ b/crates/rillgap-sidecar/src/lib.rs
@@ -9,6 +9,7 @@
 //! it saves (`docs/design/platform.md`).
 
 pub mod back_end;
+pub mod buffers;
 pub mod caller;
 pub mod control;
 pub mod daemon;
--- a/crates/rillgap-sidecar/src/link/codec.rs
+++ b/crates/rillgap-sidecar/src/link/codec.rs
@@ -12,13 +12,16 @@
 use rillgap_forward::freshness::QueryNumber;
 use rillgap_forward::id::Sequence;
 use rillgap_forward::message::{
-    ForwardResponse, ForwardedRequest, FreshnessAnswer, Hello, LinkMessage, Status, TokenAnswer,
-    TokenQuery,
+    ForwardResponse, ForwardResult, ForwardedAnswer, ForwardedRequest, FreshnessAnswer, Hello,
+    LinkMessage, Status, TokenAnswer, TokenQuery,
 };
 use rillgap_forward::store_epoch::StoreEpoch;
 
-/// Maximum length of a frame in bytes, without the length field.
-const MAX_FRAME_BYTES: usize = 96 * 1024 * 1024;
+/// Maximum length of a frame in bytes, without the length field: that of the longest body that nodes
+/// hold, with the rest of a message.
+const MAX_FRAME_BYTES: usize = 16 * 1024 * 1024;
+/// Length of a frame from which its buffer is reserved at once, in bytes.
+const LONG_FRAME_BYTES: usize = 64 * 1024;
 /// Length of the length field in bytes.
 const LENGTH_BYTES: usize = 4;
 /// Length of an encoded number in bytes.
@@ -44,6 +47,8 @@
 const UNFOLLOW: u8 = 17;
 const STORE_CONTACT: u8 = 18;
 const NO_STORE_CONTACT: u8 = 19;
+const BODY_OFFER: u8 = 20;
+const BODY_GRANT: u8 = 21;
 
 /// Why a frame cannot be encoded or decoded.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
@@ -56,6 +61,29 @@
     Malformed,
 }
 
+/// What a frame contains.
+#[expect(
+    clippy::large_enum_variant,
+    reason = "nearly all frames are messages, which are not kept"
+)]
+#[derive(Clone, Debug, PartialEq)]
+pub enum Frame {
+    /// A message for the node.
+    Message(LinkMessage),
+    /// The sender has a message with a long body, and sends it once there is room for it.
+    BodyOffer {
+        /// Number of the offer on this link, in this direction.
+        number: u64,
+        /// Length of the body.
+        bytes: u64,
+    },
+    /// There is room for the body that the receiver has offered.
+    BodyGrant {
+        /// Number of the offer.
+        number: u64,
+    },
+}
+
 /// Buffers of the codec, one for each kind of message that `bitcode` encodes.
 #[derive(Default)]
 struct Buffers {
@@ -91,7 +119,8 @@
             }
             LinkMessage::Cancel(sequence) => put_frame(out, CANCEL, &sequence.0.to_be_bytes(), &[]),
             LinkMessage::Response(response) => {
-                put_frame(out, RESPONSE, &[], buffers.response.encode(response))
+                let payload = buffers.response.encode(&without_body(response));
+                put_response(out, payload, body_of(response))
             }
             LinkMessage::Status(status) => {
                 put_frame(out, STATUS, &[], buffers.status.encode(status))
@@ -144,6 +173,68 @@
     }
 }
 
+/// Appends the offer of a message with a long body.
+///
+/// # Errors
+///
+/// Never fails: the frame is short.
+pub fn encode_offer(number: u64, bytes: u64, out: &mut BytesMut) -> Result<(), FrameError> {
+    let numbers = [number, bytes].map(u64::to_be_bytes);
+    put_frame(out, BODY_OFFER, numbers.as_flattened(), &[])
+}
+
+/// Appends the grant of an offer.
+///
+/// # Errors
+///
+/// Never fails: the frame is short.
+pub fn encode_grant(number: u64, out: &mut BytesMut) -> Result<(), FrameError> {
+    put_frame(out, BODY_GRANT, &number.to_be_bytes(), &[])
+}
+
+/// Returns a response without the body of its answer, which is sent as it is: the encoder would
+/// need as much memory again, and time to look for values that it can pack.
+fn without_body(response: &ForwardResponse) -> ForwardResponse {
+    let result = match &response.result {
+        ForwardResult::Answered(answer) => ForwardResult::Answered(ForwardedAnswer {
+            status: answer.status,
+            fields: answer.fields.clone(),
+            body: Vec::new(),
+        }),
+        result => result.clone(),
+    };
+    ForwardResponse {
+        sequence: response.sequence,
+        load: response.load,
+        downstream_levels: response.downstream_levels.clone(),
+        has_failed_call: response.has_failed_call,
+        timing: response.timing,
+        result,
+    }
+}
+
+fn body_of(response: &ForwardResponse) -> &[u8] {
+    match &response.result {
+        ForwardResult::Answered(answer) => &answer.body,
+        _ => &[],
+    }
+}
+
+/// Appends a response: the length of its encoded part, this part and the body.
+fn put_response(out: &mut BytesMut, payload: &[u8], body: &[u8]) -> Result<(), FrameError> {
+    let length = 1 + LENGTH_BYTES + payload.len() + body.len();
+    if length > MAX_FRAME_BYTES {
+        return Err(FrameError::TooLong);
+    }
+    out.reserve(LENGTH_BYTES + length);
+    out.put_u32(u32::try_from(length).map_err(|_| FrameError::TooLong)?);
+    out.put_u8(RESPONSE);
+    out.put_u32(u32::try_from(payload.len()).map_err(|_| FrameError::TooLong)?);
+    out.put_slice(payload);
+    out.put_slice(body);
+    Ok(())
+}
+
 fn put_frame(
     out: &mut BytesMut,
     kind: u8,
@@ -169,13 +260,12 @@
 }
 
 impl FrameDecoder {
-    /// Removes the next message from `input` and decodes it; `None` if it has not arrived
-    /// completely.
+    /// Removes the next frame from `input` and decodes it; `None` if it has not arrived completely.
     ///
     /// # Errors
     ///
     /// Fails if the bytes are not a frame.
-    pub fn decode(&mut self, input: &mut BytesMut) -> Result<Option<LinkMessage>, FrameError> {
+    pub fn decode(&mut self, input: &mut BytesMut) -> Result<Option<Frame>, FrameError> {
         if input.len() < LENGTH_BYTES {
             return Ok(None);
         }
@@ -184,7 +274,9 @@
         if length > MAX_FRAME_BYTES {
             return Err(FrameError::TooLong);
         }
-        if input.len() < LENGTH_BYTES + length {
+        let missing = (LENGTH_BYTES + length).saturating_sub(input.len());
+        if missing > 0 {
+            reserve_for_long_frame(input, missing);
             return Ok(None);
         }
         input.advance(LENGTH_BYTES);
@@ -192,10 +284,22 @@
         self.decode_frame(&frame).map(Some)
     }
 
-    fn decode_frame(&mut self, frame: &[u8]) -> Result<LinkMessage, FrameError> {
+    fn decode_frame(&mut self, frame: &[u8]) -> Result<Frame, FrameError> {
         let (kind, payload) = frame.split_first().ok_or(FrameError::Malformed)?;
-        let buffers = &mut self.buffers;
         match *kind {
+            BODY_OFFER => {
+                let (number, rest) = split_number(payload)?;
+                let (bytes, _) = split_number(rest)?;
+                Ok(Frame::BodyOffer { number, bytes })
+            }
+            BODY_GRANT => split_number(payload).map(|(number, _)| Frame::BodyGrant { number }),
+            kind => self.decode_message(kind, payload).map(Frame::Message),
+        }
+    }
+
+    fn decode_message(&mut self, kind: u8, payload: &[u8]) -> Result<LinkMessage, FrameError> {
+        let buffers = &mut self.buffers;
+        match kind {
             HELLO => decode::<Hello>(&mut buffers.hello, payload).map(LinkMessage::Hello),
             REQUEST => {
                 let (number, payload) = split_number(payload)?;
@@ -208,9 +312,7 @@
             CANCEL => {
                 split_number(payload).map(|(number, _)| LinkMessage::Cancel(Sequence(number)))
             }
-            RESPONSE => {
-                decode::<ForwardResponse>(&mut buffers.response, payload).map(LinkMessage::Response)
-            }
+            RESPONSE => decode_response(&mut buffers.response, payload).map(LinkMessage::Response),
             STATUS => decode::<Status>(&mut buffers.status, payload).map(LinkMessage::Status),
             PING => Ok(LinkMessage::Ping),
             PONG => Ok(LinkMessage::Pong),
@@ -246,6 +348,14 @@
     }
 }
 
+/// Reserves what is missing of a long frame at once: a buffer that grows with each read would take
+/// up to twice the length of the frame.
+fn reserve_for_long_frame(input: &mut BytesMut, missing: usize) {
+    if missing > LONG_FRAME_BYTES {
+        input.reserve(missing);
+    }
+}
+
 fn decode<'a, T: bitcode::Decode<'a>>(
     buffer: &'a mut bitcode::Buffer,
     payload: &'a [u8],
@@ -253,6 +363,26 @@
     buffer.decode(payload).map_err(|_| FrameError::Malformed)
 }
 
+fn decode_response(
+    buffer: &mut bitcode::Buffer,
+    payload: &[u8],
+) -> Result<ForwardResponse, FrameError> {
+    let (mut length, rest) = payload
+        .split_first_chunk::<LENGTH_BYTES>()
+        .map(|(length, rest)| (&length[..], rest))
+        .ok_or(FrameError::Malformed)?;
+    let (encoded, body) = rest
+        .split_at_checked(length.get_u32() as usize)
+        .ok_or(FrameError::Malformed)?;
+    let mut response = decode::<ForwardResponse>(buffer, encoded)?;
+    match &mut response.result {
+        ForwardResult::Answered(answer) => answer.body = body.to_vec(),
+        _ if body.is_empty() => {}
+        _ => return Err(FrameError::Malformed),
+    }
+    Ok(response)
+}
+
 fn freshness_answer(payload: &[u8]) -> Result<FreshnessAnswer, FrameError> {
     let (epoch, rest) = split_number(payload)?;
     let (number, rest) = split_number(rest)?;
--- a/crates/rillgap-sidecar/src/logging/request_log.rs
+++ b/crates/rillgap-sidecar/src/logging/request_log.rs
@@ -360,6 +360,13 @@
             priority = change.priority, demand = change.demand, limit = change.limit,
             shortage_millis = change.shortage_millis; "limits: tenant at its limit"
         ),
+        LogRecord::BufferShortage {
+            is_short,
+            held,
+            limit,
+        } => log::warn!(
+            uptime, is_short, held = *held as u64, limit = *limit as u64; "node: buffers"
+        ),
         LogRecord::Lifecycle { state, in_flight } => log::info!(
             uptime, state = *state, in_flight = *in_flight as u64; "node: lifecycle"
         ),
--- a/crates/rillgap-sidecar/src/metrics.rs
+++ b/crates/rillgap-sidecar/src/metrics.rs
@@ -163,6 +163,8 @@
     pub peers: Gauge<u64, AtomicU64>,
     /// Bytes of answers that callers have not read and their connections have not accepted.
     pub unsent_answer_bytes: Gauge<u64, AtomicU64>,
+    /// Bytes that the node holds for callers, back ends and peers.
+    pub buffered_bytes: Gauge<u64, AtomicU64>,
     /// 1 if the node accepts new callers, otherwise 0.
     pub ready: Gauge<u64, AtomicU64>,
 }
@@ -217,6 +219,7 @@
             tenant_level_refusals: Counter::default(),
             peers: Gauge::default(),
             unsent_answer_bytes: Gauge::default(),
+            buffered_bytes: Gauge::default(),
             ready: Gauge::default(),
         };
         metrics.registry = Arc::new(metrics.build_registry());
@@ -537,6 +540,11 @@
                 "Bytes of answers that callers have not read and their connections have not accepted",
                 &self.unsent_answer_bytes,
             ),
+            (
+                "buffered_bytes",
+                "Bytes that the node holds for callers, back ends and peers",
+                &self.buffered_bytes,
+            ),
             (
                 "ready",
                 "1 if the node accepts new callers, otherwise 0",
--- a/crates/rillgap-sidecar/src/settings.rs
+++ b/crates/rillgap-sidecar/src/settings.rs
@@ -5,10 +5,14 @@
 use std::time::Duration;
 
 use rillgap_core::code::ResultCode;
+use rillgap_forward::buffer_account::BufferLimits;
 use rillgap_forward::message::NodeRecord;
 use rillgap_forward::settings::{ForwardSettings, RetryBound};
 use serde::Deserialize;
 
+/// Longest answer that fits into a message between nodes, in bytes.
+const MAX_ANSWER_BYTES: usize = 15 * 1024 * 1024;
+
 /// Why settings are refused.
 #[derive(Debug, thiserror::Error)]
 pub enum SettingsError {
@@ -67,6 +71,9 @@
     /// Bounds that hold for the whole deployment.
     #[serde(default)]
     pub bounds: BoundsSection,
+    /// Limits of what the node holds for callers, back ends and peers.
+    #[serde(default)]
+    pub buffers: BuffersSection,
     /// Limits of the log.
     #[serde(default)]
     pub log: LogSection,
@@ -162,6 +169,28 @@
     }
 }
 
+/// Section `[buffers]`.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "kebab-case", deny_unknown_fields, default)]
+pub struct BuffersSection {
+    /// Maximum number of bytes that the node holds for callers, back ends and peers.
+    pub total_bytes: usize,
+    /// Maximum length of an answer of a back end, in bytes.
+    pub answer_bytes: usize,
+    /// Maximum length of an answer that does not state its length, in bytes.
+    pub open_ended_answer_bytes: usize,
+}
+
+impl Default for BuffersSection {
+    fn default() -> Self {
+        Self {
+            total_bytes: 16 * 1024 * 1024,
+            answer_bytes: 9 * 1024 * 1024,
+            open_ended_answer_bytes: 2 * 1024 * 1024,
+        }
+    }
+}
+
 /// Section `[log]`.
 #[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
 #[serde(rename_all = "kebab-case", deny_unknown_fields, default)]
@@ -257,6 +286,15 @@
         }
     }
 
+    /// Returns the limits of what the node holds for callers, back ends and peers.
+    pub const fn buffer_limits(&self) -> BufferLimits {
+        BufferLimits {
+            total: self.buffers.total_bytes,
+            answer: self.buffers.answer_bytes,
+            open_ended_answer: self.buffers.open_ended_answer_bytes,
+        }
+    }
+
     fn check(&self, path: &Path) -> Result<(), SettingsError> {
         let out_of_range = |key, value: String, expected| SettingsError::OutOfRange {
             path: path.to_owned(),
@@ -280,6 +318,19 @@
                 "between 0 and 10",
             ));
         }
+        let buffers = &self.buffers;
+        let longest = buffers.total_bytes.min(MAX_ANSWER_BYTES);
+        if buffers.answer_bytes == 0 || buffers.answer_bytes > longest {
+            let value = buffers.answer_bytes.to_string();
+            let expected = "at least 1, at most buffers.total-bytes and 15 MiB";
+            return Err(out_of_range("buffers.answer-bytes", value, expected));
+        }
+        let open_ended = buffers.open_ended_answer_bytes;
+        if open_ended == 0 || open_ended > buffers.answer_bytes {
+            let expected = "at least 1 and at most buffers.answer-bytes";
+            let key = "buffers.open-ended-answer-bytes";
+            return Err(out_of_range(key, open_ended.to_string(), expected));
+        }
         if !(1.0..=1_000_000.0).contains(&self.store.writes_per_second) {
             let value = self.store.writes_per_second.to_string();
             let expected = "between 1 and 1000000";
--- a/crates/rillgap-sidecar/tests/frames.rs
+++ b/crates/rillgap-sidecar/tests/frames.rs
@@ -12,7 +12,7 @@
     NodeRecord, ServiceAdmissionLevel, Status, Timing, level_of,
 };
 use rillgap_forward::store_epoch::StoreEpoch;
-use rillgap_sidecar::link::{FrameDecoder, FrameEncoder, FrameError};
+use rillgap_sidecar::link::{Frame, FrameDecoder, FrameEncoder, FrameError};
 
 fn messages() -> Vec<LinkMessage> {
     let node = NodeRecord {
@@ -48,6 +48,7 @@
                 is_retry: false,
                 remaining_micros: 1,
                 queue_limit_micros: 2,
+                answer_grace_micros: 1_000_000,
                 remembered_rate_limit: None,
             }),
         },
@@ -108,7 +109,8 @@
         input.extend_from_slice(&[byte]);
         decoded.extend(decoder.decode(&mut input).expect("a valid frame"));
     }
-    expect_that!(decoded, eq(&messages()));
+    let expected: Vec<Frame> = messages().into_iter().map(Frame::Message).collect();
+    expect_that!(decoded, eq(&expected));
 }
 
 #[gtest]
--- a/crates/rillgap-sidecar/tests/path/main.rs
+++ b/crates/rillgap-sidecar/tests/path/main.rs
@@ -1,6 +1,8 @@
 //! Requests over sockets: from a caller through its entry node and the back end's node to the back
 //! end.
 
+mod endless_answers;
+mod endless_input;
 mod late_answers;
 mod planned_stops;
 mod support;
--- a/crates/rillgap-sidecar/tests/path/planned_stops.rs
+++ b/crates/rillgap-sidecar/tests/path/planned_stops.rs
@@ -84,6 +84,7 @@
         is_retry: false,
         remaining_micros: 20_000_000,
         queue_limit_micros: 1_000_000,
+        answer_grace_micros: 1_000_000,
         remembered_rate_limit: None,
     };
     LinkMessage::Request {
--- a/crates/rillgap-sidecar/tests/path/support.rs
+++ b/crates/rillgap-sidecar/tests/path/support.rs
@@ -25,7 +25,7 @@
 use rillgap_sidecar::daemon::{self, Platform};
 use rillgap_sidecar::dialect::{ControlCall, ControlError, Dialect, HeaderNames};
 use rillgap_sidecar::hub::Hub;
-use rillgap_sidecar::link::{FrameDecoder, FrameEncoder};
+use rillgap_sidecar::link::{Frame, FrameDecoder, FrameEncoder, encode_grant};
 use rillgap_sidecar::metrics::Metrics;
 use rillgap_sidecar::settings::SidecarSettings;
 use rillgap_sidecar::store::{PendingReply, Store};
@@ -134,7 +134,7 @@
             service: "work".to_owned(),
             weight: 1,
         }],
-        max_attempts: 1,
+        max_attempts: 2,
         is_public: false,
     };
     Configuration {
@@ -168,6 +168,13 @@
     AfterSeen(usize, Vec<u8>),
     /// Sends nothing and keeps the connection open.
     NoAnswer,
+    /// Sends `begin`, and then `block` again and again, with a pause between them, until the node
+    /// closes the connection.
+    WithoutEnd {
+        begin: Vec<u8>,
+        block: Vec<u8>,
+        pause: Duration,
+    },
 }
 
 /// A request as the back end received it.
@@ -197,6 +204,8 @@
     pub seen: RefCell<Vec<Seen>>,
     pub connections: Cell<usize>,
     pub closed: Cell<usize>,
+    /// Whether health probes get bytes without end.
+    pub endless_health: Cell<bool>,
 }
 
 impl BackEnd {
@@ -208,6 +217,7 @@
             seen: RefCell::default(),
             connections: Cell::new(0),
             closed: Cell::new(0),
+            endless_health: Cell::new(false),
         });
         let served = back_end.clone();
         tokio::task::spawn_local(async move {
@@ -222,6 +232,11 @@
         let mut input = BytesMut::new();
         let mut connection = 0;
         while let Some((head, body)) = read_request(&mut stream, &mut input).await {
+            if head.target == "/health" && self.endless_health.get() {
+                while stream.write_all(&[b'x'; 1_000]).await.is_ok() {}
+                self.closed.set(self.closed.get() + 1);
+                return;
+            }
             if head.target == "/health" {
                 let text = format!(
                     "HTTP/1.1 200 OK\r\nX-Instance: {INSTANCE}\r\nContent-Length: 0\r\n\r\n"
@@ -255,6 +270,17 @@
                     let _ = stream.write_all(&bytes).await;
                 }
                 Reply::NoAnswer => {}
+                Reply::WithoutEnd {
+                    begin,
+                    block,
+                    pause,
+                } => {
+                    let _ = stream.write_all(&begin).await;
+                    while stream.write_all(&block).await.is_ok() {
+                        tokio::time::sleep(pause).await;
+                    }
+                    break;
+                }
             }
         }
         self.closed.set(self.closed.get() + 1);
@@ -366,7 +392,10 @@
     pub entry: Rc<Hub>,
     pub back_end_node: Rc<Hub>,
     pub back_end: Rc<BackEnd>,
-    callers: SocketAddr,
+    pub callers: SocketAddr,
+    /// Address of the entry for heartbeats.
+    pub control: SocketAddr,
+    store: Rc<MemoryStore>,
 }
 
 impl Pair {
@@ -378,38 +407,28 @@
         let (back_end, address) = BackEnd::start(script).await;
         let (back_end_node, _) = start_node(&store, "beside", "work", address).await;
         let nowhere = unused_address();
-        let (entry, callers) = start_node(&store, "entry", "front", nowhere).await;
-        let heartbeat = Heartbeat {
-            incarnation: Incarnation::without_start(INSTANCE),
-            service: "work".to_owned(),
-            address: address.to_string(),
-            slots: 50,
-            state: AnnouncedState::Ready,
-            sequence: 1,
-        };
-        until(|| back_end_node.with_node(|node| node.is_ready())).await;
-        let acknowledged = back_end_node.announce(|announcement| Event::Heartbeat {
-            announcement,
-            heartbeat,
-        });
-        assert!(acknowledged.await.expect("an answer to the heartbeat"));
-        until(|| {
-            entry.with_node(|node| {
-                let is_back_end_node = |name: &str| name == "beside";
-                node.directory().peers().any(|peer| {
-                    is_back_end_node(&peer.record.name) && peer.serving_link().is_some()
-                })
-            })
-        })
-        .await;
+        let (entry, addresses) = start_node(&store, "entry", "front", nowhere).await;
+        announce(&back_end_node, address).await;
+        until_serving(&entry, "beside").await;
         Self {
             entry,
             back_end_node,
             back_end,
-            callers,
+            callers: addresses.callers,
+            control: addresses.control,
+            store,
         }
     }
 
+    /// Adds a node with a further back end of the same service.
+    pub async fn add_back_end(&self, script: impl Fn(&Seen) -> Reply + 'static) -> Rc<BackEnd> {
+        let (back_end, address) = BackEnd::start(script).await;
+        let (node, _) = start_node(&self.store, "further", "work", address).await;
+        announce(&node, address).await;
+        until_serving(&self.entry, "further").await;
+        back_end
+    }
+
     pub async fn connect(&self) -> Caller {
         Caller {
             stream: TcpStream::connect(self.callers).await.expect("an entry"),
@@ -433,6 +452,35 @@
     }
 }
 
+/// Announces the back end beside a node to it.
+async fn announce(node: &Rc<Hub>, address: SocketAddr) {
+    let heartbeat = Heartbeat {
+        incarnation: Incarnation::without_start(INSTANCE),
+        service: "work".to_owned(),
+        address: address.to_string(),
+        slots: 50,
+        state: AnnouncedState::Ready,
+        sequence: 1,
+    };
+    until(|| node.with_node(|node| node.is_ready())).await;
+    let acknowledged = node.announce(|announcement| Event::Heartbeat {
+        announcement,
+        heartbeat,
+    });
+    assert!(acknowledged.await.expect("an answer to the heartbeat"));
+}
+
+/// Waits until a node sends requests to the back end of a peer.
+async fn until_serving(node: &Hub, peer: &str) {
+    until(|| {
+        node.with_node(|node| {
+            let mut peers = node.directory().peers();
+            peers.any(|known| known.record.name == peer && known.serving_link().is_some())
+        })
+    })
+    .await;
+}
+
 /// Receive buffer of a connection with a small window, in bytes.
 const SMALL_WINDOW_BYTES: u32 = 16 * 1024;
 
@@ -473,12 +521,20 @@
         self.stream.write_all(&frame).await.expect("a link");
     }
 
+    async fn grant(&mut self, number: u64) {
+        let mut frame = BytesMut::new();
+        encode_grant(number, &mut frame).expect("a frame");
+        self.stream.write_all(&frame).await.expect("a link");
+    }
+
     /// Returns the first response; `None` if the link ends before it is whole.
     pub async fn response(&mut self) -> Option<ForwardResponse> {
         loop {
-            while let Some(message) = self.decoder.decode(&mut self.input).ok()? {
-                if let LinkMessage::Response(response) = message {
-                    return Some(response);
+            while let Some(frame) = self.decoder.decode(&mut self.input).ok()? {
+                match frame {
+                    Frame::Message(LinkMessage::Response(response)) => return Some(response),
+                    Frame::BodyOffer { number, .. } => self.grant(number).await,
+                    _ => {}
                 }
             }
             if self.stream.read_buf(&mut self.input).await.ok()? == 0 {
@@ -503,12 +559,18 @@
     SocketAddr::from(([127, network, high, low], NODE_PORT))
 }
 
+/// Addresses of a node.
+struct Addresses {
+    callers: SocketAddr,
+    control: SocketAddr,
+}
+
 async fn start_node(
     store: &Rc<MemoryStore>,
     name: &str,
     service: &str,
     back_end: SocketAddr,
-) -> (Rc<Hub>, SocketAddr) {
+) -> (Rc<Hub>, Addresses) {
     let callers = unused_address();
     let control = unused_address();
     let readiness = unused_address();
@@ -528,7 +590,7 @@
     let hub = daemon::start(&settings, platform, Metrics::new())
         .await
         .expect("a node");
-    (hub, callers)
+    (hub, Addresses { callers, control })
 }
 
 /// Returns a signed answer of a back end to the request with this identifier.
--- a/tests/soak/src/false_claims.rs
+++ b/tests/soak/src/false_claims.rs
@@ -11,7 +11,7 @@
 use rillgap_forward::message::{
     ForwardResponse, ForwardResult, LinkMessage, Load, NotRunProof, Timing,
 };
-use rillgap_sidecar::link::{FrameDecoder, FrameEncoder};
+use rillgap_sidecar::link::{Frame, FrameDecoder, FrameEncoder};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
@@ -67,8 +67,8 @@
     loop {
         let frame = read_frame(&mut from, &mut input).await?;
         to.write_all(&frame).await?;
-        let Ok(Some(LinkMessage::Request { sequence, .. })) = decoder.decode(&mut frame.clone())
-        else {
+        let decoded = decoder.decode(&mut frame.clone());
+        let Ok(Some(Frame::Message(LinkMessage::Request { sequence, .. }))) = decoded else {
             continue;
         };
         requests += 1;
