A refusal that states no rate limit does not end the one in force

A back end at its limit rejected a request without the field, the node took the limit for ended, sent what waited, and had it back with the next answer 0.16 s later. The node should not depend on it: a rejection may come from a part in front that knows nothing of the limit, so only an answer of a run shows that it has ended. It also does not count as an answer after which what peers remember is no longer adopted. The test got no limit before.

--- a/crates/rillgap-forward/src/back_end_notice.rs
+++ b/crates/rillgap-forward/src/back_end_notice.rs
@@ -49,6 +49,8 @@
     Limited(RequestRate),
     /// The answer states a limit that cannot be read.
     Unreadable,
+    /// The answer shows neither a limit nor that there is none.
+    Unknown,
 }
 
 impl RateLimitNotice {
@@ -58,6 +60,7 @@
             (Self::Limited(left), Self::Limited(right)) => Self::Limited(left.min(right)),
             (Self::Limited(rate), _) | (_, Self::Limited(rate)) => Self::Limited(rate),
             (Self::Unreadable, _) | (_, Self::Unreadable) => Self::Unreadable,
+            (Self::Unknown, other) | (other, Self::Unknown) => other,
             (Self::Unlimited, Self::Unlimited) => Self::Unlimited,
         }
     }
--- a/crates/rillgap-forward/src/inbound/stated_rate.rs
+++ b/crates/rillgap-forward/src/inbound/stated_rate.rs
@@ -128,12 +128,15 @@
         incarnation: &Incarnation,
         notice: RateLimitNotice,
     ) -> bool {
+        if notice == RateLimitNotice::Unknown {
+            return false;
+        }
         let before = self.rate(Some(incarnation));
         if self.answered.as_ref() != Some(incarnation) {
             self.answered = Some(incarnation.clone());
         }
         match notice {
-            RateLimitNotice::Unreadable => {}
+            RateLimitNotice::Unreadable | RateLimitNotice::Unknown => {}
             RateLimitNotice::Limited(rate) => self.on_stated(now, incarnation, rate),
             RateLimitNotice::Unlimited => {
                 self.limit.take_if(|limit| {
--- a/crates/rillgap-sidecar/src/back_end/response.rs
+++ b/crates/rillgap-sidecar/src/back_end/response.rs
@@ -322,9 +322,15 @@
     /// identifier of the request may be a late answer, and a misdirected one comes from another
     /// back end.
     fn record_notice(&mut self, head: &ResponseHead, fields: &AnswerFields) {
-        if head.status != MISDIRECTED_STATUS {
-            self.notice = Some(fields.notice);
+        if head.status == MISDIRECTED_STATUS {
+            return;
         }
+        let mut notice = fields.notice;
+        // A refusal may come from a part of the back end that does not know of its limit.
+        if fields.is_not_run && notice.rate_limit == RateLimitNotice::Unlimited {
+            notice.rate_limit = RateLimitNotice::Unknown;
+        }
+        self.notice = Some(notice);
     }
 
     /// Asks for the room that the body needs; returns whether it is granted. A body of known length
--- a/crates/rillgap-sidecar/tests/path/main.rs
+++ b/crates/rillgap-sidecar/tests/path/main.rs
@@ -7,6 +7,8 @@
 mod planned_stops;
 mod support;
 
+use std::time::Duration;
+
 use googletest::prelude::*;
 use rillgap_forward::back_end_notice::RequestRate;
 use rillgap_forward::configuration::Tenant;
@@ -435,6 +437,33 @@
     });
 }
 
+/// Time after a statement of a rate limit for which an answer without one may be older.
+const RISE_DELAY: Duration = Duration::from_millis(500);
+
+#[gtest]
+fn refusal_that_states_no_rate_limit_does_not_end_the_one_in_force() {
+    let script = |seen: &Seen| {
+        let id = seen.field("X-Request").unwrap_or_default();
+        if id == "limited" {
+            return Reply::Bytes(signed_with(&id, "X-Rate-Limit: 5"));
+        }
+        let refusal = format!(
+            "HTTP/1.1 503 X\r\nX-Request: {id}\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
+        );
+        Reply::Bytes(refusal.into_bytes())
+    };
+    with_pair(script, |pair| async move {
+        pair.ask("limited", "/once/1").await;
+        tokio::time::sleep(RISE_DELAY * 2).await;
+        pair.ask("refused", "/once/1").await;
+        let rate = pair
+            .back_end_node
+            .with_node(|node| node.inbound().rate_limit());
+        expect_that!(rate.map(RequestRate::per_second), some(eq(5.0)));
+        expect_that!(pair.back_end.seen.borrow().len(), ge(2));
+    });
+}
+
 #[gtest]
 fn answer_longer_than_the_buffer_of_a_link_arrives_whole() {
     let length = 9_000_000;
