A request that shows a key is no call, whatever its identifier extends

Calls carry no key where the configuration has tenants, so a request with one is checked like any caller's. The test got no 401 and no tenant before. A client that shows no key and guesses the identifier of a running request still passes for a call.

--- a/crates/rillgap-forward/src/node/mod.rs
+++ b/crates/rillgap-forward/src/node/mod.rs
@@ -18,6 +18,7 @@
 use crate::action::{Action, Actions};
 use crate::configuration::{CallerLimits, RouteTable};
 use crate::configuration_offers::ConfigurationOffers;
+use crate::credential::Credential;
 use crate::directory::Directory;
 use crate::event::{CallerRequest, Event, Heartbeat};
 use crate::freshness::Freshness;
@@ -358,9 +359,11 @@
     }
 
     /// Distinguishes a call of the back end from a caller's request: a call carries the identifier
-    /// of a request that runs at the back end.
+    /// of a request that runs at the back end, and no key where the configuration has tenants.
     fn origin(&self, now: Instant, request: &CallerRequest) -> Origin {
-        let Some(parent_id) = request.parent_id.as_deref() else {
+        let has_tenants = self.table.as_ref().is_some_and(|table| table.has_tenants());
+        let has_key = has_tenants && request.credential != Credential::Absent;
+        let Some(parent_id) = request.parent_id.as_deref().filter(|_| !has_key) else {
             return Origin::Caller;
         };
         match self.inbound.running_request(parent_id) {
--- a/crates/rillgap-forward/tests/tenants.rs
+++ b/crates/rillgap-forward/tests/tenants.rs
@@ -133,6 +133,21 @@
     expect_that!(test.exchanges().len(), eq(2));
 }
 
+#[gtest]
+fn request_with_a_key_is_checked_although_its_identifier_extends_that_of_a_running_one() {
+    let mut test = node(tenant(None));
+    test.request(0, request_with_key("a", KEY));
+    test.request(1, request_with_key("a.1", b"other"));
+    expect_that!(test.statuses(), elements_are![eq(&401)]);
+    test.request(2, request_with_key("a.2", KEY));
+    let exchanges = test.exchanges();
+    let tenants: Vec<Option<&str>> = exchanges
+        .iter()
+        .map(|exchange| exchange.request.tenant.as_deref())
+        .collect();
+    expect_that!(tenants, elements_are![some(eq(&TENANT)), some(eq(&TENANT))]);
+}
+
 #[gtest]
 fn call_for_an_ended_request_is_refused_as_not_run() {
     let mut test = node(tenant(None));
