A request known from two crashes runs alone or is refused

Cause: a request that waited for isolation past its cutoff was started beside others. Change: from the second crash on the request runs alone, or is refused as from a full queue.

--- a/crates/rillgap-forward/src/inbound/isolation.rs
+++ b/crates/rillgap-forward/src/inbound/isolation.rs
@@ -38,10 +38,13 @@
         }
     }
 
-    /// Starts a request whose wait for isolation has reached its cutoff. It is not refused for
-    /// crashes that other requests may have caused.
+    /// Starts a request whose wait for isolation has reached its cutoff, or refuses it. It is not
+    /// refused for one crash, which another request may have caused. From the second crash on it
+    /// runs alone or not at all: recurrent requests that run together crash the back end once more,
+    /// and the crash does not show which of them it was.
     pub(super) fn start_unisolated(&mut self, now: Instant, arrival: Arrival, out: &mut Actions) {
-        if self.has_capacity(now) {
+        let is_recurrent = self.suspicion(now, &arrival.request) >= Suspicion::Recurrent;
+        if self.has_capacity(now) && !is_recurrent {
             self.start_or_refuse(now, arrival, out);
         } else {
             let code = self.shed_code(now);
--- a/crates/rillgap-forward/tests/crash.rs
+++ b/crates/rillgap-forward/tests/crash.rs
@@ -569,3 +569,30 @@
     test.advance(700);
     expect_that!(test.exchanges().len(), eq(3));
 }
+
+/// Sends requests with contents that were in flight at `crashes` while an isolated one runs, and
+/// returns the number that is started before their wait for isolation is over, and after it.
+fn starts_beside_an_isolated_request(crashes: &[(&str, bool)]) -> (usize, usize) {
+    let mut test = TestNode::serving();
+    let link = test.accept(50);
+    let targets = ["/a", "/b", "/c"];
+    let known = targets.map(|target| evidence(target, crashes));
+    receive_evidence(&mut test, link, known.to_vec());
+    for (sequence, target) in (1..).zip(targets) {
+        test.forward(link, sequence, request(&format!("r{sequence}"), target));
+    }
+    let before = test.exchanges().len();
+    test.advance(200);
+    (before, test.exchanges().len())
+}
+
+#[gtest]
+fn request_known_from_two_crashes_runs_alone_or_not_at_all() {
+    // Requests that waited in vain ran together, and the one that crashed each back end was never
+    // the only suspect.
+    let recurrent = [("i-8", false), ("i-9", false)];
+    expect_that!(starts_beside_an_isolated_request(&recurrent), eq((1, 1)));
+    // One crash says little about most of the requests that were in flight.
+    let suspected = [("i-9", false)];
+    expect_that!(starts_beside_an_isolated_request(&suspected), eq((1, 3)));
+}
