--- a/review/standins-2/deployment.rs
+++ b/review/standins-2/deployment.rs
@@ -59,10 +59,24 @@
     next_id: AtomicU64,
 }
 
-/// Returns an address that nothing listens on.
+/// Returns an address that nothing listens on, below the ports of outgoing connections.
 fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-    listener.local_addr().expect("an address")
+    static NEXT: AtomicU64 = AtomicU64::new(0);
+    let first = u64::from(std::process::id()) * 211;
+    loop {
+        let number = first + NEXT.fetch_add(1, Ordering::SeqCst);
+        let port = 10_000 + u16::try_from(number % 22_000).unwrap_or(0);
+        let address = SocketAddr::from(([127, 0, 0, 1], port));
+        if TcpListener::bind(address).is_ok() {
+            return address;
+        }
+    }
+}
+
+/// Returns a number from 0 to 1 that differs from run to run.
+pub fn random_fraction() -> f64 {
+    let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+    f64::from(now.map_or(0, |now| now.subsec_nanos())) / 1e9
 }
 
 impl Deployment {
--- a/review/standins-2/stale_configuration.rs
+++ b/review/standins-2/stale_configuration.rs
@@ -6,28 +6,31 @@
 use std::time::Duration;
 
 use crate::Verdict;
-use crate::deployment::{Bounds, Client, Deployment, Sent, configuration, route, service};
+use crate::deployment::{
+    Bounds, Client, Deployment, Sent, configuration, random_fraction, route, service,
+};
 
-/// Machines of the site, by zone: the services of their back ends.
+/// Machines of the site and three added ones, by zone: the services of their back ends.
 const ZONES: [(&str, &[&str]); 3] = [
     ("dom-a", &["njia", "njia", "viti", "viti", "ratiba", "kadi"]),
-    ("dom-b", &["njia", "njia", "viti", "ratiba", "kadi"]),
-    ("dom-c", &["njia", "viti", "ratiba", "kadi"]),
+    ("dom-b", &["njia", "njia", "viti", "ratiba", "kadi", "kadi"]),
+    ("dom-c", &["njia", "viti", "ratiba", "kadi", "njia", "viti"]),
 ];
-/// Machines that are partitioned from the store: the two that watch it and three others.
-const CUT: [&str; 5] = [
+/// Machines that are partitioned from the store: the two that watch it and the four next ones.
+const CUT: [&str; 6] = [
     "sidecar-dom-a-1",
     "sidecar-dom-a-2",
     "sidecar-dom-a-5",
     "sidecar-dom-b-5",
     "sidecar-dom-c-3",
+    "sidecar-dom-c-1",
 ];
 /// Bound `config-apply-s` of the site.
 const CONFIG_APPLY_S: f64 = 2.0;
 const TRAFFIC_BEGIN_S: f64 = 8.0;
-const FIRST_CUT_S: f64 = 12.0;
-const ROUND_S: f64 = 11.0;
-const ROUNDS: u64 = 9;
+const CUT_AT_S: f64 = 13.0;
+/// The partition begins up to so much later, at a time that differs from run to run.
+const SPREAD_S: f64 = 1.0;
 /// Length of a partition; the site has up to 5.5 s.
 const CUT_S: f64 = 5.0;
 /// Time from the begin of a partition to the operator's change.
@@ -83,35 +86,33 @@
                 }
             });
         }
-        for round in 0..ROUNDS {
-            let begin = FIRST_CUT_S + ROUND_S * round as f64;
-            deployment.sleep_until(begin);
-            let cut: Vec<_> = deployment
-                .machines
-                .iter()
-                .filter(|machine| has_trouble && is_cut(&machine.name))
-                .collect();
-            for machine in &cut {
-                machine.store.is_cut.store(true, Ordering::SeqCst);
-                let line = format!("cut {} from the store", machine.name);
-                deployment.record.add(deployment.now(), line);
-            }
-            deployment.sleep_until(begin + CHANGE_AFTER_S);
-            let version = 3 + round;
-            deployment.store.put("config", "main", document(version));
-            let at = deployment.now();
-            acknowledged.push((at, version));
-            let service = SERVICES[(version % 2) as usize];
-            let line = format!("acknowledged version {version}: route to {service}");
-            deployment.record.add(at, line);
-            deployment.sleep_until(begin + CUT_S);
-            for machine in &cut {
-                machine.store.is_cut.store(false, Ordering::SeqCst);
-                let line = format!("healed {}", machine.name);
-                deployment.record.add(deployment.now(), line);
-            }
+        let begin = CUT_AT_S + SPREAD_S * random_fraction();
+        deployment.sleep_until(begin);
+        let cut: Vec<_> = deployment
+            .machines
+            .iter()
+            .filter(|machine| has_trouble && is_cut(&machine.name))
+            .collect();
+        for machine in &cut {
+            machine.store.is_cut.store(true, Ordering::SeqCst);
+            let line = format!("cut {} from the store", machine.name);
+            deployment.record.add(deployment.now(), line);
+        }
+        deployment.sleep_until(begin + CHANGE_AFTER_S);
+        let version = 3;
+        deployment.store.put("config", "main", document(version));
+        let at = deployment.now();
+        acknowledged.push((at, version));
+        let service = SERVICES[(version % 2) as usize];
+        let line = format!("acknowledged version {version}: route to {service}");
+        deployment.record.add(at, line);
+        deployment.sleep_until(begin + CUT_S);
+        for machine in &cut {
+            machine.store.is_cut.store(false, Ordering::SeqCst);
+            let line = format!("healed {}", machine.name);
+            deployment.record.add(deployment.now(), line);
         }
-        deployment.sleep_until(FIRST_CUT_S + ROUND_S * ROUNDS as f64 - 2.0);
+        deployment.sleep_until(begin + CUT_S + 3.0);
         deployment.is_over.store(true, Ordering::SeqCst);
     });
     let sent = sent.into_inner().unwrap_or_default();
