--- a/review/standins-2/deployment.rs
+++ b/review/standins-2/deployment.rs
@@ -1,6 +1,7 @@
 //! A small deployment: the nodes as processes, the back ends beside them and the operator.
 
 use std::fs::{self, File};
+use std::io::Write;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
@@ -16,6 +17,10 @@
 pub const HOST: &str = "review.example";
 /// Time of a back end's work on a request.
 const WORK: Duration = Duration::from_millis(15);
+/// An answer in pieces: their number, what each holds and the time between two of them.
+const PIECES: usize = 20;
+const PIECE: &[u8] = &[b'.'; 1_000];
+const PIECE_INTERVAL: Duration = Duration::from_millis(100);
 
 /// A request that a back end has begun to work on.
 #[derive(Clone, Debug)]
@@ -257,6 +262,12 @@
         line.split(' ').nth(1)?.parse().ok()
     }
 
+    /// Sends SIGTERM to a node.
+    pub fn terminate(&self, node: usize) {
+        let id = self.children[node].id().to_string();
+        let _ = Command::new("kill").args(["-TERM", &id]).status();
+    }
+
     /// Returns the processes that have ended although nobody has ended them.
     pub fn ended(&mut self) -> Vec<String> {
         let machines = self.machines.iter();
@@ -306,10 +317,27 @@
         tenant: request.field("tenant").unwrap_or("-").to_owned(),
     });
     thread::sleep(WORK);
+    if request.word(1).starts_with("/pieces/") {
+        return answer_in_pieces(id, connection);
+    }
     fields.push(("Response-Signature", "3e1b.07.5a2"));
     connection.write("HTTP/1.1 200 OK", &fields, machine.service.as_bytes())
 }
 
+/// Sends an answer piece by piece, as the work on it goes on.
+fn answer_in_pieces(id: &str, connection: &mut Connection) -> std::io::Result<()> {
+    let length = PIECES * PIECE.len();
+    let head = format!(
+        "HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nResponse-Signature: 3e1b.07.5a2\r\nContent-Length: {length}\r\n\r\n"
+    );
+    connection.stream.write_all(head.as_bytes())?;
+    for _ in 0..PIECES {
+        connection.stream.write_all(PIECE)?;
+        thread::sleep(PIECE_INTERVAL);
+    }
+    Ok(())
+}
+
 /// Makes one call on a connection of its own.
 fn call(address: SocketAddr, method: &str, path: &str, body: &[u8]) -> std::io::Result<Message> {
     let stream = TcpStream::connect_timeout(&address, Duration::from_secs(1))?;
@@ -339,6 +367,9 @@
 pub struct Sent {
     pub at: f64,
     pub id: String,
+    /// When its answer or the end of the connection came, and its status; 0 without an answer.
+    pub answered_at: f64,
+    pub status: u16,
 }
 
 impl<'a> Client<'a> {
@@ -367,7 +398,12 @@
         if result.as_ref().map_or(true, Message::closes) {
             self.connection = None;
         }
-        Sent { at, id }
+        Sent {
+            at,
+            id,
+            answered_at: answered,
+            status: result.map_or(0, |answer| answer.status()),
+        }
     }
 
     fn exchange(
--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -5,6 +5,7 @@
 
 mod deployment;
 mod http;
+mod pieces;
 mod proxy;
 mod stale_configuration;
 mod store;
@@ -28,6 +29,7 @@
     let has_trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
     let result = match case.as_str() {
         "stale-configuration" => stale_configuration::run(has_trouble),
+        "pieces" => pieces::run(has_trouble),
         "two-owners" => two_owners::run(has_trouble),
         _ => {
             eprintln!("no such case: {case}");
