--- a/review/standins-2/deployment.rs
+++ b/review/standins-2/deployment.rs
@@ -18,7 +18,7 @@
 /// Time of a back end's work on a request.
 const WORK: Duration = Duration::from_millis(15);
 /// An answer in pieces: their number, what each holds and the time between two of them.
-const PIECES: usize = 20;
+const PIECES: usize = 11;
 const PIECE: &[u8] = &[b'.'; 1_000];
 const PIECE_INTERVAL: Duration = Duration::from_millis(100);
 
