--- a/review/standins-2/pieces.rs
+++ b/review/standins-2/pieces.rs
@@ -43,7 +43,10 @@
     deployment.store.put("config", "main", document());
     deployment.sleep_until(8.0);
     if !deployment.is_ready() {
-        return Ok((Verdict::CouldNotRun("nodes are not ready".to_owned()), deployment));
+        return Ok((
+            Verdict::CouldNotRun("nodes are not ready".to_owned()),
+            deployment,
+        ));
     }
     let sent: Mutex<Vec<Sent>> = Mutex::default();
     thread::scope(|scope| {
@@ -78,7 +81,8 @@
     let has_run = |request: &&Sent| runs.iter().any(|run| run.id == request.id);
     let ran: Vec<&Sent> = sent.iter().filter(has_run).collect();
     let lost = ran.iter().filter(|request| {
-        let is_early = request.answered_at < request.at + 4.9 && request.answered_at < STOP_AT_S + 5.0;
+        let is_early =
+            request.answered_at < request.at + 4.9 && request.answered_at < STOP_AT_S + 5.0;
         request.status != 200 && is_early && request.answered_at > STOP_AT_S
     });
     let (lost, ran, total) = (lost.count(), ran.len(), sent.len());
--- a/review/standins-2/proxy.rs
+++ b/review/standins-2/proxy.rs
@@ -60,7 +60,11 @@
             return;
         };
         hello.truncate(length);
-        let contains = |name: &String| hello.windows(name.len()).any(|part| part == name.as_bytes());
+        let contains = |name: &String| {
+            hello
+                .windows(name.len())
+                .any(|part| part == name.as_bytes())
+        };
         let Some(from) = self.names.iter().position(contains) else {
             eprintln!("a link whose first message names no node");
             return;
--- a/review/standins-2/stale_configuration.rs
+++ b/review/standins-2/stale_configuration.rs
@@ -65,7 +65,10 @@
     deployment.store.put("config", "main", document(2));
     deployment.sleep_until(TRAFFIC_BEGIN_S);
     if !deployment.is_ready() {
-        return Ok((Verdict::CouldNotRun("nodes are not ready".to_owned()), deployment));
+        return Ok((
+            Verdict::CouldNotRun("nodes are not ready".to_owned()),
+            deployment,
+        ));
     }
     let is_cut = |name: &str| CUT.contains(&name);
     let sent: Mutex<Vec<Sent>> = Mutex::default();
