--- a/review/standins-2/deployment.rs
+++ b/review/standins-2/deployment.rs
@@ -87,6 +87,22 @@
 impl Deployment {
     /// Starts back ends and nodes. `machines` holds the name, the zone and the service of each.
     pub fn start(machines: &[(String, String, String)], bounds: &Bounds) -> std::io::Result<Self> {
+        Self::start_after(machines, bounds, None)
+    }
+
+    /// Starts back ends and nodes after an earlier deployment, and goes on with its clock and record.
+    pub fn start_after(
+        machines: &[(String, String, String)],
+        bounds: &Bounds,
+        earlier: Option<Self>,
+    ) -> std::io::Result<Self> {
+        let (begin, record, next_id) = earlier.map_or_else(
+            || (Instant::now(), Arc::default(), 0),
+            |earlier| {
+                let next_id = earlier.next_id.load(Ordering::SeqCst);
+                (earlier.begin, earlier.record.clone(), next_id)
+            },
+        );
         let folder = std::env::temp_dir().join(format!("rillgap-review-{}", std::process::id()));
         fs::create_dir_all(&folder)?;
         let names = machines.iter().map(|(name, ..)| name.clone()).collect();
@@ -94,13 +110,13 @@
             machines: Vec::new(),
             store: Arc::default(),
             network: Network::new(names),
-            record: Arc::default(),
+            record,
             runs: Arc::default(),
             is_over: Arc::default(),
-            begin: Instant::now(),
+            begin,
             children: Vec::new(),
             folder,
-            next_id: AtomicU64::new(0),
+            next_id: AtomicU64::new(next_id),
         };
         for (index, (name, zone, service)) in machines.iter().enumerate() {
             deployment.add_machine(index, name, zone, service, bounds)?;
--- a/review/standins-2/stale_configuration.rs
+++ b/review/standins-2/stale_configuration.rs
@@ -28,7 +28,9 @@
 /// Bound `config-apply-s` of the site.
 const CONFIG_APPLY_S: f64 = 2.0;
 const TRAFFIC_BEGIN_S: f64 = 8.0;
-const CUT_AT_S: f64 = 13.0;
+/// Deployments that are started one after the other, until one shows the fault.
+const ROUNDS: usize = 4;
+const CUT_AT_S: f64 = 12.0;
 /// The partition begins up to so much later, at a time that differs from run to run.
 const SPREAD_S: f64 = 1.0;
 /// Length of a partition; the site has up to 5.5 s.
@@ -61,18 +63,31 @@
         retry_slack: 49.0,
         revoke_s: None,
     };
-    let mut deployment = Deployment::start(&machines, &bounds)?;
+    let mut result = run_once(Deployment::start(&machines, &bounds)?, has_trouble);
+    for _ in 1..ROUNDS {
+        let (Verdict::Held(_), earlier) = result else {
+            break;
+        };
+        let deployment = Deployment::start_after(&machines, &bounds, Some(earlier))?;
+        result = run_once(deployment, has_trouble);
+    }
+    Ok(result)
+}
+
+/// Plays one partition of a deployment that has just started.
+fn run_once(mut deployment: Deployment, has_trouble: bool) -> (Verdict, Deployment) {
+    let start = deployment.now();
+    let line = "a deployment starts".to_owned();
+    deployment.record.add(start, line);
     deployment.store.put("config", "main", document(2));
-    deployment.sleep_until(TRAFFIC_BEGIN_S);
+    deployment.sleep_until(start + TRAFFIC_BEGIN_S);
     if !deployment.is_ready() {
-        return Ok((
-            Verdict::CouldNotRun("nodes are not ready".to_owned()),
-            deployment,
-        ));
+        let verdict = Verdict::CouldNotRun("nodes are not ready".to_owned());
+        return (verdict, deployment);
     }
     let is_cut = |name: &str| CUT.contains(&name);
     let sent: Mutex<Vec<Sent>> = Mutex::default();
-    let mut acknowledged = vec![(0.0, 2)];
+    let mut acknowledged = vec![(start, 2)];
     thread::scope(|scope| {
         let deployment = &deployment;
         for (node, machine) in deployment.machines.iter().enumerate() {
@@ -89,7 +104,7 @@
                 }
             });
         }
-        let begin = CUT_AT_S + SPREAD_S * random_fraction();
+        let begin = start + CUT_AT_S + SPREAD_S * random_fraction();
         deployment.sleep_until(begin);
         let cut: Vec<_> = deployment
             .machines
@@ -115,12 +130,12 @@
             let line = format!("healed {}", machine.name);
             deployment.record.add(deployment.now(), line);
         }
-        deployment.sleep_until(begin + CUT_S + 3.0);
+        deployment.sleep_until(begin + CUT_S + 1.0);
         deployment.is_over.store(true, Ordering::SeqCst);
     });
     let sent = sent.into_inner().unwrap_or_default();
     let verdict = judge(&mut deployment, &sent, &acknowledged);
-    Ok((verdict, deployment))
+    (verdict, deployment)
 }
 
 /// A request sent later than `config-apply-s` after the acknowledgement of a version may not run at
