review/6: an entry of another writer keeps all nodes on the old configuration

Case: one entry with a field of another type beside config/main, then the operator adds a route. Every request on it gets 404, at every node, for good.

--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -4,6 +4,7 @@
 //! the case could not run. With `TROUBLE=0` in the environment it runs without the disruption.
 
 mod deployment;
+mod foreign_entry;
 mod http;
 mod pieces;
 mod proxy;
@@ -29,6 +30,7 @@
     let has_trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
     let result = match case.as_str() {
         "stale-configuration" => stale_configuration::run(has_trouble),
+        "foreign-entry" => foreign_entry::run(has_trouble),
         "pieces" => pieces::run(has_trouble),
         "two-owners" => two_owners::run(has_trouble),
         _ => {
--- a/review/standins-2/store.rs
+++ b/review/standins-2/store.rs
@@ -28,6 +28,8 @@
     revision: u64,
     kinds: BTreeMap<String, BTreeMap<String, Object>>,
     history: Vec<Change>,
+    /// Entries of another writer: the revision of each, its kind and its text.
+    foreign: Vec<(u64, String, String)>,
 }
 
 /// An endpoint of the store for one node.
@@ -74,6 +76,15 @@
         self.changed.notify_all();
     }
 
+    /// Writes an entry of another writer, as it is.
+    pub fn put_foreign(&self, kind: &str, text: &str) {
+        let mut contents = self.contents.lock().unwrap();
+        contents.revision += 1;
+        let entry = (contents.revision, kind.to_owned(), text.to_owned());
+        contents.foreign.push(entry);
+        self.changed.notify_all();
+    }
+
     fn serve(&self, endpoint: &Endpoint, stream: TcpStream) {
         let mut connection = Connection::new(stream);
         while let Ok(Some(request)) = connection.read() {
@@ -135,7 +146,7 @@
         let mut contents = self.contents.lock().unwrap();
         loop {
             let new = |change: &&Change| change.revision > after && change.kind == kind;
-            let events: Vec<String> = contents
+            let mut events: Vec<String> = contents
                 .history
                 .iter()
                 .filter(new)
@@ -144,6 +155,9 @@
                     format!(r#"{{"object":{object},"gone":{}}}"#, change.gone)
                 })
                 .collect();
+            let is_new = |entry: &&(u64, String, String)| entry.0 > after && entry.1 == kind;
+            let foreign = contents.foreign.iter().filter(is_new);
+            events.extend(foreign.map(|entry| format!(r#"{{"object":{},"gone":false}}"#, entry.2)));
             let left = until.saturating_duration_since(Instant::now());
             if !events.is_empty() || left.is_zero() {
                 let (events, at) = (events.join(","), contents.revision);
@@ -212,10 +226,12 @@
 
     fn list(&self, kind: &str, after: &str) -> (u16, String) {
         let objects = self.kinds.get(kind).into_iter().flatten();
-        let items: Vec<String> = objects
+        let mut items: Vec<String> = objects
             .filter(|(name, _)| name.as_str() > after)
             .map(|(name, object)| object_json(name, &object.spec, object.revision))
             .collect();
+        let foreign = self.foreign.iter().filter(|entry| entry.1 == kind);
+        items.extend(foreign.map(|entry| entry.2.clone()));
         let (items, at) = (items.join(","), self.revision);
         (
             200,
