Back end: answers that come in pieces are broken off, failing tests

Answers that have begun and are not whole within a quarter of the target latency (0.375 s here) and a second for each MiB are taken for lost (AnswerPace). The stop itself waits for the requests as it should.

The new tests fail with 502 in all forms but interim answers (known length, chunks, until the close, head in pieces), at 2, 12 and 80 pieces, for requests that may be repeated and those that may not, without a stop and with one at either node.

--- a/crates/rillgap-sidecar/tests/path/main.rs
+++ b/crates/rillgap-sidecar/tests/path/main.rs
@@ -1,6 +1,7 @@
 //! Requests over sockets: from a caller through its entry node and the back end's node to the back
 //! end.
 
+mod answers_in_pieces;
 mod endless_answers;
 mod endless_input;
 mod late_answers;
--- a/crates/rillgap-sidecar/tests/path/support.rs
+++ b/crates/rillgap-sidecar/tests/path/support.rs
@@ -168,6 +168,13 @@
     AfterSeen(usize, Vec<u8>),
     /// Sends nothing and keeps the connection open.
     NoAnswer,
+    /// Sends these pieces with a pause after each, as the work goes on, and then closes the connection if
+    /// `closes`.
+    Pieces {
+        pieces: Vec<Vec<u8>>,
+        pause: Duration,
+        closes: bool,
+    },
     /// Sends `begin`, and then `block` again and again, with a pause between them, until the node
     /// closes the connection.
     WithoutEnd {
@@ -270,6 +277,21 @@
                     let _ = stream.write_all(&bytes).await;
                 }
                 Reply::NoAnswer => {}
+                Reply::Pieces {
+                    pieces,
+                    pause,
+                    closes,
+                } => {
+                    for piece in pieces {
+                        if stream.write_all(&piece).await.is_err() {
+                            break;
+                        }
+                        tokio::time::sleep(pause).await;
+                    }
+                    if closes {
+                        break;
+                    }
+                }
                 Reply::WithoutEnd {
                     begin,
                     block,
