Back end: an answer that has begun goes on until its deadline

Change: speed breaks nothing off any more. Length, framing and size do, as before; what comes byte by byte ends at the deadline. What the time limit gained has means of its own: an overdue answer to a request that may be repeated goes on beside a second attempt at another back end, the first whole one counts; it gives back the room for what has not arrived. There is no second attempt where half of a service's answers are overdue (its way of answering). The decaying share that refusals and failures kept twice is one type now, which this uses too.

--- a/crates/rillgap-forward/src/answer_pace.rs
+++ b/crates/rillgap-forward/src/answer_pace.rs
@@ -1,22 +1,23 @@
-//! Decides when an answer that has begun takes too long to be whole.
+//! Decides when an answer that has begun is overdue.
 //!
-//! The load pattern is a back end that sends a head or a body byte by byte, without an end. Until
-//! the deadline of the request, such an answer would keep a connection and a slot, and a request that
-//! may be repeated would not reach another back end in time. A back end that has begun to answer has
-//! done its work, and it is on the same machine, so the rest of the answer follows at once.
+//! The load pattern is a back end that sends a head or a body byte by byte, without an end. Nothing tells
+//! such an answer from a true one that comes in pieces as the work goes on, so it is not broken off: that would take true answers
+//! from their callers. A request that may be repeated is sent to another back end as well (see
+//! [`outbound`](crate::outbound)), so that it is served in time whichever of the two it is. All others wait
+//! until their deadline.
 
 use std::time::Duration;
 
 use rillgap_core::time::Instant;
 
-/// Fraction of the target latency of a route within which an answer that has begun must be whole.
+/// Fraction of the target latency of a route after which an answer that has begun and is not whole is overdue.
 const GRACE_FRACTION: f64 = 0.25;
 /// Range of that time.
 const GRACE_RANGE: (Duration, Duration) = (Duration::from_millis(100), Duration::from_secs(1));
-/// Rate at which the bytes of a longer answer must arrive, in bytes per second.
+/// Rate at which the bytes of a longer answer prolong that time, in bytes per second.
 const MIN_BYTES_PER_SECOND: f64 = 1_048_576.0;
 
-/// Returns the time within which an answer that has begun must be whole.
+/// Returns the time after which an answer that has begun and is not whole is overdue.
 pub fn grace(target_latency: Duration) -> Duration {
     let (shortest, longest) = GRACE_RANGE;
     target_latency
@@ -71,8 +72,8 @@
         self.begun_at = self.begun_at.map(|begun_at| begun_at + paused);
     }
 
-    /// Returns when the answer takes too long; `None` if it has not begun or the node does not read.
-    pub fn ends_at(&self) -> Option<Instant> {
+    /// Returns when the answer is overdue; `None` if it has not begun or the node does not read.
+    pub fn overdue_at(&self) -> Option<Instant> {
         if self.paused_at.is_some() {
             return None;
         }
--- a/crates/rillgap-forward/src/event.rs
+++ b/crates/rillgap-forward/src/event.rs
@@ -146,6 +146,8 @@
         /// The notices.
         notice: BackEndNotice,
     },
+    /// The answer of the back end to a request has begun and is not whole although it is overdue.
+    AnswerOverdue(ExchangeId),
     /// An answer of the health endpoint stated the load of the back end.
     HealthNotice {
         /// Identifier of the back end that answered.
--- a/crates/rillgap-forward/src/inbound/completion.rs
+++ b/crates/rillgap-forward/src/inbound/completion.rs
@@ -62,6 +62,19 @@
 }
 
 impl Inbound {
+    /// Notifies the sender of a request that may be repeated that its answer has begun and is overdue.
+    pub fn on_answer_overdue(&mut self, exchange: ExchangeId, out: &mut Actions) {
+        let Some(running) = self.running.get(&exchange) else {
+            return;
+        };
+        if running.is_awaited && running.request.is_idempotent {
+            out.push(Action::SendOnLink {
+                link: running.link,
+                message: LinkMessage::AnswerOverdue(running.sequence),
+            });
+        }
+    }
+
     /// Cancels requests that got no answer by the end of the grace after their deadline, and
     /// reports their outcome as unknown.
     pub(super) fn time_out_overdue(&mut self, now: Instant, out: &mut Actions) {
--- a/crates/rillgap-forward/src/inbound/failure_rate.rs
+++ b/crates/rillgap-forward/src/inbound/failure_rate.rs
@@ -8,6 +8,8 @@
 
 use rillgap_core::time::Instant;
 
+use crate::decaying_share::DecayingShare;
+
 /// Time constant of the exponential decay, after which a counted request has 1/e of its weight
 /// left.
 const DECAY_TIME_CONSTANT: Duration = Duration::from_millis(1_500);
@@ -16,34 +18,23 @@
 const PRIOR_SUCCESSES: f64 = 5.0;
 
 /// Exponentially decaying rate of the requests that the back end itself failed.
-#[derive(Clone, Debug, Default)]
-pub(super) struct FailureRate {
-    failed: f64,
-    ended: f64,
-    decayed_at: Instant,
+#[derive(Clone, Debug)]
+pub(super) struct FailureRate(DecayingShare);
+
+impl Default for FailureRate {
+    fn default() -> Self {
+        Self(DecayingShare::new(DECAY_TIME_CONSTANT))
+    }
 }
 
 impl FailureRate {
     /// Records the outcome of a request.
     pub fn record(&mut self, now: Instant, is_failure: bool) {
-        self.decay(now);
-        self.ended += 1.0;
-        if is_failure {
-            self.failed += 1.0;
-        }
+        self.0.record(now, is_failure);
     }
 
     /// Returns the failure rate, in thousandths.
-    pub fn permille(&mut self, now: Instant) -> u32 {
-        self.decay(now);
-        (self.failed * 1_000.0 / (self.ended + PRIOR_SUCCESSES)) as u32
-    }
-
-    fn decay(&mut self, now: Instant) {
-        let elapsed = now.saturating_since(self.decayed_at).as_secs_f64();
-        self.decayed_at = now;
-        let kept = (-elapsed / DECAY_TIME_CONSTANT.as_secs_f64()).exp();
-        self.failed *= kept;
-        self.ended *= kept;
+    pub fn permille(&self, now: Instant) -> u32 {
+        (self.0.share(now, PRIOR_SUCCESSES) * 1_000.0) as u32
     }
 }
--- a/crates/rillgap-forward/src/inbound/refusals.rs
+++ b/crates/rillgap-forward/src/inbound/refusals.rs
@@ -7,6 +7,8 @@
 
 use rillgap_core::time::Instant;
 
+use crate::decaying_share::DecayingShare;
+
 /// Time constant of the exponential decay, after which a counted attempt has 1/e of its weight
 /// left.
 const DECAY_TIME_CONSTANT: Duration = Duration::from_millis(300);
@@ -20,47 +22,28 @@
 pub const MIN_REFUSED_SHARE: f64 = 0.05;
 
 /// Exponentially decaying share of attempts that back ends refused.
-#[derive(Clone, Debug, Default)]
-pub struct Refusals {
-    refused: f64,
-    attempts: f64,
-    decayed_at: Instant,
+#[derive(Clone, Debug)]
+pub struct Refusals(DecayingShare);
+
+impl Default for Refusals {
+    fn default() -> Self {
+        Self(DecayingShare::new(DECAY_TIME_CONSTANT))
+    }
 }
 
 impl Refusals {
     /// Records how an attempt that reached a back end has ended.
     pub fn record(&mut self, now: Instant, is_refused: bool) {
-        self.decay(now);
-        self.attempts += 1.0;
-        if is_refused {
-            self.refused += 1.0;
-        }
+        self.0.record(now, is_refused);
     }
 
     /// Returns the share of attempts that were refused, from 0 to 1.
     pub fn share(&self, now: Instant) -> f64 {
-        self.share_with_prior(now, SHARE_PRIOR_ACCEPTED)
+        self.0.share(now, SHARE_PRIOR_ACCEPTED)
     }
 
     /// Returns whether so many attempts were refused that the service counts as refusing.
     pub fn is_refusing(&self, now: Instant) -> bool {
-        self.share_with_prior(now, PRIOR_ACCEPTED) >= MIN_REFUSED_SHARE
-    }
-
-    fn share_with_prior(&self, now: Instant, prior: f64) -> f64 {
-        let kept = self.kept(now);
-        self.refused * kept / (self.attempts * kept + prior)
-    }
-
-    fn decay(&mut self, now: Instant) {
-        let kept = self.kept(now);
-        self.decayed_at = self.decayed_at.max(now);
-        self.refused *= kept;
-        self.attempts *= kept;
-    }
-
-    fn kept(&self, now: Instant) -> f64 {
-        let elapsed = now.saturating_since(self.decayed_at).as_secs_f64();
-        (-elapsed / DECAY_TIME_CONSTANT.as_secs_f64()).exp()
+        self.0.share(now, PRIOR_ACCEPTED) >= MIN_REFUSED_SHARE
     }
 }
--- a/crates/rillgap-forward/src/lib.rs
+++ b/crates/rillgap-forward/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod configuration_offers;
 pub mod crash;
 pub mod credential;
+pub mod decaying_share;
 pub mod directory;
 pub mod event;
 pub mod freshness;
--- a/crates/rillgap-forward/src/message.rs
+++ b/crates/rillgap-forward/src/message.rs
@@ -433,6 +433,8 @@
     },
     /// The result of this request is no longer needed.
     Cancel(Sequence),
+    /// The answer to a request that may be repeated has begun and is not whole although it is overdue.
+    AnswerOverdue(Sequence),
     /// Response to a request.
     Response(ForwardResponse),
     /// Status of the sender, sent on changes and periodically as a heartbeat.
@@ -490,6 +492,7 @@
             Self::Hello(_) => "hello",
             Self::Request { .. } => "request",
             Self::Cancel(_) => "cancel",
+            Self::AnswerOverdue(_) => "answer-overdue",
             Self::Response(_) => "response",
             Self::Status(_) => "status",
             Self::Ping => "ping",
--- a/crates/rillgap-forward/src/node/mod.rs
+++ b/crates/rillgap-forward/src/node/mod.rs
@@ -254,6 +254,7 @@
             Event::BackEndNotice { exchange, notice } => {
                 self.inbound.on_notice(now, exchange, notice, out);
             }
+            Event::AnswerOverdue(exchange) => self.inbound.on_answer_overdue(exchange, out),
             Event::HealthNotice { instance, notice } => {
                 self.inbound.on_health_notice(now, &instance, notice);
             }
@@ -404,6 +405,10 @@
                 let (outbound, mut context) = self.split_outbound(out);
                 outbound.on_response(now, link, response, &mut context);
             }
+            LinkMessage::AnswerOverdue(sequence) => {
+                let (outbound, mut context) = self.split_outbound(out);
+                outbound.on_answer_overdue(now, sequence, &mut context);
+            }
             LinkMessage::Status(status) => self.on_status(now, link, status, out),
             LinkMessage::Ping => out.push(Action::SendOnLink {
                 link,
--- a/crates/rillgap-forward/src/outbound/attempts.rs
+++ b/crates/rillgap-forward/src/outbound/attempts.rs
@@ -105,55 +105,61 @@
         }
     }
 
-    pub(super) fn requests_on_link(&self, link: LinkId) -> Vec<RequestKey> {
-        self.requests
-            .iter()
-            .filter(|(_, request)| request.is_on_link(link))
-            .map(|(key, _)| *key)
+    /// Returns the attempts in flight on a link.
+    pub(super) fn attempts_on_link(&self, link: LinkId) -> Vec<(RequestKey, Sequence)> {
+        let requests = self.requests.iter();
+        requests
+            .flat_map(|(key, request)| {
+                let sequences = request.in_flight_on(link);
+                sequences.map(|sequence| (*key, sequence))
+            })
             .collect()
     }
 
-    /// Cancels the attempt in flight, if any, of a request that stays registered.
-    pub(super) fn cancel_attempt_by_key(
+    /// Cancels the attempts in flight, if any, of a request that stays registered.
+    pub(super) fn cancel_attempts_by_key(
         &mut self,
         key: RequestKey,
         context: &mut OutboundContext<'_>,
     ) {
         if let Some(mut request) = self.requests.remove(&key) {
-            self.cancel_attempt(&mut request, context);
+            self.cancel_attempts(&mut request, context);
             self.requests.insert(key, request);
         }
     }
 
-    /// Ends the attempt in flight, if any, and sends its node a cancellation.
-    pub(super) fn cancel_attempt(
+    /// Ends the attempts in flight, if any, and sends their nodes a cancellation.
+    pub(super) fn cancel_attempts(
         &mut self,
         request: &mut Request,
         context: &mut OutboundContext<'_>,
     ) {
-        let Some((link, sequence)) = request.current() else {
-            return;
-        };
-        request.end_attempt();
-        request.may_have_run = true;
-        self.by_sequence.remove(&sequence);
-        self.release(link, context);
-        context.out.push(Action::SendOnLink {
-            link,
-            message: LinkMessage::Cancel(sequence),
-        });
+        for sequence in request.in_flight() {
+            let Some(link) = request.end_attempt(sequence) else {
+                continue;
+            };
+            request.may_have_run = true;
+            self.by_sequence.remove(&sequence);
+            self.release(link, context);
+            context.out.push(Action::SendOnLink {
+                link,
+                message: LinkMessage::Cancel(sequence),
+            });
+        }
     }
 
-    pub(super) fn end_attempt(&mut self, key: RequestKey, context: &mut OutboundContext<'_>) {
-        let Some(request) = self.requests.get_mut(&key) else {
-            return;
-        };
-        let Some((link, sequence)) = request.current() else {
-            return;
-        };
-        request.end_attempt();
+    /// Ends an attempt whose result is known.
+    pub(super) fn end_attempt(
+        &mut self,
+        key: RequestKey,
+        sequence: Sequence,
+        context: &mut OutboundContext<'_>,
+    ) {
         self.by_sequence.remove(&sequence);
-        self.release(link, context);
+        let request = self.requests.get_mut(&key);
+        if let Some(link) = request.and_then(|request| request.end_attempt(sequence)) {
+            self.release(link, context);
+        }
     }
 
     pub(super) fn release(&mut self, link: LinkId, context: &mut OutboundContext<'_>) {
--- a/crates/rillgap-forward/src/outbound/completion.rs
+++ b/crates/rillgap-forward/src/outbound/completion.rs
@@ -56,8 +56,8 @@
             self.deadlines.retain(|(_, other)| *other != key);
             return;
         };
-        let was_sent = request.current().is_some();
-        self.cancel_attempt_by_key(key, context);
+        let was_sent = request.is_in_flight();
+        self.cancel_attempts_by_key(key, context);
         let code = if was_sent {
             ResultCode::AnswerTimeout
         } else {
@@ -100,9 +100,11 @@
         code: Option<ResultCode>,
         context: &mut OutboundContext<'_>,
     ) {
-        let Some(request) = self.remove_request(key) else {
+        let Some(mut request) = self.remove_request(key) else {
             return;
         };
+        // Another attempt whose answer is not needed any more.
+        self.cancel_attempts(&mut request, context);
         let has_not_run = request.possible_arrivals == 0 && !request.may_have_run;
         if let Some(tenant) = request.limited_tenant.as_ref().filter(|_| has_not_run) {
             self.tokens.return_token(now, tenant);
--- a/crates/rillgap-forward/src/outbound/mod.rs
+++ b/crates/rillgap-forward/src/outbound/mod.rs
@@ -10,6 +10,7 @@
 mod attempts;
 mod completion;
 mod intake;
+mod overdue_answers;
 mod rate_share;
 mod request;
 mod results;
@@ -42,6 +43,7 @@
 use crate::settings::ForwardSettings;
 
 use admission::EntryAdmission;
+use overdue_answers::OverdueAnswers;
 use rate_share::RateShares;
 use request::{Request, RequestKey};
 use retried_runs::RetriedRuns;
@@ -155,6 +157,7 @@
     next_admission_report: Instant,
     weights: WeightedChoice,
     rate_shares: RateShares,
+    overdue_answers: OverdueAnswers,
     /// Updates on calls of the local back end that the inbound side has not received yet.
     call_updates: Vec<CallUpdate>,
 }
@@ -179,6 +182,7 @@
             next_admission_report: Instant::default(),
             weights: WeightedChoice::new(settings.random_seed),
             rate_shares: RateShares::default(),
+            overdue_answers: OverdueAnswers::default(),
             call_updates: Vec::new(),
         }
     }
@@ -244,7 +248,7 @@
             let Some(mut request) = self.remove_request(key) else {
                 continue;
             };
-            self.cancel_attempt(&mut request, context);
+            self.cancel_attempts(&mut request, context);
             context.out.push(Action::Log(LogRecord::Cancelled {
                 request_id: request.forwarded.request_id.clone(),
             }));
@@ -259,9 +263,10 @@
         response: ForwardResponse,
         context: &mut OutboundContext<'_>,
     ) {
-        let key = self.by_sequence.remove(&response.sequence);
+        let key = self.by_sequence.get(&response.sequence).copied();
         if let Some(key) = key {
-            self.end_attempt(key, context);
+            self.count_answer_in_time(now, key, response.sequence);
+            self.end_attempt(key, response.sequence, context);
         }
         // Recorded after the end of the attempt: the load does not include the answered request.
         if let Some(peer) = context.directory.by_link(link) {
@@ -279,6 +284,15 @@
         self.on_result(now, key, response.result, context);
     }
 
+    /// Counts an answer that was not overdue.
+    fn count_answer_in_time(&mut self, now: Instant, key: RequestKey, sequence: Sequence) {
+        let request = self.requests.get(&key);
+        if let Some(request) = request.filter(|request| !request.is_overdue(sequence)) {
+            let service = &request.forwarded.service;
+            self.overdue_answers.record(now, service, false);
+        }
+    }
+
     /// Handles the end of a link: attempts that were sent on it may have run.
     pub fn on_link_closed(
         &mut self,
@@ -286,8 +300,8 @@
         link: LinkId,
         context: &mut OutboundContext<'_>,
     ) {
-        for key in self.requests_on_link(link) {
-            self.end_attempt(key, context);
+        for (key, sequence) in self.attempts_on_link(link) {
+            self.end_attempt(key, sequence, context);
             let result = ForwardResult::Unknown {
                 code: ResultCode::AnswerLost,
             };
--- a/crates/rillgap-forward/src/outbound/request.rs
+++ b/crates/rillgap-forward/src/outbound/request.rs
@@ -44,6 +44,8 @@
 struct Attempt {
     link: LinkId,
     sequence: Sequence,
+    /// Whether its answer has begun and is overdue.
+    is_overdue: bool,
 }
 
 /// State of a request that has not been answered yet.
@@ -86,6 +88,9 @@
     /// Failure that a back end answered, kept while another back end is tried.
     pub failed_answer: Option<ForwardedAnswer>,
     current: Option<Attempt>,
+    /// Earlier attempt whose answer has begun and is overdue. It goes on beside the current one, and the first
+    /// whole answer counts.
+    overdue: Option<Attempt>,
     /// Sequence number of the last attempt; 0 before the first one.
     last_sequence: u64,
     /// Why it is certain that the last attempt did not run; `None` if it is not.
@@ -123,6 +128,7 @@
             involved: Vec::new(),
             failed_answer: None,
             current: None,
+            overdue: None,
             last_sequence: 0,
             last_proof: None,
         }
@@ -145,7 +151,11 @@
         self.tried_nodes.push(node.to_owned());
         self.excluded_nodes.push(node.to_owned());
         self.possible_arrivals += 1;
-        self.current = Some(Attempt { link, sequence });
+        self.current = Some(Attempt {
+            link,
+            sequence,
+            is_overdue: false,
+        });
         self.last_sequence = sequence.0;
         self.last_proof = None;
         let forwarded = Arc::make_mut(&mut self.forwarded);
@@ -161,9 +171,42 @@
         self.forwarded.clone()
     }
 
-    /// Ends the attempt in flight.
-    pub fn end_attempt(&mut self) {
-        self.current = None;
+    /// Ends the attempt with this sequence number. Returns its link; `None` if it is not in flight.
+    pub fn end_attempt(&mut self, sequence: Sequence) -> Option<LinkId> {
+        let is_ended = |attempt: &mut Attempt| attempt.sequence == sequence;
+        let ended = self.current.take_if(is_ended);
+        let ended = ended.or_else(|| self.overdue.take_if(is_ended));
+        ended.map(|attempt| attempt.link)
+    }
+
+    /// Records that the answer to an attempt has begun and is overdue. Returns whether this is the current
+    /// attempt, another one may be made beside it, and none is.
+    pub fn mark_overdue(&mut self, sequence: Sequence) -> bool {
+        let current = self.current.as_mut();
+        let Some(current) = current.filter(|attempt| attempt.sequence == sequence) else {
+            return false;
+        };
+        current.is_overdue = true;
+        self.overdue.is_none() && self.route.is_idempotent()
+    }
+
+    /// Returns whether the answer to an attempt in flight has begun and is overdue.
+    pub fn is_overdue(&self, sequence: Sequence) -> bool {
+        let mut attempts = self.current.iter().chain(&self.overdue);
+        attempts.any(|attempt| attempt.sequence == sequence && attempt.is_overdue)
+    }
+
+    /// Keeps the current attempt beside the next one.
+    pub fn keep_overdue_attempt(&mut self) {
+        self.overdue = self.current.take();
+        self.may_have_run = true;
+    }
+
+    /// Makes the overdue attempt the current one again if there is no other.
+    pub fn resume_overdue_attempt(&mut self) {
+        if self.current.is_none() {
+            self.current = self.overdue.take();
+        }
     }
 
     /// Records that the last attempt did not run.
@@ -183,12 +226,22 @@
         self.possible_arrivals - self.refusals
     }
 
-    pub fn current(&self) -> Option<(LinkId, Sequence)> {
-        self.current.map(|attempt| (attempt.link, attempt.sequence))
+    /// Returns whether an attempt is in flight.
+    pub const fn is_in_flight(&self) -> bool {
+        self.current.is_some() || self.overdue.is_some()
+    }
+
+    /// Returns the sequence numbers of the attempts in flight.
+    pub fn in_flight(&self) -> impl Iterator<Item = Sequence> + use<> {
+        let attempts = self.current.into_iter().chain(self.overdue);
+        attempts.map(|attempt| attempt.sequence)
     }
 
-    pub fn is_on_link(&self, link: LinkId) -> bool {
-        self.current.is_some_and(|attempt| attempt.link == link)
+    /// Returns the sequence numbers of the attempts in flight on a link.
+    pub fn in_flight_on(&self, link: LinkId) -> impl Iterator<Item = Sequence> + use<> {
+        let attempts = self.current.into_iter().chain(self.overdue);
+        let on_link = attempts.filter(move |attempt| attempt.link == link);
+        on_link.map(|attempt| attempt.sequence)
     }
 
     /// Records that the back end beside the last node has refused the request itself.
--- a/crates/rillgap-forward/src/outbound/results.rs
+++ b/crates/rillgap-forward/src/outbound/results.rs
@@ -3,10 +3,11 @@
 use rillgap_core::code::ResultCode;
 use rillgap_core::time::Instant;
 
-use super::request::RequestKey;
+use super::request::{Request, RequestKey};
 use super::{MAX_RETRIES, MAX_TRANSPARENT_RETRIES, Outbound, OutboundContext};
 use crate::action::Action;
 use crate::crash::Suspicion;
+use crate::id::Sequence;
 use crate::log_record::{LogRecord, RetryCharge};
 use crate::message::{ForwardResult, ForwardedAnswer, NotRunProof};
 
@@ -15,7 +16,76 @@
 /// service's capacity.
 const MIN_BACK_ENDS_FOR_CRASH_RETRY: usize = 4;
 
+/// Status from which an answer is a failure of the back end.
+const INTERNAL_SERVER_ERROR: u16 = 500;
+
 impl Outbound {
+    /// Handles the result of an attempt while another one of the same request is in flight. Only a success
+    /// ends the request: what the other attempt brings is not known yet.
+    fn on_result_beside_another(
+        &mut self,
+        now: Instant,
+        key: RequestKey,
+        result: ForwardResult,
+        context: &mut OutboundContext<'_>,
+    ) {
+        match result {
+            ForwardResult::Answered(answer) if answer.status < INTERNAL_SERVER_ERROR => {
+                self.finish_forwarded(now, key, answer, context);
+            }
+            ForwardResult::Answered(answer) => {
+                if let Some(request) = self.requests.get_mut(&key) {
+                    request.failed_answer = Some(answer);
+                }
+            }
+            ForwardResult::NotRun {
+                proof,
+                retry_after_millis,
+                ..
+            } => {
+                if let Some(request) = self.requests.get_mut(&key) {
+                    request.record_not_run(proof, retry_after_millis);
+                }
+            }
+            ForwardResult::Unknown { .. } => {}
+        }
+        if let Some(request) = self.requests.get_mut(&key) {
+            request.resume_overdue_attempt();
+        }
+    }
+
+    /// Handles an answer that has begun and is not whole although it is overdue: a request that may be
+    /// repeated is sent to another back end as well, if answers of its service are seldom overdue.
+    pub fn on_answer_overdue(
+        &mut self,
+        now: Instant,
+        sequence: Sequence,
+        context: &mut OutboundContext<'_>,
+    ) {
+        let Some(key) = self.by_sequence.get(&sequence).copied() else {
+            return;
+        };
+        let Some(request) = self.requests.get_mut(&key) else {
+            return;
+        };
+        if !request.mark_overdue(sequence) {
+            return;
+        }
+        let service = request.forwarded.service.clone();
+        let is_usual = self.overdue_answers.is_usual(now, &service);
+        self.overdue_answers.record(now, &service, true);
+        if is_usual
+            || !self.has_other_target(now, key, context)
+            || !self.try_spend_retry(now, key, context)
+        {
+            return;
+        }
+        if let Some(request) = self.requests.get_mut(&key) {
+            request.keep_overdue_attempt();
+        }
+        self.retry(now, key, ResultCode::AnswerTimeout, true, context);
+    }
+
     pub(super) fn on_result(
         &mut self,
         now: Instant,
@@ -23,6 +93,11 @@
         result: ForwardResult,
         context: &mut OutboundContext<'_>,
     ) {
+        let is_beside_another = self.requests.get(&key).is_some_and(Request::is_in_flight);
+        if is_beside_another {
+            self.on_result_beside_another(now, key, result, context);
+            return;
+        }
         match result {
             ForwardResult::Answered(answer) => self.on_answer(now, key, answer, context),
             ForwardResult::NotRun {
@@ -171,7 +246,7 @@
         };
         let has_time = request.deadline > now;
         // An attempt in flight may be running until its node has reported a result.
-        let has_not_run = !request.may_have_run && request.current().is_none();
+        let has_not_run = !request.may_have_run && !request.is_in_flight();
         let may_run_again = request.route.is_idempotent() || has_not_run;
         // A back end that has refused to run the request does not count.
         let has_attempts_left = request.possible_runs() < request.route.max_attempts;
--- a/crates/rillgap-forward/tests/outbound.rs
+++ b/crates/rillgap-forward/tests/outbound.rs
@@ -409,3 +409,127 @@
     test.request(2, caller_request("b", "/safe/1"));
     expect_that!(test.statuses(), is_empty());
 }
+
+/// Reports that the answer to an attempt has begun and is overdue.
+fn report_overdue(test: &mut TestNode, attempt: usize) {
+    let (link, sequence, _) = test.sent()[attempt].clone();
+    let message = LinkMessage::AnswerOverdue(sequence);
+    test.event(Event::Link { link, message });
+}
+
+/// Delivers the result of an attempt.
+fn respond_to(test: &mut TestNode, attempt: usize, result: ForwardResult) {
+    let (link, sequence, _) = test.sent()[attempt].clone();
+    let message = LinkMessage::Response(ForwardResponse {
+        sequence,
+        load: serving(SERVICE).load,
+        downstream_levels: Vec::new(),
+        has_failed_call: false,
+        timing: Timing::default(),
+        result,
+    });
+    test.event(Event::Link { link, message });
+}
+
+/// Returns the sequence numbers of cancelled attempts.
+fn cancelled(test: &TestNode) -> Vec<u64> {
+    let sequence = |action: &Action| match action {
+        Action::SendOnLink {
+            message: LinkMessage::Cancel(sequence),
+            ..
+        } => Some(sequence.0),
+        _ => None,
+    };
+    test.actions.iter().filter_map(sequence).collect()
+}
+
+#[gtest]
+fn overdue_answer_goes_on_beside_a_second_attempt_and_counts_if_it_is_whole_first() {
+    let mut test = entry();
+    test.request(0, caller_request("a", "/safe/1"));
+    report_overdue(&mut test, 0);
+    expect_that!(test.sent().len(), eq(2));
+    expect_that!(cancelled(&test), is_empty());
+    respond_to(&mut test, 0, ForwardResult::Answered(answer(200)));
+    expect_that!(test.statuses(), elements_are![eq(&200)]);
+    let second = test.sent()[1].1;
+    expect_that!(cancelled(&test), elements_are![eq(&second.0)]);
+    respond_to(&mut test, 1, ForwardResult::Answered(answer(200)));
+    expect_that!(test.statuses().len(), eq(1));
+}
+
+#[gtest]
+fn answer_to_the_second_attempt_ends_the_overdue_one() {
+    let mut test = entry();
+    test.request(0, caller_request("a", "/safe/1"));
+    report_overdue(&mut test, 0);
+    respond_to(&mut test, 1, ForwardResult::Answered(answer(200)));
+    expect_that!(test.statuses(), elements_are![eq(&200)]);
+    let first = test.sent()[0].1;
+    expect_that!(cancelled(&test), elements_are![eq(&first.0)]);
+}
+
+#[gtest]
+fn failure_of_the_second_attempt_leaves_the_overdue_answer_to_come() {
+    for failure in [
+        answer_lost(),
+        not_run(true),
+        ForwardResult::Answered(answer(500)),
+    ] {
+        let mut test = entry();
+        test.request(0, caller_request("a", "/safe/1"));
+        report_overdue(&mut test, 0);
+        respond_to(&mut test, 1, failure);
+        expect_that!(test.statuses(), is_empty());
+        respond_to(&mut test, 0, ForwardResult::Answered(answer(200)));
+        expect_that!(test.statuses(), elements_are![eq(&200)]);
+    }
+}
+
+#[gtest]
+fn end_of_the_link_of_an_overdue_answer_leaves_the_second_attempt() {
+    let mut test = entry();
+    test.request(0, caller_request("a", "/safe/1"));
+    report_overdue(&mut test, 0);
+    let link = test.sent()[0].0;
+    test.event(Event::LinkClosed(link));
+    expect_that!(test.statuses(), is_empty());
+    respond_to(&mut test, 1, ForwardResult::Answered(answer(200)));
+    expect_that!(test.statuses(), elements_are![eq(&200)]);
+}
+
+#[gtest]
+fn caller_that_leaves_ends_both_attempts() {
+    let mut test = entry();
+    test.request(0, caller_request("a", "/safe/1"));
+    report_overdue(&mut test, 0);
+    test.event(Event::CallerDisconnected(ConnectionId(1)));
+    expect_that!(cancelled(&test).len(), eq(2));
+}
+
+#[gtest]
+fn request_that_may_run_once_is_not_sent_elsewhere_while_its_answer_is_overdue() {
+    let mut test = entry();
+    test.request(0, caller_request("a", "/once/1"));
+    report_overdue(&mut test, 0);
+    expect_that!(test.sent().len(), eq(1));
+    respond_to(&mut test, 0, ForwardResult::Answered(answer(200)));
+    expect_that!(test.statuses(), elements_are![eq(&200)]);
+}
+
+/// Guards against twice the work, and a retry budget that is used up, where all answers of a service come
+/// in pieces.
+#[gtest]
+fn service_whose_answers_are_usually_overdue_gets_no_second_attempts() {
+    let mut test = entry();
+    let mut attempts = 0;
+    for number in 0..60 {
+        test.request(number, caller_request(&format!("r{number}"), "/safe/1"));
+        let first = attempts;
+        report_overdue(&mut test, first);
+        attempts = test.sent().len();
+        respond_to(&mut test, first, ForwardResult::Answered(answer(200)));
+    }
+    let retries = attempts - 60;
+    expect_that!(retries, all![ge(1), le(25)]);
+}
--- a/crates/rillgap-sidecar/src/back_end/connection.rs
+++ b/crates/rillgap-sidecar/src/back_end/connection.rs
@@ -223,12 +223,13 @@
         let is_head = request.method == "HEAD";
         let mut reader = ResponseReader::new(&request.request_id, is_head, buffers.clone());
         let mut pace = AnswerPace::new(Duration::from_micros(request.answer_grace_micros));
+        let mut is_overdue = false;
         let mut wait = RoomWait::default();
         loop {
             if self.flush(&mut output).is_err() {
                 return lost(AnswerFault::ConnectionLost);
             }
-            let ends_at = pace.ends_at();
+            let overdue_at = pace.overdue_at().filter(|_| !is_overdue);
             let (mut receiving, sending) = self.stream.split();
             let progress = tokio::select! {
                 biased;
@@ -241,8 +242,11 @@
                 () = buffers.freed(), if wait.since.is_some() => {
                     reader.read(&mut self.input, dialect.as_ref())
                 }
-                () = self.hub.sleep_until(ends_at), if ends_at.is_some() => {
-                    Progress::Broken(AnswerFault::TooSlow)
+                () = self.hub.sleep_until(overdue_at), if overdue_at.is_some() => {
+                    is_overdue = true;
+                    reader.on_overdue();
+                    self.hub.back_end().report_overdue(&self.hub, job.exchange.id);
+                    continue;
                 }
                 () = self.hub.sleep_until(wait.ends_at()), if wait.since.is_some() => {
                     self.on_long_wait(&mut wait)
--- a/crates/rillgap-sidecar/src/back_end/mod.rs
+++ b/crates/rillgap-sidecar/src/back_end/mod.rs
@@ -145,6 +145,14 @@
         }
     }
 
+    /// Reports that the answer to a request is overdue, unless the request was cancelled.
+    fn report_overdue(&self, hub: &Rc<Hub>, exchange: ExchangeId) {
+        let is_in_flight = self.in_flight.borrow().contains_key(&exchange);
+        if is_in_flight {
+            hub.dispatch(Event::AnswerOverdue(exchange));
+        }
+    }
+
     /// Reports how a request ended, unless it was cancelled.
     fn report_end(&self, hub: &Rc<Hub>, exchange: ExchangeId, result: ExchangeResult) {
         let is_in_flight = self.in_flight.borrow_mut().remove(&exchange).is_some();
--- a/crates/rillgap-sidecar/src/back_end/response.rs
+++ b/crates/rillgap-sidecar/src/back_end/response.rs
@@ -71,8 +71,6 @@
     TooManyForeign,
     /// The body, or what comes with it, is longer than the limit.
     BodyTooLong,
-    /// The answer has begun and was not whole in time.
-    TooSlow,
     /// The node had no room for the answer in time.
     NoRoom,
     /// The answer names no request.
@@ -93,7 +91,6 @@
             Self::TooManyInterim => "too many interim answers",
             Self::TooManyForeign => "answers to other requests",
             Self::BodyTooLong => "body too long",
-            Self::TooSlow => "answer not whole in time",
             Self::NoRoom => "no room for the answer",
             Self::NoIdentifier => "answer without an identifier",
             Self::NotGenuine => "answer not genuine",
@@ -147,6 +144,8 @@
     body: Vec<u8>,
     /// Number of bytes for which the node has granted room.
     granted: usize,
+    /// Whether a body of known length gets its room as it arrives.
+    is_overdue: bool,
     /// Number of bytes of empty lines before heads.
     empty_bytes: usize,
     interim_answers: u32,
@@ -172,6 +171,7 @@
             current: None,
             body: Vec::new(),
             granted: 0,
+            is_overdue: false,
             empty_bytes: 0,
             interim_answers: 0,
             foreign_answers: 0,
@@ -208,6 +208,17 @@
         }
     }
 
+    /// Gives back the room for what has not arrived: the answer is overdue, and what is missing may never
+    /// come. From now on it gets room for what arrives.
+    pub fn on_overdue(&mut self) {
+        self.is_overdue = true;
+        if let Some(held) = &self.held {
+            held.remove(self.granted - self.body.len());
+            self.granted = self.body.len();
+            self.body.shrink_to_fit();
+        }
+    }
+
     /// Handles a clean close of the connection.
     pub fn on_close(&mut self) -> Progress {
         let is_complete = self
@@ -340,20 +351,26 @@
         let Some(current) = self.current.as_ref().filter(|current| !current.is_foreign) else {
             return Ok(true);
         };
-        let needed = match current.head.framing {
-            Framing::None => 0,
-            Framing::Length(length) => usize::try_from(length).unwrap_or(usize::MAX),
-            Framing::Chunked | Framing::UntilClose => self.body.len() + available,
+        let arrived = self.body.len() + available;
+        let (needed, limit) = match current.head.framing {
+            Framing::None => (0, 0),
+            Framing::Length(length) => {
+                let length = usize::try_from(length).unwrap_or(usize::MAX);
+                let needed = if self.is_overdue { arrived } else { length };
+                (needed.min(length), length)
+            }
+            Framing::Chunked | Framing::UntilClose => (arrived, usize::MAX),
         };
         if needed <= self.granted {
             return Ok(true);
         }
-        let (kind, growth) = match current.head.framing {
-            Framing::Length(_) => (HolderKind::Answer, needed - self.granted),
-            _ => {
-                let growth = (needed - self.granted).max(self.granted);
-                (HolderKind::OpenEndedAnswer, growth.max(MIN_GROWTH_BYTES))
-            }
+        let growth = (needed - self.granted)
+            .max(self.granted)
+            .max(MIN_GROWTH_BYTES)
+            .min(limit - self.granted);
+        let kind = match current.head.framing {
+            Framing::Length(_) => HolderKind::Answer,
+            _ => HolderKind::OpenEndedAnswer,
         };
         let held = self.held.get_or_insert_with(|| self.buffers.open(kind));
         match held.request(growth) {
--- a/crates/rillgap-sidecar/src/link/codec.rs
+++ b/crates/rillgap-sidecar/src/link/codec.rs
@@ -52,6 +52,7 @@
 const BODY_GRANT: u8 = 21;
 const VOTE_REQUEST: u8 = 24;
 const VOTE: u8 = 25;
+const ANSWER_OVERDUE: u8 = 26;
 
 /// Why a frame cannot be encoded or decoded.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
@@ -123,6 +124,9 @@
                 put_frame(out, REQUEST, &number, buffers.request.encode(&**request))
             }
             LinkMessage::Cancel(sequence) => put_frame(out, CANCEL, &sequence.0.to_be_bytes(), &[]),
+            LinkMessage::AnswerOverdue(sequence) => {
+                put_frame(out, ANSWER_OVERDUE, &sequence.0.to_be_bytes(), &[])
+            }
             LinkMessage::Response(response) => {
                 let payload = buffers.response.encode(&without_body(response));
                 put_response(out, payload, body_of(response))
@@ -321,6 +325,8 @@
             CANCEL => {
                 split_number(payload).map(|(number, _)| LinkMessage::Cancel(Sequence(number)))
             }
+            ANSWER_OVERDUE => split_number(payload)
+                .map(|(number, _)| LinkMessage::AnswerOverdue(Sequence(number))),
             RESPONSE => decode_response(&mut buffers.response, payload).map(LinkMessage::Response),
             STATUS => decode::<Status>(&mut buffers.status, payload).map(LinkMessage::Status),
             PING => Ok(LinkMessage::Ping),
