Simulation: the first watchers of the store are cut off from it, failing

The third and fourth take over at 13.95 s. They begin a watch, and report a contact with the store from that moment on, before it has answered: they never get an answer. With two recent contacts before them no other node watches for 1.72 s more; the next ones take over at 15.67 s, again two that are cut off, and one that reaches the store at 15.77 s, 3.1 s after the change. The time of the beginning counts as a contact (StoreSync::set_watch), for any node that has read the configuration once. The false contacts cost a second time: at 15.97 s nodes that do reach the store end their watches because of two nodes that do not.

Why the simulation has not shown it: few of its nodes have ever read the configuration themselves, since they start within 300 ms and get it from a peer, and their timers go in step. In the new scenario they start within 10 ms and then stand still for a moment each.

--- a/crates/rillgap-forward/tests/simulation/main.rs
+++ b/crates/rillgap-forward/tests/simulation/main.rs
@@ -7,6 +7,7 @@
 mod checker;
 mod crashing_requests;
 mod cut_owners;
+mod cut_watchers;
 mod false_claims;
 mod late_rejections;
 mod planned_stops;
--- a/crates/rillgap-forward/tests/simulation/world/events.rs
+++ b/crates/rillgap-forward/tests/simulation/world/events.rs
@@ -84,6 +84,8 @@
     StoreDown(bool),
     /// The store refuses the calls of a host (true), or serves them again (false).
     StoreRefuses(usize, bool),
+    /// The store leaves the calls of a host unanswered (true), or answers them again (false).
+    StoreIgnores(usize, bool),
     /// The store stops answering the hosts that watch it at this time.
     StoreIgnoresWatchers,
     /// Half of the answers of the store are lost (true), or none any more (false).
--- a/crates/rillgap-forward/tests/simulation/world/faults.rs
+++ b/crates/rillgap-forward/tests/simulation/world/faults.rs
@@ -105,6 +105,12 @@
                     }
                 }
             }
+            Fault::StoreIgnores(host, true) => {
+                self.ignored_watchers.insert(host);
+            }
+            Fault::StoreIgnores(host, false) => {
+                self.ignored_watchers.remove(&host);
+            }
             Fault::StoreIgnoresWatchers => {
                 let watching = self.watches.values().map(|(host, ..)| *host);
                 self.ignored_watchers = watching.collect();
--- a/crates/rillgap-forward/tests/simulation/world/mod.rs
+++ b/crates/rillgap-forward/tests/simulation/world/mod.rs
@@ -29,6 +29,7 @@
 use rillgap_forward::settings::RetryBound;
 use rillgap_forward::store_epoch::StorePosition;
 use rillgap_forward::store_sync::StoreRequestId;
+use rillgap_forward::watcher_election::name_hash;
 
 use crate::checker::{Checker, Run, Sent};
 use crate::scenario::InjectedBug;
@@ -62,6 +63,8 @@
 };
 /// Milliseconds between two heartbeats of a back end.
 const HEARTBEAT_MILLIS: u64 = 1_500;
+/// Time within which the nodes of a deployment start, unless a scenario sets another one.
+const MAX_START_MILLIS: u64 = 300;
 /// Distinguishes the seed of the delays of votes.
 const VOTE_SEED_MASK: u64 = 0x766f_7465;
 /// Milliseconds for which a back end keeps serving after its draining was acknowledged.
@@ -243,6 +246,24 @@
         injected_bug: InjectedBug,
         callers_until: u64,
         per_service: usize,
+    ) -> Self {
+        Self::started_within(
+            MAX_START_MILLIS,
+            seed,
+            injected_bug,
+            callers_until,
+            per_service,
+        )
+    }
+
+    /// Creates a deployment whose nodes all start within this time. If it is short, most of them read the
+    /// configuration from the store before a peer sends it.
+    pub fn started_within(
+        start_millis: u64,
+        seed: u64,
+        injected_bug: InjectedBug,
+        callers_until: u64,
+        per_service: usize,
     ) -> Self {
         let hosts = (0..SERVICES.len() * per_service).map(new_host).collect();
         let mut world = Self {
@@ -283,7 +304,7 @@
             quarantined_requests: 0,
         };
         for host in 0..world.hosts.len() {
-            let start = world.draw(300);
+            let start = world.draw(start_millis);
             world.schedule(start, WorldEvent::Fault(Fault::Start(host)));
             world.schedule(start + 200, WorldEvent::BackEndStarts(host));
             world.schedule(2_500 + start, WorldEvent::CallerSends(host));
@@ -394,6 +415,13 @@
         self.watching_hosts().len()
     }
 
+    /// Returns the hosts in the order in which they watch the store.
+    pub fn watch_order(&self) -> Vec<usize> {
+        let mut hosts: Vec<usize> = (0..self.size()).collect();
+        hosts.sort_by_key(|host| name_hash(&self.hosts[*host].name));
+        hosts
+    }
+
     /// Returns the hosts with an open watch at the store.
     pub fn watching_hosts(&self) -> BTreeSet<usize> {
         self.watches.values().map(|(host, ..)| *host).collect()
