Store: a contact is an answer, and the time to the next one does not grow

Two nodes that never got an answer kept all others from watching for 1.7 s.

Change: a contact is an answer. The first call of a watch returns at once, so that the nodes behind it can hold back; nodes look for peers with a contact at once, eight of them at random; a peer that has reported none is not hoped for because its link is new; the nodes that take over double each 150 ms up to 128 instead of each second; reports state when they were sent, so that what was held up on its way does not look recent.

--- a/crates/rillgap-forward/src/directory/followed.rs
+++ b/crates/rillgap-forward/src/directory/followed.rs
@@ -18,8 +18,12 @@
 const PREFERRED_HASH_DIVISOR: u64 = 16;
 /// Number of followed peers while all of them have a recent contact with the store.
 const TARGET_FOLLOWED: usize = 2;
-/// Maximum number of followed peers while some of them have no recent contact.
-const MAX_FOLLOWED: usize = 6;
+/// Number of followed peers, while some of them have no recent contact, that come first in the order.
+const FIRST_FOLLOWED: usize = 8;
+/// Maximum number of followed peers while some of them have no recent contact. The others are any that precede the
+/// node, in the order of its own preference: if all that come first are cut off from the store, it has to find some that
+/// are not, or it would watch itself.
+const MAX_FOLLOWED: usize = 16;
 /// Number of nodes with the lowest hashes that are added from a partial list of nodes. At most as
 /// many more are added from those that this node prefers to follow.
 const MAX_ADDED_FROM_LIST: usize = 16;
@@ -79,11 +83,12 @@
     }
 
     /// Selects the peers that are followed, and marks them as selected for a link.
-    /// `has_store_contact` returns whether the peer on a link has a recent contact with the store.
+    /// `has_store_contact` returns whether the peer on a link has a recent contact with the store, if it has
+    /// reported.
     pub(super) fn select_followed(
         &mut self,
         now: Instant,
-        has_store_contact: impl Fn(LinkId) -> bool,
+        has_store_contact: impl Fn(LinkId) -> Option<bool>,
     ) {
         let own_hash = watcher_election::name_hash(&self.own_name);
         let mut preceding: Vec<&mut Peer> = Vec::new();
@@ -102,6 +107,9 @@
             };
             (is_near, order)
         });
+        if let Some((_, others)) = preceding.split_at_mut_checked(FIRST_FOLLOWED) {
+            others.sort_unstable_by_key(|peer| peer.preference);
+        }
         let mut with_contact = 0;
         for peer in preceding.into_iter().take(MAX_FOLLOWED) {
             if with_contact >= TARGET_FOLLOWED {
--- a/crates/rillgap-forward/src/directory/mod.rs
+++ b/crates/rillgap-forward/src/directory/mod.rs
@@ -194,10 +194,19 @@
         (self.estimated_nodes > 0).then(|| self.estimated_nodes())
     }
 
+    /// Makes the next selection of peers due: followed ones have lost their contact with the store.
+    pub const fn select_soon(&mut self) {
+        self.is_subset_due = true;
+    }
+
     /// Selects the peers that links are kept to if a relevant change has occurred or the selection
     /// interval has elapsed. `has_store_contact` returns whether the peer on a link has a recent
-    /// contact with the store.
-    pub fn update_subset(&mut self, now: Instant, has_store_contact: impl Fn(LinkId) -> bool) {
+    /// contact with the store, if it has reported.
+    pub fn update_subset(
+        &mut self,
+        now: Instant,
+        has_store_contact: impl Fn(LinkId) -> Option<bool>,
+    ) {
         if std::mem::take(&mut self.is_subset_due) || now >= self.next_selection_at {
             self.next_selection_at = now + SELECTION_INTERVAL;
             subset::select_peers(now, &self.own_zone, self.peers.iter_mut());
--- a/crates/rillgap-forward/src/message.rs
+++ b/crates/rillgap-forward/src/message.rs
@@ -19,6 +19,7 @@
 use crate::id::Sequence;
 use crate::rate_limit::lease::{Vote, VoteRequest};
 use crate::store_epoch::StoreEpoch;
+use crate::watch_relay::ContactReport;
 
 /// Lowest priority; larger numbers are treated like it. 0 is the highest priority.
 const LOWEST_PRIORITY: u8 = 7;
@@ -452,9 +453,8 @@
     /// Subscribes to (`true`) or cancels (`false`) reports of the receiver's last contact with the
     /// store.
     Follow(bool),
-    /// Age of the sender's last contact with the store, in microseconds; `None` if it is not
-    /// recent.
-    StoreContact(Option<u64>),
+    /// The sender's last contact with the store.
+    StoreContact(ContactReport),
     /// The store was restored from a backup and has reached this epoch.
     StoreEpoch(StoreEpoch),
     /// Requests the age of the proof that the receiver's configuration is the newest one.
--- a/crates/rillgap-forward/src/node/follow.rs
+++ b/crates/rillgap-forward/src/node/follow.rs
@@ -10,6 +10,7 @@
 use crate::id::LinkId;
 use crate::log_record::LogRecord;
 use crate::message::LinkMessage;
+use crate::watch_relay::ContactReport;
 use crate::watcher_election::PrecedingNodes;
 
 /// Time since the start after which the node decides whether to watch the store even if it has not
@@ -29,14 +30,14 @@
             let age = self
                 .watch_relay
                 .contact_age(now, self.store.last_contact_at(now));
-            out.push(store_contact_message(link, age));
+            out.push(store_contact_message(now, link, age));
         }
     }
 
-    pub(super) fn on_store_contact(&mut self, now: Instant, link: LinkId, age_micros: Option<u64>) {
+    pub(super) fn on_store_contact(&mut self, now: Instant, link: LinkId, report: ContactReport) {
         if self.directory.is_preceding(link) {
-            let age = age_micros.map(Duration::from_micros);
-            self.watch_relay.on_contact_report(now, link, age);
+            self.watch_relay.on_contact_report(now, link, report);
+            self.next_watch_check = Some(now);
         }
     }
 
@@ -47,7 +48,7 @@
             out.extend(
                 followers
                     .into_iter()
-                    .map(|link| store_contact_message(link, age)),
+                    .map(|link| store_contact_message(now, link, age)),
             );
         }
     }
@@ -81,6 +82,14 @@
         } else {
             None
         };
+        if preceding.recent_count < self.recent_contacts {
+            self.directory.select_soon();
+        }
+        self.recent_contacts = preceding.recent_count;
+        let expiry = self.watch_relay.next_expiry(now);
+        let due = self.watcher_election.due_at(preceding);
+        let checks = expiry.into_iter().chain(due);
+        self.next_watch_check = checks.filter(|at| *at > now).min();
         let wait = wait.filter(|_| may_watch);
         let wait = wait.map(|wait| max_wait.map_or(wait, |max_wait| wait.min(max_wait)));
         if self.store.set_watch(now, wait) {
@@ -93,10 +102,13 @@
     }
 }
 
-fn store_contact_message(link: LinkId, age: Option<Duration>) -> Action {
-    let age_micros = age.map(|age| u64::try_from(age.as_micros()).unwrap_or(u64::MAX));
+fn store_contact_message(now: Instant, link: LinkId, age: Option<Duration>) -> Action {
+    let report = ContactReport {
+        sent_at_micros: now.as_micros(),
+        age_micros: age.map(|age| u64::try_from(age.as_micros()).unwrap_or(u64::MAX)),
+    };
     Action::SendOnLink {
         link,
-        message: LinkMessage::StoreContact(age_micros),
+        message: LinkMessage::StoreContact(report),
     }
 }
--- a/crates/rillgap-forward/src/node/mod.rs
+++ b/crates/rillgap-forward/src/node/mod.rs
@@ -61,7 +61,11 @@
     store: StoreSync,
     store_is_up: bool,
     watcher_election: WatcherElection,
+    /// When the node decides again whether to watch the store, if before the next housekeeping.
+    next_watch_check: Option<Instant>,
     watch_relay: WatchRelay,
+    /// Number of followed peers with a recent contact with the store when this was last decided.
+    recent_contacts: usize,
     freshness: Freshness,
     /// Whether the last log record on freshness said that requests with keys are served.
     logged_as_fresh: bool,
@@ -114,7 +118,9 @@
                 settings.store_writes_per_second,
             ),
             watcher_election: WatcherElection::new(&settings.record.name),
+            next_watch_check: None,
             watch_relay: WatchRelay::default(),
+            recent_contacts: 0,
             freshness: Freshness::new(settings.revocation),
             logged_as_fresh: true,
             buckets: Buckets::default(),
@@ -294,6 +300,7 @@
             self.store.next_wake(),
             self.offers.next_wake(),
             self.leases.next_wake(),
+            self.next_watch_check,
             self.inbound_stops_at,
         ]
         .into_iter()
@@ -419,7 +426,7 @@
             LinkMessage::ConfigurationQuery(version) => self.on_query(link, version, out),
             LinkMessage::FreshnessQuery(number) => self.on_freshness_query(now, link, number, out),
             LinkMessage::Follow(follows) => self.on_follow(now, link, follows, out),
-            LinkMessage::StoreContact(age_micros) => self.on_store_contact(now, link, age_micros),
+            LinkMessage::StoreContact(report) => self.on_store_contact(now, link, report),
             LinkMessage::StoreEpoch(epoch) => self.observe_epoch(now, epoch, Some(link), out),
             LinkMessage::FreshnessAnswer(answer) => {
                 self.observe_epoch(now, answer.epoch, Some(link), out);
@@ -495,6 +502,9 @@
             self.inbound.on_call(now, call);
         }
         self.outbound.release_ended_runs(now, &self.inbound);
+        if self.next_watch_check.is_some_and(|due| due <= now) {
+            self.update_watch(now, out);
+        }
         for (id, request) in self.store.poll(now) {
             out.push(Action::CallStore { id, request });
         }
--- a/crates/rillgap-forward/src/peer.rs
+++ b/crates/rillgap-forward/src/peer.rs
@@ -23,7 +23,7 @@
 /// serve: when a whole deployment starts, no back end is confirmed before the first configuration.
 const STARTUP_GRACE_PERIOD: Duration = Duration::from_secs(15);
 
-/// Time after the opening of a link for which the peer may have no contact with the store yet.
+/// Time after the opening of a link for which the peer may not have reported its contact with the store yet.
 const STORE_CONTACT_GRACE_PERIOD: Duration = Duration::from_secs(2);
 
 /// Time without a message after which a peer does not count as watching the store: two of its
@@ -182,18 +182,16 @@
     }
 
     /// Returns whether the peer may have a recent contact with the store: it has reported one, its
-    /// link is new, or no attempt to reach it has failed.
+    /// link is new and it has reported nothing yet, or no attempt to reach it has failed.
     pub(crate) fn may_have_store_contact(
         &self,
         now: Instant,
-        has_store_contact: impl Fn(LinkId) -> bool,
+        has_store_contact: impl Fn(LinkId) -> Option<bool>,
     ) -> bool {
         match self.link {
-            LinkState::Open(link) => {
-                let is_new =
-                    now.saturating_since(self.link_in_use_since) < STORE_CONTACT_GRACE_PERIOD;
-                has_store_contact(link) || is_new
-            }
+            LinkState::Open(link) => has_store_contact(link).unwrap_or_else(|| {
+                now.saturating_since(self.link_in_use_since) < STORE_CONTACT_GRACE_PERIOD
+            }),
             LinkState::Opening(_) | LinkState::Closed { .. } => !self.last_link_failed,
         }
     }
--- a/crates/rillgap-forward/src/store_sync/mod.rs
+++ b/crates/rillgap-forward/src/store_sync/mod.rs
@@ -55,6 +55,9 @@
 /// Time after its start at which a node reads the configuration even if it has received no list.
 const READ_DELAY_WITHOUT_LIST: Duration = Duration::from_secs(3);
 
+/// Time for which the first request of a watch waits: the shortest that the store takes.
+pub const FIRST_WATCH_WAIT: Duration = Duration::from_millis(1);
+
 /// Time beyond the wait of a watch after which a node without a reply no longer counts as watching.
 const WATCH_ANSWER_GRACE: Duration = Duration::from_millis(600);
 
@@ -71,7 +74,10 @@
     version: u64,
     /// Time for which a watch request waits; `None` if the node need not watch.
     wait: Option<Duration>,
-    /// Start of the watch or time of the last reply; `None` before both and after a failed request.
+    /// Whether the watch has started and has no reply yet.
+    is_starting: bool,
+    /// Time of the last reply; `None` before the first one since the start of the watch and after a
+    /// failed request.
     last_contact_at: Option<Instant>,
     /// Proof from the last reply that established the newest configuration.
     proof: Option<StoreProof>,
@@ -191,7 +197,8 @@
         let previous = std::mem::replace(&mut self.watch.wait, wait);
         let starts = wait.is_some() && previous.is_none();
         if starts {
-            self.watch.last_contact_at = Some(now);
+            self.watch.is_starting = true;
+            self.watch.last_contact_at = None;
         }
         if starts && self.configuration.in_flight.is_none() {
             self.configuration
@@ -200,10 +207,19 @@
         previous.is_some() != wait.is_some()
     }
 
-    /// Returns the next request for the configuration, if one is needed.
+    /// Returns the next request for the configuration, if one is needed. The first request of a watch
+    /// returns at once: until it is answered, other nodes have to expect that this one cannot reach the
+    /// store, and begin to watch as well.
     fn next_configuration_request(&self) -> Option<StoreRequest> {
         match (self.watch.position, self.watch.wait) {
-            (Some(after), Some(wait)) => Some(StoreRequest::WatchConfiguration { after, wait }),
+            (Some(after), Some(wait)) => {
+                let wait = if self.watch.is_starting {
+                    FIRST_WATCH_WAIT
+                } else {
+                    wait
+                };
+                Some(StoreRequest::WatchConfiguration { after, wait })
+            }
             (Some(_), None) => None,
             (None, wait) => {
                 let is_needed = wait.is_some() || !self.has_configuration;
@@ -434,6 +450,7 @@
             // no longer holds that position, it says so in its reply.
             StoreReply::Failed(failure) => {
                 self.watch.last_contact_at = None;
+                self.watch.is_starting = false;
                 let event = self.configuration.on_failure(now, request, failure);
                 self.configuration.next = self.next_configuration_request();
                 event
@@ -456,6 +473,7 @@
     ) {
         let watch = &mut self.watch;
         watch.last_contact_at = Some(now);
+        watch.is_starting = false;
         let previous_version = match request {
             StoreRequest::WatchConfiguration { after, .. } if after.epoch() != position.epoch() => {
                 watch.position = None;
--- a/crates/rillgap-forward/src/watch_relay.rs
+++ b/crates/rillgap-forward/src/watch_relay.rs
@@ -4,7 +4,9 @@
 //! nodes that precede it in the order of watchers, and reports the latest contact, its own or a
 //! reported one, to its followers. A report states the age of the original answer, and reports are
 //! sent only from preceding to following nodes: they cannot circulate and appear more recent than
-//! they are.
+//! they are. A report that was held up on its way, by a partition or a paused process, would do so as well, so it
+//! also states when it was sent by the sender's clock: what it took longer than the quickest report of its link is added
+//! to the age.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -22,6 +24,38 @@
 /// Interval at which a node without a recent contact repeats this report, as a keepalive.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_millis(700);
 
+/// Rate at which the clocks of two nodes may drift apart, as a fraction of the time.
+const MAX_CLOCK_DRIFT: f64 = 0.001;
+
+/// Report of the last contact with the store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ContactReport {
+    /// When the report was sent by the clock of the sender, in microseconds.
+    pub sent_at_micros: u64,
+    /// Age of the contact at that time, in microseconds; `None` if it is not recent.
+    pub age_micros: Option<u64>,
+}
+
+/// Quickest report on a link, as the difference of the receiver's clock and the sender's.
+#[derive(Clone, Copy, Debug)]
+struct QuickestReport {
+    difference_micros: i64,
+    received_at: Instant,
+}
+
+impl QuickestReport {
+    /// Returns how much longer than the quickest report a report has taken, and records it.
+    fn excess(&mut self, now: Instant, difference_micros: i64) -> Duration {
+        let elapsed = now.saturating_since(self.received_at).as_micros() as f64;
+        let drift = (elapsed * MAX_CLOCK_DRIFT) as i64;
+        let quickest = self.difference_micros.saturating_add(drift);
+        self.difference_micros = quickest.min(difference_micros);
+        self.received_at = now;
+        let excess = difference_micros.saturating_sub(self.difference_micros);
+        Duration::from_micros(u64::try_from(excess).unwrap_or(0))
+    }
+}
+
 /// Last report of a followed node.
 #[derive(Clone, Copy, Debug)]
 struct Report {
@@ -36,16 +70,25 @@
 #[derive(Clone, Debug, Default)]
 pub struct WatchRelay {
     reports: BTreeMap<LinkId, Report>,
+    quickest: BTreeMap<LinkId, QuickestReport>,
     followers: BTreeSet<LinkId>,
     /// When the last report was sent to the followers, and the contact that it stated.
     last_sent: Option<(Instant, Option<Instant>)>,
 }
 
 impl WatchRelay {
-    /// Records a report of a followed node: the age of its latest contact, `None` if none is
-    /// recent.
-    pub fn on_contact_report(&mut self, now: Instant, link: LinkId, age: Option<Duration>) {
-        let contact_at = age.map(|age| now - age);
+    /// Records a report of a followed node.
+    pub fn on_contact_report(&mut self, now: Instant, link: LinkId, report: ContactReport) {
+        let sent_at = i64::try_from(report.sent_at_micros).unwrap_or(i64::MAX);
+        let received_at = i64::try_from(now.as_micros()).unwrap_or(i64::MAX);
+        let difference_micros = received_at.saturating_sub(sent_at);
+        let quickest = self.quickest.entry(link).or_insert(QuickestReport {
+            difference_micros,
+            received_at: now,
+        });
+        let excess = quickest.excess(now, difference_micros);
+        let age = report.age_micros.map(Duration::from_micros);
+        let contact_at = age.map(|age| now - age.saturating_add(excess));
         let received_at = now;
         self.reports.insert(
             link,
@@ -73,13 +116,23 @@
     /// Removes the state of a link that has ended.
     pub fn link_ended(&mut self, link: LinkId) {
         self.reports.remove(&link);
+        self.quickest.remove(&link);
         self.followers.remove(&link);
     }
 
-    /// Returns whether the peer on a link has reported a recent contact.
-    pub fn has_recent_contact(&self, now: Instant, link: LinkId) -> bool {
+    /// Returns whether the peer on a link has reported a recent contact; `None` if it has reported
+    /// nothing yet.
+    pub fn has_recent_contact(&self, now: Instant, link: LinkId) -> Option<bool> {
         let report = self.reports.get(&link);
-        report.is_some_and(|report| is_recent(now, report.contact_at))
+        report.map(|report| is_recent(now, report.contact_at))
+    }
+
+    /// Returns when the next recent contact of a followed node ceases to be recent; `None` without
+    /// one.
+    pub fn next_expiry(&self, now: Instant) -> Option<Instant> {
+        let contacts = self.reports.values().filter_map(|report| report.contact_at);
+        let expiries = contacts.map(|at| at + MAX_CONTACT_AGE);
+        expiries.filter(|expiry| *expiry > now).min()
     }
 
     /// Returns the number of followed nodes with a recent contact.
--- a/crates/rillgap-forward/src/watcher_election.rs
+++ b/crates/rillgap-forward/src/watcher_election.rs
@@ -7,8 +7,9 @@
 //! with the store, by their own watch or through the nodes that they follow, the node need not
 //! watch. The first two nodes of the order thus watch, however many nodes there are.
 //!
-//! When recent contacts cease, the first nodes of the order take over, and more of them the longer
-//! this lasts: if the store is unreachable for all nodes, only few of them call it meanwhile. A
+//! When recent contacts cease, the first nodes of the order take over, and quickly more of them until one has a contact: those
+//! that come first may all be cut off from the store. If so many have none that the store is probably unreachable
+//! for all nodes, their number grows slowly. A
 //! node that receives no reports from the nodes that precede it may be partitioned from them, and
 //! watches the store itself.
 
@@ -19,13 +20,18 @@
 
 /// Number of followed nodes with a recent contact at which a node need not watch.
 const REQUIRED_RECENT_NODES: usize = 2;
-/// Number of nodes that take over first when recent contacts cease: so many that the store is
-/// unlikely to reject all of them, and no more in a larger deployment.
+/// Number of nodes that take over first when recent contacts cease, one after the other.
 const INITIAL_TAKEOVER_NODES: u64 = 16;
-/// Delay of each of these nodes relative to the preceding one.
-const TAKEOVER_STAGGER: Duration = Duration::from_millis(20);
-/// Time in which the number of nodes that may take over doubles.
-const TAKEOVER_DOUBLING_PERIOD: Duration = Duration::from_secs(1);
+/// Delay of each of these nodes relative to the preceding one: about as long as a reply of the store and
+/// its report take.
+const TAKEOVER_STAGGER: Duration = Duration::from_millis(10);
+/// Number of nodes up to which those that take over then double quickly. If none of so many reaches the store, it
+/// is likely to be unreachable for all.
+const QUICK_TAKEOVER_NODES: u64 = 128;
+/// Time in which the number of nodes that take over doubles, up to [`QUICK_TAKEOVER_NODES`] and
+/// beyond.
+const QUICK_DOUBLING_PERIOD: Duration = Duration::from_millis(150);
+const SLOW_DOUBLING_PERIOD: Duration = Duration::from_secs(2);
 /// Time for which a watch request waits. A watch on a dead connection is detected only after this
 /// time, so the bound on how soon a configuration reaches all nodes depends on it.
 const WATCH_WAIT: Duration = Duration::from_secs(1);
@@ -90,19 +96,21 @@
             self.startup_delay = Duration::ZERO;
             return None;
         }
-        let since = *self.needed_since.get_or_insert(now);
-        let needed_for = now
-            .saturating_since(since)
-            .checked_sub(self.startup_delay)?;
-        let is_due = if preceding.known_count < INITIAL_TAKEOVER_NODES {
-            needed_for
-                >= TAKEOVER_STAGGER * u32::try_from(preceding.known_count).unwrap_or(u32::MAX)
-        } else if preceding.has_recent_report {
-            preceding.known_count < takeover_candidates(needed_for)
+        self.needed_since.get_or_insert(now);
+        let is_due = self.due_at(preceding).is_some_and(|due| due <= now);
+        is_due.then_some(WATCH_WAIT)
+    }
+
+    /// Returns when the node has to watch; `None` if it need not.
+    pub fn due_at(&self, preceding: PrecedingNodes) -> Option<Instant> {
+        let is_first = preceding.known_count < INITIAL_TAKEOVER_NODES;
+        let delay = if is_first || preceding.has_recent_report {
+            takeover_delay(preceding.known_count)
         } else {
-            needed_for >= self.isolated_delay()
+            self.isolated_delay()
         };
-        is_due.then_some(WATCH_WAIT)
+        self.needed_since
+            .map(|since| since + self.startup_delay + delay)
     }
 
     fn isolated_delay(&self) -> Duration {
@@ -110,9 +118,20 @@
     }
 }
 
-/// Returns how many nodes may take over after a time without recent contacts.
-fn takeover_candidates(needed_for: Duration) -> u64 {
-    let doublings = needed_for.as_micros() / TAKEOVER_DOUBLING_PERIOD.as_micros();
-    let doublings = u32::try_from(doublings).unwrap_or(u32::MAX);
-    INITIAL_TAKEOVER_NODES.saturating_mul(1_u64.checked_shl(doublings).unwrap_or(u64::MAX))
+/// Returns how long after recent contacts have ceased a node takes over that so many nodes precede.
+fn takeover_delay(preceding: u64) -> Duration {
+    let first = u32::try_from(preceding.min(INITIAL_TAKEOVER_NODES)).unwrap_or(u32::MAX);
+    let quick = doublings(INITIAL_TAKEOVER_NODES, preceding.min(QUICK_TAKEOVER_NODES));
+    let slow = doublings(QUICK_TAKEOVER_NODES, preceding);
+    TAKEOVER_STAGGER * first
+        + QUICK_DOUBLING_PERIOD.mul_f64(quick)
+        + SLOW_DOUBLING_PERIOD.mul_f64(slow)
+}
+
+/// Returns how often `nodes` has to double to reach `reached`, with the nodes of each doubling spread evenly
+/// over its period; 0 if it need not.
+fn doublings(nodes: u64, reached: u64) -> f64 {
+    let ratio = reached.max(nodes) as f64 / nodes as f64;
+    let whole = ratio.log2().floor();
+    whole + ratio / whole.exp2() - 1.0
 }
--- a/crates/rillgap-forward/tests/simulation/scenario.rs
+++ b/crates/rillgap-forward/tests/simulation/scenario.rs
@@ -46,6 +46,8 @@
     ExcessTokens,
     /// A node that is cut off gets the votes that it requests all the same.
     ForgedVotes,
+    /// Nodes that the store does not answer report a contact with it.
+    FalseContacts,
     /// Nodes have a retry budget that covers every retry.
     ExcessRetries,
     /// The identifiers of calls do not tell which request they are made for.
--- a/crates/rillgap-forward/tests/support/mod.rs
+++ b/crates/rillgap-forward/tests/support/mod.rs
@@ -30,6 +30,7 @@
 use rillgap_forward::store_sync::{
     NodeList, StoreFailure, StoreReply, StoreRequest, StoreRequestId,
 };
+use rillgap_forward::watch_relay::ContactReport;
 
 pub const SERVICE: &str = "takst";
 pub const INSTANCE: &str = "i-1";
@@ -284,6 +285,16 @@
         test
     }
 
+    /// Delivers the report of a peer that its last contact with the store is so old; `None` if it has no
+    /// recent one.
+    pub fn report_store_contact(&mut self, link: LinkId, age_micros: Option<u64>) {
+        let message = LinkMessage::StoreContact(ContactReport {
+            sent_at_micros: at(self.now).as_micros(),
+            age_micros,
+        });
+        self.event(Event::Link { link, message });
+    }
+
     pub fn event(&mut self, event: Event) {
         self.node.handle(at(self.now), event, &mut self.actions);
     }
--- a/crates/rillgap-sidecar/src/link/codec.rs
+++ b/crates/rillgap-sidecar/src/link/codec.rs
@@ -17,6 +17,7 @@
 };
 use rillgap_forward::rate_limit::lease::{Vote, VoteRequest};
 use rillgap_forward::store_epoch::StoreEpoch;
+use rillgap_forward::watch_relay::ContactReport;
 
 /// Maximum length of a frame in bytes, without the length field: that of the longest body that nodes
 /// hold, with the rest of a message.
@@ -148,10 +149,13 @@
             }
             LinkMessage::Follow(true) => put_frame(out, FOLLOW, &[], &[]),
             LinkMessage::Follow(false) => put_frame(out, UNFOLLOW, &[], &[]),
-            LinkMessage::StoreContact(Some(age)) => {
-                put_frame(out, STORE_CONTACT, &age.to_be_bytes(), &[])
+            LinkMessage::StoreContact(report) => {
+                let sent_at = report.sent_at_micros.to_be_bytes();
+                match report.age_micros {
+                    Some(age) => put_frame(out, STORE_CONTACT, &sent_at, &age.to_be_bytes()),
+                    None => put_frame(out, NO_STORE_CONTACT, &sent_at, &[]),
+                }
             }
-            LinkMessage::StoreContact(None) => put_frame(out, NO_STORE_CONTACT, &[], &[]),
             LinkMessage::StoreEpoch(epoch) => {
                 put_frame(out, STORE_EPOCH, &epoch.0.to_be_bytes(), &[])
             }
@@ -342,9 +346,19 @@
             FOLLOW => Ok(LinkMessage::Follow(true)),
             UNFOLLOW => Ok(LinkMessage::Follow(false)),
             STORE_CONTACT => {
-                split_number(payload).map(|(age, _)| LinkMessage::StoreContact(Some(age)))
+                let (sent_at_micros, rest) = split_number(payload)?;
+                let (age, _) = split_number(rest)?;
+                Ok(LinkMessage::StoreContact(ContactReport {
+                    sent_at_micros,
+                    age_micros: Some(age),
+                }))
             }
-            NO_STORE_CONTACT => Ok(LinkMessage::StoreContact(None)),
+            NO_STORE_CONTACT => split_number(payload).map(|(sent_at_micros, _)| {
+                LinkMessage::StoreContact(ContactReport {
+                    sent_at_micros,
+                    age_micros: None,
+                })
+            }),
             STORE_EPOCH => {
                 split_number(payload).map(|(epoch, _)| LinkMessage::StoreEpoch(StoreEpoch(epoch)))
             }
