Limits: a deployment that restarts as a whole does not wait for old votes

An abstaining vote now counts if the whole electorate has voted or has ended, and nobody in it holds the lease: a lease that an earlier vote is for would be held by one of them.

--- a/crates/rillgap-forward/src/directory/owners.rs
+++ b/crates/rillgap-forward/src/directory/owners.rs
@@ -8,7 +8,7 @@
 
 use super::{Directory, PeerIndex};
 use crate::id::LinkId;
-use crate::rate_limit::lease::{LostNode, MAX_ELECTORATE, VoterId};
+use crate::rate_limit::lease::{LostNode, MAX_ELECTORATE, VoterId, VoterProcess};
 use crate::rate_limit::ownership::{Owner, TenantHash};
 use crate::watcher_election;
 
@@ -139,9 +139,9 @@
         }
     }
 
-    /// Returns whether the process of a peer ended so long ago that no vote of it is in force.
-    pub fn has_no_votes(&self, now: Instant, index: PeerIndex) -> bool {
-        self.peer(index).has_no_votes(now)
+    /// Returns what is known of the process of a peer.
+    pub fn voter_process(&self, now: Instant, index: PeerIndex) -> VoterProcess {
+        self.peer(index).voter_process(now)
     }
 
     /// Records that a query was sent to a peer and its answer is pending.
--- a/crates/rillgap-forward/src/node/leases.rs
+++ b/crates/rillgap-forward/src/node/leases.rs
@@ -52,9 +52,9 @@
         let electorate = self.directory.electorate(tenant);
         let lost = self.directory.lost_predecessors(tenant);
         let directory = &self.directory;
-        let has_no_votes = |peer| directory.has_no_votes(now, peer);
+        let processes = |peer| directory.voter_process(now, peer);
         self.leases
-            .lease(now, tenant, &electorate, &lost, has_no_votes)
+            .lease(now, tenant, &electorate, &lost, processes)
     }
 
     /// Requests votes for the buckets that this node wants to own, if a round is due.
@@ -66,21 +66,23 @@
         self.directory.set_wanted_buckets(wanted.clone());
         let mut lost = BTreeSet::new();
         let mut voters = BTreeSet::new();
-        let mut has_leases = true;
+        let mut missing = Vec::new();
         for tenant in wanted {
             let is_held = self.lease(now, tenant).is_some();
             self.report_lease(now, tenant, is_held, out);
-            has_leases &= is_held;
+            if !is_held {
+                missing.push(tenant);
+            }
             let predecessors = self.directory.lost_predecessors(tenant);
             lost.extend(predecessors.iter().map(|node| node.name_hash));
             voters.extend(self.voters_to_ask(now, tenant, is_held));
         }
         let lost: Vec<u64> = lost.into_iter().collect();
-        if self.leases.begin_round(now, &lost, has_leases) {
+        if self.leases.begin_round(now, &lost, missing.is_empty()) {
             voters.extend(self.leases.voters(now));
         }
         for voter in voters {
-            self.request_vote(now, voter, &lost, out);
+            self.request_vote(now, voter, &lost, &missing, out);
         }
     }
 
@@ -119,8 +121,15 @@
             .is_none_or(|index| self.directory.peer(index).open_link().is_some())
     }
 
-    fn request_vote(&mut self, now: Instant, voter: VoterId, lost: &[u64], out: &mut Actions) {
-        let request = self.leases.request(now, voter, lost);
+    fn request_vote(
+        &mut self,
+        now: Instant,
+        voter: VoterId,
+        lost: &[u64],
+        wanted: &[TenantHash],
+        out: &mut Actions,
+    ) {
+        let request = self.leases.request(now, voter, lost, wanted);
         let Some(index) = voter.peer() else {
             let own_hash = name_hash(&self.settings.record.name);
             if let Some(vote) = self.lease_voter.on_request(now, own_hash, &request) {
@@ -141,8 +150,8 @@
         let electorate = self.directory.electorate(tenant);
         let lost = self.directory.lost_predecessors(tenant);
         let directory = &self.directory;
-        let has_no_votes = |peer| directory.has_no_votes(now, peer);
-        let standing = self.leases.standing(now, &electorate, &lost, has_no_votes);
+        let processes = |peer| directory.voter_process(now, peer);
+        let standing = self.leases.standing(now, &electorate, &lost, processes);
         out.push(Action::Log(LogRecord::BucketLease {
             tenant: change.tenant,
             is_held: change.is_held,
@@ -162,7 +171,11 @@
             return;
         };
         let candidate = peer.name_hash();
-        if let Some(vote) = self.lease_voter.on_request(now, candidate, request) {
+        if let Some(mut vote) = self.lease_voter.on_request(now, candidate, request) {
+            let wanted = request.wanted.iter().copied();
+            vote.held = wanted
+                .filter(|tenant| self.lease(now, *tenant).is_some())
+                .collect();
             let message = LinkMessage::Vote(vote);
             out.push(Action::SendOnLink { link, message });
         }
--- a/crates/rillgap-forward/src/peer.rs
+++ b/crates/rillgap-forward/src/peer.rs
@@ -9,7 +9,7 @@
 use crate::back_end_notice::RequestRate;
 use crate::id::LinkId;
 use crate::message::{Hello, Load, NodeRecord, RateLimitReport, RememberedRateLimit, Status};
-use crate::rate_limit::lease::{LEASE_LIFETIME, VOTE_LIFETIME};
+use crate::rate_limit::lease::{LEASE_LIFETIME, VOTE_LIFETIME, VoterProcess};
 use crate::watcher_election;
 
 /// Initial and maximum backoff before a link is opened again; doubles after each failure.
@@ -346,13 +346,16 @@
         true
     }
 
-    /// Returns whether the peer's process ended so long ago that no vote of it is in force, and has not
-    /// started since.
-    pub(crate) fn has_no_votes(&self, now: Instant) -> bool {
-        self.refused.is_some_and(|(first, last)| {
-            let is_old = now.saturating_since(first) >= VOTE_LIFETIME;
-            is_old && now.saturating_since(last) < LEASE_LIFETIME
-        })
+    /// Returns what is known of the peer's process, as a voter.
+    pub(crate) fn voter_process(&self, now: Instant) -> VoterProcess {
+        match self.refused {
+            Some((_, last)) if now.saturating_since(last) >= LEASE_LIFETIME => VoterProcess::MayRun,
+            Some((first, _)) if now.saturating_since(first) >= VOTE_LIFETIME => {
+                VoterProcess::EndedWithItsVotes
+            }
+            Some(_) => VoterProcess::Ended,
+            None => VoterProcess::MayRun,
+        }
     }
 
     /// Returns since when the peer cannot own buckets. Only valid while it cannot.
--- a/crates/rillgap-forward/src/rate_limit/lease/holder.rs
+++ b/crates/rillgap-forward/src/rate_limit/lease/holder.rs
@@ -46,6 +46,10 @@
 struct HeldVote {
     requested_at: Instant,
     lost: Vec<u64>,
+    /// Whether it only counts if the whole electorate has voted.
+    is_abstaining: bool,
+    /// Tenants on whose buckets the voter holds the lease.
+    held: Vec<TenantHash>,
     /// Since when no successor of this node has counted on its loss, as far as the voter knows.
     uncontested_since: Instant,
 }
@@ -76,6 +80,17 @@
     pub since: Instant,
 }
 
+/// What is known of the process of a voter.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum VoterProcess {
+    /// It may run.
+    MayRun,
+    /// It has ended, and no other one has started. Its votes may still be in force.
+    Ended,
+    /// It ended so long ago that none of its votes is in force.
+    EndedWithItsVotes,
+}
+
 /// What the votes in force say about a bucket.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct VoteStanding {
@@ -233,8 +248,15 @@
         previous.iter().any(|node| !lost.contains(node))
     }
 
-    /// Returns the request for the vote of one voter, which is sent now.
-    pub fn request(&mut self, now: Instant, voter: VoterId, lost: &[u64]) -> VoteRequest {
+    /// Returns the request for the vote of one voter, which is sent now. `wanted` are the buckets whose
+    /// leases are missing.
+    pub fn request(
+        &mut self,
+        now: Instant,
+        voter: VoterId,
+        lost: &[u64],
+        wanted: &[TenantHash],
+    ) -> VoteRequest {
         self.last_number += 1;
         let request = PendingRequest {
             voter,
@@ -247,6 +269,7 @@
             answered: self.answered.get(&voter).copied().unwrap_or(0),
             is_candidate: !self.wanted.is_empty(),
             lost: lost.to_vec(),
+            wanted: wanted.to_vec(),
         }
     }
 
@@ -277,24 +300,27 @@
         let held = HeldVote {
             requested_at: request.sent_at,
             lost,
+            is_abstaining: vote.is_abstaining,
+            held: vote.held.clone(),
             uncontested_since: now - uncontested,
         };
         self.votes.insert(voter, held);
     }
 
     /// Returns since when this node has held the lease on a bucket; `None` if it does not hold it. `lost` are the
-    /// nodes that precede it in the order of the bucket; `has_ended` returns whether the process
-    /// of a voter ended so long ago that none of its votes is in force.
+    /// nodes that precede it in the order of the bucket; `processes` returns what is known of the process of a
+    /// voter.
     pub fn lease(
         &mut self,
         now: Instant,
         tenant: TenantHash,
         electorate: &[VoterId],
         lost: &[LostNode],
-        has_ended: impl Fn(PeerIndex) -> bool,
+        processes: impl Fn(PeerIndex) -> VoterProcess,
     ) -> Option<Instant> {
-        let standing = self.standing(now, electorate, lost, has_ended);
-        if !standing.is_majority() {
+        let standing = self.standing(now, electorate, lost, &processes);
+        if !standing.is_majority() && !self.is_unanimous(now, tenant, electorate, lost, &processes)
+        {
             return None;
         }
         let lease = self.leases.get(&tenant).copied();
@@ -329,11 +355,13 @@
         now: Instant,
         electorate: &[VoterId],
         lost: &[LostNode],
-        has_ended: impl Fn(PeerIndex) -> bool,
+        processes: impl Fn(PeerIndex) -> VoterProcess,
     ) -> VoteStanding {
         let votes = |voter: &&VoterId| {
-            let is_ended = matches!(voter, VoterId::Peer(peer) if has_ended(*peer));
-            is_ended || self.vote(now, **voter, lost).is_some()
+            let process = voter.peer().map(&processes);
+            let vote = self.vote(now, **voter, lost);
+            process == Some(VoterProcess::EndedWithItsVotes)
+                || vote.is_some_and(|vote| !vote.is_abstaining)
         };
         VoteStanding {
             votes: electorate.iter().filter(votes).count(),
@@ -341,6 +369,24 @@
         }
     }
 
+    /// Returns whether the whole electorate has voted, abstaining or not, and nobody in it holds the lease on a
+    /// bucket. A process that has ended holds none.
+    fn is_unanimous(
+        &self,
+        now: Instant,
+        tenant: TenantHash,
+        electorate: &[VoterId],
+        lost: &[LostNode],
+        processes: impl Fn(PeerIndex) -> VoterProcess,
+    ) -> bool {
+        electorate.iter().all(|voter| {
+            let process = voter.peer().map(&processes);
+            let has_ended = process.is_some_and(|process| process != VoterProcess::MayRun);
+            let vote = self.vote(now, *voter, lost);
+            has_ended || vote.is_some_and(|vote| !vote.held.contains(&tenant))
+        })
+    }
+
     /// Returns the vote of a voter if it is in force and says that these nodes are lost.
     fn vote(&self, now: Instant, voter: VoterId, lost: &[LostNode]) -> Option<&HeldVote> {
         let vote = self.votes.get(&voter)?;
--- a/crates/rillgap-forward/src/rate_limit/lease/mod.rs
+++ b/crates/rillgap-forward/src/rate_limit/lease/mod.rs
@@ -12,7 +12,9 @@
 //! - Two majorities of an electorate share a voter. So two nodes never hold leases on a bucket at the same time,
 //!   also if each of them is in contact with most nodes and only they have lost each other.
 //! - A candidate that does not get the answers of a voter loses its vote: it can be heard, but hears nobody.
-//! - A voter that has started again does not know its earlier votes, and gives none until they have ended.
+//! - A voter that has started again does not know its earlier votes, so its vote does not count until they
+//!   have ended. It does count if the whole electorate has voted and nobody in it holds the lease: a lease that an
+//!   earlier vote is for would be held by one of them. So a deployment that restarts as a whole does not wait.
 //! - A process that has ended counts as a voter for everybody once its votes have ended.
 
 mod holder;
@@ -22,7 +24,9 @@
 
 use bitcode::{Decode, Encode};
 
-pub use holder::{LeaseChange, LeaseHolder, LostNode, VoteStanding, VoterId};
+use super::ownership::TenantHash;
+
+pub use holder::{LeaseChange, LeaseHolder, LostNode, VoteStanding, VoterId, VoterProcess};
 pub use voter::LeaseVoter;
 
 /// Time for which a candidate counts a vote, from the sending of the request for it. Longer than a few
@@ -47,6 +51,8 @@
     pub is_candidate: bool,
     /// Name hashes of the nodes that precede the sender in the order of a bucket and are lost to it.
     pub lost: Vec<u64>,
+    /// Tenants whose buckets the sender wants to own and does not hold the lease on.
+    pub wanted: Vec<TenantHash>,
 }
 
 /// Answer to a request for a vote.
@@ -56,6 +62,10 @@
     pub number: u64,
     /// Whether the sender may own buckets: none of its successors counts on a vote that says that it is lost.
     pub is_granted: bool,
+    /// Whether votes of an earlier process of the voter may be in force, which it does not know.
+    pub is_abstaining: bool,
+    /// Those of the wanted tenants on whose buckets the voter itself holds the lease.
+    pub held: Vec<TenantHash>,
     /// Those of the lost nodes that may own buckets all the same.
     pub not_lost: Vec<u64>,
     /// Time for which no vote was in force that says that the candidate is lost, in milliseconds.
--- a/crates/rillgap-forward/src/rate_limit/lease/voter.rs
+++ b/crates/rillgap-forward/src/rate_limit/lease/voter.rs
@@ -129,13 +129,15 @@
         if entry.record_request(now, request) {
             return None;
         }
-        let is_granted = now >= self.abstains_until && entry.grant(now);
+        let is_granted = entry.grant(now);
         let uncontested = now.saturating_since(entry.uncontested_since(self.started_at));
         self.release(now, candidate, &request.lost);
         let not_lost = self.record_lost(now, candidate, request, is_granted);
         Some(Vote {
             number: request.number,
             is_granted,
+            is_abstaining: now < self.abstains_until,
+            held: Vec::new(),
             not_lost,
             uncontested_millis: u32::try_from(uncontested.as_millis()).unwrap_or(u32::MAX),
         })
--- a/crates/rillgap-forward/src/rate_limit/ownership.rs
+++ b/crates/rillgap-forward/src/rate_limit/ownership.rs
@@ -5,6 +5,7 @@
 //! node that receives a query grants tokens only if it is the first one in its *own* view and holds
 //! the lease on the bucket (see [`lease`](super::lease)), so that two nodes whose views differ never both grant.
 
+use bitcode::{Decode, Encode};
 use rillgap_core::time::Instant;
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -12,7 +13,7 @@
 use crate::id::LinkId;
 
 /// Hash of a tenant's name, which determines the order of the possible owners of its bucket.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Encode, Decode)]
 pub struct TenantHash(u64);
 
 impl TenantHash {
--- a/crates/rillgap-forward/tests/simulation/cut_owners.rs
+++ b/crates/rillgap-forward/tests/simulation/cut_owners.rs
@@ -296,6 +296,33 @@
     });
 }
 
+/// Milliseconds after the start of all nodes within which tokens must be given out again. Most of it is
+/// the interval of the back ends' heartbeats.
+const MAX_RESTART_MILLIS: u64 = 2_000;
+
+/// Guards against voters that abstain after a restart of the whole deployment, when no lease can be left.
+#[gtest]
+fn tokens_are_given_out_soon_after_a_restart_of_all_nodes() {
+    for rate in RATES {
+        for seed in 0..SEEDS {
+            let mut world = world_with_demand(seed, rate, InjectedBug::None);
+            let (off, on) = (TROUBLE_RANGE.0, TROUBLE_RANGE.0 + 1_000);
+            for host in 0..world.size() {
+                let start = on + world.draw(100);
+                world.schedule(off, WorldEvent::Fault(Fault::PowerOff(host)));
+                world.schedule(start, WorldEvent::Fault(Fault::Start(host)));
+            }
+            world.run_until(CALLERS_AND_SCENARIO_END.1);
+            world.check_limit();
+            expect_that!(world.checker.violations, is_empty(), "seed {seed}, {rate}");
+            let granted = world
+                .checker
+                .limited_executions(on, on + MAX_RESTART_MILLIS);
+            expect_that!(granted, gt(0), "seed {seed}, {rate} requests per second");
+        }
+    }
+}
+
 /// Guards against a checker that overlooks two owners: forged votes keep an owner that is cut off.
 #[gtest]
 fn checker_detects_an_owner_that_is_cut_off_and_goes_on() {
--- a/crates/rillgap-forward/tests/simulation/world/links.rs
+++ b/crates/rillgap-forward/tests/simulation/world/links.rs
@@ -160,6 +160,8 @@
         let message = LinkMessage::Vote(Vote {
             number: request.number,
             is_granted: true,
+            is_abstaining: false,
+            held: Vec::new(),
             not_lost: Vec::new(),
             uncontested_millis: u32::MAX,
         });
--- a/crates/rillgap-forward/tests/tenants.rs
+++ b/crates/rillgap-forward/tests/tenants.rs
@@ -380,6 +380,8 @@
         let message = LinkMessage::Vote(Vote {
             number,
             is_granted: true,
+            is_abstaining: false,
+            held: Vec::new(),
             not_lost: Vec::new(),
             uncontested_millis: 10_000,
         });
--- a/crates/rillgap-sidecar/tests/frames.rs
+++ b/crates/rillgap-sidecar/tests/frames.rs
@@ -12,6 +12,7 @@
     NodeRecord, ServiceAdmissionLevel, Status, Timing, level_of,
 };
 use rillgap_forward::rate_limit::lease::{Vote, VoteRequest};
+use rillgap_forward::rate_limit::ownership::TenantHash;
 use rillgap_forward::store_epoch::StoreEpoch;
 use rillgap_forward::watch_relay::ContactReport;
 use rillgap_sidecar::link::{Frame, FrameDecoder, FrameEncoder, FrameError};
@@ -101,10 +102,13 @@
             answered: 4,
             is_candidate: true,
             lost: vec![1, 2],
+            wanted: vec![TenantHash::of("t")],
         }),
         LinkMessage::Vote(Vote {
             number: 5,
             is_granted: true,
+            is_abstaining: false,
+            held: Vec::new(),
             not_lost: vec![2],
             uncontested_millis: 100,
         }),
