--- a/crates/rillgap-forward/src/directory/owners.rs
+++ b/crates/rillgap-forward/src/directory/owners.rs
@@ -39,11 +39,12 @@
     }
 
     /// Sets the tenants whose buckets this node wants to own, so that links to all voters are needed.
-    pub fn set_wanted_buckets(&mut self, tenants: Vec<TenantHash>) {
-        if self.wanted_buckets != tenants {
-            self.wanted_buckets = tenants;
-            self.is_subset_due = true;
-        }
+    /// Returns whether they have changed.
+    pub fn set_wanted_buckets(&mut self, tenants: Vec<TenantHash>) -> bool {
+        let has_changed = self.wanted_buckets != tenants;
+        self.wanted_buckets = tenants;
+        self.is_subset_due |= has_changed;
+        has_changed
     }
 
     /// Returns the nodes that vote on the owner of a tenant's bucket, in the order of owners: the first
--- a/crates/rillgap-forward/src/node/leases.rs
+++ b/crates/rillgap-forward/src/node/leases.rs
@@ -9,7 +9,7 @@
 use crate::id::LinkId;
 use crate::log_record::LogRecord;
 use crate::message::{LinkMessage, Status};
-use crate::rate_limit::lease::{Vote, VoteRequest, VoterId};
+use crate::rate_limit::lease::{Vote, VoteRequest, VoteStanding, VoterId};
 use crate::rate_limit::ownership::{Owner, TenantHash};
 use crate::watcher_election::name_hash;
 
@@ -63,7 +63,9 @@
             return;
         }
         let wanted = self.still_wanted(now);
-        self.directory.set_wanted_buckets(wanted.clone());
+        if self.directory.set_wanted_buckets(wanted.clone()) {
+            self.open_links(now, out);
+        }
         let mut lost = BTreeSet::new();
         let mut voters = BTreeSet::new();
         let mut missing = Vec::new();
@@ -75,7 +77,7 @@
             }
             let predecessors = self.directory.lost_predecessors(tenant);
             lost.extend(predecessors.iter().map(|node| node.name_hash));
-            voters.extend(self.voters_to_ask(now, tenant, is_held));
+            voters.extend(self.voters_to_ask(now, tenant));
         }
         let lost: Vec<u64> = lost.into_iter().collect();
         if self.leases.begin_round(now, &lost, missing.is_empty()) {
@@ -101,14 +103,14 @@
         wanted
     }
 
-    /// Returns the voters whose votes are needed: all if the lease is missing, otherwise a majority and
-    /// some more, those that have voted before first.
-    fn voters_to_ask(&mut self, now: Instant, tenant: TenantHash, is_held: bool) -> Vec<VoterId> {
+    /// Returns the voters whose votes are needed: all if there is no majority, otherwise a majority and some
+    /// more, those that have voted before first.
+    fn voters_to_ask(&mut self, now: Instant, tenant: TenantHash) -> Vec<VoterId> {
         let electorate = self.directory.electorate(tenant);
         let with_votes: BTreeSet<VoterId> = self.leases.voters(now).collect();
         let mut voters = electorate.to_vec();
         voters.retain(|voter| self.is_reachable(*voter));
-        if is_held {
+        if self.vote_standing(now, tenant).is_majority() {
             voters.sort_by_key(|voter| !with_votes.contains(voter));
             voters.truncate(electorate.len() / 2 + 1 + SPARE_VOTES);
         }
@@ -147,19 +149,23 @@
         let Some(change) = self.leases.record_standing(now, tenant, is_held) else {
             return;
         };
-        let electorate = self.directory.electorate(tenant);
-        let lost = self.directory.lost_predecessors(tenant);
-        let directory = &self.directory;
-        let processes = |peer| directory.voter_process(now, peer);
-        let standing = self.leases.standing(now, &electorate, &lost, processes);
         out.push(Action::Log(LogRecord::BucketLease {
             tenant: change.tenant,
             is_held: change.is_held,
-            standing,
-            lost: lost.len(),
+            standing: self.vote_standing(now, tenant),
+            lost: self.directory.lost_predecessors(tenant).len(),
         }));
     }
 
+    /// Counts the votes in force for a bucket.
+    fn vote_standing(&mut self, now: Instant, tenant: TenantHash) -> VoteStanding {
+        let electorate = self.directory.electorate(tenant);
+        let lost = self.directory.lost_predecessors(tenant);
+        let directory = &self.directory;
+        let processes = |peer| directory.voter_process(now, peer);
+        self.leases.standing(now, &electorate, &lost, processes)
+    }
+
     pub(super) fn on_vote_request(
         &mut self,
         now: Instant,
--- a/crates/rillgap-forward/src/rate_limit/lease/holder.rs
+++ b/crates/rillgap-forward/src/rate_limit/lease/holder.rs
@@ -12,7 +12,10 @@
 /// Interval at which votes are requested again: several times in the life of a lease.
 const RENEWAL_INTERVAL: Duration = Duration::from_millis(500);
 /// Interval at which votes are requested while too few are in force.
-const RETRY_INTERVAL: Duration = Duration::from_millis(150);
+const RETRY_INTERVAL: Duration = Duration::from_millis(100);
+/// Time from a new link or offer to the next round of requests: several links that open at the same time
+/// lead to one round.
+const LINK_DELAY: Duration = Duration::from_millis(20);
 /// Time without a lease after which queries are refused instead of left to be repeated: votes arrive
 /// within a round trip if most voters can be reached and are free.
 const MAX_UNCONFIRMED: Duration = Duration::from_millis(300);
@@ -212,9 +215,10 @@
         self.wanted.keys().copied().collect()
     }
 
-    /// Makes the next round due now: a lost node may be back, and its votes have to be returned to it.
-    pub const fn hasten_round(&mut self, now: Instant) {
-        self.next_round_at = now;
+    /// Makes the next round due soon: a lost node may be back, and its votes have to be returned to it, or there
+    /// is a new link to a voter.
+    pub fn hasten_round(&mut self, now: Instant) {
+        self.next_round_at = self.next_round_at.min(now + LINK_DELAY);
     }
 
     /// Gives up all leases: the node does not offer to own buckets any more.
